Set up the workspace, the shared types and the kernel

Cause: nothing exists yet. Change: design page, workspace of seven crates, protocol types, the stakker kernel with its services still empty, and a FIFO first-fit planner as the baseline. Conclusion: the interfaces between the crates are fixed enough to build against.

--- /dev/null
+++ b/crates/shallotpost-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! See docs/design.md, section 2.1.
--- /dev/null
+++ b/crates/shallotpost-control/src/kernel.rs
@@ -0,0 +1,157 @@
+//! The micro-kernel: one `stakker` actor per service, found by name.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use shallotpost_protocol::wire::Frame;
+use stakker::{ActorOwn, CX, Fwd, Stakker, actor, fwd_to, ret_nop};
+use strum::IntoEnumIterator;
+
+use crate::context::caller;
+use crate::prelude::*;
+use crate::service::Service;
+
+/// Interval of [`Message::Tick`].
+pub const TICK: Duration = Duration::from_millis(10);
+
+/// State that all service actors share.
+#[derive(Default)]
+struct Registry {
+    services: RefCell<BTreeMap<Name, Fwd<Message>>>,
+    effects: RefCell<Vec<Effect>>,
+    next_call: Cell<u64>,
+    unix_ms: Cell<u64>,
+}
+
+impl Registry {
+    fn send(&self, to: Name, message: Message) {
+        if let Some(service) = self.services.borrow().get(&to) {
+            service.fwd(message);
+        }
+    }
+}
+
+/// Actor that hosts one service.
+struct Host {
+    name: Name,
+    service: Service,
+    registry: Rc<Registry>,
+}
+
+impl Host {
+    fn init(_: CX![], name: Name, service: Service, registry: Rc<Registry>) -> Option<Host> {
+        Some(Host { name, service, registry })
+    }
+
+    fn receive(&mut self, cx: CX![], message: Message) {
+        let mut context = Context::new(
+            self.name,
+            cx.now(),
+            self.registry.unix_ms.get(),
+            self.registry.next_call.get(),
+        );
+        self.service.handle(&mut context, message);
+        self.registry.next_call.set(context.next_call());
+        self.registry.effects.borrow_mut().append(&mut context.effects);
+        for (to, message) in context.messages {
+            self.registry.send(to, message);
+        }
+    }
+}
+
+/// The kernel of one daemon. All time comes from its caller.
+pub struct Kernel {
+    stakker: Stakker,
+    registry: Rc<Registry>,
+    _services: Vec<ActorOwn<Host>>,
+    next_tick: Instant,
+}
+
+impl Kernel {
+    /// Starts all services at `now`.
+    pub fn new(settings: &Settings, now: Instant, unix_ms: u64) -> Kernel {
+        let mut stakker = Stakker::new(now);
+        let registry = Rc::new(Registry::default());
+        registry.unix_ms.set(unix_ms);
+        let services =
+            Name::iter().map(|name| start(&mut stakker, &registry, name, settings)).collect();
+        stakker.run(now, false);
+        Kernel { stakker, registry, _services: services, next_tick: now }
+    }
+
+    /// Hands an event to the service that it concerns and runs until no message is left.
+    pub fn deliver(&mut self, now: Instant, unix_ms: u64, event: Event) {
+        self.registry.unix_ms.set(unix_ms);
+        // Messages see the time of the run that executes them, so time must move before they are queued.
+        self.stakker.run(now, false);
+        route(&self.registry, event);
+        self.stakker.run(now, false);
+    }
+
+    /// Sends the ticks that are due.
+    pub fn advance(&mut self, now: Instant, unix_ms: u64) {
+        self.registry.unix_ms.set(unix_ms);
+        self.stakker.run(now, false);
+        if now >= self.next_tick {
+            // One tick covers a pause of any length: services compare times and do not count ticks.
+            self.next_tick = now + TICK;
+            Name::iter().for_each(|name| self.registry.send(name, Message::Tick));
+            self.stakker.run(now, false);
+        }
+    }
+
+    /// Moment of the next tick.
+    pub fn next_tick(&self) -> Instant {
+        self.next_tick
+    }
+
+    /// Takes the effects since the last call, in order.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        self.registry.effects.take()
+    }
+}
+
+fn start(
+    stakker: &mut Stakker,
+    registry: &Rc<Registry>,
+    name: Name,
+    settings: &Settings,
+) -> ActorOwn<Host> {
+    let service = Service::new(name, settings);
+    let host = actor!(stakker, Host::init(name, service, Rc::clone(registry)), ret_nop!());
+    let forward = fwd_to!([host], receive() as (Message));
+    registry.services.borrow_mut().insert(name, forward);
+    host
+}
+
+fn route(registry: &Registry, event: Event) {
+    match event {
+        Event::Request { request, call } => {
+            registry.send(Name::Router, Message::Request { request, call })
+        }
+        Event::Abandoned { request } => registry.send(Name::Router, Message::Abandoned { request }),
+        Event::Table { call, result } => answer(registry, call, Message::Table { call, result }),
+        Event::Worker { call, result } => answer(registry, call, Message::Worker { call, result }),
+        Event::List { call, result } => answer(registry, call, Message::List { call, result }),
+        Event::Peer { from, frame } => {
+            registry.send(receiver(&frame), Message::Peer { from, frame })
+        }
+        Event::Stop => Name::iter().for_each(|name| registry.send(name, Message::Stop)),
+    }
+}
+
+fn answer(registry: &Registry, call: CallId, message: Message) {
+    if let Some(name) = caller(call) {
+        registry.send(name, message);
+    }
+}
+
+fn receiver(frame: &Frame) -> Name {
+    match frame {
+        Frame::Hello { .. } | Frame::Ping { .. } | Frame::Pong(_) => Name::Membership,
+        Frame::Admitted { .. } => Name::Scheduler,
+        Frame::Forward { .. } | Frame::Forwarded { .. } => Name::Router,
+        Frame::AskChanges { .. } | Frame::Changes { .. } => Name::Configuration,
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The common types of the services, for glob import.
+
+pub use shallotpost_protocol::port::{Effect, Event, Failure, Level, Log};
+pub use shallotpost_protocol::prelude::*;
+
+pub use crate::context::Context;
+pub use crate::message::{Identity, Message, Origin, Tag};
+pub use crate::service::Name;
+pub use crate::settings::Settings;
--- /dev/null
+++ b/crates/shallotpost-policy/src/planner.rs
@@ -0,0 +1,196 @@
+//! Interface of the placement decisions.
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::Policy;
+use shallotpost_protocol::wire::Load;
+use shallotpost_protocol::work::{Class, Explanation};
+use shallotpost_protocol::worker::Mode;
+
+use crate::first_fit::FirstFit;
+
+/// A worker of the shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Worker {
+    /// Its name.
+    pub id: WorkerId,
+    /// Its rack.
+    pub rack: RackId,
+    /// What it can hold.
+    pub capacity: Size,
+    /// Whether it may get new tasks: it answers, was claimed and is not leaving.
+    pub open: bool,
+}
+
+/// A team as this shard sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Team {
+    /// Its name.
+    pub id: TeamId,
+    /// Weight of its share.
+    pub share: u32,
+    /// Most that it may have booked on this shard.
+    pub grant: Size,
+}
+
+/// Work to place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The work.
+    pub work: WorkId,
+    /// Its class.
+    pub class: Class,
+    /// Declared size of each task.
+    pub size: Size,
+    /// Declared run time; may be wrong by a factor of 10.
+    pub run_time: Option<Duration>,
+    /// Moment of admission.
+    pub admitted: Instant,
+    /// Whether a running task may be checkpointed and started again for others.
+    pub preemptible: bool,
+}
+
+/// No worker could ever hold a task of the job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unfit {
+    /// The nearest capacity that exists.
+    pub nearest: Size,
+    /// Explanation for the caller.
+    pub message: String,
+}
+
+/// Why a task no longer takes capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// It ended well.
+    Succeeded,
+    /// It failed on the worker.
+    Failed,
+    /// It was stopped or checkpointed by a call.
+    Stopped,
+    /// The worker refused the start; it was certainly not run.
+    Refused,
+    /// Its lease has surely lapsed.
+    Lost,
+}
+
+/// A decision for the caller to carry out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Start the task; its size is booked on the worker from now on.
+    Start {
+        /// The task.
+        task: Task,
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// Stop, checkpoint, throttle or resume a running task; its size stays booked until [`Planner::release`].
+    Stop {
+        /// The task.
+        task: Task,
+        /// Its worker.
+        worker: WorkerId,
+        /// How.
+        mode: Mode,
+    },
+}
+
+/// Placement state of one shard.
+///
+/// A task is waiting, booked on one worker, or not known. `submit` and `requeue` make it wait, `plan` and `adopt` book it,
+/// `release` frees its booking, `finish` forgets the work.
+pub struct Planner {
+    strategy: FirstFit,
+}
+
+impl Planner {
+    /// A shard without workers, teams and work.
+    pub fn new(_policy: &Policy) -> Planner {
+        Planner { strategy: FirstFit::default() }
+    }
+
+    /// Replaces the policy.
+    pub fn set_policy(&mut self, _policy: &Policy) {}
+
+    /// Adds or changes a worker. Bookings stay.
+    pub fn set_worker(&mut self, _now: Instant, worker: Worker) {
+        self.strategy.set_worker(worker);
+    }
+
+    /// Forgets a worker. Returns the tasks that were booked on it, which now wait for `requeue` or `finish`. Call it only
+    /// after the task lease of the worker has surely lapsed.
+    pub fn remove_worker(&mut self, _now: Instant, worker: &WorkerId) -> Vec<Task> {
+        self.strategy.remove_worker(worker)
+    }
+
+    /// Adds or changes a team. A team that is not known gets no starts.
+    pub fn set_team(&mut self, _now: Instant, team: Team) {
+        self.strategy.set_team(team);
+    }
+
+    /// Forgets a team.
+    pub fn remove_team(&mut self, team: &TeamId) {
+        self.strategy.remove_team(team);
+    }
+
+    /// Adds work whose tasks all wait.
+    ///
+    /// # Errors
+    /// Returns [`Unfit`] where no worker of the shard, empty, could hold a task (or, for a gang, all workers all parts).
+    pub fn submit(&mut self, _now: Instant, job: Job) -> Result<(), Unfit> {
+        self.strategy.submit(job)
+    }
+
+    /// Books a task that a worker already runs. Adds the job where it is not known; its other tasks wait.
+    pub fn adopt(&mut self, _now: Instant, job: &Job, task: Task, worker: &WorkerId) {
+        self.strategy.adopt(job, task, worker);
+    }
+
+    /// Frees the booking of a task. The task then neither waits nor runs until `requeue` or `finish`.
+    pub fn release(&mut self, _now: Instant, task: &Task, _cause: Cause) {
+        self.strategy.release(task);
+    }
+
+    /// Makes a released task wait again. For a gang the caller requeues every part.
+    pub fn requeue(&mut self, _now: Instant, task: &Task) {
+        self.strategy.requeue(task);
+    }
+
+    /// Forgets work without bookings; waiting tasks are dropped. In time O(1) plus the tasks of the work.
+    pub fn finish(&mut self, work: &WorkId) {
+        self.strategy.finish(work);
+    }
+
+    /// Takes note of measured use, which lags by some seconds.
+    pub fn report(&mut self, _now: Instant, _task: &Task, _usage: &Size) {}
+
+    /// Opens or closes the whole shard for starts; closed while its data centre is drained.
+    pub fn set_open(&mut self, _now: Instant, open: bool) {
+        self.strategy.set_open(open);
+    }
+
+    /// Decides at most `limit` actions.
+    pub fn plan(&mut self, _now: Instant, limit: usize) -> Vec<Action> {
+        self.strategy.plan(limit)
+    }
+
+    /// Why a work waits; `None` where the work is not known.
+    pub fn explain(&self, _now: Instant, work: &WorkId) -> Option<Explanation> {
+        self.strategy.explain(work)
+    }
+
+    /// What the team has booked on this shard.
+    pub fn booked(&self, team: &TeamId) -> Size {
+        self.strategy.booked(team)
+    }
+
+    /// What the team's waiting tasks need.
+    pub fn waiting(&self, team: &TeamId) -> Size {
+        self.strategy.waiting(team)
+    }
+
+    /// Load of the shard.
+    pub fn load(&self, shard: &Shard, epoch: Epoch) -> Load {
+        self.strategy.load(shard, epoch)
+    }
+}
