--- /dev/null
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -0,0 +1,287 @@
+//! Guards against answers that reach the wrong caller, are lost, or come from a host that does not own the work.
+
+mod support;
+
+use std::rc::Rc;
+
+use shallotpost_control::prelude::*;
+use shallotpost_protocol::interface::{Call, Reply, Request};
+use shallotpost_protocol::table::{self, Write};
+use shallotpost_protocol::wire::Frame;
+use shallotpost_protocol::work::{
+    self, Class, Ending, Outcome, Record, Registration, State, Status,
+};
+use shallotpost_standin::table::Table;
+use support::requests::{Bench, UNIX_MS, batch, fleet_of, load, snapshot};
+
+const KEY: &str = "rice-key.rice";
+
+fn work() -> WorkId {
+    WorkId { team: "rice".to_owned(), name: "one".to_owned() }
+}
+
+fn shard(data_centre: &str) -> Shard {
+    Shard { data_centre: data_centre.to_owned(), index: 0 }
+}
+
+/// A table with the record of `rice/one` in the shard of this data centre.
+fn table(data_centre: &str, state: State) -> Table {
+    let mut table = Table::default();
+    let specification = batch("rice", "one");
+    let registration = Registration { shard: shard(data_centre), digest: specification.digest() };
+    let record =
+        Record { specification, shard: shard(data_centre), state, admitted_unix_ms: UNIX_MS };
+    let writes = vec![
+        Write {
+            key: work::registration_key(&work()),
+            value: serde_json::to_string(&registration).ok(),
+        },
+        Write {
+            key: work::row_key(&shard(data_centre), &work()),
+            value: serde_json::to_string(&record).ok(),
+        },
+    ];
+    table.handle(&table::Request::Transact { checks: Vec::new(), writes });
+    table
+}
+
+/// Host `a` owns the shard of `east`, host `b` that of `west`.
+fn router() -> Bench {
+    let mut bench = Bench::new(Name::Router, &Settings::new("a", "east"));
+    bench.handle(Message::Snapshot(snapshot()));
+    bench.handle(Message::Fresh { until: bench.at(600_000) });
+    bench.handle(Message::Loads(vec![load("east", 1)]));
+    bench.handle(Message::Fleet(fleet_of("b", bench.at(0), load("west", 1))));
+    bench
+}
+
+fn request(bench: &mut Bench, request: RequestId, content: Request) {
+    let call = Call { key: KEY.to_owned(), request: content };
+    bench.handle(Message::Request { request, call });
+}
+
+fn wait(millis: u64) -> Request {
+    Request::Wait { work: work(), wait: Duration::from_millis(millis) }
+}
+
+fn answer_reads(bench: &mut Bench, table: &mut Table) {
+    for (call, request) in bench.take_table_calls() {
+        let reply = table.handle(&request);
+        bench.handle(Message::Table { call, result: Ok(reply) });
+    }
+}
+
+fn outcome() -> Outcome {
+    Outcome {
+        ending: Ending::Succeeded,
+        detail: String::new(),
+        not_run: false,
+        results: Vec::new(),
+    }
+}
+
+fn status(state: State) -> Reply {
+    Reply::Status(Status {
+        work: work(),
+        class: Class::Batch,
+        shard: shard("east"),
+        state,
+        tasks: Vec::new(),
+    })
+}
+
+/// Takes the forwards to peers: request id, attempt and the forwarded request.
+fn take_forwards(bench: &mut Bench) -> Vec<(RequestId, Attempt, Request)> {
+    let frame = |message| match message {
+        Message::Send { frame: Frame::Forward { request, attempt, call }, .. } => {
+            Some((request, attempt, call.request))
+        }
+        _ => None,
+    };
+    bench.take_messages().into_iter().filter_map(|(_, message)| frame(message)).collect()
+}
+
+/// Takes the origins of the requests to the scheduler.
+fn take_asks(bench: &mut Bench) -> Vec<Origin> {
+    let origin = |(to, message)| match message {
+        Message::Ask { origin, .. } if to == Name::Scheduler => Some(origin),
+        _ => None,
+    };
+    bench.take_messages().into_iter().filter_map(origin).collect()
+}
+
+fn forwarded(bench: &mut Bench, from: &str, request: RequestId, attempt: Attempt, reply: Reply) {
+    let frame = Frame::Forwarded { request, attempt, result: Ok(reply) };
+    bench.handle(Message::Peer { from: from.to_owned(), frame });
+}
+
+#[test]
+fn crossed_answers() {
+    let mut bench = router();
+    let mut table = table("west", State::Admitted);
+    request(&mut bench, 1, Request::Status(work()));
+    request(&mut bench, 2, Request::Explain(work()));
+    answer_reads(&mut bench, &mut table);
+    let forwards = take_forwards(&mut bench);
+    let [(first, 1, Request::Status(_)), (second, 1, Request::Explain(_))] = forwards.as_slice()
+    else {
+        panic!("{forwards:?}")
+    };
+    forwarded(&mut bench, "b", *second, 1, Reply::Cancelling);
+    forwarded(&mut bench, "b", *first, 1, status(State::Admitted));
+    let answers = bench.take_answers();
+    assert_eq!(answers, [(2, Ok(Reply::Cancelling)), (1, Ok(status(State::Admitted)))]);
+}
+
+#[test]
+fn unexpected_answers() {
+    let cases: &[(&str, &str, Attempt, bool)] = &[
+        ("answer to the open attempt", "b", 2, true),
+        ("late answer to an earlier attempt", "b", 1, false),
+        ("answer to a later attempt", "b", 3, false),
+        ("answer of another host", "c", 2, false),
+    ];
+    for (name, from, attempt, accepted) in cases {
+        let mut bench = router();
+        let mut table = table("west", State::Admitted);
+        request(&mut bench, 1, Request::Status(work()));
+        answer_reads(&mut bench, &mut table);
+        let [(id, 1, _)] = take_forwards(&mut bench)[..] else { panic!("{name}: not forwarded") };
+        bench.advance_to(1000);
+        answer_reads(&mut bench, &mut table);
+        let [(_, 2, _)] = take_forwards(&mut bench)[..] else { panic!("{name}: not sent again") };
+        forwarded(&mut bench, from, id, *attempt, status(State::Admitted));
+        assert_eq!(bench.take_answers().len(), usize::from(*accepted), "{name}");
+        forwarded(&mut bench, "b", id, 2, status(State::Admitted));
+        let repeated = bench.take_answers().len();
+        assert_eq!(repeated, usize::from(!accepted), "{name}: each request is answered once");
+    }
+}
+
+#[test]
+fn wait_for_end() {
+    let mut bench = router();
+    let mut table = table("east", State::Admitted);
+    request(&mut bench, 1, wait(5000));
+    answer_reads(&mut bench, &mut table);
+    let [origin] = take_asks(&mut bench).try_into().expect("the scheduler is asked once");
+    bench.handle(Message::Answer { origin, result: Ok(status(State::Admitted)) });
+    assert_eq!(bench.take_answers(), []);
+    bench.handle(Message::Ended { work: work(), outcome: Rc::new(outcome()) });
+    assert_eq!(bench.take_answers(), [(1, Ok(Reply::Outcome(outcome())))]);
+    bench.handle(Message::Ended { work: work(), outcome: Rc::new(outcome()) });
+    bench.advance_to(5000);
+    assert_eq!(bench.take_answers(), [], "the wait is answered once");
+}
+
+#[test]
+fn owner_does_not_know() {
+    let not_found = || Err(Problem::new(ProblemKind::NotFound, "unknown"));
+    let cases = [
+        ("ended", State::Ended(outcome()), wait(5000), Ok(Reply::Outcome(outcome()))),
+        ("ended", State::Ended(outcome()), Request::Cancel(work()), Ok(Reply::Cancelling)),
+        ("admitted", State::Admitted, Request::Status(work()), Ok(status(State::Admitted))),
+    ];
+    for (name, state, content, expected) in cases {
+        let mut bench = router();
+        let mut table = table("east", state);
+        request(&mut bench, 1, content.clone());
+        answer_reads(&mut bench, &mut table);
+        let [origin] = take_asks(&mut bench).try_into().expect("the scheduler is asked once");
+        bench.handle(Message::Answer { origin, result: not_found() });
+        answer_reads(&mut bench, &mut table);
+        assert_eq!(bench.take_answers(), [(1, expected)], "{name}: {content:?}");
+    }
+}
+
+#[test]
+fn silent_owner() {
+    let mut bench = router();
+    let mut table = table("west", State::Admitted);
+    request(&mut bench, 1, wait(20_000));
+    answer_reads(&mut bench, &mut table);
+    assert_eq!(take_forwards(&mut bench).len(), 1);
+    bench.advance_to(6000);
+    answer_reads(&mut bench, &mut table);
+    assert_eq!(take_forwards(&mut bench).len(), 1, "a lost forward is sent again");
+    // Host `a` has taken the shard over.
+    bench.handle(Message::Loads(vec![load("east", 1), load("west", 2)]));
+    bench.advance_to(12_000);
+    answer_reads(&mut bench, &mut table);
+    assert_eq!(take_asks(&mut bench).len(), 1, "the new owner is asked");
+}
+
+#[test]
+fn answers_in_time() {
+    let cases = [
+        ("no table answer", Request::Status(work()), 10_000, ProblemKind::Unavailable),
+        ("no table answer to a wait", wait(700), 700, ProblemKind::TimedOut),
+    ];
+    for (name, content, millis, kind) in cases {
+        let mut bench = router();
+        request(&mut bench, 1, content);
+        bench.advance_to(millis - 1);
+        assert_eq!(bench.take_answers().len(), 0, "{name}");
+        bench.advance_to(millis);
+        match bench.take_answers().as_slice() {
+            [(1, Err(problem))] => assert_eq!(problem.kind, kind, "{name}"),
+            other => panic!("{name}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn full_list() {
+    let mut bench = router();
+    let list = Request::List { team: "rice".to_owned(), after: String::new(), limit: 10 };
+    request(&mut bench, 1, list);
+    let messages = bench.take_messages();
+    let mut request = 0;
+    for (_, message) in &messages {
+        if let Message::Send { frame: Frame::Forward { request: id, .. }, .. } = message {
+            request = *id;
+        }
+    }
+    let page = |name: &str| {
+        let work = WorkId { team: "rice".to_owned(), name: name.to_owned() };
+        let entry = Status {
+            work,
+            class: Class::Batch,
+            shard: shard("east"),
+            state: State::Admitted,
+            tasks: Vec::new(),
+        };
+        Reply::Work { entries: vec![entry], more: false }
+    };
+    bench.handle(Message::Answer { origin: Origin::Caller(request), result: Ok(page("b")) });
+    assert_eq!(bench.take_answers().len(), 0, "half a list is no answer");
+    forwarded(&mut bench, "b", request, 1, page("a"));
+    match bench.take_answers().as_slice() {
+        [(1, Ok(Reply::Work { entries, more: false }))] => {
+            let names: Vec<&str> = entries.iter().map(|entry| entry.work.name.as_str()).collect();
+            assert_eq!(names, ["a", "b"]);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn planned_stop() {
+    let mut bench = router();
+    let mut table = table("east", State::Admitted);
+    request(&mut bench, 1, wait(60_000));
+    answer_reads(&mut bench, &mut table);
+    bench.handle(Message::Stop);
+    request(&mut bench, 2, Request::Ready);
+    match bench.take_answers().as_slice() {
+        [(2, Err(problem))] => assert_eq!(problem.kind, ProblemKind::Draining),
+        other => panic!("readiness goes first: {other:?}"),
+    }
+    bench.handle(Message::Drained(Name::Ownership));
+    bench.handle(Message::Drained(Name::Commit));
+    bench.advance_to(27_000);
+    assert!(bench.effects.is_empty(), "the open request is not cut");
+    bench.advance_to(28_000);
+    assert!(matches!(bench.take_answers().as_slice(), [(1, Err(_))]), "answered before the bound");
+    assert!(matches!(bench.effects.as_slice(), [Effect::Stopped]));
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Helpers that several test files share.
+
+#![allow(dead_code)]
+
+pub mod requests;
--- /dev/null
+++ b/crates/shallotpost-control/tests/support/requests.rs
@@ -0,0 +1,201 @@
+//! Drives one service with messages and collects what it sends.
+
+use std::rc::Rc;
+
+use shallotpost_control::configuration::Snapshot;
+use shallotpost_control::membership::{Fleet, Peer};
+use shallotpost_control::prelude::*;
+use shallotpost_control::service::Service;
+use shallotpost_protocol::key;
+use shallotpost_protocol::resource::{
+    Availability, DataCentre, Entry, Key, Kind, Queue, Resource, Right, Team,
+};
+use shallotpost_protocol::wire::{Load, Pong};
+use shallotpost_protocol::work::{Class, Specification};
+
+/// Wall-clock time of all tests.
+pub const UNIX_MS: u64 = 1_700_000_000_000;
+
+/// A service under test with its clock.
+pub struct Bench {
+    service: Service,
+    name: Name,
+    start: Instant,
+    now: Instant,
+    next_call: u64,
+    /// Messages that it sent and that the test did not take yet.
+    pub messages: Vec<(Name, Message)>,
+    /// Effects that the test did not take yet.
+    pub effects: Vec<Effect>,
+}
+
+impl Bench {
+    /// Starts the service of this name.
+    pub fn new(name: Name, settings: &Settings) -> Bench {
+        let now = Instant::now();
+        let service = Service::new(name, settings);
+        Bench {
+            service,
+            name,
+            start: now,
+            now,
+            next_call: 0,
+            messages: Vec::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Moment after the start of the test.
+    pub fn at(&self, millis: u64) -> Instant {
+        self.start + Duration::from_millis(millis)
+    }
+
+    /// Moves the clock to this many milliseconds after the start and sends a tick.
+    pub fn advance_to(&mut self, millis: u64) {
+        self.now = self.at(millis);
+        self.handle(Message::Tick);
+    }
+
+    /// Hands the service one message.
+    pub fn handle(&mut self, message: Message) {
+        let mut context = Context::new(self.name, self.now, UNIX_MS, self.next_call);
+        self.service.handle(&mut context, message);
+        self.next_call = context.next_call();
+        self.messages.append(&mut context.messages);
+        self.effects.append(&mut context.effects);
+    }
+
+    /// Takes the answers to callers, in order.
+    pub fn take_answers(
+        &mut self,
+    ) -> Vec<(RequestId, Result<shallotpost_protocol::interface::Reply, Problem>)> {
+        let effects = std::mem::take(&mut self.effects);
+        let (answers, others): (Vec<_>, Vec<_>) =
+            effects.into_iter().partition(|effect| matches!(effect, Effect::Answer { .. }));
+        self.effects = others;
+        let answer = |effect| match effect {
+            Effect::Answer { request, result } => Some((request, result)),
+            _ => None,
+        };
+        answers.into_iter().filter_map(answer).collect()
+    }
+
+    /// Takes the calls to the table service, in order.
+    pub fn take_table_calls(&mut self) -> Vec<(CallId, shallotpost_protocol::table::Request)> {
+        let effects = std::mem::take(&mut self.effects);
+        let (calls, others): (Vec<_>, Vec<_>) =
+            effects.into_iter().partition(|effect| matches!(effect, Effect::Table { .. }));
+        self.effects = others;
+        let call = |effect| match effect {
+            Effect::Table { call, request, .. } => Some((call, request)),
+            _ => None,
+        };
+        calls.into_iter().filter_map(call).collect()
+    }
+
+    /// Takes the messages to other services, in order.
+    pub fn take_messages(&mut self) -> Vec<(Name, Message)> {
+        std::mem::take(&mut self.messages)
+    }
+}
+
+/// Two teams `rice` and `jute` with keys, an operator's key, two data centres, an open and a closed queue of `rice`.
+pub fn snapshot() -> Rc<Snapshot> {
+    let mut snapshot = Snapshot { revision: 9, ..Snapshot::default() };
+    let mut put = |name: &str, resource: Resource| {
+        let entry = Entry { name: name.to_owned(), revision: 9, resource: resource.clone() };
+        snapshot.entries.insert((resource.kind(), name.to_owned()), entry);
+    };
+    for team in ["rice", "jute"] {
+        put(team, Resource::Team(Team { share: 1, cap: Size::from_parts([u64::MAX; 4]) }));
+        put(&format!("{team}-key"), team_key(team, None));
+    }
+    put("old-key", team_key("rice", Some(UNIX_MS)));
+    put(
+        "admin",
+        Resource::Key(Key {
+            right: Right::Operator,
+            digest: key::digest(b"root"),
+            expires_unix_ms: None,
+        }),
+    );
+    for name in ["east", "west"] {
+        put(
+            name,
+            Resource::DataCentre(DataCentre { availability: Availability::Active, shards: 1 }),
+        );
+    }
+    put("public", Resource::Queue(Queue { team: "rice".to_owned(), open: true }));
+    put("private", Resource::Queue(Queue { team: "rice".to_owned(), open: false }));
+    Rc::new(snapshot)
+}
+
+fn team_key(team: &str, expires_unix_ms: Option<u64>) -> Resource {
+    let right = Right::Team(team.to_owned());
+    Resource::Key(Key { right, digest: key::digest(team.as_bytes()), expires_unix_ms })
+}
+
+/// The snapshot without one entry.
+pub fn without(kind: Kind, name: &str) -> Rc<Snapshot> {
+    let mut snapshot = snapshot().as_ref().clone();
+    snapshot.entries.remove(&(kind, name.to_owned()));
+    Rc::new(snapshot)
+}
+
+/// A batch job of the team.
+pub fn batch(team: &str, id: &str) -> Specification {
+    Specification {
+        id: id.to_owned(),
+        team: team.to_owned(),
+        class: Class::Batch,
+        size: Size::from_parts([1000, 512, 0, 1]),
+        command: vec!["run".to_owned(), "10".to_owned()],
+        run_time: None,
+        idempotent: true,
+        deadline_unix_ms: None,
+        data_centres: Vec::new(),
+        queue: None,
+        input: None,
+        attempts: 3,
+    }
+}
+
+/// Load of shard 0 of a data centre whose workers hold 16 cores.
+pub fn load(data_centre: &str, epoch: Epoch) -> Load {
+    Load {
+        shard: Shard { data_centre: data_centre.to_owned(), index: 0 },
+        epoch,
+        capacity: Size::from_parts([64_000, 65_536, 0, 32]),
+        booked: Size::ZERO,
+        waiting: Size::ZERO,
+        largest: Size::from_parts([16_000, 16_384, 0, 8]),
+        waiting_tasks: 0,
+        running_tasks: 0,
+        workers: 4,
+        silent_workers: 0,
+    }
+}
+
+/// A fleet of one peer that owns the shard of this load.
+pub fn fleet_of(host: &str, answered: Instant, load: Load) -> Rc<Fleet> {
+    let pong = Pong {
+        number: 1,
+        incarnation: 1,
+        revision: 9,
+        freshness_age: None,
+        update_in_flight: false,
+        draining: false,
+        shards: vec![load.clone()],
+    };
+    let peer = Peer {
+        host: host.to_owned(),
+        data_centre: load.shard.data_centre,
+        peer_address: "127.0.0.1:1".to_owned(),
+        incarnation: 1,
+        answered: Some((answered, pong)),
+        row_changed: None,
+        applied: 9,
+        draining: false,
+    };
+    Rc::new(Fleet { peers: vec![peer] })
+}
