Add the fake cell for failure tests of whole kernels

Cause: the invariants are properties of several hosts together. Change: kernels over one fake table and fake workers in virtual time, with kills, pauses, cuts and lost answers.

--- /dev/null
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -0,0 +1,548 @@
+//! Several kernels over a fake table and fake workers in virtual time, with faults that a test switches.
+//!
+//! Every call takes a fixed time; there is no model of a network.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use shallotpost_control::kernel::{Kernel, TICK};
+use shallotpost_control::prelude::*;
+use shallotpost_protocol::interface::{Call, Reply, Request};
+use shallotpost_protocol::work::{Outcome, Specification};
+use shallotpost_protocol::{key, list, table, worker};
+use shallotpost_standin::table::Table;
+use shallotpost_standin::worker::Worker;
+
+use super::requests::UNIX_MS;
+
+/// Time from an effect to its event where nothing fails.
+const LATENCY: Duration = Duration::from_millis(1);
+
+/// Key with operator rights that every cell starts with.
+pub const ADMIN: &str = "bootstrap.first";
+
+/// Answer to a caller.
+pub type Answer = Result<Reply, Problem>;
+
+/// What is due at a moment.
+enum Due {
+    /// An event for a host, dropped if the host has another incarnation by then.
+    Event(HostId, u64, Event),
+    /// A table call that arrives.
+    Table(HostId, u64, CallId, table::Request, Duration),
+    /// A worker call that arrives.
+    Worker(HostId, u64, CallId, WorkerId, worker::Request, Duration),
+    /// An open `Sync` that may be answered: the state that it last saw and the end of its wait.
+    Sync(HostId, u64, CallId, WorkerId, worker::Request, u64, Instant),
+}
+
+/// An entry host.
+struct Node {
+    kernel: Kernel,
+    settings: Settings,
+    alive: bool,
+    paused: bool,
+    stopped: bool,
+}
+
+/// A worker with its place in the list.
+struct Machine {
+    entry: list::Worker,
+    state: Worker,
+    silent: bool,
+}
+
+/// The fleet under test.
+pub struct Cell {
+    start: Instant,
+    now: Instant,
+    due: BTreeMap<(Instant, u64), Due>,
+    next_due: u64,
+    next_request: RequestId,
+    nodes: BTreeMap<HostId, Node>,
+    machines: BTreeMap<WorkerId, Machine>,
+    answers: HashMap<RequestId, Answer>,
+    idempotent: HashMap<WorkId, bool>,
+    /// The durable truth.
+    pub table: Table,
+    /// Whether the table service is down.
+    pub table_down: bool,
+    /// Number of table answers that get lost after the call took effect.
+    pub lose_table_answers: u32,
+    /// Number of worker answers to starts that get lost after the call took effect.
+    pub lose_start_answers: u32,
+    /// Pairs of places that cannot reach each other: data centres or `platform`.
+    pub cuts: BTreeSet<(String, String)>,
+    /// Log events of all hosts.
+    pub logs: Vec<(HostId, Log)>,
+}
+
+impl Cell {
+    /// Starts one host per `(name, data centre)`.
+    pub fn new(hosts: &[(&str, &str)]) -> Cell {
+        let now = Instant::now();
+        let mut cell = Cell {
+            start: now,
+            now,
+            due: BTreeMap::new(),
+            next_due: 0,
+            next_request: 0,
+            nodes: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            answers: HashMap::new(),
+            idempotent: HashMap::new(),
+            table: Table::default(),
+            table_down: false,
+            lose_table_answers: 0,
+            lose_start_answers: 0,
+            cuts: BTreeSet::new(),
+            logs: Vec::new(),
+        };
+        for (index, (host, data_centre)) in hosts.iter().enumerate() {
+            cell.boot(settings(host, data_centre, index as u64 + 1, hosts));
+        }
+        cell
+    }
+
+    /// Time since the start of the test.
+    pub fn elapsed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Adds `count` workers of this capacity to a data centre, two a rack.
+    pub fn add_workers(&mut self, data_centre: &str, count: usize, capacity: Size) {
+        for index in 0..count {
+            let id = format!("{data_centre}-w{index}");
+            let entry = list::Worker {
+                worker: id.clone(),
+                address: id.clone(),
+                data_centre: data_centre.to_owned(),
+                rack: format!("{data_centre}-r{}", index / 2),
+                capacity,
+                leaving: false,
+            };
+            let state = Worker::new(1, capacity);
+            self.machines.insert(id, Machine { entry, state, silent: false });
+        }
+    }
+
+    /// Kills a host.
+    pub fn kill(&mut self, host: &str) {
+        self.node(host).alive = false;
+    }
+
+    /// Starts a killed host again as a new process.
+    pub fn restart(&mut self, host: &str) {
+        let settings = self.node(host).settings.clone();
+        let incarnation = settings.incarnation + 100;
+        self.boot(Settings { incarnation, random_seed: incarnation, ..settings });
+    }
+
+    /// Pauses a host; its events wait.
+    pub fn pause(&mut self, host: &str) {
+        self.node(host).paused = true;
+    }
+
+    /// Resumes a paused host.
+    pub fn resume(&mut self, host: &str) {
+        self.node(host).paused = false;
+    }
+
+    /// Asks a host for a graceful shutdown.
+    pub fn stop(&mut self, host: &str) {
+        self.deliver(host, Event::Stop);
+    }
+
+    /// Whether the host has finished its graceful shutdown.
+    pub fn stopped(&self, host: &str) -> bool {
+        self.nodes[host].stopped
+    }
+
+    /// Stops a worker from answering; its tasks run on until the lease lapses.
+    pub fn silence(&mut self, worker: &str, silent: bool) {
+        self.machine(worker).silent = silent;
+    }
+
+    /// State of a worker.
+    pub fn worker(&mut self, worker: &str) -> &mut Worker {
+        &mut self.machine(worker).state
+    }
+
+    /// Marks a worker as leaving in the list.
+    pub fn list_leaving(&mut self, worker: &str) {
+        self.machine(worker).entry.leaving = true;
+    }
+
+    /// Cuts two places off from each other.
+    pub fn cut(&mut self, left: &str, right: &str) {
+        self.cuts.insert((left.to_owned(), right.to_owned()));
+    }
+
+    /// Sends a request through a host.
+    pub fn request(&mut self, host: &str, key: &str, request: Request) -> RequestId {
+        self.next_request += 1;
+        if let Request::Submit(specification) = &request {
+            self.idempotent.insert(specification.work_id(), specification.idempotent);
+        }
+        let call = Call { key: key.to_owned(), request };
+        self.deliver(host, Event::Request { request: self.next_request, call });
+        self.next_request
+    }
+
+    /// The answer to a request, if it has come.
+    pub fn answer(&self, request: RequestId) -> Option<&Answer> {
+        self.answers.get(&request)
+    }
+
+    /// Sends a request and runs until it is answered, at most 70 s.
+    pub fn ask(&mut self, host: &str, key: &str, request: Request) -> Answer {
+        let id = self.request(host, key, request);
+        self.run_until(Duration::from_secs(70), |cell| cell.answer(id).is_some());
+        self.answer(id)
+            .cloned()
+            .unwrap_or_else(|| panic!("request {id} was not answered within 70 s"))
+    }
+
+    /// Submits work; it must be accepted.
+    pub fn submit(&mut self, host: &str, key: &str, specification: Specification) {
+        let answer = self.ask(host, key, Request::Submit(specification));
+        assert!(matches!(answer, Ok(Reply::Accepted { .. })), "{answer:?}");
+    }
+
+    /// Waits for the outcome of work.
+    pub fn outcome(&mut self, host: &str, key: &str, work: &WorkId) -> Outcome {
+        let request = Request::Wait { work: work.clone(), wait: Duration::from_secs(60) };
+        match self.ask(host, key, request) {
+            Ok(Reply::Outcome(outcome)) => outcome,
+            other => panic!("{work}: {other:?}"),
+        }
+    }
+
+    /// Places where a task runs now.
+    pub fn places(&self, work: &str) -> Vec<(WorkerId, Task)> {
+        let tasks = |machine: &Machine| machine.state.running();
+        let running = self.machines.iter().flat_map(|(id, machine)| {
+            tasks(machine).into_iter().map(move |task| (id.clone(), task))
+        });
+        running.filter(|(_, task)| task.work.name == work).collect()
+    }
+
+    /// Number of tasks of a team that run now.
+    pub fn running(&self, team: &str) -> usize {
+        let tasks = self.machines.values().flat_map(|machine| machine.state.running());
+        tasks.filter(|task| task.work.team == team).count()
+    }
+
+    /// Number of starts of the work so far, over all workers.
+    pub fn starts(&self, work: &str) -> usize {
+        let starts = self.machines.values().flat_map(|machine| machine.state.starts.iter());
+        starts.filter(|(task, _)| task.work.name == work).count()
+    }
+
+    /// Number of starts in a data centre so far.
+    pub fn starts_in(&self, data_centre: &str) -> usize {
+        let machines =
+            self.machines.values().filter(|machine| machine.entry.data_centre == data_centre);
+        machines.map(|machine| machine.state.starts.len()).sum()
+    }
+
+    /// Runs for this long.
+    pub fn run(&mut self, duration: Duration) {
+        self.run_until(duration, |_| false);
+    }
+
+    /// Runs until the condition holds, at most for this long. Returns whether it held. Checks the invariants after each tick.
+    pub fn run_until(&mut self, limit: Duration, condition: impl Fn(&Cell) -> bool) -> bool {
+        let end = self.now + limit;
+        while self.now < end && !condition(self) {
+            self.now += TICK;
+            self.run_due();
+            for host in self.hosts() {
+                self.advance(&host);
+            }
+            self.check_invariants();
+        }
+        condition(self)
+    }
+
+    fn boot(&mut self, settings: Settings) {
+        let host = settings.host.clone();
+        let kernel = Kernel::new(&settings, self.now, self.unix_ms());
+        let node = Node { kernel, settings, alive: true, paused: false, stopped: false };
+        self.nodes.insert(host.clone(), node);
+        self.collect(&host);
+    }
+
+    fn run_due(&mut self) {
+        let mut waiting = Vec::new();
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let due = entry.remove();
+            match due {
+                Due::Event(host, incarnation, event) if self.nodes[&host].paused => {
+                    waiting.push(Due::Event(host, incarnation, event));
+                }
+                Due::Event(host, incarnation, event)
+                    if self.nodes[&host].settings.incarnation == incarnation =>
+                {
+                    self.deliver(&host, event);
+                }
+                Due::Event(..) => {}
+                Due::Table(host, incarnation, call, request, timeout) => {
+                    self.table_call(host, incarnation, call, &request, timeout);
+                }
+                Due::Worker(host, incarnation, call, worker, request, timeout) => {
+                    self.worker_call(host, incarnation, call, worker, request, timeout);
+                }
+                Due::Sync(host, incarnation, call, worker, request, changes, until) => {
+                    self.sync(host, incarnation, call, worker, request, changes, until);
+                }
+            }
+        }
+        for due in waiting {
+            self.schedule(TICK, due);
+        }
+    }
+
+    fn deliver(&mut self, host: &str, event: Event) {
+        let (now, unix_ms) = (self.now, self.unix_ms());
+        let node = self.node(host);
+        if node.alive {
+            node.kernel.deliver(now, unix_ms, event);
+            self.collect(host);
+        }
+    }
+
+    fn advance(&mut self, host: &str) {
+        let (now, unix_ms) = (self.now, self.unix_ms());
+        let node = self.node(host);
+        if node.alive && !node.paused && !node.stopped {
+            node.kernel.advance(now, unix_ms);
+            self.collect(host);
+        }
+    }
+
+    fn collect(&mut self, host: &str) {
+        let incarnation = self.nodes[host].settings.incarnation;
+        let place = self.nodes[host].settings.data_centre.clone();
+        for effect in self.node(host).kernel.take_effects() {
+            self.execute(host, &place, incarnation, effect);
+        }
+    }
+
+    fn execute(&mut self, host: &str, place: &str, incarnation: u64, effect: Effect) {
+        let owned = host.to_owned();
+        match effect {
+            Effect::Answer { request, result } => {
+                assert!(
+                    self.answers.insert(request, result).is_none(),
+                    "request {request} was answered twice"
+                );
+            }
+            Effect::Table { call, timeout, .. } if self.is_cut(place, "platform") => {
+                let event = Event::Table { call, result: Err(Failure::Ambiguous) };
+                self.schedule(timeout, Due::Event(owned, incarnation, event));
+            }
+            Effect::Table { call, request, timeout } => {
+                self.schedule(LATENCY, Due::Table(owned, incarnation, call, request, timeout));
+            }
+            Effect::List { call, timeout } if self.is_cut(place, "platform") => {
+                let event = Event::List { call, result: Err(Failure::Ambiguous) };
+                self.schedule(timeout, Due::Event(owned, incarnation, event));
+            }
+            Effect::List { call, .. } => {
+                let entries = self.machines.values().map(|machine| machine.entry.clone()).collect();
+                let event = Event::List { call, result: Ok(entries) };
+                self.schedule(LATENCY, Due::Event(owned, incarnation, event));
+            }
+            Effect::Worker { call, worker, request, timeout, .. } => {
+                self.schedule(
+                    LATENCY,
+                    Due::Worker(owned, incarnation, call, worker, request, timeout),
+                );
+            }
+            Effect::Peer { to, frame, .. } => self.send(host, place, to, frame),
+            Effect::Log(log) => self.logs.push((owned, log)),
+            Effect::Stopped => self.node(host).stopped = true,
+        }
+    }
+
+    fn send(
+        &mut self,
+        from: &str,
+        place: &str,
+        to: HostId,
+        frame: shallotpost_protocol::wire::Frame,
+    ) {
+        let Some(node) = self.nodes.get(&to) else { return };
+        let (incarnation, other) = (node.settings.incarnation, node.settings.data_centre.clone());
+        if node.alive && !node.stopped && (place == other || !self.is_cut(place, &other)) {
+            let event = Event::Peer { from: from.to_owned(), frame };
+            self.schedule(LATENCY, Due::Event(to, incarnation, event));
+        }
+    }
+
+    fn table_call(
+        &mut self,
+        host: HostId,
+        incarnation: u64,
+        call: CallId,
+        request: &table::Request,
+        timeout: Duration,
+    ) {
+        let transaction = matches!(request, table::Request::Transact { .. });
+        let failed = Event::Table { call, result: Err(Failure::Ambiguous) };
+        if self.table_down {
+            return self.schedule(timeout, Due::Event(host, incarnation, failed));
+        }
+        let reply = self.table.handle(request);
+        if transaction && self.lose_table_answers > 0 {
+            self.lose_table_answers -= 1;
+            return self.schedule(timeout, Due::Event(host, incarnation, failed));
+        }
+        let event = Event::Table { call, result: Ok(reply) };
+        self.schedule(LATENCY, Due::Event(host, incarnation, event));
+    }
+
+    fn worker_call(
+        &mut self,
+        host: HostId,
+        incarnation: u64,
+        call: CallId,
+        worker: WorkerId,
+        request: worker::Request,
+        timeout: Duration,
+    ) {
+        let now = self.now;
+        let failed = Event::Worker { call, result: Err(Failure::Ambiguous) };
+        let Some(machine) = self.machines.get_mut(&worker).filter(|machine| !machine.silent) else {
+            return self.schedule(timeout, Due::Event(host, incarnation, failed));
+        };
+        if let worker::Request::Sync { wait, .. } = &request {
+            let (changes, until) = (machine.state.changes, now + *wait);
+            // The first answer to a new epoch or lease tells the state at once; later ones wait for a change.
+            let first = machine.state.handle(now, &request);
+            return match first {
+                worker::Reply::State(_) => {
+                    let due = Due::Sync(host, incarnation, call, worker, request, changes, until);
+                    self.schedule(LATENCY, due);
+                }
+                refused => self.answer_worker(host, incarnation, call, refused),
+            };
+        }
+        let start = matches!(request, worker::Request::Start { .. });
+        let reply = machine.state.handle(now, &request);
+        match start && self.lose_start_answers > 0 {
+            true => {
+                self.lose_start_answers -= 1;
+                self.schedule(timeout, Due::Event(host, incarnation, failed));
+            }
+            false => self.answer_worker(host, incarnation, call, reply),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn sync(
+        &mut self,
+        host: HostId,
+        incarnation: u64,
+        call: CallId,
+        worker: WorkerId,
+        request: worker::Request,
+        changes: u64,
+        until: Instant,
+    ) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&worker) else { return };
+        machine.state.advance(now);
+        if machine.silent {
+            let failed = Event::Worker { call, result: Err(Failure::Ambiguous) };
+            return self.schedule(Duration::from_secs(2), Due::Event(host, incarnation, failed));
+        }
+        if machine.state.changes == changes && now < until {
+            return self.schedule(
+                TICK,
+                Due::Sync(host, incarnation, call, worker, request, changes, until),
+            );
+        }
+        let reply = machine.state.handle(now, &request);
+        self.answer_worker(host, incarnation, call, reply);
+    }
+
+    fn answer_worker(
+        &mut self,
+        host: HostId,
+        incarnation: u64,
+        call: CallId,
+        reply: worker::Reply,
+    ) {
+        let event = Event::Worker { call, result: Ok(reply) };
+        self.schedule(LATENCY, Due::Event(host, incarnation, event));
+    }
+
+    fn check_invariants(&mut self) {
+        let mut places: BTreeMap<Task, WorkerId> = BTreeMap::new();
+        for (id, machine) in &mut self.machines {
+            machine.state.advance(self.now);
+            let (booked, capacity) = (machine.state.booked(), machine.state.capacity());
+            assert!(
+                booked.fits_in(&capacity),
+                "worker {id} is overcommitted: {booked:?} of {capacity:?}"
+            );
+            for task in machine.state.running() {
+                if let Some(other) = places.insert(task.clone(), id.clone()) {
+                    panic!(
+                        "at {:?} task {task} runs on {other} and on {id}",
+                        self.now - self.start
+                    );
+                }
+            }
+        }
+        for (work, _) in self.idempotent.iter().filter(|(_, idempotent)| !**idempotent) {
+            let starts = self.starts(&work.name);
+            assert!(starts <= 1, "the non-idempotent work {work} was started {starts} times");
+        }
+    }
+
+    fn schedule(&mut self, delay: Duration, due: Due) {
+        self.next_due += 1;
+        self.due.insert((self.now + delay, self.next_due), due);
+    }
+
+    fn is_cut(&self, left: &str, right: &str) -> bool {
+        self.cuts
+            .iter()
+            .any(|(one, other)| (one == left && other == right) || (one == right && other == left))
+    }
+
+    fn hosts(&self) -> Vec<HostId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    fn node(&mut self, host: &str) -> &mut Node {
+        self.nodes.get_mut(host).unwrap_or_else(|| panic!("no host {host}"))
+    }
+
+    fn machine(&mut self, worker: &str) -> &mut Machine {
+        self.machines.get_mut(worker).unwrap_or_else(|| panic!("no worker {worker}"))
+    }
+
+    fn unix_ms(&self) -> u64 {
+        UNIX_MS + u64::try_from(self.elapsed().as_millis()).unwrap_or(0)
+    }
+}
+
+fn settings(host: &str, data_centre: &str, incarnation: u64, hosts: &[(&str, &str)]) -> Settings {
+    let others = hosts.iter().filter(|(other, _)| *other != host);
+    let seeds = others.map(|(host, data_centre)| shallotpost_control::settings::Seed {
+        host: (*host).to_owned(),
+        data_centre: (*data_centre).to_owned(),
+        peer_address: (*host).to_owned(),
+    });
+    Settings {
+        incarnation,
+        random_seed: incarnation,
+        peer_address: host.to_owned(),
+        seeds: seeds.collect(),
+        bootstrap_digest: Some(key::digest(b"first")),
+        ..Settings::new(host, data_centre)
+    }
+}
--- a/crates/shallotpost-control/tests/support/mod.rs
+++ b/crates/shallotpost-control/tests/support/mod.rs
@@ -2,4 +2,5 @@
 
 #![allow(dead_code)]
 
+pub mod cell;
 pub mod requests;
