--- a/crates/shallotpost-control/tests/support/cell.rs
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -31,8 +31,8 @@
     Table(HostId, u64, CallId, table::Request, Duration),
     /// A worker call that arrives.
     Worker(HostId, u64, CallId, WorkerId, worker::Request, Duration),
-    /// An open `Sync` that may be answered: the state that it last saw and the end of its wait.
-    Sync(HostId, u64, CallId, WorkerId, worker::Request, u64, Instant),
+    /// An open `Sync` and the end of its wait.
+    Sync(HostId, u64, CallId, WorkerId, worker::Request, Instant),
 }
 
 /// An entry host.
@@ -292,8 +292,8 @@
                 Due::Worker(host, incarnation, call, worker, request, timeout) => {
                     self.worker_call(host, incarnation, call, worker, request, timeout);
                 }
-                Due::Sync(host, incarnation, call, worker, request, changes, until) => {
-                    self.sync(host, incarnation, call, worker, request, changes, until);
+                Due::Sync(host, incarnation, call, worker, request, until) => {
+                    self.sync(host, incarnation, call, worker, request, until);
                 }
             }
         }
@@ -417,16 +417,11 @@
             return self.schedule(timeout, Due::Event(host, incarnation, failed));
         };
         if let worker::Request::Sync { wait, .. } = &request {
-            let (changes, until) = (machine.state.changes, now + *wait);
-            // The first answer to a new epoch or lease tells the state at once; later ones wait for a change.
-            let first = machine.state.handle(now, &request);
-            return match first {
-                worker::Reply::State(_) => {
-                    let due = Due::Sync(host, incarnation, call, worker, request, changes, until);
-                    self.schedule(LATENCY, due);
-                }
-                refused => self.answer_worker(host, incarnation, call, refused),
-            };
+            let until = now + *wait;
+            return self.schedule(
+                Duration::ZERO,
+                Due::Sync(host, incarnation, call, worker, request, until),
+            );
         }
         let start = matches!(request, worker::Request::Start { .. });
         let reply = machine.state.handle(now, &request);
@@ -439,7 +434,6 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn sync(
         &mut self,
         host: HostId,
@@ -447,7 +441,6 @@
         call: CallId,
         worker: WorkerId,
         request: worker::Request,
-        changes: u64,
         until: Instant,
     ) {
         let now = self.now;
@@ -457,11 +450,8 @@
             let failed = Event::Worker { call, result: Err(Failure::Ambiguous) };
             return self.schedule(Duration::from_secs(2), Due::Event(host, incarnation, failed));
         }
-        if machine.state.changes == changes && now < until {
-            return self.schedule(
-                TICK,
-                Due::Sync(host, incarnation, call, worker, request, changes, until),
-            );
+        if machine.state.is_claimed() && !machine.state.has_unreported_change() && now < until {
+            return self.schedule(TICK, Due::Sync(host, incarnation, call, worker, request, until));
         }
         let reply = machine.state.handle(now, &request);
         self.answer_worker(host, incarnation, call, reply);
--- a/crates/shallotpost-standin/src/worker.rs
+++ b/crates/shallotpost-standin/src/worker.rs
@@ -33,8 +33,8 @@
     epoch: Epoch,
     lease_until: Option<Instant>,
     runs: BTreeMap<(Task, Attempt), Run>,
-    /// Counts state changes; a `sync` that waits returns when it rises.
-    pub changes: u64,
+    changes: u64,
+    reported: u64,
     /// Each accepted start, in order; tests look for duplicates here.
     pub starts: Vec<(Task, Attempt)>,
 }
@@ -52,6 +52,7 @@
             lease_until: None,
             runs: BTreeMap::new(),
             changes: 0,
+            reported: 0,
             starts: Vec::new(),
         }
     }
@@ -116,6 +117,16 @@
         ends.chain(self.lease_until).min()
     }
 
+    /// Whether an owner holds a lease on it.
+    pub fn is_claimed(&self) -> bool {
+        self.lease_until.is_some()
+    }
+
+    /// Whether the state changed since the last answer that told it; a `Sync` that waits returns then.
+    pub fn has_unreported_change(&self) -> bool {
+        self.changes != self.reported
+    }
+
     /// Tasks that run now.
     pub fn running(&self) -> Vec<Task> {
         let running = self.runs.iter().filter(|(_, run)| is_running(&run.state));
@@ -185,7 +196,8 @@
         }
     }
 
-    fn snapshot(&self) -> Snapshot {
+    fn snapshot(&mut self) -> Snapshot {
+        self.reported = self.changes;
         let tasks = self.runs.iter().map(|((task, attempt), run)| Report {
             task: task.clone(),
             attempt: *attempt,
