Add settings, logs and metrics of the daemon

Cause: the wiring of shallotpostd needs a settings file, a log writer and metrics.

Change: settings::check lists every fault of the JSON file at once with its path, the expected value and the remedy. logs::Writer writes one JSON object a line and limits repeated events by name. metrics::Metrics renders the Prometheus text; shard, team and lease series come from state that can be removed, so a lost shard does not keep its last values.

Conclusion: the three modules are ready for the wiring.

--- a/crates/shallotpost-daemon/src/lib.rs
+++ b/crates/shallotpost-daemon/src/lib.rs
@@ -1,1 +1,5 @@
-//! See docs/design.md, section 2.1.
+//! Parts of the daemon `shallotpostd`; see docs/design.md, section 2.1.
+
+pub mod logs;
+pub mod metrics;
+pub mod settings;
--- /dev/null
+++ b/crates/shallotpost-daemon/src/logs.rs
@@ -0,0 +1,193 @@
+//! Log output: one JSON object a line on standard error.
+//!
+//! A line reads `{"time_unix_ms":..,"level":..,"event":..,"fields":{..}}`. An event name that repeats too often is
+//! written a limited number of times per interval. The first line of a later interval carries the number of events that
+//! were left out as `suppressed`; [`Writer::report_suppressed`] writes the number where no such line follows.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Serialize, Serializer};
+use shallotpost_protocol::port::{Level, Log};
+use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::sink::{Sink, SinkPropAccess, StdStreamSink};
+use spdlog::terminal_style::StyleMode;
+use spdlog::{LevelFilter, Logger, Record, StringBuf};
+
+use crate::settings;
+
+/// Event name of the lines of [`Writer::report_suppressed`].
+pub const SUPPRESSED_EVENT: &str = "events_suppressed";
+
+/// Writes log events. It belongs to one thread.
+pub struct Writer {
+    logger: Arc<Logger>,
+    limiter: Limiter,
+}
+
+impl Writer {
+    /// A writer to standard error.
+    ///
+    /// # Errors
+    ///
+    /// The logger cannot be built.
+    pub fn standard_error(settings: &settings::Log) -> Result<Writer, spdlog::Error> {
+        let sink = StdStreamSink::builder().stderr().style_mode(StyleMode::Never).build_arc()?;
+        Writer::with_sink(settings, sink)
+    }
+
+    /// A writer to `sink`; replaces the formatter of the sink.
+    ///
+    /// # Errors
+    ///
+    /// The logger cannot be built.
+    pub fn with_sink<S: Sink + SinkPropAccess + 'static>(
+        settings: &settings::Log,
+        sink: Arc<S>,
+    ) -> Result<Writer, spdlog::Error> {
+        sink.set_formatter(Box::new(Payload));
+        let logger = Logger::builder()
+            .level_filter(LevelFilter::MoreSevereEqual(severity(settings.level)))
+            .flush_level_filter(LevelFilter::All)
+            .sink(sink)
+            .build_arc()?;
+        let limiter = Limiter::new(settings.repeat_limit, settings.repeat_interval);
+        Ok(Writer { logger, limiter })
+    }
+
+    /// Writes one event, unless its level is filtered or its name repeats too often.
+    pub fn write(&mut self, log: &Log, now: Instant, time: SystemTime) {
+        let level = severity(log.level);
+        if !self.logger.should_log(level) {
+            return;
+        }
+        if let Some(suppressed) = self.limiter.admit(log.event, now) {
+            self.put(log, suppressed, time);
+        }
+    }
+
+    /// Writes the number of suppressed events of each name whose interval is over. Call it about once a second.
+    pub fn report_suppressed(&mut self, now: Instant, time: SystemTime) {
+        for (event, suppressed) in self.limiter.lapsed(now) {
+            let fields = vec![("name", event.to_owned())];
+            let log = Log { level: Level::Warn, event: SUPPRESSED_EVENT, fields };
+            self.put(&log, suppressed, time);
+        }
+    }
+
+    fn put(&self, log: &Log, suppressed: u64, time: SystemTime) {
+        let text = line(log, suppressed, time);
+        spdlog::log!(logger: self.logger, severity(log.level), "{text}");
+    }
+}
+
+/// Limits how often one event name is written.
+pub struct Limiter {
+    limit: u32,
+    interval: Duration,
+    events: BTreeMap<&'static str, Window>,
+}
+
+/// The current interval of one event name.
+struct Window {
+    start: Instant,
+    written: u32,
+    suppressed: u64,
+}
+
+impl Limiter {
+    /// Admits `limit` events of each name in each `interval`, which starts with the first event of that name.
+    pub fn new(limit: u32, interval: Duration) -> Limiter {
+        Limiter { limit, interval, events: BTreeMap::new() }
+    }
+
+    /// Whether the event is written: `Some` with the number suppressed before it, `None` if it is suppressed too.
+    pub fn admit(&mut self, event: &'static str, now: Instant) -> Option<u64> {
+        let window =
+            self.events.entry(event).or_insert(Window { start: now, written: 0, suppressed: 0 });
+        if now.saturating_duration_since(window.start) >= self.interval {
+            window.start = now;
+            window.written = 0;
+        }
+        if window.written >= self.limit {
+            window.suppressed += 1;
+            return None;
+        }
+        window.written += 1;
+        Some(std::mem::take(&mut window.suppressed))
+    }
+
+    /// Takes the counts of suppressed events whose interval is over, in the order of the names.
+    pub fn lapsed(&mut self, now: Instant) -> Vec<(&'static str, u64)> {
+        let interval = self.interval;
+        let over = |window: &Window| now.saturating_duration_since(window.start) >= interval;
+        self.events
+            .iter_mut()
+            .filter(|(_, window)| window.suppressed > 0 && over(window))
+            .map(|(event, window)| (*event, std::mem::take(&mut window.suppressed)))
+            .collect()
+    }
+}
+
+/// The line of one event, without the line end.
+pub fn line(log: &Log, suppressed: u64, time: SystemTime) -> String {
+    let unix = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let line = Line {
+        time_unix_ms: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX),
+        level: log.level.to_string(),
+        event: log.event,
+        fields: Fields(&log.fields),
+        suppressed,
+    };
+    serde_json::to_string(&line).unwrap_or_default()
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time_unix_ms: u64,
+    level: String,
+    event: &'static str,
+    fields: Fields<'a>,
+    #[serde(skip_serializing_if = "is_zero")]
+    suppressed: u64,
+}
+
+/// Serialises as an object that keeps the order of the fields.
+struct Fields<'a>(&'a [(&'static str, String)]);
+
+impl Serialize for Fields<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.0.iter().map(|(name, value)| (name, value)))
+    }
+}
+
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+fn severity(level: Level) -> spdlog::Level {
+    match level {
+        Level::Error => spdlog::Level::Error,
+        Level::Warn => spdlog::Level::Warn,
+        Level::Info => spdlog::Level::Info,
+        Level::Debug => spdlog::Level::Debug,
+    }
+}
+
+/// Writes the payload, which is a complete JSON object, and a line end.
+#[derive(Clone)]
+struct Payload;
+
+impl Formatter for Payload {
+    fn format(
+        &self,
+        record: &Record,
+        dest: &mut StringBuf,
+        _context: &mut FormatterContext,
+    ) -> spdlog::Result<()> {
+        dest.push_str(record.payload());
+        dest.push('\n');
+        Ok(())
+    }
+}
