--- a/crates/shallotpost-daemon/tests/settings_file.rs
+++ b/crates/shallotpost-daemon/tests/settings_file.rs
@@ -64,7 +64,7 @@
         ("/timeouts/table_timeout_ms", Some(json!(0)), "$.timeouts.table_timeout_ms", "from 1 to"),
         (
             "/timeouts/sync_wait_ms",
-            Some(json!(1500)),
+            Some(json!(2001)),
             "$.timeouts.sync_wait_ms",
             "half of task_lease_ms",
         ),
