Renew the lease of a stand-in worker when a sync arrives

Change: `Worker::renew` checks the epoch and renews the lease before the wait. Evidence: workspace tests pass.

--- a/crates/shallotpost-control/tests/support/cell.rs
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -418,6 +418,14 @@
         };
         if let worker::Request::Sync { wait, .. } = &request {
             let until = now + *wait;
+            if let Some(refusal) = machine.state.renew(now, &request) {
+                return self.answer_worker(
+                    host,
+                    incarnation,
+                    call,
+                    worker::Reply::Refused(refusal),
+                );
+            }
             return self.schedule(
                 Duration::ZERO,
                 Due::Sync(host, incarnation, call, worker, request, until),
@@ -450,7 +458,7 @@
             let failed = Event::Worker { call, result: Err(Failure::Ambiguous) };
             return self.schedule(Duration::from_secs(2), Due::Event(host, incarnation, failed));
         }
-        if machine.state.is_claimed() && !machine.state.has_unreported_change() && now < until {
+        if !machine.state.has_unreported_change() && now < until {
             return self.schedule(TICK, Due::Sync(host, incarnation, call, worker, request, until));
         }
         let reply = machine.state.handle(now, &request);
--- a/crates/shallotpost-standin/src/worker.rs
+++ b/crates/shallotpost-standin/src/worker.rs
@@ -68,24 +68,20 @@
             {
                 self.stale()
             }
-            Request::Sync { epoch, .. } if self.fencing && *epoch < self.epoch => self.stale(),
             Request::Claim { epoch, lease, .. } => {
                 self.epoch = *epoch;
                 self.lease_until = Some(now + *lease);
                 Reply::State(self.snapshot())
             }
-            Request::Sync { epoch, .. }
-            | Request::Start { epoch, .. }
-            | Request::Stop { epoch, .. }
+            Request::Sync { .. } => match self.renew(now, request) {
+                Some(refusal) => Reply::Refused(refusal),
+                None => Reply::State(self.snapshot()),
+            },
+            Request::Start { epoch, .. } | Request::Stop { epoch, .. }
                 if self.lease_until.is_none() || *epoch > self.epoch =>
             {
                 Reply::Refused(Refusal::NotClaimed)
             }
-            Request::Sync { lease, acknowledged, .. } => {
-                self.lease_until = Some(now + *lease);
-                acknowledged.iter().for_each(|key| self.forget(key));
-                Reply::State(self.snapshot())
-            }
             Request::Start { assignment, .. } => self.start(now, assignment),
             Request::Stop { task, attempt, mode, .. } => {
                 self.stop(&(task.clone(), *attempt), *mode)
@@ -93,6 +89,25 @@
         }
     }
 
+    /// Renews the lease for a `Sync` and forgets the acknowledged ends; the state is told by the answer, at the end of the wait.
+    pub fn renew(&mut self, now: Instant, request: &Request) -> Option<Refusal> {
+        self.advance(now);
+        match request {
+            Request::Sync { epoch, .. } if self.fencing && *epoch < self.epoch => {
+                Some(Refusal::StaleEpoch { current: self.epoch })
+            }
+            Request::Sync { epoch, .. } if self.lease_until.is_none() || *epoch > self.epoch => {
+                Some(Refusal::NotClaimed)
+            }
+            Request::Sync { lease, acknowledged, .. } => {
+                self.lease_until = Some(now + *lease);
+                acknowledged.iter().for_each(|key| self.forget(key));
+                None
+            }
+            _ => None,
+        }
+    }
+
     /// Ends the tasks whose time has come, and all tasks once the lease has lapsed.
     pub fn advance(&mut self, now: Instant) {
         if self.lease_until.is_some_and(|until| now >= until) {
@@ -117,11 +132,6 @@
         ends.chain(self.lease_until).min()
     }
 
-    /// Whether an owner holds a lease on it.
-    pub fn is_claimed(&self) -> bool {
-        self.lease_until.is_some()
-    }
-
     /// Whether the state changed since the last answer that told it; a `Sync` that waits returns then.
     pub fn has_unreported_change(&self) -> bool {
         self.changes != self.reported
