Report measurements of the kernel as effects

Cause: leases, loads and waiting times are known only inside the kernel. Change: `Effect::Observe` carries them to the daemon's metrics; the router reports loads and the configuration lease.

--- a/crates/shallotpost-control/src/context.rs
+++ b/crates/shallotpost-control/src/context.rs
@@ -84,6 +84,11 @@
         self.effects.push(Effect::Log(Log { level, event, fields }));
     }
 
+    /// Records a measurement.
+    pub fn observe(&mut self, observation: Observation) {
+        self.effects.push(Effect::Observe(observation));
+    }
+
     fn allocate_call(&mut self) -> CallId {
         self.next_call += 1;
         (self.next_call << SERVICE_BITS) | self.name as u64
--- a/crates/shallotpost-control/src/prelude.rs
+++ b/crates/shallotpost-control/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The common types of the services, for glob import.
 
-pub use shallotpost_protocol::port::{Effect, Event, Failure, Level, Log};
+pub use shallotpost_protocol::port::{Effect, Event, Failure, Level, Log, Observation};
 pub use shallotpost_protocol::prelude::*;
 
 pub use crate::context::Context;
--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -40,6 +40,9 @@
 /// Pause before a lookup is tried again, for example while a shard has no owner.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Interval of the router's measurements.
+const OBSERVATION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Most cached home shards.
 const HOMES_LIMIT: usize = 20_000;
 
@@ -74,6 +77,7 @@
     waits: HashMap<WorkId, Vec<RequestId>>,
     homes: HashMap<WorkId, Shard>,
     shutdown: Option<Shutdown>,
+    next_observation: Option<Instant>,
 }
 
 impl Router {
@@ -94,6 +98,7 @@
             waits: HashMap::new(),
             homes: HashMap::new(),
             shutdown: None,
+            next_observation: None,
         }
     }
 
@@ -115,7 +120,7 @@
             Message::Fresh { until } => self.fresh_until = Some(until),
             Message::TableReachable(reachable) => self.table_reachable = reachable,
             Message::Fleet(fleet) => self.fleet = fleet,
-            Message::Loads(loads) => self.loads = loads,
+            Message::Loads(loads) => self.take_loads(context, loads),
             Message::Shards(shards) => self.shards = shards,
             Message::Stop => self.stop(context),
             Message::Drained(name) => self.drained(name),
@@ -276,6 +281,28 @@
         self.check_tickets(context);
         self.check_listings(context);
         self.check_shutdown(context);
+        self.observe(context);
+    }
+
+    fn take_loads(&mut self, context: &mut Context, loads: Vec<Load>) {
+        let lost =
+            self.loads.iter().filter(|load| !loads.iter().any(|other| other.shard == load.shard));
+        lost.for_each(|load| context.observe(Observation::ShardLost(load.shard.clone())));
+        loads.iter().for_each(|load| context.observe(Observation::Shard(load.clone())));
+        self.loads = loads;
+    }
+
+    fn observe(&mut self, context: &mut Context) {
+        if self.next_observation.is_some_and(|next| context.now < next) {
+            return;
+        }
+        self.next_observation = Some(context.now + OBSERVATION_INTERVAL);
+        let lease_left = self
+            .fresh_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(context.now));
+        context
+            .observe(Observation::Configuration { revision: self.snapshot.revision, lease_left });
+        context.observe(Observation::TableReachable(self.table_reachable));
     }
 
     fn readiness(&self, now: Instant) -> Result<(), Problem> {
--- a/crates/shallotpost-control/tests/support/cell.rs
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -361,6 +361,7 @@
             }
             Effect::Peer { to, frame, .. } => self.send(host, place, to, frame),
             Effect::Log(log) => self.logs.push((owned, log)),
+            Effect::Observe(_) => {}
             Effect::Stopped => self.node(host).stopped = true,
         }
     }
--- a/crates/shallotpost-control/tests/support/mod.rs
+++ b/crates/shallotpost-control/tests/support/mod.rs
@@ -3,4 +3,5 @@
 #![allow(dead_code)]
 
 pub mod cell;
+pub mod deployment;
 pub mod requests;
--- a/crates/shallotpost-control/tests/support/requests.rs
+++ b/crates/shallotpost-control/tests/support/requests.rs
@@ -62,7 +62,8 @@
         self.service.handle(&mut context, message);
         self.next_call = context.next_call();
         self.messages.append(&mut context.messages);
-        self.effects.append(&mut context.effects);
+        let effects = std::mem::take(&mut context.effects).into_iter();
+        self.effects.extend(effects.filter(|effect| !matches!(effect, Effect::Observe(_))));
     }
 
     /// Takes the answers to callers, in order.
--- a/crates/shallotpost-protocol/src/port.rs
+++ b/crates/shallotpost-protocol/src/port.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use crate::identity::{Address, CallId, HostId, RequestId, WorkerId};
+use crate::identity::{Address, CallId, HostId, RequestId, Revision, Shard, WorkerId};
 use crate::interface::{Call, Reply};
 use crate::problem::Problem;
+use crate::work::Class;
 use crate::{list, table, wire, worker};
 
 /// Why a call to the outside got no answer.
@@ -116,10 +117,39 @@
     },
     /// Writes a log event.
     Log(Log),
+    /// Records a measurement.
+    Observe(Observation),
     /// The kernel has finished its graceful shutdown; the process may exit.
     Stopped,
 }
 
+/// A measurement that only the kernel can take.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Observation {
+    /// Load of an owned shard.
+    Shard(wire::Load),
+    /// The shard is not owned any more.
+    ShardLost(Shard),
+    /// A task started for the first time, this long after its admission.
+    Waited {
+        /// Class of its work.
+        class: Class,
+        /// Time from the admission to the start.
+        waiting: Duration,
+    },
+    /// Whether the table service answers.
+    TableReachable(bool),
+    /// Revision that the host applies, and the time left of the configuration lease.
+    Configuration {
+        /// The revision.
+        revision: Revision,
+        /// Time left; zero once it has lapsed.
+        lease_left: Duration,
+    },
+    /// Time left of the ownership lease; zero once it has lapsed or while no shard is owned.
+    OwnershipLease(Duration),
+}
+
 /// Severity of a log event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
 #[strum(serialize_all = "snake_case")]
