Feed the metrics from effects and events

Cause: the daemon's metrics need requests, table calls, worker calls and frames. Change: an observer between the kernel and the edges matches answers to calls. Evidence: builds; used once the daemon is wired.

--- a/crates/shallotpost-daemon/src/lib.rs
+++ b/crates/shallotpost-daemon/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod logs;
 pub mod metrics;
+pub mod observer;
 pub mod settings;
