--- a/crates/shallotpost-control/src/message.rs
+++ b/crates/shallotpost-control/src/message.rs
@@ -13,7 +13,7 @@
 use shallotpost_protocol::worker;
 
 use crate::configuration::Snapshot;
-use crate::membership::Fleet;
+use crate::membership::{Fleet, HostRows};
 use crate::service::Name;
 
 /// Matches a `Written` to its `Write`; chosen by the sender, unique per sender.
@@ -179,6 +179,8 @@
 
     /// From `membership` to all: entry hosts changed or answered.
     Fleet(Rc<Fleet>),
+    /// From `membership` to `ownership`: host rows of the own data centre, after each scan of them.
+    HostRows(Rc<HostRows>),
     /// From `membership` to `scheduler`: the worker list.
     Workers(Rc<Vec<list::Worker>>),
     /// To `membership`: send a frame to a peer; lost silently where the peer is not known.
--- /dev/null
+++ b/crates/shallotpost-control/tests/host_membership.rs
@@ -0,0 +1,241 @@
+//! Membership: host rows, pings, the fleet view and the worker list.
+
+#[path = "support/member_bench.rs"]
+mod member_bench;
+
+use member_bench::{Bench, host_row, pong, worker};
+use shallotpost_control::membership::ROW_RETENTION;
+use shallotpost_control::prelude::*;
+use shallotpost_control::settings::Seed;
+use shallotpost_protocol::host::row_key;
+use shallotpost_protocol::wire::Frame;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settings() -> Settings {
+    let seed = |host: &str, data_centre: &str| Seed {
+        host: host.to_owned(),
+        data_centre: data_centre.to_owned(),
+        peer_address: format!("{host}:1"),
+    };
+    Settings { seeds: vec![seed("b", "north"), seed("c", "south")], ..Settings::new("a", "north") }
+}
+
+/// Guards against late, duplicated or foreign answers renewing what is known of a peer.
+#[test]
+fn only_timely_matching_pongs_count() {
+    // Name, sender, offset to the ping's number, delay of the answer, whether it counts.
+    let cases = [
+        ("timely", "b", 0, 100, true),
+        ("just in time", "b", 0, 1990, true),
+        ("late", "b", 0, 2000, false),
+        ("other ping", "b", 1 << 20, 100, false),
+        ("other peer", "c", 0, 100, false),
+        ("stranger", "x", 0, 100, false),
+    ];
+    for (name, from, offset, delay, counts) in cases {
+        let mut bench = Bench::new(settings());
+        bench.tick();
+        let sent = bench.now;
+        let number = bench.pings("b").pop().expect("a ping");
+        // No ticks: the answer is the first message after a pause of the observer.
+        bench.now += Duration::from_millis(delay);
+        bench.handle(Message::Peer {
+            from: from.to_owned(),
+            frame: Frame::Pong(pong(number + offset, 7)),
+        });
+        bench.pass(SECOND);
+        let answered = bench.peer(from).and_then(|peer| peer.answered);
+        assert_eq!(answered.map(|(moment, _)| moment), counts.then_some(sent), "{name}");
+    }
+}
+
+/// Guards against an older or repeated answer replacing a newer one.
+#[test]
+fn older_and_repeated_pongs_are_dropped() {
+    let mut bench = Bench::new(settings());
+    bench.tick();
+    bench.answer_ping("b", 7);
+    bench.pass(Duration::from_millis(500));
+    let first = bench.pings("b").pop().expect("a ping");
+    bench.pass(Duration::from_millis(500));
+    let (sent, second) = (bench.now, bench.pings("b").pop().expect("a ping"));
+    assert!(second > first);
+    for (number, revision) in [(second, 5), (first, 4), (second, 3)] {
+        let mut answer = pong(number, 7);
+        answer.revision = revision;
+        bench.handle(Message::Peer { from: "b".to_owned(), frame: Frame::Pong(answer) });
+    }
+    bench.pass(SECOND);
+    let (moment, answer) = bench.peer("b").and_then(|peer| peer.answered).expect("an answer");
+    assert_eq!((moment, answer.revision), (sent, 5));
+}
+
+/// Guards against a wrong ping rate and against a silent peer stopping the pings.
+#[test]
+fn silent_peers_are_pinged_at_their_interval() {
+    let mut bench = Bench::new(settings());
+    bench.tick();
+    bench.pass(SECOND * 10);
+    assert_eq!(bench.pings("b").len(), 21);
+    assert_eq!(bench.pings("c").len(), 11);
+    assert_eq!(bench.peer("b").map(|peer| peer.answered), Some(None));
+}
+
+/// Guards against state of an earlier incarnation surviving, whichever of row and pong shows the new one first, and
+/// against a late read of the replaced incarnation's row bringing it back.
+#[test]
+fn new_incarnation_replaces_all() {
+    for by_row in [true, false] {
+        let mut bench = Bench::new(settings());
+        bench.put(&host_row("b", "north", 7, 1, true));
+        bench.pass(SECOND);
+        bench.answer_ping("b", 7);
+        bench.pass(SECOND);
+        let known = bench.peer("b").expect("a peer");
+        assert_eq!((known.incarnation, known.draining, known.applied), (7, true, 1));
+        assert!(known.answered.is_some());
+        match by_row {
+            true => {
+                bench.put(&host_row("b", "north", 8, 1, false));
+            }
+            false => {
+                bench.answer_ping("b", 8);
+                bench.put(&host_row("b", "north", 7, 2, true));
+            }
+        }
+        bench.pass(SECOND * 3);
+        let known = bench.peer("b").expect("a peer");
+        assert_eq!((known.incarnation, known.draining), (8, false), "by row: {by_row}");
+        assert_eq!(known.answered.is_some(), !by_row);
+    }
+}
+
+/// Guards against hosts of other data centres staying unknown and against a lost `Send`.
+#[test]
+fn rows_make_peers_known() {
+    let mut bench = Bench::new(settings());
+    bench.put(&host_row("d", "south", 9, 1, false));
+    bench.tick();
+    bench.pass(Duration::from_millis(200));
+    assert_eq!(bench.peer("d").map(|peer| peer.incarnation), Some(9));
+    assert!(bench.peer("d").is_some_and(|peer| peer.row_changed.is_some()));
+    bench.handle(Message::Send { to: "d".to_owned(), frame: Frame::AskChanges { from: 3 } });
+    bench.handle(Message::Send { to: "nobody".to_owned(), frame: Frame::AskChanges { from: 3 } });
+    let sent: Vec<_> = bench
+        .peer_frames()
+        .into_iter()
+        .filter(|(_, _, frame)| matches!(frame, Frame::AskChanges { .. }))
+        .collect();
+    assert_eq!(sent, [("d".to_owned(), "d:1".to_owned(), Frame::AskChanges { from: 3 })]);
+}
+
+/// Guards against rows of dead hosts staying forever, and against deleting rows of hosts that write or answer, or that
+/// could not write because the table was down.
+#[test]
+fn only_rows_of_dead_hosts_are_deleted() {
+    // Name, host, writes, answers, table down during most of the period, whether the row is deleted.
+    let cases = [
+        ("dead", "d", false, false, false, true),
+        ("dead seed", "b", false, false, false, true),
+        ("answering seed", "b", false, true, false, false),
+        ("writing", "d", true, false, false, false),
+        ("table down", "d", false, false, true, false),
+    ];
+    for (name, host, writes, answers, down, deleted) in cases {
+        let mut bench = Bench::new(settings());
+        bench.put(&host_row(host, "north", 7, 1, false));
+        bench.tick();
+        let mut sequence = 1;
+        for second in 0..ROW_RETENTION.as_secs() + 20 {
+            bench.table_down = down && (10..ROW_RETENTION.as_secs()).contains(&second);
+            if writes {
+                sequence += 1;
+                bench.put(&host_row(host, "north", 7, sequence, false));
+            }
+            bench.pass(SECOND);
+            if answers {
+                bench.answer_ping(host, 7);
+            }
+        }
+        assert_eq!(bench.table.row(&row_key("north", host)).is_none(), deleted, "{name}");
+        let forgotten = deleted && host != "b";
+        assert_eq!(bench.peer(host).is_none(), forgotten, "{name}");
+    }
+}
+
+/// Guards against a pong that reports stale or missing state, and a stop that peers learn late.
+#[test]
+fn pong_reports_freshness_and_draining() {
+    let mut bench = Bench::new(settings());
+    bench.handle(Message::Freshness {
+        revision: 4,
+        confirmed: Some(bench.now),
+        update_in_flight: true,
+    });
+    bench.pass(SECOND);
+    let ping = |number| Message::Peer { from: "b".to_owned(), frame: Frame::Ping { number } };
+    bench.handle(ping(11));
+    bench.handle(Message::Stop);
+    bench.handle(ping(12));
+    let pongs: Vec<_> = bench
+        .peer_frames()
+        .into_iter()
+        .filter_map(|(to, _, frame)| match frame {
+            Frame::Pong(pong) => Some((to, pong)),
+            _ => None,
+        })
+        .collect();
+    let [(to, first), (_, second)] = pongs.as_slice() else { panic!("two pongs") };
+    assert_eq!((to.as_str(), first.number, first.incarnation, first.revision), ("b", 11, 1, 4));
+    assert_eq!(first.freshness_age, Some(SECOND));
+    assert!(first.update_in_flight && !first.draining);
+    assert!(second.number == 12 && second.draining);
+}
+
+/// Guards against a flood of `Fleet` messages, and against repeats without a change.
+#[test]
+fn fleet_is_sent_on_change_and_at_most_every_100_ms() {
+    let mut bench = Bench::new(settings());
+    bench.tick();
+    bench.pass(SECOND);
+    let before = bench.fleets.len();
+    bench.pass(SECOND * 5);
+    assert_eq!(bench.fleets.len(), before, "nothing changed");
+    for _ in 0..50 {
+        bench.answer_ping("b", 7);
+        bench.pass(Duration::from_millis(500));
+    }
+    assert_eq!(bench.fleets.len(), before + 50);
+    for sequence in 2..50 {
+        bench.put(&host_row("d", "north", 7, sequence, false));
+        bench.answer_ping("b", 7);
+        bench.answer_ping("c", 7);
+        bench.pass(Duration::from_millis(100));
+    }
+    let gaps = bench.fleets.windows(2).map(|pair| pair[1].0 - pair[0].0);
+    assert!(gaps.min() >= Some(Duration::from_millis(100)));
+}
+
+/// Guards against workers of other data centres, against an error emptying the list and against needless messages.
+#[test]
+fn worker_list_is_sent_on_change() {
+    let mut bench = Bench::new(settings());
+    let lists = [
+        Ok(vec![worker("w2", "north"), worker("w1", "north"), worker("w3", "south")]),
+        Ok(vec![worker("w1", "north"), worker("w2", "north")]),
+        Err(Failure::Ambiguous),
+        Ok(vec![worker("w1", "north")]),
+        Ok(vec![worker("w1", "north"), worker("w2", "north")]),
+    ];
+    for list in lists {
+        bench.list = list;
+        bench.pass(SECOND);
+    }
+    let names: Vec<Vec<&str>> = bench
+        .workers
+        .iter()
+        .map(|workers| workers.iter().map(|worker| worker.worker.as_str()).collect())
+        .collect();
+    assert_eq!(names, [vec!["w1", "w2"], vec!["w1"], vec!["w1", "w2"]]);
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/support/member_bench.rs
@@ -0,0 +1,167 @@
+//! Drives one `Membership` service with a fake table, worker list and peers under virtual time.
+
+use std::rc::Rc;
+
+use shallotpost_control::kernel::TICK;
+use shallotpost_control::membership::{Fleet, Membership, Peer};
+use shallotpost_control::prelude::*;
+use shallotpost_protocol::host::{Host, row_key};
+use shallotpost_protocol::list;
+use shallotpost_protocol::table::{Request, Write};
+use shallotpost_protocol::wire::{Frame, Pong};
+use shallotpost_standin::table::Table;
+
+/// One service and its surroundings. Table and list answer at the tick after the call.
+pub struct Bench {
+    pub now: Instant,
+    pub table: Table,
+    pub table_down: bool,
+    pub list: Result<Vec<list::Worker>, Failure>,
+    pub fleets: Vec<(Instant, Rc<Fleet>)>,
+    pub workers: Vec<Rc<Vec<list::Worker>>>,
+    service: Membership,
+    next_call: u64,
+    frames: Vec<(HostId, Address, Frame)>,
+    answers: Vec<Message>,
+}
+
+impl Bench {
+    pub fn new(settings: Settings) -> Bench {
+        Bench {
+            now: Instant::now(),
+            table: Table::default(),
+            table_down: false,
+            list: Ok(Vec::new()),
+            fleets: Vec::new(),
+            workers: Vec::new(),
+            service: Membership::new(&settings),
+            next_call: 0,
+            frames: Vec::new(),
+            answers: Vec::new(),
+        }
+    }
+
+    pub fn handle(&mut self, message: Message) {
+        let mut context = Context::new(Name::Membership, self.now, 0, self.next_call);
+        self.service.handle(&mut context, message);
+        self.next_call = context.next_call();
+        for effect in context.effects {
+            match effect {
+                Effect::Table { call, request, .. } => {
+                    let down = Err(Failure::Ambiguous);
+                    let result =
+                        if self.table_down { down } else { Ok(self.table.handle(&request)) };
+                    self.answers.push(Message::Table { call, result });
+                }
+                Effect::List { call, .. } => {
+                    self.answers.push(Message::List { call, result: self.list.clone() });
+                }
+                Effect::Peer { to, address, frame } => self.frames.push((to, address, frame)),
+                _ => {}
+            }
+        }
+        for message in context.messages {
+            match message {
+                (Name::Router, Message::Fleet(fleet)) => self.fleets.push((self.now, fleet)),
+                (Name::Scheduler, Message::Workers(workers)) => self.workers.push(workers),
+                (Name::Commit, Message::Write(batch)) if !self.table_down => {
+                    let (checks, writes) = (batch.checks, batch.writes);
+                    self.table.handle(&Request::Transact { checks, writes });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn tick(&mut self) {
+        std::mem::take(&mut self.answers).into_iter().for_each(|answer| self.handle(answer));
+        self.handle(Message::Tick);
+    }
+
+    pub fn pass(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += TICK;
+            self.tick();
+        }
+    }
+
+    pub fn put(&mut self, host: &Host) {
+        let key = row_key(&host.data_centre, &host.host);
+        let value = serde_json::to_string(host).expect("serialises");
+        let writes = vec![Write { key, value: Some(value) }];
+        self.table.handle(&Request::Transact { checks: vec![], writes });
+    }
+
+    /// Numbers of all pings to a peer so far.
+    pub fn pings(&self, to: &str) -> Vec<u64> {
+        let frames = self.frames.iter().filter(|(host, _, _)| host == to);
+        frames.filter_map(|(_, _, frame)| ping_number(frame)).collect()
+    }
+
+    pub fn answer_ping(&mut self, from: &str, incarnation: u64) {
+        if let Some(number) = self.pings(from).pop() {
+            let frame = Frame::Pong(pong(number, incarnation));
+            self.handle(Message::Peer { from: from.to_owned(), frame });
+        }
+    }
+
+    pub fn peer_frames(&self) -> Vec<(HostId, Address, Frame)> {
+        self.frames.clone()
+    }
+
+    /// The peer in the latest `Fleet`.
+    pub fn peer(&self, host: &str) -> Option<Peer> {
+        let (_, fleet) = self.fleets.last()?;
+        fleet.peers.iter().find(|peer| peer.host == host).cloned()
+    }
+}
+
+fn ping_number(frame: &Frame) -> Option<u64> {
+    match frame {
+        Frame::Ping { number } => Some(*number),
+        _ => None,
+    }
+}
+
+pub fn pong(number: u64, incarnation: u64) -> Pong {
+    Pong {
+        number,
+        incarnation,
+        revision: 1,
+        freshness_age: None,
+        update_in_flight: false,
+        draining: false,
+        shards: Vec::new(),
+    }
+}
+
+pub fn host_row(
+    host: &str,
+    data_centre: &str,
+    incarnation: u64,
+    sequence: u64,
+    draining: bool,
+) -> Host {
+    Host {
+        host: host.to_owned(),
+        data_centre: data_centre.to_owned(),
+        incarnation,
+        peer_address: format!("{host}:1"),
+        http_address: format!("{host}:2"),
+        sequence,
+        applied: 1,
+        draining,
+    }
+}
+
+pub fn worker(name: &str, data_centre: &str) -> list::Worker {
+    list::Worker {
+        worker: name.to_owned(),
+        address: format!("{name}:1"),
+        data_centre: data_centre.to_owned(),
+        rack: "r".to_owned(),
+        capacity: Size::from_parts([1000, 1000, 0, 8]),
+        leaving: false,
+    }
+}
