--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -0,0 +1,248 @@
+//! Grants: the part of each team's cap that this shard may book.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use shallotpost_policy::planner;
+use shallotpost_protocol::port::Failure;
+use shallotpost_protocol::table::{Check, Reply, Request, Version, Write};
+use shallotpost_protocol::work::Class;
+use shallotpost_protocol::worker::Mode;
+
+use crate::message::{Batch, WriteFailure};
+use crate::prelude::*;
+use crate::scheduler::environment::Environment;
+use crate::scheduler::rows::Purpose;
+use crate::scheduler::shard::{Call, Owned};
+
+/// Interval between two reads of the cap rows.
+const CAPS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Most cap rows of one read.
+const CAPS_PER_READ: usize = 500;
+
+/// Value of the row `caps/<team>`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CapRow {
+    /// Most that the team may have booked fleet-wide.
+    pub cap: Size,
+    /// Part of each shard.
+    pub grants: BTreeMap<String, Size>,
+}
+
+/// Grants of one shard.
+pub struct Caps {
+    grants: BTreeMap<TeamId, Size>,
+    writing: BTreeSet<TeamId>,
+    call: Option<CallId>,
+    next_read: Instant,
+}
+
+impl Caps {
+    /// No grants.
+    pub fn new(now: Instant) -> Caps {
+        Caps { grants: BTreeMap::new(), writing: BTreeSet::new(), call: None, next_read: now }
+    }
+}
+
+/// Grant that a shard should hold: what it has booked and what its waiting tasks need, as far as the cap leaves room
+/// beside the grants of the other shards, and never less than what is booked.
+pub fn next_grant(cap: &Size, others: &Size, booked: &Size, waiting: &Size) -> Size {
+    booked.plus(waiting).min(&cap.minus(others)).max(booked)
+}
+
+/// Key of a team's cap row.
+pub fn row_key(team: &str) -> String {
+    format!("caps/{team}")
+}
+
+impl Owned {
+    /// Tells the planner the configured teams.
+    pub fn refresh_teams(&mut self, context: &mut Context, environment: &Environment) {
+        let only = environment.is_only_shard(&self.id);
+        let names: Vec<TeamId> = environment
+            .snapshot
+            .names(shallotpost_protocol::resource::Kind::Team)
+            .map(str::to_owned)
+            .collect();
+        let gone: Vec<TeamId> =
+            self.caps.grants.keys().filter(|team| !names.contains(team)).cloned().collect();
+        for team in gone {
+            self.caps.grants.remove(&team);
+            self.planner.remove_team(&team);
+        }
+        for name in names {
+            let Some(team) = environment.snapshot.team(&name) else { continue };
+            let known = self.caps.grants.get(&name).copied().unwrap_or(Size::ZERO);
+            let grant = if only { team.cap } else { known };
+            self.set_grant(context, environment, &name, grant);
+            if only {
+                self.stop_above(&name, &grant);
+            }
+        }
+    }
+
+    fn set_grant(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        team: &TeamId,
+        grant: Size,
+    ) {
+        let Some(configured) = environment.snapshot.team(team) else { return };
+        self.caps.grants.insert(team.clone(), grant);
+        let team = planner::Team { id: team.clone(), share: configured.share, grant };
+        self.planner.set_team(context.now, team);
+    }
+
+    /// Reads the cap rows of the teams with waiting or booked work.
+    pub fn update_grants(&mut self, context: &mut Context, environment: &Environment) {
+        let idle = self.caps.call.is_none() && context.now >= self.caps.next_read;
+        if !idle || !self.takes_starts() || environment.is_only_shard(&self.id) {
+            return;
+        }
+        self.caps.next_read = context.now + CAPS_INTERVAL;
+        let needed = self.caps.grants.iter().filter(|(team, grant)| {
+            **grant != Size::ZERO
+                || self.planner.booked(team) != Size::ZERO
+                || self.planner.waiting(team) != Size::ZERO
+        });
+        let keys: Vec<String> = needed.map(|(team, _)| row_key(team)).take(CAPS_PER_READ).collect();
+        if keys.is_empty() {
+            return;
+        }
+        let call = context.call_table(Request::Read { keys }, environment.settings.table_timeout);
+        self.caps.call = Some(call);
+        self.calls.insert(call, Call::Caps);
+    }
+
+    /// Adjusts the grants to the rows that were read.
+    pub fn on_caps(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        result: Result<Reply, Failure>,
+    ) {
+        self.caps.call = None;
+        let Ok(Reply::Rows { rows, .. }) = result else { return };
+        let rows: BTreeMap<String, (Version, CapRow)> = rows
+            .into_iter()
+            .filter_map(|row| {
+                Some((row.key, (row.version, serde_json::from_str(&row.value).ok()?)))
+            })
+            .collect();
+        let teams: Vec<TeamId> = self.caps.grants.keys().cloned().collect();
+        for team in teams {
+            if !self.caps.writing.contains(&team) {
+                let row = rows.get(&row_key(&team)).cloned();
+                self.adjust_grant(context, environment, &team, row);
+            }
+        }
+    }
+
+    fn adjust_grant(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        team: &TeamId,
+        row: Option<(Version, CapRow)>,
+    ) {
+        let Some(configured) = environment.snapshot.team(team) else { return };
+        let booked = self.planner.booked(team);
+        let waiting = self.planner.waiting(team);
+        let (version, mut row) = match row {
+            Some((version, row)) => (Some(version), row),
+            None if booked == Size::ZERO && waiting == Size::ZERO => return,
+            None => (None, CapRow { cap: configured.cap, grants: BTreeMap::new() }),
+        };
+        let own = self.id.to_string();
+        let held = row.grants.get(&own).copied().unwrap_or(Size::ZERO);
+        let others = row.grants.iter().filter(|(shard, _)| **shard != own);
+        let others = others.fold(Size::ZERO, |sum, (_, grant)| sum.plus(grant));
+        let next = next_grant(&row.cap, &others, &booked, &waiting);
+        // The planner may use only what is durable now and stays durable after the write.
+        let room = row.cap.minus(&others);
+        self.set_grant(context, environment, team, held.min(&next).min(&room));
+        self.stop_above(team, &room);
+        if next == held {
+            return;
+        }
+        row.grants.insert(own, next);
+        let key = row_key(team);
+        let tag = environment.next_tag();
+        let batch = Batch {
+            reply_to: Name::Scheduler,
+            tag,
+            checks: vec![Check { key: key.clone(), version }],
+            writes: vec![Write { key, value: serde_json::to_string(&row).ok() }],
+            expires: Some(context.now + CAPS_INTERVAL),
+        };
+        self.caps.writing.insert(team.clone());
+        self.rows.writes.insert(tag, Purpose::Grant(team.clone(), next.min(&room)));
+        context.send(Name::Commit, Message::Write(batch));
+    }
+
+    /// Uses a grant once it is durable. After any other outcome the next read tells.
+    pub fn on_grant_written(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        team: &TeamId,
+        grant: Size,
+        result: Result<(), WriteFailure>,
+    ) {
+        self.caps.writing.remove(team);
+        if result.is_ok() && self.caps.grants.contains_key(team) {
+            self.set_grant(context, environment, team, grant);
+        }
+    }
+
+    /// Stops tasks of a team until the rest fits into `limit`, the last started work first.
+    fn stop_above(&mut self, team: &TeamId, limit: &Size) {
+        let mut booked = self.planner.booked(team);
+        if booked.fits_in(limit) {
+            return;
+        }
+        let first = WorkId { team: team.clone(), name: String::new() };
+        let works = self.works.range(first..).take_while(|(work, _)| work.team == *team);
+        let mut running: Vec<(u64, WorkId, Class, Size, u64)> = Vec::new();
+        for (work, entry) in works {
+            let specification = &entry.record.specification;
+            let sent = entry.tasks.iter().filter(|task| task.phase.is_booked()).count() as u64;
+            if sent > 0 {
+                let admitted = entry.record.admitted_unix_ms;
+                running.push((
+                    admitted,
+                    work.clone(),
+                    specification.class,
+                    specification.size,
+                    sent,
+                ));
+            }
+        }
+        running.sort_by_key(|(admitted, ..)| std::cmp::Reverse(*admitted));
+        for (_, work, class, size, sent) in running {
+            if booked.fits_in(limit) {
+                return;
+            }
+            let mode = match class {
+                Class::Batch => Mode::Checkpoint,
+                _ => Mode::Stop,
+            };
+            match class {
+                Class::Service { replicas } => {
+                    for index in (0..replicas).rev() {
+                        if !booked.fits_in(limit) {
+                            self.stop_task(&Task { work: work.clone(), index }, mode);
+                            booked = booked.minus(&size);
+                        }
+                    }
+                }
+                _ => {
+                    self.stop_tasks(&work, mode);
+                    booked = booked.minus(&size.times(sent));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -0,0 +1,98 @@
+//! What all owned shards share: settings, configuration, leases and the worker list.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use sha2::{Digest, Sha256};
+use shallotpost_protocol::list;
+use shallotpost_protocol::resource::{Availability, Kind};
+
+use crate::configuration::Snapshot;
+use crate::membership::Fleet;
+use crate::prelude::*;
+
+/// State that is not specific to a shard.
+pub struct Environment {
+    /// Settings of this host.
+    pub settings: Settings,
+    /// Latest configuration.
+    pub snapshot: Rc<Snapshot>,
+    /// End of the configuration lease.
+    pub fresh_until: Option<Instant>,
+    /// End of the ownership lease.
+    pub lease_until: Option<Instant>,
+    /// The worker list, once loaded.
+    pub list: Option<Rc<Vec<list::Worker>>>,
+    /// The other entry hosts.
+    pub fleet: Rc<Fleet>,
+    next_tag: Cell<Tag>,
+    random: RefCell<StdRng>,
+}
+
+impl Environment {
+    /// An environment without configuration and worker list.
+    pub fn new(settings: &Settings) -> Environment {
+        Environment {
+            settings: settings.clone(),
+            snapshot: Rc::default(),
+            fresh_until: None,
+            lease_until: None,
+            list: None,
+            fleet: Rc::default(),
+            next_tag: Cell::new(0),
+            random: RefCell::new(StdRng::seed_from_u64(settings.random_seed)),
+        }
+    }
+
+    /// A tag that no other write of this service has.
+    pub fn next_tag(&self) -> Tag {
+        self.next_tag.set(self.next_tag.get() + 1);
+        self.next_tag.get()
+    }
+
+    /// A duration between `base` and twice `base`, so that retries of many sessions spread.
+    pub fn jitter(&self, base: Duration) -> Duration {
+        base.mul_f64(1.0 + self.random.borrow_mut().random::<f64>())
+    }
+
+    /// Availability of a data centre; active where it is not configured.
+    pub fn availability(&self, data_centre: &str) -> Availability {
+        self.snapshot
+            .data_centre(data_centre)
+            .map_or(Availability::Active, |entry| entry.availability)
+    }
+
+    /// Whether `shard` is the only one of the fleet, so that the cap of a team need not be split.
+    pub fn is_only_shard(&self, shard: &Shard) -> bool {
+        let other = |name: &str| name != shard.data_centre;
+        self.shard_count(&shard.data_centre) == 1
+            && !self.snapshot.names(Kind::DataCentre).any(other)
+            && !self.fleet.peers.iter().any(|peer| other(&peer.data_centre))
+    }
+
+    /// Workers of a shard; `None` before the list is loaded.
+    pub fn workers<'a>(
+        &'a self,
+        shard: &'a Shard,
+    ) -> Option<impl Iterator<Item = &'a list::Worker>> {
+        let count = self.shard_count(&shard.data_centre);
+        let belongs = move |worker: &&list::Worker| {
+            worker.data_centre == shard.data_centre
+                && shard_index(&worker.rack, count) == shard.index
+        };
+        self.list.as_deref().map(|list| list.iter().filter(belongs))
+    }
+
+    fn shard_count(&self, data_centre: &str) -> u32 {
+        self.snapshot.data_centre(data_centre).map_or(1, |entry| entry.shards.max(1))
+    }
+}
+
+/// Index of the shard that the workers of a rack belong to. The hash is the same on every host and release.
+pub fn shard_index(rack: &str, count: u32) -> u32 {
+    let digest = Sha256::digest(rack.as_bytes());
+    let hash = digest.iter().take(4).fold(0, |hash: u32, byte| (hash << 8) | u32::from(*byte));
+    hash % count.max(1)
+}
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -1,16 +1,206 @@
 //! Placement and worker sessions of the owned shards.
 
+mod caps;
+mod ends;
+mod entry;
+pub mod environment;
+mod recovery;
+mod requests;
+mod rows;
+mod session;
+mod shard;
+mod starts;
+
+use std::collections::BTreeMap;
+
+use shallotpost_protocol::port::Failure;
+use shallotpost_protocol::wire::Frame;
+use shallotpost_protocol::{table, worker};
+
+use crate::message::WriteFailure;
 use crate::prelude::*;
+use environment::Environment;
+use rows::Purpose;
+use shard::{Call, Owned};
+
+/// Interval of the load reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The service.
-pub struct Scheduler {}
+pub struct Scheduler {
+    environment: Box<Environment>,
+    shards: BTreeMap<Shard, Owned>,
+    next_report: Option<Instant>,
+    stopping: bool,
+}
 
 impl Scheduler {
     /// A service that owns no shard.
-    pub fn new(_settings: &Settings) -> Scheduler {
-        Scheduler {}
+    pub fn new(settings: &Settings) -> Scheduler {
+        Scheduler {
+            environment: Box::new(Environment::new(settings)),
+            shards: BTreeMap::new(),
+            next_report: None,
+            stopping: false,
+        }
     }
 
     /// Handles one message.
-    pub fn handle(&mut self, _context: &mut Context, _message: Message) {}
+    pub fn handle(&mut self, context: &mut Context, message: Message) {
+        match message {
+            Message::Tick => self.tick(context),
+            // The shards are given up by the `Release` messages of `ownership`.
+            Message::Stop => self.stopping = true,
+            Message::Snapshot(snapshot) => {
+                self.environment.snapshot = snapshot;
+                self.refresh(context);
+            }
+            Message::Fresh { until } => self.environment.fresh_until = Some(until),
+            Message::Lease { until } => self.environment.lease_until = Some(until),
+            Message::Fleet(fleet) => {
+                self.environment.fleet = fleet;
+                self.refresh(context);
+            }
+            Message::Workers(list) => {
+                self.environment.list = Some(list);
+                self.refresh(context);
+            }
+            Message::Acquired { shard, epoch } => self.acquire(context, shard, epoch),
+            Message::Lost { shard } => drop(self.shards.remove(&shard)),
+            Message::Release { shard } => self.release(context, shard),
+            Message::Admitted { record, shard, work } => {
+                if let Some(owned) = self.shards.get_mut(&shard) {
+                    owned.on_admitted(context, &self.environment, record, work);
+                }
+            }
+            Message::Peer { frame: Frame::Admitted { shard, work }, .. } => {
+                if let Some(owned) = self.shards.get_mut(&shard) {
+                    owned.on_admitted(context, &self.environment, None, work);
+                }
+            }
+            Message::Ask { origin, identity, request } => {
+                requests::ask(&mut self.shards, context, origin, &identity, request)
+            }
+            Message::Table { call, result } => self.on_table(context, call, result),
+            Message::Worker { call, result } => self.on_worker(context, call, result),
+            Message::Written { tag, result } => self.on_written(context, tag, result),
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context) {
+        for owned in self.shards.values_mut() {
+            owned.tick(context, &self.environment);
+        }
+        let now = context.now;
+        let released: Vec<Shard> = self
+            .shards
+            .values()
+            .filter(|owned| owned.is_released(now))
+            .map(|owned| owned.id.clone())
+            .collect();
+        for shard in released {
+            self.shards.remove(&shard);
+            context.send(Name::Ownership, Message::Released { shard });
+        }
+        if self.stopping && self.shards.is_empty() {
+            self.stopping = false;
+            context.send(Name::Router, Message::Drained(Name::Scheduler));
+        }
+        if self.next_report.is_none_or(|next| now >= next) {
+            self.next_report = Some(now + REPORT_INTERVAL);
+            self.report(context);
+        }
+    }
+
+    fn report(&self, context: &mut Context) {
+        let owned = || self.shards.values();
+        let loads = owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
+        context.send(Name::Membership, Message::Loads(loads));
+        let host = &self.environment.settings.host;
+        let states = owned().map(|owned| owned.state(host)).collect();
+        context.send(Name::Router, Message::Shards(states));
+    }
+
+    fn refresh(&mut self, context: &mut Context) {
+        for owned in self.shards.values_mut() {
+            owned.refresh_sessions(context, &self.environment);
+            owned.refresh_configuration(context, &self.environment);
+        }
+    }
+
+    fn acquire(&mut self, context: &mut Context, shard: Shard, epoch: Epoch) {
+        let known = self.shards.get(&shard).is_some_and(|owned| owned.epoch >= epoch);
+        if !known {
+            let owned = Owned::new(context, &self.environment, shard.clone(), epoch);
+            self.shards.insert(shard, owned);
+        }
+    }
+
+    fn release(&mut self, context: &mut Context, shard: Shard) {
+        match self.shards.get_mut(&shard) {
+            Some(owned) => {
+                owned.releasing.get_or_insert(context.now);
+            }
+            None => context.send(Name::Ownership, Message::Released { shard }),
+        }
+    }
+
+    fn on_table(
+        &mut self,
+        context: &mut Context,
+        call: CallId,
+        result: Result<table::Reply, Failure>,
+    ) {
+        let environment = &self.environment;
+        let Some((owned, purpose)) = take_call(&mut self.shards, call) else { return };
+        match purpose {
+            Call::Scan => owned.on_page(context, environment, result),
+            Call::Read(works) => owned.on_read(context, environment, works, result),
+            Call::Caps => owned.on_caps(context, environment, result),
+            Call::Beat(_) | Call::Start(..) | Call::Stop(..) => {}
+        }
+    }
+
+    fn on_worker(
+        &mut self,
+        context: &mut Context,
+        call: CallId,
+        result: Result<worker::Reply, Failure>,
+    ) {
+        let environment = &self.environment;
+        let Some((owned, purpose)) = take_call(&mut self.shards, call) else { return };
+        match purpose {
+            Call::Beat(worker) => owned.on_beat_answer(context, environment, call, &worker, result),
+            Call::Start(worker, task, _) => {
+                owned.on_start_answer(context, call, &worker, &task, result)
+            }
+            Call::Stop(worker, task, _) => {
+                owned.on_stop_answer(context, call, &worker, &task, result)
+            }
+            Call::Scan | Call::Read(_) | Call::Caps => {}
+        }
+    }
+
+    fn on_written(&mut self, context: &mut Context, tag: Tag, result: Result<(), WriteFailure>) {
+        let environment = &self.environment;
+        let taken = self
+            .shards
+            .values_mut()
+            .find_map(|owned| owned.rows.writes.remove(&tag).map(|purpose| (owned, purpose)));
+        match taken {
+            Some((owned, Purpose::Record(work))) => {
+                owned.on_record_written(context, environment, &work, result)
+            }
+            Some((owned, Purpose::Grant(team, grant))) => {
+                owned.on_grant_written(context, environment, &team, grant, result)
+            }
+            Some((_, Purpose::Deletion)) | None => {}
+        }
+    }
+}
+
+/// The shard that made a call, and what the call is for. A call is taken once, so a repeated answer is dropped.
+fn take_call(shards: &mut BTreeMap<Shard, Owned>, call: CallId) -> Option<(&mut Owned, Call)> {
+    shards.values_mut().find_map(|owned| owned.calls.remove(&call).map(|purpose| (owned, purpose)))
 }
--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -0,0 +1,505 @@
+//! Claims, heartbeats and the comparison of workers' snapshots with the records.
+
+use shallotpost_policy::planner::{self, Cause};
+use shallotpost_protocol::port::Failure;
+use shallotpost_protocol::work::{Class, Ending, State};
+use shallotpost_protocol::worker::{
+    End, Mode, Refusal, Reply, Report, Request, Snapshot, TaskState,
+};
+
+use crate::prelude::*;
+use crate::scheduler::entry::{Closing, Entry, Phase, Sequence};
+use crate::scheduler::environment::Environment;
+use crate::scheduler::session::{Beat, Order, Session};
+use crate::scheduler::shard::{Call, Owned};
+use crate::settings::surely_lapsed;
+
+/// Shortest delay before a failed `claim` or `sync` is repeated.
+const BEAT_RETRY: Duration = Duration::from_millis(200);
+
+impl Owned {
+    /// Takes over the worker list.
+    pub fn refresh_sessions(&mut self, context: &mut Context, environment: &Environment) {
+        let Some(workers) = environment.workers(&self.id) else { return };
+        let workers: Vec<_> = workers.cloned().collect();
+        self.sessions.values_mut().for_each(|session| session.listed = false);
+        // Workers of the first list may hold tasks of the earlier owner.
+        let renewed = if self.sessions.is_empty() { self.acquired } else { context.now };
+        for listing in workers {
+            let worker = listing.worker.clone();
+            let session = self
+                .sessions
+                .entry(worker.clone())
+                .or_insert_with(|| Session::new(listing.clone(), context.now, renewed));
+            session.listed = true;
+            session.listing = listing;
+            if !session.lapsed {
+                self.publish_worker(context, &worker);
+            }
+        }
+        let vanished = self.sessions.iter().filter(|(_, session)| !session.listed);
+        let vanished: Vec<WorkerId> = vanished.map(|(worker, _)| worker.clone()).collect();
+        for worker in vanished {
+            match self.sessions[&worker].lapsed {
+                true => drop(self.sessions.remove(&worker)),
+                false => self.publish_worker(context, &worker),
+            }
+        }
+    }
+
+    /// Tells the planner the state of a worker.
+    pub fn publish_worker(&mut self, context: &mut Context, worker: &WorkerId) {
+        let Some(session) = self.sessions.get(worker) else { return };
+        let worker = planner::Worker {
+            id: worker.clone(),
+            rack: session.listing.rack.clone(),
+            capacity: session.listing.capacity,
+            open: session.is_open(),
+        };
+        self.planner.set_worker(context.now, worker);
+    }
+
+    /// Sends the due claims and heartbeats, and gives up workers whose lease has surely lapsed.
+    pub fn drive_sessions(&mut self, context: &mut Context, environment: &Environment) {
+        let due = self.sessions.iter().filter(|(_, session)| {
+            session.beat.is_none() && context.now >= session.next_beat || !session.answering
+        });
+        let due: Vec<WorkerId> = due.map(|(worker, _)| worker.clone()).collect();
+        for worker in due {
+            let lease = environment.settings.task_lease;
+            let lapses = self
+                .sessions
+                .get(&worker)
+                .is_some_and(|session| !session.lapsed && session.has_lapsed(context.now, lease));
+            if lapses {
+                self.give_up(context, &worker);
+            }
+            self.send_beat(context, environment, &worker);
+        }
+    }
+
+    fn send_beat(&mut self, context: &mut Context, environment: &Environment, worker: &WorkerId) {
+        if self.fenced || self.releasing.is_some() {
+            return;
+        }
+        let settings = &environment.settings;
+        let sequence = self.next_sequence();
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        if session.beat.is_some() || context.now < session.next_beat {
+            return;
+        }
+        let wait = match session.claimed && session.answering {
+            true => settings.sync_wait,
+            false => Duration::ZERO,
+        };
+        let timeout = settings.worker_timeout + wait;
+        let Some((lease, full_lease)) =
+            session.next_lease(context.now, settings.task_lease, timeout)
+        else {
+            return;
+        };
+        let acknowledged: Vec<(Task, Attempt)> = match session.claimed {
+            true => session.acknowledge.iter().cloned().collect(),
+            false => Vec::new(),
+        };
+        let request = match session.claimed {
+            true => {
+                Request::Sync { epoch: self.epoch, lease, acknowledged: acknowledged.clone(), wait }
+            }
+            false => Request::Claim { shard: self.id.clone(), epoch: self.epoch, lease },
+        };
+        let address = session.listing.address.clone();
+        let call = context.call_worker(worker.clone(), address, request, timeout);
+        session.beat = Some(Beat { call, sequence, full_lease, acknowledged });
+        self.calls.insert(call, Call::Beat(worker.clone()));
+    }
+
+    /// Handles the answer to a `claim` or `sync`.
+    pub fn on_beat_answer(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        call: CallId,
+        worker: &WorkerId,
+        result: Result<Reply, Failure>,
+    ) {
+        let now = context.now;
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let Some(beat) = session.beat.take_if(|beat| beat.call == call) else { return };
+        match result {
+            Ok(Reply::State(snapshot)) => {
+                session.claimed = true;
+                session.answering = true;
+                session.lapsed = false;
+                session.renewed = now;
+                session.next_beat = now;
+                session.leaving = snapshot.leaving;
+                session.listing.capacity = snapshot.capacity;
+                beat.acknowledged.iter().for_each(|key| {
+                    session.acknowledge.remove(key);
+                });
+                self.note_incarnation(context, worker, snapshot.incarnation);
+                match self.rows.loaded {
+                    true => self.reconcile(context, worker, beat.sequence, snapshot),
+                    false => self.keep_unread(worker, beat.sequence, snapshot),
+                }
+            }
+            Ok(Reply::Refused(Refusal::NotClaimed)) => {
+                session.claimed = false;
+                session.next_beat = now;
+                self.publish_worker(context, worker);
+            }
+            Ok(Reply::Refused(_)) => {
+                session.next_beat = now + environment.jitter(BEAT_RETRY);
+                self.note_refusal(context, worker, &result);
+            }
+            Ok(Reply::Done) | Err(_) => {
+                let sent = !matches!(result, Err(Failure::NotSent | Failure::Rejected));
+                if sent && beat.full_lease {
+                    session.renewed = now;
+                }
+                session.answering = false;
+                session.reconciled = false;
+                session.next_beat = now + environment.jitter(BEAT_RETRY);
+                if !session.lapsed {
+                    self.publish_worker(context, worker);
+                }
+            }
+        }
+    }
+
+    fn note_incarnation(&mut self, context: &mut Context, worker: &WorkerId, incarnation: u64) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let before = session.incarnation.replace(incarnation);
+        if before.is_some_and(|before| before != incarnation) {
+            // The new incarnation knows no earlier attempt. Its snapshot lacks them, which releases their bookings.
+            session.acknowledge.clear();
+            context.log(Level::Info, "worker restarted", vec![("worker", worker.clone())]);
+        }
+    }
+
+    fn keep_unread(&mut self, worker: &WorkerId, sequence: Sequence, snapshot: Snapshot) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.unread = Some((sequence, snapshot));
+        }
+    }
+
+    /// Compares the snapshots that came before the records were read.
+    pub fn reconcile_unread(&mut self, context: &mut Context) {
+        let unread = self.sessions.iter_mut().filter_map(|(worker, session)| {
+            session.unread.take().map(|(sequence, snapshot)| (worker.clone(), sequence, snapshot))
+        });
+        for (worker, sequence, snapshot) in unread.collect::<Vec<_>>() {
+            self.reconcile(context, &worker, sequence, snapshot);
+        }
+    }
+
+    /// Compares a snapshot that was requested at `sequence` with the records.
+    fn reconcile(
+        &mut self,
+        context: &mut Context,
+        worker: &WorkerId,
+        sequence: Sequence,
+        snapshot: Snapshot,
+    ) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        session.answered = sequence;
+        session.reconciled = session.answering;
+        let mut missing = session.tasks.clone();
+        self.publish_worker(context, worker);
+        for report in snapshot.tasks {
+            let booked = self.is_booked_as(&report.task, report.attempt, worker);
+            if booked {
+                missing.remove(&report.task);
+            }
+            self.note_report(context, worker, sequence, report, booked);
+        }
+        for task in missing {
+            self.note_missing(context, worker, sequence, &task);
+        }
+    }
+
+    fn is_booked_as(&self, task: &Task, attempt: Attempt, worker: &WorkerId) -> bool {
+        let entry = self.works.get(&task.work);
+        entry.and_then(|entry| entry.tasks.get(task.index as usize)).is_some_and(|state| {
+            state.phase.is_sent()
+                && state.attempt == attempt
+                && state.worker.as_ref() == Some(worker)
+        })
+    }
+
+    fn note_report(
+        &mut self,
+        context: &mut Context,
+        worker: &WorkerId,
+        sequence: Sequence,
+        report: Report,
+        booked: bool,
+    ) {
+        let Report { task, attempt, state, usage, .. } = report;
+        let entry = self.works.get(&task.work);
+        let phase =
+            entry.and_then(|entry| entry.tasks.get(task.index as usize)).map(|task| &task.phase);
+        let unplaced = phase == Some(&Phase::Unplaced);
+        match state {
+            TaskState::Running { .. } if booked => {
+                self.note_running(worker, sequence, &task, attempt);
+                if let Some(usage) = usage {
+                    self.planner.report(context.now, &task, &usage);
+                }
+            }
+            TaskState::Running { .. } if unplaced => self.adopt(context, worker, task, attempt),
+            TaskState::Running { .. } => self.stop_stray(worker, task, attempt),
+            TaskState::Ended(end) if booked => {
+                self.on_task_end(context, &task, attempt, worker, end)
+            }
+            TaskState::Ended(end) if unplaced => {
+                self.note_earlier_end(context, worker, task, attempt, end)
+            }
+            TaskState::Ended(_) => {
+                let held = entry.is_some_and(|entry| {
+                    entry.held.iter().any(|(holder, held, number)| {
+                        (holder, held, *number) == (worker, &task, attempt)
+                    })
+                });
+                if !held {
+                    self.acknowledge(worker, (task, attempt));
+                }
+            }
+        }
+    }
+
+    fn note_running(
+        &mut self,
+        worker: &WorkerId,
+        sequence: Sequence,
+        task: &Task,
+        attempt: Attempt,
+    ) {
+        let closing = self.works.get(&task.work).is_some_and(|entry| entry.closing.is_some());
+        let Some(state) = self.task_mut(task) else { return };
+        match state.phase {
+            Phase::Starting(_) | Phase::Doubtful => {
+                state.phase = Phase::Running;
+                if closing {
+                    self.stop_task(task, Mode::Stop);
+                }
+            }
+            Phase::Stopping(mode, None) if state.settled < sequence => {
+                // The stop call failed, or the worker has not carried it out yet.
+                let order = Order::Stop(task.clone(), attempt, mode);
+                self.push_order(worker, order);
+            }
+            _ => {}
+        }
+    }
+
+    fn push_order(&mut self, worker: &WorkerId, order: Order) {
+        if let Some(session) = self.sessions.get_mut(worker)
+            && !session.orders.contains(&order)
+        {
+            session.orders.push_back(order);
+        }
+    }
+
+    /// Stops a task that must not run on this worker.
+    fn stop_stray(&mut self, worker: &WorkerId, task: Task, attempt: Attempt) {
+        let call = Call::Stop(worker.clone(), task.clone(), attempt);
+        if !self.calls.values().any(|open| *open == call) {
+            self.push_order(worker, Order::Stop(task, attempt, Mode::Stop));
+        }
+    }
+
+    /// Takes over a task that an earlier owner started.
+    fn adopt(&mut self, context: &mut Context, worker: &WorkerId, task: Task, attempt: Attempt) {
+        let Some(entry) = self.works.get(&task.work) else { return };
+        let job = self.job(context, entry);
+        self.planner.adopt(context.now, &job, task.clone(), worker);
+        let Some(entry) = self.works.get_mut(&task.work) else { return };
+        entry.may_have_run = true;
+        if !entry.submitted {
+            // The planner now has the other tasks in its queue.
+            entry.submitted = true;
+            entry.tasks.iter_mut().for_each(|state| state.queued = true);
+        }
+        let closing = entry.closing.is_some();
+        let state = &mut entry.tasks[task.index as usize];
+        state.queued = false;
+        state.phase = Phase::Running;
+        state.attempt = attempt;
+        state.worker = Some(worker.clone());
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.tasks.insert(task.clone());
+        }
+        if closing {
+            self.stop_task(&task, Mode::Stop);
+        }
+    }
+
+    /// Handles an end that an earlier owner did not record.
+    fn note_earlier_end(
+        &mut self,
+        context: &mut Context,
+        worker: &WorkerId,
+        task: Task,
+        attempt: Attempt,
+        end: End,
+    ) {
+        let Some(entry) = self.works.get_mut(&task.work) else { return };
+        let service = matches!(entry.record.specification.class, Class::Service { .. });
+        let (idempotent, gang) = (entry.is_idempotent(), entry.is_gang());
+        let state = &mut entry.tasks[task.index as usize];
+        state.attempt = state.attempt.max(attempt);
+        match end {
+            End::Failed { .. } if idempotent && !gang => {
+                // Another worker may run a later attempt, so the task stays unplaced.
+                entry.failures = entry.failures.max(attempt);
+                self.acknowledge(worker, (task, attempt));
+            }
+            End::Succeeded { .. } if !service => {
+                self.note_end(context, &task, attempt, worker, end)
+            }
+            _ if !idempotent => {
+                state.phase = Phase::Free;
+                self.note_end(context, &task, attempt, worker, end);
+            }
+            _ => self.acknowledge(worker, (task, attempt)),
+        }
+    }
+
+    /// Handles a booked task that a snapshot lacks.
+    fn note_missing(
+        &mut self,
+        context: &mut Context,
+        worker: &WorkerId,
+        sequence: Sequence,
+        task: &Task,
+    ) {
+        let Some(state) = self.task_mut(task) else { return };
+        let gone = state.worker.as_ref() == Some(worker)
+            && state.settled < sequence
+            && match state.phase {
+                Phase::Doubtful | Phase::Running | Phase::Stopping(_, None) => true,
+                // An open start may take effect after the snapshot was made.
+                Phase::Starting(_) => false,
+                _ => false,
+            };
+        if gone {
+            self.free(context, task, Some(Cause::Lost));
+            self.after_loss(context, task);
+        }
+    }
+
+    /// Forgets the tasks of a worker whose lease has surely lapsed.
+    fn give_up(&mut self, context: &mut Context, worker: &WorkerId) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        session.lapsed = true;
+        session.reconciled = false;
+        session.claimed = false;
+        session.orders.clear();
+        session.acknowledge.clear();
+        let tasks = std::mem::take(&mut session.tasks);
+        let listed = session.listed;
+        context.log(Level::Warn, "worker lost", vec![("worker", worker.clone())]);
+        self.planner.remove_worker(context.now, worker);
+        for task in tasks {
+            let started = self.task_mut(&task).is_some_and(|state| state.phase.is_sent());
+            self.free(context, &task, None);
+            match started {
+                true => self.after_loss(context, &task),
+                false => self.put_back(context, &task),
+            }
+        }
+        if !listed {
+            self.sessions.remove(worker);
+        }
+    }
+
+    /// Queues or ends work of an earlier owner once it is certain which of its tasks run.
+    pub fn resolve_unplaced(&mut self, context: &mut Context, environment: &Environment) {
+        if self.unplaced.is_empty() || !self.rows.loaded {
+            return;
+        }
+        let lease = environment.settings.task_lease;
+        let silent_lapsed = context.now >= self.acquired + surely_lapsed(lease);
+        let known = self.is_settled(environment);
+        let works: Vec<WorkId> = self.unplaced.iter().cloned().collect();
+        for work in works {
+            let Some(entry) = self.works.get(&work) else {
+                self.unplaced.remove(&work);
+                continue;
+            };
+            let resolved = match &entry.record.state {
+                State::Starting { workers, .. } => workers
+                    .iter()
+                    .zip(&entry.tasks)
+                    .filter(|(worker, _)| !worker.is_empty())
+                    .all(|(worker, task)| match self.sessions.get(worker) {
+                        Some(session) => {
+                            session.lapsed || session.reconciled && session.answered > task.settled
+                        }
+                        None => silent_lapsed,
+                    }),
+                _ => known,
+            };
+            if resolved {
+                self.unplaced.remove(&work);
+                self.resolve(context, environment, &work);
+            }
+        }
+    }
+
+    fn resolve(&mut self, context: &mut Context, environment: &Environment, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let missing: Vec<u32> = (0..entry.tasks.len() as u32)
+            .filter(|index| entry.tasks[*index as usize].phase == Phase::Unplaced)
+            .collect();
+        for index in &missing {
+            entry.tasks[*index as usize].phase = Phase::Free;
+        }
+        let all_missing = missing.len() == entry.tasks.len();
+        let attempts = entry.record.specification.attempts.max(1);
+        let service = matches!(entry.record.specification.class, Class::Service { .. });
+        match () {
+            _ if missing.is_empty() => {}
+            _ if entry.closing.is_some() => self.close(context, work),
+            _ if !entry.is_idempotent() => {
+                let detail = "it was started by an earlier owner, and no worker has it";
+                self.end(context, work, Ending::Unknown, detail);
+            }
+            _ if !service && entry.failures >= attempts => {
+                self.end(context, work, Ending::Failed, "every allowed attempt failed");
+            }
+            _ if entry.is_gang() && !all_missing => {
+                entry.closing = Some(Closing::Retry);
+                self.close(context, work);
+            }
+            _ => {
+                for index in missing {
+                    self.queue(context, environment, &Task { work: work.clone(), index });
+                }
+            }
+        }
+    }
+
+    /// Whether every worker of the shard has been compared with the records or has lapsed.
+    pub fn is_settled(&self, environment: &Environment) -> bool {
+        environment.list.is_some() && self.sessions.values().all(Session::is_resolved)
+    }
+
+    /// Marks the tasks of a work as possibly started by another owner.
+    pub fn unplace(&mut self, work: &WorkId) {
+        let sequence = self.next_sequence();
+        let Some(entry) = self.works.get_mut(work) else { return };
+        mark_unplaced(entry, sequence);
+        self.unplaced.insert(work.clone());
+    }
+}
+
+fn mark_unplaced(entry: &mut Entry, sequence: Sequence) {
+    for state in &mut entry.tasks {
+        state.phase = Phase::Unplaced;
+        state.settled = sequence;
+        state.worker = None;
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/requests.rs
@@ -0,0 +1,139 @@
+//! Requests about work whose home is an owned shard.
+
+use std::collections::BTreeMap;
+
+use shallotpost_protocol::interface::{PAGE_LIMIT_MAX, Reply, Request};
+use shallotpost_protocol::resource::Right;
+use shallotpost_protocol::work::{Ending, Explanation, Phase, State, Status};
+
+use crate::prelude::*;
+use crate::scheduler::entry::{Entry, Phase as TaskPhase};
+use crate::scheduler::shard::Owned;
+
+/// Answers a request, or keeps it until its effect is durable.
+pub fn ask(
+    shards: &mut BTreeMap<Shard, Owned>,
+    context: &mut Context,
+    origin: Origin,
+    identity: &Identity,
+    request: Request,
+) {
+    let team = match &request {
+        Request::Status(work) | Request::Cancel(work) | Request::Explain(work) => &work.team,
+        Request::List { team, .. } => team,
+        _ => {
+            let problem = Problem::new(ProblemKind::Malformed, "the scheduler does not serve this");
+            return context.answer(origin, Err(problem));
+        }
+    };
+    let allowed = match &identity.right {
+        Right::Operator => true,
+        Right::Team(own) => own == team,
+    };
+    if !allowed {
+        let message = format!("the key has no right to the work of team {team}");
+        return context.answer(origin, Err(Problem::new(ProblemKind::Forbidden, message)));
+    }
+    if let Request::List { team, after, limit } = &request {
+        return context.answer(origin, Ok(list(shards, team, after, *limit)));
+    }
+    let (Request::Status(work) | Request::Cancel(work) | Request::Explain(work)) = &request else {
+        return;
+    };
+    let loading = shards.values().any(|shard| !shard.rows.loaded);
+    let Some(shard) = shards.values_mut().find(|shard| shard.works.contains_key(work)) else {
+        let problem = match loading {
+            true => Problem::new(ProblemKind::Unavailable, "the records are still being read"),
+            false => Problem::new(ProblemKind::NotFound, format!("no work {work}")),
+        };
+        return context.answer(origin, Err(problem));
+    };
+    match request {
+        Request::Cancel(work) => shard.cancel(context, origin, &work),
+        Request::Explain(work) => {
+            let explanation = shard.explain(context.now, &work);
+            context.answer(origin, Ok(Reply::Explanation(explanation)));
+        }
+        _ => {
+            let status = shard.works[work].status();
+            context.answer(origin, Ok(Reply::Status(status)));
+        }
+    }
+}
+
+fn list(shards: &BTreeMap<Shard, Owned>, team: &str, after: &str, limit: usize) -> Reply {
+    let limit = limit.clamp(1, PAGE_LIMIT_MAX);
+    let first = WorkId { team: team.to_owned(), name: after.to_owned() };
+    let mut entries: Vec<Status> = Vec::new();
+    for shard in shards.values() {
+        let range = shard.works.range(first.clone()..).skip_while(|(work, _)| **work == first);
+        let of_team = range.take_while(|(work, _)| work.team == team);
+        let open = of_team.filter(|(_, entry)| !entry.has_ended());
+        entries.extend(open.take(limit + 1).map(|(_, entry)| entry.status()));
+    }
+    entries.sort_by(|left, right| left.work.cmp(&right.work));
+    let more = entries.len() > limit;
+    entries.truncate(limit);
+    Reply::Work { entries, more }
+}
+
+impl Owned {
+    /// Cancels work. The answer follows once the cancellation is durable.
+    fn cancel(&mut self, context: &mut Context, origin: Origin, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        if let State::Ended(outcome) = &entry.record.state {
+            let reply = Reply::Outcome(outcome.clone());
+            return context.answer(origin, Ok(reply));
+        }
+        if entry.record.state == State::Cancelling {
+            return context.answer(origin, Ok(Reply::Cancelling));
+        }
+        entry.cancels.push(origin);
+        if entry.is_ending() {
+            return;
+        }
+        let running = entry.is_unplaced() || entry.tasks.iter().any(|task| task.phase.is_sent());
+        if running {
+            self.want(work, State::Cancelling);
+        }
+        // Work without a sent task ends at once, in a single write.
+        self.end(context, work, Ending::Cancelled, "cancelled");
+    }
+
+    /// Why work does not run.
+    fn explain(&self, now: Instant, work: &WorkId) -> Explanation {
+        let entry = &self.works[work];
+        let own = |phase: Phase, reason: &str, remedy: &str| Explanation {
+            work: work.clone(),
+            phase,
+            reasons: vec![reason.to_owned()],
+            remedies: vec![remedy.to_owned()],
+        };
+        match () {
+            _ if entry.is_ending() && !entry.is_booked() => {
+                own(Phase::Ended, "it ended", "read its status")
+            }
+            _ if entry.is_ending() => {
+                own(Phase::Stopping, "its tasks are being stopped", "wait for the workers' answers")
+            }
+            _ if entry.is_unplaced() => own(
+                Phase::Waiting,
+                "a worker that may run it has not answered since the takeover of its shard",
+                "wait until the worker answers or its task lease has lapsed",
+            ),
+            _ if entry.tasks.iter().any(|task| task.phase == TaskPhase::Backoff) => {
+                own(Phase::Waiting, "it waits to be started again", "wait for the next attempt")
+            }
+            _ => self.planner.explain(now, work).unwrap_or_else(|| {
+                own(phase_of(entry), "no worker of the shard can hold it now", "lower its size")
+            }),
+        }
+    }
+}
+
+fn phase_of(entry: &Entry) -> Phase {
+    match entry.is_booked() {
+        true => Phase::Running,
+        false => Phase::Waiting,
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -0,0 +1,539 @@
+//! Rows of the work records: paged scans, conditional writes and deletion after the retention time.
+
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+use shallotpost_policy::planner::Cause;
+use shallotpost_protocol::port::Failure;
+use shallotpost_protocol::table::{Check, Reply, Request, Row, Version, Write};
+use shallotpost_protocol::work::{self, Ending, Record, State};
+
+use crate::message::{Batch, WriteFailure};
+use crate::prelude::*;
+use crate::scheduler::entry::{Closing, Entry, Phase};
+use crate::scheduler::environment::Environment;
+use crate::scheduler::session::Order;
+use crate::scheduler::shard::{Call, Owned};
+
+/// Rows per page of a scan.
+const PAGE: usize = 500;
+
+/// Interval between two scans of all rows of a shard.
+const SCAN_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Least time between two pages once the shard is loaded; bounds the reads at 4 per second.
+const PAGE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Shortest delay before a failed read or write is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Longest time that a start waits for its durable intent, after which the task is placed anew.
+const INTENT_WAIT_MAX: Duration = Duration::from_secs(3);
+
+/// How long the rows of ended work stay readable.
+pub const RETENTION: Duration = Duration::from_secs(3600);
+
+/// Rows of ended work that one batch deletes.
+const DELETIONS_PER_BATCH: usize = 32;
+
+/// Record writes that one tick hands to `commit`.
+const WRITES_PER_TICK: usize = 64;
+
+/// Most keys of one read.
+const KEYS_PER_READ: usize = 100;
+
+/// What an open write is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// State of a record.
+    Record(WorkId),
+    /// Deletion of ended records.
+    Deletion,
+    /// Grant of a team.
+    Grant(TeamId, Size),
+}
+
+/// Reads and writes of one shard.
+pub struct Rows {
+    /// Whether every row was read once.
+    pub loaded: bool,
+    /// Open writes by tag.
+    pub writes: HashMap<Tag, Purpose>,
+    after: String,
+    scan: Option<CallId>,
+    next_page: Instant,
+    read: Option<CallId>,
+    next_read: Instant,
+    unread: BTreeSet<WorkId>,
+    dirty: BTreeSet<WorkId>,
+    next_deletion: Instant,
+}
+
+impl Rows {
+    /// Rows that were not read yet.
+    pub fn new(now: Instant) -> Rows {
+        Rows {
+            loaded: false,
+            writes: HashMap::new(),
+            after: String::new(),
+            scan: None,
+            next_page: now,
+            read: None,
+            next_read: now,
+            unread: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            next_deletion: now,
+        }
+    }
+
+    /// Whether a write is under way or waits.
+    pub fn has_open_writes(&self) -> bool {
+        !self.writes.is_empty() || !self.dirty.is_empty()
+    }
+
+    /// Number of records whose write is under way or waits.
+    pub fn unwritten(&self) -> usize {
+        self.writes.len() + self.dirty.len()
+    }
+}
+
+impl Owned {
+    /// Reads the next page of the shard's rows, and rows that must be read again.
+    pub fn scan_rows(&mut self, context: &mut Context, environment: &Environment) {
+        if self.releasing.is_some() {
+            return;
+        }
+        let timeout = environment.settings.table_timeout;
+        if self.rows.scan.is_none() && context.now >= self.rows.next_page {
+            let after = self.rows.after.clone();
+            let request = Request::Scan { prefix: work::prefix(&self.id), after, limit: PAGE };
+            let call = context.call_table(request, timeout);
+            self.rows.scan = Some(call);
+            self.calls.insert(call, Call::Scan);
+        }
+        let due = self.rows.read.is_none() && context.now >= self.rows.next_read;
+        if due && !self.rows.unread.is_empty() {
+            let works: Vec<WorkId> = self.rows.unread.iter().take(KEYS_PER_READ).cloned().collect();
+            let keys = works.iter().map(|work| work::row_key(&self.id, work)).collect();
+            let call = context.call_table(Request::Read { keys }, timeout);
+            self.rows.read = Some(call);
+            self.calls.insert(call, Call::Read(works));
+        }
+    }
+
+    /// Handles a page of rows.
+    pub fn on_page(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        result: Result<Reply, Failure>,
+    ) {
+        self.rows.scan = None;
+        let Ok(Reply::Rows { rows, more }) = result else {
+            self.rows.next_page = context.now + environment.jitter(RETRY_DELAY);
+            return;
+        };
+        self.rows.after = match rows.last() {
+            Some(row) if more => row.key.clone(),
+            _ => String::new(),
+        };
+        for row in rows {
+            self.note_row(context, environment, row);
+        }
+        self.rows.next_page = context.now
+            + match (more, self.rows.loaded) {
+                (true, false) => Duration::ZERO,
+                (true, true) => PAGE_INTERVAL,
+                (false, _) => SCAN_INTERVAL,
+            };
+        if !more && !self.rows.loaded {
+            self.rows.loaded = true;
+            self.reconcile_unread(context);
+        }
+    }
+
+    /// Handles rows that were read by key.
+    pub fn on_read(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        works: Vec<WorkId>,
+        result: Result<Reply, Failure>,
+    ) {
+        self.rows.read = None;
+        let Ok(Reply::Rows { rows, .. }) = result else {
+            self.rows.next_read = context.now + environment.jitter(RETRY_DELAY);
+            return;
+        };
+        let mut found: HashMap<String, Row> =
+            rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        for work in works {
+            self.rows.unread.remove(&work);
+            let row = found.remove(&work::row_key(&self.id, &work));
+            match (row, self.works.contains_key(&work)) {
+                (Some(row), true) => self.settle_write(context, environment, &work, row),
+                (Some(row), false) => self.note_row(context, environment, row),
+                (None, true) => self.note_deleted(context, &work),
+                (None, false) => {}
+            }
+        }
+    }
+
+    /// Takes note of an admitted record.
+    pub fn on_admitted(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        record: Option<Rc<Record>>,
+        work: WorkId,
+    ) {
+        match record {
+            _ if self.works.contains_key(&work) => {}
+            // A new row has version 1; a wrong guess shows as a conflict of the first write.
+            Some(record) if self.rows.loaded => {
+                self.add(context, environment, Record::clone(&record), 1)
+            }
+            _ => {
+                self.rows.unread.insert(work);
+            }
+        }
+    }
+
+    fn note_row(&mut self, context: &mut Context, environment: &Environment, row: Row) {
+        let Some(work) = self.work_of(&row.key) else { return };
+        match self.works.get(&work) {
+            Some(entry) if row.version > entry.version && entry.writing.is_none() => {
+                self.settle_write(context, environment, &work, row)
+            }
+            Some(_) => {}
+            None => match serde_json::from_str::<Record>(&row.value) {
+                Ok(record) => self.add(context, environment, record, row.version),
+                Err(error) => {
+                    let fields = vec![("key", row.key), ("error", error.to_string())];
+                    context.log(Level::Error, "unreadable work record", fields);
+                }
+            },
+        }
+    }
+
+    fn work_of(&self, key: &str) -> Option<WorkId> {
+        key.strip_prefix(&work::prefix(&self.id))?.parse().ok()
+    }
+
+    fn add(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        record: Record,
+        version: Version,
+    ) {
+        let work = record.specification.work_id();
+        let mut entry = Entry::new(record, version);
+        let idempotent = entry.is_idempotent();
+        let unplaced = match entry.record.state {
+            State::Starting { .. } | State::Cancelling => true,
+            State::Admitted => !self.rows.loaded && idempotent,
+            State::Ended(_) => false,
+        };
+        // Non-idempotent work is recorded before it starts, so an admitted record shows that it was not started.
+        let earlier_owner = self.epoch > 1 && !self.is_settled(environment);
+        entry.may_have_run = unplaced || earlier_owner && idempotent;
+        if unplaced {
+            entry.tasks.iter_mut().for_each(|state| state.phase = Phase::Unplaced);
+        }
+        if let Some(deadline) = entry.record.specification.deadline_unix_ms
+            && !entry.has_ended()
+        {
+            self.deadlines.insert((deadline, work.clone()));
+        }
+        if entry.record.state == State::Cancelling {
+            entry.closing = Some(Closing::End(entry.outcome(Ending::Cancelled, "cancelled")));
+        }
+        let ended = entry.has_ended();
+        self.works.insert(work.clone(), entry);
+        match () {
+            _ if ended => self.retained.push_back((context.now, work)),
+            _ if unplaced => {
+                self.unplaced.insert(work);
+            }
+            _ => self.submit(context, environment, &work),
+        }
+    }
+
+    /// Requests that a record gets this state. A later request replaces an earlier one that was not sent.
+    pub fn want(&mut self, work: &WorkId, state: State) {
+        if let Some(entry) = self.works.get_mut(work) {
+            entry.wanted = Some(state);
+            self.rows.dirty.insert(work.clone());
+        }
+    }
+
+    /// Records the intent to start non-idempotent work once all its tasks are booked.
+    pub fn record_intent(&mut self, work: &WorkId) {
+        let Some(entry) = self.works.get(work) else { return };
+        let booked = entry.tasks.iter().all(|task| task.phase == Phase::Planned);
+        if booked {
+            let workers = entry.tasks.iter().filter_map(|task| task.worker.clone()).collect();
+            self.want(work, State::Starting { workers, epoch: self.epoch });
+        }
+    }
+
+    /// Hands pending record writes to `commit`.
+    pub fn write_records(&mut self, context: &mut Context, environment: &Environment) {
+        let now = context.now;
+        let due = self.rows.dirty.iter().filter(|work| {
+            self.works.get(work).is_none_or(|entry| {
+                entry.writing.is_none() && entry.write_after.is_none_or(|after| now >= after)
+            })
+        });
+        let due: Vec<WorkId> = due.take(WRITES_PER_TICK).cloned().collect();
+        for work in due {
+            self.rows.dirty.remove(&work);
+            self.write_record(context, environment, &work);
+        }
+    }
+
+    fn write_record(&mut self, context: &mut Context, environment: &Environment, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let Some(state) = entry.wanted.take() else { return };
+        let expires = match state {
+            State::Starting { .. } => Some(context.now + INTENT_WAIT_MAX),
+            _ => None,
+        };
+        let record = Record { state: state.clone(), ..entry.record.clone() };
+        let key = work::row_key(&self.id, work);
+        let tag = environment.next_tag();
+        let batch = Batch {
+            reply_to: Name::Scheduler,
+            tag,
+            checks: vec![Check { key: key.clone(), version: Some(entry.version) }],
+            writes: vec![Write { key, value: serde_json::to_string(&record).ok() }],
+            expires,
+        };
+        entry.writing = Some((tag, state));
+        self.rows.writes.insert(tag, Purpose::Record(work.clone()));
+        context.send(Name::Commit, Message::Write(batch));
+    }
+
+    /// Handles the outcome of a record write.
+    pub fn on_record_written(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        work: &WorkId,
+        result: Result<(), WriteFailure>,
+    ) {
+        match result {
+            Ok(()) => {
+                let Some(entry) = self.works.get_mut(work) else { return };
+                let Some((_, state)) = entry.writing.take() else { return };
+                entry.version += 1;
+                entry.record.state = state;
+                self.on_durable(context, work);
+            }
+            Err(WriteFailure::Overloaded | WriteFailure::Expired) => {
+                self.on_not_written(context, environment, work)
+            }
+            Err(WriteFailure::Conflict(_) | WriteFailure::Unknown) => {
+                self.rows.unread.insert(work.clone());
+            }
+        }
+    }
+
+    fn on_not_written(&mut self, context: &mut Context, environment: &Environment, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let Some((_, state)) = entry.writing.take() else { return };
+        entry.write_after = Some(context.now + environment.jitter(RETRY_DELAY));
+        match state {
+            State::Starting { .. } if entry.closing.is_none() => {
+                self.withdraw_intent(context, work, false)
+            }
+            State::Starting { .. } => {}
+            state => {
+                entry.wanted.get_or_insert(state);
+                self.rows.dirty.insert(work.clone());
+            }
+        }
+    }
+
+    /// Goes on after the state of a record became durable.
+    pub fn on_durable(&mut self, context: &mut Context, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        entry.write_after = None;
+        if entry.wanted.is_some() {
+            self.rows.dirty.insert(work.clone());
+        }
+        match entry.record.state.clone() {
+            State::Ended(outcome) => {
+                let held = std::mem::take(&mut entry.held);
+                let cancels = std::mem::take(&mut entry.cancels);
+                entry.tasks = Vec::new();
+                entry.closing = None;
+                for (worker, task, attempt) in held {
+                    self.acknowledge(&worker, (task, attempt));
+                }
+                answer_cancels(context, cancels);
+                self.retained.push_back((context.now, work.clone()));
+                let outcome = Rc::new(outcome);
+                context.send(Name::Router, Message::Ended { work: work.clone(), outcome });
+            }
+            State::Cancelling => answer_cancels(context, std::mem::take(&mut entry.cancels)),
+            State::Starting { .. } => self.order_starts(work),
+            State::Admitted if entry.closing.is_none() && !entry.is_ending() => {
+                self.withdraw_intent(context, work, false)
+            }
+            State::Admitted => {}
+        }
+    }
+
+    /// Decides a write with an unknown outcome, or a change by another owner, from the row.
+    fn settle_write(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        work: &WorkId,
+        row: Row,
+    ) {
+        let Ok(record) = serde_json::from_str::<Record>(&row.value) else { return };
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let writing = entry.writing.as_ref().map(|(_, state)| state);
+        match () {
+            _ if row.version <= entry.version => {
+                if writing.is_some() {
+                    self.on_not_written(context, environment, work);
+                }
+            }
+            _ if writing == Some(&record.state) => {
+                entry.writing = None;
+                entry.version = row.version;
+                entry.record = record;
+                self.on_durable(context, work);
+            }
+            _ => self.take_foreign(context, work, record, row.version),
+        }
+    }
+
+    /// Takes over a record that somebody else changed.
+    fn take_foreign(
+        &mut self,
+        context: &mut Context,
+        work: &WorkId,
+        record: Record,
+        version: Version,
+    ) {
+        context.log(
+            Level::Warn,
+            "record changed by another owner",
+            vec![("work", work.to_string())],
+        );
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let interrupted = entry.writing.take().map(|(_, state)| state);
+        entry.version = version;
+        entry.record = record;
+        match entry.record.state.clone() {
+            State::Ended(outcome) => {
+                entry.wanted = None;
+                entry.closing = Some(Closing::End(outcome));
+                self.close(context, work);
+            }
+            State::Cancelling => {
+                self.end(context, work, Ending::Cancelled, "cancelled");
+                self.resume_write(work, interrupted);
+            }
+            State::Starting { .. } if !entry.tasks.iter().any(|task| task.phase.is_sent()) => {
+                let count = entry.tasks.len() as u32;
+                for index in 0..count {
+                    let task = Task { work: work.clone(), index };
+                    self.free(context, &task, Some(Cause::Refused));
+                }
+                self.unplace(work);
+                if let Some(entry) = self.works.get_mut(work) {
+                    entry.may_have_run = true;
+                }
+            }
+            State::Starting { .. } => self.resume_write(work, interrupted),
+            State::Admitted => match interrupted {
+                Some(State::Starting { .. }) => self.withdraw_intent(context, work, false),
+                state => self.resume_write(work, state),
+            },
+        }
+    }
+
+    fn resume_write(&mut self, work: &WorkId, state: Option<State>) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        if let (Some(state), None) = (state, &entry.wanted)
+            && !matches!(state, State::Starting { .. })
+        {
+            entry.wanted = Some(state);
+        }
+        if entry.wanted.is_some() {
+            self.rows.dirty.insert(work.clone());
+        }
+    }
+
+    /// Forgets work whose row no longer exists, once no worker runs it.
+    fn note_deleted(&mut self, context: &mut Context, work: &WorkId) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        entry.writing = None;
+        if entry.is_booked() || entry.is_unplaced() {
+            self.end(context, work, Ending::Failed, "its record was deleted");
+            return;
+        }
+        let cancels = self.works.remove(work).map(|entry| entry.cancels).unwrap_or_default();
+        self.planner.finish(work);
+        self.unplaced.remove(work);
+        answer_cancels(context, cancels);
+    }
+
+    fn order_starts(&mut self, work: &WorkId) {
+        let Some(entry) = self.works.get(work) else { return };
+        let planned = entry.tasks.iter().enumerate().filter_map(|(index, state)| {
+            let task = Task { work: work.clone(), index: index as u32 };
+            let worker = state.worker.clone()?;
+            (state.phase == Phase::Planned).then_some((worker, task, state.attempt))
+        });
+        for (worker, task, attempt) in planned.collect::<Vec<_>>() {
+            if let Some(session) = self.sessions.get_mut(&worker) {
+                let order = Order::Start(task, attempt);
+                session.orders.push_back(order);
+            }
+        }
+    }
+
+    /// Deletes the rows of work that ended longer ago than the retention time.
+    pub fn delete_retained(&mut self, context: &mut Context, environment: &Environment) {
+        let open = self.rows.writes.values().any(|purpose| *purpose == Purpose::Deletion);
+        if open || context.now < self.rows.next_deletion || self.releasing.is_some() {
+            return;
+        }
+        let mut checks = Vec::new();
+        let mut writes = Vec::new();
+        while writes.len() < 2 * DELETIONS_PER_BATCH
+            && let Some((ended, _)) = self.retained.front()
+            && context.now >= *ended + RETENTION
+        {
+            let Some((_, work)) = self.retained.pop_front() else { break };
+            let Some(entry) = self.works.remove(&work) else { continue };
+            let key = work::row_key(&self.id, &work);
+            checks.push(Check { key: key.clone(), version: Some(entry.version) });
+            writes.push(Write { key, value: None });
+            writes.push(Write { key: work::registration_key(&work), value: None });
+        }
+        if writes.is_empty() {
+            return;
+        }
+        // A batch that fails leaves its rows in the table; the next scan finds them again.
+        let tag = environment.next_tag();
+        let expires = Some(context.now + SCAN_INTERVAL);
+        self.rows.next_deletion = context.now + PAGE_INTERVAL;
+        self.rows.writes.insert(tag, Purpose::Deletion);
+        let batch = Batch { reply_to: Name::Scheduler, tag, checks, writes, expires };
+        context.send(Name::Commit, Message::Write(batch));
+    }
+}
+
+fn answer_cancels(context: &mut Context, cancels: Vec<Origin>) {
+    for origin in cancels {
+        context.answer(origin, Ok(shallotpost_protocol::interface::Reply::Cancelling));
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/starts.rs
@@ -0,0 +1,375 @@
+//! Start and stop calls, and the checks immediately before each start.
+
+use shallotpost_policy::planner::Cause;
+use shallotpost_protocol::port::Failure;
+use shallotpost_protocol::resource::Availability;
+use shallotpost_protocol::work::{Class, Ending, State};
+use shallotpost_protocol::worker::{Assignment, Mode, Refusal, Reply, Request};
+
+use crate::prelude::*;
+use crate::scheduler::entry::{Closing, Entry, Phase};
+use crate::scheduler::environment::Environment;
+use crate::scheduler::session::{ORDERS_IN_FLIGHT_MAX, Order};
+use crate::scheduler::shard::{Call, Owned, REFUSED_DELAY};
+use crate::settings::{Fencing, HOLDER_MARGIN};
+
+/// Why a start is not allowed now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Barrier {
+    /// The shard was lost, fenced or is being released.
+    NotOwned,
+    /// The configuration lease has lapsed.
+    StaleConfiguration,
+    /// The data centre takes no work.
+    Drained,
+    /// The team does not exist.
+    NoTeam,
+    /// The ownership lease has lapsed and workers do not fence.
+    LeaseLapsed,
+    /// The work is cancelled or ends.
+    Ending,
+    /// The deadline has passed.
+    Expired,
+}
+
+impl Owned {
+    /// The checks that concern the whole shard, in order.
+    pub fn check_shard(&self, environment: &Environment, now: Instant) -> Result<(), Barrier> {
+        let holds = |until: Option<Instant>| until.is_some_and(|until| now + HOLDER_MARGIN < until);
+        if !self.takes_starts() {
+            return Err(Barrier::NotOwned);
+        }
+        if !holds(environment.fresh_until) {
+            return Err(Barrier::StaleConfiguration);
+        }
+        if environment.availability(&self.id.data_centre) != Availability::Active {
+            return Err(Barrier::Drained);
+        }
+        if environment.settings.fencing == Fencing::None && !holds(environment.lease_until) {
+            return Err(Barrier::LeaseLapsed);
+        }
+        Ok(())
+    }
+
+    /// All checks before the start of a task of `entry`.
+    fn check_start(
+        &self,
+        context: &Context,
+        environment: &Environment,
+        entry: &Entry,
+    ) -> Result<(), Barrier> {
+        self.check_shard(environment, context.now)?;
+        let specification = &entry.record.specification;
+        if environment.snapshot.team(&specification.team).is_none() {
+            return Err(Barrier::NoTeam);
+        }
+        if entry.is_ending() || entry.closing.is_some() {
+            return Err(Barrier::Ending);
+        }
+        let restartable = matches!(specification.class, Class::Service { .. });
+        match specification.deadline_unix_ms {
+            Some(deadline) if deadline <= context.unix_ms && !restartable => Err(Barrier::Expired),
+            _ => Ok(()),
+        }
+    }
+
+    /// Sends orders while workers have free connections.
+    pub fn send_orders(&mut self, context: &mut Context, environment: &Environment) {
+        if self.fenced {
+            return;
+        }
+        let pending = self.sessions.iter().filter(|(_, session)| !session.orders.is_empty());
+        let workers: Vec<WorkerId> = pending.map(|(worker, _)| worker.clone()).collect();
+        for worker in workers {
+            self.send_worker_orders(context, environment, &worker);
+        }
+    }
+
+    fn send_worker_orders(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        worker: &WorkerId,
+    ) {
+        while let Some(session) = self.sessions.get_mut(worker)
+            && session.in_flight < ORDERS_IN_FLIGHT_MAX
+            && let Some(order) = session.orders.pop_front()
+        {
+            match order {
+                Order::Start(task, attempt) => {
+                    self.send_start(context, environment, worker, task, attempt)
+                }
+                Order::Stop(task, attempt, mode) => {
+                    self.send_stop(context, environment, worker, task, attempt, mode)
+                }
+            }
+        }
+    }
+
+    fn send_start(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        worker: &WorkerId,
+        task: Task,
+        attempt: Attempt,
+    ) {
+        let Some(entry) = self.works.get(&task.work) else { return };
+        let state = &entry.tasks[task.index as usize];
+        let current = state.phase == Phase::Planned
+            && state.attempt == attempt
+            && state.worker.as_ref() == Some(worker);
+        if !current {
+            return;
+        }
+        if !entry.is_idempotent() && !self.intent_is_durable(entry, &task, worker) {
+            return;
+        }
+        let open = self.sessions.get(worker).is_some_and(|session| session.is_open());
+        match self.check_start(context, environment, entry) {
+            Ok(()) if open => {
+                let specification = &entry.record.specification;
+                let assignment = Assignment {
+                    task: task.clone(),
+                    attempt,
+                    size: specification.size,
+                    command: specification.command.clone(),
+                    input: specification.input.clone(),
+                };
+                let request = Request::Start { epoch: self.epoch, assignment };
+                let order = Call::Start(worker.clone(), task.clone(), attempt);
+                let call = self.call_order(context, environment, worker, request, order);
+                let Some(entry) = self.works.get_mut(&task.work) else { return };
+                entry.may_have_run = true;
+                entry.tasks[task.index as usize].phase = Phase::Starting(call);
+            }
+            Err(Barrier::Expired) => {
+                let work = task.work;
+                self.end(context, &work, Ending::Expired, "the deadline passed before a start");
+            }
+            Ok(()) => self.put_back(context, &task),
+            Err(barrier) => {
+                let fields = vec![("task", task.to_string()), ("barrier", barrier.to_string())];
+                context.log(Level::Info, "start withheld", fields);
+                self.put_back(context, &task);
+            }
+        }
+    }
+
+    fn intent_is_durable(&self, entry: &Entry, task: &Task, worker: &WorkerId) -> bool {
+        match &entry.record.state {
+            State::Starting { workers, epoch } => {
+                *epoch == self.epoch && workers.get(task.index as usize) == Some(worker)
+            }
+            _ => false,
+        }
+    }
+
+    fn send_stop(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        worker: &WorkerId,
+        task: Task,
+        attempt: Attempt,
+        mode: Mode,
+    ) {
+        let request = Request::Stop { epoch: self.epoch, task: task.clone(), attempt, mode };
+        let order = Call::Stop(worker.clone(), task.clone(), attempt);
+        let call = self.call_order(context, environment, worker, request, order);
+        if let Some(state) = self.task_mut(&task)
+            && state.attempt == attempt
+            && let Phase::Stopping(_, open) = &mut state.phase
+        {
+            *open = Some(call);
+        }
+    }
+
+    fn call_order(
+        &mut self,
+        context: &mut Context,
+        environment: &Environment,
+        worker: &WorkerId,
+        request: Request,
+        order: Call,
+    ) -> CallId {
+        let address = match self.sessions.get_mut(worker) {
+            Some(session) => {
+                session.in_flight += 1;
+                session.listing.address.clone()
+            }
+            None => Address::new(),
+        };
+        let timeout = environment.settings.worker_timeout;
+        let call = context.call_worker(worker.clone(), address, request, timeout);
+        self.calls.insert(call, order);
+        call
+    }
+
+    /// Handles the answer to a start call.
+    pub fn on_start_answer(
+        &mut self,
+        context: &mut Context,
+        call: CallId,
+        worker: &WorkerId,
+        task: &Task,
+        result: Result<Reply, Failure>,
+    ) {
+        self.close_order(worker);
+        self.note_refusal(context, worker, &result);
+        let sequence = self.next_sequence();
+        let Some(state) = self.task_mut(task) else { return };
+        // A snapshot may have settled the start before its answer came.
+        if state.phase != Phase::Starting(call) {
+            return;
+        }
+        match result {
+            Ok(Reply::Done) => {
+                state.phase = Phase::Running;
+                state.settled = sequence;
+                self.stop_if_closing(task);
+            }
+            Ok(Reply::Refused(_)) | Err(Failure::NotSent | Failure::Rejected) => {
+                self.put_back(context, task)
+            }
+            Ok(Reply::State(_)) | Err(Failure::Ambiguous) => {
+                state.phase = Phase::Doubtful;
+                state.settled = sequence;
+            }
+        }
+    }
+
+    /// Handles the answer to a stop call. Only a snapshot confirms the end of the task.
+    pub fn on_stop_answer(
+        &mut self,
+        context: &mut Context,
+        call: CallId,
+        worker: &WorkerId,
+        task: &Task,
+        result: Result<Reply, Failure>,
+    ) {
+        self.close_order(worker);
+        self.note_refusal(context, worker, &result);
+        let sequence = self.next_sequence();
+        if let Some(state) = self.task_mut(task)
+            && let Phase::Stopping(_, open) = &mut state.phase
+            && *open == Some(call)
+        {
+            *open = None;
+            state.settled = sequence;
+        }
+    }
+
+    fn close_order(&mut self, worker: &WorkerId) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.in_flight = session.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Applies what a refusal tells about the worker.
+    pub fn note_refusal(
+        &mut self,
+        context: &mut Context,
+        worker: &WorkerId,
+        result: &Result<Reply, Failure>,
+    ) {
+        let Ok(Reply::Refused(refusal)) = result else { return };
+        match refusal {
+            Refusal::StaleEpoch { current } => self.fence(context, *current),
+            Refusal::NotClaimed => {
+                if let Some(session) = self.sessions.get_mut(worker) {
+                    session.claimed = false;
+                    session.next_beat = context.now;
+                }
+                self.publish_worker(context, worker);
+            }
+            Refusal::Leaving => {
+                if let Some(session) = self.sessions.get_mut(worker) {
+                    session.leaving = true;
+                }
+                self.publish_worker(context, worker);
+            }
+            Refusal::Full | Refusal::NoSuchTask => {}
+        }
+    }
+
+    fn fence(&mut self, context: &mut Context, epoch: Epoch) {
+        if !self.fenced {
+            self.fenced = true;
+            let shard = self.id.clone();
+            context.send(Name::Ownership, Message::Fenced { shard, epoch });
+        }
+    }
+
+    /// Returns a booked task that certainly was not started to the queue.
+    pub fn put_back(&mut self, context: &mut Context, task: &Task) {
+        self.free(context, task, Some(Cause::Refused));
+        let Some(entry) = self.works.get_mut(&task.work) else { return };
+        let others_sent = entry.tasks.iter().any(|other| other.phase.is_sent());
+        let recorded = matches!(entry.record.state, State::Starting { .. });
+        match () {
+            _ if entry.closing.is_some() => self.close(context, &task.work),
+            _ if entry.is_idempotent() && entry.is_gang() => {
+                entry.closing = Some(Closing::Retry);
+                self.close(context, &task.work);
+            }
+            _ if entry.is_idempotent() => self.queue_later(context, task, REFUSED_DELAY),
+            _ if others_sent => {
+                self.end(context, &task.work, Ending::Failed, "a part could not be started");
+            }
+            _ => self.withdraw_intent(context, &task.work, recorded),
+        }
+    }
+
+    /// Puts non-idempotent work back whose tasks certainly were not started. A durable intent is revoked first.
+    pub fn withdraw_intent(&mut self, context: &mut Context, work: &WorkId, recorded: bool) {
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let indices = 0..entry.tasks.len() as u32;
+        let tasks: Vec<Task> = indices.map(|index| Task { work: work.clone(), index }).collect();
+        for task in &tasks {
+            if self.task_mut(task).is_some_and(|state| state.phase == Phase::Planned) {
+                self.free(context, task, Some(Cause::Refused));
+            }
+        }
+        if recorded {
+            self.want(work, State::Admitted);
+            return;
+        }
+        for task in &tasks {
+            if self.task_mut(task).is_some_and(|state| state.phase == Phase::Free) {
+                self.queue_later(context, task, REFUSED_DELAY);
+            }
+        }
+    }
+
+    /// Requests a stop, checkpoint, throttle or resume of a task that runs.
+    pub fn stop_task(&mut self, task: &Task, mode: Mode) {
+        let Some(state) = self.task_mut(task) else { return };
+        let Some(worker) = state.worker.clone() else { return };
+        if state.phase != Phase::Running {
+            return;
+        }
+        let attempt = state.attempt;
+        if matches!(mode, Mode::Stop | Mode::Checkpoint) {
+            state.phase = Phase::Stopping(mode, None);
+        }
+        if let Some(session) = self.sessions.get_mut(&worker) {
+            session.orders.push_back(Order::Stop(task.clone(), attempt, mode));
+        }
+    }
+
+    /// Stops all running tasks of a work.
+    pub fn stop_tasks(&mut self, work: &WorkId, mode: Mode) {
+        let Some(entry) = self.works.get(work) else { return };
+        for index in 0..entry.tasks.len() as u32 {
+            self.stop_task(&Task { work: work.clone(), index }, mode);
+        }
+    }
+
+    fn stop_if_closing(&mut self, task: &Task) {
+        if self.works.get(&task.work).is_some_and(|entry| entry.closing.is_some()) {
+            self.stop_task(task, Mode::Stop);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -0,0 +1,573 @@
+//! A scheduler between a fake table, fake workers and a fake `commit`, under virtual time.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use shallotpost_control::configuration::Snapshot;
+use shallotpost_control::message::{Batch, WriteFailure};
+use shallotpost_control::prelude::*;
+use shallotpost_control::scheduler::Scheduler;
+use shallotpost_protocol::interface::{Reply as Answer, Request as Ask};
+use shallotpost_protocol::resource::{Availability, DataCentre, Entry, Resource, Right, Team};
+use shallotpost_protocol::work::{self, Class, Outcome, Record, Specification, State, Status};
+use shallotpost_protocol::worker::{Refusal, Reply, Request};
+use shallotpost_protocol::{list, table};
+use shallotpost_standin::table::Table;
+use shallotpost_standin::worker::Worker;
+
+pub const STEP: Duration = Duration::from_millis(10);
+
+/// Kind of a worker call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Claim,
+    Sync,
+    Start,
+    Stop,
+}
+
+/// What happens to a worker call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It certainly does not reach the worker.
+    NotSent,
+    /// It does not reach the worker, and the caller cannot know.
+    LostRequest,
+    /// It takes effect, and the answer is lost or cut off.
+    LostAnswer,
+    /// The answer comes twice.
+    Twice,
+    /// The answer comes later than the caller waits, after the failure was reported.
+    Late,
+    /// The answer is followed by the same answer to a call that was never made.
+    Crossed,
+}
+
+pub struct Node {
+    pub worker: Worker,
+    pub rack: String,
+    pub listed: bool,
+    pub alive: bool,
+    seen: u64,
+}
+
+struct Owner {
+    scheduler: Scheduler,
+    running: bool,
+    next_call: u64,
+    inbox: Vec<(Instant, Message)>,
+    syncs: Vec<(Instant, CallId, WorkerId, Request)>,
+    writes: Vec<(Instant, Batch)>,
+}
+
+pub struct World {
+    pub now: Instant,
+    origin: Instant,
+    pub table: Table,
+    pub table_up: bool,
+    pub nodes: BTreeMap<WorkerId, Node>,
+    owners: Vec<Owner>,
+    faults: Vec<(WorkerId, Kind, Fault, usize)>,
+    pub write_faults: Vec<WriteFailure>,
+    pub snapshot: Snapshot,
+    pub settings: Settings,
+    pub fresh: bool,
+    pub lease: bool,
+    pub ended: Vec<(WorkId, Outcome)>,
+    pub answers: Vec<Result<Answer, Problem>>,
+    pub fenced: Vec<Epoch>,
+    pub released: usize,
+    pub refused: Vec<Refusal>,
+    /// Number of start calls that reached the edge, by owner.
+    pub start_calls: usize,
+    pub calls: usize,
+    pub writes: usize,
+}
+
+pub fn shard() -> Shard {
+    Shard { data_centre: "dc".into(), index: 0 }
+}
+
+pub fn size(cores: u64) -> Size {
+    Size { processors_milli: cores * 1000, memory_mib: 100, accelerators: 0, slots: 1 }
+}
+
+pub fn work(name: &str) -> WorkId {
+    WorkId { team: "red".into(), name: name.into() }
+}
+
+/// A specification of team `red` with tasks of one core.
+pub fn specification(name: &str, class: Class, command: &[&str]) -> Specification {
+    Specification {
+        id: name.into(),
+        team: "red".into(),
+        class,
+        size: size(1),
+        command: command.iter().map(|part| (*part).to_owned()).collect(),
+        run_time: None,
+        idempotent: true,
+        deadline_unix_ms: None,
+        data_centres: Vec::new(),
+        queue: None,
+        input: None,
+        attempts: 3,
+    }
+}
+
+impl World {
+    /// A world with `count` workers of 4 cores and one owner with epoch 1.
+    pub fn new(count: usize) -> World {
+        World::with(count, Settings::new("host", "dc"))
+    }
+
+    pub fn with(count: usize, settings: Settings) -> World {
+        let origin = Instant::now();
+        let mut world = World {
+            now: origin,
+            origin,
+            table: Table::default(),
+            table_up: true,
+            nodes: BTreeMap::new(),
+            owners: Vec::new(),
+            faults: Vec::new(),
+            write_faults: Vec::new(),
+            snapshot: Snapshot::default(),
+            settings,
+            fresh: true,
+            lease: true,
+            ended: Vec::new(),
+            answers: Vec::new(),
+            fenced: Vec::new(),
+            released: 0,
+            refused: Vec::new(),
+            start_calls: 0,
+            calls: 0,
+            writes: 0,
+        };
+        for index in 0..count {
+            let capacity = Size { slots: 8, memory_mib: 4000, ..size(4) };
+            let mut worker = Worker::new(index as u64, capacity);
+            worker.fencing = true;
+            let rack = format!("r{index}");
+            let node = Node { worker, rack, listed: true, alive: true, seen: 0 };
+            world.nodes.insert(format!("w{index}"), node);
+        }
+        world.set_team(Some(Size::from_parts([u64::MAX; 4])));
+        world
+    }
+
+    /// Sets the cap of team `red`, or withdraws it.
+    pub fn set_team(&mut self, cap: Option<Size>) {
+        let key = (shallotpost_protocol::resource::Kind::Team, "red".to_owned());
+        match cap {
+            Some(cap) => {
+                let resource = Resource::Team(Team { share: 1, cap });
+                let entry = Entry { name: "red".into(), revision: 1, resource };
+                self.snapshot.entries.insert(key, entry);
+            }
+            None => drop(self.snapshot.entries.remove(&key)),
+        }
+        self.publish();
+    }
+
+    pub fn set_availability(&mut self, name: &str, availability: Availability) {
+        let key = (shallotpost_protocol::resource::Kind::DataCentre, name.to_owned());
+        let resource = Resource::DataCentre(DataCentre { availability, shards: 1 });
+        let entry = Entry { name: name.into(), revision: 1, resource };
+        self.snapshot.entries.insert(key, entry);
+        self.publish();
+    }
+
+    pub fn publish(&mut self) {
+        let snapshot = Rc::new(self.snapshot.clone());
+        let list = Rc::new(self.list());
+        for owner in 0..self.owners.len() {
+            self.deliver(owner, Message::Snapshot(Rc::clone(&snapshot)));
+            self.deliver(owner, Message::Workers(Rc::clone(&list)));
+        }
+    }
+
+    fn list(&self) -> Vec<list::Worker> {
+        let listed = self.nodes.iter().filter(|(_, node)| node.listed);
+        let entry = |(name, node): (&WorkerId, &Node)| list::Worker {
+            worker: name.clone(),
+            address: format!("{name}:1"),
+            data_centre: "dc".into(),
+            rack: node.rack.clone(),
+            capacity: node.worker.capacity(),
+            leaving: false,
+        };
+        listed.map(entry).collect()
+    }
+
+    /// Starts an owner of the shard and returns its index.
+    pub fn take_over(&mut self, epoch: Epoch) -> usize {
+        self.owners.push(Owner {
+            scheduler: Scheduler::new(&self.settings),
+            running: true,
+            next_call: epoch * 1_000_000,
+            inbox: Vec::new(),
+            syncs: Vec::new(),
+            writes: Vec::new(),
+        });
+        let owner = self.owners.len() - 1;
+        self.publish();
+        self.renew();
+        self.deliver(owner, Message::Acquired { shard: shard(), epoch });
+        owner
+    }
+
+    /// Pauses an owner, or wakes it. Its calls stay under way; it gets the answers when it wakes.
+    pub fn set_running(&mut self, owner: usize, running: bool) {
+        self.owners[owner].running = running;
+    }
+
+    /// Removes an owner with everything that it has under way.
+    pub fn kill(&mut self, owner: usize) {
+        let owner = &mut self.owners[owner];
+        owner.running = false;
+        owner.inbox.clear();
+        owner.syncs.clear();
+        owner.writes.clear();
+    }
+
+    /// Lets the next `times` calls of this kind to the worker fail.
+    pub fn fault(&mut self, worker: &str, kind: Kind, fault: Fault, times: usize) {
+        self.faults.push((worker.into(), kind, fault, times));
+    }
+
+    /// Writes the record as admission does, and notifies the owner.
+    pub fn admit(&mut self, specification: Specification) -> WorkId {
+        let work = self.write_record(specification, State::Admitted);
+        for owner in 0..self.owners.len() {
+            let message = Message::Admitted { record: None, shard: shard(), work: work.clone() };
+            self.deliver(owner, message);
+        }
+        work
+    }
+
+    /// Writes a record without a notification.
+    pub fn write_record(&mut self, specification: Specification, state: State) -> WorkId {
+        let work = specification.work_id();
+        let record = Record { specification, shard: shard(), state, admitted_unix_ms: 0 };
+        let value = Some(serde_json::to_string(&record).unwrap());
+        let registration =
+            table::Write { key: work::registration_key(&work), value: Some("{}".into()) };
+        let writes =
+            vec![table::Write { key: work::row_key(&shard(), &work), value }, registration];
+        self.table.handle(&table::Request::Transact { checks: Vec::new(), writes });
+        work
+    }
+
+    pub fn record(&self, work: &WorkId) -> Option<Record> {
+        let row = self.table.row(&work::row_key(&shard(), work))?;
+        serde_json::from_str(&row.value).ok()
+    }
+
+    pub fn outcome(&self, work: &WorkId) -> Option<Outcome> {
+        match self.record(work)?.state {
+            State::Ended(outcome) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    /// Sends a request of team `red` to the owner.
+    pub fn ask(&mut self, owner: usize, request: Ask) {
+        let identity = Identity { key: "k".into(), right: Right::Team("red".into()) };
+        let origin = Origin::Caller(1);
+        self.deliver(owner, Message::Ask { origin, identity, request });
+    }
+
+    pub fn status(&mut self, owner: usize, work: &WorkId) -> Status {
+        self.ask(owner, Ask::Status(work.clone()));
+        match self.answers.pop() {
+            Some(Ok(Answer::Status(status))) => status,
+            other => panic!("no status: {other:?}"),
+        }
+    }
+
+    pub fn phase(&mut self, owner: usize, work: &WorkId) -> Option<work::Phase> {
+        self.status(owner, work).tasks.first().map(|task| task.phase)
+    }
+
+    pub fn node(&mut self, worker: &str) -> &mut Node {
+        self.nodes.get_mut(worker).unwrap()
+    }
+
+    /// Workers that run a task of the work.
+    pub fn runners(&self, work: &WorkId) -> Vec<WorkerId> {
+        let running = self.nodes.iter().flat_map(|(name, node)| {
+            node.worker.running().into_iter().map(move |task| (name, task))
+        });
+        running.filter(|(_, task)| task.work == *work).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Number of accepted starts of the work on all workers.
+    pub fn starts(&self, work: &WorkId) -> usize {
+        let starts = self.nodes.values().flat_map(|node| &node.worker.starts);
+        starts.filter(|(task, _)| task.work == *work).count()
+    }
+
+    pub fn run(&mut self, milliseconds: u64) {
+        let end = self.now + Duration::from_millis(milliseconds);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds, at most `limit` of virtual time.
+    pub fn run_until(&mut self, limit: Duration, condition: impl Fn(&World) -> bool) {
+        let end = self.now + limit;
+        while !condition(self) {
+            assert!(self.now < end, "the condition does not hold after {limit:?}");
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        self.nodes.values_mut().for_each(|node| node.worker.advance(now));
+        self.renew();
+        for owner in 0..self.owners.len() {
+            self.answer_syncs(owner);
+            self.commit(owner);
+            if self.owners[owner].running {
+                let inbox = std::mem::take(&mut self.owners[owner].inbox);
+                let (due, later) = inbox.into_iter().partition(|(due, _)| *due <= now);
+                self.owners[owner].inbox = later;
+                let due: Vec<(Instant, Message)> = due;
+                due.into_iter().for_each(|(_, message)| self.deliver(owner, message));
+                self.deliver(owner, Message::Tick);
+            }
+        }
+        self.check();
+    }
+
+    fn renew(&mut self) {
+        for owner in 0..self.owners.len() {
+            if self.fresh {
+                let until = self.now + self.settings.configuration_lease;
+                self.deliver(owner, Message::Fresh { until });
+            }
+            if self.lease {
+                let until = self.now + self.settings.ownership_lease;
+                self.deliver(owner, Message::Lease { until });
+            }
+        }
+    }
+
+    /// Fails where a task runs in two places, or a worker had to refuse a start for lack of room.
+    fn check(&self) {
+        let mut running = BTreeSet::new();
+        for (name, node) in &self.nodes {
+            for task in node.worker.running() {
+                assert!(running.insert(task.clone()), "{task} runs in two places, one is {name}");
+            }
+        }
+        assert!(!self.refused.contains(&Refusal::Full), "a worker was overbooked");
+    }
+
+    /// Hands a message to an owner that is running.
+    pub fn deliver(&mut self, owner: usize, message: Message) {
+        if !self.owners[owner].running {
+            return;
+        }
+        let unix_ms = (self.now - self.origin).as_millis() as u64;
+        let next_call = self.owners[owner].next_call;
+        let mut context = Context::new(Name::Scheduler, self.now, unix_ms, next_call);
+        self.owners[owner].scheduler.handle(&mut context, message);
+        self.owners[owner].next_call = context.next_call();
+        for (_, message) in context.messages {
+            self.take_message(owner, message);
+        }
+        for effect in context.effects {
+            self.take_effect(owner, effect);
+        }
+    }
+
+    fn take_message(&mut self, owner: usize, message: Message) {
+        match message {
+            Message::Write(batch) => self.owners[owner].writes.push((self.now + STEP, batch)),
+            Message::Ended { work, outcome } => self.ended.push((work, Outcome::clone(&outcome))),
+            Message::Answer { result, .. } => self.answers.push(result),
+            Message::Fenced { epoch, .. } => self.fenced.push(epoch),
+            Message::Released { .. } => self.released += 1,
+            _ => {}
+        }
+    }
+
+    fn take_effect(&mut self, owner: usize, effect: Effect) {
+        match effect {
+            Effect::Table { call, request, timeout } => match self.table_up {
+                true => {
+                    let result = Ok(self.table.handle(&request));
+                    self.post(owner, STEP, Message::Table { call, result });
+                }
+                false => {
+                    let result = Err(Failure::Ambiguous);
+                    self.post(owner, timeout, Message::Table { call, result });
+                }
+            },
+            Effect::Worker { call, worker, request, timeout, .. } => {
+                self.take_call(owner, call, worker, request, timeout)
+            }
+            _ => {}
+        }
+    }
+
+    fn take_call(
+        &mut self,
+        owner: usize,
+        call: CallId,
+        worker: WorkerId,
+        request: Request,
+        timeout: Duration,
+    ) {
+        let kind = match request {
+            Request::Claim { .. } => Kind::Claim,
+            Request::Sync { .. } => Kind::Sync,
+            Request::Start { .. } => Kind::Start,
+            Request::Stop { .. } => Kind::Stop,
+        };
+        self.calls += 1;
+        self.start_calls += usize::from(kind == Kind::Start);
+        let found = self
+            .faults
+            .iter_mut()
+            .find(|(on, of, _, times)| *on == worker && *of == kind && *times > 0);
+        let fault = found.map(|(_, _, fault, times)| {
+            *times -= 1;
+            *fault
+        });
+        let lost = Message::Worker { call, result: Err(Failure::Ambiguous) };
+        match fault {
+            _ if !self.nodes[&worker].alive => self.post(owner, timeout, lost),
+            Some(Fault::NotSent) => {
+                let result = Err(Failure::NotSent);
+                self.post(owner, STEP, Message::Worker { call, result });
+            }
+            Some(Fault::LostRequest) => self.post(owner, timeout, lost),
+            Some(Fault::LostAnswer) => {
+                self.execute(&worker, &request);
+                self.post(owner, timeout, lost);
+            }
+            Some(Fault::Late) => {
+                let result = Ok(self.execute(&worker, &request));
+                self.post(owner, timeout, lost);
+                self.post(owner, timeout + STEP * 50, Message::Worker { call, result });
+            }
+            Some(Fault::Twice) => {
+                let result = Ok(self.execute(&worker, &request));
+                for delay in [STEP, STEP * 2, STEP * 50] {
+                    let result = result.clone();
+                    self.post(owner, delay, Message::Worker { call, result });
+                }
+            }
+            Some(Fault::Crossed) => {
+                let result = Ok(self.execute(&worker, &request));
+                for call in [call + (7 << 40), call] {
+                    let result = result.clone();
+                    self.post(owner, STEP, Message::Worker { call, result });
+                }
+            }
+            None => match request {
+                Request::Sync { wait, .. } if !wait.is_zero() => {
+                    // The call reaches the worker at once and renews its lease.
+                    let reply = self.execute(&worker, &request);
+                    match reply {
+                        Reply::State(_) => {
+                            let due = self.now + wait;
+                            self.owners[owner].syncs.push((due, call, worker, request));
+                        }
+                        reply => {
+                            let result = Ok(reply);
+                            self.post(owner, STEP, Message::Worker { call, result });
+                        }
+                    }
+                }
+                _ => {
+                    let result = Ok(self.execute(&worker, &request));
+                    self.post(owner, STEP, Message::Worker { call, result });
+                }
+            },
+        }
+    }
+
+    fn execute(&mut self, worker: &WorkerId, request: &Request) -> Reply {
+        let now = self.now;
+        let reply = self.node(worker).worker.handle(now, request);
+        if let Reply::Refused(refusal) = &reply {
+            self.refused.push(refusal.clone());
+        }
+        reply
+    }
+
+    fn answer_syncs(&mut self, owner: usize) {
+        let now = self.now;
+        let syncs = std::mem::take(&mut self.owners[owner].syncs);
+        for (due, call, worker, request) in syncs {
+            let node = &self.nodes[&worker];
+            let changed = node.worker.changes != node.seen;
+            match node.alive {
+                true if changed || now >= due => {
+                    let node = self.node(&worker);
+                    node.seen = node.worker.changes;
+                    let result = Ok(self.execute(&worker, &request));
+                    self.post(owner, STEP, Message::Worker { call, result });
+                }
+                false if now >= due + self.settings.worker_timeout => {
+                    let result = Err(Failure::Ambiguous);
+                    self.post(owner, STEP, Message::Worker { call, result });
+                }
+                _ => self.owners[owner].syncs.push((due, call, worker, request)),
+            }
+        }
+    }
+
+    fn commit(&mut self, owner: usize) {
+        let now = self.now;
+        let writes = std::mem::take(&mut self.owners[owner].writes);
+        for (due, batch) in writes {
+            let tag = batch.tag;
+            if now < due {
+                self.owners[owner].writes.push((due, batch));
+                continue;
+            }
+            let result = match () {
+                _ if batch.expires.is_some_and(|expires| now >= expires) => {
+                    Err(WriteFailure::Expired)
+                }
+                _ if !self.table_up => {
+                    self.owners[owner].writes.push((due, batch));
+                    continue;
+                }
+                _ => match self.write_faults.pop() {
+                    // The transaction takes effect, and its sender does not learn of it.
+                    Some(WriteFailure::Unknown) => {
+                        self.transact(&batch).and(Err(WriteFailure::Unknown))
+                    }
+                    Some(failure) => Err(failure),
+                    None => self.transact(&batch),
+                },
+            };
+            self.post(owner, STEP, Message::Written { tag, result });
+        }
+    }
+
+    fn transact(&mut self, batch: &Batch) -> Result<(), WriteFailure> {
+        self.writes += 1;
+        let (checks, writes) = (batch.checks.clone(), batch.writes.clone());
+        match self.table.handle(&table::Request::Transact { checks, writes }) {
+            table::Reply::Conflict { keys } => Err(WriteFailure::Conflict(keys)),
+            _ => Ok(()),
+        }
+    }
+
+    fn post(&mut self, owner: usize, delay: Duration, message: Message) {
+        let due = self.now + delay;
+        self.owners[owner].inbox.push((due, message));
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/task_path.rs
@@ -0,0 +1,60 @@
+//! The path of a task from admission to its recorded end.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/scheduling.rs"]
+mod scheduling;
+
+use scheduling::*;
+use shallotpost_control::prelude::*;
+use shallotpost_protocol::work::{Class, Ending, Phase, Specification};
+use shallotpost_protocol::worker::{Reply, Request};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Guards against a broken path for any class, and against ends that the worker keeps for ever.
+#[test]
+fn each_class_ends() {
+    let cases = [
+        ("batch", Class::Batch, ["run", "100"], true, Ending::Succeeded, 1),
+        ("urgent", Class::Urgent, ["run", "100"], true, Ending::Succeeded, 1),
+        ("gang", Class::Gang { parts: 3 }, ["run", "100"], true, Ending::Succeeded, 3),
+        ("once", Class::Batch, ["run", "100"], false, Ending::Succeeded, 1),
+        ("retried", Class::Batch, ["fail", "100"], true, Ending::Failed, 3),
+        ("failing gang", Class::Gang { parts: 2 }, ["fail", "100"], true, Ending::Failed, 6),
+        ("failing once", Class::Batch, ["fail", "100"], false, Ending::Failed, 1),
+    ];
+    for (name, class, command, idempotent, ending, starts) in cases {
+        let mut world = World::new(2);
+        world.take_over(1);
+        let specification = specification("job", class, &command);
+        let work = world.admit(Specification { idempotent, ..specification });
+        world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+        world.run(2500);
+        let outcome = world.outcome(&work).unwrap();
+        assert_eq!((outcome.ending, outcome.not_run), (ending, false), "{name}");
+        assert_eq!(world.starts(&work), starts, "{name}");
+        assert_eq!(world.ended.len(), 1, "{name}: the end is reported once");
+        let now = world.now;
+        for node in world.nodes.values_mut() {
+            let claim = Request::Claim { shard: shard(), epoch: 9, lease: Duration::from_secs(1) };
+            let Reply::State(state) = node.worker.handle(now, &claim) else { panic!("{name}") };
+            assert!(state.tasks.is_empty(), "{name}: the worker still keeps {:?}", state.tasks);
+        }
+    }
+}
+
+/// Guards against services that stay down after a failure, and against a restart without delay.
+#[test]
+fn services_are_restarted() {
+    let mut world = World::new(2);
+    let owner = world.take_over(1);
+    let service = world.admit(specification("svc", Class::Service { replicas: 2 }, &["serve"]));
+    let broken = world.admit(specification("bad", Class::Service { replicas: 1 }, &["fail", "10"]));
+    world.run(5000);
+    assert_eq!(world.runners(&service).len(), 2);
+    let starts = world.starts(&broken);
+    assert!((3..=8).contains(&starts), "{starts} starts in 5 s");
+    assert_eq!(world.phase(owner, &service), Some(Phase::Running));
+    assert!(world.outcome(&broken).is_none());
+}
