Expose the change count of the stand-in worker

Cause: tests of the scheduler compare it. Change: the field is public again. Evidence: the workspace builds without warnings and the scheduler's tests pass. Conclusion: kept.

--- a/crates/shallotpost-standin/src/worker.rs
+++ b/crates/shallotpost-standin/src/worker.rs
@@ -33,7 +33,8 @@
     epoch: Epoch,
     lease_until: Option<Instant>,
     runs: BTreeMap<(Task, Attempt), Run>,
-    changes: u64,
+    /// Counts state changes.
+    pub changes: u64,
     reported: u64,
     /// Each accepted start, in order; tests look for duplicates here.
     pub starts: Vec<(Task, Attempt)>,
