--- /dev/null
+++ b/crates/shallotpost-policy/src/claim.rs
@@ -0,0 +1,249 @@
+//! Giving back: capacity that teams use above their share is reclaimed for waiting tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::worker::Mode;
+
+use crate::decide::Round;
+use crate::engine::Engine;
+use crate::jobs::TaskState;
+use crate::planner::Action;
+use crate::queue::Key;
+use crate::teams::{LANES, URGENT};
+
+/// Claims that one team may have open for work that is not urgent.
+const TEAM_CLAIMS_MAX: usize = 16;
+/// Claims that one round adds.
+const ROUND_CLAIMS_MAX: usize = 16;
+/// Workers that are compared for one claim.
+const HOSTS_MAX: usize = 64;
+/// Time between attempts of a team that found nothing to reclaim.
+const RETRY: Duration = Duration::from_millis(100);
+/// A task that was asked to save its progress is stopped after this part of the urgent bound.
+const GRACE_PART: u32 = 2;
+
+/// Room that is held on a worker for a waiting task until the tasks in its way have ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub(crate) key: Key,
+    host: usize,
+    size: Size,
+    victims: Vec<Key>,
+    /// When tasks that have not ended are stopped.
+    stop_at: Option<Instant>,
+    until: Instant,
+}
+
+impl Engine {
+    /// Starts tasks whose room has become free, stops what did not save its progress in time, and drops old claims.
+    pub(crate) fn advance_claims(&mut self, round: &mut Round) {
+        let claims = std::mem::take(&mut self.claims);
+        for mut claim in claims {
+            if self.is_ripe(&claim) && round.left() > 0 {
+                self.fleet.unhold(claim.host, &claim.size);
+                self.start(round, claim.key, claim.host);
+                continue;
+            }
+            let host = &self.fleet.hosts[claim.host];
+            if !self.is_waiting(claim.key) || !host.known || !host.open || claim.until <= round.now
+            {
+                self.fleet.unhold(claim.host, &claim.size);
+                continue;
+            }
+            if claim.stop_at.is_some_and(|at| at <= round.now)
+                && round.left() >= claim.victims.len()
+            {
+                claim.stop_at = None;
+                self.stop_victims(round, &claim.victims, Mode::Stop);
+            }
+            self.claims.push(claim);
+        }
+    }
+
+    /// Requests capacity for urgent tasks and for teams below their share.
+    pub(crate) fn reclaim(&mut self, round: &mut Round) {
+        let total = self.fleet.total();
+        let weight = self.teams.active_weight();
+        if weight == 0.0 {
+            return;
+        }
+        let mut budget = ROUND_CLAIMS_MAX;
+        for team in self.teams.order(&total) {
+            let account = &self.teams.accounts[team];
+            if account.reclaim_at.is_some_and(|at| round.now < at) {
+                continue;
+            }
+            let mut found = true;
+            for lane in 0..LANES {
+                while found && budget > 0 && round.left() > 0 {
+                    let Some(key) = self.next_unclaimed(team, lane, weight, &total) else { break };
+                    found = self.claim(round, key, lane == URGENT, weight, &total);
+                    budget -= 1;
+                }
+            }
+            if !found {
+                self.teams.accounts[team].reclaim_at = Some(round.now + RETRY);
+            }
+        }
+    }
+
+    /// First task of a lane that may claim capacity and has no claim yet.
+    fn next_unclaimed(&self, team: usize, lane: usize, weight: f64, total: &Size) -> Option<Key> {
+        let account = &self.teams.accounts[team];
+        let mut claimed = BTreeSet::new();
+        let mut booked = account.booked;
+        for claim in &self.claims {
+            if self.jobs.get(claim.key.0).is_some_and(|record| record.team == team) {
+                claimed.insert(claim.key);
+                booked.add(&claim.size);
+            }
+        }
+        if lane != URGENT && claimed.len() >= TEAM_CLAIMS_MAX {
+            return None;
+        }
+        let grant = account.grant?;
+        let room = crate::sum::Sum::from(&grant).less(&booked).size().min(&self.fleet.largest());
+        let fair = f64::from(account.share) / weight;
+        let mut from = 0;
+        while let Some((position, key, size)) = account.lanes[lane].first(from, &room) {
+            from = position + 1;
+            if claimed.contains(&key) {
+                continue;
+            }
+            let mut after = booked;
+            after.add(&size);
+            let below = after.size().dominant_part(total) <= fair;
+            return (lane == URGENT || below).then_some(key);
+        }
+        None
+    }
+
+    fn claim(
+        &mut self,
+        round: &mut Round,
+        key: Key,
+        urgent: bool,
+        weight: f64,
+        total: &Size,
+    ) -> bool {
+        let Some(record) = self.jobs.get(key.0) else { return false };
+        let size = record.job.size;
+        let Some((host, victims)) = self.cheapest_host(&size, urgent, weight, total) else {
+            return false;
+        };
+        if victims.len() > round.left() {
+            return false;
+        }
+        self.fleet.hold(host, &size);
+        self.stop_victims(round, &victims, Mode::Checkpoint);
+        let bound = self.policy.urgent_bound;
+        let stop_at = Some(round.now + bound / GRACE_PART);
+        self.claims.push(Claim { key, host, size, victims, stop_at, until: round.now + bound });
+        true
+    }
+
+    /// Worker where the fewest tasks above their team's share must end to make room, with those tasks.
+    fn cheapest_host(
+        &self,
+        size: &Size,
+        urgent: bool,
+        weight: f64,
+        total: &Size,
+    ) -> Option<(usize, Vec<Key>)> {
+        let mut over: Vec<(f64, usize)> = Vec::new();
+        for (slot, account) in self.teams.accounts.iter().enumerate() {
+            let excess = account.dominant(total) - f64::from(account.share) / weight;
+            if excess > 0.0 && !account.victims.is_empty() {
+                over.push((excess, slot));
+            }
+        }
+        over.sort_by(|left, right| right.0.total_cmp(&left.0).then(left.1.cmp(&right.1)));
+        let mut checked = BTreeSet::new();
+        let mut best: Option<(usize, Vec<Key>)> = None;
+        let victims = over.iter().flat_map(|(_, team)| &self.teams.accounts[*team].victims);
+        for (_, _, victim) in victims.take(HOSTS_MAX) {
+            let Some(TaskState::Booked { host, .. }) = self.state(*victim) else { continue };
+            if !checked.insert(host) {
+                continue;
+            }
+            let Some(found) = self.victims_on(host, size, urgent, weight, total) else { continue };
+            if best.as_ref().is_none_or(|(_, fewest)| found.len() < fewest.len()) {
+                best = Some((host, found));
+            }
+            if best.as_ref().is_some_and(|(_, fewest)| fewest.len() <= 1) {
+                break;
+            }
+        }
+        best
+    }
+
+    /// Tasks above their team's share whose end makes room for `size` on a worker, the latest start first.
+    fn victims_on(
+        &self,
+        slot: usize,
+        size: &Size,
+        urgent: bool,
+        weight: f64,
+        total: &Size,
+    ) -> Option<Vec<Key>> {
+        let host = &self.fleet.hosts[slot];
+        if !host.is_usable() || !size.fits_in(&host.capacity) {
+            return None;
+        }
+        let mut room = host.future();
+        let mut tasks: Vec<(u8, std::cmp::Reverse<u64>, Key)> = Vec::new();
+        for key in &host.tasks {
+            let Some(record) = self.jobs.get(key.0) else { continue };
+            if let (Some(rank), Some(TaskState::Booked { sequence, stopping: false, .. })) =
+                (record.victim_rank(), self.state(*key))
+            {
+                tasks.push((rank, std::cmp::Reverse(sequence), *key));
+            }
+        }
+        tasks.sort();
+        let mut booked = BTreeMap::new();
+        let mut victims = Vec::new();
+        for (_, _, key) in tasks {
+            if room.holds(size) {
+                break;
+            }
+            let Some(record) = self.jobs.get(key.0) else { continue };
+            let account = &self.teams.accounts[record.team];
+            let fair = f64::from(account.share) / weight;
+            let held = booked.entry(record.team).or_insert(account.booked);
+            let mut after = *held;
+            after.subtract(&record.job.size);
+            let judged = if urgent { *held } else { after };
+            let part = judged.size().dominant_part(total);
+            if part > fair || (!urgent && part >= fair) {
+                *held = after;
+                room.add(&record.job.size);
+                victims.push(key);
+            }
+        }
+        room.holds(size).then_some(victims)
+    }
+
+    fn stop_victims(&mut self, round: &mut Round, victims: &[Key], mode: Mode) {
+        for key in victims {
+            let Some(TaskState::Booked { host, stopping, .. }) = self.state(*key) else { continue };
+            if stopping == (mode == Mode::Checkpoint) {
+                continue;
+            }
+            self.mark_stopping(*key);
+            let Some(task) = self.task(*key) else { continue };
+            let worker = self.fleet.hosts[host].id.clone();
+            round.actions.push(Action::Stop { task, worker, mode });
+        }
+    }
+
+    fn is_ripe(&self, claim: &Claim) -> bool {
+        let host = &self.fleet.hosts[claim.host];
+        let team = self.jobs.get(claim.key.0).map(|record| record.team);
+        self.is_waiting(claim.key)
+            && host.is_usable()
+            && host.unbooked().holds(&claim.size)
+            && team.is_some_and(|team| self.teams.accounts[team].allows(&claim.size))
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-policy/src/decide.rs
@@ -0,0 +1,201 @@
+//! Reserve and commit: one round of decisions.
+
+use shallotpost_protocol::prelude::*;
+
+use crate::engine::Engine;
+use crate::planner::Action;
+use crate::queue::Key;
+use crate::teams::{LANES, NEW, REPLACEMENT, RETURNED, URGENT};
+
+/// Tasks that one round tries without success before it ends. Bounds the time of a round when many tasks of different
+/// sizes wait for a full fleet; the tasks that are left are tried in the next round.
+const MISSES_MAX: usize = 256;
+/// Gangs that one round tries.
+const GANGS_MAX: usize = 8;
+
+/// Progress of one round.
+pub(crate) struct Round {
+    pub(crate) now: Instant,
+    pub(crate) limit: usize,
+    pub(crate) actions: Vec<Action>,
+    misses: usize,
+    gangs: usize,
+    /// By team and lane: no waiting task fits now.
+    exhausted: Vec<[bool; LANES]>,
+    /// By team and lane: no waiting task fits on a worker that has grown.
+    offered: Vec<[bool; LANES]>,
+    /// By team: version of the free capacity that all its gangs were tried at.
+    gangs_tried: Vec<Option<u64>>,
+}
+
+impl Round {
+    /// Actions that may still be added.
+    pub(crate) fn left(&self) -> usize {
+        self.limit.saturating_sub(self.actions.len())
+    }
+}
+
+impl Engine {
+    /// Decides at most `limit` actions; only a gang with more parts than that may exceed it, as the first of the round.
+    pub(crate) fn plan(&mut self, now: Instant, limit: usize) -> Vec<Action> {
+        self.fleet.advance(now);
+        if limit == 0 || !self.open {
+            return Vec::new();
+        }
+        let teams = self.teams.accounts.len();
+        let mut round = Round {
+            now,
+            limit,
+            actions: Vec::new(),
+            misses: 0,
+            gangs: 0,
+            exhausted: vec![[false; LANES]; teams],
+            offered: vec![[false; LANES]; teams],
+            gangs_tried: vec![None; teams],
+        };
+        self.advance_claims(&mut round);
+        self.advance_reservation(&mut round);
+        while round.left() > 0 && round.misses < MISSES_MAX && self.step(&mut round) {}
+        if round.left() > 0 && round.misses < MISSES_MAX {
+            self.settle();
+        }
+        self.reserve(&mut round);
+        self.reclaim(&mut round);
+        round.actions
+    }
+
+    /// Books a task and adds its start.
+    pub(crate) fn start(&mut self, round: &mut Round, key: Key, host: usize) {
+        let Some(task) = self.task(key) else { return };
+        self.book(round.now, key, host);
+        let worker = self.fleet.hosts[host].id.clone();
+        round.actions.push(Action::Start { task, worker });
+    }
+
+    /// Starts the next task or gang; false where nothing can start.
+    fn step(&mut self, round: &mut Round) -> bool {
+        let order = self.teams.order(&self.fleet.total());
+        for lane in [URGENT, REPLACEMENT] {
+            if order.iter().any(|team| self.start_from(round, *team, lane)) {
+                return true;
+            }
+        }
+        for team in order {
+            if self.start_gang(round, team)
+                || self.start_from(round, team, RETURNED)
+                || self.start_from(round, team, NEW)
+            {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn start_from(&mut self, round: &mut Round, team: usize, lane: usize) -> bool {
+        match self.candidate(round, team, lane) {
+            Some((key, host)) => {
+                self.start(round, key, host);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// First task of a lane that fits, and its worker.
+    fn candidate(&mut self, round: &mut Round, team: usize, lane: usize) -> Option<(Key, usize)> {
+        if round.exhausted[team][lane] {
+            return None;
+        }
+        if let Some(found) = self.candidate_for_grown(round, team, lane) {
+            return Some(found);
+        }
+        while round.misses < MISSES_MAX {
+            let account = &self.teams.accounts[team];
+            let room = account.headroom().min(&self.fleet.largest_free());
+            let Some((position, key, size)) = account.lanes[lane].first_fresh(&room) else {
+                round.exhausted[team][lane] = true;
+                return None;
+            };
+            if let Some(host) =
+                self.find_host(key).filter(|_| self.teams.accounts[team].allows(&size))
+            {
+                return Some((key, host));
+            }
+            self.teams.accounts[team].lanes[lane].tried(position);
+            round.misses += 1;
+        }
+        None
+    }
+
+    /// First task of a lane that fits on a worker whose free capacity has grown. Other tasks were tried before.
+    fn candidate_for_grown(
+        &mut self,
+        round: &mut Round,
+        team: usize,
+        lane: usize,
+    ) -> Option<(Key, usize)> {
+        if round.offered[team][lane] {
+            return None;
+        }
+        let account = &self.teams.accounts[team];
+        let headroom = account.headroom();
+        let queue = &account.lanes[lane];
+        let fit = self.fleet.dirty.iter().find_map(|slot| {
+            let room = self.fleet.hosts[*slot].free()?.min(&headroom);
+            let first = if queue.excludes(&room) { None } else { queue.first(0, &room) };
+            first.map(|(_, key, size)| (key, size, *slot))
+        });
+        round.offered[team][lane] = fit.is_none();
+        let (key, _, grown) = fit.filter(|(_, size, _)| account.allows(size))?;
+        let host = self.find_host(key).unwrap_or(grown);
+        Some((key, host))
+    }
+
+    /// Forgets the workers that had grown, as nothing that waits fits on them. A team that only its grant kept from one
+    /// gets it offered again when its headroom grows.
+    fn settle(&mut self) {
+        let dirty = std::mem::take(&mut self.fleet.dirty);
+        for account in &mut self.teams.accounts {
+            if account.waiting_tasks == 0 {
+                continue;
+            }
+            let headroom = account.headroom();
+            for slot in &dirty {
+                let Some(free) = self.fleet.hosts[*slot].free() else { continue };
+                let limited = !free.fits_in(&headroom);
+                if limited && account.lanes.iter().any(|lane| !lane.excludes(&free)) {
+                    account.missed.insert(*slot);
+                }
+            }
+        }
+    }
+
+    /// Tries gangs of the team that were not tried since free capacity last grew.
+    fn start_gang(&mut self, round: &mut Round, team: usize) -> bool {
+        let version = self.fleet.version;
+        let tried = round.gangs_tried[team] == Some(version);
+        if tried || self.teams.accounts[team].gangs.is_empty() || round.gangs >= GANGS_MAX {
+            return false;
+        }
+        let gangs: Vec<usize> =
+            self.teams.accounts[team].gangs.iter().map(|(_, slot)| *slot).collect();
+        for slot in gangs {
+            let untried = self.jobs.get(slot).is_some_and(|record| record.tried != version + 1);
+            if !untried {
+                continue;
+            }
+            if round.gangs >= GANGS_MAX {
+                return false;
+            }
+            round.gangs += 1;
+            if self.start_whole(round, slot) {
+                return true;
+            }
+            if let Some(record) = self.jobs.get_mut(slot) {
+                record.tried = version + 1;
+            }
+        }
+        round.gangs_tried[team] = Some(version);
+        false
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -0,0 +1,383 @@
+//! State of the policy, and the events that change it.
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::Policy;
+use shallotpost_protocol::wire::Load;
+use shallotpost_protocol::work::Class;
+
+use crate::claim::Claim;
+use crate::fleet::Fleet;
+use crate::gang::Reservation;
+use crate::jobs::{Jobs, Record, TaskState};
+use crate::planner::{Cause, Job, Team, Unfit, Worker};
+use crate::predict::Predictor;
+use crate::queue::Key;
+use crate::sum::Sum;
+use crate::teams::{NEW, REPLACEMENT, RETURNED, Teams, URGENT};
+
+/// State of the policy for one shard.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) policy: Policy,
+    pub(crate) fleet: Fleet,
+    pub(crate) teams: Teams,
+    pub(crate) jobs: Jobs,
+    pub(crate) predictor: Predictor,
+    /// Capacity that is being freed for waiting tasks, in the order of the requests.
+    pub(crate) claims: Vec<Claim>,
+    pub(crate) reservation: Option<Reservation>,
+    /// Earliest time of the next reservation.
+    pub(crate) reservation_at: Option<Instant>,
+    pub(crate) open: bool,
+    starts: u64,
+}
+
+impl Engine {
+    pub(crate) fn new(policy: &Policy) -> Engine {
+        let mut engine = Engine {
+            policy: policy.clone(),
+            fleet: Fleet::default(),
+            teams: Teams::default(),
+            jobs: Jobs::default(),
+            predictor: Predictor::default(),
+            claims: Vec::new(),
+            reservation: None,
+            reservation_at: None,
+            open: true,
+            starts: 0,
+        };
+        engine.set_policy(policy);
+        engine
+    }
+
+    pub(crate) fn set_policy(&mut self, policy: &Policy) {
+        self.policy = policy.clone();
+        self.fleet.spacing = Duration::from_secs(1) / policy.return_starts_per_second.max(1);
+    }
+
+    pub(crate) fn set_worker(&mut self, now: Instant, worker: Worker) {
+        self.fleet.set_worker(now, worker);
+    }
+
+    pub(crate) fn remove_worker(&mut self, now: Instant, worker: &WorkerId) -> Vec<Task> {
+        let Some(host) = self.fleet.slot(worker) else { return Vec::new() };
+        let keys: Vec<Key> = self.fleet.hosts[host].tasks.iter().copied().collect();
+        let mut lost: Vec<Task> = keys.iter().filter_map(|key| self.task(*key)).collect();
+        lost.sort();
+        lost.iter().for_each(|task| self.release(now, task, Cause::Lost));
+        self.fleet.remove_worker(host);
+        lost
+    }
+
+    pub(crate) fn set_team(&mut self, team: Team) {
+        let slot = self.teams.slot(&team.id);
+        let account = &mut self.teams.accounts[slot];
+        account.share = team.share.max(1);
+        account.grant = Some(team.grant);
+        self.offer_missed(slot);
+    }
+
+    pub(crate) fn remove_team(&mut self, team: &TeamId) {
+        let slot = self.teams.slot(team);
+        self.teams.accounts[slot].grant = None;
+    }
+
+    pub(crate) fn submit(&mut self, job: Job) -> Result<(), Unfit> {
+        if let Some(slot) = self.jobs.slot(&job.work) {
+            self.revive(slot);
+            return Ok(());
+        }
+        if let Some(unfit) = self.unfit(&job) {
+            return Err(unfit);
+        }
+        self.insert(job);
+        Ok(())
+    }
+
+    /// Why no worker, empty, could ever hold a task of the job, or all workers all parts of the gang.
+    pub(crate) fn unfit(&self, job: &Job) -> Option<Unfit> {
+        if self.fleet.known == 0 {
+            return None;
+        }
+        let nearest = self.fleet.nearest(&job.size);
+        if !self.fleet.can_ever_hold(&job.size, 1) {
+            let message = format!(
+                "no worker can hold a task of {}; the nearest capacity is {}",
+                text(&job.size),
+                text(&nearest)
+            );
+            return Some(Unfit { nearest, message });
+        }
+        match job.class {
+            Class::Gang { parts } if !self.fleet.can_ever_hold(&job.size, u64::from(parts)) => {
+                let message = format!(
+                    "all workers together cannot hold {parts} parts of {} at once; one worker holds {}",
+                    text(&job.size),
+                    text(&nearest)
+                );
+                Some(Unfit { nearest, message })
+            }
+            _ => None,
+        }
+    }
+
+    pub(crate) fn adopt(&mut self, now: Instant, job: &Job, task: Task, worker: &WorkerId) {
+        let slot = match self.jobs.slot(&job.work) {
+            Some(slot) => slot,
+            None => self.insert(job.clone()),
+        };
+        let state = self.jobs.get(slot).and_then(|record| record.tasks.get(task.index as usize));
+        if matches!(state, None | Some(TaskState::Booked { .. })) {
+            return;
+        }
+        let host = self.fleet.slot_or_insert(worker);
+        self.book(now, (slot, task.index), host);
+    }
+
+    pub(crate) fn release(&mut self, now: Instant, task: &Task, cause: Cause) {
+        let Some((slot, TaskState::Booked { host, started, .. })) = self.jobs.task(task) else {
+            return;
+        };
+        self.unbook((slot, task.index), cause);
+        self.learn(now, slot, host, started, cause);
+        let over = |record: &Record| record.finished && record.booked == 0;
+        if self.jobs.get(slot).is_some_and(over) {
+            self.jobs.remove(slot);
+        }
+    }
+
+    pub(crate) fn requeue(&mut self, task: &Task) {
+        if let Some((slot, TaskState::Idle(_))) = self.jobs.task(task) {
+            self.enqueue((slot, task.index));
+        }
+    }
+
+    pub(crate) fn finish(&mut self, work: &WorkId) {
+        let Some(slot) = self.jobs.slot(work) else { return };
+        let tasks = self.jobs.get(slot).map_or(0, |record| record.tasks.len());
+        (0..tasks).for_each(|index| self.dequeue((slot, index as u32)));
+        let Some(record) = self.jobs.get_mut(slot) else { return };
+        record.finished = true;
+        if record.booked == 0 {
+            self.jobs.remove(slot);
+        }
+    }
+
+    pub(crate) fn set_open(&mut self, now: Instant, open: bool) {
+        if open && !self.open {
+            self.fleet.bound_starts(now);
+        }
+        self.open = open;
+    }
+
+    pub(crate) fn booked(&self, team: &TeamId) -> Size {
+        self.teams.find(team).map_or(Size::ZERO, |account| account.booked.size())
+    }
+
+    pub(crate) fn waiting(&self, team: &TeamId) -> Size {
+        self.teams.find(team).map_or(Size::ZERO, |account| account.waiting.size())
+    }
+
+    pub(crate) fn load(&self, shard: &Shard, epoch: Epoch) -> Load {
+        let open = self.fleet.hosts.iter().filter(|host| host.known && host.open);
+        let mut booked = Sum::default();
+        open.for_each(|host| booked.add(&host.booked.size()));
+        let mut waiting = Sum::default();
+        let accounts = &self.teams.accounts;
+        accounts.iter().for_each(|account| waiting.add(&account.waiting.size()));
+        let silent = self.fleet.hosts.iter().filter(|host| host.known && !host.open).count();
+        Load {
+            shard: shard.clone(),
+            epoch,
+            capacity: self.fleet.total(),
+            booked: booked.size(),
+            waiting: waiting.size(),
+            largest: self.fleet.largest(),
+            waiting_tasks: accounts.iter().map(|account| account.waiting_tasks).sum(),
+            running_tasks: accounts.iter().map(|account| account.running_tasks).sum(),
+            workers: self.fleet.known as u64,
+            silent_workers: silent as u64,
+        }
+    }
+
+    /// The task of a key.
+    pub(crate) fn task(&self, (slot, index): Key) -> Option<Task> {
+        Some(Task { work: self.jobs.get(slot)?.job.work.clone(), index })
+    }
+
+    /// State of the task of a key.
+    pub(crate) fn state(&self, (slot, index): Key) -> Option<TaskState> {
+        self.jobs.get(slot)?.tasks.get(index as usize).copied()
+    }
+
+    /// Whether the task of a key waits.
+    pub(crate) fn is_waiting(&self, key: Key) -> bool {
+        matches!(self.state(key), Some(TaskState::Queued { .. } | TaskState::Part))
+    }
+
+    /// Books a task on a worker; it waits no longer.
+    pub(crate) fn book(&mut self, now: Instant, key: Key, host: usize) {
+        self.dequeue(key);
+        self.starts += 1;
+        let sequence = self.starts;
+        let rack = self.fleet.hosts[host].rack;
+        let Some(record) = self.jobs.get_mut(key.0) else { return };
+        record.tasks[key.1 as usize] =
+            TaskState::Booked { host, started: now, sequence, stopping: false };
+        record.booked += 1;
+        *record.racks.entry(rack).or_default() += 1;
+        let size = record.job.size;
+        let victim = record.victim_rank().map(|rank| (rank, std::cmp::Reverse(sequence), key));
+        let account = &mut self.teams.accounts[record.team];
+        account.booked.add(&size);
+        account.running_tasks += 1;
+        account.victims.extend(victim);
+        self.fleet.book(now, host, key, &size);
+    }
+
+    /// Notes that a booked task was asked to stop, and returns its worker.
+    pub(crate) fn mark_stopping(&mut self, key: Key) -> Option<usize> {
+        let record = self.jobs.get_mut(key.0)?;
+        let rank = record.victim_rank();
+        let TaskState::Booked { host, sequence, stopping, .. } =
+            record.tasks.get_mut(key.1 as usize)?
+        else {
+            return None;
+        };
+        if std::mem::replace(stopping, true) {
+            return None;
+        }
+        let victim = rank.map(|rank| (rank, std::cmp::Reverse(*sequence), key));
+        let account = &mut self.teams.accounts[record.team];
+        victim.map(|victim| account.victims.remove(&victim));
+        self.fleet.hosts[*host].stopping.add(&record.job.size);
+        Some(*host)
+    }
+
+    /// Offers the workers that a team was passed over on because of its grant again.
+    fn offer_missed(&mut self, team: usize) {
+        let missed = std::mem::take(&mut self.teams.accounts[team].missed);
+        self.fleet.dirty.extend(missed);
+        self.fleet.version += 1;
+    }
+
+    fn insert(&mut self, job: Job) -> usize {
+        let team = self.teams.slot(&job.work.team);
+        let tasks = job.class.tasks();
+        let slot = self.jobs.insert(job, team);
+        (0..tasks).for_each(|index| self.enqueue((slot, index)));
+        slot
+    }
+
+    /// Makes finished work that still has bookings wait again with its other tasks.
+    fn revive(&mut self, slot: usize) {
+        let Some(record) = self.jobs.get_mut(slot).filter(|record| record.finished) else { return };
+        record.finished = false;
+        let tasks = record.tasks.len() as u32;
+        for index in 0..tasks {
+            if let Some(TaskState::Idle(_)) = self.state((slot, index)) {
+                self.enqueue((slot, index));
+            }
+        }
+    }
+
+    fn enqueue(&mut self, key: Key) {
+        let Some(record) = self.jobs.get_mut(key.0).filter(|record| !record.finished) else {
+            return;
+        };
+        let lane = lane(record, key.1 as usize);
+        let account = &mut self.teams.accounts[record.team];
+        record.waiting += 1;
+        account.waiting.add(&record.job.size);
+        account.waiting_tasks += 1;
+        if record.is_gang() {
+            record.tasks[key.1 as usize] = TaskState::Part;
+            record.tried = 0;
+            if record.waiting as usize == record.tasks.len() {
+                account.gangs.insert((record.sequence, key.0));
+            }
+            return;
+        }
+        let moved = account.lanes[lane].push(key, record.job.size);
+        for ((slot, index), position) in moved {
+            if let Some(record) = self.jobs.get_mut(slot) {
+                record.tasks[index as usize] = TaskState::Queued { lane, position };
+            }
+        }
+    }
+
+    /// Takes a waiting task out of its queue; it is idle afterwards.
+    fn dequeue(&mut self, key: Key) {
+        let Some(record) = self.jobs.get_mut(key.0) else { return };
+        let Some(state) = record.tasks.get_mut(key.1 as usize) else { return };
+        let account = &mut self.teams.accounts[record.team];
+        match *state {
+            TaskState::Queued { lane, position } => account.lanes[lane].remove(position),
+            TaskState::Part => {
+                account.gangs.remove(&(record.sequence, key.0));
+            }
+            TaskState::Booked { .. } | TaskState::Idle(_) => return,
+        }
+        *state = TaskState::Idle(None);
+        record.waiting -= 1;
+        account.waiting.subtract(&record.job.size);
+        account.waiting_tasks -= 1;
+    }
+
+    fn unbook(&mut self, key: Key, cause: Cause) {
+        let Some(record) = self.jobs.get_mut(key.0) else { return };
+        let rank = record.victim_rank();
+        let state = &mut record.tasks[key.1 as usize];
+        let TaskState::Booked { host, sequence, stopping, .. } = *state else { return };
+        *state = TaskState::Idle(Some(cause));
+        record.booked -= 1;
+        let (team, size) = (record.team, record.job.size);
+        let rack = self.fleet.hosts[host].rack;
+        if let Some(count) = record.racks.get_mut(&rack) {
+            *count = count.saturating_sub(1);
+        }
+        let account = &mut self.teams.accounts[team];
+        account.booked.subtract(&size);
+        account.running_tasks -= 1;
+        rank.map(|rank| account.victims.remove(&(rank, std::cmp::Reverse(sequence), key)));
+        self.fleet.unbook(host, key, &size, stopping);
+        self.offer_missed(team);
+    }
+
+    /// Learns from the end of a task.
+    fn learn(&mut self, now: Instant, slot: usize, host: usize, started: Instant, cause: Cause) {
+        let Some(record) = self.jobs.get(slot) else { return };
+        match cause {
+            Cause::Succeeded => {
+                let observed = now.saturating_duration_since(started);
+                self.predictor.observe(record.team, record.job.run_time, observed);
+                self.note_success(host);
+            }
+            Cause::Failed => self.note_failure(now, slot, host),
+            Cause::Stopped | Cause::Refused | Cause::Lost => {}
+        }
+    }
+}
+
+/// Lane that a task waits in.
+fn lane(record: &Record, index: usize) -> usize {
+    let state = record.tasks.get(index);
+    match (record.job.class, state) {
+        (Class::Urgent, _) => URGENT,
+        (_, None | Some(TaskState::Idle(None))) => NEW,
+        (Class::Service { .. }, _) => REPLACEMENT,
+        (_, Some(TaskState::Idle(Some(Cause::Failed)))) => NEW,
+        _ => RETURNED,
+    }
+}
+
+/// Text of a size for people.
+pub(crate) fn text(size: &Size) -> String {
+    format!(
+        "{} cores, {} MiB, {} accelerators, {} slots",
+        size.processors_milli as f64 / 1000.0,
+        size.memory_mib,
+        size.accelerators,
+        size.slots
+    )
+}
--- /dev/null
+++ b/crates/shallotpost-policy/src/evidence.rs
@@ -0,0 +1,81 @@
+//! Failures as evidence: against the worker that fails everything, or against the work that fails everywhere.
+
+use shallotpost_protocol::prelude::*;
+
+use crate::engine::Engine;
+use crate::health::{FAULTY_WORKERS, State};
+
+/// At most one worker in this many is quarantined (at least one); beyond that the work is the more likely cause.
+const QUARANTINED_PART: usize = 2;
+
+impl Engine {
+    /// Takes note that a worker completed a task.
+    pub(crate) fn note_success(&mut self, host: usize) {
+        self.fleet.hosts[host].health.succeed();
+        self.fleet.refresh(host);
+    }
+
+    /// Takes note that work failed on a worker.
+    pub(crate) fn note_failure(&mut self, now: Instant, slot: usize, host: usize) {
+        let Some(record) = self.jobs.get_mut(slot) else { return };
+        record.failed_on.insert(host);
+        let work = (record.sequence, slot);
+        if self.is_faulty(slot) {
+            self.clear_evidence(slot);
+            return;
+        }
+        let health = &mut self.fleet.hosts[host].health;
+        health.fail(work);
+        match health.state {
+            State::Probing { .. } => {
+                health.proved = false;
+                self.quarantine(now, host);
+            }
+            State::Good => self.quarantine_suspect(now, host),
+            State::Quarantined { .. } => {}
+        }
+    }
+
+    /// Whether the work failed on so many healthy workers that it is the cause itself.
+    pub(crate) fn is_faulty(&self, slot: usize) -> bool {
+        let Some(record) = self.jobs.get(slot) else { return false };
+        let trusted = |host: &&usize| self.fleet.hosts[**host].health.is_trusted();
+        record.failed_on.iter().filter(trusted).count() >= FAULTY_WORKERS
+    }
+
+    fn quarantine_suspect(&mut self, now: Instant, host: usize) {
+        let failures = self.fleet.hosts[host].health.failures.len();
+        if failures < self.policy.quarantine_failures.max(1) as usize {
+            return;
+        }
+        let restricted = self.fleet.hosts.iter().filter(|host| host.health.is_restricted()).count();
+        if restricted < (self.fleet.known / QUARANTINED_PART).max(1) {
+            self.quarantine(now, host);
+        }
+    }
+
+    fn quarantine(&mut self, now: Instant, host: usize) {
+        let until = self.fleet.hosts[host].health.quarantine(now, self.policy.quarantine);
+        self.fleet.wake(until, host);
+        self.fleet.refresh(host);
+    }
+
+    /// Withdraws the evidence that faulty work gave against workers, and lifts quarantines that rest on it.
+    fn clear_evidence(&mut self, slot: usize) {
+        let Some(record) = self.jobs.get(slot) else { return };
+        let work = (record.sequence, slot);
+        let hosts: Vec<usize> = record.failed_on.iter().copied().collect();
+        let needed = self.policy.quarantine_failures.max(1) as usize;
+        for host in hosts {
+            let health = &mut self.fleet.hosts[host].health;
+            let before = health.failures.len();
+            health.failures.retain(|failure| *failure != work);
+            let withdrawn = health.failures.len() < before;
+            if withdrawn && health.is_restricted() && health.failures.len() < needed {
+                health.state = State::Good;
+                health.repeats = 0;
+            }
+            self.fleet.refresh(host);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-policy/src/explain.rs
@@ -0,0 +1,215 @@
+//! Why work waits, and what would let it start.
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::work::{Explanation, Phase};
+
+use crate::engine::{Engine, text};
+use crate::health::State;
+use crate::jobs::{Record, TaskState};
+use crate::sum::Sum;
+
+/// Names of the resources, in the order of `Size::parts`.
+const RESOURCES: [&str; 4] = ["processors", "memory", "accelerators", "slots"];
+
+#[derive(Default)]
+struct Findings {
+    reasons: Vec<String>,
+    remedies: Vec<String>,
+}
+
+impl Findings {
+    fn add(&mut self, reason: impl Into<String>, remedy: impl Into<String>) {
+        self.reasons.push(reason.into());
+        self.remedies.push(remedy.into());
+    }
+}
+
+impl Engine {
+    pub(crate) fn explain(&self, now: Instant, work: &WorkId) -> Option<Explanation> {
+        let slot = self.jobs.slot(work)?;
+        let record = self.jobs.get(slot)?;
+        let phase = phase(record);
+        let mut findings = Findings::default();
+        if phase == Phase::Waiting {
+            self.find_reasons(now, slot, record, &mut findings);
+        }
+        let Findings { reasons, remedies } = findings;
+        Some(Explanation { work: work.clone(), phase, reasons, remedies })
+    }
+
+    /// Adds the reasons, the most binding first: a reason comes before those that do not matter while it holds.
+    fn find_reasons(&self, now: Instant, slot: usize, record: &Record, findings: &mut Findings) {
+        if let Some(unfit) = self.unfit(&record.job) {
+            findings.add(unfit.message, "submit it with a smaller size, or add a larger worker");
+        }
+        if record.waiting == 0 {
+            findings.add("its tasks were released and not queued again", "queue its tasks again");
+        }
+        if !self.open {
+            findings.add("the data centre takes no new work", "set the data centre to active");
+        }
+        self.find_grant(record, findings);
+        self.find_room(now, slot, record, findings);
+        self.find_queue(record, findings);
+    }
+
+    fn find_grant(&self, record: &Record, findings: &mut Findings) {
+        let account = &self.teams.accounts[record.team];
+        let Some(grant) = account.grant else {
+            let reason = format!("team {} is not known here", account.id);
+            findings.add(reason, "create the team");
+            return;
+        };
+        let needed = self.needed_at_once(record);
+        if account.allows(&needed) {
+            return;
+        }
+        let resource = lacking(&needed, &Sum::from(&grant).less(&account.booked));
+        findings.add(
+            format!(
+                "team {} has {} booked of its grant of {}; {resource} is short",
+                account.id,
+                text(&account.booked.size()),
+                text(&grant)
+            ),
+            format!("wait until tasks of the team end, or raise its cap on {resource}"),
+        );
+    }
+
+    fn find_room(&self, now: Instant, slot: usize, record: &Record, findings: &mut Findings) {
+        let size = record.job.size;
+        let open = self.fleet.hosts.iter().filter(|host| host.known && host.open).count();
+        if open == 0 {
+            findings.add("no worker takes tasks", "wait until a worker answers");
+            return;
+        }
+        let quarantined =
+            self.fleet.hosts.iter().filter(|host| {
+                host.known && matches!(host.health.state, State::Quarantined { .. })
+            });
+        let quarantined = quarantined.count();
+        let paused = self.fleet.hosts.iter().filter(|host| host.is_paused()).count();
+        if record.is_gang() {
+            self.find_gang_room(now, slot, record, findings);
+        } else if self.find_all(&size, 1).1 > 0 {
+            let free = self.fleet.largest_free();
+            let resource = lacking(&size, &Sum::from(&free));
+            findings.add(
+                format!(
+                    "no worker has {} free; {resource} is short, the most that is free anywhere is {}",
+                    text(&size),
+                    text(&free)
+                ),
+                format!("wait until running tasks end, or add a worker with more free {resource}"),
+            );
+        }
+        if quarantined > 0 {
+            findings.add(
+                format!("{quarantined} of {} workers are quarantined", self.fleet.known),
+                "repair the workers that fail every task",
+            );
+        }
+        if paused > 0 {
+            findings.add(
+                format!("{paused} workers have just returned and get starts at a bounded rate"),
+                "wait some seconds",
+            );
+        }
+        if self.is_faulty(slot) {
+            findings.add(
+                format!("it failed on {} workers", record.failed_on.len()),
+                "correct the work; the workers are healthy",
+            );
+        }
+    }
+
+    fn find_gang_room(&self, now: Instant, slot: usize, record: &Record, findings: &mut Findings) {
+        let parts = record.tasks.len() as u64;
+        if u64::from(record.waiting) < parts {
+            findings.add(
+                format!("only {} of {parts} parts wait, and they start together", record.waiting),
+                "queue every part again",
+            );
+            return;
+        }
+        let (_, missing) = self.find_all(&record.job.size, parts);
+        match &self.reservation {
+            Some(reservation) if reservation.slot == slot => {
+                let left = reservation.until.saturating_duration_since(now).as_secs();
+                findings.add(
+                    format!("room for its {parts} parts is reserved and not yet free"),
+                    format!("wait for running tasks; the reservation expires in {left} s"),
+                );
+            }
+            _ if missing > 0 => findings.add(
+                format!("only {} of its {parts} parts fit now", parts - missing),
+                "wait until running tasks end, or submit it with fewer or smaller parts",
+            ),
+            _ => {}
+        }
+    }
+
+    fn find_queue(&self, record: &Record, findings: &mut Findings) {
+        let account = &self.teams.accounts[record.team];
+        let first = record.tasks.iter().find_map(|task| match task {
+            TaskState::Queued { lane, position } => Some((*lane, *position)),
+            _ => None,
+        });
+        let Some((lane, position)) = first else { return };
+        let ahead = account.lanes[..lane].iter().map(|lane| lane.len()).sum::<usize>()
+            + account.lanes[lane].before(position);
+        if ahead > 0 {
+            findings.add(
+                format!("{ahead} tasks of the team are ahead of it"),
+                "wait, or cancel work of the team that is not needed",
+            );
+        }
+        let total = self.fleet.total();
+        let fair = f64::from(account.share) / self.teams.active_weight().max(1.0);
+        let used = account.dominant(&total);
+        if used >= fair && self.teams.accounts.iter().filter(|team| team.is_active()).count() > 1 {
+            findings.add(
+                format!(
+                    "the team uses {:.1}% of the data centre and its share is {:.1}%",
+                    used * 100.0,
+                    fair * 100.0
+                ),
+                "wait until other teams need less, or raise the share of the team",
+            );
+        }
+        if findings.reasons.is_empty() {
+            findings.add("it has not been considered yet", "wait for the next decision");
+        }
+    }
+
+    /// What must fit at once: all parts of a gang, else one task.
+    fn needed_at_once(&self, record: &Record) -> Size {
+        let count = if record.is_gang() { record.tasks.len() as u64 } else { 1 };
+        record.job.size.times(count)
+    }
+}
+
+fn phase(record: &Record) -> Phase {
+    let stopping =
+        record.tasks.iter().any(|task| matches!(task, TaskState::Booked { stopping: true, .. }));
+    match record {
+        _ if record.finished || (stopping && record.waiting == 0) => Phase::Stopping,
+        _ if record.waiting > 0 || record.booked == 0 => Phase::Waiting,
+        _ => Phase::Running,
+    }
+}
+
+/// Name of the resource that lacks the largest part of what is needed.
+fn lacking(need: &Size, have: &Sum) -> &'static str {
+    let have = have.size();
+    let missing = need.minus(&have).parts();
+    let parts = missing.into_iter().zip(need.parts());
+    let part = parts.map(|(missing, need)| missing as f64 / need.max(1) as f64);
+    let worst = part.enumerate().fold(
+        (0, 0.0),
+        |worst: (usize, f64), (index, part)| {
+            if part > worst.1 { (index, part) } else { worst }
+        },
+    );
+    RESOURCES[worst.0]
+}
--- a/crates/shallotpost-policy/src/first_fit.rs
+++ b/crates/shallotpost-policy/src/first_fit.rs
@@ -1,205 +1,341 @@
 //! FIFO order with first fit: the baseline that the policy is compared with.
+//!
+//! It has the surface of [`Planner`](crate::planner::Planner), so that one list of events drives both. The first task in
+//! the queue that has no room blocks those behind it. A task that its team's grant does not allow, or that no worker could
+//! hold, is passed over.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::wire::Load;
 use shallotpost_protocol::work::{Class, Explanation, Phase};
 
-use crate::planner::{Action, Job, Team, Unfit, Worker};
+use crate::fleet::copies;
+use crate::index::{ABSENT, Index};
+use crate::planner::{Action, Cause, Job, Team, Unfit, Worker};
+use crate::sum::Sum;
 
+#[derive(Debug)]
 struct Host {
     worker: Worker,
-    free: Size,
+    known: bool,
+    booked: Sum,
+    tasks: BTreeSet<Task>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    job: Job,
+    /// Sequence numbers of its waiting tasks, by index.
+    waiting: BTreeMap<u32, u64>,
+    bookings: BTreeMap<u32, usize>,
+    finished: bool,
 }
 
 /// State of the baseline.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct FirstFit {
-    hosts: BTreeMap<WorkerId, Host>,
+    hosts: Vec<Host>,
+    slots: HashMap<WorkerId, usize>,
+    free: Index,
     teams: HashMap<TeamId, Team>,
-    jobs: HashMap<WorkId, Job>,
-    queue: VecDeque<Task>,
-    bookings: HashMap<Task, WorkerId>,
-    booked: HashMap<TeamId, Size>,
+    jobs: HashMap<WorkId, Entry>,
+    queue: BTreeMap<u64, Task>,
+    sequence: u64,
+    booked: HashMap<TeamId, Sum>,
+    waiting: HashMap<TeamId, Sum>,
     closed: bool,
 }
 
 impl FirstFit {
-    pub(crate) fn set_worker(&mut self, worker: Worker) {
-        let booked = self.bookings.iter().filter(|(_, host)| **host == worker.id);
-        let sizes = booked.filter_map(|(task, _)| self.jobs.get(&task.work)).map(|job| job.size);
-        let used = sizes.fold(Size::ZERO, |sum, size| sum.plus(&size));
-        let free = worker.capacity.minus(&used);
-        self.hosts.insert(worker.id.clone(), Host { worker, free });
-    }
-
-    pub(crate) fn remove_worker(&mut self, worker: &WorkerId) -> Vec<Task> {
-        let lost: Vec<Task> = self
-            .bookings
-            .iter()
-            .filter(|(_, host)| *host == worker)
-            .map(|(task, _)| task.clone())
-            .collect();
-        lost.iter().for_each(|task| self.release(task));
-        self.hosts.remove(worker);
+    /// Adds or changes a worker. Bookings stay.
+    pub fn set_worker(&mut self, _now: Instant, worker: Worker) {
+        let slot = self.slot(&worker.id);
+        self.hosts[slot].worker = worker;
+        self.hosts[slot].known = true;
+        self.refresh(slot);
+    }
+
+    /// Forgets a worker and returns the tasks that were booked on it.
+    pub fn remove_worker(&mut self, now: Instant, worker: &WorkerId) -> Vec<Task> {
+        let Some(slot) = self.slots.get(worker).copied() else { return Vec::new() };
+        let lost: Vec<Task> = self.hosts[slot].tasks.iter().cloned().collect();
+        lost.iter().for_each(|task| self.release(now, task, Cause::Lost));
+        self.hosts[slot].known = false;
+        self.refresh(slot);
         lost
     }
 
-    pub(crate) fn set_team(&mut self, team: Team) {
+    /// Adds or changes a team.
+    pub fn set_team(&mut self, _now: Instant, team: Team) {
         self.teams.insert(team.id.clone(), team);
     }
 
-    pub(crate) fn remove_team(&mut self, team: &TeamId) {
+    /// Forgets a team.
+    pub fn remove_team(&mut self, team: &TeamId) {
         self.teams.remove(team);
     }
 
-    pub(crate) fn submit(&mut self, job: Job) -> Result<(), Unfit> {
-        if !self.hosts.is_empty()
-            && !self.hosts.values().any(|host| job.size.fits_in(&host.worker.capacity))
-        {
+    /// Adds work whose tasks all wait.
+    ///
+    /// # Errors
+    /// Returns [`Unfit`] where no worker, empty, could hold a task.
+    pub fn submit(&mut self, _now: Instant, job: Job) -> Result<(), Unfit> {
+        if self.hosts.iter().any(|host| host.known) && !self.can_hold(&job.size) {
             let nearest = self.largest();
             let message = format!("the largest worker holds {nearest:?}");
             return Err(Unfit { nearest, message });
         }
-        for index in 0..job.class.tasks() {
-            self.queue.push_back(Task { work: job.work.clone(), index });
+        if !self.jobs.contains_key(&job.work) {
+            self.insert(job);
         }
-        self.jobs.insert(job.work.clone(), job);
         Ok(())
     }
 
-    pub(crate) fn adopt(&mut self, job: &Job, task: Task, worker: &WorkerId) {
+    /// Books a task that a worker already runs.
+    pub fn adopt(&mut self, _now: Instant, job: &Job, task: Task, worker: &WorkerId) {
         if !self.jobs.contains_key(&job.work) {
-            let others = (0..job.class.tasks()).map(|index| Task { work: job.work.clone(), index });
-            self.queue.extend(others);
-            self.jobs.insert(job.work.clone(), job.clone());
+            self.insert(job.clone());
         }
-        self.queue.retain(|waiting| *waiting != task);
-        self.book(task, worker.clone(), job.size);
-    }
-
-    pub(crate) fn release(&mut self, task: &Task) {
-        let (Some(worker), Some(job)) = (self.bookings.remove(task), self.jobs.get(&task.work))
-        else {
+        let booked = |entry: &Entry| entry.bookings.contains_key(&task.index);
+        if self.jobs.get(&task.work).is_some_and(booked) {
             return;
-        };
-        if let Some(host) = self.hosts.get_mut(&worker) {
-            host.free = host.free.plus(&job.size).min(&host.worker.capacity);
         }
-        let booked = self.booked.entry(task.work.team.clone()).or_default();
-        *booked = booked.minus(&job.size);
+        let slot = self.slot(worker);
+        self.book(&task, slot);
     }
 
-    pub(crate) fn requeue(&mut self, task: &Task) {
-        if self.jobs.contains_key(&task.work) {
-            self.queue.push_back(task.clone());
+    /// Frees the booking of a task.
+    pub fn release(&mut self, _now: Instant, task: &Task, _cause: Cause) {
+        let Some(entry) = self.jobs.get_mut(&task.work) else { return };
+        let Some(slot) = entry.bookings.remove(&task.index) else { return };
+        let size = entry.job.size;
+        let over = entry.finished && entry.bookings.is_empty();
+        let host = &mut self.hosts[slot];
+        host.booked.subtract(&size);
+        host.tasks.remove(task);
+        self.booked.entry(task.work.team.clone()).or_default().subtract(&size);
+        self.refresh(slot);
+        if over {
+            self.jobs.remove(&task.work);
         }
     }
 
-    pub(crate) fn finish(&mut self, work: &WorkId) {
-        self.queue.retain(|task| task.work != *work);
-        self.jobs.remove(work);
+    /// Makes a released task wait again, at the end of the queue.
+    pub fn requeue(&mut self, _now: Instant, task: &Task) {
+        self.enqueue(task);
+    }
+
+    /// Forgets work; its bookings stay until they are released.
+    pub fn finish(&mut self, work: &WorkId) {
+        let Some(entry) = self.jobs.get_mut(work) else { return };
+        for sequence in std::mem::take(&mut entry.waiting).into_values() {
+            self.queue.remove(&sequence);
+            self.waiting.entry(work.team.clone()).or_default().subtract(&entry.job.size);
+        }
+        entry.finished = true;
+        if entry.bookings.is_empty() {
+            self.jobs.remove(work);
+        }
     }
 
-    pub(crate) fn set_open(&mut self, open: bool) {
+    /// Opens or closes the whole shard for starts.
+    pub fn set_open(&mut self, _now: Instant, open: bool) {
         self.closed = !open;
     }
 
-    pub(crate) fn plan(&mut self, limit: usize) -> Vec<Action> {
+    /// Decides at most `limit` actions; a gang may exceed it as the first of the round.
+    pub fn plan(&mut self, _now: Instant, limit: usize) -> Vec<Action> {
         let mut actions = Vec::new();
+        let mut after = 0;
         while actions.len() < limit && !self.closed {
-            let Some(first) = self.queue.front().cloned() else { break };
-            let Some(placement) = self.place_job(&first) else { break };
-            for (task, worker) in placement {
-                self.queue.retain(|waiting| *waiting != task);
+            let next = self.queue.range(after + 1..).next();
+            let Some((sequence, task)) = next.map(|(sequence, task)| (*sequence, task.clone()))
+            else {
+                break;
+            };
+            after = sequence;
+            if !self.may_start(&task) {
+                continue;
+            }
+            let Some(placement) = self.place(&task, limit, actions.len()) else { break };
+            for (task, slot) in placement {
+                let worker = self.hosts[slot].worker.id.clone();
                 actions.push(Action::Start { task, worker });
             }
         }
         actions
     }
 
-    pub(crate) fn explain(&self, work: &WorkId) -> Option<Explanation> {
-        let job = self.jobs.get(work)?;
-        let position = self.queue.iter().position(|task| task.work == *work);
-        let (phase, reasons) = match position {
-            Some(position) => {
-                (Phase::Waiting, vec![format!("{position} tasks are ahead of it in the queue")])
+    /// Position of a work in the queue.
+    pub fn explain(&self, _now: Instant, work: &WorkId) -> Option<Explanation> {
+        let entry = self.jobs.get(work)?;
+        let (phase, reasons) = match entry.waiting.values().min() {
+            Some(first) => {
+                let ahead = self.queue.range(..first).count();
+                (Phase::Waiting, vec![format!("{ahead} tasks are ahead of it in the queue")])
             }
             None => (Phase::Running, Vec::new()),
         };
-        Some(Explanation { work: job.work.clone(), phase, reasons, remedies: Vec::new() })
+        Some(Explanation { work: work.clone(), phase, reasons, remedies: Vec::new() })
     }
 
-    pub(crate) fn booked(&self, team: &TeamId) -> Size {
-        self.booked.get(team).copied().unwrap_or(Size::ZERO)
+    /// What the team has booked.
+    pub fn booked(&self, team: &TeamId) -> Size {
+        self.booked.get(team).map_or(Size::ZERO, Sum::size)
     }
 
-    pub(crate) fn waiting(&self, team: &TeamId) -> Size {
-        let tasks = self.queue.iter().filter(|task| task.work.team == *team);
-        tasks
-            .filter_map(|task| self.jobs.get(&task.work))
-            .fold(Size::ZERO, |sum, job| sum.plus(&job.size))
+    /// What the team's waiting tasks need.
+    pub fn waiting(&self, team: &TeamId) -> Size {
+        self.waiting.get(team).map_or(Size::ZERO, Sum::size)
     }
 
-    pub(crate) fn load(&self, shard: &Shard, epoch: Epoch) -> Load {
-        let open = self.hosts.values().filter(|host| host.worker.open);
-        let (capacity, free) = open.fold((Size::ZERO, Size::ZERO), |(capacity, free), host| {
-            (capacity.plus(&host.worker.capacity), free.plus(&host.free))
-        });
-        let waiting = self.queue.iter().filter_map(|task| self.jobs.get(&task.work));
+    /// Load of the shard.
+    pub fn load(&self, shard: &Shard, epoch: Epoch) -> Load {
+        let mut capacity = Sum::default();
+        let mut booked = Sum::default();
+        for host in self.hosts.iter().filter(|host| host.known && host.worker.open) {
+            capacity.add(&host.worker.capacity);
+            booked.add(&host.booked.size());
+        }
+        let mut waiting = Sum::default();
+        let entries = self.queue.values().filter_map(|task| self.jobs.get(&task.work));
+        entries.for_each(|entry| waiting.add(&entry.job.size));
+        let known = self.hosts.iter().filter(|host| host.known);
         Load {
             shard: shard.clone(),
             epoch,
-            capacity,
-            booked: capacity.minus(&free),
-            waiting: waiting.fold(Size::ZERO, |sum, job| sum.plus(&job.size)),
+            capacity: capacity.size(),
+            booked: booked.size(),
+            waiting: waiting.size(),
             largest: self.largest(),
             waiting_tasks: self.queue.len() as u64,
-            running_tasks: self.bookings.len() as u64,
-            workers: self.hosts.len() as u64,
-            silent_workers: self.hosts.values().filter(|host| !host.worker.open).count() as u64,
+            running_tasks: self.hosts.iter().map(|host| host.tasks.len() as u64).sum(),
+            workers: known.clone().count() as u64,
+            silent_workers: known.filter(|host| !host.worker.open).count() as u64,
         }
     }
 
+    fn slot(&mut self, worker: &WorkerId) -> usize {
+        if let Some(slot) = self.slots.get(worker) {
+            return *slot;
+        }
+        let slot = self.hosts.len();
+        let unknown =
+            Worker { id: worker.clone(), rack: RackId::new(), capacity: Size::ZERO, open: false };
+        self.hosts.push(Host {
+            worker: unknown,
+            known: false,
+            booked: Sum::default(),
+            tasks: BTreeSet::new(),
+        });
+        self.slots.insert(worker.clone(), slot);
+        slot
+    }
+
+    fn insert(&mut self, job: Job) {
+        let work = job.work.clone();
+        let tasks = job.class.tasks();
+        let entry =
+            Entry { job, waiting: BTreeMap::new(), bookings: BTreeMap::new(), finished: false };
+        self.jobs.insert(work.clone(), entry);
+        for index in 0..tasks {
+            self.enqueue(&Task { work: work.clone(), index });
+        }
+    }
+
+    fn enqueue(&mut self, task: &Task) {
+        let Some(entry) = self.jobs.get_mut(&task.work) else { return };
+        let idle = !entry.finished
+            && !entry.waiting.contains_key(&task.index)
+            && !entry.bookings.contains_key(&task.index);
+        if idle {
+            self.sequence += 1;
+            entry.waiting.insert(task.index, self.sequence);
+            self.waiting.entry(task.work.team.clone()).or_default().add(&entry.job.size);
+            self.queue.insert(self.sequence, task.clone());
+        }
+    }
+
+    fn refresh(&mut self, slot: usize) {
+        let host = &self.hosts[slot];
+        let open = host.known && host.worker.open;
+        let free = Sum::from(&host.worker.capacity).less(&host.booked).size();
+        let value = if open { free.parts().map(|part| !part) } else { ABSENT };
+        self.free.set(slot, value);
+    }
+
+    fn can_hold(&self, size: &Size) -> bool {
+        self.hosts.iter().any(|host| host.known && size.fits_in(&host.worker.capacity))
+    }
+
     fn largest(&self) -> Size {
-        self.hosts.values().fold(Size::ZERO, |largest, host| largest.max(&host.worker.capacity))
+        let known = self.hosts.iter().filter(|host| host.known);
+        known.fold(Size::ZERO, |largest, host| largest.max(&host.worker.capacity))
+    }
+
+    /// Whether the grant allows the task (for a gang, every part), workers could hold it, and all parts wait.
+    fn may_start(&self, task: &Task) -> bool {
+        let Some(entry) = self.jobs.get(&task.work) else { return false };
+        let Some(team) = self.teams.get(&task.work.team) else { return false };
+        let parts = match entry.job.class {
+            Class::Gang { parts } => u64::from(parts),
+            _ => 1,
+        };
+        let whole = parts == 1 || entry.waiting.len() as u64 == parts;
+        let booked = self.booked.get(&team.id).copied().unwrap_or_default();
+        let allowed = Sum::from(&team.grant).less(&booked).holds(&entry.job.size.times(parts));
+        whole && allowed && self.can_hold(&entry.job.size)
     }
 
-    /// Books the first task, or all parts of its gang; `None` where there is no room.
-    fn place_job(&mut self, first: &Task) -> Option<Vec<(Task, WorkerId)>> {
-        let job = self.jobs.get(&first.work)?.clone();
-        let indices = match job.class {
+    /// Books the task, or all parts of its gang; `None` where there is no room.
+    fn place(&mut self, task: &Task, limit: usize, planned: usize) -> Option<Vec<(Task, usize)>> {
+        let entry = self.jobs.get(&task.work)?;
+        let size = entry.job.size;
+        let indices = match entry.job.class {
             Class::Gang { parts } => 0..parts,
-            _ => first.index..first.index + 1,
+            _ => task.index..task.index + 1,
         };
-        let mut placement = Vec::new();
-        for index in indices {
-            let task = Task { work: job.work.clone(), index };
-            let Some(worker) = self.first_fit(&job) else {
-                placement.iter().for_each(|(task, _)| self.release(task));
-                return None;
-            };
-            self.book(task.clone(), worker.clone(), job.size);
-            placement.push((task, worker));
+        if planned > 0 && planned + indices.len() > limit {
+            return None;
         }
+        let places = self.first_fits(&size, indices.len())?;
+        let tasks = indices.map(|index| Task { work: task.work.clone(), index });
+        let placement: Vec<(Task, usize)> = tasks.zip(places).collect();
+        placement.iter().for_each(|(task, slot)| self.book(task, *slot));
         Some(placement)
     }
 
-    fn first_fit(&self, job: &Job) -> Option<WorkerId> {
-        let team = self.teams.get(&job.work.team)?;
-        let within_grant = self.booked(&team.id).plus(&job.size).fits_in(&team.grant);
-        let mut open =
-            self.hosts.values().filter(|host| host.worker.open && job.size.fits_in(&host.free));
-        open.next().filter(|_| within_grant).map(|host| host.worker.id.clone())
+    /// First workers with room for `count` tasks together.
+    fn first_fits(&self, size: &Size, count: usize) -> Option<Vec<usize>> {
+        let bound = size.parts().map(|part| !part);
+        let mut places = Vec::new();
+        let mut from = 0;
+        while places.len() < count {
+            let slot = self.free.first(from, &bound)?;
+            let host = self.hosts.get(slot)?;
+            let free = Sum::from(&host.worker.capacity).less(&host.booked).size();
+            let open = host.known && host.worker.open;
+            let room = if open { copies(&free, size) } else { 0 };
+            let wanted = (count - places.len()) as u64;
+            places.extend((0..room.min(wanted)).map(|_| slot));
+            from = slot + 1;
+        }
+        Some(places)
     }
 
-    fn book(&mut self, task: Task, worker: WorkerId, size: Size) {
-        if let Some(host) = self.hosts.get_mut(&worker) {
-            host.free = host.free.minus(&size);
+    fn book(&mut self, task: &Task, slot: usize) {
+        let Some(entry) = self.jobs.get_mut(&task.work) else { return };
+        let size = entry.job.size;
+        if let Some(sequence) = entry.waiting.remove(&task.index) {
+            self.queue.remove(&sequence);
+            self.waiting.entry(task.work.team.clone()).or_default().subtract(&size);
         }
-        let booked = self.booked.entry(task.work.team.clone()).or_default();
-        *booked = booked.plus(&size);
-        self.bookings.insert(task, worker);
+        entry.bookings.insert(task.index, slot);
+        let host = &mut self.hosts[slot];
+        host.booked.add(&size);
+        host.tasks.insert(task.clone());
+        self.booked.entry(task.work.team.clone()).or_default().add(&size);
+        self.refresh(slot);
     }
 }
--- /dev/null
+++ b/crates/shallotpost-policy/src/fleet.rs
@@ -0,0 +1,475 @@
+//! Workers, their bookings and the index of their free capacity.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use shallotpost_protocol::prelude::*;
+
+use crate::health::{Health, State};
+use crate::index::{ABSENT, Amounts, Index};
+use crate::planner::Worker;
+use crate::queue::Key;
+use crate::sum::Sum;
+
+/// How long starts stay bounded after a return.
+const RETURN_TIME: Duration = Duration::from_secs(10);
+/// Returns within this time count as one mass return.
+const RETURN_WINDOW: Duration = Duration::from_secs(5);
+/// Fewest workers in a mass return.
+const MASS_RETURN_MIN: usize = 4;
+/// A mass return has at least one worker in this many.
+const MASS_RETURN_PART: usize = 10;
+
+/// One worker. Its slot is kept after its removal, so that its health is known when it comes back.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) id: WorkerId,
+    /// Whether it is a worker of the shard now.
+    pub(crate) known: bool,
+    pub(crate) open: bool,
+    pub(crate) capacity: Size,
+    pub(crate) rack: usize,
+    pub(crate) booked: Sum,
+    /// Kept free for tasks that wait for the end of others.
+    pub(crate) held: Sum,
+    /// Part of `booked` whose stop was requested.
+    pub(crate) stopping: Sum,
+    pub(crate) tasks: BTreeSet<Key>,
+    pub(crate) health: Health,
+    /// End of the bounded start rate.
+    returning_until: Option<Instant>,
+    /// Until when the start rate allows no start.
+    paused_until: Option<Instant>,
+    /// Pool and position in the index.
+    place: Option<(u64, usize)>,
+}
+
+impl Host {
+    /// Capacity that is not booked; holds do not count.
+    pub(crate) fn unbooked(&self) -> Sum {
+        Sum::from(&self.capacity).less(&self.booked)
+    }
+
+    /// Capacity that is neither booked nor held once all requested stops are confirmed. May be negative.
+    pub(crate) fn future(&self) -> Sum {
+        self.unbooked().less(&self.held).plus(&self.stopping)
+    }
+
+    /// Whether it may get a task now.
+    pub(crate) fn is_usable(&self) -> bool {
+        let healthy = matches!(self.health.state, State::Good | State::Probing { task: None });
+        self.known && self.open && healthy && self.paused_until.is_none()
+    }
+
+    /// Whether the start rate is what keeps it from getting a task.
+    pub(crate) fn is_paused(&self) -> bool {
+        self.known && self.open && self.paused_until.is_some()
+    }
+
+    /// Most tasks that may start on it at once.
+    pub(crate) fn starts_max(&self) -> u64 {
+        if self.returning_until.is_some() || self.health.is_restricted() { 1 } else { u64::MAX }
+    }
+
+    /// Free capacity for any task; `None` where it may get none, as when its capacity fell below what is booked.
+    pub(crate) fn free(&self) -> Option<Size> {
+        let unbooked = self.unbooked();
+        (self.is_usable() && !unbooked.is_short()).then(|| unbooked.less(&self.held).size())
+    }
+}
+
+#[derive(Debug, Default)]
+struct RackHosts {
+    index: Index,
+    hosts: Vec<Option<usize>>,
+}
+
+/// Workers with the same number of accelerators.
+#[derive(Debug, Default)]
+struct Pool {
+    index: Index,
+    racks: Vec<RackHosts>,
+}
+
+/// All workers of the shard.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub(crate) hosts: Vec<Host>,
+    slots: HashMap<WorkerId, usize>,
+    pub(crate) racks: Vec<RackId>,
+    rack_slots: HashMap<RackId, usize>,
+    pools: BTreeMap<u64, Pool>,
+    /// Capacities that exist, with the number of workers that have them.
+    pub(crate) shapes: BTreeMap<Amounts, u64>,
+    /// Capacity of the open workers.
+    open_capacity: Sum,
+    /// Free capacity of the usable workers.
+    free_total: Sum,
+    /// Workers whose free capacity grew since they were last offered to the waiting tasks.
+    pub(crate) dirty: BTreeSet<usize>,
+    /// Rises whenever free capacity grows.
+    pub(crate) version: u64,
+    timers: BTreeSet<(Instant, usize)>,
+    returns: VecDeque<(Instant, usize)>,
+    /// Time between two starts on a returning worker.
+    pub(crate) spacing: Duration,
+    /// Rack that the next spread search starts at.
+    cursor: usize,
+    pub(crate) known: usize,
+}
+
+impl Fleet {
+    pub(crate) fn slot(&self, id: &WorkerId) -> Option<usize> {
+        self.slots.get(id).copied()
+    }
+
+    /// Slot of a worker; a worker that is not known yet is closed and has no capacity.
+    pub(crate) fn slot_or_insert(&mut self, id: &WorkerId) -> usize {
+        if let Some(slot) = self.slot(id) {
+            return slot;
+        }
+        let slot = self.hosts.len();
+        self.slots.insert(id.clone(), slot);
+        self.hosts.push(Host {
+            id: id.clone(),
+            known: false,
+            open: false,
+            capacity: Size::ZERO,
+            rack: 0,
+            booked: Sum::default(),
+            held: Sum::default(),
+            stopping: Sum::default(),
+            tasks: BTreeSet::new(),
+            health: Health::default(),
+            returning_until: None,
+            paused_until: None,
+            place: None,
+        });
+        slot
+    }
+
+    /// Adds or changes a worker.
+    pub(crate) fn set_worker(&mut self, now: Instant, worker: Worker) {
+        let seen = self.slots.contains_key(&worker.id);
+        let slot = self.slot_or_insert(&worker.id);
+        let rack = self.rack_slot(&worker.rack);
+        let host = &self.hosts[slot];
+        let shape = (host.rack, host.capacity, host.open);
+        if host.known && shape == (rack, worker.capacity, worker.open) {
+            return;
+        }
+        let returned = seen && worker.open && !(self.hosts[slot].known && self.hosts[slot].open);
+        self.withdraw(slot);
+        let host = &mut self.hosts[slot];
+        host.known = true;
+        host.open = worker.open;
+        host.capacity = worker.capacity;
+        host.rack = rack;
+        self.known += 1;
+        *self.shapes.entry(worker.capacity.parts()).or_default() += 1;
+        if worker.open {
+            self.open_capacity.add(&worker.capacity);
+        }
+        if returned {
+            self.note_return(now, slot);
+        }
+        self.place(slot);
+    }
+
+    /// Forgets a worker; its slot, its bookings and its health stay.
+    pub(crate) fn remove_worker(&mut self, slot: usize) {
+        self.withdraw(slot);
+        let host = &mut self.hosts[slot];
+        host.known = false;
+        host.open = false;
+        host.paused_until = None;
+        host.returning_until = None;
+        host.capacity = Size::ZERO;
+    }
+
+    /// Bounds the start rate of every worker for a while.
+    pub(crate) fn bound_starts(&mut self, now: Instant) {
+        for slot in 0..self.hosts.len() {
+            if self.hosts[slot].known {
+                self.bound_host(now, slot);
+            }
+        }
+    }
+
+    /// Handles what is due.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        while let Some((due, slot)) = self.timers.first().copied().filter(|(due, _)| *due <= now) {
+            self.timers.remove(&(due, slot));
+            let host = &mut self.hosts[slot];
+            host.paused_until = host.paused_until.filter(|until| *until > now);
+            if host.returning_until.is_some_and(|until| until <= now) {
+                host.returning_until = None;
+            }
+            match host.health.state {
+                State::Quarantined { until } if until <= now => {
+                    host.health.state = State::Probing { task: None };
+                }
+                _ => {}
+            }
+            self.refresh(slot);
+        }
+    }
+
+    /// Has `advance` look at a worker at `due`.
+    pub(crate) fn wake(&mut self, due: Instant, slot: usize) {
+        self.timers.insert((due, slot));
+    }
+
+    pub(crate) fn book(&mut self, now: Instant, slot: usize, key: Key, size: &Size) {
+        let host = &mut self.hosts[slot];
+        host.booked.add(size);
+        host.tasks.insert(key);
+        if let State::Probing { task: None } = host.health.state {
+            host.health.state = State::Probing { task: Some(key) };
+        }
+        if host.returning_until.is_some_and(|until| now < until) {
+            let until = now + self.spacing;
+            host.paused_until = Some(until);
+            self.timers.insert((until, slot));
+        }
+        self.refresh(slot);
+    }
+
+    pub(crate) fn unbook(&mut self, slot: usize, key: Key, size: &Size, stopping: bool) {
+        let host = &mut self.hosts[slot];
+        host.booked.subtract(size);
+        host.tasks.remove(&key);
+        if stopping {
+            host.stopping.subtract(size);
+        }
+        if host.health.state == (State::Probing { task: Some(key) }) {
+            host.health.state = State::Probing { task: None };
+        }
+        self.refresh(slot);
+    }
+
+    pub(crate) fn hold(&mut self, slot: usize, size: &Size) {
+        self.hosts[slot].held.add(size);
+        self.refresh(slot);
+    }
+
+    pub(crate) fn unhold(&mut self, slot: usize, size: &Size) {
+        self.hosts[slot].held.subtract(size);
+        self.refresh(slot);
+    }
+
+    /// Capacity of the open workers.
+    pub(crate) fn total(&self) -> Size {
+        self.open_capacity.size()
+    }
+
+    /// Whether the free capacity of all workers together is at least `size`.
+    pub(crate) fn has_in_total(&self, size: &Size) -> bool {
+        self.free_total.holds(size)
+    }
+
+    /// Largest amount of each resource that one worker has.
+    pub(crate) fn largest(&self) -> Size {
+        let shapes = self.shapes.keys().map(|parts| Size::from_parts(*parts));
+        shapes.fold(Size::ZERO, |largest, shape| largest.max(&shape))
+    }
+
+    /// Largest amount of each resource that is free on one worker.
+    pub(crate) fn largest_free(&self) -> Size {
+        let roots = self.pools.values().map(|pool| complement(pool.index.root()));
+        roots.fold(Size::ZERO, |largest, root| largest.max(&root))
+    }
+
+    /// Whether some usable worker may have room, judged by each resource alone within each pool.
+    pub(crate) fn may_fit(&self, size: &Size) -> bool {
+        self.pools.values().any(|pool| size.fits_in(&complement(pool.index.root())))
+    }
+
+    /// Whether the worker, empty, can hold as many tasks as asked for, on the workers that exist.
+    pub(crate) fn can_ever_hold(&self, size: &Size, count: u64) -> bool {
+        let mut left = count;
+        for (shape, workers) in &self.shapes {
+            let each = copies(&Size::from_parts(*shape), size);
+            left = left.saturating_sub(each.saturating_mul(*workers));
+        }
+        left == 0
+    }
+
+    /// The capacity that misses the least of `size`; the smallest of equal ones.
+    pub(crate) fn nearest(&self, size: &Size) -> Size {
+        let shapes = self.shapes.keys().map(|parts| Size::from_parts(*parts));
+        let scored = shapes.map(|shape| (size.minus(&shape).dominant_part(size), shape));
+        let best = scored.min_by(|left, right| left.0.total_cmp(&right.0));
+        best.map_or(Size::ZERO, |(_, shape)| shape)
+    }
+
+    /// Calls `found` with workers that have room for `size`, rack by rack from rack `from` on, the pool with the fewest
+    /// accelerators first. `found` returns whether to go on with the rack, the pool or not at all.
+    pub(crate) fn visit(&self, size: &Size, from: usize, found: &mut impl FnMut(usize) -> Visit) {
+        let bound = size.parts().map(|part| !part);
+        for pool in self.pools.range(size.accelerators..).map(|(_, pool)| pool) {
+            let mut state = Visit::Next;
+            let mut ranges = [(from, usize::MAX), (0, from)].into_iter();
+            while let Some((low, high)) = ranges.next().filter(|_| state != Visit::NextPool) {
+                let mut rack = pool.index.first(low, &bound).filter(|rack| *rack < high);
+                while let Some(position) = rack.filter(|_| state != Visit::NextPool) {
+                    state = self.visit_rack(pool, position, size, found);
+                    if state == Visit::Stop {
+                        return;
+                    }
+                    rack = pool.index.first(position + 1, &bound).filter(|rack| *rack < high);
+                }
+            }
+        }
+    }
+
+    fn visit_rack(
+        &self,
+        pool: &Pool,
+        rack: usize,
+        size: &Size,
+        found: &mut impl FnMut(usize) -> Visit,
+    ) -> Visit {
+        let bound = size.parts().map(|part| !part);
+        let Some(rack) = pool.racks.get(rack) else { return Visit::Next };
+        let mut position = rack.index.first(0, &bound);
+        while let Some(place) = position {
+            let host = rack.hosts.get(place).copied().flatten();
+            let fits = host
+                .filter(|slot| self.hosts[*slot].free().is_some_and(|free| size.fits_in(&free)));
+            match fits.map_or(Visit::Next, &mut *found) {
+                Visit::Next => position = rack.index.first(place + 1, &bound),
+                Visit::NextRack => return Visit::Next,
+                other => return other,
+            }
+        }
+        Visit::Next
+    }
+
+    /// Rack that a spread search starts at; moves on with each call.
+    pub(crate) fn next_rack(&mut self) -> usize {
+        self.cursor = (self.cursor + 1) % self.racks.len().max(1);
+        self.cursor
+    }
+
+    /// Brings the index up to date after a change of the worker.
+    pub(crate) fn refresh(&mut self, slot: usize) {
+        let host = &self.hosts[slot];
+        let Some((pool, place)) = host.place else { return };
+        let value = host.free().map_or(ABSENT, |free| free.parts().map(|part| !part));
+        let rack_slot = host.rack;
+        let Some(pool) = self.pools.get_mut(&pool) else { return };
+        let rack = &mut pool.racks[rack_slot];
+        let old = rack.index.get(place);
+        if old == value {
+            return;
+        }
+        rack.index.set(place, value);
+        pool.index.set(rack_slot, *rack.index.root());
+        self.free_total.subtract(&complement(&old));
+        self.free_total.add(&complement(&value));
+        if value.iter().zip(old).any(|(value, old)| *value < old) {
+            self.dirty.insert(slot);
+            self.version += 1;
+        }
+    }
+
+    fn rack_slot(&mut self, rack: &RackId) -> usize {
+        if let Some(slot) = self.rack_slots.get(rack) {
+            return *slot;
+        }
+        let slot = self.racks.len();
+        self.racks.push(rack.clone());
+        self.rack_slots.insert(rack.clone(), slot);
+        slot
+    }
+
+    fn place(&mut self, slot: usize) {
+        let host = &self.hosts[slot];
+        let (key, rack) = (host.capacity.accelerators, host.rack);
+        let pool = self.pools.entry(key).or_default();
+        if pool.racks.len() <= rack {
+            pool.racks.resize_with(rack + 1, RackHosts::default);
+        }
+        let hosts = &mut pool.racks[rack].hosts;
+        let unused = hosts.iter().position(Option::is_none);
+        let place = unused.unwrap_or(hosts.len());
+        if place == hosts.len() {
+            hosts.push(None);
+        }
+        hosts[place] = Some(slot);
+        self.hosts[slot].place = Some((key, place));
+        self.refresh(slot);
+    }
+
+    /// Takes a worker out of the index and the totals.
+    fn withdraw(&mut self, slot: usize) {
+        let host = &mut self.hosts[slot];
+        let Some((key, place)) = host.place.take() else { return };
+        let (rack, capacity, open) = (host.rack, host.capacity, host.open);
+        if let Some(pool) = self.pools.get_mut(&key) {
+            let rack_hosts = &mut pool.racks[rack];
+            let old = rack_hosts.index.get(place);
+            rack_hosts.hosts[place] = None;
+            rack_hosts.index.set(place, ABSENT);
+            pool.index.set(rack, *rack_hosts.index.root());
+            self.free_total.subtract(&complement(&old));
+        }
+        if open {
+            self.open_capacity.subtract(&capacity);
+        }
+        self.known -= 1;
+        if let Some(count) = self.shapes.get_mut(&capacity.parts()) {
+            *count -= 1;
+        }
+        self.shapes.retain(|_, count| *count > 0);
+        self.dirty.remove(&slot);
+    }
+
+    fn note_return(&mut self, now: Instant, slot: usize) {
+        self.returns.push_back((now, slot));
+        while self.returns.front().is_some_and(|(at, _)| *at + RETURN_WINDOW < now) {
+            self.returns.pop_front();
+        }
+        let mass = MASS_RETURN_MIN.max(self.known / MASS_RETURN_PART);
+        if self.returns.len() < mass {
+            return;
+        }
+        let returned: Vec<usize> = self.returns.iter().map(|(_, slot)| *slot).collect();
+        for slot in returned {
+            if self.hosts[slot].returning_until.is_none_or(|until| until <= now) {
+                self.bound_host(now, slot);
+            }
+        }
+    }
+
+    fn bound_host(&mut self, now: Instant, slot: usize) {
+        let host = &mut self.hosts[slot];
+        host.returning_until = Some(now + RETURN_TIME);
+        host.paused_until = Some(now + self.spacing);
+        self.timers.insert((now + self.spacing, slot));
+        self.refresh(slot);
+    }
+}
+
+/// How a visit goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Visit {
+    /// With the next worker.
+    Next,
+    /// With the next rack.
+    NextRack,
+    /// With the next pool.
+    NextPool,
+    /// Not at all.
+    Stop,
+}
+
+/// How many tasks of `size` fit into `room`.
+pub(crate) fn copies(room: &Size, size: &Size) -> u64 {
+    let each = size.parts().into_iter().zip(room.parts()).filter(|(need, _)| *need > 0);
+    each.map(|(need, have)| have / need).min().unwrap_or(u64::MAX)
+}
+
+fn complement(parts: &Amounts) -> Size {
+    Size::from_parts(parts.map(|part| !part))
+}
--- /dev/null
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -0,0 +1,124 @@
+//! Work that the planner knows, and the state of its tasks.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::work::Class;
+
+use crate::planner::{Cause, Job};
+
+/// State of one task.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum TaskState {
+    /// Waits in a lane of its team.
+    Queued { lane: usize, position: usize },
+    /// Waits together with the other parts of its gang.
+    Part,
+    /// Booked on a worker.
+    Booked { host: usize, started: Instant, sequence: u64, stopping: bool },
+    /// Neither waits nor runs; with the cause of its last release.
+    Idle(Option<Cause>),
+}
+
+/// One piece of work.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) job: Job,
+    pub(crate) team: usize,
+    /// Order of submission.
+    pub(crate) sequence: u64,
+    pub(crate) tasks: Vec<TaskState>,
+    pub(crate) waiting: u32,
+    pub(crate) booked: u32,
+    /// Booked tasks of each rack.
+    pub(crate) racks: BTreeMap<usize, u32>,
+    /// Workers on which it failed.
+    pub(crate) failed_on: BTreeSet<usize>,
+    /// Whether it is forgotten once its last booking is released.
+    pub(crate) finished: bool,
+    /// Version of the free capacity at the last attempt to place the whole gang.
+    pub(crate) tried: u64,
+}
+
+impl Record {
+    /// Whether it is a gang.
+    pub(crate) fn is_gang(&self) -> bool {
+        matches!(self.job.class, Class::Gang { .. })
+    }
+
+    /// Order in which running tasks are preempted, the lowest first; `None` where they are not.
+    pub(crate) fn victim_rank(&self) -> Option<u8> {
+        match self.job.class {
+            _ if !self.job.preemptible => None,
+            Class::Batch => Some(0),
+            Class::Service { .. } => Some(1),
+            Class::Gang { .. } | Class::Urgent => None,
+        }
+    }
+
+    /// Whether it is a service.
+    pub(crate) fn is_service(&self) -> bool {
+        matches!(self.job.class, Class::Service { .. })
+    }
+}
+
+/// All work, by slot.
+#[derive(Debug, Default)]
+pub(crate) struct Jobs {
+    records: Vec<Option<Record>>,
+    unused: Vec<usize>,
+    slots: HashMap<WorkId, usize>,
+    sequence: u64,
+}
+
+impl Jobs {
+    pub(crate) fn slot(&self, work: &WorkId) -> Option<usize> {
+        self.slots.get(work).copied()
+    }
+
+    pub(crate) fn get(&self, slot: usize) -> Option<&Record> {
+        self.records.get(slot)?.as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: usize) -> Option<&mut Record> {
+        self.records.get_mut(slot)?.as_mut()
+    }
+
+    /// Adds work whose tasks are all idle.
+    pub(crate) fn insert(&mut self, job: Job, team: usize) -> usize {
+        self.sequence += 1;
+        let slot = self.unused.pop().unwrap_or(self.records.len());
+        if slot == self.records.len() {
+            self.records.push(None);
+        }
+        self.slots.insert(job.work.clone(), slot);
+        let tasks = vec![TaskState::Idle(None); job.class.tasks() as usize];
+        self.records[slot] = Some(Record {
+            job,
+            team,
+            sequence: self.sequence,
+            tasks,
+            waiting: 0,
+            booked: 0,
+            racks: BTreeMap::new(),
+            failed_on: BTreeSet::new(),
+            finished: false,
+            tried: 0,
+        });
+        slot
+    }
+
+    pub(crate) fn remove(&mut self, slot: usize) {
+        if let Some(record) = self.records.get_mut(slot).and_then(Option::take) {
+            self.slots.remove(&record.job.work);
+            self.unused.push(slot);
+        }
+    }
+
+    /// Slot and state of a task.
+    pub(crate) fn task(&self, task: &Task) -> Option<(usize, TaskState)> {
+        let slot = self.slot(&task.work)?;
+        let state = self.get(slot)?.tasks.get(task.index as usize)?;
+        Some((slot, *state))
+    }
+}
--- a/crates/shallotpost-policy/src/planner.rs
+++ b/crates/shallotpost-policy/src/planner.rs
@@ -6,7 +6,7 @@
 use shallotpost_protocol::work::{Class, Explanation};
 use shallotpost_protocol::worker::Mode;
 
-use crate::first_fit::FirstFit;
+use crate::engine::Engine;
 
 /// A worker of the shard.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,37 +100,39 @@
 /// A task is waiting, booked on one worker, or not known. `submit` and `requeue` make it wait, `plan` and `adopt` book it,
 /// `release` frees its booking, `finish` forgets the work.
 pub struct Planner {
-    strategy: FirstFit,
+    engine: Engine,
 }
 
 impl Planner {
     /// A shard without workers, teams and work.
-    pub fn new(_policy: &Policy) -> Planner {
-        Planner { strategy: FirstFit::default() }
+    pub fn new(policy: &Policy) -> Planner {
+        Planner { engine: Engine::new(policy) }
     }
 
     /// Replaces the policy.
-    pub fn set_policy(&mut self, _policy: &Policy) {}
+    pub fn set_policy(&mut self, policy: &Policy) {
+        self.engine.set_policy(policy);
+    }
 
     /// Adds or changes a worker. Bookings stay.
-    pub fn set_worker(&mut self, _now: Instant, worker: Worker) {
-        self.strategy.set_worker(worker);
+    pub fn set_worker(&mut self, now: Instant, worker: Worker) {
+        self.engine.set_worker(now, worker);
     }
 
     /// Forgets a worker. Returns the tasks that were booked on it, which now wait for `requeue` or `finish`. Call it only
     /// after the task lease of the worker has surely lapsed.
-    pub fn remove_worker(&mut self, _now: Instant, worker: &WorkerId) -> Vec<Task> {
-        self.strategy.remove_worker(worker)
+    pub fn remove_worker(&mut self, now: Instant, worker: &WorkerId) -> Vec<Task> {
+        self.engine.remove_worker(now, worker)
     }
 
     /// Adds or changes a team. A team that is not known gets no starts.
     pub fn set_team(&mut self, _now: Instant, team: Team) {
-        self.strategy.set_team(team);
+        self.engine.set_team(team);
     }
 
     /// Forgets a team.
     pub fn remove_team(&mut self, team: &TeamId) {
-        self.strategy.remove_team(team);
+        self.engine.remove_team(team);
     }
 
     /// Adds work whose tasks all wait.
@@ -138,59 +140,60 @@
     /// # Errors
     /// Returns [`Unfit`] where no worker of the shard, empty, could hold a task (or, for a gang, all workers all parts).
     pub fn submit(&mut self, _now: Instant, job: Job) -> Result<(), Unfit> {
-        self.strategy.submit(job)
+        self.engine.submit(job)
     }
 
     /// Books a task that a worker already runs. Adds the job where it is not known; its other tasks wait.
-    pub fn adopt(&mut self, _now: Instant, job: &Job, task: Task, worker: &WorkerId) {
-        self.strategy.adopt(job, task, worker);
+    pub fn adopt(&mut self, now: Instant, job: &Job, task: Task, worker: &WorkerId) {
+        self.engine.adopt(now, job, task, worker);
     }
 
     /// Frees the booking of a task. The task then neither waits nor runs until `requeue` or `finish`.
-    pub fn release(&mut self, _now: Instant, task: &Task, _cause: Cause) {
-        self.strategy.release(task);
+    pub fn release(&mut self, now: Instant, task: &Task, cause: Cause) {
+        self.engine.release(now, task, cause);
     }
 
     /// Makes a released task wait again. For a gang the caller requeues every part.
     pub fn requeue(&mut self, _now: Instant, task: &Task) {
-        self.strategy.requeue(task);
+        self.engine.requeue(task);
     }
 
     /// Forgets work without bookings; waiting tasks are dropped. In time O(1) plus the tasks of the work.
     pub fn finish(&mut self, work: &WorkId) {
-        self.strategy.finish(work);
+        self.engine.finish(work);
     }
 
     /// Takes note of measured use, which lags by some seconds.
     pub fn report(&mut self, _now: Instant, _task: &Task, _usage: &Size) {}
 
     /// Opens or closes the whole shard for starts; closed while its data centre is drained.
-    pub fn set_open(&mut self, _now: Instant, open: bool) {
-        self.strategy.set_open(open);
+    pub fn set_open(&mut self, now: Instant, open: bool) {
+        self.engine.set_open(now, open);
     }
 
-    /// Decides at most `limit` actions.
-    pub fn plan(&mut self, _now: Instant, limit: usize) -> Vec<Action> {
-        self.strategy.plan(limit)
+    /// Decides at most `limit` actions. Only a gang with more parts may exceed it, as the first of the round: its parts
+    /// start together.
+    pub fn plan(&mut self, now: Instant, limit: usize) -> Vec<Action> {
+        self.engine.plan(now, limit)
     }
 
     /// Why a work waits; `None` where the work is not known.
-    pub fn explain(&self, _now: Instant, work: &WorkId) -> Option<Explanation> {
-        self.strategy.explain(work)
+    pub fn explain(&self, now: Instant, work: &WorkId) -> Option<Explanation> {
+        self.engine.explain(now, work)
     }
 
     /// What the team has booked on this shard.
     pub fn booked(&self, team: &TeamId) -> Size {
-        self.strategy.booked(team)
+        self.engine.booked(team)
     }
 
     /// What the team's waiting tasks need.
     pub fn waiting(&self, team: &TeamId) -> Size {
-        self.strategy.waiting(team)
+        self.engine.waiting(team)
     }
 
     /// Load of the shard.
     pub fn load(&self, shard: &Shard, epoch: Epoch) -> Load {
-        self.strategy.load(shard, epoch)
+        self.engine.load(shard, epoch)
     }
 }
--- /dev/null
+++ b/crates/shallotpost-policy/src/search.rs
@@ -0,0 +1,118 @@
+//! Filter and score: the worker for one task, and the workers for all parts of a gang.
+
+use std::collections::BTreeSet;
+
+use shallotpost_protocol::prelude::*;
+
+use crate::engine::Engine;
+use crate::fleet::{Visit, copies};
+use crate::queue::Key;
+
+/// Workers with room that are compared for one task. More candidates pack better and cost more time.
+const CANDIDATES: usize = 16;
+
+/// How a worker is chosen among those with room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Choice {
+    /// The one that is fullest afterwards.
+    Pack,
+    /// The one that is emptiest afterwards, of several racks.
+    Spread,
+}
+
+impl Engine {
+    /// Worker for a waiting task, if one has room now.
+    pub(crate) fn find_host(&mut self, key: Key) -> Option<usize> {
+        let record = self.jobs.get(key.0)?;
+        let size = record.job.size;
+        if !self.fleet.may_fit(&size) {
+            return None;
+        }
+        let from = self.fleet.next_rack();
+        let record = self.jobs.get(key.0)?;
+        if record.is_service() {
+            return self.find_rack(key.0, &size, from);
+        }
+        let choice = if self.policy.pack_batch { Choice::Pack } else { Choice::Spread };
+        let from = if choice == Choice::Pack { 0 } else { from };
+        let avoid = &record.failed_on;
+        self.best(&size, from, choice, avoid)
+            .or_else(|| self.best(&size, from, choice, &BTreeSet::new()))
+    }
+
+    fn best(
+        &self,
+        size: &Size,
+        from: usize,
+        choice: Choice,
+        avoid: &BTreeSet<usize>,
+    ) -> Option<usize> {
+        let mut seen = 0;
+        let mut best: Option<(f64, usize)> = None;
+        self.fleet.visit(size, from, &mut |host| {
+            if avoid.contains(&host) {
+                return Visit::Next;
+            }
+            let left = self.left_over(host, size);
+            let score = if choice == Choice::Pack { left } else { -left };
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, host));
+            }
+            seen += 1;
+            match choice {
+                _ if seen >= CANDIDATES => Visit::Stop,
+                Choice::Pack => Visit::Next,
+                Choice::Spread => Visit::NextRack,
+            }
+        });
+        best.map(|(_, host)| host)
+    }
+
+    /// Worker in the rack with the fewest tasks of the service.
+    fn find_rack(&self, slot: usize, size: &Size, from: usize) -> Option<usize> {
+        let record = self.jobs.get(slot)?;
+        let mut best: Option<((bool, u32), usize)> = None;
+        self.fleet.visit(size, from, &mut |host| {
+            let rack = self.fleet.hosts[host].rack;
+            let count = record.racks.get(&rack).copied().unwrap_or(0);
+            let score = (record.failed_on.contains(&host), count);
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, host));
+            }
+            match score {
+                (false, 0) => Visit::Stop,
+                (false, _) => Visit::NextRack,
+                (true, _) => Visit::Next,
+            }
+        });
+        best.map(|(_, host)| host)
+    }
+
+    /// Workers with room for `parts` tasks now, with the number of tasks for each; fewer than asked for where room lacks.
+    pub(crate) fn find_all(&self, size: &Size, parts: u64) -> (Vec<(usize, u64)>, u64) {
+        let mut found = Vec::new();
+        let mut left = parts;
+        if left == 0 {
+            return (found, 0);
+        }
+        self.fleet.visit(size, 0, &mut |slot| {
+            let host = &self.fleet.hosts[slot];
+            let room = host.free().map_or(0, |free| copies(&free, size));
+            let count = room.min(host.starts_max()).min(left);
+            if count > 0 {
+                found.push((slot, count));
+                left -= count;
+            }
+            if left == 0 { Visit::Stop } else { Visit::Next }
+        });
+        (found, left)
+    }
+
+    /// Parts of its capacity that stay free on a worker when it takes `size`, summed over the resources.
+    fn left_over(&self, host: usize, size: &Size) -> f64 {
+        let host = &self.fleet.hosts[host];
+        let left = host.free().unwrap_or(Size::ZERO).minus(size).parts();
+        let parts = left.into_iter().zip(host.capacity.parts());
+        parts.map(|(left, all)| if all == 0 { 0.0 } else { left as f64 / all as f64 }).sum()
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-policy/src/teams.rs
@@ -0,0 +1,132 @@
+//! Accounts of the teams: shares, grants, bookings and queues.
+
+use std::collections::{BTreeSet, HashMap};
+
+use shallotpost_protocol::prelude::*;
+
+use crate::queue::{Key, Lane};
+use crate::sum::Sum;
+
+/// Lane of urgent work; served before all others of every team.
+pub(crate) const URGENT: usize = 0;
+/// Lane of service replicas that ran before; served before new work of every team.
+pub(crate) const REPLACEMENT: usize = 1;
+/// Lane of tasks that were stopped, lost or refused; served before new work of the same team.
+pub(crate) const RETURNED: usize = 2;
+/// Lane of new work.
+pub(crate) const NEW: usize = 3;
+/// Number of lanes.
+pub(crate) const LANES: usize = 4;
+
+/// A running task that may be preempted: class rank (batch first), then the latest start first.
+pub(crate) type Victim = (u8, std::cmp::Reverse<u64>, Key);
+
+/// Account of one team.
+#[derive(Debug)]
+pub(crate) struct Account {
+    pub(crate) id: TeamId,
+    /// Weight; at least 1.
+    pub(crate) share: u32,
+    /// `None` while the team is not known; it then gets no starts.
+    pub(crate) grant: Option<Size>,
+    pub(crate) booked: Sum,
+    pub(crate) waiting: Sum,
+    pub(crate) waiting_tasks: u64,
+    pub(crate) running_tasks: u64,
+    pub(crate) lanes: [Lane; LANES],
+    /// Gangs whose parts all wait, by order of submission.
+    pub(crate) gangs: BTreeSet<(u64, usize)>,
+    pub(crate) victims: BTreeSet<Victim>,
+    /// Workers that were passed over only because of the grant.
+    pub(crate) missed: BTreeSet<usize>,
+    /// Earliest time of the next attempt to reclaim capacity.
+    pub(crate) reclaim_at: Option<Instant>,
+}
+
+impl Account {
+    fn new(id: TeamId) -> Account {
+        Account {
+            id,
+            share: 1,
+            grant: None,
+            booked: Sum::default(),
+            waiting: Sum::default(),
+            waiting_tasks: 0,
+            running_tasks: 0,
+            lanes: Default::default(),
+            gangs: BTreeSet::new(),
+            victims: BTreeSet::new(),
+            missed: BTreeSet::new(),
+            reclaim_at: None,
+        }
+    }
+
+    /// What the team may still book; nothing where it is not known or its grant fell below what it has booked.
+    pub(crate) fn headroom(&self) -> Size {
+        let left = self.grant.map(|grant| Sum::from(&grant).less(&self.booked));
+        left.filter(|left| !left.is_short()).map_or(Size::ZERO, |left| left.size())
+    }
+
+    /// Whether the grant allows `size` more.
+    pub(crate) fn allows(&self, size: &Size) -> bool {
+        self.grant.is_some_and(|grant| Sum::from(&grant).less(&self.booked).holds(size))
+    }
+
+    /// Dominant part of `total` that the team has booked.
+    pub(crate) fn dominant(&self, total: &Size) -> f64 {
+        self.booked.size().dominant_part(total)
+    }
+
+    /// Dominant part over the weight; the lowest is served first.
+    pub(crate) fn level(&self, total: &Size) -> f64 {
+        self.dominant(total) / f64::from(self.share)
+    }
+
+    /// Whether the team takes part in sharing.
+    pub(crate) fn is_active(&self) -> bool {
+        self.waiting_tasks > 0 || self.running_tasks > 0
+    }
+}
+
+/// All accounts. Slots are never reused, so that account numbers stay valid.
+#[derive(Debug, Default)]
+pub(crate) struct Teams {
+    pub(crate) accounts: Vec<Account>,
+    slots: HashMap<TeamId, usize>,
+}
+
+impl Teams {
+    /// Slot of a team; opens an account where there is none.
+    pub(crate) fn slot(&mut self, id: &TeamId) -> usize {
+        if let Some(slot) = self.slots.get(id) {
+            return *slot;
+        }
+        let slot = self.accounts.len();
+        self.accounts.push(Account::new(id.clone()));
+        self.slots.insert(id.clone(), slot);
+        slot
+    }
+
+    /// Account of a team, if there is one.
+    pub(crate) fn find(&self, id: &TeamId) -> Option<&Account> {
+        self.slots.get(id).map(|slot| &self.accounts[*slot])
+    }
+
+    /// Sum of the weights of the teams that take part in sharing.
+    pub(crate) fn active_weight(&self) -> f64 {
+        let active = self.accounts.iter().filter(|account| account.is_active());
+        active.map(|account| f64::from(account.share)).sum()
+    }
+
+    /// Slots of the teams with waiting tasks, the lowest level first.
+    pub(crate) fn order(&self, total: &Size) -> Vec<usize> {
+        let waiting = self.accounts.iter().enumerate().filter(|(_, team)| team.waiting_tasks > 0);
+        let mut order: Vec<(f64, usize)> =
+            waiting.map(|(slot, team)| (team.level(total), slot)).collect();
+        order.sort_by(|left, right| {
+            let names = || self.accounts[left.1].id.cmp(&self.accounts[right.1].id);
+            left.0.total_cmp(&right.0).then_with(names)
+        });
+        order.into_iter().map(|(_, slot)| slot).collect()
+    }
+}
