Implement group commit with a retry budget

Cause: the service commit was a stub, so no row could be written.

Change: one transaction at a time carries the queued batches and the host row. An unknown outcome is resolved by reading that row. A copy that may still be on its way is ruled out by a transaction with the host row alone before a batch of it is reported as not written. Batches share a transaction only where they are independent. Queue, rows per transaction and retries are bounded. While the table is down, a small read probes it instead of the whole transaction.

Incarnations are random and have no order, so a foreign incarnation counts as newer only once a transaction of this process took effect.

--- /dev/null
+++ b/crates/shallotpost-control/src/commit/retry.rs
@@ -0,0 +1,77 @@
+//! When a failed call may be repeated: a budget, exponential backoff and jitter.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::prelude::*;
+
+/// Retries earned by one successful call.
+pub const RETRIES_PER_SUCCESS: f64 = 0.1;
+
+/// Retries earned per second without any success, so that a caller recovers after a long outage.
+pub const RETRIES_PER_SECOND: f64 = 1.0;
+
+/// Most retries that can be saved up.
+pub const RETRIES_SAVED_MAX: f64 = 10.0;
+
+/// Backoff before the first retry.
+pub const BACKOFF_MIN: Duration = Duration::from_millis(50);
+
+/// Longest backoff. Shorter than the ownership lease, so that one lost retry does not cost the lease.
+pub const BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+/// Decides when a failed call may be repeated.
+#[derive(Debug)]
+pub struct Retry {
+    random: StdRng,
+    saved: f64,
+    refilled: Option<Instant>,
+    failures: u32,
+}
+
+impl Retry {
+    /// A full budget; `seed` determines the jitter.
+    pub fn new(seed: u64) -> Retry {
+        Retry {
+            random: StdRng::seed_from_u64(seed),
+            saved: RETRIES_SAVED_MAX,
+            refilled: None,
+            failures: 0,
+        }
+    }
+
+    /// Records a successful call.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.saved = (self.saved + RETRIES_PER_SUCCESS).min(RETRIES_SAVED_MAX);
+    }
+
+    /// Records a failed call and returns the earliest moment of its retry, which is charged to the budget.
+    pub fn failed(&mut self, now: Instant) -> Instant {
+        self.refill(now);
+        let backoff = self.backoff();
+        self.failures = self.failures.saturating_add(1);
+        self.saved -= 1.0;
+        let debt = (-self.saved).max(0.0) / RETRIES_PER_SECOND;
+        now + backoff.max(Duration::from_secs_f64(debt))
+    }
+
+    /// Consecutive failed calls.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = self.refilled.map_or(Duration::ZERO, |since| now.duration_since(since));
+        self.refilled = Some(now);
+        let earned = elapsed.as_secs_f64() * RETRIES_PER_SECOND;
+        self.saved = (self.saved + earned).min(RETRIES_SAVED_MAX);
+    }
+
+    /// Half fixed, half random, so that callers that failed together do not retry together.
+    fn backoff(&mut self) -> Duration {
+        let exponent = self.failures.min(16);
+        let full = BACKOFF_MIN.saturating_mul(1 << exponent).min(BACKOFF_MAX);
+        full.mul_f64(self.random.random_range(0.5..1.0))
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/support/config_cluster.rs
@@ -0,0 +1,217 @@
+//! Hosts with the services `commit` and `configuration` on one fake table, under virtual time.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+
+use shallotpost_control::commit::Commit;
+use shallotpost_control::configuration::Configuration;
+use shallotpost_control::context::caller;
+use shallotpost_control::message::Batch;
+use shallotpost_control::prelude::*;
+use shallotpost_protocol::table::{Check, Request, Write};
+use shallotpost_standin::table::Table;
+
+pub const STEP: Duration = Duration::from_millis(10);
+
+/// What happens to a call to the table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// It takes effect; the answer is lost.
+    LostAfter,
+    /// It does not take effect and gets no answer.
+    LostBefore,
+    /// It does not leave the host.
+    NotSent,
+    /// It gets no answer and takes effect this much later.
+    Late(Duration),
+    /// It takes effect at once; the answer comes this much later.
+    Slow(Duration),
+}
+
+struct Open {
+    at: Instant,
+    call: CallId,
+    result: Result<shallotpost_protocol::table::Reply, Failure>,
+}
+
+pub struct Node {
+    pub commit: Commit,
+    pub configuration: Configuration,
+    /// Faults of the next transactions that write a key with this prefix.
+    pub faults: VecDeque<(&'static str, Fault)>,
+    /// What happens to every call, where it is set.
+    pub outage: Option<Fault>,
+    /// Messages to services other than these two, with their moments.
+    pub sent: Vec<(Instant, Name, Message)>,
+    /// Messages to `commit` or `configuration`, where they are outcomes.
+    pub written: Vec<(Tag, Result<(), shallotpost_control::message::WriteFailure>)>,
+    pub logs: Vec<Log>,
+    /// Transactions with the moment of sending and the keys that they write.
+    pub transactions: Vec<(Instant, Vec<String>)>,
+    pub reads: Vec<Instant>,
+    open: Vec<Open>,
+    next_call: u64,
+}
+
+impl Node {
+    pub fn new(settings: &Settings) -> Node {
+        Node {
+            commit: Commit::new(settings),
+            configuration: Configuration::new(settings),
+            faults: VecDeque::new(),
+            outage: None,
+            sent: Vec::new(),
+            written: Vec::new(),
+            logs: Vec::new(),
+            transactions: Vec::new(),
+            reads: Vec::new(),
+            open: Vec::new(),
+            next_call: 0,
+        }
+    }
+}
+
+pub struct Cluster {
+    pub start: Instant,
+    /// Time between two ticks.
+    pub step: Duration,
+    pub now: Instant,
+    pub table: Table,
+    pub nodes: Vec<Node>,
+    /// Whether `configuration` runs too.
+    pub with_configuration: bool,
+    late: Vec<(Instant, Request)>,
+}
+
+impl Cluster {
+    /// Hosts `a`, `b`, ... in data centres `east`, `west`, `north`.
+    pub fn new(hosts: usize, with_configuration: bool) -> Cluster {
+        let now = Instant::now();
+        let nodes = (0..hosts).map(|index| Node::new(&settings(index))).collect();
+        let table = Table::default();
+        Cluster { start: now, step: STEP, now, table, nodes, with_configuration, late: Vec::new() }
+    }
+
+    pub fn unix_ms(&self) -> u64 {
+        1_000_000 + self.now.duration_since(self.start).as_millis() as u64
+    }
+
+    pub fn deliver(&mut self, node: usize, to: Name, message: Message) {
+        let mut queue = VecDeque::from([(to, message)]);
+        let (now, unix_ms) = (self.now, self.unix_ms());
+        while let Some((to, message)) = queue.pop_front() {
+            let state = &mut self.nodes[node];
+            let mut context = Context::new(to, now, unix_ms, state.next_call);
+            if let Message::Written { tag, result } = &message {
+                state.written.push((*tag, result.clone()));
+            }
+            match to {
+                Name::Commit => state.commit.handle(&mut context, message),
+                Name::Configuration if self.with_configuration => {
+                    state.configuration.handle(&mut context, message)
+                }
+                _ => {
+                    state.sent.push((now, to, message));
+                    continue;
+                }
+            }
+            state.next_call = context.next_call();
+            queue.extend(context.messages);
+            context.effects.into_iter().for_each(|effect| self.effect(node, effect));
+        }
+    }
+
+    fn effect(&mut self, node: usize, effect: Effect) {
+        match effect {
+            Effect::Table { call, request, timeout } => self.call(node, call, request, timeout),
+            Effect::Log(log) => self.nodes[node].logs.push(log),
+            other => panic!("unexpected effect {other:?}"),
+        }
+    }
+
+    fn call(&mut self, node: usize, call: CallId, request: Request, timeout: Duration) {
+        let now = self.now;
+        let state = &mut self.nodes[node];
+        let mut fault = state.outage;
+        match &request {
+            Request::Transact { writes, .. } => {
+                let keys: Vec<String> = writes.iter().map(|write| write.key.clone()).collect();
+                let hit = state.faults.front().is_some_and(|(prefix, _)| {
+                    fault.is_none() && keys.iter().any(|key| key.starts_with(prefix))
+                });
+                if hit {
+                    fault = state.faults.pop_front().map(|(_, fault)| fault);
+                }
+                state.transactions.push((now, keys));
+            }
+            _ => state.reads.push(now),
+        }
+        let (at, result) = match fault {
+            None => (now + STEP, Ok(self.table.handle(&request))),
+            Some(Fault::LostAfter) => {
+                self.table.handle(&request);
+                (now + timeout, Err(Failure::Ambiguous))
+            }
+            Some(Fault::LostBefore) => (now + timeout, Err(Failure::Ambiguous)),
+            Some(Fault::NotSent) => (now + STEP, Err(Failure::NotSent)),
+            Some(Fault::Late(delay)) => {
+                self.late.push((now + delay, request));
+                (now + timeout, Err(Failure::Ambiguous))
+            }
+            Some(Fault::Slow(delay)) => (now + delay, Ok(self.table.handle(&request))),
+        };
+        self.nodes[node].open.push(Open { at, call, result });
+    }
+
+    /// Lets time pass by one step.
+    pub fn step(&mut self) {
+        self.now += self.step;
+        let now = self.now;
+        let (due, late): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+        self.late = late;
+        due.iter().for_each(|(_, request)| {
+            self.table.handle(request);
+        });
+        for node in 0..self.nodes.len() {
+            let open = std::mem::take(&mut self.nodes[node].open);
+            let (due, open): (Vec<_>, Vec<_>) = open.into_iter().partition(|call| call.at <= now);
+            self.nodes[node].open = open;
+            for Open { call, result, .. } in due {
+                let to = caller(call).expect("a service made the call");
+                self.deliver(node, to, Message::Table { call, result });
+            }
+            self.deliver(node, Name::Commit, Message::Tick);
+            self.deliver(node, Name::Configuration, Message::Tick);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds; fails after `limit`.
+    pub fn run_until(&mut self, limit: Duration, mut condition: impl FnMut(&Cluster) -> bool) {
+        let end = self.now + limit;
+        while !condition(self) {
+            assert!(self.now < end, "condition not met within {limit:?}");
+            self.step();
+        }
+    }
+}
+
+pub fn settings(index: usize) -> Settings {
+    let name = ["a", "b", "c"][index];
+    let data_centre = ["east", "west", "north"][index];
+    Settings { incarnation: 100, random_seed: 7 + index as u64, ..Settings::new(name, data_centre) }
+}
+
+/// A batch that writes `key` on condition of its version.
+pub fn batch(tag: Tag, key: &str, value: &str, check: Option<Option<u64>>) -> Batch {
+    let checks = check.map(|version| Check { key: key.to_owned(), version }).into_iter().collect();
+    let writes = vec![Write { key: key.to_owned(), value: Some(value.to_owned()) }];
+    Batch { reply_to: Name::Scheduler, tag, checks, writes, expires: None }
+}
