Test the scheduler against faults of workers, owners and the table

Cause: recovery, cancellation, grants and retention were untested.

Change: fault cases in tables for start, claim, sync and stop calls, silent and restarted workers, takeover at each step, barriers, cancel in each phase, intents, ends during an outage, grants and retention. Two faults were found. A worker that hung for 5 s was probed again only after its task lease had lapsed, so its task ran twice in sequence; silent workers are now probed twice per worker timeout. A lowered cap counted waiting replicas as stopped, so too few tasks were stopped.

Conclusion: the listed fault cases hold with the stand-in state machines and the first-fit planner.

--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -11,6 +11,7 @@
 
 use crate::message::{Batch, WriteFailure};
 use crate::prelude::*;
+use crate::scheduler::entry::Phase;
 use crate::scheduler::environment::Environment;
 use crate::scheduler::rows::Purpose;
 use crate::scheduler::shard::{Call, Owned};
@@ -197,52 +198,50 @@
         }
     }
 
-    /// Stops tasks of a team until the rest fits into `limit`, the last started work first.
+    /// Stops tasks of a team until the rest fits into `limit`, those of the last admitted work first.
     fn stop_above(&mut self, team: &TeamId, limit: &Size) {
-        let mut booked = self.planner.booked(team);
-        if booked.fits_in(limit) {
+        let mut kept = self.planner.booked(team);
+        if kept.fits_in(limit) {
             return;
         }
         let first = WorkId { team: team.clone(), name: String::new() };
         let works = self.works.range(first..).take_while(|(work, _)| work.team == *team);
-        let mut running: Vec<(u64, WorkId, Class, Size, u64)> = Vec::new();
+        let mut running: Vec<(u64, WorkId)> = Vec::new();
         for (work, entry) in works {
-            let specification = &entry.record.specification;
-            let sent = entry.tasks.iter().filter(|task| task.phase.is_booked()).count() as u64;
-            if sent > 0 {
-                let admitted = entry.record.admitted_unix_ms;
-                running.push((
-                    admitted,
-                    work.clone(),
-                    specification.class,
-                    specification.size,
-                    sent,
-                ));
+            let size = entry.record.specification.size;
+            let count = |wanted: fn(&Phase) -> bool| {
+                entry.tasks.iter().filter(|task| wanted(&task.phase)).count() as u64
+            };
+            kept = kept.minus(&size.times(count(|phase| matches!(phase, Phase::Stopping(..)))));
+            if count(|phase| *phase == Phase::Running) > 0 {
+                running.push((entry.record.admitted_unix_ms, work.clone()));
             }
         }
-        running.sort_by_key(|(admitted, ..)| std::cmp::Reverse(*admitted));
-        for (_, work, class, size, sent) in running {
-            if booked.fits_in(limit) {
-                return;
-            }
-            let mode = match class {
-                Class::Batch => Mode::Checkpoint,
-                _ => Mode::Stop,
-            };
-            match class {
-                Class::Service { replicas } => {
-                    for index in (0..replicas).rev() {
-                        if !booked.fits_in(limit) {
-                            self.stop_task(&Task { work: work.clone(), index }, mode);
-                            booked = booked.minus(&size);
-                        }
-                    }
-                }
-                _ => {
-                    self.stop_tasks(&work, mode);
-                    booked = booked.minus(&size.times(sent));
-                }
+        running.sort();
+        while let Some((_, work)) = running.pop()
+            && !kept.fits_in(limit)
+        {
+            kept = self.stop_work_above(&work, kept, limit);
+        }
+    }
+
+    /// Stops tasks of one work until `kept` fits into `limit`, all parts of a gang at once. Returns what is kept.
+    fn stop_work_above(&mut self, work: &WorkId, mut kept: Size, limit: &Size) -> Size {
+        let Some(entry) = self.works.get(work) else { return kept };
+        let size = entry.record.specification.size;
+        let mode = match entry.record.specification.class {
+            Class::Batch => Mode::Checkpoint,
+            _ => Mode::Stop,
+        };
+        let gang = entry.is_gang();
+        for index in (0..entry.tasks.len() as u32).rev() {
+            let task = Task { work: work.clone(), index };
+            let runs = self.task_mut(&task).is_some_and(|state| state.phase == Phase::Running);
+            if runs && (gang || !kept.fits_in(limit)) {
+                self.stop_task(&task, mode);
+                kept = kept.minus(&size);
             }
         }
+        kept
     }
 }
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -17,6 +17,10 @@
 /// Shortest delay before a failed `claim` or `sync` is repeated.
 const BEAT_RETRY: Duration = Duration::from_millis(200);
 
+/// Calls per worker timeout to a worker that stopped answering. With one per timeout, a worker that hung for 5 s got the
+/// next call after its task lease had lapsed.
+const PROBES_PER_TIMEOUT: u32 = 2;
+
 impl Owned {
     /// Takes over the worker list.
     pub fn refresh_sessions(&mut self, context: &mut Context, environment: &Environment) {
@@ -92,7 +96,10 @@
             true => settings.sync_wait,
             false => Duration::ZERO,
         };
-        let timeout = settings.worker_timeout + wait;
+        let timeout = match session.silent && !session.lapsed {
+            true => settings.worker_timeout / PROBES_PER_TIMEOUT,
+            false => settings.worker_timeout + wait,
+        };
         let Some((lease, full_lease)) =
             session.next_lease(context.now, settings.task_lease, timeout)
         else {
@@ -130,6 +137,7 @@
             Ok(Reply::State(snapshot)) => {
                 session.claimed = true;
                 session.answering = true;
+                session.silent = false;
                 session.lapsed = false;
                 session.renewed = now;
                 session.next_beat = now;
@@ -159,6 +167,7 @@
                     session.renewed = now;
                 }
                 session.answering = false;
+                session.silent = true;
                 session.reconciled = false;
                 session.next_beat = now + environment.jitter(BEAT_RETRY);
                 if !session.lapsed {
--- a/crates/shallotpost-control/src/scheduler/session.rs
+++ b/crates/shallotpost-control/src/scheduler/session.rs
@@ -54,6 +54,8 @@
     pub claimed: bool,
     /// Whether its last call was answered.
     pub answering: bool,
+    /// Whether its last call failed.
+    pub silent: bool,
     /// Whether its tasks have been compared with the records since it last started to answer.
     pub reconciled: bool,
     /// Whether its task lease has surely lapsed without an answer.
@@ -90,6 +92,7 @@
             listed: true,
             claimed: false,
             answering: false,
+            silent: false,
             reconciled: false,
             lapsed: false,
             leaving: false,
--- /dev/null
+++ b/crates/shallotpost-control/tests/at_most_once.rs
@@ -0,0 +1,187 @@
+//! Durable records: intents of non-idempotent work, ends during outages, retention.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/scheduling.rs"]
+mod scheduling;
+
+use scheduling::*;
+use shallotpost_control::message::WriteFailure;
+use shallotpost_control::prelude::*;
+use shallotpost_control::scheduler::environment::shard_index;
+use shallotpost_protocol::work::{Class, Ending, Specification, State};
+
+const LIMIT: Duration = Duration::from_secs(40);
+
+fn once(milliseconds: &str) -> Specification {
+    let specification = specification("job", Class::Batch, &["run", milliseconds]);
+    Specification { idempotent: false, ..specification }
+}
+
+/// Guards against starts whose intent is not durable, and against work that is stuck after a failed write.
+#[test]
+fn intent_writes() {
+    let failures = [
+        WriteFailure::Overloaded,
+        WriteFailure::Expired,
+        WriteFailure::Unknown,
+        WriteFailure::Conflict(vec!["row".into()]),
+    ];
+    for failure in failures {
+        let mut world = World::new(2);
+        world.take_over(1);
+        world.run(100);
+        world.write_faults = vec![failure.clone(), failure.clone()];
+        let work = world.admit(once("100"));
+        world.run_until(LIMIT, |world| {
+            let intent = world.record(&work).map(|record| record.state);
+            assert!(world.starts(&work) == 0 || intent != Some(State::Admitted), "{failure:?}");
+            world.outcome(&work).is_some()
+        });
+        assert_eq!(world.outcome(&work).unwrap().ending, Ending::Succeeded, "{failure:?}");
+        assert_eq!(world.starts(&work), 1, "{failure:?}");
+    }
+}
+
+/// Guards against a start that needs the table during an outage, and against one that follows a stale placement.
+#[test]
+fn table_down_before_the_intent() {
+    let mut world = World::new(1);
+    world.take_over(1);
+    world.run(100);
+    let work = world.admit(once("100"));
+    world.run_until(LIMIT, |world| world.open_writes() > 0);
+    world.table_up = false;
+    world.run(10_000);
+    assert_eq!(world.start_calls, 0);
+    world.table_up = true;
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+    assert_eq!(world.starts(&work), 1);
+}
+
+/// Guards against a second start by a new owner, whatever the record and the workers show.
+#[test]
+fn recorded_intents() {
+    // Workers of the intent, whether the worker has the task, ending, starts.
+    let cases = [
+        (vec!["w0"], true, Ending::Succeeded, 1),
+        (vec!["w0"], false, Ending::Unknown, 0),
+        (vec!["w7"], false, Ending::Unknown, 0),
+    ];
+    for (workers, runs, ending, starts) in cases {
+        let mut world = World::new(2);
+        let workers: Vec<WorkerId> = workers.iter().map(|worker| (*worker).to_owned()).collect();
+        let work = world.write_record(once("500"), State::Starting { workers, epoch: 1 });
+        if runs {
+            world.start_directly("w0", 1, &once("500"));
+        }
+        world.take_over(2);
+        world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+        let outcome = world.outcome(&work).unwrap();
+        assert_eq!((outcome.ending, outcome.not_run), (ending, false));
+        assert_eq!(world.starts(&work), starts);
+    }
+}
+
+/// Guards against intents of a paused owner that are written after another owner took over.
+#[test]
+fn intent_of_an_earlier_owner() {
+    let mut world = World::new(1);
+    world.node("w0").alive = false;
+    world.take_over(2);
+    world.run(100);
+    let work = world.admit(once("100"));
+    world.run(100);
+    let intent = State::Starting { workers: vec!["w0".into()], epoch: 1 };
+    world.write_record(once("100"), intent);
+    world.run(200);
+    world.node("w0").alive = true;
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+    assert_eq!(world.outcome(&work).unwrap().ending, Ending::Unknown);
+    assert_eq!(world.start_calls, 0);
+}
+
+/// Guards against lost ends, repeated work and idle workers while the table is down.
+#[test]
+fn table_down_while_tasks_end() {
+    let mut world = World::new(2);
+    let first = world.take_over(1);
+    let job = |n: usize| specification(&format!("job{n}"), Class::Batch, &["run", "1000"]);
+    let works: Vec<WorkId> = (0..20).map(|n| world.admit(job(n))).collect();
+    world.run(500);
+    world.table_up = false;
+    world.run(8000);
+    assert!(world.ended.is_empty(), "an end that is not durable was reported");
+    assert!(works.iter().all(|work| world.starts(work) == 1), "known work goes on");
+    // The workers still keep the ends, so a new owner learns of them.
+    world.kill(first);
+    world.table_up = true;
+    world.take_over(2);
+    world.run_until(LIMIT, |world| works.iter().all(|work| world.outcome(work).is_some()));
+    for work in &works {
+        assert_eq!(world.outcome(work).unwrap().ending, Ending::Succeeded);
+        assert_eq!(world.starts(work), 1, "{work}");
+    }
+}
+
+/// Guards against ends that are dropped by failed writes.
+#[test]
+fn end_writes() {
+    let failures = [
+        WriteFailure::Overloaded,
+        WriteFailure::Unknown,
+        WriteFailure::Conflict(vec!["row".into()]),
+    ];
+    for failure in failures {
+        let mut world = World::new(1);
+        world.take_over(1);
+        let work = world.admit(specification("job", Class::Batch, &["run", "500"]));
+        world.run(300);
+        world.write_faults = vec![failure.clone(), failure.clone()];
+        world.run_until(LIMIT, |world| !world.ended.is_empty());
+        world.run(1000);
+        assert_eq!(world.outcome(&work).unwrap().ending, Ending::Succeeded, "{failure:?}");
+        assert_eq!((world.starts(&work), world.ended.len()), (1, 1), "{failure:?}");
+    }
+}
+
+/// Guards against records that are deleted too early, or kept for ever.
+#[test]
+fn retention() {
+    let mut world = World::new(0);
+    world.take_over(1);
+    let works: Vec<WorkId> = (0..100)
+        .map(|n| {
+            let specification = specification(&format!("job{n}"), Class::Batch, &["run", "1"]);
+            world.admit(Specification { deadline_unix_ms: Some(1), ..specification })
+        })
+        .collect();
+    world.run(2000);
+    world.now += Duration::from_secs(3590);
+    world.run(1000);
+    assert!(works.iter().all(|work| world.outcome(work).is_some()));
+    world.run(12_000);
+    assert!(world.table.rows("work/").is_empty());
+    assert!(world.table.rows("ids/").is_empty());
+}
+
+/// Guards against work that waits for ever for a size that no worker has, and against a hasty verdict.
+#[test]
+fn never_runnable() {
+    let mut world = World::new(1);
+    world.take_over(1);
+    let specification = specification("job", Class::Batch, &["run", "1"]);
+    let work = world.admit(Specification { size: size(5), ..specification });
+    world.run(1000);
+    let outcome = world.outcome(&work).unwrap();
+    assert_eq!((outcome.ending, outcome.not_run), (Ending::NeverRunnable, true));
+    assert!(outcome.detail.contains("4000"), "{}", outcome.detail);
+}
+
+/// Guards against owners that disagree about the shard of a worker.
+#[test]
+fn stable_shards() {
+    let indices: Vec<u32> = (0..8).map(|n| shard_index(&format!("rack-{n}"), 3)).collect();
+    assert_eq!(indices, [1, 0, 2, 1, 1, 1, 2, 2]);
+    assert_eq!(shard_index("rack-1", 1), 0);
+}
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -9,10 +9,13 @@
 use shallotpost_control::message::{Batch, WriteFailure};
 use shallotpost_control::prelude::*;
 use shallotpost_control::scheduler::Scheduler;
-use shallotpost_protocol::interface::{Reply as Answer, Request as Ask};
-use shallotpost_protocol::resource::{Availability, DataCentre, Entry, Resource, Right, Team};
+use shallotpost_control::settings::Fencing;
+pub use shallotpost_protocol::interface::{Reply as Answer, Request as Ask};
+use shallotpost_protocol::resource::{
+    Availability, DataCentre, Entry, OnCut, Policy, Resource, Right, Team,
+};
 use shallotpost_protocol::work::{self, Class, Outcome, Record, Specification, State, Status};
-use shallotpost_protocol::worker::{Refusal, Reply, Request};
+use shallotpost_protocol::worker::{Assignment, Refusal, Reply, Request};
 use shallotpost_protocol::{list, table};
 use shallotpost_standin::table::Table;
 use shallotpost_standin::worker::Worker;
@@ -146,18 +149,20 @@
             calls: 0,
             writes: 0,
         };
-        for index in 0..count {
-            let capacity = Size { slots: 8, memory_mib: 4000, ..size(4) };
-            let mut worker = Worker::new(index as u64, capacity);
-            worker.fencing = true;
-            let rack = format!("r{index}");
-            let node = Node { worker, rack, listed: true, alive: true, seen: 0 };
-            world.nodes.insert(format!("w{index}"), node);
-        }
+        (0..count).for_each(|index| world.add_worker(&format!("w{index}")));
         world.set_team(Some(Size::from_parts([u64::MAX; 4])));
         world
     }
 
+    /// Adds a worker of 4 cores in its own rack.
+    pub fn add_worker(&mut self, name: &str) {
+        let capacity = Size { slots: 8, memory_mib: 4000, ..size(4) };
+        let mut worker = Worker::new(self.nodes.len() as u64, capacity);
+        worker.fencing = self.settings.fencing == Fencing::Epoch;
+        let node = Node { worker, rack: name.into(), listed: true, alive: true, seen: 0 };
+        self.nodes.insert(name.into(), node);
+    }
+
     /// Sets the cap of team `red`, or withdraws it.
     pub fn set_team(&mut self, cap: Option<Size>) {
         let key = (shallotpost_protocol::resource::Kind::Team, "red".to_owned());
@@ -180,6 +185,64 @@
         self.publish();
     }
 
+    /// Sets what the policy says about running tasks of all classes in a drained data centre.
+    pub fn set_policy_on_cut(&mut self, stop: bool) {
+        let on_cut = if stop { OnCut::Stop } else { OnCut::Stay };
+        let policy = Policy { services_on_cut: on_cut, others_on_cut: on_cut, ..Policy::default() };
+        let key = (shallotpost_protocol::resource::Kind::Policy, "default".to_owned());
+        let resource = Resource::Policy(policy);
+        let entry = Entry { name: "default".into(), revision: 1, resource };
+        self.snapshot.entries.insert(key, entry);
+    }
+
+    /// Writes the cap row of team `red`.
+    pub fn set_cap_row(&mut self, cap: Size, grants: &[(&str, Size)]) {
+        let grants: BTreeMap<&str, Size> = grants.iter().copied().collect();
+        let value = serde_json::json!({ "cap": cap, "grants": grants }).to_string();
+        let write = table::Write { key: "caps/red".into(), value: Some(value) };
+        let request = table::Request::Transact { checks: Vec::new(), writes: vec![write] };
+        self.table.handle(&request);
+    }
+
+    /// Granted thousandths of a core of a shard.
+    pub fn granted(&self, shard: &str) -> Option<u64> {
+        let row = self.table.row("caps/red")?;
+        let value: serde_json::Value = serde_json::from_str(&row.value).ok()?;
+        value["grants"][shard]["processors_milli"].as_u64()
+    }
+
+    /// Starts the first attempt of a task as an earlier owner did.
+    pub fn start_directly(&mut self, worker: &str, epoch: Epoch, specification: &Specification) {
+        let lease = self.settings.task_lease;
+        self.execute(&worker.into(), &Request::Claim { shard: shard(), epoch, lease });
+        let assignment = Assignment {
+            task: Task { work: specification.work_id(), index: 0 },
+            attempt: 1,
+            size: specification.size,
+            command: specification.command.clone(),
+            input: None,
+        };
+        self.execute(&worker.into(), &Request::Start { epoch, assignment });
+    }
+
+    /// Lets the configuration and ownership leases that were given so far end now, where `now` is set.
+    pub fn expire_leases(&mut self, now: bool) {
+        for owner in 0..self.owners.len() {
+            let until = self.now;
+            if now && !self.fresh {
+                self.deliver(owner, Message::Fresh { until });
+            }
+            if now && !self.lease {
+                self.deliver(owner, Message::Lease { until });
+            }
+        }
+    }
+
+    /// Number of writes that wait in `commit`.
+    pub fn open_writes(&self) -> usize {
+        self.owners.iter().map(|owner| owner.writes.len()).sum()
+    }
+
     pub fn publish(&mut self) {
         let snapshot = Rc::new(self.snapshot.clone());
         let list = Rc::new(self.list());
