Add the command-line tool shallotpost

Cause: callers and operators need a tool for the HTTP interface that never doubles a submission or undoes a change when a reply is lost.

Change: 20 commands, one file each, over a client that tries the entry hosts in order.

--- /dev/null
+++ b/crates/shallotpost-cli/src/commands/object_get.rs
@@ -0,0 +1,89 @@
+//! `object get`: downloads an object.
+
+use std::fs::{self, File};
+use std::io::{self, Read, Write};
+
+use getopts::Options;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+
+use super::object_put::hexadecimal;
+use crate::client::Download;
+use crate::command::{Command, Context};
+use crate::error::Error;
+
+/// Bytes that are read at once, as in the streams of the entry hosts.
+const CHUNK: usize = 64 << 10;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "object get",
+    arguments: "<team>/<name> <file>",
+    summary: "download an object to a file, - for standard output",
+    example: "shallotpost object get intake/day-17.result result.csv --digest <sha256>",
+    options,
+    counts: (2, 2),
+    run,
+};
+
+fn options(options: &mut Options) {
+    options.optopt("", "digest", "fail unless the content has this SHA-256 digest", "SHA256");
+}
+
+fn run(context: &mut Context) -> Result<(), Error> {
+    let name = context.work(0)?.to_string();
+    let path = context.argument(1).to_owned();
+    let expected = context.matches.opt_str("digest");
+    let download = context.client.download(&format!("/v1/objects/{name}"))?;
+    if path == "-" {
+        let copied = copy(download, context.out(), expected.as_deref());
+        return copied.map(|_| ()).map_err(|source| Error::File { path: name, source });
+    }
+    // The file gets its name only once it is complete, so that a part of an object is never taken for the whole.
+    let part = format!("{path}.part");
+    let result = File::create(&part)
+        .and_then(|mut file| copy(download, &mut file, expected.as_deref()))
+        .and_then(|copied| fs::rename(&part, &path).map(|()| copied));
+    match result {
+        Ok((length, digest)) => {
+            let reply = json!({ "name": name, "length": length, "digest": digest });
+            context.show(&reply, &format!("{path}: {length} bytes, sha256 {digest}\n"))
+        }
+        Err(source) => {
+            let _ = fs::remove_file(&part);
+            Err(Error::File { path, source })
+        }
+    }
+}
+
+/// Copies the bytes; fails where they are fewer than announced or have another digest.
+fn copy(
+    mut download: Download,
+    target: &mut dyn Write,
+    expected: Option<&str>,
+) -> io::Result<(u64, String)> {
+    let mut hasher = Sha256::new();
+    let mut chunk = vec![0; CHUNK];
+    let mut length = 0;
+    loop {
+        let count = download.reader.read(&mut chunk)?;
+        if count == 0 {
+            break;
+        }
+        hasher.update(&chunk[..count]);
+        target.write_all(&chunk[..count])?;
+        length += count as u64;
+    }
+    target.flush()?;
+    let digest = hexadecimal(&hasher.finalize());
+    let invalid = |text: String| Err(io::Error::new(io::ErrorKind::InvalidData, text));
+    match (download.length, expected) {
+        (Some(announced), _) if announced != length => {
+            invalid(format!("the object ended after {length} of {announced} bytes"))
+        }
+        (_, Some(expected)) if !expected.eq_ignore_ascii_case(&digest) => {
+            invalid(format!("the object has the digest {digest} instead of {expected}"))
+        }
+        _ => Ok((length, digest)),
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-cli/src/commands/object_put.rs
@@ -0,0 +1,60 @@
+//! `object put`: uploads a file to the object store.
+
+use std::fs::File;
+use std::io::{self, Read};
+
+use sha2::{Digest, Sha256};
+use shallotpost_protocol::work::Object;
+
+use super::no_options;
+use crate::command::{Command, Context};
+use crate::error::Error;
+
+/// Bytes that are read at once, as in the streams of the entry hosts.
+const CHUNK: usize = 64 << 10;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "object put",
+    arguments: "<team>/<name> <file>",
+    summary: "upload a file, for example as the input of work",
+    example: "shallotpost object put intake/day-17.csv day.csv --json > input.json",
+    options: no_options,
+    counts: (2, 2),
+    run,
+};
+
+fn run(context: &mut Context) -> Result<(), Error> {
+    let name = context.work(0)?.to_string();
+    let path = context.argument(1).to_owned();
+    let fault = |source| Error::File { path: path.clone(), source };
+    let (length, digest) = measure(&path).map_err(fault)?;
+    let check = format!("shallotpost object get {name} --digest {digest} -");
+    let url = format!("/v1/objects/{name}");
+    context.client.upload(&url, length, &check, || Ok(File::open(&path)?.take(length)))?;
+    let object = Object { name, length, digest };
+    let text = format!("{}: {length} bytes, sha256 {}\n", object.name, object.digest);
+    context.show(&object, &text)
+}
+
+/// Length and digest of a file, read in chunks.
+fn measure(path: &str) -> io::Result<(u64, String)> {
+    let mut file = File::open(path)?;
+    let mut hasher = Sha256::new();
+    let mut chunk = vec![0; CHUNK];
+    let mut length = 0;
+    loop {
+        let count = file.read(&mut chunk)?;
+        if count == 0 {
+            break;
+        }
+        hasher.update(&chunk[..count]);
+        length += count as u64;
+    }
+    Ok((length, hexadecimal(&hasher.finalize())))
+}
+
+/// Lower-case hexadecimal digits.
+pub(super) fn hexadecimal(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
