Tell admission and the router the loads of owned shards

Cause: home selection and routing need them, and only membership got them. Change: the scheduler sends its loads to all three services.

--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 
 use shallotpost_protocol::port::Failure;
-use shallotpost_protocol::wire::Frame;
+use shallotpost_protocol::wire::{Frame, Load};
 use shallotpost_protocol::{table, worker};
 
 use crate::message::WriteFailure;
@@ -115,8 +115,10 @@
 
     fn report(&self, context: &mut Context) {
         let owned = || self.shards.values();
-        let loads = owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
-        context.send(Name::Membership, Message::Loads(loads));
+        let loads: Vec<Load> = owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
+        for name in [Name::Membership, Name::Admission, Name::Router] {
+            context.send(name, Message::Loads(loads.clone()));
+        }
         let host = &self.environment.settings.host;
         let states = owned().map(|owned| owned.state(host)).collect();
         context.send(Name::Router, Message::Shards(states));
--- /dev/null
+++ b/crates/shallotpost-daemon/src/main.rs
@@ -0,0 +1,64 @@
+//! The daemon `shallotpostd`.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use eyre::{WrapErr, eyre};
+use getopts::Options;
+use shallotpost_daemon::daemon::Daemon;
+use shallotpost_daemon::settings::{check, listing};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Exit code where the settings file has faults.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("shallotpostd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file (JSON)", "FILE");
+    options.optflag("c", "check", "check the settings file, list every fault, and exit");
+    options.optflag("h", "help", "show this help");
+    options
+}
+
+fn run(arguments: &[String]) -> eyre::Result<ExitCode> {
+    let options = options();
+    let matches = options.parse(arguments).wrap_err("see `shallotpostd --help`")?;
+    if matches.opt_present("help") {
+        let brief = "Usage: shallotpostd --settings FILE [--check]\n\nExample: shallotpostd --settings host-a.json";
+        print!("{}", options.usage(brief));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let path = matches.opt_str("settings").ok_or_else(|| eyre!("name a settings file with --settings FILE"))?;
+    match check(Path::new(&path)) {
+        Err(faults) => {
+            eprintln!("{}", listing(Path::new(&path), &faults));
+            Ok(ExitCode::from(BAD_SETTINGS))
+        }
+        Ok(_) if matches.opt_present("check") => {
+            println!("{path}: no faults");
+            Ok(ExitCode::SUCCESS)
+        }
+        Ok(settings) => {
+            let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("the signal handlers cannot be set up")?;
+            let daemon = Daemon::start(&settings)?;
+            let handle = signals.handle();
+            let stopper = daemon.stopper();
+            std::thread::spawn(move || signals.forever().for_each(|_| stopper()));
+            daemon.join()?;
+            handle.close();
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
