Add the ownership service

Cause: each shard needs exactly one owner at a time, also while hosts die, pause, restart or lose the table.

Change: Ownership claims shards by conditional writes in the order of a rendezvous hash, resolves unknown outcomes by a read, drops shards whose lease lapsed where workers do not fence, and hands shards over at a stop and to preferred hosts. HostRows names its data centre.

--- a/crates/shallotpost-control/src/membership/rows.rs
+++ b/crates/shallotpost-control/src/membership/rows.rs
@@ -27,6 +27,8 @@
 /// Host rows of one data centre as of one scan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostRows {
+    /// The data centre.
+    pub data_centre: DataCentreId,
     /// Moment at which the scan was sent.
     pub sent: Instant,
     /// The rows, by host.
@@ -143,6 +145,6 @@
             version: row.version,
             unchanged: row.unchanged(),
         });
-        HostRows { sent, rows: rows.collect() }
+        HostRows { data_centre: data_centre.to_owned(), sent, rows: rows.collect() }
     }
 }
--- /dev/null
+++ b/crates/shallotpost-control/src/ownership/mod.rs
@@ -0,0 +1,519 @@
+//! Shard ownership: claims, epochs, leases and hand-over.
+
+mod ranking;
+pub mod row;
+mod shard;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use shallotpost_protocol::table::{Check, Write};
+
+pub use ranking::rank;
+pub use row::Row;
+
+use crate::membership::HostRows;
+use crate::membership::scan::{Complete, Scan};
+use crate::message::{Batch, WriteFailure};
+use crate::prelude::*;
+use crate::settings::{Fencing, HOLDER_MARGIN, surely_lapsed};
+use shard::{Claimable, Phase, ShardState};
+
+/// Interval of the scan of the shard rows.
+pub const READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Delay of a claim for each host that is preferred to this one, so that claims rarely collide.
+pub const CLAIM_DELAY: Duration = Duration::from_millis(250);
+
+/// Shortest time between two hand-overs to preferred hosts.
+pub const HANDOVER_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Time that a host must have been live before shards are handed over to it.
+pub const PREFERRED_LIVE: Duration = Duration::from_secs(10);
+
+/// Longest wait for `Released`. Calls to workers time out earlier.
+pub const RELEASE_BOUND: Duration = Duration::from_secs(5);
+
+/// Time after a failed claim before the next one. The host rows that the claim relied on are refreshed in between.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest time that a claim or release waits to be sent.
+const WRITE_EXPIRY: Duration = Duration::from_secs(3);
+
+/// A live host and the moment since which it was seen live.
+struct Live {
+    incarnation: u64,
+    since: Instant,
+}
+
+/// The service.
+pub struct Ownership {
+    state: Box<State>,
+}
+
+impl Ownership {
+    /// A service in its initial state.
+    pub fn new(settings: &Settings) -> Ownership {
+        Ownership { state: Box::new(State::new(settings)) }
+    }
+
+    /// Handles one message.
+    pub fn handle(&mut self, context: &mut Context, message: Message) {
+        self.state.handle(context, message);
+    }
+}
+
+struct State {
+    host: HostId,
+    data_centre: DataCentreId,
+    incarnation: u64,
+    lease: Duration,
+    fencing: Fencing,
+    scan: Scan,
+    /// Reads sent before this moment are older than what is known.
+    reads_from: Option<Instant>,
+    /// Whether the known rows are recent enough to act on.
+    rows_known: bool,
+    hosts: Option<Rc<HostRows>>,
+    live: BTreeMap<HostId, Live>,
+    shards: BTreeMap<u32, ShardState>,
+    lease_until: Option<Instant>,
+    /// Moment from which an earlier incarnation of this host cannot renew its lease.
+    sole_incarnation: Option<Instant>,
+    last_handover: Option<Instant>,
+    stopping: bool,
+    drained: bool,
+    next_tag: Tag,
+}
+
+impl State {
+    fn new(settings: &Settings) -> State {
+        let prefix = row::prefix(&settings.data_centre);
+        State {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: settings.incarnation,
+            lease: settings.ownership_lease,
+            fencing: settings.fencing,
+            scan: Scan::new(prefix, READ_INTERVAL, settings.table_timeout),
+            reads_from: None,
+            rows_known: false,
+            hosts: None,
+            live: BTreeMap::new(),
+            shards: BTreeMap::from([(0, ShardState::default())]),
+            lease_until: None,
+            sole_incarnation: None,
+            last_handover: None,
+            stopping: false,
+            drained: false,
+            next_tag: 0,
+        }
+    }
+
+    fn handle(&mut self, context: &mut Context, message: Message) {
+        // A pause may have outlasted the lease, so this comes before anything that could extend it.
+        self.drop_lapsed(context);
+        match message {
+            Message::Stop => self.stopping = true,
+            Message::Snapshot(snapshot) => {
+                // Shards beyond a lowered number keep their rows and owners, since they may hold work.
+                let number =
+                    snapshot.data_centre(&self.data_centre).map_or(1, |found| found.shards);
+                (0..number.max(1)).for_each(|index| {
+                    self.shards.entry(index).or_default();
+                });
+            }
+            Message::Table { call, result } if self.scan.owns(call) => {
+                if let Some(scan) = self.scan.answer(context, result) {
+                    self.record(context, &scan);
+                }
+            }
+            Message::HostRows(rows) => self.record_hosts(context.now, rows),
+            Message::Renewed { sent } => self.renew(context, sent),
+            Message::Written { tag, result } => self.written(context, tag, result),
+            Message::Fenced { shard, epoch } => self.fenced(context, &shard, epoch),
+            Message::Released { shard } => self.released(context, &shard),
+            _ => {}
+        }
+        self.scan.poll(context, None);
+        self.advance(context);
+    }
+
+    fn shard(&self, index: u32) -> Shard {
+        Shard { data_centre: self.data_centre.clone(), index }
+    }
+
+    /// Index of a shard of this data centre.
+    fn index(&self, shard: &Shard) -> Option<u32> {
+        Some(shard.index).filter(|_| shard.data_centre == self.data_centre)
+    }
+
+    fn is_mine(&self, row: &Row) -> bool {
+        row.owner == self.host && row.incarnation == self.incarnation
+    }
+
+    fn lease_holds(&self, now: Instant) -> bool {
+        self.lease_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether this host may act as an owner.
+    fn may_own(&self, now: Instant) -> bool {
+        self.fencing == Fencing::Epoch || self.lease_holds(now)
+    }
+
+    fn drop_lapsed(&mut self, context: &mut Context) {
+        if self.may_own(context.now) {
+            return;
+        }
+        let indexes: Vec<u32> = self.shards.keys().copied().collect();
+        for index in indexes {
+            self.lose(context, index, "lease lapsed");
+        }
+    }
+
+    fn renew(&mut self, context: &mut Context, sent: Instant) {
+        self.sole_incarnation.get_or_insert(context.now);
+        let until = sent + self.lease;
+        if self.lease_until.is_none_or(|known| known < until) {
+            self.lease_until = Some(until);
+            context.send(Name::Scheduler, Message::Lease { until });
+        }
+    }
+
+    fn record_hosts(&mut self, now: Instant, hosts: Rc<HostRows>) {
+        let lapse = surely_lapsed(self.lease);
+        let live = hosts.rows.iter().filter(|row| row.unchanged < lapse && !row.host.draining);
+        let mut known = std::mem::take(&mut self.live);
+        for row in live.map(|row| &row.host).filter(|row| row.host != self.host) {
+            let before = known.remove(&row.host).filter(|live| live.incarnation == row.incarnation);
+            let live = before.unwrap_or(Live { incarnation: row.incarnation, since: now });
+            self.live.insert(row.host.clone(), live);
+        }
+        self.shards.values_mut().for_each(|shard| shard.record_owner(now, &hosts));
+        self.hosts = Some(hosts);
+    }
+
+    fn record(&mut self, context: &mut Context, scan: &Complete) {
+        if self.reads_from.is_some_and(|from| scan.sent < from) {
+            return;
+        }
+        self.rows_known = true;
+        let mut rows: BTreeMap<u32, _> = BTreeMap::new();
+        for found in &scan.rows {
+            match row::parse(&self.data_centre, found) {
+                Some((index, row)) => {
+                    rows.insert(index, (row, found.version));
+                    self.shards.entry(index).or_default();
+                }
+                None => {
+                    let key = ("key", found.key.clone());
+                    context.log(Level::Error, "shard row is unreadable; delete it", vec![key]);
+                }
+            }
+        }
+        let indexes: Vec<u32> = self.shards.keys().copied().collect();
+        for index in indexes {
+            let row = rows.remove(&index);
+            self.record_row(context, index, row);
+        }
+    }
+
+    fn record_row(&mut self, context: &mut Context, index: u32, row: Option<(Row, u64)>) {
+        let mine = |epoch: Epoch, row: &Option<(Row, u64)>| {
+            let found = row.as_ref().map(|(row, _)| row);
+            found.is_some_and(|row| self.is_mine(row) && row.epoch == epoch && !row.released)
+        };
+        let Some(shard) = self.shards.get(&index) else { return };
+        let (phase, epoch) = (shard.phase, shard.phase.epoch());
+        let confirmed = epoch.is_some_and(|epoch| mine(epoch, &row));
+        if let Some(shard) = self.shards.get_mut(&index) {
+            shard.set_row(context.now, row);
+        }
+        match phase {
+            Phase::Owned { .. } | Phase::HandingOver { .. } if !confirmed => {
+                self.lose(context, index, "row shows another owner");
+            }
+            Phase::Resolving { epoch } if confirmed => self.acquire(context, index, epoch),
+            Phase::Resolving { .. } => self.set_phase(index, Phase::Idle),
+            Phase::Releasing { tag: None, .. } if confirmed => self.write_release(context, index),
+            Phase::Releasing { tag: None, .. } => self.set_phase(index, Phase::Idle),
+            _ => {}
+        }
+    }
+
+    fn set_phase(&mut self, index: u32, phase: Phase) {
+        if let Some(shard) = self.shards.get_mut(&index) {
+            shard.phase = phase;
+        }
+    }
+
+    fn acquire(&mut self, context: &mut Context, index: u32, epoch: Epoch) {
+        if self.stopping {
+            self.write_release(context, index);
+        } else if self.may_own(context.now) {
+            self.set_phase(index, Phase::Owned { epoch });
+            let shard = self.shard(index);
+            let fields = vec![("shard", shard.to_string()), ("epoch", epoch.to_string())];
+            context.log(Level::Info, "shard acquired", fields);
+            context.send(Name::Scheduler, Message::Acquired { shard, epoch });
+        } else {
+            // The row stays with this host, which claims again once its lease holds.
+            self.set_phase(index, Phase::Idle);
+        }
+    }
+
+    /// Ends the ownership of a shard that this host owns.
+    fn lose(&mut self, context: &mut Context, index: u32, reason: &'static str) {
+        let shard = self.shard(index);
+        let Some(state) = self.shards.get_mut(&index).filter(|state| state.phase.owns()) else {
+            return;
+        };
+        state.phase = Phase::Idle;
+        let fields = vec![("shard", shard.to_string()), ("reason", reason.to_owned())];
+        context.log(Level::Info, "shard lost", fields);
+        context.send(Name::Scheduler, Message::Lost { shard });
+    }
+
+    fn fenced(&mut self, context: &mut Context, shard: &Shard, epoch: Epoch) {
+        let Some(index) = self.index(shard) else { return };
+        let Some(state) = self.shards.get_mut(&index) else { return };
+        state.highest = state.highest.max(epoch);
+        if state.phase.epoch().is_some_and(|own| own < epoch) {
+            self.lose(context, index, "worker saw a higher epoch");
+            self.require_read(context.now);
+        }
+    }
+
+    fn released(&mut self, context: &mut Context, shard: &Shard) {
+        let state = self.index(shard).and_then(|index| self.shards.get(&index));
+        if let Some(Phase::HandingOver { .. }) = state.map(|state| state.phase) {
+            self.finish_handover(context, shard.index);
+        }
+    }
+
+    fn finish_handover(&mut self, context: &mut Context, index: u32) {
+        // The scheduler must not act for the shard once the row may say that it is released.
+        self.lose(context, index, "handed over");
+        self.write_release(context, index);
+    }
+
+    fn write_release(&mut self, context: &mut Context, index: u32) {
+        let known = self.shards.get(&index).and_then(|shard| shard.row.clone());
+        if let Some((row, version)) = known {
+            let epoch = row.epoch;
+            let row = Row { released: true, ..row };
+            let tag = self.write(context, index, &row, Some(version), Vec::new());
+            self.set_phase(index, Phase::Releasing { epoch, tag: Some(tag) });
+        }
+    }
+
+    fn write(
+        &mut self,
+        context: &mut Context,
+        index: u32,
+        row: &Row,
+        version: Option<u64>,
+        mut checks: Vec<Check>,
+    ) -> Tag {
+        self.next_tag += 1;
+        let key = row::row_key(&self.shard(index));
+        checks.push(Check { key: key.clone(), version });
+        let value = serde_json::to_string(row).ok();
+        let batch = Batch {
+            reply_to: Name::Ownership,
+            tag: self.next_tag,
+            checks,
+            writes: vec![Write { key, value }],
+            expires: Some(context.now + WRITE_EXPIRY),
+        };
+        context.send(Name::Commit, Message::Write(batch));
+        self.next_tag
+    }
+
+    fn written(&mut self, context: &mut Context, tag: Tag, result: Result<(), WriteFailure>) {
+        let found = self.shards.iter().find(|(_, shard)| shard.phase.tag() == Some(tag));
+        let Some((&index, shard)) = found else { return };
+        match shard.phase {
+            Phase::Claiming { epoch, .. } => self.claim_written(context, index, epoch, result),
+            Phase::Releasing { epoch, .. } => self.release_written(context, index, epoch, result),
+            _ => {}
+        }
+    }
+
+    fn claim_written(
+        &mut self,
+        context: &mut Context,
+        index: u32,
+        epoch: Epoch,
+        result: Result<(), WriteFailure>,
+    ) {
+        match result {
+            Ok(()) => {
+                let row = self.claimed_row(epoch);
+                self.row_written(context.now, index, row);
+                self.acquire(context, index, epoch);
+            }
+            Err(WriteFailure::Unknown) => {
+                self.set_phase(index, Phase::Resolving { epoch });
+                self.require_read(context.now);
+            }
+            Err(WriteFailure::Conflict(_) | WriteFailure::Overloaded | WriteFailure::Expired) => {
+                self.set_phase(index, Phase::Idle);
+                if let Some(shard) = self.shards.get_mut(&index) {
+                    shard.not_before = Some(context.now + CLAIM_RETRY);
+                }
+                self.require_read(context.now);
+            }
+        }
+    }
+
+    fn release_written(
+        &mut self,
+        context: &mut Context,
+        index: u32,
+        epoch: Epoch,
+        result: Result<(), WriteFailure>,
+    ) {
+        match result {
+            Ok(()) => {
+                let row = Row { released: true, ..self.claimed_row(epoch) };
+                self.row_written(context.now, index, row);
+                self.set_phase(index, Phase::Idle);
+            }
+            // The row still shows this host, which keeps the shard rather than leave it without an owner while the table
+            // does not answer.
+            Err(WriteFailure::Overloaded | WriteFailure::Expired) if !self.stopping => {
+                self.acquire(context, index, epoch);
+            }
+            Err(_) => {
+                self.set_phase(index, Phase::Releasing { epoch, tag: None });
+                self.require_read(context.now);
+            }
+        }
+    }
+
+    fn claimed_row(&self, epoch: Epoch) -> Row {
+        let (owner, incarnation) = (self.host.clone(), self.incarnation);
+        Row { owner, incarnation, epoch, released: false }
+    }
+
+    /// Records a write of this host; reads that were sent before may not show it.
+    fn row_written(&mut self, now: Instant, index: u32, row: Row) {
+        self.reads_from = Some(now);
+        self.scan.hasten(now);
+        if let Some(shard) = self.shards.get_mut(&index) {
+            let version = shard.row.as_ref().map_or(0, |(_, version)| *version) + 1;
+            shard.set_row(now, Some((row, version)));
+        }
+    }
+
+    /// Waits for a read that is sent from now on before it acts on rows again.
+    fn require_read(&mut self, now: Instant) {
+        self.reads_from = Some(now);
+        self.rows_known = false;
+        self.scan.hasten(now);
+    }
+
+    fn advance(&mut self, context: &mut Context) {
+        let indexes: Vec<u32> = self.shards.keys().copied().collect();
+        for index in indexes {
+            self.advance_shard(context, index);
+        }
+        match self.stopping {
+            true => self.report_drained(context),
+            false => self.hand_over(context),
+        }
+    }
+
+    fn advance_shard(&mut self, context: &mut Context, index: u32) {
+        let Some(shard) = self.shards.get(&index) else { return };
+        let unreleased =
+            shard.row.as_ref().is_some_and(|(row, _)| self.is_mine(row) && !row.released);
+        match shard.phase {
+            Phase::HandingOver { deadline, .. } if context.now >= deadline => {
+                self.finish_handover(context, index);
+            }
+            Phase::Owned { epoch } if self.stopping => self.begin_handover(context, index, epoch),
+            Phase::Idle if self.stopping && self.rows_known && unreleased => {
+                self.write_release(context, index);
+            }
+            Phase::Idle if !self.stopping => self.consider_claim(context, index),
+            _ => {}
+        }
+    }
+
+    fn begin_handover(&mut self, context: &mut Context, index: u32, epoch: Epoch) {
+        let deadline = context.now + RELEASE_BOUND;
+        self.set_phase(index, Phase::HandingOver { epoch, deadline });
+        context.send(Name::Scheduler, Message::Release { shard: self.shard(index) });
+    }
+
+    /// Hands one shard over to a host that is preferred to this one.
+    fn hand_over(&mut self, context: &mut Context) {
+        let now = context.now;
+        let busy = self.shards.values().any(|shard| shard.phase.is_releasing());
+        let recent = self.last_handover.is_some_and(|last| now < last + HANDOVER_INTERVAL);
+        if busy || recent || !self.lease_holds(now) {
+            return;
+        }
+        let joined =
+            |host: &str| self.live.get(host).is_some_and(|live| now >= live.since + PREFERRED_LIVE);
+        let owned = self.shards.iter().filter_map(|(index, shard)| match shard.phase {
+            Phase::Owned { epoch } => Some((*index, epoch)),
+            _ => None,
+        });
+        let mut unpreferred = owned.filter(|(index, _)| joined(self.ranked(*index)[0]));
+        if let Some((index, epoch)) = unpreferred.next() {
+            self.last_handover = Some(now);
+            self.begin_handover(context, index, epoch);
+        }
+    }
+
+    /// Live hosts including this one, the preferred one first.
+    fn ranked(&self, index: u32) -> Vec<&str> {
+        let hosts = self.live.keys().map(String::as_str).chain([self.host.as_str()]);
+        rank(&self.shard(index), hosts)
+    }
+
+    fn consider_claim(&mut self, context: &mut Context, index: u32) {
+        let now = context.now;
+        // The margin leaves time for the claim. A host without a lease may have no row, and others would take its claim
+        // for one of a replaced host.
+        if !self.rows_known || !self.lease_holds(now + HOLDER_MARGIN) {
+            return;
+        }
+        let Some(hosts) = self.hosts.clone() else { return };
+        let rank = self.ranked(index).iter().position(|host| *host == self.host).unwrap_or(0);
+        let sole_since = self.sole_incarnation;
+        let (host, incarnation, fencing, lease) =
+            (self.host.clone(), self.incarnation, self.fencing, self.lease);
+        let Some(shard) = self.shards.get_mut(&index) else { return };
+        let own = |row: &Row| match row.incarnation == incarnation || fencing == Fencing::Epoch {
+            true => true,
+            false => sole_since.is_some_and(|since| now >= since + surely_lapsed(lease)),
+        };
+        let claimable = match &shard.row {
+            Some((row, _)) if row.owner == host && !row.released => {
+                own(row).then_some(Claimable { checks: Vec::new(), delay: Duration::ZERO })
+            }
+            _ => shard.claimable(&hosts, fencing, surely_lapsed(lease), rank),
+        };
+        let Some(claimable) = shard.wait_for_turn(now, claimable) else { return };
+        let epoch = shard.highest + 1;
+        let version = shard.row.as_ref().map(|(_, version)| *version);
+        let row = self.claimed_row(epoch);
+        let tag = self.write(context, index, &row, version, claimable.checks);
+        self.set_phase(index, Phase::Claiming { epoch, tag });
+    }
+
+    fn report_drained(&mut self, context: &mut Context) {
+        let open = |shard: &ShardState| {
+            let row = shard.row.as_ref().map(|(row, _)| row);
+            shard.phase != Phase::Idle || row.is_some_and(|row| self.is_mine(row) && !row.released)
+        };
+        if !self.drained && !self.shards.values().any(open) {
+            self.drained = true;
+            context.send(Name::Router, Message::Drained(Name::Ownership));
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/shard_ownership.rs
@@ -0,0 +1,193 @@
+//! Ownership: claims, epochs and leases under faults.
+
+#[path = "support/ownership_site.rs"]
+mod ownership_site;
+
+use ownership_site::{Loss, Site};
+use shallotpost_control::prelude::*;
+use shallotpost_control::settings::{Fencing, surely_lapsed};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const FENCINGS: [Fencing; 2] = [Fencing::Epoch, Fencing::None];
+
+/// A site with hosts `a` to `c` that has run for 20 s, and the node that owns shard 0.
+fn settled(fencing: Fencing) -> (Site, usize) {
+    let mut site = Site::new(&["a", "b", "c"], fencing);
+    site.pass(SECOND * 20);
+    let owner = site.owner(0).expect("an owner");
+    (site, owner)
+}
+
+/// A fault at the owner (a node) and what follows from it.
+struct Case {
+    name: &'static str,
+    fencing: &'static [Fencing],
+    fault: fn(&mut Site, usize),
+    /// Whether the owner loses the shard to another host.
+    moves: bool,
+    /// Whether the epoch rises.
+    rises: bool,
+}
+
+/// Guards against a shard without a live owner, with two owners, or taken from an owner that may still act. The site
+/// checks after every tick that no epoch has two owners, that no epoch falls, and that without fencing no two act.
+#[test]
+fn each_fault_leaves_exactly_one_rightful_owner() {
+    let cases = [
+        Case {
+            name: "owner dies",
+            fencing: &FENCINGS,
+            fault: |site, owner| site.nodes[owner].running = false,
+            moves: true,
+            rises: true,
+        },
+        Case {
+            name: "owner is paused past its lease and woken",
+            fencing: &FENCINGS,
+            fault: |site, owner| {
+                site.nodes[owner].paused = true;
+                site.pass(SECOND * 6);
+                site.nodes[owner].paused = false;
+                site.pass(SECOND * 2);
+            },
+            moves: true,
+            rises: true,
+        },
+        Case {
+            name: "owner is paused past its lease, but for less than the observers wait",
+            fencing: &[Fencing::None],
+            fault: |site, owner| {
+                site.nodes[owner].paused = true;
+                site.pass(Duration::from_millis(3200));
+                site.nodes[owner].paused = false;
+            },
+            moves: false,
+            rises: true,
+        },
+        Case {
+            name: "owner is paused for less than its lease",
+            fencing: &FENCINGS,
+            fault: |site, owner| {
+                site.nodes[owner].paused = true;
+                site.pass(SECOND * 2);
+                site.nodes[owner].paused = false;
+            },
+            moves: false,
+            rises: false,
+        },
+        Case {
+            name: "host row of a replaced incarnation",
+            fencing: &FENCINGS,
+            fault: |site, owner| {
+                site.nodes[owner].running = false;
+                let host = ["a", "b", "c"][owner];
+                site.join(host, 2);
+            },
+            moves: true,
+            rises: true,
+        },
+        Case {
+            name: "only the owner is cut from the table",
+            fencing: &FENCINGS,
+            fault: |site, owner| site.nodes[owner].cut = true,
+            moves: true,
+            rises: true,
+        },
+        Case {
+            name: "table is down for an hour",
+            fencing: &[Fencing::Epoch],
+            fault: |site, _| {
+                site.nodes.iter_mut().for_each(|node| node.cut = true);
+                site.pass(SECOND * 3600);
+                site.nodes.iter_mut().for_each(|node| node.cut = false);
+            },
+            moves: false,
+            rises: false,
+        },
+    ];
+    for case in cases {
+        for fencing in case.fencing {
+            let name = format!("{}, fencing {fencing}", case.name);
+            let (mut site, before) = settled(*fencing);
+            let epoch = site.row(0).expect("a row").epoch;
+            (case.fault)(&mut site, before);
+            site.pass(SECOND * 8);
+            let row = site.row(0).expect("a row");
+            let after = site.owner(0).unwrap_or_else(|| panic!("{name}: no single owner"));
+            assert_eq!(after != before, case.moves, "{name}");
+            assert_eq!(row.epoch > epoch, case.rises, "{name}");
+            assert_eq!(site.nodes[after].held[&0], row.epoch, "{name}");
+        }
+    }
+}
+
+/// Guards against a claim whose answer is lost being dropped or repeated blindly.
+#[test]
+fn lost_answers_of_claims_are_resolved_by_a_read() {
+    for (loss, epoch) in [(Loss::After, 1), (Loss::Before, 1)] {
+        let mut site = Site::new(&["a"], Fencing::Epoch);
+        site.nodes[0].loss = Some(loss);
+        let took = site.pass_until(SECOND * 10, |site| site.owner(0).is_some());
+        assert!(took < SECOND * 2, "{loss:?}: {took:?}");
+        assert_eq!(site.row(0).map(|row| row.epoch), Some(epoch), "{loss:?}");
+        assert_eq!(site.nodes[0].loss, None, "{loss:?}: a claim was sent");
+    }
+}
+
+/// Guards against two hosts that start at once and claim the same shard both owning it.
+#[test]
+fn colliding_claims_leave_one_owner() {
+    let mut site = Site::new(&["a", "b"], Fencing::Epoch);
+    site.pass(SECOND * 3);
+    assert!(site.conflicts > 0, "the claims did not collide");
+    assert!(site.owner(0).is_some());
+    assert_eq!(site.row(0).map(|row| row.epoch), Some(1));
+}
+
+/// Guards against a takeover before the lease has surely lapsed, and against an idle shard for long after.
+#[test]
+fn takeover_follows_the_lapse_of_the_lease() {
+    let (mut site, owner) = settled(Fencing::Epoch);
+    site.nodes[owner].running = false;
+    let others = |site: &Site| site.owner(0).is_some();
+    let took = site.pass_until(SECOND * 20, others);
+    let lapse = surely_lapsed(SECOND * 3);
+    // The last heartbeat was at most 0.5 s before, the read that showed it at most 1 s after it.
+    assert!(took >= lapse - SECOND / 2 && took < lapse + SECOND * 2, "{took:?}");
+}
+
+/// Guards against a data centre without the table losing its owner despite fencing, and keeping it without.
+#[test]
+fn data_centre_cut_from_the_table() {
+    for (fencing, kept) in [(Fencing::Epoch, true), (Fencing::None, false)] {
+        let (mut site, owner) = settled(fencing);
+        site.nodes.iter_mut().for_each(|node| node.cut = true);
+        let lost = |site: &Site| site.nodes[owner].held.is_empty();
+        let took = site.pass_until(SECOND * 60, lost);
+        assert_eq!(took == SECOND * 60, kept, "{fencing}");
+        assert!(kept || took <= SECOND * 3, "{fencing}: {took:?}");
+        let epoch = site.row(0).map(|row| row.epoch);
+        site.nodes.iter_mut().for_each(|node| node.cut = false);
+        site.pass(SECOND * 5);
+        assert_eq!(site.owner(0), Some(owner), "{fencing}");
+        assert_eq!(site.row(0).map(|row| row.epoch) == epoch, kept, "{fencing}");
+    }
+}
+
+/// Guards against an owner that acts on after a worker saw a higher epoch, and against a claim that stays below it.
+#[test]
+fn fenced_owner_loses_the_shard_at_once() {
+    for (above, lost) in [(0, false), (3, true)] {
+        let (mut site, owner) = settled(Fencing::Epoch);
+        let own = site.row(0).expect("a row").epoch;
+        let seen = own + above;
+        let shard = Shard { data_centre: "north".to_owned(), index: 0 };
+        site.deliver(owner, Name::Ownership, Message::Fenced { shard, epoch: seen });
+        assert_eq!(site.nodes[owner].held.is_empty(), lost, "epoch {seen}");
+        site.pass(SECOND * 3);
+        let expected = if lost { seen + 1 } else { own };
+        assert_eq!(site.row(0).map(|row| row.epoch), Some(expected), "epoch {seen}");
+        assert!(site.owner(0).is_some());
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-control/tests/support/ownership_site.rs
@@ -0,0 +1,317 @@
+//! Drives the `Membership` and `Ownership` services of the hosts of one data centre against one table under virtual
+//! time, with a minimal group commit and scheduler, and checks the invariants of ownership after each tick.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use shallotpost_control::kernel::TICK;
+use shallotpost_control::membership::Membership;
+use shallotpost_control::message::{Batch, WriteFailure};
+use shallotpost_control::ownership::Ownership;
+use shallotpost_control::ownership::row::{Row, row_key};
+use shallotpost_control::prelude::*;
+use shallotpost_control::settings::Fencing;
+use shallotpost_protocol::host::{self, Host};
+use shallotpost_protocol::table::{Check, Reply, Request, Write};
+use shallotpost_standin::table::Table;
+
+/// Time from a table call to its answer.
+const LATENCY: Duration = Duration::from_millis(20);
+
+/// What happens to the next transaction that writes a shard row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It takes effect, and the answer is lost.
+    After,
+    /// It does not take effect, and the answer is lost.
+    Before,
+}
+
+/// One entry host.
+pub struct Node {
+    pub running: bool,
+    pub paused: bool,
+    /// Whether it cannot reach the table.
+    pub cut: bool,
+    pub loss: Option<Loss>,
+    /// Whether the scheduler answers `Release`.
+    pub releases: bool,
+    /// Messages to the scheduler and the router.
+    pub sent: Vec<(Instant, Message)>,
+    pub draining: bool,
+    pub held: BTreeMap<u32, Epoch>,
+    pub lease: Option<Instant>,
+    settings: Settings,
+    membership: Membership,
+    ownership: Ownership,
+    next_call: u64,
+    row_version: Option<u64>,
+    heartbeat: Option<Instant>,
+    batches: VecDeque<Batch>,
+}
+
+/// The data centre.
+pub struct Site {
+    pub now: Instant,
+    pub table: Table,
+    pub nodes: Vec<Node>,
+    fencing: Fencing,
+    queue: BTreeMap<(Instant, u64), (usize, Name, Message)>,
+    queued: u64,
+    /// Conflicts of claims and releases.
+    pub conflicts: u32,
+    owners: BTreeMap<(u32, Epoch), (HostId, u64)>,
+    row_epochs: BTreeMap<String, Epoch>,
+}
+
+impl Site {
+    pub fn new(hosts: &[&str], fencing: Fencing) -> Site {
+        let mut site = Site {
+            now: Instant::now(),
+            table: Table::default(),
+            nodes: Vec::new(),
+            fencing,
+            queue: BTreeMap::new(),
+            queued: 0,
+            conflicts: 0,
+            owners: BTreeMap::new(),
+            row_epochs: BTreeMap::new(),
+        };
+        hosts.iter().for_each(|host| site.join(host, 1));
+        site
+    }
+
+    pub fn join(&mut self, host: &str, incarnation: u64) {
+        let settings =
+            Settings { incarnation, fencing: self.fencing, ..Settings::new(host, "north") };
+        self.nodes.push(Node {
+            running: true,
+            paused: false,
+            cut: false,
+            loss: None,
+            releases: true,
+            sent: Vec::new(),
+            held: BTreeMap::new(),
+            lease: None,
+            membership: Membership::new(&settings),
+            ownership: Ownership::new(&settings),
+            settings,
+            next_call: 0,
+            draining: false,
+            row_version: None,
+            heartbeat: None,
+            batches: VecDeque::new(),
+        });
+        // A new incarnation reads the version of the row that it takes over.
+        let row = self.table.row(&host::row_key("north", host));
+        self.nodes.last_mut().expect("a node").row_version = row.map(|row| row.version);
+    }
+
+    /// The only running node with access to the table that holds the shard.
+    pub fn owner(&self, shard: u32) -> Option<usize> {
+        let holds = |index: &usize| {
+            let node = &self.nodes[*index];
+            node.running && !node.cut && node.held.contains_key(&shard)
+        };
+        let owners: Vec<usize> = (0..self.nodes.len()).filter(holds).collect();
+        match owners.as_slice() {
+            [only] => Some(*only),
+            _ => None,
+        }
+    }
+
+    pub fn row(&self, shard: u32) -> Option<Row> {
+        let shard = Shard { data_centre: "north".to_owned(), index: shard };
+        Some(serde_json::from_str(&self.table.row(&row_key(&shard))?.value).expect("a shard row"))
+    }
+
+    pub fn pass(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += TICK;
+            self.tick();
+        }
+    }
+
+    /// Passes time until the condition holds; returns how long that took, at most `bound`.
+    pub fn pass_until(&mut self, bound: Duration, condition: impl Fn(&Site) -> bool) -> Duration {
+        let start = self.now;
+        while !condition(self) && self.now < start + bound {
+            self.pass(TICK);
+        }
+        self.now - start
+    }
+
+    pub fn deliver(&mut self, node: usize, name: Name, message: Message) {
+        let mut context = Context::new(name, self.now, 0, self.nodes[node].next_call);
+        match name {
+            Name::Membership => self.nodes[node].membership.handle(&mut context, message),
+            _ => self.nodes[node].ownership.handle(&mut context, message),
+        }
+        self.nodes[node].next_call = context.next_call();
+        for effect in context.effects {
+            if let Effect::Table { call, request, timeout } = effect {
+                let (result, delay) = match self.nodes[node].cut {
+                    true => (Err(Failure::Ambiguous), timeout),
+                    false => (Ok(self.table.handle(&request)), LATENCY),
+                };
+                self.enqueue(node, name, Message::Table { call, result }, delay);
+            }
+        }
+        for (to, message) in context.messages {
+            self.send(node, to, message);
+        }
+    }
+
+    fn enqueue(&mut self, node: usize, name: Name, message: Message, delay: Duration) {
+        self.queued += 1;
+        self.queue.insert((self.now + delay, self.queued), (node, name, message));
+    }
+
+    fn send(&mut self, index: usize, to: Name, message: Message) {
+        let node = &mut self.nodes[index];
+        match (to, &message) {
+            (Name::Ownership, _) => self.enqueue(index, to, message, Duration::ZERO),
+            (Name::Commit, Message::Write(batch)) => node.batches.push_back(batch.clone()),
+            (Name::Scheduler | Name::Router, _) => {
+                node.sent.push((self.now, message.clone()));
+                self.act_as_scheduler(index, message);
+            }
+            _ => {}
+        }
+    }
+
+    fn act_as_scheduler(&mut self, index: usize, message: Message) {
+        let node = &mut self.nodes[index];
+        match message {
+            Message::Acquired { shard, epoch } => {
+                node.held.insert(shard.index, epoch);
+                let owner = (node.settings.host.clone(), node.settings.incarnation);
+                let known = self.owners.entry((shard.index, epoch)).or_insert(owner.clone());
+                assert_eq!(*known, owner, "two owners of {shard} in epoch {epoch}");
+            }
+            Message::Lost { shard } => {
+                node.held.remove(&shard.index);
+            }
+            Message::Lease { until } => node.lease = Some(until),
+            Message::Release { shard } if node.releases => {
+                self.enqueue(index, Name::Ownership, Message::Released { shard }, LATENCY * 2);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let due: Vec<_> = self.queue.range(..=(self.now, u64::MAX)).map(|(key, _)| *key).collect();
+        for key in due {
+            // What reaches a paused process waits until it runs again.
+            let node = self.queue[&key].0;
+            if !self.nodes[node].paused {
+                let (node, name, message) = self.queue.remove(&key).expect("queued");
+                if self.nodes[node].running {
+                    self.deliver(node, name, message);
+                }
+            }
+        }
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].running && !self.nodes[node].paused {
+                self.deliver(node, Name::Membership, Message::Tick);
+                self.deliver(node, Name::Ownership, Message::Tick);
+                self.commit(node);
+            }
+        }
+        self.check();
+    }
+
+    /// Group commit of one batch at a time.
+    fn commit(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.cut {
+            let due = |batch: &Batch| batch.expires.is_some_and(|at| now >= at);
+            let expired = node.batches.front().is_some_and(due);
+            if expired && let Some(batch) = node.batches.pop_front() {
+                let result = Err(WriteFailure::Expired);
+                self.enqueue(
+                    index,
+                    batch.reply_to,
+                    Message::Written { tag: batch.tag, result },
+                    LATENCY,
+                );
+            }
+            return;
+        }
+        let batch = node.batches.pop_front();
+        if batch.is_none() && node.heartbeat.is_some_and(|last| now < last + LATENCY * 25) {
+            return;
+        }
+        let shards = batch.as_ref().is_some_and(|batch| batch.writes[0].key.starts_with("shards/"));
+        let loss = if shards { node.loss.take() } else { None };
+        let reply = match loss {
+            Some(Loss::Before) => Reply::Committed,
+            _ => self.transact(index, batch.as_ref()),
+        };
+        let result = match (loss, reply) {
+            (Some(_), _) => Err(WriteFailure::Unknown),
+            (None, Reply::Conflict { keys }) => {
+                self.conflicts += u32::from(shards);
+                Err(WriteFailure::Conflict(keys))
+            }
+            _ => Ok(()),
+        };
+        if result.is_ok() {
+            self.enqueue(index, Name::Ownership, Message::Renewed { sent: now }, LATENCY);
+        }
+        if let Some(batch) = batch {
+            self.enqueue(
+                index,
+                batch.reply_to,
+                Message::Written { tag: batch.tag, result },
+                LATENCY,
+            );
+        }
+    }
+
+    fn transact(&mut self, index: usize, batch: Option<&Batch>) -> Reply {
+        let node = &mut self.nodes[index];
+        let Settings { host, incarnation, .. } = node.settings.clone();
+        let key = host::row_key("north", &host);
+        let value = Host {
+            host,
+            data_centre: "north".to_owned(),
+            incarnation,
+            peer_address: String::new(),
+            http_address: String::new(),
+            sequence: 0,
+            applied: 0,
+            draining: node.draining,
+        };
+        let mut checks = vec![Check { key: key.clone(), version: node.row_version }];
+        let value = Some(serde_json::to_string(&value).expect("serialises"));
+        let mut writes = vec![Write { key: key.clone(), value }];
+        if let Some(batch) = batch {
+            checks.extend(batch.checks.clone());
+            writes.extend(batch.writes.clone());
+        }
+        let reply = self.table.handle(&Request::Transact { checks, writes });
+        if reply == Reply::Committed {
+            node.row_version = Some(node.row_version.unwrap_or(0) + 1);
+            node.heartbeat = Some(self.now);
+        }
+        reply
+    }
+
+    fn check(&mut self) {
+        for row in self.table.rows("shards/") {
+            let epoch = serde_json::from_str::<Row>(&row.value).expect("a shard row").epoch;
+            let before = self.row_epochs.insert(row.key.clone(), epoch).unwrap_or(0);
+            assert!(epoch >= before, "epoch of {} fell from {before} to {epoch}", row.key);
+        }
+        if self.fencing == Fencing::None {
+            let acts = |node: &&Node| {
+                let leased = node.lease.is_some_and(|until| self.now < until);
+                node.running && !node.paused && leased && node.held.contains_key(&0)
+            };
+            assert!(self.nodes.iter().filter(acts).count() <= 1, "two hosts act without fencing");
+        }
+    }
+}
