--- a/crates/shallotpost-cli/src/main.rs
+++ b/crates/shallotpost-cli/src/main.rs
@@ -11,7 +11,7 @@
         env::args_os().skip(1).map(|argument| argument.to_string_lossy().into_owned()).collect();
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(report) => fail(&report, arguments.iter().any(|argument| argument == "--json")),
+        Err(report) => fail(&report, asks_for_json(&arguments)),
     }
 }
 
@@ -20,6 +20,11 @@
     Ok(())
 }
 
+/// Whether `--json` is given; the command of submitted work, after `--`, does not count.
+fn asks_for_json(arguments: &[String]) -> bool {
+    arguments.iter().take_while(|argument| *argument != "--").any(|argument| argument == "--json")
+}
+
 /// Prints the failure to standard error and selects the exit code by its kind.
 fn fail(report: &eyre::Report, json: bool) -> ExitCode {
     match report.downcast_ref::<Error>() {
