--- /dev/null
+++ b/crates/shallotpost-daemon/examples/quickstart.rs
@@ -0,0 +1,248 @@
+//! Starts stand-ins and three daemons in one process, runs one piece of work of each class, and prints what happened.
+//!
+//! Exits with 0 only if every piece of work was placed and ended as it should.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use eyre::{WrapErr, bail, ensure};
+use shallotpost_cli::client::{Call, Client, Effect};
+use shallotpost_cli::secret::Key as Credential;
+use shallotpost_daemon::daemon::Daemon;
+use shallotpost_daemon::settings;
+use shallotpost_protocol::interface::Reply;
+use shallotpost_protocol::key;
+use shallotpost_protocol::resource::{Availability, DataCentre, Key, Resource, Right, Team};
+use shallotpost_protocol::size::Size;
+use shallotpost_protocol::work::{Class, Ending, Phase, Specification, Status};
+use shallotpost_standin::settings::{Fleet, Settings as FleetSettings, WorkerSettings};
+use ureq::http::Method;
+
+/// Time within which everything must have happened.
+const BOUND: Duration = Duration::from_secs(50);
+
+/// Interval at which the status is read while something is awaited.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Capacity of each worker.
+const CAPACITY: Size = Size { processors_milli: 16_000, memory_mib: 65_536, accelerators: 2, slots: 8 };
+
+/// Secret of the bootstrap key of this run.
+const BOOTSTRAP_SECRET: &str = "quickstart";
+
+/// One line of the printed table.
+struct Row {
+    class: &'static str,
+    id: String,
+    shard: String,
+    placed: String,
+    end: String,
+    took: Duration,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(rows) => {
+            print(&rows);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("quickstart: {error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> eyre::Result<Vec<Row>> {
+    let deadline = Instant::now() + BOUND;
+    let fleet = start_fleet().wrap_err("the stand-ins cannot be started")?;
+    let platform = fleet.platform.address();
+    let daemons = [("host-a", "kochi"), ("host-b", "kochi"), ("host-c", "thrissur")]
+        .map(|(host, data_centre)| start_daemon(host, data_centre, platform));
+    let daemons = daemons.into_iter().collect::<eyre::Result<Vec<Daemon>>>()?;
+    let servers: Vec<String> =
+        daemons.iter().map(|daemon| format!("http://{}", daemon.http_address())).collect();
+    let operator = client(&servers, &format!("bootstrap.{BOOTSTRAP_SECRET}"))?;
+    set_up(&operator, deadline)?;
+    // The submission goes through the first host, everything else through the last one.
+    let submitter = client(&servers[..1], "laundry-key.laundry")?;
+    let reader = client(&servers[2..], "laundry-key.laundry")?;
+    let rows = specifications()
+        .into_iter()
+        .map(|specification| run_work(&submitter, &reader, &specification, deadline))
+        .collect::<eyre::Result<Vec<Row>>>()?;
+    daemons.iter().for_each(Daemon::stop);
+    daemons.into_iter().try_for_each(Daemon::join)?;
+    Ok(rows)
+}
+
+fn start_fleet() -> std::io::Result<Fleet> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let worker = |data_centre: &str, index: usize| WorkerSettings {
+        worker: format!("{data_centre}-{index}"),
+        address: any,
+        data_centre: data_centre.to_owned(),
+        rack: format!("{data_centre}-rack-{}", index / 2),
+        capacity: CAPACITY,
+    };
+    let workers = ["kochi", "thrissur"]
+        .into_iter()
+        .flat_map(|data_centre| (0..4).map(move |index| worker(data_centre, index)));
+    Fleet::start(&FleetSettings { platform: any, list_lag_ms: 0, workers: workers.collect() })
+}
+
+fn start_daemon(host: &str, data_centre: &str, platform: SocketAddr) -> eyre::Result<Daemon> {
+    let document = serde_json::json!({
+        "host": host,
+        "data_centre": data_centre,
+        "http_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "platform": {
+            "table": format!("http://{platform}/table"),
+            "objects": format!("http://{platform}/objects"),
+            "list": format!("http://{platform}/list"),
+        },
+        "bootstrap_digest": key::digest(BOOTSTRAP_SECRET.as_bytes()),
+        "log": {"level": "error"},
+    });
+    match settings::parse(&document.to_string()) {
+        Ok(settings) => Daemon::start(&settings),
+        Err(faults) => bail!("{faults:#?}"),
+    }
+}
+
+fn client(servers: &[String], presented: &str) -> eyre::Result<Client> {
+    Ok(Client::new(servers.to_vec(), Some(presented.parse::<Credential>()?)))
+}
+
+/// Creates two data centres, a team and its key.
+fn set_up(operator: &Client, deadline: Instant) -> eyre::Result<()> {
+    for name in ["kochi", "thrissur"] {
+        let resource = Resource::DataCentre(DataCentre { availability: Availability::Active, shards: 1 });
+        put(operator, name, &resource, deadline)?;
+    }
+    let team = Team { share: 1, cap: Size { slots: 40, ..Size::from_parts([u64::MAX; 4]) } };
+    put(operator, "laundry", &Resource::Team(team), deadline)?;
+    let right = Right::Team("laundry".to_owned());
+    let key = Key { right, digest: key::digest(b"laundry"), expires_unix_ms: None };
+    put(operator, "laundry-key", &Resource::Key(key), deadline)
+}
+
+/// Puts a resource; the entry hosts may still be starting.
+fn put(operator: &Client, name: &str, resource: &Resource, deadline: Instant) -> eyre::Result<()> {
+    let path = format!("/v1/resources/{}/{name}", resource.kind());
+    let call = Call::change(Method::PUT, path, Effect::Repeatable, String::new()).json(resource);
+    retry(deadline, || operator.send(&call)).map(|_| ())
+}
+
+fn specifications() -> Vec<Specification> {
+    let work = |id: &str, class: Class, command: &[&str]| Specification {
+        id: id.to_owned(),
+        team: "laundry".to_owned(),
+        class,
+        size: Size::from_parts([2000, 4096, 0, 1]),
+        command: command.iter().map(|word| (*word).to_owned()).collect(),
+        run_time: None,
+        idempotent: true,
+        deadline_unix_ms: None,
+        data_centres: Vec::new(),
+        queue: None,
+        input: None,
+        attempts: 3,
+    };
+    let invoice = Specification { idempotent: false, ..work("invoice", Class::Batch, &["run", "300"]) };
+    let inspection = Specification {
+        size: Size::from_parts([2000, 4096, 1, 1]),
+        ..work("inspection", Class::Gang { parts: 4 }, &["run", "500"])
+    };
+    vec![
+        work("intake", Class::Service { replicas: 3 }, &["serve"]),
+        work("report", Class::Batch, &["run", "300"]),
+        invoice,
+        inspection,
+        work("stain-alarm", Class::Urgent, &["run", "200"]),
+    ]
+}
+
+fn run_work(
+    submitter: &Client,
+    reader: &Client,
+    specification: &Specification,
+    deadline: Instant,
+) -> eyre::Result<Row> {
+    let begin = Instant::now();
+    let work = specification.work_id();
+    let call = Call::change(Method::POST, "/v1/work".to_owned(), Effect::Repeatable, String::new());
+    let accepted = retry(deadline, || submitter.send(&call.clone().json(specification)))?;
+    let Reply::Accepted { shard, .. } = accepted else { bail!("{work}: {accepted:?}") };
+    let service = matches!(specification.class, Class::Service { .. });
+    let mut placed = String::new();
+    if service {
+        placed = await_running(reader, &format!("/v1/work/{work}"), specification.class.tasks(), deadline)?;
+        let path = format!("/v1/work/{work}/cancel");
+        let cancel = Call::change(Method::POST, path, Effect::Repeatable, String::new());
+        retry(deadline, || submitter.send(&cancel))?;
+    }
+    let wait = Call::get(format!("/v1/work/{work}/wait")).waiting(Duration::from_secs(5));
+    let reply = retry(deadline, || reader.send(&wait))?;
+    let Reply::Outcome(outcome) = reply else { bail!("{work}: {reply:?}") };
+    let expected = if service { Ending::Cancelled } else { Ending::Succeeded };
+    ensure!(outcome.ending == expected, "{work} ended {outcome:?}, expected {expected}");
+    Ok(Row {
+        class: specification.class.name(),
+        id: specification.id.clone(),
+        shard: shard.to_string(),
+        placed,
+        end: outcome.ending.to_string(),
+        took: begin.elapsed(),
+    })
+}
+
+/// Waits until every task runs; returns the workers.
+fn await_running(reader: &Client, path: &str, tasks: u32, deadline: Instant) -> eyre::Result<String> {
+    loop {
+        let reply = retry(deadline, || reader.send(&Call::get(path)))?;
+        let Reply::Status(status) = reply else { bail!("{path}: {reply:?}") };
+        let workers = running_workers(&status);
+        if workers.len() as u32 == tasks {
+            return Ok(workers.join(" "));
+        }
+        ensure!(Instant::now() < deadline, "{path}: {} of {tasks} tasks run", workers.len());
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+fn running_workers(status: &Status) -> Vec<String> {
+    let running = status.tasks.iter().filter(|task| task.phase == Phase::Running);
+    running.filter_map(|task| task.worker.clone()).collect()
+}
+
+/// Repeats a call that fails until the deadline; every call here is repeatable.
+fn retry<T>(
+    deadline: Instant,
+    call: impl Fn() -> Result<T, shallotpost_cli::Error>,
+) -> eyre::Result<T> {
+    loop {
+        match call() {
+            Ok(reply) => return Ok(reply),
+            Err(error) if Instant::now() >= deadline => return Err(error.into()),
+            Err(_) => std::thread::sleep(POLL_INTERVAL),
+        }
+    }
+}
+
+fn print(rows: &[Row]) {
+    println!("{:<8} {:<12} {:<12} {:<10} {:>8}  RAN ON", "CLASS", "ID", "SHARD", "END", "MS");
+    for row in rows {
+        println!(
+            "{:<8} {:<12} {:<12} {:<10} {:>8}  {}",
+            row.class,
+            row.id,
+            row.shard,
+            row.end,
+            row.took.as_millis(),
+            row.placed
+        );
+    }
+}
