--- /dev/null
+++ b/crates/shallotpost-edge/src/calls.rs
@@ -0,0 +1,142 @@
+//! Calls to the table service, the worker list and the workers.
+
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use shallotpost_protocol::identity::{Address, CallId};
+use shallotpost_protocol::port::{Event, Failure};
+use shallotpost_protocol::{table, worker};
+
+use crate::client::Client;
+use crate::pool::{Limits, Pool};
+use crate::settings::Settings;
+
+/// Stack of a calling thread, in bytes.
+const STACK: usize = 128 << 10;
+
+/// Executes calls on pools of threads.
+pub struct Calls {
+    events: Sender<Event>,
+    client: Arc<Client>,
+    table_url: String,
+    list_url: String,
+    table: Pool,
+    list: Pool,
+    workers: Pool,
+}
+
+/// Which event answers a call.
+#[derive(Clone, Copy)]
+enum Kind {
+    Table,
+    Worker,
+    List,
+}
+
+/// Sends the failure when it is dropped without an answer, so that each call gets exactly one event.
+struct Unanswered {
+    events: Sender<Event>,
+    kind: Kind,
+    call: CallId,
+    failure: Option<Failure>,
+}
+
+impl Calls {
+    /// Pools with the sizes of the settings.
+    pub fn new(settings: &Settings, events: Sender<Event>) -> Calls {
+        let limits = |threads| Limits { threads, queue: 0, stack: STACK };
+        Calls {
+            events,
+            client: Arc::default(),
+            table_url: settings.table_url.clone(),
+            list_url: settings.list_url.clone(),
+            table: Pool::new("edge-table", limits(settings.table_threads)),
+            list: Pool::new("edge-list", limits(settings.list_threads)),
+            workers: Pool::new("edge-worker", limits(settings.worker_threads)),
+        }
+    }
+
+    /// Calls the table service.
+    pub fn table(&self, call: CallId, request: table::Request, timeout: Duration) {
+        let (client, url) = (Arc::clone(&self.client), self.table_url.clone());
+        let deadline = Instant::now() + timeout;
+        let unanswered = self.unanswered(Kind::Table, call);
+        self.table.execute(Box::new(move || {
+            let unanswered = unanswered.started();
+            let result = client.post(&url, &url, &request, deadline);
+            unanswered.answer(Event::Table { call, result });
+        }));
+    }
+
+    /// Calls a worker.
+    pub fn worker(
+        &self,
+        call: CallId,
+        address: Address,
+        request: worker::Request,
+        timeout: Duration,
+    ) {
+        let client = Arc::clone(&self.client);
+        let deadline = Instant::now() + timeout;
+        let unanswered = self.unanswered(Kind::Worker, call);
+        self.workers.execute(Box::new(move || {
+            let unanswered = unanswered.started();
+            let url = format!("http://{address}/");
+            let result = client.post(&address, &url, &request, deadline);
+            unanswered.answer(Event::Worker { call, result });
+        }));
+    }
+
+    /// Reads the worker list.
+    pub fn list(&self, call: CallId, timeout: Duration) {
+        let (client, url) = (Arc::clone(&self.client), self.list_url.clone());
+        let deadline = Instant::now() + timeout;
+        let unanswered = self.unanswered(Kind::List, call);
+        self.list.execute(Box::new(move || {
+            let unanswered = unanswered.started();
+            let result = client.get(&url, &url, deadline);
+            unanswered.answer(Event::List { call, result });
+        }));
+    }
+
+    /// Lets the threads end after their current calls; later calls are not sent.
+    pub fn close(&self) {
+        [&self.table, &self.list, &self.workers].into_iter().for_each(Pool::close);
+    }
+
+    /// Waits until the threads of closed pools have ended, at most until `deadline`. Returns whether they have.
+    pub fn join(&self, deadline: Instant) -> bool {
+        [&self.table, &self.list, &self.workers].into_iter().all(|pool| pool.join(deadline))
+    }
+
+    fn unanswered(&self, kind: Kind, call: CallId) -> Unanswered {
+        let events = self.events.clone();
+        Unanswered { events, kind, call, failure: Some(Failure::NotSent) }
+    }
+}
+
+impl Unanswered {
+    /// From here on bytes may be sent.
+    fn started(mut self) -> Unanswered {
+        self.failure = Some(Failure::Ambiguous);
+        self
+    }
+
+    fn answer(mut self, event: Event) {
+        self.failure = None;
+        let _ = self.events.send(event);
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let Some(failure) = self.failure.take() else { return };
+        let (call, failed) = (self.call, failure);
+        let _ = self.events.send(match self.kind {
+            Kind::Table => Event::Table { call, result: Err(failed) },
+            Kind::Worker => Event::Worker { call, result: Err(failed) },
+            Kind::List => Event::List { call, result: Err(failed) },
+        });
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/client.rs
@@ -0,0 +1,240 @@
+//! HTTP client for the platform and the workers.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use shallotpost_protocol::port::Failure;
+use ureq::config::Config;
+use ureq::http::{Response, Uri};
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{
+    Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
+};
+use ureq::{Agent, Body, Error, Timeout};
+
+/// A pooled connection older than this is not used again.
+pub const CONNECTION_AGE_MAX: Duration = Duration::from_secs(60);
+
+/// A pooled connection that was idle for longer than this is not used again.
+pub const CONNECTION_IDLE_MAX: Duration = Duration::from_secs(5);
+
+/// Connecting takes at most this long, so that an unreachable address is told from a lost answer.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Longest answer to a call, in bytes; a scan of 1,000 rows with the largest records stays below it.
+pub const ANSWER_LENGTH_MAX: u64 = 16 << 20;
+
+/// Idle connections kept per address.
+const IDLE_CONNECTIONS: usize = 8;
+
+/// Buffer of a connection in each direction, in bytes.
+const BUFFER_LENGTH: usize = 8 << 10;
+
+/// Number of addresses after which agents that were not used for [`CONNECTION_AGE_MAX`] are dropped.
+const AGENTS_KEPT: usize = 256;
+
+/// HTTP client with one connection pool per address, so that a fault at one address costs the others nothing.
+pub struct Client {
+    buffer_length: usize,
+    agents: Mutex<HashMap<String, (Agent, Instant)>>,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::with_buffers(BUFFER_LENGTH)
+    }
+}
+
+impl Client {
+    /// A client whose connections have buffers of this many bytes in each direction.
+    pub fn with_buffers(buffer_length: usize) -> Client {
+        Client { buffer_length, agents: Mutex::default() }
+    }
+
+    /// Posts `body` as JSON and parses the JSON answer. `address` selects the connection pool.
+    pub fn post<T: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        url: &str,
+        body: &T,
+        deadline: Instant,
+    ) -> Result<R, Failure> {
+        let body = serde_json::to_vec(body).map_err(|_| Failure::NotSent)?;
+        let timeout = remaining(deadline)?;
+        let request = self.agent(address).post(url).header("content-type", "application/json");
+        let result = request.config().timeout_global(Some(timeout)).build().send(&body[..]);
+        self.answer(address, result)
+    }
+
+    /// Gets `url` and parses the JSON answer.
+    pub fn get<R: DeserializeOwned>(
+        &self,
+        address: &str,
+        url: &str,
+        deadline: Instant,
+    ) -> Result<R, Failure> {
+        let timeout = remaining(deadline)?;
+        let request = self.agent(address).get(url);
+        let result = request.config().timeout_global(Some(timeout)).build().call();
+        self.answer(address, result)
+    }
+
+    /// The agent for an address.
+    pub fn agent(&self, address: &str) -> Agent {
+        let now = Instant::now();
+        let mut agents = self.lock();
+        if agents.len() >= AGENTS_KEPT && !agents.contains_key(address) {
+            agents.retain(|_, (_, used)| now.duration_since(*used) < CONNECTION_AGE_MAX);
+        }
+        let entry = agents
+            .entry(address.to_owned())
+            .or_insert_with(|| (new_agent(self.buffer_length), now));
+        entry.1 = now;
+        entry.0.clone()
+    }
+
+    /// Drops all pooled connections to an address. Where one went silent, the others may have done so too.
+    pub fn forget(&self, address: &str) {
+        self.lock().remove(address);
+    }
+
+    fn answer<R: DeserializeOwned>(
+        &self,
+        address: &str,
+        result: Result<Response<Body>, Error>,
+    ) -> Result<R, Failure> {
+        let answer = result.map_err(|error| classify(&error)).and_then(parse);
+        if matches!(answer, Err(Failure::Ambiguous)) {
+            self.forget(address);
+        }
+        answer
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, (Agent, Instant)>> {
+        self.agents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether the call may have taken effect despite this error.
+pub fn classify(error: &Error) -> Failure {
+    match error {
+        Error::Other(source) if source.is::<ConnectFailed>() => Failure::NotSent,
+        Error::Timeout(Timeout::Connect | Timeout::Resolve) => Failure::NotSent,
+        Error::BadUri(_) | Error::HostNotFound | Error::ConnectionFailed => Failure::NotSent,
+        _ => Failure::Ambiguous,
+    }
+}
+
+/// Time left until the deadline; a call whose deadline has passed is not sent.
+fn remaining(deadline: Instant) -> Result<Duration, Failure> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() { Err(Failure::NotSent) } else { Ok(left) }
+}
+
+fn parse<R: DeserializeOwned>(mut response: Response<Body>) -> Result<R, Failure> {
+    let status = response.status().as_u16();
+    let body = response.body_mut().with_config().limit(ANSWER_LENGTH_MAX).read_to_vec();
+    match (status, body) {
+        (200, Ok(body)) => serde_json::from_slice(&body).map_err(|_| Failure::Ambiguous),
+        // 408: the server gave up reading; what it did with the part it got is not known.
+        (400..=499, _) if status != 408 => Err(Failure::Rejected),
+        _ => Err(Failure::Ambiguous),
+    }
+}
+
+fn new_agent(buffer_length: usize) -> Agent {
+    let config = Config::builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .input_buffer_size(buffer_length)
+        .output_buffer_size(buffer_length)
+        .max_idle_connections(IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS)
+        .max_idle_age(CONNECTION_IDLE_MAX)
+        .build();
+    Agent::with_parts(config, TrackingConnector, LiteralResolver)
+}
+
+/// Connecting failed: no byte of the request was sent.
+#[derive(Debug, thiserror::Error)]
+#[error("connecting failed: {0}")]
+struct ConnectFailed(String);
+
+/// Marks failed connects and limits the age of connections.
+#[derive(Debug)]
+struct TrackingConnector;
+
+impl Connector for TrackingConnector {
+    type Out = AgedTransport;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails,
+        chained: Option<()>,
+    ) -> Result<Option<AgedTransport>, Error> {
+        match TcpConnector::default().connect(details, chained) {
+            Ok(transport) => {
+                let opened = Instant::now();
+                Ok(transport
+                    .map(|transport| AgedTransport { transport: transport.boxed(), opened }))
+            }
+            Err(error) => Err(Error::Other(Box::new(ConnectFailed(error.to_string())))),
+        }
+    }
+}
+
+/// A connection that counts as closed beyond [`CONNECTION_AGE_MAX`].
+struct AgedTransport {
+    transport: Box<dyn Transport>,
+    opened: Instant,
+}
+
+impl fmt::Debug for AgedTransport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AgedTransport").field("opened", &self.opened).finish_non_exhaustive()
+    }
+}
+
+impl Transport for AgedTransport {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        self.transport.buffers()
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        self.transport.transmit_output(amount, timeout)
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        self.transport.await_input(timeout)
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.opened.elapsed() < CONNECTION_AGE_MAX && self.transport.is_open()
+    }
+
+    fn is_tls(&self) -> bool {
+        self.transport.is_tls()
+    }
+}
+
+/// Accepts only literal `ip:port` addresses. The resolver of the library starts a thread for each lookup.
+#[derive(Debug)]
+struct LiteralResolver;
+
+impl Resolver for LiteralResolver {
+    fn resolve(&self, uri: &Uri, _: &Config, _: NextTimeout) -> Result<ResolvedSocketAddrs, Error> {
+        let authority = uri.authority().map(|authority| authority.as_str()).unwrap_or_default();
+        let address: SocketAddr = authority.parse().map_err(|_| Error::HostNotFound)?;
+        let mut addresses = self.empty();
+        addresses.push(address);
+        Ok(addresses)
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/edge.rs
@@ -0,0 +1,99 @@
+//! The edge as the daemon sees it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use shallotpost_protocol::port::{Effect, Event};
+
+use crate::calls::Calls;
+use crate::driver::Driver;
+use crate::http::{Interface, Metrics};
+use crate::peer::Peers;
+use crate::settings::Settings;
+
+/// Time for calls in flight to end after the callers' requests are answered.
+const CALLS_END: Duration = Duration::from_millis(500);
+
+/// The edge cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listening address is not available.
+    #[error("cannot listen on {address}: {source}. Choose a free address in the settings.")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A thread cannot be started.
+    #[error("cannot start a thread: {0}. Raise the process's limit of threads.")]
+    Thread(#[from] io::Error),
+}
+
+/// All adapters. Executes the kernel's effects and sends events to the kernel.
+pub struct Edge {
+    interface: Interface,
+    calls: Calls,
+    peers: Peers,
+    _driver: Driver,
+}
+
+impl Edge {
+    /// Starts to listen. Events go to `events`; `metrics` returns the page of `GET /metrics`.
+    pub fn start(
+        settings: &Settings,
+        events: Sender<Event>,
+        metrics: Metrics,
+    ) -> Result<Edge, Error> {
+        let driver = Driver::start("edge-io")?;
+        let runtime = driver.handle();
+        let listen = |address| move |source| Error::Listen { address, source };
+        let peers = Peers::start(settings, runtime, events.clone())
+            .map_err(listen(settings.peer_listen))?;
+        let interface = Interface::start(settings, runtime, events.clone(), metrics)
+            .map_err(listen(settings.http_listen))?;
+        Ok(Edge { interface, calls: Calls::new(settings, events), peers, _driver: driver })
+    }
+
+    /// Where the HTTP interface listens.
+    pub fn http_address(&self) -> SocketAddr {
+        self.interface.address()
+    }
+
+    /// Where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Executes one effect without blocking. Log events and the end of the kernel are the daemon's business.
+    pub fn execute(&self, effect: Effect) {
+        match effect {
+            Effect::Answer { request, result } => self.interface.answer(request, result),
+            Effect::Table { call, request, timeout } => self.calls.table(call, request, timeout),
+            Effect::Worker { call, worker: _, address, request, timeout } => {
+                self.calls.worker(call, address, request, timeout);
+            }
+            Effect::List { call, timeout } => self.calls.list(call, timeout),
+            Effect::Peer { to, address, frame } => self.peers.send(to, address, frame),
+            Effect::Log(_) | Effect::Stopped => {}
+        }
+    }
+
+    /// Refuses new requests with `Draining`, except for health and readiness.
+    pub fn stop_accepting(&self) {
+        self.interface.stop_accepting();
+    }
+
+    /// Waits until all open requests are answered and written, at most for `bound`, then ends the threads. Returns whether
+    /// all requests were answered in time.
+    pub fn finish(&self, bound: Duration) -> bool {
+        self.interface.stop_accepting();
+        let complete = self.interface.finish(bound);
+        self.calls.close();
+        self.calls.join(Instant::now() + CALLS_END);
+        self.peers.stop();
+        complete
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/gate.rs
@@ -0,0 +1,280 @@
+//! TCP gate in front of a `tiny_http` server on loopback.
+//!
+//! `tiny_http` can neither close a connection nor tell that a caller left, and it has no time limits. The gate accepts the
+//! callers' connections and relays each to the inner server. It bounds their number, closes the ones that go silent, reports
+//! the ones that callers close, and lets a handler close one. The inner server sees each connection under its own address,
+//! which names the connection in every call here. The stand-ins inject their connection faults through it.
+
+use std::collections::HashMap;
+use std::future::pending;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Most bytes relayed at once; allocated only while bytes are under way.
+const RELAY_CHUNK: usize = 16 << 10;
+
+/// Pause after a failed accept, for example when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Name of a connection: the address that the inner server sees as the caller's.
+pub type ConnectionId = SocketAddr;
+
+/// What the gate does with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Bytes pass in both directions.
+    Open,
+    /// The connection stays open and no byte passes.
+    Silent,
+    /// This many more bytes pass to the caller, then the connection is closed.
+    Truncate(usize),
+    /// The bytes that the inner server has already written pass, then the connection is closed.
+    Finish,
+    /// The connection is closed at once.
+    Closed,
+}
+
+/// Bounds of a gate.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most connections; further ones are closed at once.
+    pub connections: usize,
+    /// A connection on which no byte passes for this long is closed.
+    pub idle: Duration,
+}
+
+/// Learns of connections. Called on the I/O thread; must not block.
+pub trait Observer: Send + Sync + 'static {
+    /// A connection was opened; no byte has passed yet.
+    fn opened(&self, connection: ConnectionId);
+    /// A connection was closed by either side or by the gate.
+    fn closed(&self, connection: ConnectionId);
+}
+
+/// A listening gate. Dropping it stops listening and closes its connections.
+pub struct Gate {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    closed: Mutex<mpsc::Receiver<()>>,
+}
+
+struct Shared {
+    target: SocketAddr,
+    limits: Limits,
+    observer: Arc<dyn Observer>,
+    connections: Mutex<HashMap<ConnectionId, watch::Sender<Mode>>>,
+}
+
+impl Gate {
+    /// Listens on `address` (port 0 for any) and relays to the inner server at `target`.
+    pub fn start(
+        runtime: &Handle,
+        address: SocketAddr,
+        target: SocketAddr,
+        limits: Limits,
+        observer: Arc<dyn Observer>,
+    ) -> io::Result<Gate> {
+        let listener = StdListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let shared = Shared { target, limits, observer, connections: Mutex::default() };
+        let shared = Arc::new(shared);
+        let (stop, stopped) = watch::channel(false);
+        let _context = runtime.enter();
+        let listener = TcpListener::from_std(listener)?;
+        let (ended, closed) = mpsc::channel();
+        let accepting = accept(listener, Arc::clone(&shared), stopped);
+        runtime.spawn(async move {
+            accepting.await;
+            // Dropping the sender tells `stop_and_wait` that the listening socket is closed.
+            drop(ended);
+        });
+        Ok(Gate { shared, address, stop, closed: Mutex::new(closed) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the connection is still open.
+    pub fn is_open(&self, connection: ConnectionId) -> bool {
+        self.shared.lock().contains_key(&connection)
+    }
+
+    /// Changes one connection.
+    pub fn set(&self, connection: ConnectionId, mode: Mode) {
+        if let Some(sender) = self.shared.lock().get(&connection) {
+            sender.send_replace(mode);
+        }
+    }
+
+    /// Changes all connections that are open now, except one.
+    pub fn set_all(&self, mode: Mode, except: Option<ConnectionId>) {
+        let connections = self.shared.lock();
+        let affected = connections.iter().filter(|(connection, _)| Some(**connection) != except);
+        affected.for_each(|(_, sender)| {
+            sender.send_replace(mode);
+        });
+    }
+
+    /// Stops listening and closes all connections.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+        self.set_all(Mode::Closed, None);
+    }
+
+    /// Stops, and returns once the port refuses connections. Must not be called from the I/O thread.
+    pub fn stop_and_wait(&self) {
+        self.stop();
+        let _ = self.closed.lock().unwrap_or_else(PoisonError::into_inner).recv();
+    }
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, HashMap<ConnectionId, watch::Sender<Mode>>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, Arc::clone(&shared), stopped.clone()));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Relays one connection from its acceptance to its end.
+async fn serve(mut caller: TcpStream, shared: Arc<Shared>, stopped: watch::Receiver<bool>) {
+    let Ok(mut inner) = TcpStream::connect(shared.target).await else { return };
+    let Ok(connection) = inner.local_addr() else { return };
+    let (sender, mode) = watch::channel(Mode::Open);
+    {
+        let mut connections = shared.lock();
+        if connections.len() >= shared.limits.connections || *stopped.borrow() {
+            return;
+        }
+        connections.insert(connection, sender);
+    }
+    let _ = caller.set_nodelay(true);
+    let _ = inner.set_nodelay(true);
+    shared.observer.opened(connection);
+    relay(&mut caller, &mut inner, mode, shared.limits.idle).await;
+    shared.lock().remove(&connection);
+    drop((caller, inner));
+    shared.observer.closed(connection);
+}
+
+async fn relay(
+    caller: &mut TcpStream,
+    inner: &mut TcpStream,
+    mode: watch::Receiver<Mode>,
+    idle: Duration,
+) {
+    let (caller_read, caller_write) = caller.split();
+    let (inner_read, inner_write) = inner.split();
+    let active = Activity::default();
+    let mut closing = mode.clone();
+    tokio::select! {
+        () = pump(caller_read, inner_write, mode.clone(), false, &active) => {}
+        () = pump(inner_read, caller_write, mode.clone(), true, &active) => {}
+        _ = closing.wait_for(|mode| *mode == Mode::Closed) => {}
+        () = silence(&active, idle) => {}
+    }
+}
+
+/// Moves bytes in one direction until its source ends.
+async fn pump(
+    source: ReadHalf<'_>,
+    mut sink: WriteHalf<'_>,
+    mut mode: watch::Receiver<Mode>,
+    to_caller: bool,
+    active: &Activity,
+) {
+    let mut truncated = 0;
+    loop {
+        let finishing = tokio::select! {
+            biased;
+            readable = source.readable() => match readable {
+                Ok(()) => false,
+                Err(_) => return,
+            },
+            _ = mode.wait_for(|mode| to_caller && *mode == Mode::Finish) => true,
+        };
+        let mut chunk = vec![0; RELAY_CHUNK];
+        let length = match source.try_read(&mut chunk) {
+            Ok(0) => return,
+            Ok(length) => length,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock && !finishing => continue,
+            Err(_) => return,
+        };
+        let current = *mode.borrow();
+        let pass = match current {
+            Mode::Truncate(limit) if to_caller => length.min(limit.saturating_sub(truncated)),
+            Mode::Open | Mode::Truncate(_) | Mode::Finish => length,
+            Mode::Silent => pending().await,
+            Mode::Closed => return,
+        };
+        if sink.write_all(&chunk[..pass]).await.is_err() {
+            return;
+        }
+        match current {
+            Mode::Truncate(limit) if to_caller && truncated + pass >= limit => return,
+            Mode::Truncate(_) if to_caller => truncated += pass,
+            _ => {}
+        }
+        active.record();
+    }
+}
+
+/// Returns once no byte has passed for `idle`.
+async fn silence(active: &Activity, idle: Duration) {
+    while active.last().elapsed() < idle {
+        sleep_until(active.last() + idle).await;
+    }
+}
+
+/// Moment at which a byte passed last, in either direction.
+struct Activity {
+    last: Mutex<Instant>,
+}
+
+impl Default for Activity {
+    fn default() -> Activity {
+        Activity { last: Mutex::new(Instant::now()) }
+    }
+}
+
+impl Activity {
+    fn record(&self) {
+        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    fn last(&self) -> Instant {
+        *self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/http/exchange.rs
@@ -0,0 +1,232 @@
+//! One open request of a caller.
+
+use std::io::{self, Read, Write};
+use std::sync::Arc;
+
+use serde::Serialize;
+use shallotpost_protocol::interface::Reply;
+use shallotpost_protocol::problem::{Kind, Problem};
+use tiny_http::{Header, Method, Request as HttpRequest, Response};
+
+use crate::gate::{ConnectionId, Mode};
+use crate::http::{BODY_LENGTH_MAX, OBJECT_LENGTH_MAX, Shared};
+
+/// A request that has not been answered. Counts as open until it is dropped; one that is dropped without an answer is
+/// refused as `Overloaded`, which happens where a pool of threads is full.
+pub struct Exchange {
+    request: Option<Box<HttpRequest>>,
+    released: bool,
+    connection: ConnectionId,
+    submit: bool,
+    shared: Arc<Shared>,
+}
+
+impl Exchange {
+    /// Takes over a request. The caller has counted it as open.
+    pub fn new(request: HttpRequest, connection: ConnectionId, shared: Arc<Shared>) -> Exchange {
+        let submit = *request.method() == Method::Post && request.url() == "/v1/work";
+        Exchange { request: Some(Box::new(request)), released: false, connection, submit, shared }
+    }
+
+    /// The connection that it came on.
+    pub fn connection(&self) -> ConnectionId {
+        self.connection
+    }
+
+    /// Whether the caller's connection is open. `tiny_http` reports a chunked body that breaks off as one that ended; the
+    /// gate forgets the connection before the inner server can see its end.
+    pub fn is_connected(&self) -> bool {
+        self.shared.is_open(self.connection)
+    }
+
+    /// The shared state of the interface.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// The request, unless it was answered.
+    pub fn request(&mut self) -> Option<&mut HttpRequest> {
+        self.request.as_deref_mut()
+    }
+
+    /// The value of a header.
+    pub fn header(&self, name: &'static str) -> Option<String> {
+        let headers = self.request.as_deref().map(HttpRequest::headers).unwrap_or_default();
+        let header = headers.iter().find(|header| header.field.equiv(name));
+        header.map(|header| header.value.to_string())
+    }
+
+    /// Reads the whole body, at most [`BODY_LENGTH_MAX`].
+    pub fn body(&mut self) -> Result<Vec<u8>, Problem> {
+        let too_large =
+            || Problem::new(Kind::TooLarge, format!("the body exceeds {BODY_LENGTH_MAX} bytes."));
+        let early = || Problem::new(Kind::Malformed, "the body ends early.");
+        let Some(request) = &mut self.request else { return Ok(Vec::new()) };
+        let declared = request.body_length();
+        if declared.is_some_and(|length| length > BODY_LENGTH_MAX) {
+            return Err(too_large());
+        }
+        let mut body = Vec::new();
+        let read = request.as_reader().take(BODY_LENGTH_MAX as u64 + 1).read_to_end(&mut body);
+        match read {
+            Ok(length) if length > BODY_LENGTH_MAX => Err(too_large()),
+            Ok(length) if declared.is_none_or(|declared| declared == length) => Ok(body),
+            _ => Err(early()),
+        }
+        .and_then(|body| if self.is_connected() { Ok(body) } else { Err(early()) })
+    }
+
+    /// Whether the declared length exceeds what can be discarded safely.
+    ///
+    /// `tiny_http` allocates a buffer of the whole unread length when a request is dropped, and a length that cannot be
+    /// allocated aborts the process. Such a request is never dropped; see [`Exchange::abort`].
+    pub fn is_absurd(&self) -> bool {
+        let length = self.request.as_deref().and_then(HttpRequest::body_length);
+        length.is_some_and(|length| length as u64 > OBJECT_LENGTH_MAX)
+    }
+
+    /// Answers with a problem, closes the connection and leaks the request, with one idle thread of `tiny_http`.
+    pub fn abort(mut self, problem: &Problem) {
+        let Some(request) = self.request.take() else { return };
+        let body = serde_json::to_vec(problem).unwrap_or_default();
+        let response = Response::from_data(body).with_status_code(problem.kind.status());
+        self.release();
+        std::mem::forget(request.upgrade("close", response));
+        self.shared.set(self.connection, Mode::Finish);
+    }
+
+    /// Answers with the kernel's result. `dry_run` tells that nothing was changed.
+    pub fn answer(self, result: &Result<Reply, Problem>, dry_run: bool) {
+        match result {
+            Ok(reply) => self.json(status(reply, dry_run), reply),
+            Err(problem) => self.problem(problem),
+        }
+    }
+
+    /// Answers with a problem.
+    pub fn problem(self, problem: &Problem) {
+        self.json(problem.kind.status(), problem);
+    }
+
+    /// Refuses before the kernel saw the request, so a submission was certainly not run.
+    pub fn refuse(self, kind: Kind, message: &str) {
+        let problem = self.refusal(kind, message);
+        self.problem(&problem);
+    }
+
+    /// Answers with JSON.
+    pub fn json<T: Serialize>(self, status: u16, value: &T) {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        self.send(status, "application/json", body);
+    }
+
+    /// Answers with text.
+    pub fn text(self, status: u16, text: String) {
+        self.send(status, "text/plain; charset=utf-8", text.into_bytes());
+    }
+
+    /// Writes the head of a streamed answer with these header lines, and returns the rest of the answer.
+    pub fn stream(mut self, headers: &str) -> io::Result<Stream> {
+        let request = self.request.take().ok_or_else(|| io::Error::other("already answered"))?;
+        let mut writer = request.into_writer();
+        write!(writer, "HTTP/1.1 200 OK\r\n{headers}\r\n")?;
+        writer.flush()?;
+        Ok(Stream { writer, exchange: self, finished: false })
+    }
+
+    /// Allows the next request on the connection.
+    fn release(&mut self) {
+        if !std::mem::replace(&mut self.released, true) {
+            self.shared.release(self.connection);
+        }
+    }
+
+    fn refusal(&self, kind: Kind, message: &str) -> Problem {
+        Problem { not_run: self.submit, ..Problem::new(kind, message) }
+    }
+
+    fn send(mut self, status: u16, content_type: &str, body: Vec<u8>) {
+        let Some(request) = self.request.take() else { return };
+        let response =
+            Response::from_data(body).with_status_code(status).with_chunked_threshold(usize::MAX);
+        let header = Header::from_bytes("Content-Type", content_type);
+        let response = match header {
+            Ok(header) => response.with_header(header),
+            Err(()) => response,
+        };
+        // The caller may send its next request as soon as it has the answer.
+        self.release();
+        let _ = request.respond(response);
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(request) = self.request.take() {
+            let problem = self.refusal(Kind::Overloaded, "too many requests are open.");
+            self.release();
+            self.shared.refuse(*request, self.connection, problem);
+        }
+        self.release();
+        self.shared.closed_exchange();
+    }
+}
+
+/// HTTP status of a reply.
+fn status(reply: &Reply, dry_run: bool) -> u16 {
+    match reply {
+        Reply::Accepted { repeated: false, .. } => 202,
+        Reply::Changed { force, .. } if !force.in_force && !dry_run => 202,
+        _ => 200,
+    }
+}
+
+/// An answer that is being streamed. Dropping it before [`Stream::finish`] closes the connection, so that the caller sees
+/// a broken answer and never a short one.
+pub struct Stream {
+    writer: Box<dyn Write + Send>,
+    exchange: Exchange,
+    finished: bool,
+}
+
+impl Stream {
+    /// The request that it answers.
+    pub fn exchange(&self) -> &Exchange {
+        &self.exchange
+    }
+
+    /// Writes bytes of a body with a declared length.
+    pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.writer.write_all(bytes)
+    }
+
+    /// Writes one chunk of a chunked body and flushes it.
+    pub fn chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
+        write!(self.writer, "{:x}\r\n", bytes.len())?;
+        self.writer.write_all(bytes)?;
+        self.writer.write_all(b"\r\n")?;
+        self.writer.flush()
+    }
+
+    /// Ends the answer.
+    pub fn finish(mut self) -> io::Result<()> {
+        self.exchange.release();
+        self.writer.flush()?;
+        self.finished = true;
+        Ok(())
+    }
+
+    /// Ends a chunked answer.
+    pub fn finish_chunked(mut self) -> io::Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.finish()
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.exchange.shared.set(self.exchange.connection, Mode::Closed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -0,0 +1,439 @@
+//! HTTP interface for callers and operators.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::thread;
+use std::time::Duration;
+
+use shallotpost_protocol::identity::{RequestId, Revision};
+use shallotpost_protocol::interface::{Call, Reply, Request};
+use shallotpost_protocol::port::Event;
+use shallotpost_protocol::problem::{Kind, Problem};
+use tiny_http::{Request as HttpRequest, Server as HttpServer};
+use tokio::runtime::Handle;
+
+use crate::client::Client;
+use crate::gate::{ConnectionId, Gate, Limits as GateLimits, Mode, Observer};
+use crate::http::exchange::Exchange;
+use crate::http::query::WAIT_DEFAULT;
+use crate::http::route::{Purpose, Route, route};
+use crate::http::watch::Watcher;
+use crate::pool::{Limits, Pool};
+use crate::settings::Settings;
+
+mod exchange;
+mod objects;
+pub mod query;
+pub mod route;
+mod watch;
+
+/// Longest body of a request other than an upload, in bytes.
+pub const BODY_LENGTH_MAX: usize = 256 << 10;
+
+/// Longest object, in bytes. The platform's objects are tens of megabytes.
+pub const OBJECT_LENGTH_MAX: u64 = 256 << 20;
+
+/// Bytes of an object that are held at once.
+pub const CHUNK_LENGTH: usize = 64 << 10;
+
+/// A caller's connection on which no byte passes for this long is closed. Longer than the longest wait of a request.
+pub const CONNECTION_IDLE_MAX: Duration = Duration::from_secs(90);
+
+/// Time for writing the last answers after the bound of a graceful shutdown has passed.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
+
+/// Threads that write refusals; each discards the rest of a body.
+const REFUSAL_THREADS: usize = 8;
+
+/// Stack of each thread, in bytes.
+const STACK: usize = 128 << 10;
+
+/// Returns the metrics page.
+pub type Metrics = Arc<dyn Fn() -> String + Send + Sync>;
+
+/// The listening interface.
+pub struct Interface {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+}
+
+/// State shared by the threads of the interface.
+pub struct Shared {
+    events: Sender<Event>,
+    metrics: Metrics,
+    objects: ObjectStore,
+    open_max: usize,
+    next: AtomicU64,
+    state: Mutex<State>,
+    idle: Condvar,
+    server: HttpServer,
+    gate: OnceLock<Gate>,
+    readers: Pool,
+    writers: Pool,
+    streams: Pool,
+    refusals: Pool,
+}
+
+struct ObjectStore {
+    client: Client,
+    url: String,
+}
+
+#[derive(Default)]
+struct State {
+    /// Exchanges that exist.
+    open: usize,
+    /// Requests that the kernel has not answered.
+    pending: HashMap<RequestId, Pending>,
+    /// Connections with a request that is not being answered yet, and the kernel's id of the request if it has one.
+    busy: HashMap<ConnectionId, Option<RequestId>>,
+    draining: bool,
+    stopped: bool,
+}
+
+enum Pending {
+    Single(Exchange, Purpose),
+    Watch(Watcher, String),
+}
+
+impl Interface {
+    /// Starts to listen.
+    pub fn start(
+        settings: &Settings,
+        runtime: &Handle,
+        events: Sender<Event>,
+        metrics: Metrics,
+    ) -> io::Result<Interface> {
+        let server = HttpServer::http("127.0.0.1:0").map_err(io::Error::other)?;
+        let inner =
+            server.server_addr().to_ip().ok_or_else(|| io::Error::other("no IP address"))?;
+        let limits = |threads, queue| Limits { threads, queue, stack: STACK };
+        let objects = ObjectStore {
+            client: Client::with_buffers(CHUNK_LENGTH),
+            url: settings.object_url.clone(),
+        };
+        let threads = settings.http_threads;
+        let shared = Arc::new(Shared {
+            events,
+            metrics,
+            objects,
+            open_max: settings.open_requests,
+            next: AtomicU64::new(1),
+            state: Mutex::default(),
+            idle: Condvar::new(),
+            server,
+            gate: OnceLock::new(),
+            readers: Pool::new("edge-read", limits(threads, threads)),
+            writers: Pool::new("edge-write", limits(threads, settings.open_requests)),
+            streams: Pool::new("edge-stream", limits(settings.stream_threads, 0)),
+            refusals: Pool::new("edge-refuse", limits(REFUSAL_THREADS, settings.connections)),
+        });
+        let observer = Arc::new(Callers { shared: Arc::downgrade(&shared) });
+        let bounds = GateLimits { connections: settings.connections, idle: CONNECTION_IDLE_MAX };
+        let gate = Gate::start(runtime, settings.http_listen, inner, bounds, observer)?;
+        let address = gate.address();
+        let _ = shared.gate.set(gate);
+        let dispatcher = Arc::clone(&shared);
+        let builder = thread::Builder::new().name("edge-dispatch".to_owned());
+        builder.stack_size(STACK).spawn(move || dispatch(&dispatcher))?;
+        Ok(Interface { shared, address })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Delivers the kernel's answer. An answer to a caller that left is dropped.
+    pub fn answer(&self, request: RequestId, result: Result<Reply, Problem>) {
+        if let Some(pending) = self.shared.take(request) {
+            self.shared.deliver(pending, result);
+        }
+    }
+
+    /// Refuses new requests except for health and readiness, and ends streams of changes.
+    pub fn stop_accepting(&self) {
+        let watchers = {
+            let mut state = self.shared.lock();
+            state.draining = true;
+            let watches =
+                |(_, pending): &(&RequestId, &Pending)| matches!(pending, Pending::Watch(..));
+            let ids: Vec<RequestId> =
+                state.pending.iter().filter(watches).map(|(id, _)| *id).collect();
+            ids.into_iter()
+                .filter_map(|id| Some((id, state.pending.remove(&id)?)))
+                .collect::<Vec<_>>()
+        };
+        for (request, pending) in watchers {
+            let _ = self.shared.events.send(Event::Abandoned { request });
+            self.shared.deliver(pending, Err(draining()));
+        }
+    }
+
+    /// Waits until all open requests are answered and written, at most for `bound`. Then answers the remaining ones with
+    /// `Unknown` and stops. Returns whether all were answered in time.
+    pub fn finish(&self, bound: Duration) -> bool {
+        let complete = self.shared.wait_idle(bound);
+        let left: Vec<Pending> = {
+            let mut state = self.shared.lock();
+            state.draining = true;
+            state.stopped = true;
+            state.pending.drain().map(|(_, pending)| pending).collect()
+        };
+        for pending in left {
+            let message = "the entry host stopped before the outcome was known.";
+            self.shared.deliver(pending, Err(Problem::new(Kind::Unknown, message)));
+        }
+        let _ = complete || self.shared.wait_idle(LAST_ANSWERS);
+        self.shared.stop();
+        complete
+    }
+}
+
+impl Drop for Interface {
+    fn drop(&mut self) {
+        self.shared.lock().stopped = true;
+        self.shared.stop();
+        // Pending exchanges hold the shared state; they are dropped outside the lock that their destructors take.
+        let left = std::mem::take(&mut self.shared.lock().pending);
+        drop(left);
+    }
+}
+
+impl Shared {
+    /// Closes or changes a caller's connection.
+    fn set(&self, connection: ConnectionId, mode: Mode) {
+        if let Some(gate) = self.gate.get() {
+            gate.set(connection, mode);
+        }
+    }
+
+    /// Whether a caller's connection is open.
+    fn is_open(&self, connection: ConnectionId) -> bool {
+        self.gate.get().is_some_and(|gate| gate.is_open(connection))
+    }
+
+    /// Allows the next request on a connection, because the answer to the current one is about to be written.
+    fn release(&self, connection: ConnectionId) {
+        self.lock().busy.remove(&connection);
+    }
+
+    fn closed_exchange(&self) {
+        let mut state = self.lock();
+        state.open -= 1;
+        if state.open == 0 {
+            self.idle.notify_all();
+        }
+    }
+
+    fn refuse(&self, request: HttpRequest, connection: ConnectionId, problem: Problem) {
+        let body = serde_json::to_vec(&problem).unwrap_or_default();
+        let refused = self.refusals.execute(Box::new(move || {
+            let response = tiny_http::Response::from_data(body);
+            let _ = request.respond(response.with_status_code(problem.kind.status()));
+        }));
+        if !refused {
+            self.set(connection, Mode::Closed);
+        }
+    }
+
+    fn take(&self, request: RequestId) -> Option<Pending> {
+        self.lock().pending.remove(&request)
+    }
+
+    fn deliver(self: &Arc<Shared>, pending: Pending, result: Result<Reply, Problem>) {
+        match (pending, &result) {
+            (Pending::Single(exchange, Purpose::Upload(name)), Ok(Reply::Allowed)) => {
+                self.streams.execute(Box::new(move || objects::upload(exchange, &name)));
+            }
+            (Pending::Single(exchange, Purpose::Download(name)), Ok(Reply::Allowed)) => {
+                self.streams.execute(Box::new(move || objects::download(exchange, &name)));
+            }
+            (Pending::Single(exchange, purpose), _) => {
+                let dry_run = purpose == Purpose::DryRun;
+                self.writers.execute(Box::new(move || exchange.answer(&result, dry_run)));
+            }
+            (Pending::Watch(watcher, key), _) => {
+                let shared = Arc::clone(self);
+                self.streams.execute(Box::new(move || {
+                    if let Some((watcher, from)) = watcher.write(&result) {
+                        shared.watch(watcher, key, from);
+                    }
+                }));
+            }
+        }
+    }
+
+    /// Asks the kernel for the next round of changes.
+    fn watch(&self, watcher: Watcher, key: String, from: Revision) {
+        let request = Request::Watch { from, wait: WAIT_DEFAULT };
+        let call = Call { key: key.clone(), request };
+        if let Err(Pending::Watch(watcher, _)) = self.ask(Pending::Watch(watcher, key), call) {
+            watcher.end(&draining());
+        }
+    }
+
+    /// Passes a call to the kernel. Returns the request where the host is draining.
+    fn ask(&self, pending: Pending, call: Call) -> Result<(), Pending> {
+        let connection = match &pending {
+            Pending::Single(exchange, _) => exchange.connection(),
+            Pending::Watch(watcher, _) => watcher.exchange().connection(),
+        };
+        let request = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut state = self.lock();
+        let refused = state.stopped || (state.draining && call.request != Request::Ready);
+        if refused {
+            return Err(pending);
+        }
+        if !self.is_open(connection) {
+            // The destructor of the exchange takes the lock.
+            drop(state);
+            drop(pending);
+            return Ok(());
+        }
+        state.busy.insert(connection, Some(request));
+        state.pending.insert(request, pending);
+        // Sent under the lock, so that `Abandoned` comes after it.
+        let _ = self.events.send(Event::Request { request, call });
+        Ok(())
+    }
+
+    /// Reads one request and answers it or passes it on.
+    fn handle(self: &Arc<Shared>, mut exchange: Exchange) {
+        if exchange.is_absurd() {
+            return exchange.abort(&objects::too_long());
+        }
+        let Some(request) = exchange.request() else { return };
+        let (method, url) = (request.method().clone(), request.url().to_owned());
+        let routed = route(&method, &url, &mut || exchange.body());
+        let (request, purpose) = match routed {
+            Ok(Route::Health) => return exchange.text(200, "ok\n".to_owned()),
+            Ok(Route::Metrics) => {
+                let page = (self.metrics)();
+                return exchange.text(200, page);
+            }
+            Ok(Route::Kernel(request, purpose)) => (request, purpose),
+            Err(problem) => return exchange.refuse(problem.kind, &problem.message),
+        };
+        let key = match key(exchange.header("Authorization")) {
+            Ok(key) => key,
+            Err(problem) => return exchange.refuse(problem.kind, &problem.message),
+        };
+        let call = Call { key: key.clone(), request: *request };
+        let pending = match purpose {
+            Purpose::Stream => Pending::Watch(Watcher::New(exchange), key),
+            purpose => Pending::Single(exchange, purpose),
+        };
+        match self.ask(pending, call) {
+            Ok(()) => {}
+            Err(Pending::Single(exchange, _)) => {
+                exchange.refuse(Kind::Draining, "the entry host is shutting down.");
+            }
+            Err(Pending::Watch(watcher, _)) => watcher.end(&draining()),
+        }
+    }
+
+    fn wait_idle(&self, bound: Duration) -> bool {
+        let state = self.lock();
+        let waited = self.idle.wait_timeout_while(state, bound, |state| state.open > 0);
+        waited.unwrap_or_else(PoisonError::into_inner).0.open == 0
+    }
+
+    fn stop(&self) {
+        if let Some(gate) = self.gate.get() {
+            gate.stop();
+        }
+        self.server.unblock();
+        self.pools().into_iter().for_each(Pool::close);
+    }
+
+    fn pools(&self) -> [&Pool; 4] {
+        [&self.readers, &self.writers, &self.streams, &self.refusals]
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes requests from the inner server until it is stopped.
+fn dispatch(shared: &Arc<Shared>) {
+    while let Ok(request) = shared.server.recv() {
+        let Some(connection) = request.remote_addr().copied() else { continue };
+        match admit(shared, connection) {
+            Admission::Admitted => {
+                let exchange = Exchange::new(request, connection, Arc::clone(shared));
+                let handler = Arc::clone(shared);
+                shared.readers.execute(Box::new(move || handler.handle(exchange)));
+            }
+            Admission::Full => {
+                let exchange = Exchange::new(request, connection, Arc::clone(shared));
+                drop(exchange);
+            }
+            Admission::Pipelined => {
+                // The answer to a pipelined request would block its thread until the request before it is answered.
+                shared.set(connection, Mode::Closed);
+                let message = "requests on one connection must follow their answers.";
+                shared.refuse(request, connection, Problem::new(Kind::Malformed, message));
+            }
+        }
+    }
+}
+
+enum Admission {
+    Admitted,
+    Full,
+    Pipelined,
+}
+
+/// Counts a new request as open, unless it is pipelined.
+fn admit(shared: &Shared, connection: ConnectionId) -> Admission {
+    let mut state = shared.lock();
+    match () {
+        _ if state.busy.contains_key(&connection) => Admission::Pipelined,
+        _ => {
+            let full = state.open >= shared.open_max;
+            state.open += 1;
+            state.busy.insert(connection, None);
+            if full { Admission::Full } else { Admission::Admitted }
+        }
+    }
+}
+
+fn key(header: Option<String>) -> Result<String, Problem> {
+    let Some(header) = header else { return Ok(String::new()) };
+    match header.split_once(' ') {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => Ok(key.trim().to_owned()),
+        _ => Err(Problem::new(Kind::Unauthorized, "the Authorization header holds no bearer key.")),
+    }
+}
+
+fn draining() -> Problem {
+    Problem::new(Kind::Draining, "the entry host is shutting down.")
+}
+
+/// Reports callers that left.
+struct Callers {
+    shared: Weak<Shared>,
+}
+
+impl Observer for Callers {
+    fn opened(&self, _: ConnectionId) {}
+
+    fn closed(&self, connection: ConnectionId) {
+        let Some(shared) = self.shared.upgrade() else { return };
+        let mut state = shared.lock();
+        let request = state.busy.remove(&connection).flatten();
+        let pending = request.and_then(|request| Some((request, state.pending.remove(&request)?)));
+        drop(state);
+        if let Some((request, pending)) = pending {
+            let _ = shared.events.send(Event::Abandoned { request });
+            // The destructor writes to a connection that is closed; it must not block the I/O thread.
+            shared.refusals.execute(Box::new(move || drop(pending)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/http/objects.rs
@@ -0,0 +1,192 @@
+//! Streams objects between callers and the object store.
+
+use std::io::{self, Read};
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotpost_protocol::port::Failure;
+use shallotpost_protocol::problem::{Kind, Problem};
+use shallotpost_protocol::work::Object;
+use ureq::http::Response;
+use ureq::{Body, Error, SendBody};
+
+use crate::client::classify;
+use crate::http::exchange::Exchange;
+use crate::http::{CHUNK_LENGTH, OBJECT_LENGTH_MAX};
+
+/// Header with the hexadecimal SHA-256 digest of an object.
+pub const DIGEST_HEADER: &str = "x-content-sha256";
+
+/// The object store must take or give the next bytes within this time.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest transfer of one object.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Longest answer of the object store to an upload, in bytes.
+const ANSWER_LENGTH_MAX: u64 = 4096;
+
+/// Stores the caller's body.
+pub fn upload(mut exchange: Exchange, name: &str) {
+    match forward(&mut exchange, name) {
+        Ok(object) => exchange.json(200, &object),
+        Err(problem) => exchange.problem(&problem),
+    }
+}
+
+/// Sends an object to the caller.
+pub fn download(exchange: Exchange, name: &str) {
+    match fetch(&exchange, name) {
+        Ok(response) => {
+            // A failed write means that the caller left; dropping the stream closes the connection.
+            let _ = copy(exchange, response);
+        }
+        Err(problem) => exchange.problem(&problem),
+    }
+}
+
+fn forward(exchange: &mut Exchange, name: &str) -> Result<Object, Problem> {
+    let objects = &exchange.shared().objects;
+    let url = format!("{}/{name}", objects.url);
+    let request = objects.client.agent(&objects.url).put(url);
+    let request = request
+        .config()
+        .timeout_global(Some(TRANSFER_TIMEOUT))
+        .timeout_per_write(Some(PROGRESS_TIMEOUT))
+        .timeout_per_read(Some(PROGRESS_TIMEOUT))
+        .build();
+    let request = match exchange.header(DIGEST_HEADER) {
+        Some(digest) => request.header(DIGEST_HEADER, digest),
+        None => request,
+    };
+    let (shared, connection) = (Arc::clone(exchange.shared()), exchange.connection());
+    let connected = move || shared.is_open(connection);
+    let Some(http_request) = exchange.request() else { return Err(broken()) };
+    let length = http_request.body_length().map(|length| length as u64);
+    let chunked =
+        http_request.headers().iter().any(|header| header.field.equiv("Transfer-Encoding"));
+    let request = match length {
+        Some(length) => request.header("content-length", length.to_string()),
+        None if chunked => request,
+        None => request.header("content-length", "0"),
+    };
+    let source = http_request.as_reader();
+    let mut body = CallerBody { source, length, connected: &connected, passed: 0, failed: None };
+    let result = request.send(SendBody::from_reader(&mut body));
+    match (body.failed, result) {
+        (Some(problem), _) => Err(problem),
+        (None, Ok(response)) => stored(response),
+        (None, Err(error)) => Err(unreachable(&error)),
+    }
+}
+
+fn stored(mut response: Response<Body>) -> Result<Object, Problem> {
+    let body = response.body_mut().with_config().limit(ANSWER_LENGTH_MAX).read_to_vec();
+    match (response.status().as_u16(), body) {
+        (200, Ok(body)) => serde_json::from_slice(&body).map_err(|_| unclear()),
+        (400..=499, Ok(body)) => {
+            let reason = String::from_utf8_lossy(&body).into_owned();
+            Err(Problem::new(Kind::Malformed, format!("the object was not stored: {reason}.")))
+        }
+        _ => Err(unclear()),
+    }
+}
+
+fn fetch(exchange: &Exchange, name: &str) -> Result<Response<Body>, Problem> {
+    let objects = &exchange.shared().objects;
+    let request = objects.client.agent(&objects.url).get(format!("{}/{name}", objects.url));
+    let request = request
+        .config()
+        .timeout_global(Some(TRANSFER_TIMEOUT))
+        .timeout_per_read(Some(PROGRESS_TIMEOUT))
+        .build();
+    let response = request.call().map_err(|error| unreachable(&error))?;
+    match response.status().as_u16() {
+        200 => Ok(response),
+        404 => Err(Problem::new(Kind::NotFound, format!("there is no object {name:?}."))),
+        status => {
+            let message = format!("the object store answered with status {status}.");
+            Err(Problem::new(Kind::Unavailable, message))
+        }
+    }
+}
+
+fn copy(exchange: Exchange, response: Response<Body>) -> io::Result<()> {
+    let digest = response.headers().get(DIGEST_HEADER).and_then(|value| value.to_str().ok());
+    let digest = digest.map(|digest| format!("{DIGEST_HEADER}: {digest}\r\n")).unwrap_or_default();
+    let length = response.body().content_length();
+    let framing = match length {
+        Some(length) => format!("Content-Length: {length}\r\n"),
+        None => "Transfer-Encoding: chunked\r\n".to_owned(),
+    };
+    let headers = format!("Content-Type: application/octet-stream\r\n{framing}{digest}");
+    let mut stream = exchange.stream(&headers)?;
+    let mut body = response.into_body().into_with_config().limit(u64::MAX).reader();
+    let mut chunk = vec![0; CHUNK_LENGTH];
+    let mut passed = 0;
+    loop {
+        let count = body.read(&mut chunk)?;
+        passed += count as u64;
+        match (count, length) {
+            (0, Some(length)) if passed != length => {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            (0, Some(_)) => return stream.finish(),
+            (0, None) => return stream.finish_chunked(),
+            (_, Some(_)) => stream.write(&chunk[..count])?,
+            (_, None) => stream.chunk(&chunk[..count])?,
+        }
+    }
+}
+
+/// The body of an upload. A body that ends early or is too long is an error, which also breaks the stream to the store.
+struct CallerBody<'a> {
+    source: &'a mut dyn Read,
+    length: Option<u64>,
+    connected: &'a dyn Fn() -> bool,
+    passed: u64,
+    failed: Option<Problem>,
+}
+
+impl Read for CallerBody<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let result = self.source.read(buffer);
+        self.passed += result.as_ref().map_or(0, |count| *count as u64);
+        let short = self.length.is_some_and(|length| self.passed < length);
+        match result {
+            Ok(0) if short || !(self.connected)() => self.fail(broken()),
+            Ok(_) if self.passed > OBJECT_LENGTH_MAX => self.fail(too_long()),
+            Ok(count) => Ok(count),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => Err(error),
+            Err(_) => self.fail(broken()),
+        }
+    }
+}
+
+impl CallerBody<'_> {
+    fn fail(&mut self, problem: Problem) -> io::Result<usize> {
+        self.failed = Some(problem);
+        Err(io::ErrorKind::UnexpectedEof.into())
+    }
+}
+
+/// The problem of an object that exceeds [`OBJECT_LENGTH_MAX`].
+pub fn too_long() -> Problem {
+    let message = format!("the body exceeds {OBJECT_LENGTH_MAX} bytes; split the data.");
+    Problem::new(Kind::TooLarge, message)
+}
+
+fn broken() -> Problem {
+    Problem::new(Kind::Malformed, "the body ended early; nothing was stored.")
+}
+
+fn unclear() -> Problem {
+    Problem::new(Kind::Unknown, "the object store gave no clear answer; upload the object again.")
+}
+
+fn unreachable(error: &Error) -> Problem {
+    match classify(error) {
+        Failure::NotSent => Problem::new(Kind::Unavailable, "the object store cannot be reached."),
+        Failure::Ambiguous | Failure::Rejected => unclear(),
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/http/route.rs
@@ -0,0 +1,178 @@
+//! Translates HTTP requests into [`interface::Request`]s.
+
+use serde::de::DeserializeOwned;
+use shallotpost_protocol::identity::{WorkId, is_name};
+use shallotpost_protocol::interface::Request;
+use shallotpost_protocol::problem::{Kind, Problem};
+use shallotpost_protocol::resource::{self, Resource};
+use tiny_http::Method;
+
+use crate::http::query::{Query, malformed, segments};
+
+/// What is done with the kernel's reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// It is the answer.
+    Plain,
+    /// It is the answer; nothing was changed.
+    DryRun,
+    /// It allows to store the caller's body under this name.
+    Upload(String),
+    /// It allows to send the object with this name.
+    Download(String),
+    /// It is part of a stream of changes.
+    Stream,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// `GET /healthz`: answered by the edge itself.
+    Health,
+    /// `GET /metrics`: answered by the metrics callback.
+    Metrics,
+    /// Goes to the kernel.
+    Kernel(Box<Request>, Purpose),
+}
+
+/// Reads the request's body when a route needs it.
+pub type ReadBody<'a> = &'a mut dyn FnMut() -> Result<Vec<u8>, Problem>;
+
+/// Finds the route of a request.
+pub fn route(method: &Method, url: &str, body: ReadBody<'_>) -> Result<Route, Problem> {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let segments = segments(path)?;
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    let mut query = Query::parse(query)?;
+    let route = match (method, segments.as_slice()) {
+        (Method::Get, ["healthz"]) => Route::Health,
+        (Method::Get, ["metrics"]) => Route::Metrics,
+        (Method::Get, ["readyz"]) => plain(Request::Ready),
+        (Method::Get, ["v1", "status"]) => plain(Request::Overview),
+        (_, ["v1", "work", rest @ ..]) => work(method, rest, &mut query, body)?,
+        (_, ["v1", "objects", team, name]) => object(method, team, name)?,
+        (_, ["v1", "resources", rest @ ..]) => resources(method, rest, &mut query, body)?,
+        (Method::Get, ["v1", "watch"]) => watch(&mut query)?,
+        (Method::Get, ["v1", "force", revision]) => {
+            let revision = revision.parse();
+            plain(Request::Force(revision.map_err(|_| malformed("the revision is no number"))?))
+        }
+        (Method::Get, ["v1", "audit"]) => {
+            let from = query.value("from")?.unwrap_or(0);
+            plain(Request::Audit { from, limit: query.limit()? })
+        }
+        _ => return Err(no_route(method, path)),
+    };
+    query.finish()?;
+    Ok(route)
+}
+
+fn plain(request: Request) -> Route {
+    Route::Kernel(Box::new(request), Purpose::Plain)
+}
+
+fn no_route(method: &Method, path: &str) -> Problem {
+    Problem::new(Kind::NotFound, format!("{method} {path:?} is no route of the interface."))
+}
+
+fn work(
+    method: &Method,
+    rest: &[&str],
+    query: &mut Query,
+    body: ReadBody<'_>,
+) -> Result<Route, Problem> {
+    let request = match (method, rest) {
+        (Method::Post, []) => Request::Submit(parse(&body()?)?),
+        (Method::Get, [team]) => {
+            let (team, after) = (name(team)?, query.text("after"));
+            Request::List { team, after, limit: query.limit()? }
+        }
+        (Method::Get, [team, id]) => Request::Status(work_id(team, id)?),
+        (Method::Get, [team, id, "wait"]) => {
+            Request::Wait { work: work_id(team, id)?, wait: query.wait()? }
+        }
+        (Method::Get, [team, id, "explain"]) => Request::Explain(work_id(team, id)?),
+        (Method::Post, [team, id, "cancel"]) => Request::Cancel(work_id(team, id)?),
+        _ => return Err(no_route(method, &format!("/v1/work/{}", rest.join("/")))),
+    };
+    Ok(plain(request))
+}
+
+fn object(method: &Method, team: &str, object: &str) -> Result<Route, Problem> {
+    let path = format!("{}/{}", name(team)?, name(object)?);
+    let (write, purpose) = match method {
+        Method::Put => (true, Purpose::Upload(path.clone())),
+        Method::Get => (false, Purpose::Download(path.clone())),
+        _ => return Err(no_route(method, &format!("/v1/objects/{path}"))),
+    };
+    Ok(Route::Kernel(Box::new(Request::Object { name: path, write }), purpose))
+}
+
+fn resources(
+    method: &Method,
+    rest: &[&str],
+    query: &mut Query,
+    body: ReadBody<'_>,
+) -> Result<Route, Problem> {
+    let (request, dry_run) = match (method, rest) {
+        (Method::Get, [kind]) => {
+            let (kind, prefix, after) =
+                (parse_kind(kind)?, query.text("prefix"), query.text("after"));
+            (Request::Resources { kind, prefix, after, limit: query.limit()? }, false)
+        }
+        (Method::Get, [kind, resource]) => {
+            (Request::Get { kind: parse_kind(kind)?, name: name(resource)? }, false)
+        }
+        (Method::Put, [kind, resource]) => {
+            let (kind, name) = (parse_kind(kind)?, name(resource)?);
+            let (revision, dry_run) = (query.value("revision")?, dry_run(query)?);
+            let resource: Resource = parse(&body()?)?;
+            if resource.kind() != kind {
+                let message = format!("the body holds a {}, not a {kind}", resource.kind());
+                return Err(malformed(message));
+            }
+            (Request::Put { name, resource, revision, dry_run }, dry_run)
+        }
+        (Method::Delete, [kind, resource]) => {
+            let (kind, name) = (parse_kind(kind)?, name(resource)?);
+            let (revision, dry_run) = (query.value("revision")?, dry_run(query)?);
+            (Request::Delete { kind, name, revision, dry_run }, dry_run)
+        }
+        _ => return Err(no_route(method, &format!("/v1/resources/{}", rest.join("/")))),
+    };
+    Ok(Route::Kernel(Box::new(request), if dry_run { Purpose::DryRun } else { Purpose::Plain }))
+}
+
+fn watch(query: &mut Query) -> Result<Route, Problem> {
+    let request = Request::Watch { from: query.value("from")?.unwrap_or(0), wait: query.wait()? };
+    let purpose = match query.value::<u8>("stream")? {
+        None | Some(0) => Purpose::Plain,
+        Some(1) => Purpose::Stream,
+        Some(_) => return Err(malformed("stream is neither 0 nor 1")),
+    };
+    Ok(Route::Kernel(Box::new(request), purpose))
+}
+
+fn dry_run(query: &mut Query) -> Result<bool, Problem> {
+    Ok(query.value("dry_run")?.unwrap_or(false))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Problem> {
+    serde_json::from_slice(body).map_err(|error| malformed(format!("the body is invalid: {error}")))
+}
+
+fn parse_kind(text: &str) -> Result<resource::Kind, Problem> {
+    let unknown = || Problem::new(Kind::NotFound, format!("{text:?} is no kind of resource."));
+    text.parse().map_err(|_| unknown())
+}
+
+fn name(text: &str) -> Result<String, Problem> {
+    match is_name(text) {
+        true => Ok(text.to_owned()),
+        false => Err(malformed(format!("{text:?} is not a valid name"))),
+    }
+}
+
+fn work_id(team: &str, id: &str) -> Result<WorkId, Problem> {
+    Ok(WorkId { team: name(team)?, name: name(id)? })
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/http/watch.rs
@@ -0,0 +1,90 @@
+//! Streams configuration changes, one JSON line each.
+
+use std::io;
+
+use serde::Serialize;
+use shallotpost_protocol::identity::Revision;
+use shallotpost_protocol::interface::Reply;
+use shallotpost_protocol::problem::{Kind, Problem};
+
+use crate::http::exchange::{Exchange, Stream};
+
+const HEADERS: &str = "Content-Type: application/x-ndjson\r\nTransfer-Encoding: chunked\r\n";
+
+/// Last line of a stream that ends with a problem.
+#[derive(Serialize)]
+struct Failed<'a> {
+    problem: &'a Problem,
+}
+
+/// A stream of changes before and after its first answer.
+pub enum Watcher {
+    /// Nothing was written yet.
+    New(Exchange),
+    /// The head and some changes were written.
+    Open(Stream),
+}
+
+impl Watcher {
+    /// The request.
+    pub fn exchange(&self) -> &Exchange {
+        match self {
+            Watcher::New(exchange) => exchange,
+            Watcher::Open(stream) => stream.exchange(),
+        }
+    }
+
+    /// Writes one round of changes. Returns the stream and the revision to go on from, or `None` where it ended.
+    pub fn write(self, result: &Result<Reply, Problem>) -> Option<(Watcher, Revision)> {
+        match result {
+            Ok(Reply::Changes { changes, next }) => {
+                let stream = self.open().and_then(|stream| lines(stream, changes)).ok()?;
+                Some((Watcher::Open(stream), *next))
+            }
+            Ok(_) => {
+                self.end(&Problem::new(Kind::Unknown, "the reply holds no changes."));
+                None
+            }
+            Err(problem) => {
+                self.end(problem);
+                None
+            }
+        }
+    }
+
+    /// Ends the stream with a problem.
+    pub fn end(self, problem: &Problem) {
+        match self {
+            Watcher::New(exchange) => exchange.problem(problem),
+            Watcher::Open(mut stream) => {
+                // A failed write means that the caller left.
+                let written = line(&mut stream, &Failed { problem });
+                let _ = written.and_then(|()| stream.finish_chunked());
+            }
+        }
+    }
+
+    fn open(self) -> io::Result<Stream> {
+        match self {
+            Watcher::New(exchange) => exchange.stream(HEADERS),
+            Watcher::Open(stream) => Ok(stream),
+        }
+    }
+}
+
+/// Writes the changes, or an empty line that shows the caller a live connection.
+fn lines<T: Serialize>(mut stream: Stream, changes: &[T]) -> io::Result<Stream> {
+    if changes.is_empty() {
+        stream.chunk(b"\n")?;
+    }
+    for change in changes {
+        line(&mut stream, change)?;
+    }
+    Ok(stream)
+}
+
+fn line<T: Serialize>(stream: &mut Stream, value: &T) -> io::Result<()> {
+    let mut text = serde_json::to_vec(value)?;
+    text.push(b'\n');
+    stream.chunk(&text)
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/peer/codec.rs
@@ -0,0 +1,71 @@
+//! Frames on a peer stream: a length of four bytes, the highest first, then the frame in `bincode`.
+
+use bytes::{Buf, Bytes, BytesMut};
+use shallotpost_protocol::wire::{FRAME_LENGTH_MAX, Frame};
+
+/// Bytes of the length.
+const PREFIX: usize = 4;
+
+/// A frame that cannot be encoded or decoded.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The frame exceeds the limit.
+    #[error("a frame of {length} bytes exceeds {FRAME_LENGTH_MAX} bytes")]
+    TooLong {
+        /// Its length.
+        length: usize,
+    },
+    /// The frame cannot be encoded.
+    #[error("the frame cannot be encoded: {0}")]
+    Encode(#[from] bincode::error::EncodeError),
+    /// The bytes are not a frame.
+    #[error("the bytes are not a frame: {0}")]
+    Decode(#[from] bincode::error::DecodeError),
+    /// The frame has bytes after its end.
+    #[error("{0} bytes follow the frame")]
+    Trailing(usize),
+}
+
+/// Encodes a frame with its length.
+pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
+    let mut bytes = vec![0; PREFIX];
+    let length =
+        bincode::serde::encode_into_std_write(frame, &mut bytes, bincode::config::standard())?;
+    let prefix = u32::try_from(length).ok().filter(|_| length <= FRAME_LENGTH_MAX);
+    let prefix = prefix.ok_or(Error::TooLong { length })?;
+    bytes[..PREFIX].copy_from_slice(&prefix.to_be_bytes());
+    Ok(bytes.into())
+}
+
+/// Splits received bytes into frames.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: BytesMut,
+}
+
+impl Decoder {
+    /// Appends received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole frame, if it has arrived. After an error the stream is unusable.
+    pub fn frame(&mut self) -> Result<Option<Frame>, Error> {
+        let Some(prefix) = self.buffer.first_chunk::<PREFIX>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > FRAME_LENGTH_MAX {
+            return Err(Error::TooLong { length });
+        }
+        if self.buffer.len() < PREFIX + length {
+            return Ok(None);
+        }
+        self.buffer.advance(PREFIX);
+        let bytes = self.buffer.split_to(length);
+        let config = bincode::config::standard().with_limit::<FRAME_LENGTH_MAX>();
+        let (frame, used) = bincode::serde::decode_from_slice(&bytes, config)?;
+        match length - used {
+            0 => Ok(Some(frame)),
+            rest => Err(Error::Trailing(rest)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/peer/incoming.rs
@@ -0,0 +1,115 @@
+//! Connections of peers that send to this host.
+
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+
+use bytes::Bytes;
+use h2::server::{Builder, SendResponse};
+use h2::{Reason, RecvStream, SendStream};
+use http::{Request, Response};
+use shallotpost_protocol::identity::HostId;
+use shallotpost_protocol::port::Event;
+use shallotpost_protocol::wire::Frame;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{Duration, sleep, timeout};
+
+use crate::peer::codec::{Decoder, encode};
+use crate::peer::outgoing::{send, watch};
+use crate::peer::{Error, SILENCE_MAX, STREAM_PATH, WINDOW};
+
+/// Most connections of peers; a fleet of the target size has 135 entry hosts.
+const CONNECTIONS_MAX: usize = 512;
+
+/// Most streams on one connection. A peer needs one; a second one may overlap with it during a reset.
+const STREAMS_MAX: u32 = 2;
+
+/// Pause after a failed accept, for example when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections for ever.
+pub async fn run(listener: TcpListener, hello: Frame, events: Sender<Event>) {
+    let free = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // A connection beyond the limit is closed at once.
+                let Ok(permit) = Arc::clone(&free).try_acquire_owned() else { continue };
+                let (hello, events) = (hello.clone(), events.clone());
+                tokio::spawn(async move {
+                    // The sender reconnects by itself.
+                    let _ = serve(stream, hello, events).await;
+                    drop(permit);
+                });
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, hello: Frame, events: Sender<Event>) -> Result<(), Error> {
+    stream.set_nodelay(true)?;
+    let mut builder = Builder::new();
+    builder
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW)
+        .max_concurrent_streams(STREAMS_MAX);
+    let handshake = builder.handshake::<_, Bytes>(stream);
+    let mut connection = timeout(SILENCE_MAX, handshake).await??;
+    let ping_pong = connection.ping_pong();
+    let accept = async {
+        while let Some(accepted) = connection.accept().await {
+            let (request, respond) = accepted?;
+            let (hello, events) = (hello.clone(), events.clone());
+            tokio::spawn(answer(request, respond, hello, events));
+        }
+        Ok(())
+    };
+    tokio::select! {
+        result = accept => result,
+        error = watch(ping_pong) => Err(error),
+    }
+}
+
+/// Receives the frames of one stream; resets it on an error.
+async fn answer(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    hello: Frame,
+    events: Sender<Event>,
+) {
+    if request.uri().path() != STREAM_PATH {
+        respond.send_reset(Reason::REFUSED_STREAM);
+        return;
+    }
+    let Ok(mut answer) = respond.send_response(Response::new(()), false) else { return };
+    if receive(request.into_body(), &mut answer, &hello, &events).await.is_err() {
+        answer.send_reset(Reason::PROTOCOL_ERROR);
+    }
+}
+
+async fn receive(
+    mut body: RecvStream,
+    answer: &mut SendStream<Bytes>,
+    hello: &Frame,
+    events: &Sender<Event>,
+) -> Result<(), Error> {
+    send(answer, encode(hello)?).await?;
+    let mut decoder = Decoder::default();
+    let mut sender: Option<HostId> = None;
+    while let Some(bytes) = body.data().await {
+        let bytes = bytes?;
+        decoder.push(&bytes);
+        body.flow_control().release_capacity(bytes.len())?;
+        while let Some(frame) = decoder.frame()? {
+            match (&sender, &frame) {
+                (None, Frame::Hello { host, .. }) => sender = Some(host.clone()),
+                (None, _) | (Some(_), Frame::Hello { .. }) => return Err(Error::Unexpected),
+                (Some(_), _) => {}
+            }
+            let from = sender.clone().unwrap_or_default();
+            let _ = events.send(Event::Peer { from, frame });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/peer/mod.rs
@@ -0,0 +1,160 @@
+//! Streams of frames between entry hosts: `h2` over TCP.
+//!
+//! Each host opens its own connection for sending, with one long-lived request whose body carries the frames. The response
+//! carries the receiver's `Hello`, which proves that the expected host listens there.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use shallotpost_protocol::identity::{Address, HostId};
+use shallotpost_protocol::port::Event;
+use shallotpost_protocol::wire::Frame;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use crate::peer::outgoing::Target;
+use crate::peer::queue::Queue;
+use crate::settings::Settings;
+
+pub mod codec;
+mod incoming;
+mod outgoing;
+pub mod queue;
+
+/// A connection whose other end answers no ping, grants no capacity or sends no `Hello` for this long is closed.
+pub const SILENCE_MAX: Duration = Duration::from_secs(2);
+
+/// Pause between a ping's answer and the next ping.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Path of the request that carries the frames.
+const STREAM_PATH: &str = "/frames";
+
+/// Bytes that a sender may send ahead of the receiver.
+const WINDOW: u32 = 1 << 20;
+
+/// Most frames on the way from the kernel to the I/O thread; further ones are lost.
+const COMMANDS_MAX: usize = 8192;
+
+/// A peer connection failed.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Protocol(#[from] h2::Error),
+    #[error(transparent)]
+    Request(#[from] http::Error),
+    #[error(transparent)]
+    Frame(#[from] codec::Error),
+    #[error("no answer within {SILENCE_MAX:?}")]
+    Silent(#[from] tokio::time::error::Elapsed),
+    #[error("the peer closed the stream")]
+    Closed,
+    #[error("the peer's Hello is missing, repeated or of another host")]
+    Unexpected,
+}
+
+struct Command {
+    to: HostId,
+    address: Address,
+    frame: Frame,
+}
+
+/// All peer connections.
+pub struct Peers {
+    address: SocketAddr,
+    commands: mpsc::Sender<Command>,
+    stop: watch::Sender<bool>,
+}
+
+impl Peers {
+    /// Starts to listen.
+    pub fn start(
+        settings: &Settings,
+        runtime: &Handle,
+        events: Sender<Event>,
+    ) -> io::Result<Peers> {
+        let listener = StdListener::bind(settings.peer_listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let _context = runtime.enter();
+        let listener = TcpListener::from_std(listener)?;
+        let hello = Frame::Hello {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: settings.incarnation,
+        };
+        let (commands, receiver) = mpsc::channel(COMMANDS_MAX);
+        let (stop, mut stopped) = watch::channel(false);
+        let receiving = runtime.spawn(incoming::run(listener, hello.clone(), events));
+        runtime.spawn(async move {
+            tokio::select! {
+                () = distribute(receiver, hello) => {}
+                _ = stopped.wait_for(|stop| *stop) => {}
+            }
+            receiving.abort();
+        });
+        Ok(Peers { address, commands, stop })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Queues a frame; it is lost where the peer cannot be reached or the queue is full.
+    pub fn send(&self, to: HostId, address: Address, frame: Frame) {
+        let _ = self.commands.try_send(Command { to, address, frame });
+    }
+
+    /// Closes all connections for sending and stops listening.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+}
+
+/// The sending task of one peer; ends with it.
+struct Outgoing {
+    target: Target,
+    queue: Arc<Queue>,
+    task: JoinHandle<()>,
+}
+
+impl Outgoing {
+    fn start(target: Target, hello: Frame) -> Outgoing {
+        let queue = Arc::<Queue>::default();
+        let task = tokio::spawn(outgoing::run(target.clone(), hello, Arc::clone(&queue)));
+        Outgoing { target, queue, task }
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Passes frames to the sending tasks.
+async fn distribute(mut commands: mpsc::Receiver<Command>, hello: Frame) {
+    let mut peers: HashMap<HostId, Outgoing> = HashMap::new();
+    while let Some(Command { to, address, frame }) = commands.recv().await {
+        // A frame that is too long or has no valid address is lost, as the port's contract says.
+        let (Ok(address), Ok(bytes)) = (address.parse(), codec::encode(&frame)) else { continue };
+        let target = Target { host: to.clone(), address };
+        let current = peers.get(&to).filter(|peer| peer.target == target);
+        if current.is_some_and(|peer| peer.queue.push(bytes.clone())) {
+            continue;
+        }
+        peers.retain(|_, peer| !peer.task.is_finished());
+        let peer = Outgoing::start(target, hello.clone());
+        peer.queue.push(bytes);
+        peers.insert(to, peer);
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/peer/outgoing.rs
@@ -0,0 +1,138 @@
+//! Connection for sending to one peer.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use h2::client::{Builder, ResponseFuture};
+use h2::{Ping, PingPong, RecvStream, SendStream};
+use http::Request;
+use shallotpost_protocol::identity::HostId;
+use shallotpost_protocol::wire::Frame;
+use tokio::net::TcpStream;
+use tokio::time::{Duration, sleep, timeout};
+
+use crate::peer::codec::{Decoder, encode};
+use crate::peer::queue::Queue;
+use crate::peer::{Error, PING_INTERVAL, SILENCE_MAX, STREAM_PATH, WINDOW};
+
+/// Connecting takes at most this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// First pause after a failure; doubles with each further one.
+const BACKOFF_FIRST: Duration = Duration::from_millis(50);
+
+/// Longest pause between attempts.
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+/// A connection without frames for this long is closed.
+const CONNECTION_IDLE_MAX: Duration = Duration::from_secs(60);
+
+/// Where frames are sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The peer that must answer there.
+    pub host: HostId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Sends the queued frames to the peer, reconnecting as needed, until no frame comes any more.
+pub async fn run(target: Target, hello: Frame, queue: Arc<Queue>) {
+    let mut failures = 0;
+    while queue.wait(CONNECTION_IDLE_MAX).await {
+        let mut opened = false;
+        // Frames of a broken connection are lost; the kernel repeats what it needs.
+        let _ = session(&target, &hello, &queue, &mut opened).await;
+        failures = if opened { 0 } else { failures + 1 };
+        sleep(backoff(failures)).await;
+    }
+}
+
+/// Exponential pause with jitter, so that the peers of a restarted host do not return in step.
+fn backoff(failures: u32) -> Duration {
+    let pause = BACKOFF_FIRST * 2u32.saturating_pow(failures.min(8));
+    pause.min(BACKOFF_MAX).mul_f64(rand::random_range(0.5..1.0))
+}
+
+async fn session(
+    target: &Target,
+    hello: &Frame,
+    queue: &Queue,
+    opened: &mut bool,
+) -> Result<(), Error> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await??;
+    stream.set_nodelay(true)?;
+    let mut builder = Builder::new();
+    builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW).enable_push(false);
+    let handshake = builder.handshake::<_, Bytes>(stream);
+    let (client, mut connection) = timeout(SILENCE_MAX, handshake).await??;
+    let ping_pong = connection.ping_pong();
+    let exchange = async {
+        let mut client = client.ready().await?;
+        let request = Request::post(format!("http://{}{STREAM_PATH}", target.address));
+        let (response, mut sender) = client.send_request(request.body(())?, false)?;
+        send(&mut sender, encode(hello)?).await?;
+        let answer = timeout(SILENCE_MAX, greet(response, &target.host)).await??;
+        *opened = true;
+        transfer(sender, answer, queue).await
+    };
+    tokio::select! {
+        result = &mut connection => Ok(result?),
+        result = exchange => result,
+        error = watch(ping_pong) => Err(error),
+    }
+}
+
+/// Checks that the host at the other end is the expected one; addresses are reused.
+async fn greet(response: ResponseFuture, expected: &str) -> Result<RecvStream, Error> {
+    let mut body = response.await?.into_body();
+    let mut decoder = Decoder::default();
+    loop {
+        match decoder.frame()? {
+            Some(Frame::Hello { host, .. }) if host == expected => return Ok(body),
+            Some(_) => return Err(Error::Unexpected),
+            None => {}
+        }
+        let bytes = body.data().await.ok_or(Error::Closed)??;
+        body.flow_control().release_capacity(bytes.len())?;
+        decoder.push(&bytes);
+    }
+}
+
+async fn transfer(
+    mut sender: SendStream<Bytes>,
+    mut answer: RecvStream,
+    queue: &Queue,
+) -> Result<(), Error> {
+    loop {
+        tokio::select! {
+            frame = queue.pop() => send(&mut sender, frame).await?,
+            _ = answer.data() => return Err(Error::Closed),
+        }
+    }
+}
+
+/// Sends all bytes as the receiver grants capacity.
+pub async fn send(sender: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), Error> {
+    while !bytes.is_empty() {
+        sender.reserve_capacity(bytes.len());
+        let granted = timeout(SILENCE_MAX, poll_fn(|context| sender.poll_capacity(context)));
+        let capacity = granted.await?.ok_or(Error::Closed)??;
+        sender.send_data(bytes.split_to(capacity.min(bytes.len())), false)?;
+    }
+    Ok(())
+}
+
+/// Pings the other end; returns once an answer is missing.
+pub async fn watch(ping_pong: Option<PingPong>) -> Error {
+    let Some(mut ping_pong) = ping_pong else { return Error::Closed };
+    loop {
+        match timeout(SILENCE_MAX, ping_pong.ping(Ping::opaque())).await {
+            Ok(Ok(_)) => sleep(PING_INTERVAL).await,
+            Ok(Err(error)) => return error.into(),
+            Err(elapsed) => return elapsed.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/peer/queue.rs
@@ -0,0 +1,94 @@
+//! Bounded queue of frames for one peer.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant, timeout};
+
+/// Most frames that wait for a peer.
+pub const QUEUE_FRAMES_MAX: usize = 1024;
+
+/// Most bytes that wait for a peer; one largest frame always fits.
+pub const QUEUE_BYTES_MAX: usize = 8 << 20;
+
+/// A frame that waited longer is dropped: its sender has given up on it.
+pub const FRAME_AGE_MAX: Duration = Duration::from_secs(5);
+
+/// Frames for one peer, dropped oldest first.
+#[derive(Debug, Default)]
+pub struct Queue {
+    state: Mutex<State>,
+    pushed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    frames: VecDeque<(Instant, Bytes)>,
+    bytes: usize,
+    closed: bool,
+}
+
+impl Queue {
+    /// Appends a frame and drops the oldest ones beyond the bounds. Returns false where the sending task has ended.
+    pub fn push(&self, frame: Bytes) -> bool {
+        let mut state = self.lock();
+        if state.closed {
+            return false;
+        }
+        state.bytes += frame.len();
+        state.frames.push_back((Instant::now(), frame));
+        while state.frames.len() > QUEUE_FRAMES_MAX || state.bytes > QUEUE_BYTES_MAX {
+            state.drop_oldest();
+        }
+        drop(state);
+        self.pushed.notify_one();
+        true
+    }
+
+    /// Takes the oldest frame; waits for one.
+    pub async fn pop(&self) -> Bytes {
+        loop {
+            if let Some(frame) = self.take() {
+                return frame;
+            }
+            self.pushed.notified().await;
+        }
+    }
+
+    /// Waits until there is a frame. Where none comes within `idle`, closes the queue and returns false.
+    pub async fn wait(&self, idle: Duration) -> bool {
+        let filled = async {
+            while self.lock().frames.is_empty() {
+                self.pushed.notified().await;
+            }
+        };
+        let _ = timeout(idle, filled).await;
+        let mut state = self.lock();
+        state.closed = state.frames.is_empty();
+        !state.closed
+    }
+
+    fn take(&self) -> Option<Bytes> {
+        let mut state = self.lock();
+        while state.frames.front().is_some_and(|(since, _)| since.elapsed() > FRAME_AGE_MAX) {
+            state.drop_oldest();
+        }
+        let (_, frame) = state.frames.pop_front()?;
+        state.bytes -= frame.len();
+        Some(frame)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn drop_oldest(&mut self) {
+        if let Some((_, frame)) = self.frames.pop_front() {
+            self.bytes -= frame.len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/src/pool.rs
@@ -0,0 +1,142 @@
+//! Thread pool that grows up to a limit and refuses work beyond it.
+
+use std::collections::VecDeque;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// An idle thread ends after this time, so that a burst does not keep its threads.
+const THREAD_IDLE: Duration = Duration::from_secs(10);
+
+/// One piece of work. A job that the pool refuses is dropped without being called.
+pub type Job = Box<dyn FnOnce() + Send>;
+
+/// Bounds of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most threads.
+    pub threads: usize,
+    /// Most jobs that wait for a thread.
+    pub queue: usize,
+    /// Stack of each thread, in bytes.
+    pub stack: usize,
+}
+
+/// A bounded pool. Threads are started on demand.
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    name: &'static str,
+    limits: Limits,
+    state: Mutex<State>,
+    wake: Condvar,
+    ended: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    queue: VecDeque<Job>,
+    threads: usize,
+    idle: usize,
+    closed: bool,
+}
+
+impl Pool {
+    /// An empty pool; `name` names its threads.
+    pub fn new(name: &'static str, limits: Limits) -> Pool {
+        let (state, wake, ended) = Default::default();
+        Pool { shared: Arc::new(Shared { name, limits, state, wake, ended }) }
+    }
+
+    /// Runs the job on an idle or a new thread, or queues it. Returns false, dropping the job, where the pool is full.
+    pub fn execute(&self, job: Job) -> bool {
+        let refused = self.offer(job);
+        // The job is dropped here, after the lock is released: its destructor may take other locks.
+        refused.is_none()
+    }
+
+    /// Lets the threads end after their current jobs and refuses new ones. Queued jobs are still run.
+    pub fn close(&self) {
+        self.shared.lock().closed = true;
+        self.shared.wake.notify_all();
+    }
+
+    /// Waits until all threads of a closed pool have ended, at most until `deadline`. Returns whether they have.
+    pub fn join(&self, deadline: Instant) -> bool {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let state = self.shared.lock();
+        let waited = self.shared.ended.wait_timeout_while(state, left, |state| state.threads > 0);
+        waited.unwrap_or_else(PoisonError::into_inner).0.threads == 0
+    }
+
+    fn offer(&self, job: Job) -> Option<Job> {
+        let mut state = self.shared.lock();
+        let limits = self.shared.limits;
+        match () {
+            _ if state.closed => Some(job),
+            _ if state.idle > state.queue.len() => {
+                state.queue.push_back(job);
+                self.shared.wake.notify_one();
+                None
+            }
+            _ if state.threads < limits.threads && self.shared.spawn() => {
+                state.threads += 1;
+                state.queue.push_back(job);
+                None
+            }
+            _ if state.threads > 0 && state.queue.len() < state.idle + limits.queue => {
+                state.queue.push_back(job);
+                None
+            }
+            _ => Some(job),
+        }
+    }
+}
+
+impl Drop for Pool {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn spawn(self: &Arc<Shared>) -> bool {
+        let shared = Arc::clone(self);
+        let builder = thread::Builder::new().name(self.name.to_owned());
+        builder.stack_size(self.limits.stack).spawn(move || shared.work()).is_ok()
+    }
+
+    fn work(&self) {
+        while let Some(job) = self.next() {
+            // A panic in one job must not cost the pool a thread; the job's own guard reports it.
+            let _ = catch_unwind(AssertUnwindSafe(job));
+        }
+    }
+
+    fn next(&self) -> Option<Job> {
+        let mut state = self.lock();
+        if let Some(job) = state.queue.pop_front() {
+            return Some(job);
+        }
+        state.idle += 1;
+        let waits = |state: &mut State| state.queue.is_empty() && !state.closed;
+        let (mut state, _) = self
+            .wake
+            .wait_timeout_while(state, THREAD_IDLE, waits)
+            .unwrap_or_else(PoisonError::into_inner);
+        state.idle -= 1;
+        let job = state.queue.pop_front();
+        if job.is_none() {
+            state.threads -= 1;
+            self.ended.notify_all();
+        }
+        job
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/tests/call_faults.rs
@@ -0,0 +1,207 @@
+//! Faults of calls: each gets exactly one event, with the right kind of failure.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::thread;
+
+use shallotpost_protocol::port::{Effect, Event, Failure};
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::table::{Check, Reply, Request, Write as RowWrite};
+use shallotpost_protocol::{list, worker};
+use shallotpost_standin::fault::Fault;
+use support::{Bench, PATIENCE, any_port};
+
+/// Timeout of calls that are expected to fail by it.
+const SHORT: Duration = Duration::from_millis(300);
+
+fn create(key: &str) -> Request {
+    let check = Check { key: key.to_owned(), version: None };
+    let write = RowWrite { key: key.to_owned(), value: Some("x".to_owned()) };
+    Request::Transact { checks: vec![check], writes: vec![write] }
+}
+
+fn send(bench: &Bench, call: CallId, request: Request, timeout: Duration) {
+    bench.edge.execute(Effect::Table { call, request, timeout });
+}
+
+fn table_event(bench: &Bench) -> (CallId, Result<Reply, Failure>) {
+    match bench.event() {
+        Event::Table { call, result } => (call, result),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a failure that claims too much: `NotSent` where the call took effect, or success where it did not.
+#[test]
+fn failures_are_classified() {
+    let fault = Fault::default();
+    let cases = [
+        ("answer lost", Fault { lose_after_effect: Some(1), ..fault.clone() }, true),
+        ("call lost", Fault { lose_before_effect: Some(1), ..fault.clone() }, false),
+        ("down", Fault { down: Some(true), ..fault.clone() }, false),
+        ("answer cut", Fault { truncate_answers: Some(1), ..fault.clone() }, true),
+        ("slow", Fault { slow_ms: Some(3000), ..fault.clone() }, true),
+    ];
+    for (name, fault, takes_effect) in cases {
+        let bench = Bench::start();
+        bench.platform.fault(&fault);
+        send(&bench, 1, create("a"), SHORT);
+        assert_eq!(table_event(&bench), (1, Err(Failure::Ambiguous)), "{name}");
+        assert_eq!(bench.platform.table().row("a").is_some(), takes_effect, "{name}");
+        let reset = Fault { down: Some(false), slow_ms: Some(0), ..Fault::default() };
+        bench.platform.fault(&reset);
+        send(&bench, 2, create("b"), PATIENCE);
+        assert_eq!(table_event(&bench), (2, Ok(Reply::Committed)), "{name}");
+        bench.no_event();
+    }
+}
+
+/// Guards against a refused connection that counts as ambiguous, which would block the id of a submission.
+#[test]
+fn a_refused_connection_is_not_sent() {
+    let bench = Bench::start();
+    bench.platform.stop();
+    send(&bench, 1, create("a"), PATIENCE);
+    assert_eq!(table_event(&bench), (1, Err(Failure::NotSent)));
+    bench.edge.execute(Effect::List { call: 2, timeout: PATIENCE });
+    assert!(matches!(bench.event(), Event::List { call: 2, result: Err(Failure::NotSent) }));
+    send(&bench, 3, create("a"), Duration::ZERO);
+    assert_eq!(table_event(&bench), (3, Err(Failure::NotSent)));
+    bench.no_event();
+}
+
+/// Guards against answers that are taken for something they are not.
+#[test]
+fn odd_answers_are_failures() {
+    let ok =
+        |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let status = |status: u16| format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+    let cases = [
+        ("no JSON", ok("xyz"), Failure::Ambiguous),
+        ("another type", ok("{\"rows\":7}"), Failure::Ambiguous),
+        ("empty", ok(""), Failure::Ambiguous),
+        ("no HTTP", "hello\r\n\r\n".to_owned(), Failure::Ambiguous),
+        ("half a head", "HTTP/1.1 200 OK\r\nContent-".to_owned(), Failure::Ambiguous),
+        (
+            "half a chunk",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n\"comm".to_owned(),
+            Failure::Ambiguous,
+        ),
+        (
+            "redirect",
+            "HTTP/1.1 307 X\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Failure::Ambiguous,
+        ),
+        ("400", status(400), Failure::Rejected),
+        ("408", status(408), Failure::Ambiguous),
+        ("500", status(500), Failure::Ambiguous),
+        ("503", status(503), Failure::Ambiguous),
+    ];
+    for (name, answer, expected) in cases {
+        let listener = TcpListener::bind(any_port()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let bench = Bench::with(|settings| settings.table_url = format!("http://{address}/table"));
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            // The whole request comes in one piece, so that closing the connection does not reset it.
+            let count = stream.read(&mut [0; 4096]).unwrap();
+            assert!(count > 0);
+            stream.write_all(answer.as_bytes()).unwrap();
+        });
+        send(&bench, 1, create("a"), PATIENCE);
+        assert_eq!(table_event(&bench), (1, Err(expected)), "{name}");
+        server.join().unwrap();
+    }
+}
+
+/// Guards against connections that went silent and cost more than one deadline.
+#[test]
+fn silent_connections_cost_one_deadline() {
+    let bench = Bench::start();
+    // Answers that overlap need a connection each.
+    bench.platform.fault(&Fault { slow_ms: Some(200), ..Fault::default() });
+    (1..=4).for_each(|call| send(&bench, call, create(&call.to_string()), PATIENCE));
+    (1..=4).for_each(|_| assert_eq!(table_event(&bench).1, Ok(Reply::Committed)));
+    let fault =
+        Fault { slow_ms: Some(0), silence_open_connections: Some(true), ..Fault::default() };
+    bench.platform.fault(&fault);
+    send(&bench, 5, create("5"), SHORT);
+    assert_eq!(table_event(&bench), (5, Err(Failure::Ambiguous)));
+    for call in 6..=9 {
+        send(&bench, call, create(&call.to_string()), PATIENCE);
+        assert_eq!(table_event(&bench), (call, Ok(Reply::Committed)));
+    }
+    bench.no_event();
+}
+
+/// Guards against a failure that comes before or long after the timeout, and against a late answer that is taken for the
+/// answer of another call.
+#[test]
+fn a_late_answer_reaches_no_other_call() {
+    let bench = Bench::start();
+    bench.platform.fault(&Fault { slow_ms: Some(600), ..Fault::default() });
+    let started = Instant::now();
+    send(&bench, 1, create("a"), SHORT);
+    assert_eq!(table_event(&bench), (1, Err(Failure::Ambiguous)));
+    let took = started.elapsed();
+    assert!(took >= SHORT && took < SHORT * 2, "{took:?}");
+    let read = |key: &str| Request::Read { keys: vec![key.to_owned()] };
+    send(&bench, 2, read("none"), PATIENCE);
+    assert_eq!(table_event(&bench), (2, Ok(Reply::Rows { rows: Vec::new(), more: false })));
+    bench.no_event();
+}
+
+/// Guards against calls that wait for a thread: beyond the limit they fail at once, unsent.
+#[test]
+fn a_full_pool_refuses_at_once() {
+    let bench = Bench::with(|settings| settings.worker_threads = 2);
+    let worker = TcpListener::bind(any_port()).unwrap();
+    let execute = |call| {
+        bench.edge.execute(Effect::Worker {
+            call,
+            worker: "worker-1".to_owned(),
+            address: worker.local_addr().unwrap().to_string(),
+            request: worker::Request::Claim {
+                shard: "kochi/0".parse().unwrap(),
+                epoch: 1,
+                lease: PATIENCE,
+            },
+            timeout: PATIENCE,
+        });
+    };
+    execute(1);
+    execute(2);
+    let connections = [worker.accept().unwrap(), worker.accept().unwrap()];
+    execute(3);
+    assert!(matches!(bench.event(), Event::Worker { call: 3, result: Err(Failure::NotSent) }));
+    drop(connections);
+    for _ in 0..2 {
+        let event = bench.event();
+        let ambiguous = Err(Failure::Ambiguous);
+        assert!(matches!(event, Event::Worker { call: 1 | 2, result } if result == ambiguous));
+    }
+    bench.no_event();
+}
+
+/// Guards against a worker list that is translated wrongly.
+#[test]
+fn the_list_is_read() {
+    let bench = Bench::start();
+    let entry = list::Worker {
+        worker: "w".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: "kochi".to_owned(),
+        rack: "r".to_owned(),
+        capacity: Size::from_parts([1, 2, 3, 4]),
+        leaving: true,
+    };
+    bench.platform.update_list(|list| list.push(entry.clone()));
+    bench.edge.execute(Effect::List { call: 7, timeout: PATIENCE });
+    match bench.event() {
+        Event::List { call, result } => assert_eq!((call, result), (7, Ok(vec![entry]))),
+        other => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/tests/http_requests.rs
@@ -0,0 +1,305 @@
+//! The HTTP interface: translation, bad inputs, and answers that reach the right callers.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+
+use shallotpost_protocol::interface::{Overview, Reply, Request};
+use shallotpost_protocol::port::Event;
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::{Force, Kind, Resource, Team};
+use support::{Bench, PATIENCE, agent};
+
+const SPECIFICATION: &str =
+    r#"{"id":"job-1","team":"fish","class":"batch","size":{},"command":["run","1"]}"#;
+
+/// Sends raw bytes and returns status, head and body of the answer. The request must ask to close the connection.
+fn raw(bench: &Bench, request: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(bench.edge.http_address()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(request).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let status = answer.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, answer.split_once("\r\n\r\n").unwrap().1.to_owned())
+}
+
+fn message(line: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    let head =
+        format!("{line} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {length}\r\n");
+    format!("{head}{headers}\r\n{body}").into_bytes()
+}
+
+/// Guards against a malformed request that reaches the kernel or that gets no typed problem.
+#[test]
+fn bad_inputs_get_problems() {
+    let bench = Bench::start();
+    let spec = |field: &str| SPECIFICATION.replacen('{', &format!("{{{field},"), 1);
+    let (unknown_field, negative) = (spec("\"colour\":1"), spec("\"attempts\":-1"));
+    let unknown_class = SPECIFICATION.replace("\"batch\"", r#"{"gang":{"parts":2,"colour":1}}"#);
+    let large = format!("{}{SPECIFICATION}", " ".repeat(300 << 10));
+    let team = r#"{"team":{"share":1}}"#;
+    let cases: Vec<(&str, &str, ProblemKind)> = vec![
+        ("POST /v1/work", "", ProblemKind::Malformed),
+        ("POST /v1/work", "{\"id\":", ProblemKind::Malformed),
+        ("POST /v1/work", "[]", ProblemKind::Malformed),
+        ("POST /v1/work", &unknown_field, ProblemKind::Malformed),
+        ("POST /v1/work", &unknown_class, ProblemKind::Malformed),
+        ("POST /v1/work", &negative, ProblemKind::Malformed),
+        ("POST /v1/work", &large, ProblemKind::TooLarge),
+        ("POST /v1/work?x=1", SPECIFICATION, ProblemKind::Malformed),
+        ("PATCH /v1/work", SPECIFICATION, ProblemKind::NotFound),
+        ("GET /v1/work", "", ProblemKind::NotFound),
+        ("GET /", "", ProblemKind::NotFound),
+        ("GET /v2/work/fish", "", ProblemKind::NotFound),
+        ("GET /v1/work/fish?limit=0", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish?limit=501", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish?limit=ten", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish?limit=1&limit=2", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/..", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/%zz", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/%ff", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/a%2Fb", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/job/wait?wait_ms=60001", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/job/wait?wait_ms=-1", "", ProblemKind::Malformed),
+        ("GET /v1/work/fish/job/cancel", "", ProblemKind::NotFound),
+        ("GET /v1/resources/colour", "", ProblemKind::NotFound),
+        ("PUT /v1/resources/key/fish", team, ProblemKind::Malformed),
+        ("PUT /v1/resources/team/fish?revision=x", team, ProblemKind::Malformed),
+        ("PUT /v1/resources/team/fish?dry_run=1", team, ProblemKind::Malformed),
+        ("PUT /v1/resources/team/fish", r#"{"team":{"share":1,"x":1}}"#, ProblemKind::Malformed),
+        ("GET /v1/force/x", "", ProblemKind::Malformed),
+        ("GET /v1/watch?from=x", "", ProblemKind::Malformed),
+        ("GET /v1/watch?stream=2", "", ProblemKind::Malformed),
+        ("GET /v1/audit?limit=9999", "", ProblemKind::Malformed),
+        ("POST /v1/objects/fish/a", "", ProblemKind::NotFound),
+        ("PUT /v1/objects/fish/.a", "", ProblemKind::Malformed),
+    ];
+    for (line, body, kind) in cases {
+        let (status, answer) = raw(&bench, &message(line, "", body));
+        let problem: Problem = serde_json::from_str(&answer).unwrap();
+        assert_eq!((status, problem.kind), (kind.status(), kind), "{line} {answer}");
+        assert_eq!(problem.not_run, line == "POST /v1/work", "{line}: {answer}");
+        assert!(!problem.remedy.is_empty());
+    }
+    let basic = message("GET /v1/status", "Authorization: Basic abc\r\n", "");
+    assert_eq!(raw(&bench, &basic).0, 401);
+    bench.no_event();
+}
+
+/// Guards against a length header that makes the process allocate without bound, and against a wrongly chunked body.
+#[test]
+fn broken_lengths_get_problems() {
+    let bench = Bench::start();
+    let cases = [
+        ("Content-Length: 18446744073709551615\r\n", "", 413),
+        ("Content-Length: 4611686018427387904\r\n", "{}", 413),
+        ("Transfer-Encoding: chunked\r\n", "zz\r\n", 400),
+        ("Transfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n", 400),
+    ];
+    for (header, body, expected) in cases {
+        let request = format!("POST /v1/work HTTP/1.1\r\nConnection: close\r\n{header}\r\n{body}");
+        assert_eq!(raw(&bench, request.as_bytes()).0, expected, "{header}");
+    }
+    bench.no_event();
+}
+
+/// Guards against a request that is translated into another one.
+#[test]
+fn routes_map_onto_requests() {
+    let bench = Bench::start();
+    let work = || "fish/job-1".parse::<WorkId>().unwrap();
+    let team = || Resource::Team(Team { share: 2, cap: Size::from_parts([u64::MAX; 4]) });
+    let name = || "fish".to_owned();
+    let second = Duration::from_secs(1);
+    let cases: Vec<(&str, &str, Request)> = vec![
+        (
+            "POST /v1/work",
+            SPECIFICATION,
+            Request::Submit(serde_json::from_str(SPECIFICATION).unwrap()),
+        ),
+        ("GET /v1/work/fish/job-1", "", Request::Status(work())),
+        ("GET /v1/work/fish/job%2D1", "", Request::Status(work())),
+        (
+            "GET /v1/work/fish/job-1/wait?wait_ms=1000",
+            "",
+            Request::Wait { work: work(), wait: second },
+        ),
+        ("POST /v1/work/fish/job-1/cancel", "", Request::Cancel(work())),
+        ("GET /v1/work/fish/job-1/explain", "", Request::Explain(work())),
+        (
+            "GET /v1/work/fish?after=a&limit=500",
+            "",
+            Request::List { team: name(), after: "a".to_owned(), limit: 500 },
+        ),
+        (
+            "GET /v1/resources/data_centre/fish",
+            "",
+            Request::Get { kind: Kind::DataCentre, name: name() },
+        ),
+        (
+            "GET /v1/resources/team?prefix=f&after=a",
+            "",
+            Request::Resources {
+                kind: Kind::Team,
+                prefix: "f".to_owned(),
+                after: "a".to_owned(),
+                limit: 100,
+            },
+        ),
+        (
+            "PUT /v1/resources/team/fish?revision=0&dry_run=true",
+            r#"{"team":{"share":2}}"#,
+            Request::Put { name: name(), resource: team(), revision: Some(0), dry_run: true },
+        ),
+        (
+            "DELETE /v1/resources/team/fish?revision=9",
+            "",
+            Request::Delete { kind: Kind::Team, name: name(), revision: Some(9), dry_run: false },
+        ),
+        ("GET /v1/watch?from=4&wait_ms=1000", "", Request::Watch { from: 4, wait: second }),
+        ("GET /v1/force/7", "", Request::Force(7)),
+        ("GET /v1/audit?from=3&limit=5", "", Request::Audit { from: 3, limit: 5 }),
+        ("GET /v1/status", "", Request::Overview),
+        ("GET /readyz", "", Request::Ready),
+    ];
+    for (line, body, expected) in cases {
+        let sent = message(line, "Authorization: Bearer op.secret\r\n", body);
+        let (status, answer) = thread::scope(|scope| {
+            let caller = scope.spawn(|| raw(&bench, &sent));
+            let (request, call) = bench.request();
+            assert_eq!((call.key.as_str(), call.request), ("op.secret", expected), "{line}");
+            bench.answer(request, Ok(Reply::Cancelling));
+            caller.join().unwrap()
+        });
+        assert_eq!((status, answer.as_str()), (200, "\"cancelling\""), "{line}");
+    }
+    let (_, health) = raw(&bench, &message("GET /healthz", "", ""));
+    let (_, metrics) = raw(&bench, &message("GET /metrics", "", ""));
+    assert_eq!((health.as_str(), metrics.as_str()), ("ok\n", "metric 1\n"));
+    bench.no_event();
+}
+
+/// Guards against a status that hides a pending change or a repeated submission.
+#[test]
+fn replies_map_onto_statuses() {
+    let bench = Bench::start();
+    let changed = |in_force| {
+        let force = Force { revision: 5, in_force, waiting_for: Vec::new() };
+        Ok(Reply::Changed { revision: 5, force })
+    };
+    let accepted = |repeated| {
+        let (work, shard) = ("fish/job-1".parse().unwrap(), "kochi/0".parse().unwrap());
+        Ok(Reply::Accepted { work, shard, repeated })
+    };
+    let refused = |kind| Err(Problem::new(kind, "because"));
+    let cases = [
+        ("DELETE /v1/resources/team/a", changed(true), 200),
+        ("DELETE /v1/resources/team/a", changed(false), 202),
+        ("DELETE /v1/resources/team/a?dry_run=true", changed(false), 200),
+        ("GET /v1/status", accepted(false), 202),
+        ("GET /v1/status", accepted(true), 200),
+        ("GET /readyz", Ok(Reply::Ready), 200),
+        ("GET /readyz", refused(ProblemKind::Draining), 503),
+        ("GET /v1/status", refused(ProblemKind::Unauthorized), 401),
+        ("GET /v1/status", refused(ProblemKind::Unknown), 504),
+    ];
+    for (line, result, expected) in cases {
+        let status = thread::scope(|scope| {
+            let caller = scope.spawn(|| raw(&bench, &message(line, "", "")));
+            let (request, call) = bench.request();
+            assert_eq!(call.key, "", "a missing key is left to the kernel");
+            bench.answer(request, result.clone());
+            caller.join().unwrap().0
+        });
+        assert_eq!(status, expected, "{line} {result:?}");
+    }
+}
+
+/// Guards against answers that reach the wrong caller when they come in another order.
+#[test]
+fn crossed_answers_reach_their_callers() {
+    let bench = Bench::start();
+    let ask = |team: &str| raw(&bench, &message(&format!("GET /v1/work/{team}/job"), "", ""));
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|number| scope.spawn(move || (number, ask(&format!("team-{number}")))))
+            .collect();
+        let requests: Vec<_> = (0..8).map(|_| bench.request()).collect();
+        for (request, call) in requests.into_iter().rev() {
+            let Request::Status(work) = call.request else { panic!("{call:?}") };
+            bench.answer(request, Err(Problem::new(ProblemKind::NotFound, work.team)));
+        }
+        for caller in callers {
+            let (number, (status, answer)) = caller.join().unwrap();
+            let problem: Problem = serde_json::from_str(&answer).unwrap();
+            assert_eq!((status, problem.message), (404, format!("team-{number}")));
+        }
+    });
+}
+
+/// Guards against a kernel that works for callers that have left, and against a late answer that reaches the next caller.
+#[test]
+fn a_caller_that_left_is_reported() {
+    let bench = Bench::start();
+    let mut stream = TcpStream::connect(bench.edge.http_address()).unwrap();
+    stream.write_all(b"GET /v1/work/fish/job/wait HTTP/1.1\r\n\r\n").unwrap();
+    let (left, _) = bench.request();
+    drop(stream);
+    match bench.event() {
+        Event::Abandoned { request } => assert_eq!(request, left),
+        other => panic!("{other:?}"),
+    }
+    bench.answer(left, Ok(Reply::Ready));
+    let overview = Reply::Overview(Overview::default());
+    let (status, answer) = thread::scope(|scope| {
+        let caller = scope.spawn(|| raw(&bench, &message("GET /v1/status", "", "")));
+        let (request, _) = bench.request();
+        assert_ne!(request, left);
+        bench.answer(left, Ok(Reply::Ready));
+        bench.answer(request, Ok(overview.clone()));
+        caller.join().unwrap()
+    });
+    assert_eq!((status, serde_json::from_str::<Reply>(&answer).unwrap()), (200, overview));
+    bench.no_event();
+}
+
+/// Guards against open requests without bound: the next one is refused at once, and truthfully for a submission.
+#[test]
+fn too_many_open_requests_are_refused() {
+    let bench = Bench::with(|settings| settings.open_requests = 2);
+    thread::scope(|scope| {
+        let held: Vec<_> = (0..2)
+            .map(|_| scope.spawn(|| raw(&bench, &message("GET /v1/status", "", "")).0))
+            .collect();
+        let requests = [bench.request(), bench.request()];
+        let (status, answer) = raw(&bench, &message("POST /v1/work", "", SPECIFICATION));
+        let problem: Problem = serde_json::from_str(&answer).unwrap();
+        assert_eq!((status, problem.kind, problem.not_run), (429, ProblemKind::Overloaded, true));
+        requests.into_iter().for_each(|(request, _)| bench.answer(request, Ok(Reply::Ready)));
+        held.into_iter().for_each(|caller| assert_eq!(caller.join().unwrap(), 200));
+    });
+    bench.no_event();
+}
+
+/// Guards against a connection that can be used only once.
+#[test]
+fn a_connection_serves_many_requests() {
+    let bench = Bench::start();
+    let agent = agent();
+    for _ in 0..20 {
+        let status = thread::scope(|scope| {
+            let caller = scope.spawn(|| agent.get(bench.url("/readyz")).call().unwrap());
+            let (request, _) = bench.request();
+            bench.answer(request, Ok(Reply::Ready));
+            let mut response = caller.join().unwrap();
+            assert_eq!(response.body_mut().read_to_string().unwrap(), "\"ready\"");
+            response.status().as_u16()
+        });
+        assert_eq!(status, 200);
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-edge/tests/object_streams.rs
@@ -0,0 +1,146 @@
+//! Objects stream between callers and the object store.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+
+use shallotpost_protocol::interface::{Reply, Request};
+use shallotpost_protocol::key::digest;
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::work::Object;
+use shallotpost_standin::fault::Fault;
+use support::{Bench, PATIENCE, agent};
+
+const NAME: &str = "fish/catch";
+const PATH: &str = "/v1/objects/fish/catch";
+
+fn content(length: usize) -> Vec<u8> {
+    (0..length as u64)
+        .map(|index| (index.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 56) as u8)
+        .collect()
+}
+
+/// Answers the next request, which must be about the object, with `Allowed`.
+fn allow(bench: &Bench, expected_write: bool) {
+    let (request, call) = bench.request();
+    assert_eq!(call.request, Request::Object { name: NAME.to_owned(), write: expected_write });
+    bench.answer(request, Ok(Reply::Allowed));
+}
+
+fn put(bench: &Bench, content: &[u8], digest: &str) -> (u16, String) {
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let request = agent().put(bench.url(PATH)).header("x-content-sha256", digest);
+            let mut response = request.send(content).unwrap();
+            (response.status().as_u16(), response.body_mut().read_to_string().unwrap())
+        });
+        allow(bench, true);
+        caller.join().unwrap()
+    })
+}
+
+/// Guards against large objects that are cut, changed or refused.
+#[test]
+fn thirty_megabytes_pass() {
+    let bench = Bench::start();
+    let content = content(30 << 20);
+    let digest = digest(&content);
+    let (status, answer) = put(&bench, &content, &digest);
+    let object: Object = serde_json::from_str(&answer).unwrap();
+    let length = content.len() as u64;
+    let expected = Object { name: NAME.to_owned(), length, digest: digest.clone() };
+    assert_eq!((status, object), (200, expected));
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let response = agent().get(bench.url(PATH)).call().unwrap();
+            assert_eq!(response.headers()["x-content-sha256"], digest.as_str());
+            let mut body = response.into_body();
+            body.with_config().limit(u64::MAX).read_to_vec().unwrap()
+        });
+        allow(&bench, false);
+        assert!(caller.join().unwrap() == content, "the content changed");
+    });
+}
+
+/// Guards against a chunked upload that is not passed on whole.
+#[test]
+fn chunked_uploads_pass() {
+    let bench = Bench::start();
+    let content = content(200_000);
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let body = ureq::SendBody::from_owned_reader(std::io::Cursor::new(content.clone()));
+            agent().put(bench.url(PATH)).send(body).unwrap().status().as_u16()
+        });
+        allow(&bench, true);
+        assert_eq!(caller.join().unwrap(), 200);
+    });
+    assert!(*bench.platform.objects().get(NAME).unwrap().content == content);
+}
+
+/// Guards against an upload that broke and is stored, or that is reported as stored.
+#[test]
+fn a_broken_upload_stores_nothing() {
+    let bench = Bench::start();
+    let heads = ["Content-Length: 1000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nF4240\r\n"];
+    for head in heads {
+        let mut stream = TcpStream::connect(bench.edge.http_address()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        write!(stream, "PUT {PATH} HTTP/1.1\r\n{head}").unwrap();
+        stream.write_all(&content(400_000)).unwrap();
+        allow(&bench, true);
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+        // The upload has ended when nothing is open any more.
+        assert!(bench.platform.objects().get(NAME).is_none());
+    }
+    assert!(bench.edge.finish(PATIENCE));
+    assert!(bench.platform.objects().get(NAME).is_none());
+}
+
+/// Guards against refusals of the kernel or the store that look like success.
+#[test]
+fn refusals_are_passed_on() {
+    let bench = Bench::start();
+    let content = content(5000);
+    let (status, answer) = put(&bench, &content, &digest(b"something else"));
+    assert_eq!(status, 400, "{answer}");
+    assert!(bench.platform.objects().get(NAME).is_none());
+    let get = |result: Result<Reply, Problem>| {
+        thread::scope(|scope| {
+            let caller =
+                scope.spawn(|| agent().get(bench.url(PATH)).call().unwrap().status().as_u16());
+            let (request, _) = bench.request();
+            bench.answer(request, result);
+            caller.join().unwrap()
+        })
+    };
+    assert_eq!(get(Err(Problem::new(ProblemKind::Forbidden, "no"))), 403);
+    assert_eq!(get(Ok(Reply::Allowed)), 404);
+    bench.platform.stop();
+    assert_eq!(get(Ok(Reply::Allowed)), 503);
+}
+
+/// Guards against a download that broke and looks complete.
+#[test]
+fn a_broken_download_is_an_error() {
+    let bench = Bench::start();
+    let content = content(3 << 20);
+    assert_eq!(put(&bench, &content, &digest(&content)).0, 200);
+    bench.platform.fault(&Fault { truncate_answers: Some(1), ..Fault::default() });
+    let result = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let response = agent().get(bench.url(PATH)).call().unwrap();
+            assert_eq!(response.status().as_u16(), 200);
+            response.into_body().read_to_vec()
+        });
+        allow(&bench, false);
+        caller.join().unwrap()
+    });
+    assert!(result.is_err(), "{} bytes came", result.unwrap().len());
+}
--- /dev/null
+++ b/crates/shallotpost-edge/tests/support/mod.rs
@@ -0,0 +1,73 @@
+//! An edge in front of a stand-in platform, with the test as its kernel.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use shallotpost_edge::{Edge, Settings};
+use shallotpost_protocol::interface::{Call, Reply};
+use shallotpost_protocol::port::{Effect, Event};
+use shallotpost_protocol::prelude::*;
+use shallotpost_standin::hub::{Hub, Server};
+use shallotpost_standin::platform::Platform;
+
+/// Longer than anything that a passing test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub struct Bench {
+    pub edge: Edge,
+    pub events: Mutex<Receiver<Event>>,
+    pub platform: Server<Platform>,
+    pub hub: Hub,
+}
+
+impl Bench {
+    pub fn start() -> Bench {
+        Bench::with(|_| {})
+    }
+
+    pub fn with(adjust: impl FnOnce(&mut Settings)) -> Bench {
+        let hub = Hub::start().unwrap();
+        let platform = hub.serve(any_port(), Platform::default()).unwrap();
+        let mut settings = Settings::loopback("entry-1", "kochi", platform.address());
+        adjust(&mut settings);
+        let (sender, events) = channel();
+        let edge = Edge::start(&settings, sender, Arc::new(|| "metric 1\n".to_owned())).unwrap();
+        Bench { edge, events: Mutex::new(events), platform, hub }
+    }
+
+    pub fn event(&self) -> Event {
+        self.events.lock().unwrap().recv_timeout(PATIENCE).unwrap()
+    }
+
+    pub fn no_event(&self) {
+        assert!(matches!(self.events.lock().unwrap().try_recv(), Err(TryRecvError::Empty)));
+    }
+
+    pub fn request(&self) -> (RequestId, Call) {
+        match self.event() {
+            Event::Request { request, call } => (request, call),
+            other => panic!("{other:?} is no request"),
+        }
+    }
+
+    pub fn answer(&self, request: RequestId, result: Result<Reply, Problem>) {
+        self.edge.execute(Effect::Answer { request, result });
+    }
+
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.edge.http_address())
+    }
+}
+
+/// An agent that reports every status as an answer.
+pub fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder().http_status_as_error(false).proxy(None);
+    config.timeout_global(Some(PATIENCE)).build().into()
+}
--- a/crates/shallotpost-protocol/src/work.rs
+++ b/crates/shallotpost-protocol/src/work.rs
@@ -17,7 +17,7 @@
 
 /// Class of work; it selects the placement policy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Class {
     /// Long-running replicas, spread over racks and replaced at once.
     Service {
--- a/crates/shallotpost-standin/src/lib.rs
+++ b/crates/shallotpost-standin/src/lib.rs
@@ -1,6 +1,14 @@
 //! Stand-ins for the platform and the workers, for tests and for evaluation.
 //!
-//! [`table`] and [`worker`] hold the pure state machines; tests use them directly as fakes.
+//! [`table`] and [`worker`] hold the pure state machines; tests use them directly as fakes. A [`hub::Hub`] serves them over
+//! HTTP: [`platform::Platform`] is the table service, the object store and the worker list, [`host::Host`] is one worker.
 
+pub mod fault;
+pub mod host;
+pub mod hub;
+pub mod list;
+pub mod objects;
+pub mod platform;
+pub mod settings;
 pub mod table;
 pub mod worker;
--- /dev/null
+++ b/crates/shallotpost-standin/src/platform.rs
@@ -0,0 +1,112 @@
+//! The platform: table service (`POST /table`), object store (`/objects/<team>/<name>`) and worker list (`GET /list`).
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use shallotpost_protocol::list;
+use tiny_http::{Method, Request};
+
+use crate::fault::Fault;
+use crate::hub::{Answer, Service, read_json};
+use crate::list::List;
+use crate::objects::{self, Objects, Refusal};
+use crate::table::Table;
+
+/// Header with the hexadecimal SHA-256 digest of an object.
+pub const DIGEST_HEADER: &str = "x-content-sha256";
+
+const OBJECT_PATH: &str = "/objects/";
+
+/// State of the platform.
+pub struct Platform {
+    table: Mutex<Table>,
+    objects: Mutex<Objects>,
+    list: Mutex<List>,
+}
+
+impl Default for Platform {
+    fn default() -> Platform {
+        let list = Mutex::new(List::new(Instant::now()));
+        Platform { table: Mutex::default(), objects: Mutex::default(), list }
+    }
+}
+
+impl Platform {
+    /// The table, for inspection and for direct changes.
+    pub fn table(&self) -> MutexGuard<'_, Table> {
+        lock(&self.table)
+    }
+
+    /// The object store.
+    pub fn objects(&self) -> MutexGuard<'_, Objects> {
+        lock(&self.objects)
+    }
+
+    /// Changes the true worker list; readers see it after the lag.
+    pub fn update_list(&self, change: impl FnOnce(&mut Vec<list::Worker>)) {
+        lock(&self.list).update(Instant::now(), change);
+    }
+
+    fn read_object(&self, name: &str) -> Answer {
+        let Some(stored) = self.objects().get(name) else {
+            return Answer::refused(404, "no such object");
+        };
+        Answer {
+            status: 200,
+            headers: vec![(DIGEST_HEADER, stored.object.digest.clone())],
+            body: stored.content,
+        }
+    }
+
+    fn write_object(
+        &self,
+        name: &str,
+        request: &mut Request,
+        connected: &dyn Fn() -> bool,
+    ) -> Answer {
+        let length = request.body_length().map(|length| length as u64);
+        let header = request.headers().iter().find(|header| header.field.equiv(DIGEST_HEADER));
+        let digest = header.map(|header| header.value.to_string());
+        match objects::receive(name, request.as_reader(), length, digest.as_deref()) {
+            Ok(_) if !connected() => Answer::refused(400, "the stream broke"),
+            Ok(stored) => {
+                let object = stored.object.clone();
+                self.objects().put(stored);
+                Answer::json(&object)
+            }
+            Err(refusal @ Refusal::Digest { .. }) => Answer::refused(422, &refusal.to_string()),
+            Err(refusal) => Answer::refused(400, &refusal.to_string()),
+        }
+    }
+}
+
+impl Service for Platform {
+    fn handle(
+        &self,
+        method: &Method,
+        path: &str,
+        request: &mut Request,
+        connected: &dyn Fn() -> bool,
+    ) -> Answer {
+        match (method, path, path.strip_prefix(OBJECT_PATH)) {
+            (Method::Post, "/table", _) => match read_json(request) {
+                Ok(call) => Answer::json(&self.table().handle(&call)),
+                Err(answer) => answer,
+            },
+            (Method::Get, "/list", _) => Answer::json(&lock(&self.list).read(Instant::now())),
+            (Method::Get, _, Some(name)) => self.read_object(name),
+            (Method::Put, _, Some(name)) => self.write_object(name, request, connected),
+            _ => Answer::refused(404, "no such route"),
+        }
+    }
+
+    fn set(&self, fault: &Fault) {
+        if let Some(lag) = fault.list_lag_ms {
+            lock(&self.list).set_lag(Duration::from_millis(lag));
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/shallotpost-standin/src/worker.rs
+++ b/crates/shallotpost-standin/src/worker.rs
@@ -1,7 +1,8 @@
 //! One worker: epochs, leases, capacity and tasks.
 //!
 //! A task's command selects its behaviour: `["run", "<milliseconds>"]` succeeds after that time, `["fail", "<milliseconds>"]`
-//! fails after that time, `["serve"]` runs until it is stopped.
+//! fails after that time, `["serve"]` runs until it is stopped. An optional third argument is the share of the booked
+//! processors that the task really uses, for example `["run", "500", "0.4"]`; without it the task uses all of them.
 
 use std::collections::BTreeMap;
 
@@ -10,6 +11,9 @@
     Assignment, End, Mode, Refusal, Reply, Report, Request, Snapshot, TaskState,
 };
 
+/// Age of the first measurement of a task's usage.
+pub const USAGE_LAG: Duration = Duration::from_secs(3);
+
 /// One attempt of a task on the worker.
 #[derive(Clone, Debug)]
 struct Run {
@@ -71,7 +75,7 @@
             Request::Claim { epoch, lease, .. } => {
                 self.epoch = *epoch;
                 self.lease_until = Some(now + *lease);
-                Reply::State(self.snapshot())
+                Reply::State(self.snapshot(now))
             }
             Request::Sync { epoch, .. }
             | Request::Start { epoch, .. }
@@ -83,7 +87,7 @@
             Request::Sync { lease, acknowledged, .. } => {
                 self.lease_until = Some(now + *lease);
                 acknowledged.iter().for_each(|key| self.forget(key));
-                Reply::State(self.snapshot())
+                Reply::State(self.snapshot(now))
             }
             Request::Start { assignment, .. } => self.start(now, assignment),
             Request::Stop { task, attempt, mode, .. } => {
@@ -92,6 +96,17 @@
         }
     }
 
+    /// Answers a `Sync` that has waited until `now`. Unlike [`Worker::handle`] it renews no lease: the caller counts the
+    /// lease from the moment it sent the call.
+    pub fn report(&mut self, now: Instant, epoch: Epoch) -> Reply {
+        self.advance(now);
+        match () {
+            _ if self.fencing && epoch < self.epoch => self.stale(),
+            _ if self.lease_until.is_none() => Reply::Refused(Refusal::NotClaimed),
+            _ => Reply::State(self.snapshot(now)),
+        }
+    }
+
     /// Ends the tasks whose time has come, and all tasks once the lease has lapsed.
     pub fn advance(&mut self, now: Instant) {
         if self.lease_until.is_some_and(|until| now >= until) {
@@ -185,13 +200,13 @@
         }
     }
 
-    fn snapshot(&self) -> Snapshot {
+    fn snapshot(&self, now: Instant) -> Snapshot {
         let tasks = self.runs.iter().map(|((task, attempt), run)| Report {
             task: task.clone(),
             attempt: *attempt,
             size: run.assignment.size,
             state: run.state.clone(),
-            usage: None,
+            usage: usage(run, now),
         });
         Snapshot {
             incarnation: self.incarnation,
@@ -206,6 +221,16 @@
     matches!(state, TaskState::Running { .. })
 }
 
+/// What a running task uses, once it has been measured. A throttled task uses half of its processors.
+fn usage(run: &Run, now: Instant) -> Option<Size> {
+    let measured = is_running(&run.state) && now >= run.started + USAGE_LAG;
+    let size = run.assignment.size;
+    let argument = run.assignment.command.get(2).and_then(|text| text.parse::<f64>().ok());
+    let share = argument.unwrap_or(1.0).clamp(0.0, 1.0) * if run.throttled { 0.5 } else { 1.0 };
+    let processors_milli = (size.processors_milli as f64 * share).round() as u64;
+    measured.then_some(Size { processors_milli, ..size })
+}
+
 fn due_end(run: &Run, now: Instant, fails: bool) -> Option<End> {
     let failed = |detail: &str| End::Failed { detail: detail.to_owned() };
     match run.assignment.command.first().map(String::as_str) {
