--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -115,7 +115,8 @@
 
     fn report(&self, context: &mut Context) {
         let owned = || self.shards.values();
-        let loads: Vec<Load> = owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
+        let loads: Vec<Load> =
+            owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
         for name in [Name::Membership, Name::Admission, Name::Router] {
             context.send(name, Message::Loads(loads.clone()));
         }
--- a/crates/shallotpost-control/tests/support/cell.rs
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -462,7 +462,8 @@
         if !machine.state.has_unreported_change() && now < until {
             return self.schedule(TICK, Due::Sync(host, incarnation, call, worker, request, until));
         }
-        let reply = machine.state.handle(now, &request);
+        let worker::Request::Sync { epoch, .. } = request else { return };
+        let reply = machine.state.report(now, epoch);
         self.answer_worker(host, incarnation, call, reply);
     }
 
--- a/crates/shallotpost-daemon/examples/quickstart.rs
+++ b/crates/shallotpost-daemon/examples/quickstart.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use eyre::{WrapErr, bail, ensure};
+use eyre::{WrapErr, bail, ensure, eyre};
 use shallotpost_cli::client::{Call, Client, Effect};
 use shallotpost_cli::secret::Key as Credential;
 use shallotpost_daemon::daemon::Daemon;
@@ -26,7 +26,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Capacity of each worker.
-const CAPACITY: Size = Size { processors_milli: 16_000, memory_mib: 65_536, accelerators: 2, slots: 8 };
+const CAPACITY: Size =
+    Size { processors_milli: 16_000, memory_mib: 65_536, accelerators: 2, slots: 8 };
 
 /// Secret of the bootstrap key of this run.
 const BOOTSTRAP_SECRET: &str = "quickstart";
@@ -113,13 +114,16 @@
 }
 
 fn client(servers: &[String], presented: &str) -> eyre::Result<Client> {
-    Ok(Client::new(servers.to_vec(), Some(presented.parse::<Credential>()?)))
+    let credential =
+        Credential::parse(presented).ok_or_else(|| eyre!("{presented:?} is not a key"))?;
+    Ok(Client::new(servers.to_vec(), Some(credential)))
 }
 
 /// Creates two data centres, a team and its key.
 fn set_up(operator: &Client, deadline: Instant) -> eyre::Result<()> {
     for name in ["kochi", "thrissur"] {
-        let resource = Resource::DataCentre(DataCentre { availability: Availability::Active, shards: 1 });
+        let resource =
+            Resource::DataCentre(DataCentre { availability: Availability::Active, shards: 1 });
         put(operator, name, &resource, deadline)?;
     }
     let team = Team { share: 1, cap: Size { slots: 40, ..Size::from_parts([u64::MAX; 4]) } };
@@ -151,7 +155,8 @@
         input: None,
         attempts: 3,
     };
-    let invoice = Specification { idempotent: false, ..work("invoice", Class::Batch, &["run", "300"]) };
+    let invoice =
+        Specification { idempotent: false, ..work("invoice", Class::Batch, &["run", "300"]) };
     let inspection = Specification {
         size: Size::from_parts([2000, 4096, 1, 1]),
         ..work("inspection", Class::Gang { parts: 4 }, &["run", "500"])
@@ -179,7 +184,12 @@
     let service = matches!(specification.class, Class::Service { .. });
     let mut placed = String::new();
     if service {
-        placed = await_running(reader, &format!("/v1/work/{work}"), specification.class.tasks(), deadline)?;
+        placed = await_running(
+            reader,
+            &format!("/v1/work/{work}"),
+            specification.class.tasks(),
+            deadline,
+        )?;
         let path = format!("/v1/work/{work}/cancel");
         let cancel = Call::change(Method::POST, path, Effect::Repeatable, String::new());
         retry(deadline, || submitter.send(&cancel))?;
@@ -200,7 +210,12 @@
 }
 
 /// Waits until every task runs; returns the workers.
-fn await_running(reader: &Client, path: &str, tasks: u32, deadline: Instant) -> eyre::Result<String> {
+fn await_running(
+    reader: &Client,
+    path: &str,
+    tasks: u32,
+    deadline: Instant,
+) -> eyre::Result<String> {
     loop {
         let reply = retry(deadline, || reader.send(&Call::get(path)))?;
         let Reply::Status(status) = reply else { bail!("{path}: {reply:?}") };
--- a/crates/shallotpost-daemon/src/daemon.rs
+++ b/crates/shallotpost-daemon/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Wires the kernel to the edges.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread::{self, JoinHandle};
@@ -47,15 +48,17 @@
         let incarnation = rand::random();
         let (events, receiver) = mpsc::channel();
         let edge = Edge::start(
-            &settings.edge(incarnation)?,
+            &edge_settings(settings, incarnation)?,
             events.clone(),
-            Box::new(move || page.render()),
+            Arc::new(move || page.render()),
         )?;
-        let (http_address, peer_address) = (edge.http_address().to_string(), edge.peer_address().to_string());
+        let (http_address, peer_address) =
+            (edge.http_address().to_string(), edge.peer_address().to_string());
         let mut control = settings.control(incarnation, rand::random());
         control.http_address.clone_from(&http_address);
         control.peer_address.clone_from(&peer_address);
-        let logs = Writer::standard_error(&settings.log).map_err(|error| eyre!("the log cannot be set up: {error}"))?;
+        let logs = Writer::standard_error(&settings.log)
+            .map_err(|error| eyre!("the log cannot be set up: {error}"))?;
         let run = move || {
             let now = Instant::now();
             let turn = Turn {
@@ -167,6 +170,24 @@
     }
 }
 
+fn edge_settings(
+    settings: &Settings,
+    incarnation: u64,
+) -> eyre::Result<shallotpost_edge::Settings> {
+    let platform = &settings.platform;
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Ok(shallotpost_edge::Settings {
+        incarnation,
+        http_listen: settings.http_address.parse().wrap_err("http_address must be IP:port")?,
+        peer_listen: settings.peer_address.parse().wrap_err("peer_address must be IP:port")?,
+        table_url: platform.table.clone(),
+        object_url: platform.objects.clone(),
+        list_url: platform.list.clone(),
+        open_requests: settings.limits.open_requests,
+        ..shallotpost_edge::Settings::loopback(&settings.host, &settings.data_centre, any)
+    })
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/crates/shallotpost-daemon/src/lib.rs
+++ b/crates/shallotpost-daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! Parts of the daemon `shallotpostd`; see docs/design.md, section 2.1.
 
+pub mod daemon;
 pub mod logs;
 pub mod metrics;
 pub mod observer;
--- a/crates/shallotpost-daemon/src/main.rs
+++ b/crates/shallotpost-daemon/src/main.rs
@@ -40,7 +40,9 @@
         print!("{}", options.usage(brief));
         return Ok(ExitCode::SUCCESS);
     }
-    let path = matches.opt_str("settings").ok_or_else(|| eyre!("name a settings file with --settings FILE"))?;
+    let path = matches
+        .opt_str("settings")
+        .ok_or_else(|| eyre!("name a settings file with --settings FILE"))?;
     match check(Path::new(&path)) {
         Err(faults) => {
             eprintln!("{}", listing(Path::new(&path), &faults));
@@ -51,7 +53,8 @@
             Ok(ExitCode::SUCCESS)
         }
         Ok(settings) => {
-            let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("the signal handlers cannot be set up")?;
+            let mut signals =
+                Signals::new([SIGTERM, SIGINT]).wrap_err("the signal handlers cannot be set up")?;
             let daemon = Daemon::start(&settings)?;
             let handle = signals.handle();
             let stopper = daemon.stopper();
