Add the recovery measurement (not yet run)

Cause: recovery and control cost must be measured with real processes. Change: the example `recover` starts stand-ins and nine daemon processes, loads, kills, pauses and stops them.

--- /dev/null
+++ b/crates/shallotpost-daemon/examples/recover/cluster.rs
@@ -0,0 +1,356 @@
+//! Stand-ins and daemon processes at the current size of the Consortium.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eyre::{WrapErr, bail, ensure, eyre};
+use shallotpost_cli::Error;
+use shallotpost_cli::client::{Call, Client, Effect};
+use shallotpost_cli::secret::Key as Credential;
+use shallotpost_protocol::identity::{HostId, WorkerId};
+use shallotpost_protocol::interface::Reply;
+use shallotpost_protocol::key;
+use shallotpost_protocol::resource::{Availability, DataCentre, Key, Resource, Right, Team};
+use shallotpost_protocol::size::Size;
+use shallotpost_protocol::work::{Class, Specification};
+use shallotpost_standin::fault::Fault;
+use shallotpost_standin::settings::{Fleet, Settings as FleetSettings, WorkerSettings};
+use ureq::http::Method;
+
+use crate::process::{Process, Signal};
+
+/// Data centres, with the number of workers of each kind; 35 small and 13 large ones in all.
+const DATA_CENTRES: [(&str, usize, usize); 3] =
+    [("kochi", 15, 5), ("kozhikode", 10, 4), ("thrissur", 10, 4)];
+
+/// Entry hosts per data centre.
+const HOSTS_PER_DATA_CENTRE: usize = 3;
+
+/// Workers of the intake service, five a rack.
+const SMALL: Size =
+    Size { processors_milli: 16_000, memory_mib: 65_536, accelerators: 0, slots: 8 };
+
+/// Workers of the inspection service, three a rack.
+const LARGE: Size =
+    Size { processors_milli: 32_000, memory_mib: 131_072, accelerators: 8, slots: 8 };
+
+/// Interval of polls.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Bound on anything that is awaited.
+const BOUND: Duration = Duration::from_secs(30);
+
+/// Secret of the bootstrap key, for the operator.
+const BOOTSTRAP_SECRET: &str = "recover";
+
+/// Key of the team that submits.
+pub const TEAM_KEY: &str = "laundry-key.laundry";
+
+/// Cost of control per entry host, the highest of all hosts, and of the table over all hosts.
+pub struct Cost {
+    /// Processor time, in percent of a core.
+    pub processor_percent: f64,
+    /// Resident memory.
+    pub memory_mib: f64,
+    /// All bytes on loopback in the period, by host; callers and workers included.
+    pub traffic_kb_per_second: f64,
+    /// Transactions.
+    pub writes_per_second: f64,
+    /// Reads and scans.
+    pub reads_per_second: f64,
+}
+
+/// The cluster under measurement.
+pub struct Cluster {
+    fleet: Arc<Fleet>,
+    hosts: BTreeMap<HostId, (String, Process)>,
+}
+
+impl Cluster {
+    /// Starts everything and sets up data centres, a team and its key.
+    pub fn start() -> eyre::Result<Cluster> {
+        let fleet = Arc::new(Fleet::start(&fleet_settings()).wrap_err("stand-ins")?);
+        let platform = fleet.platform.address();
+        let mut hosts = BTreeMap::new();
+        for (data_centre, _, _) in DATA_CENTRES {
+            for index in 0..HOSTS_PER_DATA_CENTRE {
+                let host = format!("{data_centre}-{index}");
+                let settings = daemon_settings(&host, data_centre, platform);
+                let process = Process::start(&settings).wrap_err_with(|| host.clone())?;
+                hosts.insert(host, (settings, process));
+            }
+        }
+        let cluster = Cluster { fleet, hosts };
+        cluster.set_up()?;
+        Ok(cluster)
+    }
+
+    /// HTTP URLs of the entry hosts that run.
+    pub fn servers(&self) -> Vec<String> {
+        self.hosts.values().map(|(_, process)| format!("http://{}", process.http_address)).collect()
+    }
+
+    /// The stand-ins.
+    pub fn fleet(&self) -> Arc<Fleet> {
+        Arc::clone(&self.fleet)
+    }
+
+    /// The data centre and the host that owns its shard.
+    pub fn owner(&self, data_centre: &str) -> eyre::Result<(String, HostId)> {
+        let row = self.fleet.platform.table().row(&format!("shards/{data_centre}/0"));
+        let row = row.ok_or_else(|| eyre!("the shard of {data_centre} has no row"))?;
+        let value: serde_json::Value = serde_json::from_str(&row.value)?;
+        let owner = value["owner"].as_str().ok_or_else(|| eyre!("no owner in {}", row.value))?;
+        Ok((data_centre.to_owned(), owner.to_owned()))
+    }
+
+    /// Ends a host at once.
+    pub fn kill(&mut self, host: &str) -> eyre::Result<()> {
+        self.signal(host, Signal::Kill)?;
+        self.host(host)?.1.reap()
+    }
+
+    /// Starts a host that has ended.
+    pub fn restart(&mut self, host: &str) -> eyre::Result<()> {
+        let (settings, process) = self.host(host)?;
+        *process = Process::start(settings)?;
+        Ok(())
+    }
+
+    /// Sends a signal to a host.
+    pub fn signal(&mut self, host: &str, signal: Signal) -> eyre::Result<()> {
+        self.host(host)?.1.signal(signal)
+    }
+
+    /// Whether the host exits within this time. It is taken out of the list of servers.
+    pub fn await_exit(&mut self, host: &str, bound: Duration) -> eyre::Result<bool> {
+        let deadline = Instant::now() + bound;
+        while !self.host(host)?.1.has_exited()? {
+            if Instant::now() >= deadline {
+                return Ok(false);
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.hosts.remove(host);
+        Ok(true)
+    }
+
+    /// Switches the table service off or on.
+    pub fn set_table_down(&self, down: bool) {
+        self.fleet.platform.fault(&Fault { down: Some(down), ..Fault::default() });
+    }
+
+    /// Time until a new urgent job that only this data centre may run has started.
+    pub fn time_to_start(&self, id: &str, data_centre: &str) -> eyre::Result<Duration> {
+        let specification = Specification {
+            class: Class::Urgent,
+            data_centres: vec![data_centre.to_owned()],
+            ..job(id, &["run", "50"], true)
+        };
+        let begin = Instant::now();
+        self.submit(&specification)?;
+        while !self.starts().contains_key(id) {
+            ensure!(begin.elapsed() < BOUND, "{id} did not start within {BOUND:?}");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        Ok(begin.elapsed())
+    }
+
+    /// Submits through any host, again and again until it is accepted.
+    pub fn submit(&self, specification: &Specification) -> eyre::Result<()> {
+        let client = self.client(TEAM_KEY)?;
+        let call = submission(specification);
+        repeat(|| client.send(&call)).map(|_| ())
+    }
+
+    /// A client of all hosts.
+    pub fn client(&self, presented: &str) -> eyre::Result<Client> {
+        let credential =
+            Credential::parse(presented).ok_or_else(|| eyre!("not a key: {presented}"))?;
+        Ok(Client::new(self.servers(), Some(credential)))
+    }
+
+    /// Number of starts of each piece of work and task so far.
+    pub fn starts(&self) -> BTreeMap<String, usize> {
+        let mut starts = BTreeMap::new();
+        for worker in &self.fleet.workers {
+            worker.with(|worker| {
+                let names = worker.starts.iter().map(|(task, _)| task.work.name.clone());
+                names.for_each(|name| *starts.entry(name).or_default() += 1);
+            });
+        }
+        starts
+    }
+
+    /// Number of tasks that run now.
+    pub fn running(&self, name: &str) -> usize {
+        let running = |worker: &mut shallotpost_standin::worker::Worker| {
+            worker.running().iter().filter(|task| task.work.name == name).count()
+        };
+        self.fleet.workers.iter().map(|worker| worker.with(running)).sum()
+    }
+
+    /// Measures for this long.
+    pub fn cost_over(&self, period: Duration) -> eyre::Result<Cost> {
+        let begin = Instant::now();
+        let before = self.counters()?;
+        std::thread::sleep(period);
+        let after = self.counters()?;
+        let seconds = begin.elapsed().as_secs_f64();
+        let busiest = after.processor.iter().map(|(host, time)| {
+            time.saturating_sub(before.processor.get(host).copied().unwrap_or(*time)).as_secs_f64()
+        });
+        let rate = |before: u64, after: u64| (after - before) as f64 / seconds;
+        Ok(Cost {
+            processor_percent: 100.0 * busiest.fold(0.0, f64::max) / seconds,
+            memory_mib: after.memory_mib,
+            traffic_kb_per_second: rate(before.bytes, after.bytes)
+                / 1000.0
+                / self.hosts.len() as f64,
+            writes_per_second: rate(before.writes, after.writes),
+            reads_per_second: rate(before.reads, after.reads),
+        })
+    }
+
+    fn counters(&self) -> eyre::Result<Counters> {
+        let (reads, writes) = {
+            let table = self.fleet.platform.table();
+            (table.reads, table.writes)
+        };
+        let mut counters =
+            Counters { reads, writes, bytes: loopback_bytes()?, ..Counters::default() };
+        for (host, (_, process)) in &self.hosts {
+            counters.processor.insert(host.clone(), process.processor_time()?);
+            counters.memory_mib = counters.memory_mib.max(process.memory_mib()?);
+        }
+        Ok(counters)
+    }
+
+    fn set_up(&self) -> eyre::Result<()> {
+        let operator = self.client(&format!("bootstrap.{BOOTSTRAP_SECRET}"))?;
+        for (name, _, _) in DATA_CENTRES {
+            let content = DataCentre { availability: Availability::Active, shards: 1 };
+            put(&operator, name, &Resource::DataCentre(content))?;
+        }
+        let cap = Size::from_parts([u64::MAX; 4]);
+        put(&operator, "laundry", &Resource::Team(Team { share: 1, cap }))?;
+        let right = Right::Team("laundry".to_owned());
+        let content = Key { right, digest: key::digest(b"laundry"), expires_unix_ms: None };
+        put(&operator, "laundry-key", &Resource::Key(content))?;
+        let owned = || {
+            let rows = self.fleet.platform.table().rows("shards/");
+            rows.iter().map(|row| row.key.clone()).collect::<BTreeSet<_>>().len()
+                == DATA_CENTRES.len()
+        };
+        let deadline = Instant::now() + BOUND;
+        while !owned() {
+            ensure!(Instant::now() < deadline, "not every shard has an owner after {BOUND:?}");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        Ok(())
+    }
+
+    fn host(&mut self, host: &str) -> eyre::Result<&mut (String, Process)> {
+        self.hosts.get_mut(host).ok_or_else(|| eyre!("no host {host}"))
+    }
+}
+
+#[derive(Default)]
+struct Counters {
+    reads: u64,
+    writes: u64,
+    bytes: u64,
+    processor: BTreeMap<HostId, Duration>,
+    memory_mib: f64,
+}
+
+/// A job of the team.
+pub fn job(id: &str, command: &[&str], idempotent: bool) -> Specification {
+    Specification {
+        id: id.to_owned(),
+        team: "laundry".to_owned(),
+        class: Class::Batch,
+        size: Size::from_parts([500, 512, 0, 1]),
+        command: command.iter().map(|word| (*word).to_owned()).collect(),
+        run_time: None,
+        idempotent,
+        deadline_unix_ms: None,
+        data_centres: Vec::new(),
+        queue: None,
+        input: None,
+        attempts: 3,
+    }
+}
+
+/// The request that submits this work.
+pub fn submission(specification: &Specification) -> Call {
+    let call = Call::change(Method::POST, "/v1/work".to_owned(), Effect::Repeatable, String::new());
+    call.json(specification)
+}
+
+/// Repeats a call until it succeeds.
+pub fn repeat(call: impl Fn() -> Result<Reply, Error>) -> eyre::Result<Reply> {
+    let deadline = Instant::now() + BOUND;
+    loop {
+        match call() {
+            Ok(reply) => return Ok(reply),
+            Err(error) if Instant::now() >= deadline => {
+                bail!("no success within {BOUND:?}: {error}")
+            }
+            Err(_) => std::thread::sleep(POLL_INTERVAL),
+        }
+    }
+}
+
+fn put(operator: &Client, name: &str, resource: &Resource) -> eyre::Result<()> {
+    let path = format!("/v1/resources/{}/{name}", resource.kind());
+    let call = Call::change(Method::PUT, path, Effect::Repeatable, String::new()).json(resource);
+    repeat(|| operator.send(&call)).map(|_| ())
+}
+
+fn fleet_settings() -> FleetSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut workers = Vec::new();
+    for (data_centre, small, large) in DATA_CENTRES {
+        let mut add = |kind: &str, count: usize, per_rack: usize, capacity: Size| {
+            workers.extend((0..count).map(|index| WorkerSettings {
+                worker: WorkerId::from(format!("{data_centre}-{kind}-{index}")),
+                address: any,
+                data_centre: data_centre.to_owned(),
+                rack: format!("{data_centre}-{kind}-rack-{}", index / per_rack),
+                capacity,
+            }));
+        };
+        add("small", small, 5, SMALL);
+        add("large", large, 3, LARGE);
+    }
+    FleetSettings { platform: any, list_lag_ms: 1000, workers }
+}
+
+fn daemon_settings(host: &str, data_centre: &str, platform: SocketAddr) -> String {
+    let document = serde_json::json!({
+        "host": host,
+        "data_centre": data_centre,
+        "http_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "platform": {
+            "table": format!("http://{platform}/table"),
+            "objects": format!("http://{platform}/objects"),
+            "list": format!("http://{platform}/list"),
+        },
+        "bootstrap_digest": key::digest(BOOTSTRAP_SECRET.as_bytes()),
+        "log": {"level": "error"},
+    });
+    document.to_string()
+}
+
+/// Bytes received on loopback since the machine started; each byte is counted once.
+fn loopback_bytes() -> eyre::Result<u64> {
+    let text = fs::read_to_string("/proc/net/dev")?;
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    bytes.ok_or_else(|| eyre!("no loopback device in /proc/net/dev"))
+}
