Pause after a long poll that an entry host ends early

Cause: `wait` and `watch` poll again at once when a reply comes before the wait is over, which would flood a host that ends every poll immediately.

--- a/crates/shallotpost-cli/src/command.rs
+++ b/crates/shallotpost-cli/src/command.rs
@@ -1,7 +1,8 @@
 //! Command line: global options, dispatch and help.
 
 use std::io::Write;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use getopts::{Matches, Options};
 use serde::Serialize;
@@ -69,6 +70,13 @@
         &mut *self.out
     }
 
+    /// Pauses where an entry host ended a long poll well before its time, so that the command does not flood it.
+    pub fn pause_after(&self, started: Instant, wait: Duration) {
+        if started.elapsed() < wait / 2 {
+            thread::sleep(self.environment.poll_interval);
+        }
+    }
+
     /// A wrong command line.
     pub fn usage(&self, message: impl Into<String>) -> Error {
         Error::usage(self.command, message)
--- a/crates/shallotpost-cli/src/commands/wait.rs
+++ b/crates/shallotpost-cli/src/commands/wait.rs
@@ -39,10 +39,14 @@
     let start = Instant::now();
     loop {
         let left = wait.saturating_sub(start.elapsed());
-        let call = Call::get(format!("/v1/work/{work}/wait")).waiting(left.min(POLL));
+        let (poll, started) = (left.min(POLL), Instant::now());
+        let call = Call::get(format!("/v1/work/{work}/wait")).waiting(poll);
         match context.client.send(&call) {
             Err(Error::Problem { problem, .. })
-                if problem.kind == Kind::TimedOut && !left.is_zero() => {}
+                if problem.kind == Kind::TimedOut && !left.is_zero() =>
+            {
+                context.pause_after(started, poll);
+            }
             Err(error) => return Err(error),
             Ok(reply) => {
                 let Reply::Outcome(outcome) = &reply else {
--- a/crates/shallotpost-cli/src/commands/watch.rs
+++ b/crates/shallotpost-cli/src/commands/watch.rs
@@ -1,6 +1,6 @@
 //! `watch`: prints configuration changes as they are made.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use getopts::Options;
 use shallotpost_protocol::interface::Reply;
@@ -37,13 +37,20 @@
     };
     let mut left = context.number("count")?.unwrap_or(u64::MAX);
     while left > 0 {
+        let started = Instant::now();
         let call = Call::get("/v1/watch").query("from", from).waiting(POLL);
         let (changes, next) = match context.client.send(&call) {
             Ok(Reply::Changes { changes, next }) => (changes, next),
-            Err(Error::Problem { problem, .. }) if problem.kind == Kind::TimedOut => continue,
+            Err(Error::Problem { problem, .. }) if problem.kind == Kind::TimedOut => {
+                context.pause_after(started, POLL);
+                continue;
+            }
             Err(error) => return Err(error),
             Ok(_) => return Err(Error::Reply { expected: "a page of changes" }),
         };
+        if changes.is_empty() {
+            context.pause_after(started, POLL);
+        }
         let shown = usize::try_from(left).unwrap_or(usize::MAX).min(changes.len());
         for change in &changes[..shown] {
             context.show(change, &output::changes(std::slice::from_ref(change)))?;
--- a/crates/shallotpost-cli/tests/resource_commands.rs
+++ b/crates/shallotpost-cli/tests/resource_commands.rs
@@ -3,9 +3,12 @@
 
 mod fake;
 
+use std::time::{Duration, Instant};
+
 use fake::{Answer, CLOSED, Directory, Fake, code, force, run};
 use serde_json::json;
 use shallotpost_cli::error::{EXIT_CONFLICT, EXIT_TIMED_OUT, EXIT_USAGE};
+use shallotpost_cli::{Environment, execute};
 use shallotpost_protocol::interface::Reply;
 use shallotpost_protocol::problem::Kind as ProblemKind;
 use shallotpost_protocol::resource::{
@@ -204,3 +207,23 @@
     let (result, _) = run(&[CLOSED], "force 9");
     assert_eq!(code(&result), 7);
 }
+
+/// Guards against a flood of requests to a host that ends long polls at once. Only the least pause is checked.
+#[test]
+fn early_end_of_a_long_poll_is_followed_by_a_pause() {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let early = || Answer::refuse(ProblemKind::TimedOut);
+    let cases = [
+        ("watch --from 3 --count 1", vec![early(), changes(&[], 3), changes(&[4], 4)], 2),
+        ("wait intake/day-17 --for 60", vec![early(), Answer::refuse(ProblemKind::NotFound)], 1),
+    ];
+    for (line, script, pauses) in cases {
+        let fake = Fake::start(script);
+        let arguments: Vec<String> = line.split(' ').map(str::to_owned).collect();
+        let environment = Environment { poll_interval: PAUSE, ..fake::environment(&[&fake.url()]) };
+        let start = Instant::now();
+        let _ = execute(&arguments, &environment, &mut Vec::new());
+        assert!(start.elapsed() >= PAUSE * pauses, "{line}: {:?}", start.elapsed());
+        assert_eq!(fake.seen().len(), pauses as usize + 1, "{line}");
+    }
+}
