Treat an amount that a cap leaves out as unlimited

Cause: a cap of slots alone read as zero processors and stopped the team. Change: the amounts of a cap default to no limit; other sizes still default to zero.

--- a/crates/shallotpost-daemon/examples/quickstart.rs
+++ b/crates/shallotpost-daemon/examples/quickstart.rs
@@ -97,8 +97,8 @@
     let document = serde_json::json!({
         "host": host,
         "data_centre": data_centre,
-        "http_address": "127.0.0.1:0",
-        "peer_address": "127.0.0.1:0",
+        "http_address": "127.0.0.1:1",
+        "peer_address": "127.0.0.1:2",
         "platform": {
             "table": format!("http://{platform}/table"),
             "objects": format!("http://{platform}/objects"),
@@ -107,10 +107,12 @@
         "bootstrap_digest": key::digest(BOOTSTRAP_SECRET.as_bytes()),
         "log": {"level": "error"},
     });
-    match settings::parse(&document.to_string()) {
-        Ok(settings) => Daemon::start(&settings),
-        Err(faults) => bail!("{faults:#?}"),
-    }
+    let mut settings =
+        settings::parse(&document.to_string()).map_err(|faults| eyre!("{faults:#?}"))?;
+    // A settings file may not name port 0, because peers could not connect; here the real port is announced.
+    settings.http_address = "127.0.0.1:0".to_owned();
+    settings.peer_address = "127.0.0.1:0".to_owned();
+    Daemon::start(&settings)
 }
 
 fn client(servers: &[String], presented: &str) -> eyre::Result<Client> {
--- a/crates/shallotpost-daemon/examples/recover/cluster.rs
+++ b/crates/shallotpost-daemon/examples/recover/cluster.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eyre::{WrapErr, bail, ensure, eyre};
@@ -65,14 +64,14 @@
 
 /// The cluster under measurement.
 pub struct Cluster {
-    fleet: Arc<Fleet>,
+    fleet: Fleet,
     hosts: BTreeMap<HostId, (String, Process)>,
 }
 
 impl Cluster {
     /// Starts everything and sets up data centres, a team and its key.
     pub fn start() -> eyre::Result<Cluster> {
-        let fleet = Arc::new(Fleet::start(&fleet_settings()).wrap_err("stand-ins")?);
+        let fleet = Fleet::start(&fleet_settings()).wrap_err("stand-ins")?;
         let platform = fleet.platform.address();
         let mut hosts = BTreeMap::new();
         for (data_centre, _, _) in DATA_CENTRES {
@@ -93,11 +92,6 @@
         self.hosts.values().map(|(_, process)| format!("http://{}", process.http_address)).collect()
     }
 
-    /// The stand-ins.
-    pub fn fleet(&self) -> Arc<Fleet> {
-        Arc::clone(&self.fleet)
-    }
-
     /// The data centre and the host that owns its shard.
     pub fn owner(&self, data_centre: &str) -> eyre::Result<(String, HostId)> {
         let row = self.fleet.platform.table().row(&format!("shards/{data_centre}/0"));
@@ -334,8 +328,8 @@
     let document = serde_json::json!({
         "host": host,
         "data_centre": data_centre,
-        "http_address": "127.0.0.1:0",
-        "peer_address": "127.0.0.1:0",
+        "http_address": "127.0.0.1:1",
+        "peer_address": "127.0.0.1:2",
         "platform": {
             "table": format!("http://{platform}/table"),
             "objects": format!("http://{platform}/objects"),
--- a/crates/shallotpost-daemon/examples/recover/process.rs
+++ b/crates/shallotpost-daemon/examples/recover/process.rs
@@ -113,7 +113,10 @@
 
 /// Runs one daemon until SIGTERM; prints its HTTP address first.
 pub fn run_daemon(text: &str) -> eyre::Result<()> {
-    let settings = settings::parse(text).map_err(|faults| eyre!("{faults:#?}"))?;
+    let mut settings = settings::parse(text).map_err(|faults| eyre!("{faults:#?}"))?;
+    // A settings file may not name port 0, because peers could not connect; here the real port is announced.
+    settings.http_address = "127.0.0.1:0".to_owned();
+    settings.peer_address = "127.0.0.1:0".to_owned();
     let mut signals = Signals::new([SIGTERM])?;
     let daemon = Daemon::start(&settings)?;
     println!("{}", daemon.http_address());
--- a/crates/shallotpost-protocol/src/resource.rs
+++ b/crates/shallotpost-protocol/src/resource.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 use crate::identity::{DataCentreId, Revision, TeamId};
@@ -76,8 +76,8 @@
 pub struct Team {
     /// Weight of its share when the fleet is full, at least 1.
     pub share: u32,
-    /// Most that it may have running fleet-wide; an amount of `u64::MAX` is no limit.
-    #[serde(default = "unlimited")]
+    /// Most that it may have running fleet-wide; an amount that is left out, or `u64::MAX`, is no limit.
+    #[serde(default = "unlimited", deserialize_with = "cap")]
     pub cap: Size,
 }
 
@@ -85,6 +85,28 @@
     Size::from_parts([u64::MAX; 4])
 }
 
+fn unlimited_amount() -> u64 {
+    u64::MAX
+}
+
+/// Reads a cap. In a [`Size`] an amount that is left out is zero; in a cap that would stop the team.
+fn cap<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Size, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Cap {
+        #[serde(default = "unlimited_amount")]
+        processors_milli: u64,
+        #[serde(default = "unlimited_amount")]
+        memory_mib: u64,
+        #[serde(default = "unlimited_amount")]
+        accelerators: u64,
+        #[serde(default = "unlimited_amount")]
+        slots: u64,
+    }
+    let cap = Cap::deserialize(deserializer)?;
+    Ok(Size::from_parts([cap.processors_milli, cap.memory_mib, cap.accelerators, cap.slots]))
+}
+
 /// What a key allows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
