Add the measure example, reservations for starving tasks, and a log of grown workers

Lanes remember up to which version of the free capacity nothing in them fits, so that rounds with a small limit do not look at the same workers again.

--- /dev/null
+++ b/crates/shallotpost-policy/examples/measure/deployment.rs
@@ -0,0 +1,138 @@
+//! Sizes and teams of the deployments of section 1.3 of the design, and of one data centre of the target size.
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::Policy;
+
+/// A kind of worker.
+pub struct Kind {
+    /// Workers of this kind in all data centres.
+    pub count: usize,
+    /// Workers in one rack.
+    pub per_rack: usize,
+    /// Capacity of one.
+    pub capacity: Size,
+}
+
+/// A team: its weight and its offered load, as a part of the capacity.
+pub struct Load {
+    /// Name.
+    pub id: TeamId,
+    /// Weight of its share.
+    pub share: u32,
+    /// Mean offered load over the capacity of all data centres.
+    pub load: f64,
+}
+
+/// A deployment.
+pub struct Deployment {
+    /// Name in the report.
+    pub name: &'static str,
+    /// Number of data centres, each with its own planner.
+    pub data_centres: usize,
+    /// Kinds of workers; the first has no accelerators.
+    pub kinds: Vec<Kind>,
+    /// Teams.
+    pub teams: Vec<Load>,
+    /// Policy of the user.
+    pub policy: Policy,
+    /// Cores of the smallest and the largest task.
+    pub cores: (u64, u64),
+    /// Time that work arrives for, in seconds.
+    pub seconds: u64,
+    /// When a data centre leaves and returns, in seconds; only where there are several.
+    pub outage: Option<(u64, u64)>,
+    /// One worker in this many fails every task.
+    pub failing: usize,
+}
+
+fn kind(count: usize, per_rack: usize, cores: u64, gib: u64, accelerators: u64) -> Kind {
+    let capacity = Size::from_parts([cores * 1000, gib * 1024, accelerators, 8]);
+    Kind { count, per_rack, capacity }
+}
+
+/// Six teams: three large ones, of which two offer more than their share, and three small ones.
+fn six_teams() -> Vec<Load> {
+    let teams = [(2, 0.40), (2, 0.26), (2, 0.13), (1, 0.05), (1, 0.04), (1, 0.03)];
+    let load = |(index, (share, load))| Load { id: format!("team{index}"), share, load };
+    teams.into_iter().enumerate().map(load).collect()
+}
+
+/// The Consortium: waiting time and fairness first.
+pub fn consortium() -> Deployment {
+    Deployment {
+        name: "consortium",
+        data_centres: 3,
+        kinds: vec![kind(35, 5, 16, 64, 0), kind(13, 3, 32, 128, 8)],
+        teams: six_teams(),
+        policy: Policy { pack_batch: false, ..Policy::default() },
+        cores: (1, 4),
+        seconds: 2400,
+        outage: Some((900, 1320)),
+        failing: 16,
+    }
+}
+
+/// Abu Kayu: packing and work completed during data-centre changes first.
+pub fn abu_kayu() -> Deployment {
+    Deployment {
+        name: "abu_kayu",
+        data_centres: 4,
+        kinds: vec![kind(35, 4, 64, 256, 0), kind(13, 3, 32, 128, 8)],
+        teams: six_teams(),
+        policy: Policy::default(),
+        cores: (2, 16),
+        seconds: 2400,
+        outage: Some((900, 1320)),
+        failing: 16,
+    }
+}
+
+/// One data centre of the target size.
+pub fn target() -> Deployment {
+    let team = |index: usize| {
+        let (share, load) = match index {
+            0..3 => (4, 0.16),
+            3..10 => (2, 0.04),
+            _ => (1, 0.015),
+        };
+        Load { id: format!("team{index:02}"), share, load }
+    };
+    Deployment {
+        name: "target",
+        data_centres: 1,
+        kinds: vec![kind(900, 16, 64, 256, 0), kind(300, 16, 64, 256, 8)],
+        teams: (0..31).map(team).collect(),
+        policy: Policy::default(),
+        cores: (2, 16),
+        seconds: 900,
+        outage: None,
+        failing: 40,
+    }
+}
+
+impl Deployment {
+    /// Workers of one data centre, with rack and capacity.
+    pub fn workers(&self, data_centre: usize) -> Vec<(WorkerId, RackId, Size)> {
+        let mut workers = Vec::new();
+        for (number, kind) in self.kinds.iter().enumerate() {
+            let own = (0..kind.count).filter(|index| index % self.data_centres == data_centre);
+            for (position, index) in own.enumerate() {
+                let rack = format!("k{number}-r{}", position / kind.per_rack);
+                workers.push((format!("k{number}-w{index}"), rack, kind.capacity));
+            }
+        }
+        workers
+    }
+
+    /// Capacity of all workers of one data centre.
+    pub fn capacity(&self, data_centre: usize) -> Size {
+        let workers = self.workers(data_centre);
+        workers.iter().fold(Size::ZERO, |sum, (_, _, capacity)| sum.plus(capacity))
+    }
+
+    /// Part of the capacity that a team is entitled to.
+    pub fn entitlement(&self, team: &Load) -> f64 {
+        let weights: u32 = self.teams.iter().map(|team| team.share).sum();
+        f64::from(team.share) / f64::from(weights)
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-policy/examples/measure/driver.rs
@@ -0,0 +1,74 @@
+//! The common surface of the policy and the baseline, so that one list of events drives both.
+
+use shallotpost_policy::first_fit::FirstFit;
+use shallotpost_policy::planner::{Action, Cause, Job, Planner, Team, Unfit, Worker};
+use shallotpost_protocol::prelude::*;
+
+/// Placement decisions of one data centre.
+pub trait Driver {
+    /// See `Planner::set_worker`.
+    fn set_worker(&mut self, now: Instant, worker: Worker);
+    /// See `Planner::remove_worker`.
+    fn remove_worker(&mut self, now: Instant, worker: &WorkerId) -> Vec<Task>;
+    /// See `Planner::set_team`.
+    fn set_team(&mut self, now: Instant, team: Team);
+    /// See `Planner::submit`.
+    fn submit(&mut self, now: Instant, job: Job) -> Result<(), Unfit>;
+    /// See `Planner::release`.
+    fn release(&mut self, now: Instant, task: &Task, cause: Cause);
+    /// See `Planner::requeue`.
+    fn requeue(&mut self, now: Instant, task: &Task);
+    /// See `Planner::finish`.
+    fn finish(&mut self, work: &WorkId);
+    /// See `Planner::set_open`.
+    fn set_open(&mut self, now: Instant, open: bool);
+    /// See `Planner::plan`.
+    fn plan(&mut self, now: Instant, limit: usize) -> Vec<Action>;
+    /// See `Planner::booked`.
+    fn booked(&self, team: &TeamId) -> Size;
+    /// See `Planner::waiting`.
+    fn waiting(&self, team: &TeamId) -> Size;
+}
+
+macro_rules! drive {
+    ($type:ty) => {
+        impl Driver for $type {
+            fn set_worker(&mut self, now: Instant, worker: Worker) {
+                self.set_worker(now, worker);
+            }
+            fn remove_worker(&mut self, now: Instant, worker: &WorkerId) -> Vec<Task> {
+                self.remove_worker(now, worker)
+            }
+            fn set_team(&mut self, now: Instant, team: Team) {
+                self.set_team(now, team);
+            }
+            fn submit(&mut self, now: Instant, job: Job) -> Result<(), Unfit> {
+                self.submit(now, job)
+            }
+            fn release(&mut self, now: Instant, task: &Task, cause: Cause) {
+                self.release(now, task, cause);
+            }
+            fn requeue(&mut self, now: Instant, task: &Task) {
+                self.requeue(now, task);
+            }
+            fn finish(&mut self, work: &WorkId) {
+                self.finish(work);
+            }
+            fn set_open(&mut self, now: Instant, open: bool) {
+                self.set_open(now, open);
+            }
+            fn plan(&mut self, now: Instant, limit: usize) -> Vec<Action> {
+                self.plan(now, limit)
+            }
+            fn booked(&self, team: &TeamId) -> Size {
+                self.booked(team)
+            }
+            fn waiting(&self, team: &TeamId) -> Size {
+                self.waiting(team)
+            }
+        }
+    };
+}
+
+drive!(Planner);
+drive!(FirstFit);
--- a/crates/shallotpost-policy/src/claim.rs
+++ b/crates/shallotpost-policy/src/claim.rs
@@ -10,7 +10,8 @@
 use crate::jobs::TaskState;
 use crate::planner::Action;
 use crate::queue::Key;
-use crate::teams::{LANES, URGENT};
+use crate::sum::Sum;
+use crate::teams::{Account, LANES, URGENT, Victim};
 
 /// Claims that one team may have open for work that is not urgent.
 const TEAM_CLAIMS_MAX: usize = 16;
@@ -18,6 +19,8 @@
 const ROUND_CLAIMS_MAX: usize = 16;
 /// Workers that are compared for one claim.
 const HOSTS_MAX: usize = 64;
+/// Running tasks that are looked at for one claim.
+const VICTIMS_MAX: usize = 1024;
 /// Time between attempts of a team that found nothing to reclaim.
 const RETRY: Duration = Duration::from_millis(100);
 /// A task that was asked to save its progress is stopped after this part of the urgent bound.
@@ -35,7 +38,49 @@
     until: Instant,
 }
 
+/// What decides whether a running task may be reclaimed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Judge {
+    /// Sum of the weights of the active teams.
+    pub(crate) weight: f64,
+    /// Capacity of the open workers.
+    pub(crate) total: Size,
+    /// Whether it is for urgent work: then a task may be reclaimed that is only in part above its team's share.
+    pub(crate) urgent: bool,
+}
+
+impl Judge {
+    /// Part of the total that a team is entitled to.
+    pub(crate) fn fair(&self, account: &Account) -> f64 {
+        f64::from(account.share) / self.weight
+    }
+
+    /// Whether a task of `size` is above its team's share while the team has `booked`.
+    fn allows(&self, account: &Account, booked: &Sum, size: &Size) -> bool {
+        let fair = self.fair(account);
+        let mut after = *booked;
+        after.subtract(size);
+        let above = booked.size().dominant_part(&self.total) > fair;
+        above && (self.urgent || after.size().dominant_part(&self.total) >= fair)
+    }
+}
+
 impl Engine {
+    /// Time that a task gets to save its progress before it is stopped.
+    pub(crate) fn grace(&self) -> Duration {
+        self.policy.urgent_bound / GRACE_PART
+    }
+
+    /// Whether a running task may be reclaimed now.
+    pub(crate) fn may_reclaim(&self, key: Key, judge: &Judge) -> bool {
+        let Some(record) = self.jobs.get(key.0) else { return false };
+        let account = &self.teams.accounts[record.team];
+        let running = matches!(self.state(key), Some(TaskState::Booked { stopping: false, .. }));
+        running
+            && record.victim_rank().is_some()
+            && judge.allows(account, &account.booked, &record.job.size)
+    }
+
     /// Starts tasks whose room has become free, stops what did not save its progress in time, and drops old claims.
     pub(crate) fn advance_claims(&mut self, round: &mut Round) {
         let claims = std::mem::take(&mut self.claims);
@@ -64,10 +109,7 @@
     /// Requests capacity for urgent tasks and for teams below their share.
     pub(crate) fn reclaim(&mut self, round: &mut Round) {
         let total = self.fleet.total();
-        let weight = self.teams.active_weight();
-        if weight == 0.0 {
-            return;
-        }
+        let judge = Judge { weight: self.teams.active_weight(), total, urgent: false };
         let mut budget = ROUND_CLAIMS_MAX;
         for team in self.teams.order(&total) {
             let account = &self.teams.accounts[team];
@@ -77,8 +119,8 @@
             let mut found = true;
             for lane in 0..LANES {
                 while found && budget > 0 && round.left() > 0 {
-                    let Some(key) = self.next_unclaimed(team, lane, weight, &total) else { break };
-                    found = self.claim(round, key, lane == URGENT, weight, &total);
+                    let Some(key) = self.next_unclaimed(team, lane, &judge) else { break };
+                    found = self.claim(round, key, &Judge { urgent: lane == URGENT, ..judge });
                     budget -= 1;
                 }
             }
@@ -89,7 +131,7 @@
     }
 
     /// First task of a lane that may claim capacity and has no claim yet.
-    fn next_unclaimed(&self, team: usize, lane: usize, weight: f64, total: &Size) -> Option<Key> {
+    fn next_unclaimed(&self, team: usize, lane: usize, judge: &Judge) -> Option<Key> {
         let account = &self.teams.accounts[team];
         let mut claimed = BTreeSet::new();
         let mut booked = account.booked;
@@ -103,8 +145,8 @@
             return None;
         }
         let grant = account.grant?;
-        let room = crate::sum::Sum::from(&grant).less(&booked).size().min(&self.fleet.largest());
-        let fair = f64::from(account.share) / weight;
+        let room = Sum::from(&grant).less(&booked).size().min(&self.fleet.largest());
+        let fair = judge.fair(account);
         let mut from = 0;
         while let Some((position, key, size)) = account.lanes[lane].first(from, &room) {
             from = position + 1;
@@ -113,47 +155,32 @@
             }
             let mut after = booked;
             after.add(&size);
-            let below = after.size().dominant_part(total) <= fair;
+            let below = after.size().dominant_part(&judge.total) <= fair;
             return (lane == URGENT || below).then_some(key);
         }
         None
     }
 
-    fn claim(
-        &mut self,
-        round: &mut Round,
-        key: Key,
-        urgent: bool,
-        weight: f64,
-        total: &Size,
-    ) -> bool {
+    fn claim(&mut self, round: &mut Round, key: Key, judge: &Judge) -> bool {
         let Some(record) = self.jobs.get(key.0) else { return false };
         let size = record.job.size;
-        let Some((host, victims)) = self.cheapest_host(&size, urgent, weight, total) else {
-            return false;
-        };
+        let Some((host, victims)) = self.cheapest_host(&size, judge) else { return false };
         if victims.len() > round.left() {
             return false;
         }
         self.fleet.hold(host, &size);
         self.stop_victims(round, &victims, Mode::Checkpoint);
-        let bound = self.policy.urgent_bound;
-        let stop_at = Some(round.now + bound / GRACE_PART);
-        self.claims.push(Claim { key, host, size, victims, stop_at, until: round.now + bound });
+        let stop_at = Some(round.now + self.grace());
+        let until = round.now + self.policy.urgent_bound;
+        self.claims.push(Claim { key, host, size, victims, stop_at, until });
         true
     }
 
     /// Worker where the fewest tasks above their team's share must end to make room, with those tasks.
-    fn cheapest_host(
-        &self,
-        size: &Size,
-        urgent: bool,
-        weight: f64,
-        total: &Size,
-    ) -> Option<(usize, Vec<Key>)> {
+    fn cheapest_host(&self, size: &Size, judge: &Judge) -> Option<(usize, Vec<Key>)> {
         let mut over: Vec<(f64, usize)> = Vec::new();
         for (slot, account) in self.teams.accounts.iter().enumerate() {
-            let excess = account.dominant(total) - f64::from(account.share) / weight;
+            let excess = account.dominant(&judge.total) - judge.fair(account);
             if excess > 0.0 && !account.victims.is_empty() {
                 over.push((excess, slot));
             }
@@ -162,12 +189,13 @@
         let mut checked = BTreeSet::new();
         let mut best: Option<(usize, Vec<Key>)> = None;
         let victims = over.iter().flat_map(|(_, team)| &self.teams.accounts[*team].victims);
-        for (_, _, victim) in victims.take(HOSTS_MAX) {
+        for (_, _, victim) in victims.take(VICTIMS_MAX) {
             let Some(TaskState::Booked { host, .. }) = self.state(*victim) else { continue };
-            if !checked.insert(host) {
+            let fits = size.fits_in(&self.fleet.hosts[host].capacity);
+            if !fits || checked.len() >= HOSTS_MAX || !checked.insert(host) {
                 continue;
             }
-            let Some(found) = self.victims_on(host, size, urgent, weight, total) else { continue };
+            let Some(found) = self.victims_on(host, size, judge) else { continue };
             if best.as_ref().is_none_or(|(_, fewest)| found.len() < fewest.len()) {
                 best = Some((host, found));
             }
@@ -178,25 +206,19 @@
         best
     }
 
-    /// Tasks above their team's share whose end makes room for `size` on a worker, the latest start first.
-    fn victims_on(
-        &self,
-        slot: usize,
-        size: &Size,
-        urgent: bool,
-        weight: f64,
-        total: &Size,
-    ) -> Option<Vec<Key>> {
+    /// Tasks above their team's share whose end makes room for `size` on a worker, the latest start first. None where the
+    /// room comes without them.
+    pub(crate) fn victims_on(&self, slot: usize, size: &Size, judge: &Judge) -> Option<Vec<Key>> {
         let host = &self.fleet.hosts[slot];
         if !host.is_usable() || !size.fits_in(&host.capacity) {
             return None;
         }
         let mut room = host.future();
-        let mut tasks: Vec<(u8, std::cmp::Reverse<u64>, Key)> = Vec::new();
+        let mut tasks: Vec<Victim> = Vec::new();
         for key in &host.tasks {
-            let Some(record) = self.jobs.get(key.0) else { continue };
+            let rank = self.jobs.get(key.0).and_then(|record| record.victim_rank());
             if let (Some(rank), Some(TaskState::Booked { sequence, stopping: false, .. })) =
-                (record.victim_rank(), self.state(*key))
+                (rank, self.state(*key))
             {
                 tasks.push((rank, std::cmp::Reverse(sequence), *key));
             }
@@ -210,14 +232,9 @@
             }
             let Some(record) = self.jobs.get(key.0) else { continue };
             let account = &self.teams.accounts[record.team];
-            let fair = f64::from(account.share) / weight;
             let held = booked.entry(record.team).or_insert(account.booked);
-            let mut after = *held;
-            after.subtract(&record.job.size);
-            let judged = if urgent { *held } else { after };
-            let part = judged.size().dominant_part(total);
-            if part > fair || (!urgent && part >= fair) {
-                *held = after;
+            if judge.allows(account, held, &record.job.size) {
+                held.subtract(&record.job.size);
                 room.add(&record.job.size);
                 victims.push(key);
             }
@@ -225,7 +242,7 @@
         room.holds(size).then_some(victims)
     }
 
-    fn stop_victims(&mut self, round: &mut Round, victims: &[Key], mode: Mode) {
+    pub(crate) fn stop_victims(&mut self, round: &mut Round, victims: &[Key], mode: Mode) {
         for key in victims {
             let Some(TaskState::Booked { host, stopping, .. }) = self.state(*key) else { continue };
             if stopping == (mode == Mode::Checkpoint) {
--- a/crates/shallotpost-policy/src/decide.rs
+++ b/crates/shallotpost-policy/src/decide.rs
@@ -22,8 +22,6 @@
     gangs: usize,
     /// By team and lane: no waiting task fits now.
     exhausted: Vec<[bool; LANES]>,
-    /// By team and lane: no waiting task fits on a worker that has grown.
-    offered: Vec<[bool; LANES]>,
     /// By team: version of the free capacity that all its gangs were tried at.
     gangs_tried: Vec<Option<u64>>,
 }
@@ -50,15 +48,11 @@
             misses: 0,
             gangs: 0,
             exhausted: vec![[false; LANES]; teams],
-            offered: vec![[false; LANES]; teams],
             gangs_tried: vec![None; teams],
         };
         self.advance_claims(&mut round);
-        self.advance_reservation(&mut round);
+        self.advance_reservations(&mut round);
         while round.left() > 0 && round.misses < MISSES_MAX && self.step(&mut round) {}
-        if round.left() > 0 && round.misses < MISSES_MAX {
-            self.settle();
-        }
         self.reserve(&mut round);
         self.reclaim(&mut round);
         round.actions
@@ -103,10 +97,10 @@
 
     /// First task of a lane that fits, and its worker.
     fn candidate(&mut self, round: &mut Round, team: usize, lane: usize) -> Option<(Key, usize)> {
-        if round.exhausted[team][lane] {
+        if self.teams.accounts[team].lanes[lane].is_empty() || round.exhausted[team][lane] {
             return None;
         }
-        if let Some(found) = self.candidate_for_grown(round, team, lane) {
+        if let Some(found) = self.candidate_for_grown(team, lane) {
             return Some(found);
         }
         while round.misses < MISSES_MAX {
@@ -128,46 +122,35 @@
     }
 
     /// First task of a lane that fits on a worker whose free capacity has grown. Other tasks were tried before.
-    fn candidate_for_grown(
-        &mut self,
-        round: &mut Round,
-        team: usize,
-        lane: usize,
-    ) -> Option<(Key, usize)> {
-        if round.offered[team][lane] {
-            return None;
-        }
-        let account = &self.teams.accounts[team];
+    ///
+    /// A team that only its grant kept from such a worker gets it offered again when its headroom grows.
+    fn candidate_for_grown(&mut self, team: usize, lane: usize) -> Option<(Key, usize)> {
+        let version = self.fleet.version;
+        let account = &mut self.teams.accounts[team];
         let headroom = account.headroom();
-        let queue = &account.lanes[lane];
-        let fit = self.fleet.dirty.iter().find_map(|slot| {
-            let room = self.fleet.hosts[*slot].free()?.min(&headroom);
-            let first = if queue.excludes(&room) { None } else { queue.first(0, &room) };
-            first.map(|(_, key, size)| (key, size, *slot))
-        });
-        round.offered[team][lane] = fit.is_none();
-        let (key, _, grown) = fit.filter(|(_, size, _)| account.allows(size))?;
-        let host = self.find_host(key).unwrap_or(grown);
-        Some((key, host))
-    }
-
-    /// Forgets the workers that had grown, as nothing that waits fits on them. A team that only its grant kept from one
-    /// gets it offered again when its headroom grows.
-    fn settle(&mut self) {
-        let dirty = std::mem::take(&mut self.fleet.dirty);
-        for account in &mut self.teams.accounts {
-            if account.waiting_tasks == 0 {
+        let queue = &mut account.lanes[lane];
+        let mut fit = None;
+        for (grown, slot) in self.fleet.grown.range(queue.seen + 1..) {
+            let Some(free) = self.fleet.hosts[*slot].free() else { continue };
+            if queue.excludes(&free) {
                 continue;
             }
-            let headroom = account.headroom();
-            for slot in &dirty {
-                let Some(free) = self.fleet.hosts[*slot].free() else { continue };
-                let limited = !free.fits_in(&headroom);
-                if limited && account.lanes.iter().any(|lane| !lane.excludes(&free)) {
-                    account.missed.insert(*slot);
-                }
+            let room = free.min(&headroom);
+            if let Some((_, key, size)) = queue.first(0, &room) {
+                fit = Some((key, size, *slot));
+                queue.seen = grown - 1;
+                break;
             }
+            if room != free {
+                account.missed.insert(*slot);
+            }
+        }
+        if fit.is_none() {
+            queue.seen = version;
         }
+        let (key, _, grown) = fit.filter(|(_, size, _)| account.allows(size))?;
+        let host = self.find_host(key).unwrap_or(grown);
+        Some((key, host))
     }
 
     /// Tries gangs of the team that were not tried since free capacity last grew.
--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -7,11 +7,11 @@
 
 use crate::claim::Claim;
 use crate::fleet::Fleet;
-use crate::gang::Reservation;
 use crate::jobs::{Jobs, Record, TaskState};
 use crate::planner::{Cause, Job, Team, Unfit, Worker};
 use crate::predict::Predictor;
 use crate::queue::Key;
+use crate::reserve::Reservation;
 use crate::sum::Sum;
 use crate::teams::{NEW, REPLACEMENT, RETURNED, Teams, URGENT};
 
@@ -25,8 +25,8 @@
     pub(crate) predictor: Predictor,
     /// Capacity that is being freed for waiting tasks, in the order of the requests.
     pub(crate) claims: Vec<Claim>,
-    pub(crate) reservation: Option<Reservation>,
-    /// Earliest time of the next reservation.
+    pub(crate) reservations: Vec<Reservation>,
+    /// Earliest time of the next attempt to reserve.
     pub(crate) reservation_at: Option<Instant>,
     pub(crate) open: bool,
     starts: u64,
@@ -41,7 +41,7 @@
             jobs: Jobs::default(),
             predictor: Predictor::default(),
             claims: Vec::new(),
-            reservation: None,
+            reservations: Vec::new(),
             reservation_at: None,
             open: true,
             starts: 0,
@@ -82,15 +82,15 @@
         self.teams.accounts[slot].grant = None;
     }
 
-    pub(crate) fn submit(&mut self, job: Job) -> Result<(), Unfit> {
+    pub(crate) fn submit(&mut self, now: Instant, job: Job) -> Result<(), Unfit> {
         if let Some(slot) = self.jobs.slot(&job.work) {
-            self.revive(slot);
+            self.revive(now, slot);
             return Ok(());
         }
         if let Some(unfit) = self.unfit(&job) {
             return Err(unfit);
         }
-        self.insert(job);
+        self.insert(now, job);
         Ok(())
     }
 
@@ -124,7 +124,7 @@
     pub(crate) fn adopt(&mut self, now: Instant, job: &Job, task: Task, worker: &WorkerId) {
         let slot = match self.jobs.slot(&job.work) {
             Some(slot) => slot,
-            None => self.insert(job.clone()),
+            None => self.insert(now, job.clone()),
         };
         let state = self.jobs.get(slot).and_then(|record| record.tasks.get(task.index as usize));
         if matches!(state, None | Some(TaskState::Booked { .. })) {
@@ -146,9 +146,9 @@
         }
     }
 
-    pub(crate) fn requeue(&mut self, task: &Task) {
+    pub(crate) fn requeue(&mut self, now: Instant, task: &Task) {
         if let Some((slot, TaskState::Idle(_))) = self.jobs.task(task) {
-            self.enqueue((slot, task.index));
+            self.enqueue(now, (slot, task.index));
         }
     }
 
@@ -257,36 +257,39 @@
     /// Offers the workers that a team was passed over on because of its grant again.
     fn offer_missed(&mut self, team: usize) {
         let missed = std::mem::take(&mut self.teams.accounts[team].missed);
-        self.fleet.dirty.extend(missed);
+        missed.into_iter().for_each(|host| self.fleet.touch(host));
         self.fleet.version += 1;
     }
 
-    fn insert(&mut self, job: Job) -> usize {
+    fn insert(&mut self, now: Instant, job: Job) -> usize {
         let team = self.teams.slot(&job.work.team);
         let tasks = job.class.tasks();
-        let slot = self.jobs.insert(job, team);
-        (0..tasks).for_each(|index| self.enqueue((slot, index)));
+        let slot = self.jobs.insert(now, job, team);
+        (0..tasks).for_each(|index| self.enqueue(now, (slot, index)));
         slot
     }
 
     /// Makes finished work that still has bookings wait again with its other tasks.
-    fn revive(&mut self, slot: usize) {
+    fn revive(&mut self, now: Instant, slot: usize) {
         let Some(record) = self.jobs.get_mut(slot).filter(|record| record.finished) else { return };
         record.finished = false;
         let tasks = record.tasks.len() as u32;
         for index in 0..tasks {
             if let Some(TaskState::Idle(_)) = self.state((slot, index)) {
-                self.enqueue((slot, index));
+                self.enqueue(now, (slot, index));
             }
         }
     }
 
-    fn enqueue(&mut self, key: Key) {
+    fn enqueue(&mut self, now: Instant, key: Key) {
         let Some(record) = self.jobs.get_mut(key.0).filter(|record| !record.finished) else {
             return;
         };
         let lane = lane(record, key.1 as usize);
         let account = &mut self.teams.accounts[record.team];
+        if record.waiting == 0 {
+            record.queued = now;
+        }
         record.waiting += 1;
         account.waiting.add(&record.job.size);
         account.waiting_tasks += 1;
--- a/crates/shallotpost-policy/src/explain.rs
+++ b/crates/shallotpost-policy/src/explain.rs
@@ -133,8 +133,8 @@
             return;
         }
         let (_, missing) = self.find_all(&record.job.size, parts);
-        match &self.reservation {
-            Some(reservation) if reservation.slot == slot => {
+        match self.reservations.iter().find(|reservation| reservation.slot == slot) {
+            Some(reservation) => {
                 let left = reservation.until.saturating_duration_since(now).as_secs();
                 findings.add(
                     format!("room for its {parts} parts is reserved and not yet free"),
--- a/crates/shallotpost-policy/src/fleet.rs
+++ b/crates/shallotpost-policy/src/fleet.rs
@@ -39,6 +39,8 @@
     returning_until: Option<Instant>,
     /// Until when the start rate allows no start.
     paused_until: Option<Instant>,
+    /// Key in `Fleet::grown`.
+    grown_at: u64,
     /// Pool and position in the index.
     place: Option<(u64, usize)>,
 }
@@ -104,9 +106,10 @@
     open_capacity: Sum,
     /// Free capacity of the usable workers.
     free_total: Sum,
-    /// Workers whose free capacity grew since they were last offered to the waiting tasks.
-    pub(crate) dirty: BTreeSet<usize>,
-    /// Rises whenever free capacity grows.
+    /// Workers by the version at which their free capacity last grew. A lane of waiting tasks remembers the version up to
+    /// which nothing in it fits.
+    pub(crate) grown: BTreeMap<u64, usize>,
+    /// Rises whenever free capacity or the headroom of a team grows.
     pub(crate) version: u64,
     timers: BTreeSet<(Instant, usize)>,
     returns: VecDeque<(Instant, usize)>,
@@ -142,6 +145,7 @@
             health: Health::default(),
             returning_until: None,
             paused_until: None,
+            grown_at: 0,
             place: None,
         });
         slot
@@ -368,11 +372,18 @@
         self.free_total.subtract(&complement(&old));
         self.free_total.add(&complement(&value));
         if value.iter().zip(old).any(|(value, old)| *value < old) {
-            self.dirty.insert(slot);
-            self.version += 1;
+            self.touch(slot);
         }
     }
 
+    /// Offers a worker to all waiting tasks again.
+    pub(crate) fn touch(&mut self, slot: usize) {
+        self.version += 1;
+        let last = std::mem::replace(&mut self.hosts[slot].grown_at, self.version);
+        self.grown.remove(&last);
+        self.grown.insert(self.version, slot);
+    }
+
     fn rack_slot(&mut self, rack: &RackId) -> usize {
         if let Some(slot) = self.rack_slots.get(rack) {
             return *slot;
@@ -422,7 +433,7 @@
             *count -= 1;
         }
         self.shapes.retain(|_, count| *count > 0);
-        self.dirty.remove(&slot);
+        self.grown.remove(&self.hosts[slot].grown_at);
     }
 
     fn note_return(&mut self, now: Instant, slot: usize) {
--- a/crates/shallotpost-policy/src/jobs.rs
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -36,8 +36,12 @@
     pub(crate) failed_on: BTreeSet<usize>,
     /// Whether it is forgotten once its last booking is released.
     pub(crate) finished: bool,
-    /// Version of the free capacity at the last attempt to place the whole gang.
+    /// One more than the version of the free capacity at the last attempt to place the whole gang.
     pub(crate) tried: u64,
+    /// When it last began to wait.
+    pub(crate) queued: Instant,
+    /// Earliest time of its next reservation.
+    pub(crate) reserve_at: Option<Instant>,
 }
 
 impl Record {
@@ -85,7 +89,7 @@
     }
 
     /// Adds work whose tasks are all idle.
-    pub(crate) fn insert(&mut self, job: Job, team: usize) -> usize {
+    pub(crate) fn insert(&mut self, now: Instant, job: Job, team: usize) -> usize {
         self.sequence += 1;
         let slot = self.unused.pop().unwrap_or(self.records.len());
         if slot == self.records.len() {
@@ -104,6 +108,8 @@
             failed_on: BTreeSet::new(),
             finished: false,
             tried: 0,
+            queued: now,
+            reserve_at: None,
         });
         slot
     }
--- a/crates/shallotpost-policy/src/planner.rs
+++ b/crates/shallotpost-policy/src/planner.rs
@@ -139,8 +139,8 @@
     ///
     /// # Errors
     /// Returns [`Unfit`] where no worker of the shard, empty, could hold a task (or, for a gang, all workers all parts).
-    pub fn submit(&mut self, _now: Instant, job: Job) -> Result<(), Unfit> {
-        self.engine.submit(job)
+    pub fn submit(&mut self, now: Instant, job: Job) -> Result<(), Unfit> {
+        self.engine.submit(now, job)
     }
 
     /// Books a task that a worker already runs. Adds the job where it is not known; its other tasks wait.
@@ -154,8 +154,8 @@
     }
 
     /// Makes a released task wait again. For a gang the caller requeues every part.
-    pub fn requeue(&mut self, _now: Instant, task: &Task) {
-        self.engine.requeue(task);
+    pub fn requeue(&mut self, now: Instant, task: &Task) {
+        self.engine.requeue(now, task);
     }
 
     /// Forgets work without bookings; waiting tasks are dropped. In time O(1) plus the tasks of the work.
--- a/crates/shallotpost-policy/src/queue.rs
+++ b/crates/shallotpost-policy/src/queue.rs
@@ -17,6 +17,8 @@
     live: usize,
     all: Index,
     fresh: Index,
+    /// Version of the free capacity up to which no task that is not fresh fits on a worker that has grown.
+    pub(crate) seen: u64,
 }
 
 impl Lane {
@@ -62,6 +64,11 @@
         self.first_in(&self.all, from, room)
     }
 
+    /// Whether nothing waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.live == 0
+    }
+
     /// Whether no task fits in `room`; may also be false where none does.
     pub(crate) fn excludes(&self, room: &Size) -> bool {
         self.live == 0 || !Size::from_parts(*self.all.root()).fits_in(room)
--- /dev/null
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -0,0 +1,323 @@
+//! Reservations against starvation: room is held for all parts of a gang, or for a task that small ones would pass
+//! forever, until running tasks have made way. Each reservation expires, and all together hold a bounded part of the fleet.
+
+use std::collections::BTreeMap;
+
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::worker::Mode;
+
+use crate::claim::Judge;
+use crate::decide::Round;
+use crate::engine::Engine;
+use crate::fleet::copies;
+use crate::jobs::TaskState;
+use crate::queue::Key;
+use crate::sum::Sum;
+use crate::teams::{LANES, REPLACEMENT};
+
+/// Time between attempts to reserve; an attempt looks at every worker.
+const RETRY: Duration = Duration::from_millis(500);
+/// Wait after which a gang may get a reservation.
+const GANG_PATIENCE: Duration = Duration::from_secs(1);
+/// Wait after which another task may get one.
+const TASK_PATIENCE: Duration = Duration::from_secs(20);
+/// Part of any resource that reservations may hold together; a single one may hold more.
+const HELD_PART_MAX: f64 = 0.25;
+
+/// Room that is held for tasks of one job that start together.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    pub(crate) slot: usize,
+    /// Indices of the tasks.
+    indices: Vec<u32>,
+    size: Size,
+    /// Worker and number of tasks.
+    hosts: Vec<(usize, u64)>,
+    /// Tasks that were asked to save their progress and end.
+    victims: Vec<Key>,
+    stop_at: Option<Instant>,
+    pub(crate) until: Instant,
+}
+
+impl Engine {
+    /// Starts all parts of a gang, or none.
+    pub(crate) fn start_whole(&mut self, round: &mut Round, slot: usize) -> bool {
+        let Some((size, parts)) = self.startable_gang(slot) else { return false };
+        if !self.has_space(round, parts) || !self.fleet.has_in_total(&size.times(parts)) {
+            return false;
+        }
+        let (hosts, missing) = self.find_all(&size, parts);
+        if missing > 0 {
+            return false;
+        }
+        let indices: Vec<u32> = (0..parts as u32).collect();
+        self.start_together(round, slot, &indices, &hosts);
+        true
+    }
+
+    /// Starts what has all its reserved room, and ends reservations that have expired or lost a worker.
+    pub(crate) fn advance_reservations(&mut self, round: &mut Round) {
+        for mut reservation in std::mem::take(&mut self.reservations) {
+            let ready = self.is_ready(round, &reservation);
+            let expired = reservation.until <= round.now;
+            if !ready && !expired && self.is_intact(&reservation) {
+                let stop = reservation.stop_at.is_some_and(|at| at <= round.now);
+                if stop && round.left() >= reservation.victims.len() {
+                    reservation.stop_at = None;
+                    self.stop_victims(round, &reservation.victims, Mode::Stop);
+                }
+                self.reservations.push(reservation);
+                continue;
+            }
+            for (host, count) in &reservation.hosts {
+                self.fleet.unhold(*host, &reservation.size.times(*count));
+            }
+            let Reservation { slot, indices, hosts, .. } = &reservation;
+            if ready {
+                self.start_together(round, *slot, indices, hosts);
+            } else if let Some(record) = self.jobs.get_mut(*slot).filter(|_| expired) {
+                record.reserve_at = Some(round.now + self.policy.gang_reservation);
+            }
+        }
+    }
+
+    /// Gives a reservation to the first job, by share, that has waited for long.
+    pub(crate) fn reserve(&mut self, round: &mut Round) {
+        if self.reservation_at.is_some_and(|at| round.now < at) {
+            return;
+        }
+        self.reservation_at = Some(round.now + RETRY);
+        let total = self.fleet.total();
+        let judge = Judge { weight: self.teams.active_weight(), total, urgent: false };
+        for team in self.teams.order(&total) {
+            let Some((slot, indices)) = self.next_starving(round.now, team) else { continue };
+            if self.reserve_for(round, &judge, slot, indices) {
+                return;
+            }
+        }
+    }
+
+    /// First gang or other task of the team that may get a reservation.
+    fn next_starving(&self, now: Instant, team: usize) -> Option<(usize, Vec<u32>)> {
+        let account = &self.teams.accounts[team];
+        let may = |slot: usize, patience: Duration| {
+            let reserved = self.reservations.iter().any(|reservation| reservation.slot == slot);
+            let record = self.jobs.get(slot).filter(|_| !reserved);
+            record.is_some_and(|record| {
+                record.queued + patience <= now && record.reserve_at.is_none_or(|at| at <= now)
+            })
+        };
+        let gang = account
+            .gangs
+            .iter()
+            .map(|(_, slot)| *slot)
+            .find(|slot| may(*slot, GANG_PATIENCE) && self.startable_gang(*slot).is_some());
+        if let Some((slot, parts)) =
+            gang.and_then(|slot| Some((slot, self.startable_gang(slot)?.1)))
+        {
+            return Some((slot, (0..parts as u32).collect()));
+        }
+        let room = account.headroom().min(&self.fleet.largest());
+        for lane in &account.lanes[REPLACEMENT..LANES] {
+            let mut from = 0;
+            while let Some((position, key, size)) = lane.first(from, &room) {
+                from = position + 1;
+                if !may(key.0, TASK_PATIENCE) {
+                    // Tasks behind it have waited less, or are reserved one after the other.
+                    let held = self.reservations.iter().any(|other| other.slot == key.0);
+                    let resting = self.jobs.get(key.0).is_some_and(|it| it.reserve_at.is_some());
+                    if held || resting {
+                        continue;
+                    }
+                    break;
+                }
+                if self.fleet.can_ever_hold(&size, 1) {
+                    return Some((key.0, vec![key.1]));
+                }
+            }
+        }
+        None
+    }
+
+    fn reserve_for(
+        &mut self,
+        round: &mut Round,
+        judge: &Judge,
+        slot: usize,
+        indices: Vec<u32>,
+    ) -> bool {
+        let Some(record) = self.jobs.get(slot) else { return false };
+        let (size, count, team) = (record.job.size, indices.len() as u64, record.team);
+        let mut held = Sum::default();
+        for reservation in &self.reservations {
+            held.add(&reservation.size.times(reservation.indices.len() as u64));
+        }
+        held.add(&size.times(count));
+        let first = self.reservations.is_empty();
+        if !first && held.size().dominant_part(&judge.total) > HELD_PART_MAX {
+            return false;
+        }
+        let mut after = self.teams.accounts[team].booked;
+        after.add(&size.times(count));
+        let entitled =
+            judge.fair(&self.teams.accounts[team]) >= after.size().dominant_part(&judge.total);
+        let Some(hosts) = self.soonest_hosts(round.now, judge, entitled, &size, count) else {
+            return false;
+        };
+        let mut victims = Vec::new();
+        for (host, parts) in &hosts {
+            let needed = size.times(*parts);
+            if entitled && let Some(more) = self.victims_on(*host, &needed, judge) {
+                let left = round.left();
+                let more: Vec<Key> = more.into_iter().take(left).collect();
+                self.stop_victims(round, &more, Mode::Checkpoint);
+                victims.extend(more);
+            }
+            self.fleet.hold(*host, &needed);
+        }
+        let stop_at = Some(round.now + self.grace());
+        let until = round.now + self.policy.gang_reservation;
+        self.reservations.push(Reservation { slot, indices, size, hosts, victims, stop_at, until });
+        true
+    }
+
+    /// Size and number of the parts, where all of them wait, workers could hold them and the grant allows them.
+    fn startable_gang(&self, slot: usize) -> Option<(Size, u64)> {
+        let record = self.jobs.get(slot)?;
+        let parts = record.tasks.len() as u64;
+        let (team, size) = (record.team, record.job.size);
+        let whole = record.is_gang() && parts > 0 && u64::from(record.waiting) == parts;
+        let allowed = self.teams.accounts[team].allows(&size.times(parts));
+        (whole && allowed && self.fleet.can_ever_hold(&size, parts)).then_some((size, parts))
+    }
+
+    /// Whether the round has space for all parts; a gang may exceed the limit only as the first of a round.
+    fn has_space(&self, round: &Round, parts: u64) -> bool {
+        round.actions.is_empty() || parts <= round.left() as u64
+    }
+
+    fn is_ready(&self, round: &Round, reservation: &Reservation) -> bool {
+        let Some(record) = self.jobs.get(reservation.slot) else { return false };
+        let count = reservation.indices.len() as u64;
+        let waits =
+            reservation.indices.iter().all(|index| self.is_waiting((reservation.slot, *index)));
+        let whole = !record.is_gang() || self.startable_gang(reservation.slot).is_some();
+        let account = &self.teams.accounts[record.team];
+        waits
+            && whole
+            && account.allows(&reservation.size.times(count))
+            && self.has_space(round, count)
+            && reservation.hosts.iter().all(|(slot, count)| {
+                let host = &self.fleet.hosts[*slot];
+                host.is_usable()
+                    && *count <= host.starts_max()
+                    && host.unbooked().holds(&reservation.size.times(*count))
+            })
+    }
+
+    /// Whether the tasks still wait and all workers still take tasks.
+    fn is_intact(&self, reservation: &Reservation) -> bool {
+        let usable = |(slot, _): &(usize, u64)| {
+            let host = &self.fleet.hosts[*slot];
+            host.known && host.open && !host.health.is_restricted()
+        };
+        let waits = |index: &u32| self.is_waiting((reservation.slot, *index));
+        reservation.hosts.iter().all(usable) && reservation.indices.iter().all(waits)
+    }
+
+    fn start_together(
+        &mut self,
+        round: &mut Round,
+        slot: usize,
+        indices: &[u32],
+        hosts: &[(usize, u64)],
+    ) {
+        let places = hosts.iter().flat_map(|(host, count)| (0..*count).map(|_| *host));
+        let places: Vec<usize> = places.collect();
+        for (index, host) in indices.iter().zip(places) {
+            self.start(round, (slot, *index), host);
+        }
+    }
+
+    /// Workers that are expected to have room for all tasks the soonest; `None` where it is not expected for some task.
+    fn soonest_hosts(
+        &self,
+        now: Instant,
+        judge: &Judge,
+        entitled: bool,
+        size: &Size,
+        tasks: u64,
+    ) -> Option<Vec<(usize, u64)>> {
+        let mut offers: Vec<(Duration, usize)> = Vec::new();
+        for (slot, host) in self.fleet.hosts.iter().enumerate() {
+            if !host.known || !host.open || host.health.is_restricted() {
+                continue;
+            }
+            let count = copies(&host.capacity, size).min(tasks).min(host.starts_max());
+            let times = self.expected_room(now, judge, entitled, slot, size, count);
+            offers.extend(times.into_iter().map(|time| (time, slot)));
+        }
+        if (offers.len() as u64) < tasks {
+            return None;
+        }
+        offers.sort();
+        let mut hosts = BTreeMap::new();
+        for (_, slot) in offers.into_iter().take(tasks as usize) {
+            *hosts.entry(slot).or_insert(0) += 1;
+        }
+        Some(hosts.into_iter().collect())
+    }
+
+    /// Times until a worker has room for one, two, up to `count` tasks.
+    fn expected_room(
+        &self,
+        now: Instant,
+        judge: &Judge,
+        entitled: bool,
+        slot: usize,
+        size: &Size,
+        count: u64,
+    ) -> Vec<Duration> {
+        let host = &self.fleet.hosts[slot];
+        let mut ends: Vec<(Duration, Key)> = Vec::new();
+        for key in &host.tasks {
+            let end = self.expected_end(now, *key);
+            let reclaimed = entitled && self.may_reclaim(*key, judge);
+            let end = if reclaimed { Some(self.grace()) } else { end };
+            ends.extend(end.map(|end| (end, *key)));
+        }
+        ends.sort();
+        let mut ends = ends.into_iter();
+        let mut room: Sum = host.unbooked().less(&host.held);
+        let mut time = Duration::ZERO;
+        let mut times = Vec::new();
+        while (times.len() as u64) < count {
+            if room.holds(&size.times(times.len() as u64 + 1)) {
+                times.push(time);
+                continue;
+            }
+            let Some((end, key)) = ends.next() else { break };
+            time = end;
+            if let Some(record) = self.jobs.get(key.0) {
+                room.add(&record.job.size);
+            }
+        }
+        times
+    }
+
+    /// Expected time to the end of a running task; `None` for one that runs until it is stopped.
+    pub(crate) fn expected_end(&self, now: Instant, key: Key) -> Option<Duration> {
+        let record = self.jobs.get(key.0)?;
+        let TaskState::Booked { started, stopping, .. } = self.state(key)? else { return None };
+        if stopping {
+            return Some(Duration::ZERO);
+        }
+        if record.is_service() {
+            return None;
+        }
+        let ran = now.saturating_duration_since(started);
+        let expected = self.predictor.predict(record.team, record.job.run_time);
+        // A task that is overdue is expected to run on for half the time that it has run.
+        Some(expected.checked_sub(ran).unwrap_or(ran / 2))
+    }
+}
