Implement the configuration service

Cause: the service configuration was a stub, so no host had a configuration and operators could not change one.

--- /dev/null
+++ b/crates/shallotpost-control/src/configuration/cap.rs
@@ -0,0 +1,64 @@
+//! The row `caps/<team>`: a team's cap and what is granted of it to each shard.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use shallotpost_protocol::resource::{Change, Resource};
+
+use crate::prelude::*;
+
+/// Prefix of the rows of all caps.
+pub const CAP_PREFIX: &str = "caps/";
+
+/// Key of a team's row.
+pub fn row_key(team: &str) -> String {
+    format!("{CAP_PREFIX}{team}")
+}
+
+/// Value of the row. Configuration writes the cap; the owner of each shard writes its own grant, and raises it only where
+/// the sum of all grants stays within the cap.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cap {
+    /// Most that the team may have running fleet-wide.
+    pub cap: Size,
+    /// What each shard may have running.
+    pub grants: BTreeMap<Shard, Size>,
+}
+
+impl Cap {
+    /// Sum of all grants; saturates.
+    pub fn granted(&self) -> Size {
+        self.grants.values().fold(Size::ZERO, |sum, grant| sum.plus(grant))
+    }
+
+    /// Data centres whose shards hold grants, where the grants exceed both this cap and `limit`. A later change may have
+    /// replaced `limit` by a higher cap.
+    pub fn waiting_for(&self, limit: &Size) -> BTreeSet<DataCentreId> {
+        if self.granted().fits_in(&self.cap.max(limit)) {
+            return BTreeSet::new();
+        }
+        let holders = self.grants.iter().filter(|(_, grant)| **grant != Size::ZERO);
+        holders.map(|(shard, _)| shard.data_centre.clone()).collect()
+    }
+}
+
+/// A lowered cap, which is pending until owners returned enough of their grants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lowered {
+    /// The team.
+    pub team: TeamId,
+    /// Its new cap.
+    pub limit: Size,
+}
+
+/// What a change lowers.
+pub fn lowered(change: &Change) -> Option<Lowered> {
+    match (&change.before, &change.after) {
+        (Some(Resource::Team(before)), Some(Resource::Team(after)))
+            if !before.cap.fits_in(&after.cap) =>
+        {
+            Some(Lowered { team: change.name.clone(), limit: after.cap })
+        }
+        _ => None,
+    }
+}
--- a/crates/shallotpost-control/tests/support/config_cluster.rs
+++ b/crates/shallotpost-control/tests/support/config_cluster.rs
@@ -8,6 +8,8 @@
 use shallotpost_control::context::caller;
 use shallotpost_control::message::Batch;
 use shallotpost_control::prelude::*;
+use shallotpost_protocol::interface::{Reply, Request as Ask};
+use shallotpost_protocol::resource::{Resource, Right, Team};
 use shallotpost_protocol::table::{Check, Request, Write};
 use shallotpost_standin::table::Table;
 
@@ -46,8 +48,12 @@
     /// Messages to `commit` or `configuration`, where they are outcomes.
     pub written: Vec<(Tag, Result<(), shallotpost_control::message::WriteFailure>)>,
     pub logs: Vec<Log>,
+    /// Time that the answers to reads take.
+    pub slow_reads: Option<Duration>,
     /// Transactions with the moment of sending and the keys that they write.
     pub transactions: Vec<(Instant, Vec<String>)>,
+    /// Number of messages in `sent` before each transaction.
+    pub sent_before: Vec<usize>,
     pub reads: Vec<Instant>,
     open: Vec<Open>,
     next_call: u64,
@@ -63,7 +69,9 @@
             sent: Vec::new(),
             written: Vec::new(),
             logs: Vec::new(),
+            slow_reads: None,
             transactions: Vec::new(),
+            sent_before: Vec::new(),
             reads: Vec::new(),
             open: Vec::new(),
             next_call: 0,
@@ -143,8 +151,12 @@
                     fault = state.faults.pop_front().map(|(_, fault)| fault);
                 }
                 state.transactions.push((now, keys));
+                state.sent_before.push(state.sent.len());
+            }
+            _ => {
+                state.reads.push(now);
+                fault = fault.or(state.slow_reads.map(Fault::Slow));
             }
-            _ => state.reads.push(now),
         }
         let (at, result) = match fault {
             None => (now + STEP, Ok(self.table.handle(&request))),
@@ -163,6 +175,54 @@
         self.nodes[node].open.push(Open { at, call, result });
     }
 
+    /// Asks with an operator's key; the number finds the answers again.
+    pub fn ask(&mut self, node: usize, number: u64, request: Ask) {
+        self.ask_as(node, number, Right::Operator, request);
+    }
+
+    pub fn ask_as(&mut self, node: usize, number: u64, right: Right, request: Ask) {
+        let identity = Identity { key: "root".to_owned(), right };
+        let ask = Message::Ask { origin: Origin::Caller(number), identity, request };
+        self.deliver(node, Name::Configuration, ask);
+    }
+
+    /// All answers to a question, of which there must be one at most.
+    pub fn answers(&self, node: usize, number: u64) -> Vec<Result<Reply, Problem>> {
+        let answers = self.nodes[node].sent.iter().filter_map(|(_, _, message)| match message {
+            Message::Answer { origin: Origin::Caller(other), result } if *other == number => {
+                Some(result.clone())
+            }
+            _ => None,
+        });
+        answers.collect()
+    }
+
+    /// Asks and runs until the answer is there.
+    pub fn answer(&mut self, node: usize, number: u64, request: Ask) -> Result<Reply, Problem> {
+        self.ask(node, number, request);
+        self.run_until(Duration::from_secs(20), |c| !c.answers(node, number).is_empty());
+        self.answers(node, number).remove(0)
+    }
+
+    /// The last value that a host's messages give.
+    pub fn last<T>(&self, node: usize, pick: impl Fn(&Message) -> Option<T>) -> Option<T> {
+        self.nodes[node].sent.iter().rev().find_map(|(_, _, message)| pick(message))
+    }
+
+    /// Revision that a host applies.
+    pub fn revision(&self, node: usize) -> Option<Revision> {
+        self.last(node, |message| match message {
+            Message::Snapshot(snapshot) => Some(snapshot.revision),
+            _ => None,
+        })
+    }
+
+    /// Writes rows directly, without conditions.
+    pub fn overwrite(&mut self, rows: impl IntoIterator<Item = (String, Option<String>)>) {
+        let writes = rows.into_iter().map(|(key, value)| Write { key, value }).collect();
+        self.table.handle(&Request::Transact { checks: Vec::new(), writes });
+    }
+
     /// Lets time pass by one step.
     pub fn step(&mut self) {
         self.now += self.step;
@@ -215,3 +275,12 @@
     let writes = vec![Write { key: key.to_owned(), value: Some(value.to_owned()) }];
     Batch { reply_to: Name::Scheduler, tag, checks, writes, expires: None }
 }
+
+/// A team with this cap of slots.
+pub fn team(share: u32, slots: u64) -> Resource {
+    Resource::Team(Team { share, cap: Size { slots, ..Size::from_parts([u64::MAX; 4]) } })
+}
+
+pub fn put(name: &str, resource: Resource, revision: Option<Revision>) -> Ask {
+    Ask::Put { name: name.to_owned(), resource, revision, dry_run: false }
+}
