Stop renewing the leases of unlisted workers, and bound further reads

Cause: an owner kept the tasks of a worker that had left the worker list alive. A new owner cannot find such a worker and would start its tasks a second time at once.

Change: the lease of an unlisted worker is no longer renewed, and a new owner waits for workers that left the list less than a task lease ago. Stops requested while a start is open are kept, deadlines of retried work are checked again, an intent whose worker was given up is withdrawn, rows are read by key at most 20 times per second, and a team without a sufficient grant has its cap row read within 100 ms instead of 1 s.

Conclusion: a worker that vanishes from the list cannot lead to a second start by the next owner, unless that owner's process started after the worker vanished.

--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -19,6 +19,9 @@
 /// Interval between two reads of the cap rows.
 const CAPS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Least time between two reads of the cap rows, for teams without a sufficient grant.
+const CAPS_INTERVAL_MIN: Duration = Duration::from_millis(100);
+
 /// Most cap rows of one read.
 const CAPS_PER_READ: usize = 500;
 
@@ -37,12 +40,19 @@
     writing: BTreeSet<TeamId>,
     call: Option<CallId>,
     next_read: Instant,
+    last_read: Instant,
 }
 
 impl Caps {
     /// No grants.
     pub fn new(now: Instant) -> Caps {
-        Caps { grants: BTreeMap::new(), writing: BTreeSet::new(), call: None, next_read: now }
+        Caps {
+            grants: BTreeMap::new(),
+            writing: BTreeSet::new(),
+            call: None,
+            next_read: now,
+            last_read: now,
+        }
     }
 }
 
@@ -96,6 +106,16 @@
         self.planner.set_team(context.now, team);
     }
 
+    /// Reads the cap rows soon where the grant of the team does not cover the work.
+    pub fn request_grant(&mut self, now: Instant, work: &WorkId) {
+        let Some(entry) = self.works.get(work) else { return };
+        let needed = self.planner.booked(&work.team).plus(&entry.record.specification.size);
+        if self.caps.grants.get(&work.team).is_none_or(|grant| !needed.fits_in(grant)) {
+            let earliest = now.max(self.caps.last_read + CAPS_INTERVAL_MIN);
+            self.caps.next_read = self.caps.next_read.min(earliest);
+        }
+    }
+
     /// Reads the cap rows of the teams with waiting or booked work.
     pub fn update_grants(&mut self, context: &mut Context, environment: &Environment) {
         let idle = self.caps.call.is_none() && context.now >= self.caps.next_read;
@@ -103,6 +123,7 @@
             return;
         }
         self.caps.next_read = context.now + CAPS_INTERVAL;
+        self.caps.last_read = context.now;
         let needed = self.caps.grants.iter().filter(|(team, grant)| {
             **grant != Size::ZERO
                 || self.planner.booked(team) != Size::ZERO
--- a/crates/shallotpost-control/src/scheduler/ends.rs
+++ b/crates/shallotpost-control/src/scheduler/ends.rs
@@ -14,6 +14,7 @@
         let Some(state) = self.task_mut(task) else { return };
         let worker = state.worker.take();
         state.phase = Phase::Free;
+        state.stop = None;
         if let Some(session) = worker.and_then(|worker| self.sessions.get_mut(&worker)) {
             session.tasks.remove(task);
         }
@@ -179,11 +180,8 @@
         let Some(entry) = self.works.get_mut(work) else { return };
         entry.closing = None;
         let delay = Owned::restart_delay(entry.failures);
-        let held = std::mem::take(&mut entry.held);
+        entry.held.clear();
         let count = entry.tasks.len() as u32;
-        for (worker, task, attempt) in held {
-            self.acknowledge(&worker, (task, attempt));
-        }
         for index in 0..count {
             self.queue_later(context, &Task { work: work.clone(), index }, delay);
         }
--- a/crates/shallotpost-control/src/scheduler/entry.rs
+++ b/crates/shallotpost-control/src/scheduler/entry.rs
@@ -61,6 +61,8 @@
     pub settled: Sequence,
     /// Whether the planner has it in its queue.
     pub queued: bool,
+    /// Stop that was requested while the start was open.
+    pub stop: Option<Mode>,
 }
 
 /// What happens once no task is booked any more.
@@ -104,8 +106,14 @@
 impl Entry {
     /// An entry whose tasks were not started.
     pub fn new(record: Record, version: Version) -> Entry {
-        let task =
-            TaskEntry { phase: Phase::Free, attempt: 0, worker: None, settled: 0, queued: false };
+        let task = TaskEntry {
+            phase: Phase::Free,
+            attempt: 0,
+            worker: None,
+            settled: 0,
+            queued: false,
+            stop: None,
+        };
         let count = record.specification.class.tasks() as usize;
         Entry {
             record,
--- a/crates/shallotpost-control/src/scheduler/environment.rs
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -1,6 +1,7 @@
 //! What all owned shards share: settings, configuration, leases and the worker list.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use rand::rngs::StdRng;
@@ -12,6 +13,7 @@
 use crate::configuration::Snapshot;
 use crate::membership::Fleet;
 use crate::prelude::*;
+use crate::settings::surely_lapsed;
 
 /// State that is not specific to a shard.
 pub struct Environment {
@@ -25,6 +27,8 @@
     pub lease_until: Option<Instant>,
     /// The worker list, once loaded.
     pub list: Option<Rc<Vec<list::Worker>>>,
+    /// Workers that left the list, with the time at which this was seen.
+    vanished: BTreeMap<WorkerId, (Instant, list::Worker)>,
     /// The other entry hosts.
     pub fleet: Rc<Fleet>,
     next_tag: Cell<Tag>,
@@ -40,12 +44,37 @@
             fresh_until: None,
             lease_until: None,
             list: None,
+            vanished: BTreeMap::new(),
             fleet: Rc::default(),
             next_tag: Cell::new(0),
             random: RefCell::new(StdRng::seed_from_u64(settings.random_seed)),
         }
     }
 
+    /// Takes over a worker list.
+    pub fn set_list(&mut self, now: Instant, list: Rc<Vec<list::Worker>>) {
+        let lapse = surely_lapsed(self.settings.task_lease);
+        self.vanished.retain(|_, (since, _)| now < *since + lapse);
+        for worker in self.list.iter().flat_map(|list| list.iter()) {
+            self.vanished.insert(worker.worker.clone(), (now, worker.clone()));
+        }
+        for worker in list.iter() {
+            self.vanished.remove(&worker.worker);
+        }
+        self.list = Some(list);
+    }
+
+    /// Workers of a shard that left the list less than a task lease ago.
+    pub fn vanished<'a>(
+        &'a self,
+        shard: &'a Shard,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a list::Worker> {
+        let lapse = surely_lapsed(self.settings.task_lease);
+        let recent = self.vanished.values().filter(move |(since, _)| now < *since + lapse);
+        recent.map(|(_, worker)| worker).filter(|worker| self.belongs(worker, shard))
+    }
+
     /// A tag that no other write of this service has.
     pub fn next_tag(&self) -> Tag {
         self.next_tag.set(self.next_tag.get() + 1);
@@ -77,14 +106,15 @@
         &'a self,
         shard: &'a Shard,
     ) -> Option<impl Iterator<Item = &'a list::Worker>> {
-        let count = self.shard_count(&shard.data_centre);
-        let belongs = move |worker: &&list::Worker| {
-            worker.data_centre == shard.data_centre
-                && shard_index(&worker.rack, count) == shard.index
-        };
+        let belongs = move |worker: &&list::Worker| self.belongs(worker, shard);
         self.list.as_deref().map(|list| list.iter().filter(belongs))
     }
 
+    fn belongs(&self, worker: &list::Worker, shard: &Shard) -> bool {
+        let count = self.shard_count(&shard.data_centre);
+        worker.data_centre == shard.data_centre && shard_index(&worker.rack, count) == shard.index
+    }
+
     fn shard_count(&self, data_centre: &str) -> u32 {
         self.snapshot.data_centre(data_centre).map_or(1, |entry| entry.shards.max(1))
     }
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -62,7 +62,7 @@
                 self.refresh(context);
             }
             Message::Workers(list) => {
-                self.environment.list = Some(list);
+                self.environment.set_list(context.now, list);
                 self.refresh(context);
             }
             Message::Acquired { shard, epoch } => self.acquire(context, shard, epoch),
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -17,6 +17,9 @@
 /// Shortest delay before a failed `claim` or `sync` is repeated.
 const BEAT_RETRY: Duration = Duration::from_millis(200);
 
+/// Interval at which unplaced work is checked while workers are silent.
+const RESOLVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Calls per worker timeout to a worker that stopped answering. With one per timeout, a worker that hung for 5 s got the
 /// next call after its task lease had lapsed.
 const PROBES_PER_TIMEOUT: u32 = 2;
@@ -27,40 +30,54 @@
         let Some(workers) = environment.workers(&self.id) else { return };
         let workers: Vec<_> = workers.cloned().collect();
         self.sessions.values_mut().for_each(|session| session.listed = false);
-        // Workers of the first list may hold tasks of the earlier owner.
-        let renewed = if self.sessions.is_empty() { self.acquired } else { context.now };
         for listing in workers {
             let worker = listing.worker.clone();
             let session = self
                 .sessions
                 .entry(worker.clone())
-                .or_insert_with(|| Session::new(listing.clone(), context.now, renewed));
+                .or_insert_with(|| Session::new(listing.clone(), context.now));
             session.listed = true;
             session.listing = listing;
             if !session.lapsed {
                 self.publish_worker(context, &worker);
             }
         }
-        let vanished = self.sessions.iter().filter(|(_, session)| !session.listed);
-        let vanished: Vec<WorkerId> = vanished.map(|(worker, _)| worker.clone()).collect();
-        for worker in vanished {
-            match self.sessions[&worker].lapsed {
-                true => drop(self.sessions.remove(&worker)),
-                false => self.publish_worker(context, &worker),
-            }
+        self.sessions.retain(|_, session| session.listed || !session.lapsed);
+        let vanished = self.sessions.iter_mut().filter(|(_, session)| !session.listed);
+        let vanished = vanished.map(|(worker, session)| {
+            // Its lease is not renewed any more. A later owner cannot find it in the list, so its tasks must end.
+            session.answering = false;
+            session.reconciled = false;
+            worker.clone()
+        });
+        for worker in vanished.collect::<Vec<_>>() {
+            self.publish_worker(context, &worker);
+        }
+    }
+
+    /// Adds the workers that left the list so recently that they may still run tasks of the earlier owner.
+    pub fn add_vanished(&mut self, context: &mut Context, environment: &Environment) {
+        for listing in environment.vanished(&self.id, context.now) {
+            let worker = listing.worker.clone();
+            let mut session = Session::new(listing.clone(), context.now);
+            session.listed = false;
+            self.sessions.entry(worker).or_insert(session);
         }
     }
 
     /// Tells the planner the state of a worker.
     pub fn publish_worker(&mut self, context: &mut Context, worker: &WorkerId) {
-        let Some(session) = self.sessions.get(worker) else { return };
+        let Some(session) = self.sessions.get_mut(worker) else { return };
         let worker = planner::Worker {
             id: worker.clone(),
             rack: session.listing.rack.clone(),
             capacity: session.listing.capacity,
             open: session.is_open(),
         };
-        self.planner.set_worker(context.now, worker);
+        if session.published.as_ref() != Some(&worker) {
+            session.published = Some(worker.clone());
+            self.planner.set_worker(context.now, worker);
+        }
     }
 
     /// Sends the due claims and heartbeats, and gives up workers whose lease has surely lapsed.
@@ -89,7 +106,7 @@
         let settings = &environment.settings;
         let sequence = self.next_sequence();
         let Some(session) = self.sessions.get_mut(worker) else { return };
-        if session.beat.is_some() || context.now < session.next_beat {
+        if session.beat.is_some() || context.now < session.next_beat || !session.listed {
             return;
         }
         let wait = match session.claimed && session.answering {
@@ -136,7 +153,7 @@
         match result {
             Ok(Reply::State(snapshot)) => {
                 session.claimed = true;
-                session.answering = true;
+                session.answering = session.listed;
                 session.silent = false;
                 session.lapsed = false;
                 session.renewed = now;
@@ -285,15 +302,9 @@
         task: &Task,
         attempt: Attempt,
     ) {
-        let closing = self.works.get(&task.work).is_some_and(|entry| entry.closing.is_some());
         let Some(state) = self.task_mut(task) else { return };
         match state.phase {
-            Phase::Starting(_) | Phase::Doubtful => {
-                state.phase = Phase::Running;
-                if closing {
-                    self.stop_task(task, Mode::Stop);
-                }
-            }
+            Phase::Starting(_) | Phase::Doubtful => self.on_running(task),
             Phase::Stopping(mode, None) if state.settled < sequence => {
                 // The stop call failed, or the worker has not carried it out yet.
                 let order = Order::Stop(task.clone(), attempt, mode);
@@ -331,18 +342,14 @@
             entry.submitted = true;
             entry.tasks.iter_mut().for_each(|state| state.queued = true);
         }
-        let closing = entry.closing.is_some();
         let state = &mut entry.tasks[task.index as usize];
         state.queued = false;
-        state.phase = Phase::Running;
         state.attempt = attempt;
         state.worker = Some(worker.clone());
         if let Some(session) = self.sessions.get_mut(worker) {
             session.tasks.insert(task.clone());
         }
-        if closing {
-            self.stop_task(&task, Mode::Stop);
-        }
+        self.on_running(&task);
     }
 
     /// Handles an end that an earlier owner did not record.
@@ -405,6 +412,7 @@
         session.lapsed = true;
         session.reconciled = false;
         session.claimed = false;
+        session.published = None;
         session.orders.clear();
         session.acknowledge.clear();
         let tasks = std::mem::take(&mut session.tasks);
@@ -432,6 +440,10 @@
         let lease = environment.settings.task_lease;
         let silent_lapsed = context.now >= self.acquired + surely_lapsed(lease);
         let known = self.is_settled(environment);
+        if !known && context.now < self.next_resolve {
+            return;
+        }
+        self.next_resolve = context.now + RESOLVE_INTERVAL;
         let works: Vec<WorkId> = self.unplaced.iter().cloned().collect();
         for work in works {
             let Some(entry) = self.works.get(&work) else {
--- a/crates/shallotpost-control/src/scheduler/requests.rs
+++ b/crates/shallotpost-control/src/scheduler/requests.rs
@@ -92,11 +92,8 @@
         if entry.is_ending() {
             return;
         }
-        let running = entry.is_unplaced() || entry.tasks.iter().any(|task| task.phase.is_sent());
-        if running {
-            self.want(work, State::Cancelling);
-        }
-        // Work without a sent task ends at once, in a single write.
+        // Work without a sent task ends at once, and the end replaces this state before it is written.
+        self.want(work, State::Cancelling);
         self.end(context, work, Ending::Cancelled, "cancelled");
     }
 
--- a/crates/shallotpost-control/src/scheduler/rows.rs
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -6,7 +6,7 @@
 use shallotpost_policy::planner::Cause;
 use shallotpost_protocol::port::Failure;
 use shallotpost_protocol::table::{Check, Reply, Request, Row, Version, Write};
-use shallotpost_protocol::work::{self, Ending, Record, State};
+use shallotpost_protocol::work::{self, Class, Ending, Record, State};
 
 use crate::message::{Batch, WriteFailure};
 use crate::prelude::*;
@@ -24,6 +24,9 @@
 /// Least time between two pages once the shard is loaded; bounds the reads at 4 per second.
 const PAGE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Least time between two reads by key; bounds them at 20 per second.
+const READ_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Shortest delay before a failed read or write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -116,6 +119,7 @@
             let works: Vec<WorkId> = self.rows.unread.iter().take(KEYS_PER_READ).cloned().collect();
             let keys = works.iter().map(|work| work::row_key(&self.id, work)).collect();
             let call = context.call_table(Request::Read { keys }, timeout);
+            self.rows.next_read = context.now + READ_INTERVAL;
             self.rows.read = Some(call);
             self.calls.insert(call, Call::Read(works));
         }
@@ -243,6 +247,7 @@
         }
         if let Some(deadline) = entry.record.specification.deadline_unix_ms
             && !entry.has_ended()
+            && !matches!(entry.record.specification.class, Class::Service { .. })
         {
             self.deadlines.insert((deadline, work.clone()));
         }
@@ -365,20 +370,18 @@
         }
         match entry.record.state.clone() {
             State::Ended(outcome) => {
-                let held = std::mem::take(&mut entry.held);
+                // The next snapshots list these ends again, and they are acknowledged then.
+                entry.held.clear();
                 let cancels = std::mem::take(&mut entry.cancels);
                 entry.tasks = Vec::new();
                 entry.closing = None;
-                for (worker, task, attempt) in held {
-                    self.acknowledge(&worker, (task, attempt));
-                }
                 answer_cancels(context, cancels);
                 self.retained.push_back((context.now, work.clone()));
                 let outcome = Rc::new(outcome);
                 context.send(Name::Router, Message::Ended { work: work.clone(), outcome });
             }
             State::Cancelling => answer_cancels(context, std::mem::take(&mut entry.cancels)),
-            State::Starting { .. } => self.order_starts(work),
+            State::Starting { .. } => self.on_intent_durable(work),
             State::Admitted if entry.closing.is_none() && !entry.is_ending() => {
                 self.withdraw_intent(context, work, false)
             }
@@ -485,8 +488,14 @@
         answer_cancels(context, cancels);
     }
 
-    fn order_starts(&mut self, work: &WorkId) {
+    fn on_intent_durable(&mut self, work: &WorkId) {
         let Some(entry) = self.works.get(work) else { return };
+        let placed = entry.tasks.iter().any(|task| task.phase.is_booked());
+        if !placed && entry.closing.is_none() && entry.wanted.is_none() {
+            // Its worker was given up while the intent was written.
+            self.want(work, State::Admitted);
+            return;
+        }
         let planned = entry.tasks.iter().enumerate().filter_map(|(index, state)| {
             let task = Task { work: work.clone(), index: index as u32 };
             let worker = state.worker.clone()?;
--- a/crates/shallotpost-control/src/scheduler/session.rs
+++ b/crates/shallotpost-control/src/scheduler/session.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
+use shallotpost_policy::planner;
 use shallotpost_protocol::list;
 use shallotpost_protocol::worker::{Mode, Snapshot};
 
@@ -72,6 +73,8 @@
     pub next_beat: Instant,
     /// Latest time at which a full lease may have been granted.
     pub renewed: Instant,
+    /// What the planner was told last.
+    pub published: Option<planner::Worker>,
     /// Last snapshot, while the records are not loaded yet.
     pub unread: Option<(Sequence, Snapshot)>,
     /// Start and stop calls that are open.
@@ -85,8 +88,8 @@
 }
 
 impl Session {
-    /// A session with a worker that may hold a lease renewed at `renewed`.
-    pub fn new(listing: list::Worker, now: Instant, renewed: Instant) -> Session {
+    /// A session with a worker that may run tasks of an earlier owner.
+    pub fn new(listing: list::Worker, now: Instant) -> Session {
         Session {
             listing,
             listed: true,
@@ -100,7 +103,8 @@
             answered: 0,
             beat: None,
             next_beat: now,
-            renewed,
+            renewed: now,
+            published: None,
             unread: None,
             in_flight: 0,
             orders: VecDeque::new(),
--- a/crates/shallotpost-control/src/scheduler/shard.rs
+++ b/crates/shallotpost-control/src/scheduler/shard.rs
@@ -34,6 +34,9 @@
 /// Longest time that a release waits for open record writes.
 const RELEASE_WRITES_MAX: Duration = Duration::from_secs(5);
 
+/// Interval at which the passed deadline of running work is checked again, since its task may return to the queue.
+const DEADLINE_RECHECK_MS: u64 = 1000;
+
 /// Interval at which work that no known worker can hold is submitted to the planner again.
 const UNFIT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -90,6 +93,8 @@
     pub fenced: bool,
     /// Time at which a release was requested.
     pub releasing: Option<Instant>,
+    /// Time of the next check of the unplaced work.
+    pub next_resolve: Instant,
     availability: Availability,
     next_unfit: Instant,
 }
@@ -116,9 +121,11 @@
             fenced: false,
             releasing: None,
             availability: Availability::Active,
+            next_resolve: context.now,
             next_unfit: context.now,
         };
         owned.refresh_sessions(context, environment);
+        owned.add_vanished(context, environment);
         owned.refresh_configuration(context, environment);
         owned.scan_rows(context, environment);
         owned
@@ -210,6 +217,7 @@
         match self.planner.submit(context.now, job) {
             Ok(()) => {
                 self.unfit.remove(work);
+                self.request_grant(context.now, work);
                 let Some(entry) = self.works.get_mut(work) else { return };
                 entry.submitted = true;
                 for task in &mut entry.tasks {
@@ -358,14 +366,15 @@
             && *deadline <= context.unix_ms
         {
             let Some((_, work)) = self.deadlines.pop_first() else { return };
-            let waits = self.works.get(&work).is_some_and(|entry| {
-                !entry.is_ending()
-                    && !entry.tasks.iter().any(|task| task.phase.is_sent())
-                    && !entry.is_unplaced()
-                    && !matches!(entry.record.specification.class, Class::Service { .. })
-            });
-            if waits {
-                self.end(context, &work, Ending::Expired, "the deadline passed before a start");
+            let Some(entry) = self.works.get(&work) else { continue };
+            match () {
+                _ if entry.is_ending() => {}
+                _ if entry.is_unplaced() || entry.tasks.iter().any(|task| task.phase.is_sent()) => {
+                    self.deadlines.insert((context.unix_ms + DEADLINE_RECHECK_MS, work));
+                }
+                _ => {
+                    self.end(context, &work, Ending::Expired, "the deadline passed before a start")
+                }
             }
         }
     }
--- a/crates/shallotpost-control/src/scheduler/starts.rs
+++ b/crates/shallotpost-control/src/scheduler/starts.rs
@@ -226,9 +226,8 @@
         }
         match result {
             Ok(Reply::Done) => {
-                state.phase = Phase::Running;
                 state.settled = sequence;
-                self.stop_if_closing(task);
+                self.on_running(task);
             }
             Ok(Reply::Refused(_)) | Err(Failure::NotSent | Failure::Rejected) => {
                 self.put_back(context, task)
@@ -348,6 +347,7 @@
         let Some(state) = self.task_mut(task) else { return };
         let Some(worker) = state.worker.clone() else { return };
         if state.phase != Phase::Running {
+            state.stop = Some(mode);
             return;
         }
         let attempt = state.attempt;
@@ -367,9 +367,14 @@
         }
     }
 
-    fn stop_if_closing(&mut self, task: &Task) {
-        if self.works.get(&task.work).is_some_and(|entry| entry.closing.is_some()) {
-            self.stop_task(task, Mode::Stop);
+    /// Takes note that a worker runs the task, and stops it where that was requested meanwhile.
+    pub fn on_running(&mut self, task: &Task) {
+        let closing = self.works.get(&task.work).is_some_and(|entry| entry.closing.is_some());
+        let Some(state) = self.task_mut(task) else { return };
+        state.phase = Phase::Running;
+        let mode = state.stop.take();
+        if let Some(mode) = if closing { Some(Mode::Stop) } else { mode } {
+            self.stop_task(task, mode);
         }
     }
 }
--- a/crates/shallotpost-control/tests/task_path.rs
+++ b/crates/shallotpost-control/tests/task_path.rs
@@ -44,6 +44,38 @@
     }
 }
 
+/// Guards against answers about unknown work, and to keys of other teams.
+#[test]
+fn requests() {
+    let mut world = World::new(1);
+    let owner = world.take_over(1);
+    world.run(100);
+    for name in ["a", "b", "c"] {
+        world.admit(specification(name, Class::Batch, &["run", "9000"]));
+    }
+    world.run(100);
+    let list = |after: &str, limit| Ask::List { team: "red".into(), after: after.into(), limit };
+    for (request, names, rest) in [(list("", 2), "ab", true), (list("b", 2), "c", false)] {
+        world.ask(owner, request);
+        let Some(Ok(Answer::Work { entries, more })) = world.answers.pop() else { panic!() };
+        let found: String = entries.into_iter().map(|entry| entry.work.name).collect();
+        assert_eq!((found.as_str(), more), (names, rest));
+    }
+    let foreign = WorkId { team: "blue".into(), name: "a".into() };
+    let cases = [
+        (Ask::Status(work("none")), ProblemKind::NotFound),
+        (Ask::Cancel(work("none")), ProblemKind::NotFound),
+        (Ask::Explain(foreign.clone()), ProblemKind::Forbidden),
+        (Ask::Cancel(foreign), ProblemKind::Forbidden),
+    ];
+    for (request, kind) in cases {
+        world.ask(owner, request);
+        assert_eq!(world.answers.pop().unwrap().unwrap_err().kind, kind);
+    }
+    world.ask(owner, Ask::Explain(work("a")));
+    assert!(matches!(world.answers.pop(), Some(Ok(Answer::Explanation(_)))));
+}
+
 /// Guards against services that stay down after a failure, and against a restart without delay.
 #[test]
 fn services_are_restarted() {
