--- a/crates/shallotpost-daemon/examples/recover/load.rs
+++ b/crates/shallotpost-daemon/examples/recover/load.rs
@@ -11,7 +11,7 @@
 use shallotpost_cli::secret::Key as Credential;
 use shallotpost_protocol::interface::Reply;
 use shallotpost_protocol::problem::Kind;
-use shallotpost_protocol::work::{Class, Ending, Specification};
+use shallotpost_protocol::work::{Class, Ending, Outcome, Specification};
 
 use crate::cluster::{Cluster, TEAM_KEY, job, submission};
 
@@ -131,11 +131,17 @@
             match answer {
                 Answer::Accepted => {
                     summary.accepted += 1;
-                    match ending(&client, specification, deadline) {
-                        Some(Ending::Unknown) => summary.unknown += 1,
+                    let outcome = outcome(&client, specification, deadline);
+                    match outcome.as_ref().map(|outcome| outcome.ending) {
                         Some(Ending::Succeeded) => {}
+                        Some(Ending::Unknown) => summary.unknown += 1,
                         _ => summary.lost += 1,
                     }
+                    if let Some(outcome) =
+                        outcome.filter(|outcome| outcome.ending != Ending::Succeeded)
+                    {
+                        eprintln!("{}: {}: {}", specification.id, outcome.ending, outcome.detail);
+                    }
                 }
                 Answer::Cut => summary.cut += 1,
                 Answer::NotRun | Answer::Refused => {}
@@ -191,13 +197,13 @@
     }
 }
 
-/// The end of the work; `None` where it has none before the deadline.
-fn ending(client: &Client, specification: &Specification, deadline: Instant) -> Option<Ending> {
+/// The outcome of the work; `None` where it has none before the deadline.
+fn outcome(client: &Client, specification: &Specification, deadline: Instant) -> Option<Outcome> {
     let path = format!("/v1/work/{}/wait", specification.work_id());
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
         match client.send(&Call::get(path.clone()).waiting(left.min(Duration::from_secs(5)))) {
-            Ok(Reply::Outcome(outcome)) => return Some(outcome.ending),
+            Ok(Reply::Outcome(outcome)) => return Some(outcome),
             Err(Error::Problem { problem, .. }) if problem.kind == Kind::NotFound => return None,
             _ if left.is_zero() => return None,
             _ => {}
