Start urgent work by reservations and own batch tasks, and keep work off workers where it failed

Decisions skip a lane whose fresh tasks are known not to fit, and try a gang again only after a worker with room for a part has grown.

--- a/crates/shallotpost-policy/src/claim.rs
+++ b/crates/shallotpost-policy/src/claim.rs
@@ -3,15 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::work::Class;
 use shallotpost_protocol::worker::Mode;
 
 use crate::decide::Round;
 use crate::engine::Engine;
-use crate::jobs::TaskState;
+use crate::jobs::{Record, TaskState};
 use crate::planner::Action;
 use crate::queue::Key;
 use crate::sum::Sum;
-use crate::teams::{Account, LANES, URGENT, Victim};
+use crate::teams::{Account, LANES, REPLACEMENT, URGENT, Victim};
 
 /// Claims that one team may have open for work that is not urgent.
 const TEAM_CLAIMS_MAX: usize = 16;
@@ -47,16 +48,28 @@
     pub(crate) total: Size,
     /// Whether it is for urgent work: then a task may be reclaimed that is only in part above its team's share.
     pub(crate) urgent: bool,
+    /// Team whose own batch tasks may give way too, whatever its share.
+    pub(crate) own: Option<usize>,
 }
 
 impl Judge {
+    /// The same for the tasks of one lane of a team.
+    fn for_lane(&self, team: usize, lane: usize) -> Judge {
+        let own = matches!(lane, URGENT | REPLACEMENT).then_some(team);
+        Judge { urgent: lane == URGENT, own, ..*self }
+    }
+
     /// Part of the total that a team is entitled to.
     pub(crate) fn fair(&self, account: &Account) -> f64 {
         f64::from(account.share) / self.weight
     }
 
     /// Whether a task of `size` is above its team's share while the team has `booked`.
-    fn allows(&self, account: &Account, booked: &Sum, size: &Size) -> bool {
+    fn allows(&self, account: &Account, booked: &Sum, record: &Record) -> bool {
+        if self.own == Some(record.team) && record.job.class == Class::Batch {
+            return true;
+        }
+        let size = &record.job.size;
         let fair = self.fair(account);
         let mut after = *booked;
         after.subtract(size);
@@ -76,9 +89,7 @@
         let Some(record) = self.jobs.get(key.0) else { return false };
         let account = &self.teams.accounts[record.team];
         let running = matches!(self.state(key), Some(TaskState::Booked { stopping: false, .. }));
-        running
-            && record.victim_rank().is_some()
-            && judge.allows(account, &account.booked, &record.job.size)
+        running && record.victim_rank().is_some() && judge.allows(account, &account.booked, record)
     }
 
     /// Starts tasks whose room has become free, stops what did not save its progress in time, and drops old claims.
@@ -109,7 +120,7 @@
     /// Requests capacity for urgent tasks and for teams below their share.
     pub(crate) fn reclaim(&mut self, round: &mut Round) {
         let total = self.fleet.total();
-        let judge = Judge { weight: self.teams.active_weight(), total, urgent: false };
+        let judge = Judge { weight: self.teams.active_weight(), total, urgent: false, own: None };
         let mut budget = ROUND_CLAIMS_MAX;
         for team in self.teams.order(&total) {
             let account = &self.teams.accounts[team];
@@ -120,7 +131,7 @@
             for lane in 0..LANES {
                 while found && budget > 0 && round.left() > 0 {
                     let Some(key) = self.next_unclaimed(team, lane, &judge) else { break };
-                    found = self.claim(round, key, &Judge { urgent: lane == URGENT, ..judge });
+                    found = self.claim(round, key, &judge.for_lane(team, lane));
                     budget -= 1;
                 }
             }
@@ -156,7 +167,7 @@
             let mut after = booked;
             after.add(&size);
             let below = after.size().dominant_part(&judge.total) <= fair;
-            return (lane == URGENT || below).then_some(key);
+            return (matches!(lane, URGENT | REPLACEMENT) || below).then_some(key);
         }
         None
     }
@@ -181,7 +192,8 @@
         let mut over: Vec<(f64, usize)> = Vec::new();
         for (slot, account) in self.teams.accounts.iter().enumerate() {
             let excess = account.dominant(&judge.total) - judge.fair(account);
-            if excess > 0.0 && !account.victims.is_empty() {
+            let gives = excess > 0.0 || judge.own == Some(slot);
+            if gives && !account.victims.is_empty() {
                 over.push((excess, slot));
             }
         }
@@ -233,7 +245,7 @@
             let Some(record) = self.jobs.get(key.0) else { continue };
             let account = &self.teams.accounts[record.team];
             let held = booked.entry(record.team).or_insert(account.booked);
-            if judge.allows(account, held, &record.job.size) {
+            if judge.allows(account, held, record) {
                 held.subtract(&record.job.size);
                 room.add(&record.job.size);
                 victims.push(key);
--- a/crates/shallotpost-policy/src/decide.rs
+++ b/crates/shallotpost-policy/src/decide.rs
@@ -104,7 +104,7 @@
             return Some(found);
         }
         while round.misses < MISSES_MAX {
-            let account = &self.teams.accounts[team];
+            let account = &mut self.teams.accounts[team];
             let room = account.headroom().min(&self.fleet.largest_free());
             let Some((position, key, size)) = account.lanes[lane].first_fresh(&room) else {
                 round.exhausted[team][lane] = true;
@@ -125,10 +125,10 @@
     ///
     /// A team that only its grant kept from such a worker gets it offered again when its headroom grows.
     fn candidate_for_grown(&mut self, team: usize, lane: usize) -> Option<(Key, usize)> {
-        let version = self.fleet.version;
-        let account = &mut self.teams.accounts[team];
+        let account = &self.teams.accounts[team];
         let headroom = account.headroom();
-        let queue = &mut account.lanes[lane];
+        let queue = &account.lanes[lane];
+        let mut missed = Vec::new();
         let mut fit = None;
         for (grown, slot) in self.fleet.grown.range(queue.seen + 1..) {
             let Some(free) = self.fleet.hosts[*slot].free() else { continue };
@@ -136,20 +136,24 @@
                 continue;
             }
             let room = free.min(&headroom);
-            if let Some((_, key, size)) = queue.first(0, &room) {
-                fit = Some((key, size, *slot));
-                queue.seen = grown - 1;
+            let mut first = queue.first(0, &room);
+            while let Some((position, ..)) = first.filter(|first| !self.may_place(first.1, *slot)) {
+                first = queue.first(position + 1, &room);
+            }
+            if let Some((_, key, size)) = first {
+                fit = Some((key, size, *slot, *grown));
                 break;
             }
             if room != free {
-                account.missed.insert(*slot);
+                missed.push(*slot);
             }
         }
-        if fit.is_none() {
-            queue.seen = version;
-        }
-        let (key, _, grown) = fit.filter(|(_, size, _)| account.allows(size))?;
-        let host = self.find_host(key).unwrap_or(grown);
+        let version = self.fleet.version;
+        let account = &mut self.teams.accounts[team];
+        account.lanes[lane].seen = fit.map_or(version, |(.., grown)| grown - 1);
+        account.missed.extend(missed);
+        let (key, _, slot, _) = fit.filter(|(_, size, ..)| account.allows(size))?;
+        let host = self.find_host(key).unwrap_or(slot);
         Some((key, host))
     }
 
@@ -163,8 +167,7 @@
         let gangs: Vec<usize> =
             self.teams.accounts[team].gangs.iter().map(|(_, slot)| *slot).collect();
         for slot in gangs {
-            let untried = self.jobs.get(slot).is_some_and(|record| record.tried != version + 1);
-            if !untried {
+            if !self.may_have_room(slot) {
                 continue;
             }
             if round.gangs >= GANGS_MAX {
@@ -174,11 +177,22 @@
             if self.start_whole(round, slot) {
                 return true;
             }
-            if let Some(record) = self.jobs.get_mut(slot) {
-                record.tried = version + 1;
-            }
         }
         round.gangs_tried[team] = Some(version);
         false
     }
+
+    /// Whether a worker with room for a part has grown since all parts were last tried.
+    fn may_have_room(&mut self, slot: usize) -> bool {
+        let Some(record) = self.jobs.get_mut(slot) else { return false };
+        let size = &record.job.size;
+        let fits =
+            |host: usize| self.fleet.hosts[host].free().is_some_and(|free| size.fits_in(&free));
+        let grown = self.fleet.grown.range(record.tried + 1..);
+        if record.tried == 0 || grown.into_iter().any(|(_, host)| fits(*host)) {
+            return true;
+        }
+        record.tried = self.fleet.version;
+        false
+    }
 }
--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -28,6 +28,8 @@
     pub(crate) reservations: Vec<Reservation>,
     /// Earliest time of the next attempt to reserve.
     pub(crate) reservation_at: Option<Instant>,
+    /// Worker that the next attempt to reserve starts at.
+    pub(crate) reserve_from: usize,
     pub(crate) open: bool,
     starts: u64,
 }
@@ -43,6 +45,7 @@
             claims: Vec::new(),
             reservations: Vec::new(),
             reservation_at: None,
+            reserve_from: 0,
             open: true,
             starts: 0,
         };
--- a/crates/shallotpost-policy/src/jobs.rs
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -36,7 +36,7 @@
     pub(crate) failed_on: BTreeSet<usize>,
     /// Whether it is forgotten once its last booking is released.
     pub(crate) finished: bool,
-    /// One more than the version of the free capacity at the last attempt to place the whole gang.
+    /// Version of the free capacity at the last attempt to place the whole gang; 0 before the first.
     pub(crate) tried: u64,
     /// When it last began to wait.
     pub(crate) queued: Instant,
--- a/crates/shallotpost-policy/src/queue.rs
+++ b/crates/shallotpost-policy/src/queue.rs
@@ -19,6 +19,8 @@
     fresh: Index,
     /// Version of the free capacity up to which no task that is not fresh fits on a worker that has grown.
     pub(crate) seen: u64,
+    /// Room in which no fresh task fits; `None` where that is not known.
+    barren: Option<Size>,
 }
 
 impl Lane {
@@ -29,6 +31,7 @@
         let position = self.entries.len();
         self.entries.push(Some((key, size)));
         self.live += 1;
+        self.barren = None;
         self.all.set(position, size.parts());
         self.fresh.set(position, size.parts());
         moved.push((key, position));
@@ -55,8 +58,13 @@
     }
 
     /// First fresh task that fits in `room`, with its position.
-    pub(crate) fn first_fresh(&self, room: &Size) -> Option<(usize, Key, Size)> {
-        self.first_in(&self.fresh, 0, room)
+    pub(crate) fn first_fresh(&mut self, room: &Size) -> Option<(usize, Key, Size)> {
+        if self.barren.is_some_and(|barren| room.fits_in(&barren)) {
+            return None;
+        }
+        let first = self.first_in(&self.fresh, 0, room);
+        self.barren = if first.is_none() { Some(*room) } else { None };
+        first
     }
 
     /// First task from `from` on that fits in `room`, with its position.
--- a/crates/shallotpost-policy/src/reserve.rs
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::work::Class;
 use shallotpost_protocol::worker::Mode;
 
 use crate::claim::Judge;
@@ -13,12 +14,18 @@
 use crate::jobs::TaskState;
 use crate::queue::Key;
 use crate::sum::Sum;
-use crate::teams::{LANES, REPLACEMENT};
+use crate::teams::{LANES, URGENT};
 
-/// Time between attempts to reserve; an attempt looks at every worker.
+/// Time between attempts to reserve.
 const RETRY: Duration = Duration::from_millis(500);
+/// Workers that one attempt looks at, at least; it takes 1 us for each, and the next attempt looks at others.
+const HOSTS_MAX: usize = 256;
+/// Workers that one attempt looks at for each task.
+const HOSTS_PER_TASK: usize = 4;
 /// Wait after which a gang may get a reservation.
 const GANG_PATIENCE: Duration = Duration::from_secs(1);
+/// Wait after which urgent work may get one; until then, running tasks are asked to make way.
+const URGENT_PATIENCE: Duration = Duration::from_millis(500);
 /// Wait after which another task may get one.
 const TASK_PATIENCE: Duration = Duration::from_secs(20);
 /// Part of any resource that reservations may hold together; a single one may hold more.
@@ -43,11 +50,14 @@
     /// Starts all parts of a gang, or none.
     pub(crate) fn start_whole(&mut self, round: &mut Round, slot: usize) -> bool {
         let Some((size, parts)) = self.startable_gang(slot) else { return false };
-        if !self.has_space(round, parts) || !self.fleet.has_in_total(&size.times(parts)) {
+        if !self.has_space(round, parts) {
             return false;
         }
-        let (hosts, missing) = self.find_all(&size, parts);
+        let enough = self.fleet.has_in_total(&size.times(parts));
+        let (hosts, missing) = if enough { self.find_all(&size, parts) } else { (vec![], parts) };
         if missing > 0 {
+            let version = self.fleet.version;
+            self.jobs.get_mut(slot).into_iter().for_each(|record| record.tried = version);
             return false;
         }
         let indices: Vec<u32> = (0..parts as u32).collect();
@@ -87,8 +97,13 @@
             return;
         }
         self.reservation_at = Some(round.now + RETRY);
+        self.reserve_from = self.reserve_from.wrapping_add(HOSTS_MAX);
+        if self.fleet.known == 0 {
+            return;
+        }
         let total = self.fleet.total();
-        let judge = Judge { weight: self.teams.active_weight(), total, urgent: false };
+        let weight = self.teams.active_weight();
+        let judge = Judge { weight, total, urgent: false, own: None };
         for team in self.teams.order(&total) {
             let Some((slot, indices)) = self.next_starving(round.now, team) else { continue };
             if self.reserve_for(round, &judge, slot, indices) {
@@ -118,11 +133,13 @@
             return Some((slot, (0..parts as u32).collect()));
         }
         let room = account.headroom().min(&self.fleet.largest());
-        for lane in &account.lanes[REPLACEMENT..LANES] {
+        for lane in 0..LANES {
+            let patience = if lane == URGENT { URGENT_PATIENCE } else { TASK_PATIENCE };
+            let lane = &account.lanes[lane];
             let mut from = 0;
             while let Some((position, key, size)) = lane.first(from, &room) {
                 from = position + 1;
-                if !may(key.0, TASK_PATIENCE) {
+                if !may(key.0, patience) {
                     // Tasks behind it have waited less, or are reserved one after the other.
                     let held = self.reservations.iter().any(|other| other.slot == key.0);
                     let resting = self.jobs.get(key.0).is_some_and(|it| it.reserve_at.is_some());
@@ -153,7 +170,7 @@
             held.add(&reservation.size.times(reservation.indices.len() as u64));
         }
         held.add(&size.times(count));
-        let first = self.reservations.is_empty();
+        let first = self.reservations.is_empty() || record.job.class == Class::Urgent;
         if !first && held.size().dominant_part(&judge.total) > HELD_PART_MAX {
             return false;
         }
@@ -249,10 +266,19 @@
         tasks: u64,
     ) -> Option<Vec<(usize, u64)>> {
         let mut offers: Vec<(Duration, usize)> = Vec::new();
-        for (slot, host) in self.fleet.hosts.iter().enumerate() {
-            if !host.known || !host.open || host.health.is_restricted() {
+        let mut looked = 0;
+        let most = HOSTS_MAX.max(HOSTS_PER_TASK * tasks as usize);
+        let (before, after) = self.fleet.hosts.split_at(self.reserve_from % self.fleet.hosts.len());
+        let hosts = (self.reserve_from % self.fleet.hosts.len()..).zip(after);
+        for (slot, host) in hosts.chain(before.iter().enumerate()) {
+            let fits = size.fits_in(&host.capacity);
+            if !fits || !host.known || !host.open || host.health.is_restricted() {
                 continue;
             }
+            looked += 1;
+            if looked > most {
+                break;
+            }
             let count = copies(&host.capacity, size).min(tasks).min(host.starts_max());
             let times = self.expected_room(now, judge, entitled, slot, size, count);
             offers.extend(times.into_iter().map(|time| (time, slot)));
--- a/crates/shallotpost-policy/src/search.rs
+++ b/crates/shallotpost-policy/src/search.rs
@@ -35,9 +35,26 @@
         }
         let choice = if self.policy.pack_batch { Choice::Pack } else { Choice::Spread };
         let from = if choice == Choice::Pack { 0 } else { from };
-        let avoid = &record.failed_on;
-        self.best(&size, from, choice, avoid)
-            .or_else(|| self.best(&size, from, choice, &BTreeSet::new()))
+        let found = self.best(&size, from, choice, &record.failed_on);
+        found.or_else(|| {
+            let retry = !record.failed_on.is_empty() && !self.has_alternative(key.0);
+            retry.then(|| self.best(&size, from, choice, &BTreeSet::new())).flatten()
+        })
+    }
+
+    /// Whether a task may go to a worker: not where its work failed, as long as others could take it.
+    pub(crate) fn may_place(&self, key: Key, host: usize) -> bool {
+        let failed = self.jobs.get(key.0).is_some_and(|record| record.failed_on.contains(&host));
+        !failed || !self.has_alternative(key.0)
+    }
+
+    /// Whether an open worker on which the work did not fail could hold one of its tasks, now or later.
+    fn has_alternative(&self, slot: usize) -> bool {
+        let Some(record) = self.jobs.get(slot) else { return false };
+        self.fleet.hosts.iter().enumerate().any(|(slot, host)| {
+            let open = host.known && host.open && !host.health.is_restricted();
+            open && record.job.size.fits_in(&host.capacity) && !record.failed_on.contains(&slot)
+        })
     }
 
     fn best(
@@ -85,7 +102,7 @@
                 (true, _) => Visit::Next,
             }
         });
-        best.map(|(_, host)| host)
+        best.map(|(_, host)| host).filter(|host| self.may_place((slot, 0), *host))
     }
 
     /// Workers with room for `parts` tasks now, with the number of tasks for each; fewer than asked for where room lacks.
