Reclaim for a team below its share also where one task lifts it above

Those who give must keep at least the level that the other team gets, so that no capacity moves back and forth. Urgent work takes over room that is reserved for other work.

--- a/crates/shallotpost-policy/src/claim.rs
+++ b/crates/shallotpost-policy/src/claim.rs
@@ -48,37 +48,55 @@
     pub(crate) total: Size,
     /// Whether it is for urgent work: then a task may be reclaimed that is only in part above its team's share.
     pub(crate) urgent: bool,
+    /// Level that a team must keep that gives for work that is not urgent.
+    pub(crate) floor: f64,
     /// Team whose own batch tasks may give way too, whatever its share.
     pub(crate) own: Option<usize>,
 }
 
 impl Judge {
+    /// Level that every team could have at once: its part of the total over its weight.
+    pub(crate) fn fair_level(&self) -> f64 {
+        1.0 / self.weight
+    }
+
+    /// Level of a team with `booked`.
+    pub(crate) fn level(&self, account: &Account, booked: &Sum) -> f64 {
+        booked.size().dominant_part(&self.total) / f64::from(account.share)
+    }
+
+    /// The same for work that brings its team to `level`: those who give keep at least as much.
+    pub(crate) fn for_level(&self, level: f64) -> Judge {
+        Judge { floor: self.fair_level().max(level), ..*self }
+    }
+
     /// The same for the tasks of one lane of a team.
     fn for_lane(&self, team: usize, lane: usize) -> Judge {
         let own = matches!(lane, URGENT | REPLACEMENT).then_some(team);
         Judge { urgent: lane == URGENT, own, ..*self }
     }
 
-    /// Part of the total that a team is entitled to.
-    pub(crate) fn fair(&self, account: &Account) -> f64 {
-        f64::from(account.share) / self.weight
-    }
-
-    /// Whether a task of `size` is above its team's share while the team has `booked`.
+    /// Whether a running task may be reclaimed while its team has `booked`.
     fn allows(&self, account: &Account, booked: &Sum, record: &Record) -> bool {
         if self.own == Some(record.team) && record.job.class == Class::Batch {
             return true;
         }
-        let size = &record.job.size;
-        let fair = self.fair(account);
         let mut after = *booked;
-        after.subtract(size);
-        let above = booked.size().dominant_part(&self.total) > fair;
-        above && (self.urgent || after.size().dominant_part(&self.total) >= fair)
+        after.subtract(&record.job.size);
+        match self.urgent {
+            true => self.level(account, booked) > self.fair_level(),
+            false => self.level(account, &after) >= self.floor,
+        }
     }
 }
 
 impl Engine {
+    /// Judge for work that is not urgent, of a team below its share.
+    pub(crate) fn judge(&self) -> Judge {
+        let (weight, total) = (self.teams.active_weight(), self.fleet.total());
+        Judge { weight, total, urgent: false, floor: 1.0 / weight, own: None }
+    }
+
     /// Time that a task gets to save its progress before it is stopped.
     pub(crate) fn grace(&self) -> Duration {
         self.policy.urgent_bound / GRACE_PART
@@ -120,7 +138,7 @@
     /// Requests capacity for urgent tasks and for teams below their share.
     pub(crate) fn reclaim(&mut self, round: &mut Round) {
         let total = self.fleet.total();
-        let judge = Judge { weight: self.teams.active_weight(), total, urgent: false, own: None };
+        let judge = self.judge();
         let mut budget = ROUND_CLAIMS_MAX;
         for team in self.teams.order(&total) {
             let account = &self.teams.accounts[team];
@@ -130,8 +148,8 @@
             let mut found = true;
             for lane in 0..LANES {
                 while found && budget > 0 && round.left() > 0 {
-                    let Some(key) = self.next_unclaimed(team, lane, &judge) else { break };
-                    found = self.claim(round, key, &judge.for_lane(team, lane));
+                    let Some((key, level)) = self.next_unclaimed(team, lane, &judge) else { break };
+                    found = self.claim(round, key, &judge.for_level(level).for_lane(team, lane));
                     budget -= 1;
                 }
             }
@@ -141,8 +159,8 @@
         }
     }
 
-    /// First task of a lane that may claim capacity and has no claim yet.
-    fn next_unclaimed(&self, team: usize, lane: usize, judge: &Judge) -> Option<Key> {
+    /// First task of a lane that may claim capacity and has no claim yet, with the level that it brings its team to.
+    fn next_unclaimed(&self, team: usize, lane: usize, judge: &Judge) -> Option<(Key, f64)> {
         let account = &self.teams.accounts[team];
         let mut claimed = BTreeSet::new();
         let mut booked = account.booked;
@@ -157,7 +175,7 @@
         }
         let grant = account.grant?;
         let room = Sum::from(&grant).less(&booked).size().min(&self.fleet.largest());
-        let fair = judge.fair(account);
+        let below = judge.level(account, &booked) < judge.fair_level();
         let mut from = 0;
         while let Some((position, key, size)) = account.lanes[lane].first(from, &room) {
             from = position + 1;
@@ -166,8 +184,8 @@
             }
             let mut after = booked;
             after.add(&size);
-            let below = after.size().dominant_part(&judge.total) <= fair;
-            return (matches!(lane, URGENT | REPLACEMENT) || below).then_some(key);
+            let may = below || matches!(lane, URGENT | REPLACEMENT);
+            return may.then(|| (key, judge.level(account, &after)));
         }
         None
     }
@@ -175,7 +193,9 @@
     fn claim(&mut self, round: &mut Round, key: Key, judge: &Judge) -> bool {
         let Some(record) = self.jobs.get(key.0) else { return false };
         let size = record.job.size;
-        let Some((host, victims)) = self.cheapest_host(&size, judge) else { return false };
+        let Some((host, victims)) = self.cheapest_host(&size, judge) else {
+            return judge.urgent && self.yield_to_urgent(&size);
+        };
         if victims.len() > round.left() {
             return false;
         }
@@ -191,7 +211,7 @@
     fn cheapest_host(&self, size: &Size, judge: &Judge) -> Option<(usize, Vec<Key>)> {
         let mut over: Vec<(f64, usize)> = Vec::new();
         for (slot, account) in self.teams.accounts.iter().enumerate() {
-            let excess = account.dominant(&judge.total) - judge.fair(account);
+            let excess = account.level(&judge.total) - judge.fair_level();
             let gives = excess > 0.0 || judge.own == Some(slot);
             if gives && !account.victims.is_empty() {
                 over.push((excess, slot));
--- a/crates/shallotpost-policy/src/reserve.rs
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -29,7 +29,7 @@
 /// Wait after which another task may get one.
 const TASK_PATIENCE: Duration = Duration::from_secs(20);
 /// Part of any resource that reservations may hold together; a single one may hold more.
-const HELD_PART_MAX: f64 = 0.25;
+const HELD_PART_MAX: f64 = 0.1;
 
 /// Room that is held for tasks of one job that start together.
 #[derive(Clone, Debug)]
@@ -102,8 +102,7 @@
             return;
         }
         let total = self.fleet.total();
-        let weight = self.teams.active_weight();
-        let judge = Judge { weight, total, urgent: false, own: None };
+        let judge = self.judge();
         for team in self.teams.order(&total) {
             let Some((slot, indices)) = self.next_starving(round.now, team) else { continue };
             if self.reserve_for(round, &judge, slot, indices) {
@@ -176,8 +175,9 @@
         }
         let mut after = self.teams.accounts[team].booked;
         after.add(&size.times(count));
-        let entitled =
-            judge.fair(&self.teams.accounts[team]) >= after.size().dominant_part(&judge.total);
+        let account = &self.teams.accounts[team];
+        let entitled = judge.level(account, &account.booked) < judge.fair_level();
+        let judge = &judge.for_level(judge.level(account, &after));
         let Some(hosts) = self.soonest_hosts(round.now, judge, entitled, &size, count) else {
             return false;
         };
@@ -198,6 +198,28 @@
         true
     }
 
+    /// Gives up the reservation of other work that keeps an urgent task of `size` from a worker; false where none does.
+    pub(crate) fn yield_to_urgent(&mut self, size: &Size) -> bool {
+        let position = self.reservations.iter().position(|reservation| {
+            let urgent = self
+                .jobs
+                .get(reservation.slot)
+                .is_some_and(|record| record.job.class == Class::Urgent);
+            let makes_room = |(slot, count): &(usize, u64)| {
+                let mut room = self.fleet.hosts[*slot].future();
+                room.add(&reservation.size.times(*count));
+                self.fleet.hosts[*slot].is_usable() && room.holds(size)
+            };
+            !urgent && reservation.hosts.iter().any(makes_room)
+        });
+        let Some(position) = position else { return false };
+        let reservation = self.reservations.remove(position);
+        for (host, count) in &reservation.hosts {
+            self.fleet.unhold(*host, &reservation.size.times(*count));
+        }
+        true
+    }
+
     /// Size and number of the parts, where all of them wait, workers could hold them and the grant allows them.
     fn startable_gang(&self, slot: usize) -> Option<(Size, u64)> {
         let record = self.jobs.get(slot)?;
