--- a/crates/shallotpost-control/src/configuration/force.rs
+++ b/crates/shallotpost-control/src/configuration/force.rs
@@ -170,7 +170,9 @@
 
     /// Whether each host applies a revision or lost its configuration lease.
     pub(super) fn force(&self, revision: Revision, now: Instant) -> Force {
-        let waiting = match self.cache.committed_by(revision) {
+        // As long as the entry hosts are not known, none of them can be said to apply the revision.
+        let committed = self.cache.committed_by(revision).filter(|_| self.is_fleet_known);
+        let waiting = match committed {
             Some(moment) => freshness::waiting_for(&self.fleet, revision, moment, now, self.lease),
             None => BTreeSet::from([self.data_centre.clone()]),
         };
--- a/crates/shallotpost-control/src/configuration/mod.rs
+++ b/crates/shallotpost-control/src/configuration/mod.rs
@@ -10,7 +10,7 @@
 pub mod freshness;
 pub mod poll;
 pub mod snapshot;
-mod update;
+pub mod update;
 pub mod validate;
 mod watch;
 
@@ -109,6 +109,8 @@
     table_timeout: Duration,
     cache: Cache,
     fleet: Rc<Fleet>,
+    /// Whether `membership` told of the entry hosts yet.
+    is_fleet_known: bool,
     confirmed: Option<Instant>,
     told: Option<Told>,
     /// Revision that the other services were told last.
@@ -135,6 +137,7 @@
             table_timeout: settings.table_timeout,
             cache: Cache::default(),
             fleet: Rc::default(),
+            is_fleet_known: false,
             confirmed: None,
             told: None,
             announced: None,
@@ -164,6 +167,7 @@
             Message::Written { tag, result } => self.written(context, tag, result),
             Message::Fleet(fleet) => {
                 self.fleet = fleet;
+                self.is_fleet_known = true;
                 self.follow_peers(context);
             }
             Message::Peer { from, frame } => self.frame(context, from, frame),
@@ -320,7 +324,6 @@
         if known && self.announced.replace(revision) != Some(revision) {
             context.broadcast(Message::Snapshot(Rc::clone(self.cache.snapshot())));
             context.send(Name::Commit, Message::Applied { revision });
-            self.serve_watchers(context);
         }
     }
 
--- a/crates/shallotpost-control/tests/config_freshness.rs
+++ b/crates/shallotpost-control/tests/config_freshness.rs
@@ -5,41 +5,27 @@
 
 use std::rc::Rc;
 
-use cluster::{Cluster, Fault, STEP, put, team};
+use cluster::{Cluster, Fault, STEP, pong, put, team};
 use shallotpost_control::configuration::freshness::{confirmed_by_peers, waiting_for};
 use shallotpost_control::configuration::poll::POLL_INTERVAL;
 use shallotpost_control::membership::{Fleet, Peer};
 use shallotpost_control::prelude::*;
 use shallotpost_control::settings::surely_lapsed;
 use shallotpost_protocol::resource::{Change, Entry, HEAD_KEY, Kind, log_key, row_key};
-use shallotpost_protocol::wire::{Frame, Pong};
+use shallotpost_protocol::wire::Frame;
+
+/// A peer that neither knows nor attempts a newer change.
+const AGREES: Option<Answer> = Some((100, 5, None, false));
 
 /// What a peer answered: time since the ping in milliseconds, revision, freshness age, update in flight.
 type Answer = (u64, Revision, Option<u64>, bool);
 
 fn peer(now: Instant, answer: Option<Answer>) -> Peer {
-    let answered = answer.map(|(ago, revision, age, update_in_flight)| {
-        let pong = Pong {
-            number: 1,
-            incarnation: 1,
-            revision,
-            freshness_age: age.map(Duration::from_millis),
-            update_in_flight,
-            draining: false,
-            shards: Vec::new(),
-        };
-        (now - Duration::from_millis(ago), pong)
+    let answered = answer.map(|(ago, revision, age, in_flight)| {
+        let sent = now - Duration::from_millis(ago);
+        (sent, pong(revision, age.map(Duration::from_millis), in_flight))
     });
-    Peer {
-        host: "p".to_owned(),
-        data_centre: "north".to_owned(),
-        peer_address: String::new(),
-        incarnation: 1,
-        answered,
-        row_changed: None,
-        applied: 0,
-        draining: false,
-    }
+    Peer { answered, ..cluster::peer() }
 }
 
 fn fleet(now: Instant, answers: &[Option<Answer>]) -> Fleet {
@@ -84,36 +70,21 @@
     let now = Instant::now() + Duration::from_secs(3600);
     type Case<'a> = (&'a str, bool, &'a [Option<Answer>], Option<u64>);
     let cases: &[Case] = &[
-        ("a peer passes on its age", false, &[Some((100, 5, Some(300), true)), None], Some(400)),
+        ("passed on", false, &[Some((100, 5, Some(300), true)), None], Some(400)),
+        ("older and none", false, &[Some((100, 4, Some(0), false)), None], None),
+        ("newer", false, &[Some((100, 6, Some(0), false))], None),
+        ("all agree", false, &[AGREES, Some((200, 4, None, false))], Some(200)),
+        ("one has an update in flight", false, &[AGREES, Some((200, 5, None, true))], None),
+        ("one knows a newer revision", false, &[AGREES, Some((200, 6, None, false))], None),
+        ("one does not answer", false, &[AGREES, None], None),
+        ("this host has an update in flight", true, &[AGREES], None),
+        ("no peer is known", false, &[], None),
         (
-            "the best of two",
+            "best of two",
             false,
-            &[Some((100, 5, Some(300), true)), Some((50, 5, Some(20), true))],
+            &[Some((99, 5, Some(9), true)), Some((50, 5, Some(20), true))],
             Some(70),
         ),
-        ("a newer revision", false, &[Some((100, 6, Some(0), false))], None),
-        ("an older revision and no answer", false, &[Some((100, 4, Some(0), false)), None], None),
-        (
-            "all agree",
-            false,
-            &[Some((100, 5, None, false)), Some((200, 4, None, false))],
-            Some(200),
-        ),
-        (
-            "one has an update in flight",
-            false,
-            &[Some((100, 5, None, false)), Some((200, 5, None, true))],
-            None,
-        ),
-        ("this host has an update in flight", true, &[Some((100, 5, None, false))], None),
-        (
-            "one knows a newer revision",
-            false,
-            &[Some((100, 5, None, false)), Some((200, 6, None, false))],
-            None,
-        ),
-        ("one does not answer", false, &[Some((100, 5, None, false)), None], None),
-        ("no peer is known", false, &[], None),
     ];
     for (name, in_flight, answers, expected) in cases {
         let moment = confirmed_by_peers(&fleet(now, answers), 5, *in_flight);
@@ -250,6 +221,32 @@
     cluster.overwrite(rows(40, "t40"));
     cluster.run(Duration::from_secs(2));
     assert_eq!(cluster.revision(0), Some(40));
+    // A full read ends after peers supplied newer changes.
+    cluster.overwrite(rows(45, "t45"));
+    cluster.nodes[0].slow_reads = Some(Duration::from_millis(400));
+    let reads = cluster.nodes[0].reads.len();
+    cluster.run_until(Duration::from_secs(9), |c| c.nodes[0].reads.len() == reads + 4);
+    cluster.deliver(0, Name::Configuration, changes(41..=46));
+    cluster.run(Duration::from_millis(800));
+    assert_eq!(cluster.revision(0), Some(46));
+}
+
+/// A host must not wait for a slow table where a peer already knows more.
+#[test]
+fn a_slow_read_does_not_delay_a_change() {
+    let mut cluster = Cluster::new(1, true);
+    cluster.run(Duration::from_millis(100));
+    cluster.nodes[0].slow_reads = Some(Duration::from_millis(1900));
+    cluster.run(Duration::from_millis(1000));
+    for (wait_ms, expected) in [(0, 0), (600, 1)] {
+        cluster.run(Duration::from_millis(wait_ms));
+        let fleet = fleet(cluster.now, &[Some((0, 3, Some(0), false))]);
+        cluster.deliver(0, Name::Configuration, Message::Fleet(Rc::new(fleet)));
+        let asked = cluster.nodes[0].sent.iter().filter(|(_, _, message)| {
+            matches!(message, Message::Send { frame: Frame::AskChanges { from: 0 }, .. })
+        });
+        assert_eq!(asked.count(), expected, "{wait_ms} ms after the read was sent");
+    }
 }
 
 /// A host without the table must ask a peer that knows more, and peers must answer from memory where they can.
--- a/crates/shallotpost-control/tests/config_updates.rs
+++ b/crates/shallotpost-control/tests/config_updates.rs
@@ -6,10 +6,11 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use cluster::{Cluster, Fault, put, team};
-use shallotpost_control::configuration::audit::{LOG_ROWS_KEPT, REFUSED_BURST, TRIM_INTERVAL};
+use cluster::{Cluster, Fault, pong, put, team};
+use shallotpost_control::configuration::audit::{LOG_ROWS_KEPT, REFUSED_BURST};
 use shallotpost_control::configuration::cache::CHANGES_MAX;
 use shallotpost_control::configuration::cap::{self, Cap};
+use shallotpost_control::configuration::update::{TRIES_MAX, UPDATE_TIME};
 use shallotpost_control::membership::{Fleet, Peer};
 use shallotpost_control::prelude::*;
 use shallotpost_protocol::interface::{Reply, Request};
@@ -17,10 +18,12 @@
     Change, DataCentre, Force, HEAD_KEY, Key, Kind, LOG_PREFIX, Policy, Queue, Resource, Right,
     log_key,
 };
-use shallotpost_protocol::wire::Pong;
 
 fn ready(hosts: usize) -> Cluster {
     let mut cluster = Cluster::new(hosts, true);
+    for node in 0..hosts {
+        cluster.deliver(node, Name::Configuration, Message::Fleet(Rc::default()));
+    }
     cluster.run(Duration::from_millis(100));
     cluster
 }
@@ -154,6 +157,22 @@
     }
 }
 
+/// An update that loses against others each time must end.
+#[test]
+fn an_update_is_tried_a_bounded_number_of_times() {
+    let mut cluster = ready(1);
+    cluster.ask(0, 1, put("ants", team(1, 9), None));
+    while cluster.answers(0, 1).is_empty() && cluster.now < cluster.start + UPDATE_TIME {
+        // Another host writes the head between each read and the transaction that follows.
+        cluster.overwrite([(HEAD_KEY.to_owned(), Some("0".to_owned()))]);
+        cluster.step();
+    }
+    assert_eq!(kind(&cluster.answers(0, 1)[0]), Err(ProblemKind::Overloaded));
+    let tries = cluster.nodes[0].transactions.iter();
+    let tries = tries.filter(|(_, keys)| keys.iter().any(|key| key == HEAD_KEY)).count();
+    assert_eq!(tries as u32, TRIES_MAX);
+}
+
 /// An invalid resource must be refused with a remedy, and recorded without its secret.
 #[test]
 fn invalid_changes_are_refused() {
@@ -242,25 +261,8 @@
 }
 
 fn peer(revision: Revision, sent: Option<Instant>, row_changed: Option<Instant>) -> Peer {
-    let pong = Pong {
-        number: 1,
-        incarnation: 1,
-        revision,
-        freshness_age: Some(Duration::ZERO),
-        update_in_flight: false,
-        draining: false,
-        shards: Vec::new(),
-    };
-    Peer {
-        host: "p".to_owned(),
-        data_centre: "north".to_owned(),
-        peer_address: String::new(),
-        incarnation: 1,
-        answered: sent.map(|sent| (sent, pong)),
-        row_changed,
-        applied: 0,
-        draining: false,
-    }
+    let pong = pong(revision, Some(Duration::ZERO), false);
+    Peer { answered: sent.map(|sent| (sent, pong)), row_changed, ..cluster::peer() }
 }
 
 fn force(cluster: &mut Cluster, number: u64, revision: Revision) -> Force {
@@ -339,6 +341,9 @@
     assert_eq!(lowered, Ok(Reply::Changed { revision: 2, force: waiting.clone() }));
     assert_eq!((row(&cluster).cap.slots, row(&cluster).granted().slots), (5, 8));
     assert_eq!(force(&mut cluster, 3, 2), waiting);
+    cluster.answer(0, 7, put("ants", team(1, 9), None)).expect("changed");
+    assert!(force(&mut cluster, 8, 2).in_force, "a higher cap replaced it");
+    cluster.answer(0, 9, put("ants", team(1, 5), None)).expect("changed");
     let delete = Request::Delete {
         kind: Kind::Team,
         name: "ants".to_owned(),
@@ -347,9 +352,9 @@
     };
     assert_eq!(kind(&cluster.answer(0, 4, delete.clone())), Err(ProblemKind::Conflict));
     grant(&mut cluster, 5);
-    assert!(force(&mut cluster, 5, 2).in_force);
+    assert!(force(&mut cluster, 5, 4).in_force);
     grant(&mut cluster, 0);
-    assert_eq!(kind(&cluster.answer(0, 6, delete)), Ok(3));
+    assert_eq!(kind(&cluster.answer(0, 6, delete)), Ok(5));
     assert_eq!(cluster.table.row(&cap::row_key("ants")), None);
 }
 
@@ -446,14 +451,20 @@
     assert!(refused.iter().all(|refused| refused.host == "b" && refused.who == "root"));
 }
 
-/// The log must not grow without bound, and its newest rows must stay.
+/// The log must not grow without bound, one host must suffice for that, and its newest rows must stay.
 #[test]
-fn old_log_rows_are_deleted() {
-    let mut cluster = Cluster::new(1, true);
-    let head = LOG_ROWS_KEPT + 3;
-    let rows = (1..=6).map(|revision| (log_key(revision), Some("{}".to_owned())));
-    cluster.overwrite(rows.chain([(HEAD_KEY.to_owned(), Some(head.to_string()))]));
-    cluster.run(TRIM_INTERVAL * 3);
-    let kept: Vec<String> = cluster.table.rows(LOG_PREFIX).into_iter().map(|row| row.key).collect();
-    assert_eq!(kept, [4, 5, 6].map(log_key));
+fn old_log_rows_are_deleted_by_the_first_host() {
+    for (other, kept) in [("p", vec![4, 5, 6]), ("A", vec![1, 2, 3, 4, 5, 6])] {
+        let mut cluster = Cluster::new(1, true);
+        let head = LOG_ROWS_KEPT + 3;
+        let rows = (1..=6).map(|revision| (log_key(revision), Some("{}".to_owned())));
+        cluster.overwrite(rows.chain([(HEAD_KEY.to_owned(), Some(head.to_string()))]));
+        let peer = Peer { host: other.to_owned(), ..peer(0, None, Some(cluster.now)) };
+        let fleet = Fleet { peers: vec![peer] };
+        cluster.deliver(0, Name::Configuration, Message::Fleet(Rc::new(fleet)));
+        cluster.run(Duration::from_secs(5));
+        let left = cluster.table.rows(LOG_PREFIX).into_iter().map(|row| row.key);
+        let kept: Vec<String> = kept.into_iter().map(log_key).collect();
+        assert_eq!(left.collect::<Vec<String>>(), kept, "beside {other}");
+    }
 }
--- a/crates/shallotpost-control/tests/group_commit.rs
+++ b/crates/shallotpost-control/tests/group_commit.rs
@@ -296,17 +296,9 @@
         assert_eq!(interval(hosts), Duration::from_millis(expected_ms), "{hosts} hosts");
     }
     let mut cluster = ready();
-    let peer = |index: usize| Peer {
-        host: format!("p{index}"),
-        data_centre: "east".to_owned(),
-        peer_address: String::new(),
-        incarnation: 1,
-        answered: None,
-        // Half of them have not been seen since before the start.
-        row_changed: index.is_multiple_of(2).then_some(cluster.now),
-        applied: 0,
-        draining: false,
-    };
+    // Half of the peers have not been seen since before the start.
+    let seen = |index: usize| index.is_multiple_of(2).then_some(cluster.now);
+    let peer = |index| Peer { row_changed: seen(index), ..cluster::peer() };
     let fleet = Fleet { peers: (0..142).map(peer).collect() };
     cluster.deliver(0, Name::Commit, Message::Fleet(Rc::new(fleet)));
     let sent = cluster.nodes[0].transactions.len();
--- a/crates/shallotpost-control/tests/support/config_cluster.rs
+++ b/crates/shallotpost-control/tests/support/config_cluster.rs
@@ -6,11 +6,13 @@
 use shallotpost_control::commit::Commit;
 use shallotpost_control::configuration::Configuration;
 use shallotpost_control::context::caller;
+use shallotpost_control::membership::Peer;
 use shallotpost_control::message::Batch;
 use shallotpost_control::prelude::*;
 use shallotpost_protocol::interface::{Reply, Request as Ask};
 use shallotpost_protocol::resource::{Resource, Right, Team};
 use shallotpost_protocol::table::{Check, Request, Write};
+use shallotpost_protocol::wire::Pong;
 use shallotpost_standin::table::Table;
 
 pub const STEP: Duration = Duration::from_millis(10);
@@ -284,3 +286,29 @@
 pub fn put(name: &str, resource: Resource, revision: Option<Revision>) -> Ask {
     Ask::Put { name: name.to_owned(), resource, revision, dry_run: false }
 }
+
+/// A peer in the data centre `north` that has not been seen yet.
+pub fn peer() -> Peer {
+    Peer {
+        host: "p".to_owned(),
+        data_centre: "north".to_owned(),
+        peer_address: String::new(),
+        incarnation: 1,
+        answered: None,
+        row_changed: None,
+        applied: 0,
+        draining: false,
+    }
+}
+
+pub fn pong(revision: Revision, freshness_age: Option<Duration>, update_in_flight: bool) -> Pong {
+    Pong {
+        number: 1,
+        incarnation: 1,
+        revision,
+        freshness_age,
+        update_in_flight,
+        draining: false,
+        shards: Vec::new(),
+    }
+}
