Add the bookkeeping of team cap allotments

Cause: the scheduler must keep each team within its cap over all shards, without a shard that takes the whole cap for good.

Change: scheduler::grants computes the conditional write of a shard's own grant, the limit for starts and the work that must stop after a cap was lowered. The row also records what each shard lacks, so that shards above their fair part yield.

Evidence: 6 tests in cap_grants pass, among them 500 random interleavings of three shards with lost and late writes, from a fixed seed.

--- /dev/null
+++ b/crates/shallotpost-control/src/scheduler/grants.rs
@@ -0,0 +1,447 @@
+//! Allotments of the fleet-wide caps of teams.
+//!
+//! The row `caps/<team>` holds the cap and one grant per shard. A shard changes only its own grant, by a write that is
+//! conditional on the row's version. A shard whose demand does not fit also records what it lacks, so that shards above
+//! their fair part can yield. Every amount of a [`Size`] is handled on its own.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use shallotpost_protocol::table::Version;
+
+use crate::message::WriteFailure;
+use crate::prelude::*;
+
+/// Time for which a grant must have been unused before it is lowered, and for which a raised grant may be used in full
+/// although other shards lack some.
+pub const HYSTERESIS: Duration = Duration::from_secs(5);
+
+/// Resolution of the record of recent demand.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of amounts of a [`Size`].
+const AMOUNTS: usize = 4;
+
+/// An amount without a cap.
+const UNLIMITED: u64 = u64::MAX;
+
+/// Value of the row `caps/<team>`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Most that the team may have running fleet-wide.
+    pub cap: Size,
+    /// Part of the cap that each shard may use. The sum never exceeds the cap, except after the cap was lowered.
+    #[serde(default)]
+    pub grants: BTreeMap<Shard, Size>,
+    /// What each shard lacks beyond its grant, rounded up to powers of two so that it changes rarely.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unmet: BTreeMap<Shard, Size>,
+}
+
+impl Row {
+    /// Grant of a shard.
+    pub fn grant(&self, shard: &Shard) -> Size {
+        self.grants.get(shard).copied().unwrap_or(Size::ZERO)
+    }
+
+    fn amounts(&self, shard: &Shard, index: usize) -> Amounts {
+        let amount = |sizes: &BTreeMap<Shard, Size>, shard: &Shard| {
+            sizes.get(shard).map_or(0, |size| size.parts()[index])
+        };
+        let others = || self.grants.keys().chain(self.unmet.keys()).filter(|other| *other != shard);
+        let mut wants: BTreeMap<&Shard, u64> = BTreeMap::new();
+        for other in self.grants.keys().chain(self.unmet.keys()).chain([shard]) {
+            let want = amount(&self.grants, other).saturating_add(amount(&self.unmet, other));
+            wants.insert(other, want);
+        }
+        let cap = self.cap.parts()[index];
+        let granted = self.grants.iter().filter(|(other, _)| *other != shard);
+        Amounts {
+            cap,
+            own: amount(&self.grants, shard),
+            others: granted.map(|(_, size)| u128::from(size.parts()[index])).sum(),
+            fair: fair_part(cap, &wants, shard),
+            contended: cap != UNLIMITED && others().any(|other| amount(&self.unmet, other) > 0),
+        }
+    }
+}
+
+/// Key of a team's row.
+pub fn row_key(team: &str) -> String {
+    format!("caps/{team}")
+}
+
+/// What a shard has and needs of a team's cap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// Booked by tasks that are started and not confirmed as ended.
+    pub booked: Size,
+    /// Sum of all waiting tasks.
+    pub waiting: Size,
+    /// Largest waiting task, by amount.
+    pub largest: Size,
+    /// Most that the shard could use, such as the capacity of its workers.
+    pub target: Size,
+}
+
+/// A conditional write of the row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Version that the row must have.
+    pub version: Version,
+    /// Its new value.
+    pub row: Row,
+}
+
+/// What a shard does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Write to send; its outcome goes to [`Allotment::written`].
+    pub write: Option<Change>,
+    /// Most that may be booked. What is booked beyond it may run on, but nothing may be started.
+    pub limit: Size,
+    /// Running work that must stop so that the grants come within a lowered cap.
+    pub stop: Size,
+}
+
+/// A write whose outcome is not known yet.
+#[derive(Debug)]
+struct Pending {
+    change: Change,
+    state: Outcome,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// The write is queued or sent.
+    Open,
+    /// It may have taken effect; the row must be read.
+    Unknown,
+    /// It had not taken effect when the row was read, but still can. Only the same write may follow it.
+    Repeat,
+}
+
+/// The grant of one team at one shard. Call [`Allotment::plan`] after each change of the demand and before starting tasks.
+#[derive(Debug)]
+pub struct Allotment {
+    shard: Shard,
+    row: Option<(Row, Version)>,
+    pending: Option<Pending>,
+    /// Whether the row must be read before the next write.
+    stale: bool,
+    recent: Recent,
+    /// Moments of the last raise, by amount.
+    raised: [Instant; AMOUNTS],
+    yield_until: Option<Instant>,
+}
+
+impl Allotment {
+    /// The grant of a shard that this host acquired at `now`; nothing may be started before the row is read.
+    pub fn new(shard: Shard, now: Instant) -> Allotment {
+        Allotment {
+            shard,
+            row: None,
+            pending: None,
+            stale: true,
+            recent: Recent::default(),
+            raised: [now; AMOUNTS],
+            yield_until: None,
+        }
+    }
+
+    /// Records a read of the row that was sent after the last outcome of a write.
+    pub fn record(&mut self, row: Row, version: Version) {
+        if self.row.as_ref().is_some_and(|(_, known)| version < *known) {
+            return;
+        }
+        self.pending
+            .take_if(|pending| pending.state != Outcome::Open && version > pending.change.version);
+        if let Some(pending) = self.pending.as_mut().filter(|it| it.state == Outcome::Unknown) {
+            pending.state = Outcome::Repeat;
+        }
+        self.row = Some((row, version));
+        self.stale = false;
+    }
+
+    /// Records the outcome of the last write.
+    pub fn written(&mut self, result: Result<(), &WriteFailure>) {
+        match result {
+            Ok(()) => {
+                let Some(Change { version, row }) = self.pending.take().map(|it| it.change) else {
+                    return;
+                };
+                if self.row.as_ref().is_none_or(|(_, known)| *known <= version) {
+                    self.row = Some((row, version + 1));
+                }
+            }
+            Err(WriteFailure::Unknown) => {
+                self.stale = true;
+                if let Some(pending) = &mut self.pending {
+                    pending.state = Outcome::Unknown;
+                }
+            }
+            Err(WriteFailure::Overloaded | WriteFailure::Expired) => self.pending = None,
+            Err(WriteFailure::Conflict(_)) => {
+                self.pending = None;
+                self.stale = true;
+            }
+        }
+    }
+
+    /// Whether the row must be read.
+    pub fn needs_read(&self) -> bool {
+        self.stale
+    }
+
+    /// Computes the next step. The demand must contain everything that may run, so a new owner calls this only once the
+    /// tasks of its workers are known.
+    pub fn plan(&mut self, now: Instant, demand: &Demand) -> Plan {
+        let need = demand.need();
+        let target = demand.with_headroom(need);
+        self.recent.add(now, demand.booked, target);
+        let Some((row, version)) = &self.row else {
+            return Plan { write: None, limit: Size::ZERO, stop: Size::ZERO };
+        };
+        let amounts: [Amounts; AMOUNTS] =
+            std::array::from_fn(|index| row.amounts(&self.shard, index));
+        let step = Step {
+            demand,
+            need,
+            target,
+            recent: self.recent.peaks(),
+            settled: self.raised.map(|raised| now >= raised + HYSTERESIS),
+            yields: self.yield_until.is_some_and(|until| now < until),
+            fair: Size::from_parts(amounts.map(|amounts| amounts.fair)),
+            room: Size::from_parts(amounts.map(|amounts| amounts.room())),
+        };
+        let next: [Next; AMOUNTS] = std::array::from_fn(|index| step.next(&amounts[index], index));
+        let own = row.grant(&self.shard);
+        let grant = Size::from_parts(next.map(|next| next.grant));
+        let unmet = Size::from_parts(next.map(|next| next.unmet));
+        let stop = Size::from_parts(next.map(|next| next.stop));
+        if next.iter().any(|next| next.yielded) {
+            self.yield_until = Some(now + HYSTERESIS);
+        }
+        let planned = with_own(row, &self.shard, grant, unmet);
+        let change = (planned != *row).then_some(Change { version: *version, row: planned });
+        let write = self.issue(change);
+        if write.is_some() {
+            let rises = |index: usize| grant.parts()[index] > own.parts()[index];
+            (0..AMOUNTS).filter(|index| rises(*index)).for_each(|index| self.raised[index] = now);
+        }
+        let mut limit = own.min(&grant);
+        if let Some(pending) = &self.pending {
+            limit = limit.min(&pending.change.row.grant(&self.shard));
+        }
+        Plan { write, limit, stop }
+    }
+
+    /// The write to send now.
+    fn issue(&mut self, change: Option<Change>) -> Option<Change> {
+        if self.stale {
+            return None;
+        }
+        match &mut self.pending {
+            Some(pending) if pending.state == Outcome::Repeat => {
+                pending.state = Outcome::Open;
+                Some(pending.change.clone())
+            }
+            Some(_) => None,
+            None => {
+                let pending = |change| Pending { change, state: Outcome::Open };
+                self.pending = change.clone().map(pending);
+                change
+            }
+        }
+    }
+}
+
+impl Demand {
+    /// What the shard could use at once.
+    fn need(&self) -> Size {
+        self.booked.plus(&self.waiting).min(&self.target.max(&self.booked))
+    }
+
+    fn with_headroom(&self, need: Size) -> Size {
+        let half = Size::from_parts(need.parts().map(|amount| amount / 2));
+        need.plus(&half.max(&self.largest)).min(&self.target.max(&self.booked))
+    }
+}
+
+/// One amount of the row, as one shard sees it.
+#[derive(Clone, Copy, Debug)]
+struct Amounts {
+    cap: u64,
+    own: u64,
+    /// Sum of the other grants.
+    others: u128,
+    /// Own part when the cap is shared by max-min fairness over all that is granted and lacked.
+    fair: u64,
+    /// Whether another shard lacks some.
+    contended: bool,
+}
+
+impl Amounts {
+    /// Largest own grant within the cap.
+    fn room(&self) -> u64 {
+        match self.cap {
+            UNLIMITED => UNLIMITED,
+            cap => u64::try_from(u128::from(cap).saturating_sub(self.others)).unwrap_or(cap),
+        }
+    }
+}
+
+/// Next state of one amount.
+#[derive(Clone, Copy, Debug)]
+struct Next {
+    grant: u64,
+    unmet: u64,
+    stop: u64,
+    /// Whether the grant is lowered for other shards.
+    yielded: bool,
+}
+
+/// Input of one step for all amounts.
+struct Step<'a> {
+    demand: &'a Demand,
+    need: Size,
+    target: Size,
+    /// Highest booked size and target of the last [`HYSTERESIS`].
+    recent: (Size, Size),
+    /// Whether the last raise is longer ago than [`HYSTERESIS`], by amount.
+    settled: [bool; AMOUNTS],
+    /// Whether the shard leaves free room to others.
+    yields: bool,
+    fair: Size,
+    room: Size,
+}
+
+impl Step<'_> {
+    fn next(&self, amounts: &Amounts, index: usize) -> Next {
+        let part = |size: &Size| size.parts()[index];
+        let (booked, need) = (part(&self.demand.booked), part(&self.need));
+        let Amounts { cap, own, others, fair, .. } = *amounts;
+        if cap == UNLIMITED {
+            let grant = if need > 0 || own > 0 { UNLIMITED } else { 0 };
+            return Next { grant, unmet: 0, stop: 0, yielded: false };
+        }
+        let unmet = |grant: u64| match need.saturating_sub(grant).min(cap) {
+            0 => 0,
+            lacks => lacks.checked_next_power_of_two().unwrap_or(cap),
+        };
+        let room = amounts.room();
+        if own > room {
+            let grant = own.min(booked.max(fair.min(need)));
+            let excess = (others + u128::from(grant)).saturating_sub(u128::from(cap));
+            let excess = u64::try_from(excess).unwrap_or(UNLIMITED);
+            let stop = booked.saturating_sub(fair).min(excess);
+            return Next { grant, unmet: unmet(grant), stop, yielded: false };
+        }
+        let raised = self.raised(amounts, index).min(room).max(own);
+        let lowered = self.lowered(amounts, index);
+        let grant = if raised > own { raised } else { lowered.min(own) };
+        let yielded = amounts.contended && grant < own;
+        Next { grant, unmet: unmet(grant), stop: 0, yielded }
+    }
+
+    /// Grant that the shard aims for where it needs more than it has.
+    fn raised(&self, amounts: &Amounts, index: usize) -> u64 {
+        let part = |size: &Size| size.parts()[index];
+        let need = part(&self.need);
+        if need <= amounts.own {
+            return amounts.own;
+        }
+        if !amounts.contended {
+            return part(&self.target);
+        }
+        if self.yields {
+            return amounts.own;
+        }
+        // A fair part smaller than one task would never be of use.
+        let first = self.demand.booked == Size::ZERO && self.demand.largest.fits_in(&self.room);
+        let first_task = if first { part(&self.demand.largest) } else { 0 };
+        need.min(amounts.fair.max(first_task))
+    }
+
+    /// Grant that the shard keeps where it cannot or need not raise it.
+    fn lowered(&self, amounts: &Amounts, index: usize) -> u64 {
+        let part = |size: &Size| size.parts()[index];
+        let (recent_booked, recent_target) = self.recent;
+        if !self.settled[index] {
+            return amounts.own;
+        }
+        if !amounts.contended {
+            return part(&recent_target);
+        }
+        let booked = part(&self.demand.booked);
+        if amounts.own <= amounts.fair {
+            return part(&recent_booked).max(booked);
+        }
+        // Where the fair part has no room for a further task, all of it goes to the others.
+        let fits = self.demand.booked.plus(&self.demand.largest).fits_in(&self.fair);
+        let kept = if fits { amounts.fair } else { 0 };
+        kept.max(booked)
+    }
+}
+
+/// Booked sizes and targets of the last [`HYSTERESIS`].
+#[derive(Debug, Default)]
+struct Recent {
+    /// Highest values from the moment on, for [`SAMPLE_INTERVAL`].
+    samples: VecDeque<(Instant, Size, Size)>,
+}
+
+impl Recent {
+    fn add(&mut self, now: Instant, booked: Size, target: Size) {
+        match self.samples.back_mut() {
+            Some((from, peak_booked, peak_target)) if now < *from + SAMPLE_INTERVAL => {
+                *peak_booked = peak_booked.max(&booked);
+                *peak_target = peak_target.max(&target);
+            }
+            _ => self.samples.push_back((now, booked, target)),
+        }
+        let over = |(from, _, _): &(Instant, Size, Size)| now >= *from + HYSTERESIS;
+        while self.samples.front().is_some_and(over) && self.samples.len() > 1 {
+            self.samples.pop_front();
+        }
+    }
+
+    fn peaks(&self) -> (Size, Size) {
+        let peak = |(booked, target): (Size, Size), (_, other, wanted): &(Instant, Size, Size)| {
+            (booked.max(other), target.max(wanted))
+        };
+        self.samples.iter().fold((Size::ZERO, Size::ZERO), peak)
+    }
+}
+
+/// The row with another grant and lack of one shard.
+fn with_own(row: &Row, shard: &Shard, grant: Size, unmet: Size) -> Row {
+    let mut row = row.clone();
+    for (sizes, size) in [(&mut row.grants, grant), (&mut row.unmet, unmet)] {
+        match size == Size::ZERO {
+            true => sizes.remove(shard),
+            false => sizes.insert(shard.clone(), size),
+        };
+    }
+    row
+}
+
+/// Part of `shard` when `cap` is shared so that each gets what it wants or an equal part of the rest. Units that cannot
+/// be shared go to the first shards in order; the parts never exceed the cap in sum.
+fn fair_part(cap: u64, wants: &BTreeMap<&Shard, u64>, shard: &Shard) -> u64 {
+    let mut ascending: Vec<u64> = wants.values().copied().collect();
+    ascending.sort_unstable();
+    let mut left = cap;
+    for (index, want) in ascending.iter().enumerate() {
+        let sharers = (ascending.len() - index) as u64;
+        if *want > left / sharers {
+            let level = left / sharers;
+            let spare = usize::try_from(left % sharers).unwrap_or(0);
+            let mut first = wants.iter().filter(|(_, want)| **want > level).take(spare);
+            let extra = u64::from(first.any(|(other, _)| *other == shard));
+            return wants.get(shard).map_or(0, |want| (*want).min(level + extra));
+        }
+        left -= want;
+    }
+    wants.get(shard).copied().unwrap_or(0)
+}
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -1,5 +1,7 @@
 //! Placement and worker sessions of the owned shards.
 
+pub mod grants;
+
 use crate::prelude::*;
 
 /// The service.
--- /dev/null
+++ b/crates/shallotpost-control/tests/cap_grants.rs
@@ -0,0 +1,338 @@
+//! Allotments of team caps: single steps, and several shards against one row.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use shallotpost_control::message::WriteFailure;
+use shallotpost_control::prelude::*;
+use shallotpost_control::scheduler::grants::{Allotment, Demand, HYSTERESIS, Plan, Row};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn shard(index: u32) -> Shard {
+    Shard { data_centre: "north".to_owned(), index }
+}
+
+fn all(amount: u64) -> Size {
+    Size::from_parts([amount; 4])
+}
+
+fn demand(booked: u64, waiting: u64, largest: u64) -> Demand {
+    let target = all(u64::MAX);
+    Demand { booked: all(booked), waiting: all(waiting), largest: all(largest), target }
+}
+
+fn row(cap: u64, grants: &[u64]) -> Row {
+    let grants = grants.iter().zip(0..).filter(|(grant, _)| **grant > 0);
+    let grants = grants.map(|(grant, index)| (shard(index), all(*grant))).collect();
+    Row { cap: all(cap), grants, ..Row::default() }
+}
+
+/// Guards against a wrong step of shard 0 in each situation.
+#[test]
+fn single_steps() {
+    let max = u64::MAX;
+    // Name, cap, grants of the shards, demand, seconds since the acquisition, next own grant, lack, limit, stop.
+    let cases = [
+        ("raise with half as headroom", 100, vec![0, 10], demand(0, 20, 5), 0, 30, 0, 0, 0),
+        ("headroom of the largest task", 100, vec![0, 10], demand(0, 20, 16), 0, 36, 0, 0, 0),
+        ("raise within the cap", 100, vec![10, 85], demand(10, 20, 5), 0, 15, 16, 10, 0),
+        ("no room", 100, vec![10, 90], demand(10, 20, 5), 0, 10, 32, 10, 0),
+        ("no need", 100, vec![30, 10], demand(10, 20, 5), 0, 30, 0, 30, 0),
+        ("unused, too early", 100, vec![60, 10], demand(10, 10, 5), 4, 60, 0, 60, 0),
+        ("unused", 100, vec![60, 10], demand(10, 10, 5), 5, 30, 0, 30, 0),
+        ("no demand", 100, vec![60, 10], demand(0, 0, 0), 5, 0, 0, 0, 0),
+        ("cap lowered, part unused", 40, vec![50, 30], demand(10, 90, 5), 0, 20, 64, 20, 0),
+        ("cap lowered, all booked", 40, vec![50, 30], demand(50, 0, 0), 0, 50, 0, 50, 30),
+        ("cap lowered, below the fair part", 40, vec![10, 70], demand(10, 0, 0), 0, 10, 0, 10, 0),
+        ("cap of zero", 0, vec![10, 5], demand(10, 5, 5), 0, 10, 0, 10, 10),
+        ("no cap", max, vec![0, max], demand(0, 1, 1), 0, max, 0, 0, 0),
+        ("no cap any more", max, vec![5, 5], demand(5, 5, 1), 0, max, 0, 5, 0),
+        ("cap set", 10, vec![max, max], demand(3, 9, 1), 0, 5, 8, 5, 0),
+    ];
+    for (name, cap, grants, demand, age, grant, unmet, limit, stop) in cases {
+        let start = Instant::now();
+        let mut allotment = Allotment::new(shard(0), start);
+        allotment.record(row(cap, &grants), 7);
+        let plan = allotment.plan(start, &demand);
+        let plan = if age > 0 { allotment.plan(start + SECOND * age, &demand) } else { plan };
+        let next = plan.write.as_ref().map_or(row(cap, &grants), |change| change.row.clone());
+        assert_eq!(next.grant(&shard(0)), all(grant), "{name}");
+        assert_eq!(next.unmet.get(&shard(0)).copied().unwrap_or(Size::ZERO), all(unmet), "{name}");
+        assert_eq!(next.grant(&shard(1)), all(grants[1]), "{name}: grant of another shard");
+        assert_eq!((plan.limit, plan.stop), (all(limit), all(stop)), "{name}");
+        assert!(plan.write.is_none_or(|change| change.version == 7), "{name}");
+    }
+}
+
+/// Guards against a row that another service cannot read, or that this one cannot.
+#[test]
+fn row_keeps_its_published_form() {
+    let text = r#"{"cap":{"processors_milli":9,"memory_mib":9,"accelerators":9,"slots":9},"grants":{"north/0":{"processors_milli":4,"memory_mib":4,"accelerators":4,"slots":4}}}"#;
+    assert_eq!(serde_json::from_str::<Row>(text).expect("a row"), row(9, &[4]));
+    assert_eq!(serde_json::to_string(&row(9, &[4])).expect("text"), text);
+}
+
+/// One shard with its tasks.
+struct Owner {
+    allotment: Allotment,
+    booked: u64,
+    waiting: u64,
+    task: u64,
+    last: Option<Plan>,
+}
+
+/// Several shards, one row, and the writes in flight.
+struct Fleet {
+    now: Instant,
+    row: Row,
+    version: u64,
+    owners: Vec<Owner>,
+    /// Whether the cap was lowered below the sum of grants and the sum has not come within it yet.
+    over: bool,
+}
+
+impl Fleet {
+    fn new(cap: u64, tasks: &[u64]) -> Fleet {
+        let now = Instant::now();
+        let owner = |(index, task): (u32, &u64)| {
+            let allotment = Allotment::new(shard(index), now);
+            Owner { allotment, booked: 0, waiting: 0, task: *task, last: None }
+        };
+        let owners = (0..).zip(tasks).map(owner).collect();
+        Fleet { now, row: row(cap, &[]), version: 1, owners, over: false }
+    }
+
+    /// Sum of the grants; saturates, since grants without a cap are unlimited.
+    fn sum(&self) -> u64 {
+        self.row.grants.values().fold(0, |sum, grant| grant.slots.saturating_add(sum))
+    }
+
+    fn set_cap(&mut self, cap: u64) {
+        self.row.cap = all(cap);
+        self.version += 1;
+        self.over = self.sum() > cap;
+    }
+
+    /// Plans a shard's next step and returns its write.
+    fn plan(&mut self, index: usize) -> Option<shallotpost_control::scheduler::grants::Change> {
+        let owner = &mut self.owners[index];
+        let demand = demand(owner.booked, owner.waiting, owner.task.min(owner.waiting));
+        let mut plan = owner.allotment.plan(self.now, &demand);
+        let write = plan.write.take();
+        owner.last = Some(plan);
+        write
+    }
+
+    fn read(&mut self, index: usize) {
+        self.owners[index].allotment.record(self.row.clone(), self.version);
+    }
+
+    fn apply(&mut self, change: &shallotpost_control::scheduler::grants::Change) -> bool {
+        let took = change.version == self.version;
+        if took {
+            let before = self.sum();
+            self.row = change.row.clone();
+            self.version += 1;
+            let cap = self.row.cap.slots;
+            assert!(self.sum() <= cap || (self.over && self.sum() <= before), "sum over the cap");
+            self.over &= self.sum() > cap;
+        }
+        took
+    }
+
+    /// Starts what fits into the limit of the last plan, as much as `most` tasks.
+    fn start(&mut self, index: usize, most: u64) {
+        let owner = &mut self.owners[index];
+        let limit = owner.last.as_ref().map_or(0, |plan| plan.limit.slots);
+        let fits = limit.saturating_sub(owner.booked) / owner.task;
+        let count = fits.min(owner.waiting / owner.task).min(most);
+        owner.booked += count * owner.task;
+        owner.waiting -= count * owner.task;
+        self.check();
+    }
+
+    fn check(&self) {
+        for (owner, index) in self.owners.iter().zip(0..) {
+            assert!(owner.booked <= self.row.grant(&shard(index)).slots, "booked beyond the grant");
+        }
+    }
+
+    /// One round of each shard with every write answered; ends `ends` tasks of each shard first.
+    fn round(&mut self, ends: impl Fn(usize) -> u64) {
+        for index in 0..self.owners.len() {
+            let owner = &mut self.owners[index];
+            owner.booked -= (ends(index) * owner.task).min(owner.booked);
+            let stop = owner.last.as_ref().map_or(0, |plan| plan.stop.slots);
+            owner.booked -= stop.min(owner.booked);
+            self.read(index);
+            if let Some(change) = self.plan(index) {
+                assert!(self.apply(&change));
+                self.owners[index].allotment.written(Ok(()));
+                assert!(self.plan(index).is_none_or(|again| again != change));
+                self.owners[index].allotment.written(Err(&WriteFailure::Expired));
+            }
+            self.start(index, u64::MAX);
+        }
+        self.now += SECOND;
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit(usize, u64),
+    End(usize),
+    Start(usize),
+    Read(usize),
+    /// A write of the shard with its fate, and a second of time where the flag is set.
+    Write(usize, Fate, bool),
+    Cap(u64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Answered,
+    LostAfter,
+    LostBefore,
+    Delayed,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::LostAfter),
+        1 => Just(Fate::LostBefore),
+        1 => Just(Fate::Delayed),
+    ];
+    prop_oneof![
+        3 => (0..3usize, 1..40u64).prop_map(|(index, count)| Step::Submit(index, count)),
+        3 => (0..3usize).prop_map(Step::End),
+        4 => (0..3usize).prop_map(Step::Start),
+        4 => (0..3usize).prop_map(Step::Read),
+        6 => (0..3usize, fate, any::<bool>()).prop_map(|(index, fate, slow)| Step::Write(index, fate, slow)),
+        1 => prop_oneof![0..80u64, Just(u64::MAX)].prop_map(Step::Cap),
+    ]
+}
+
+/// Guards against a sum of grants above the cap and against work beyond the own grant, over random interleavings of
+/// three shards with lost and late answers. The checks are in `apply` and `check`.
+#[test]
+fn grants_never_exceed_the_cap() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = proptest::collection::vec(step(), 1..150);
+    let result = runner.run(&steps, |steps| {
+        let mut fleet = Fleet::new(50, &[1, 3, 7]);
+        let mut late = [None, None, None];
+        for step in steps {
+            match step {
+                Step::Submit(index, count) => {
+                    fleet.owners[index].waiting += count * fleet.owners[index].task;
+                }
+                Step::End(index) => {
+                    let owner = &mut fleet.owners[index];
+                    owner.booked = owner.booked.saturating_sub(owner.task);
+                }
+                Step::Start(index) => {
+                    // The plan comes first, as the scheduler does it; its write is lost in the queue.
+                    if fleet.plan(index).is_some() {
+                        fleet.owners[index].allotment.written(Err(&WriteFailure::Expired));
+                    }
+                    fleet.start(index, 3);
+                }
+                Step::Read(index) => fleet.read(index),
+                Step::Write(index, fate, slow) => {
+                    fleet.now += if slow { SECOND } else { Duration::ZERO };
+                    let change = fleet.plan(index);
+                    // A delayed write arrives before the next one of the same shard is sent.
+                    if let Some(earlier) = late[index].take() {
+                        fleet.apply(&earlier);
+                    }
+                    let Some(change) = change else { continue };
+                    let outcome = match fate {
+                        Fate::Answered if fleet.apply(&change) => Ok(()),
+                        Fate::Answered => Err(WriteFailure::Conflict(Vec::new())),
+                        Fate::LostAfter => {
+                            fleet.apply(&change);
+                            Err(WriteFailure::Unknown)
+                        }
+                        Fate::LostBefore => Err(WriteFailure::Unknown),
+                        Fate::Delayed => {
+                            late[index] = Some(change);
+                            Err(WriteFailure::Unknown)
+                        }
+                    };
+                    fleet.owners[index].allotment.written(outcome.as_ref().copied());
+                }
+                Step::Cap(cap) => fleet.set_cap(cap),
+            }
+            fleet.check();
+        }
+        Ok(())
+    });
+    assert!(result.is_ok(), "{result:?}");
+}
+
+/// Guards against a shard that gets nothing while another one keeps the whole cap with an endless queue, also where the
+/// fair part is smaller than one task, and against a cap that is left unused.
+#[test]
+fn every_shard_gets_a_part_under_contention() {
+    // Name, cap, task sizes, rounds that a task runs.
+    let cases = [
+        ("small tasks", 12, vec![1, 1, 1], 3),
+        ("short tasks", 12, vec![1, 1, 1], 1),
+        ("different tasks", 24, vec![1, 3, 6], 4),
+        ("fair part below a task", 8, vec![4, 4, 4], 7),
+        ("one task at a time", 4, vec![4, 4], 7),
+    ];
+    for (name, cap, tasks, runs) in cases {
+        let mut fleet = Fleet::new(cap, &tasks);
+        fleet.owners[0].waiting = 1_000_000 * tasks[0];
+        (0..20).for_each(|round| fleet.round(|_| u64::from(round % runs == 0) * 1000));
+        assert_eq!(fleet.owners[0].booked, cap / tasks[0] * tasks[0], "{name}: alone");
+        fleet.owners.iter_mut().for_each(|owner| owner.waiting = 1_000_000 * owner.task);
+        let mut used = vec![0; tasks.len()];
+        for round in 0..400 {
+            fleet.round(|_| u64::from(round % runs == 0) * 1000);
+            for (used, owner) in used.iter_mut().zip(&fleet.owners) {
+                *used += owner.booked;
+            }
+        }
+        let total: u64 = used.iter().sum();
+        let least = used.iter().min().copied().unwrap_or(0);
+        assert!(least * 2 * tasks.len() as u64 >= total, "{name}: {used:?}");
+        assert!(total * 2 >= cap * 400, "{name}: {total} of {} used", cap * 400);
+    }
+}
+
+/// Guards against grants that stay above a lowered cap, with and without contention before, and against stopping more
+/// than necessary.
+#[test]
+fn lowered_cap_is_reached() {
+    for (before, after) in [(90, 30), (90, 0), (u64::MAX, 30), (30, 29)] {
+        let mut fleet = Fleet::new(before, &[1, 3, 5]);
+        fleet.owners.iter_mut().for_each(|owner| owner.waiting = 60 * owner.task);
+        (0..20).for_each(|_| fleet.round(|_| 0));
+        let booked = |fleet: &Fleet| fleet.owners.iter().map(|owner| owner.booked).sum::<u64>();
+        assert!(booked(&fleet) >= before.min(60) - 8);
+        fleet.set_cap(after);
+        (0..3).for_each(|_| fleet.round(|_| 0));
+        assert!(fleet.sum() <= after, "{before} to {after}: {:?}", fleet.row);
+        assert!(booked(&fleet) <= after && booked(&fleet) + 12 >= after, "{before} to {after}");
+    }
+}
+
+/// Guards against a grant that an idle shard keeps from a shard that lacks it.
+#[test]
+fn unused_grants_return_within_the_hysteresis() {
+    let mut fleet = Fleet::new(30, &[1, 1]);
+    fleet.owners[0].waiting = 30;
+    (0..3).for_each(|_| fleet.round(|_| 0));
+    assert_eq!(fleet.owners[0].booked, 30);
+    fleet.owners[0].booked = 0;
+    fleet.owners[1].waiting = 30;
+    let rounds = HYSTERESIS.as_secs() + 2;
+    (0..rounds).for_each(|_| fleet.round(|_| 0));
+    assert_eq!(fleet.owners[1].booked, 30);
+    assert!(!fleet.row.grants.contains_key(&shard(0)));
+}
