--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod entry;
 pub mod environment;
+pub mod grants;
 mod recovery;
 mod requests;
 mod rows;
