Book gangs after a takeover only as a whole

Cause: a part of a gang that a new owner found on a worker was booked at once. The planner then queued the other parts, placed the whole gang a second time and lost the first booking, so the gang never ran again.

Change: the parts of a gang are booked together once every part is found, and their workers get no other tasks until then. A gang of which parts are missing is stopped and started again. Stops that are requested while a start is open are carried out after it. Caps count such stops.

Conclusion: gangs survive a takeover whole, or restart as a whole.

--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -11,7 +11,7 @@
 
 use crate::message::{Batch, WriteFailure};
 use crate::prelude::*;
-use crate::scheduler::entry::Phase;
+use crate::scheduler::entry::TaskEntry;
 use crate::scheduler::environment::Environment;
 use crate::scheduler::rows::Purpose;
 use crate::scheduler::shard::{Call, Owned};
@@ -230,11 +230,9 @@
         let mut running: Vec<(u64, WorkId)> = Vec::new();
         for (work, entry) in works {
             let size = entry.record.specification.size;
-            let count = |wanted: fn(&Phase) -> bool| {
-                entry.tasks.iter().filter(|task| wanted(&task.phase)).count() as u64
-            };
-            kept = kept.minus(&size.times(count(|phase| matches!(phase, Phase::Stopping(..)))));
-            if count(|phase| *phase == Phase::Running) > 0 {
+            let stopping = entry.tasks.iter().filter(|task| task.is_stopping()).count();
+            kept = kept.minus(&size.times(stopping as u64));
+            if entry.tasks.iter().any(TaskEntry::can_stop) {
                 running.push((entry.record.admitted_unix_ms, work.clone()));
             }
         }
@@ -257,7 +255,7 @@
         let gang = entry.is_gang();
         for index in (0..entry.tasks.len() as u32).rev() {
             let task = Task { work: work.clone(), index };
-            let runs = self.task_mut(&task).is_some_and(|state| state.phase == Phase::Running);
+            let runs = self.task_mut(&task).is_some_and(|state| state.can_stop());
             if runs && (gang || !kept.fits_in(limit)) {
                 self.stop_task(&task, mode);
                 kept = kept.minus(&size);
--- a/crates/shallotpost-control/src/scheduler/ends.rs
+++ b/crates/shallotpost-control/src/scheduler/ends.rs
@@ -15,11 +15,16 @@
         let worker = state.worker.take();
         state.phase = Phase::Free;
         state.stop = None;
-        if let Some(session) = worker.and_then(|worker| self.sessions.get_mut(&worker)) {
+        let adopted = self.works.get(&task.work).is_some_and(|entry| entry.submitted);
+        if let Some(worker) = worker
+            && let Some(session) = self.sessions.get_mut(&worker)
+        {
             session.tasks.remove(task);
+            self.publish_worker(context, &worker);
         }
-        if let Some(cause) = cause {
-            self.planner.release(context.now, task, cause);
+        match cause {
+            Some(cause) if adopted => self.planner.release(context.now, task, cause),
+            _ => {}
         }
     }
 
--- a/crates/shallotpost-control/src/scheduler/entry.rs
+++ b/crates/shallotpost-control/src/scheduler/entry.rs
@@ -65,6 +65,19 @@
     pub stop: Option<Mode>,
 }
 
+impl TaskEntry {
+    /// Whether a stop was requested and is not confirmed yet.
+    pub fn is_stopping(&self) -> bool {
+        let requested = matches!(self.stop, Some(Mode::Stop | Mode::Checkpoint));
+        requested || matches!(self.phase, Phase::Stopping(..))
+    }
+
+    /// Whether a worker may have the task, and no stop was requested.
+    pub fn can_stop(&self) -> bool {
+        self.phase.is_sent() && !self.is_stopping()
+    }
+}
+
 /// What happens once no task is booked any more.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Closing {
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -38,9 +38,7 @@
                 .or_insert_with(|| Session::new(listing.clone(), context.now));
             session.listed = true;
             session.listing = listing;
-            if !session.lapsed {
-                self.publish_worker(context, &worker);
-            }
+            self.publish_worker(context, &worker);
         }
         self.sessions.retain(|_, session| session.listed || !session.lapsed);
         let vanished = self.sessions.iter_mut().filter(|(_, session)| !session.listed);
@@ -67,12 +65,21 @@
 
     /// Tells the planner the state of a worker.
     pub fn publish_worker(&mut self, context: &mut Context, worker: &WorkerId) {
+        let Some(session) = self.sessions.get(worker) else { return };
+        if session.lapsed {
+            return;
+        }
+        // The planner has not booked the found parts of a gang yet, so their worker must not get other tasks.
+        let unbooked = session
+            .tasks
+            .iter()
+            .any(|task| self.works.get(&task.work).is_some_and(|entry| !entry.submitted));
         let Some(session) = self.sessions.get_mut(worker) else { return };
         let worker = planner::Worker {
             id: worker.clone(),
             rack: session.listing.rack.clone(),
             capacity: session.listing.capacity,
-            open: session.is_open(),
+            open: session.is_open() && !unbooked,
         };
         if session.published.as_ref() != Some(&worker) {
             session.published = Some(worker.clone());
@@ -187,9 +194,7 @@
                 session.silent = true;
                 session.reconciled = false;
                 session.next_beat = now + environment.jitter(BEAT_RETRY);
-                if !session.lapsed {
-                    self.publish_worker(context, worker);
-                }
+                self.publish_worker(context, worker);
             }
         }
     }
@@ -332,24 +337,65 @@
 
     /// Takes over a task that an earlier owner started.
     fn adopt(&mut self, context: &mut Context, worker: &WorkerId, task: Task, attempt: Attempt) {
+        let Some(entry) = self.works.get_mut(&task.work) else { return };
+        entry.may_have_run = true;
+        let state = &mut entry.tasks[task.index as usize];
+        state.phase = Phase::Running;
+        state.attempt = attempt;
+        state.worker = Some(worker.clone());
+        let gang = entry.is_gang();
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.tasks.insert(task.clone());
+        }
+        match gang {
+            true => {
+                self.publish_worker(context, worker);
+                self.book_gang(context, &task.work);
+            }
+            false => self.book_found(context, &task, worker),
+        }
+        self.on_running(&task);
+    }
+
+    /// Books a found task with the planner.
+    fn book_found(&mut self, context: &mut Context, task: &Task, worker: &WorkerId) {
         let Some(entry) = self.works.get(&task.work) else { return };
         let job = self.job(context, entry);
         self.planner.adopt(context.now, &job, task.clone(), worker);
         let Some(entry) = self.works.get_mut(&task.work) else { return };
-        entry.may_have_run = true;
         if !entry.submitted {
             // The planner now has the other tasks in its queue.
             entry.submitted = true;
             entry.tasks.iter_mut().for_each(|state| state.queued = true);
         }
-        let state = &mut entry.tasks[task.index as usize];
-        state.queued = false;
-        state.attempt = attempt;
-        state.worker = Some(worker.clone());
-        if let Some(session) = self.sessions.get_mut(worker) {
-            session.tasks.insert(task.clone());
+        entry.tasks[task.index as usize].queued = false;
+    }
+
+    /// Books all parts of a gang once every part is found. The planner would place the queued parts of a gang of which it
+    /// knows some only.
+    fn book_gang(&mut self, context: &mut Context, work: &WorkId) {
+        let Some(entry) = self.works.get(work) else { return };
+        if entry.submitted || entry.closing.is_some() || entry.is_unplaced() {
+            return;
+        }
+        let workers: Vec<Option<WorkerId>> =
+            entry.tasks.iter().map(|state| state.worker.clone()).collect();
+        let Some(any) = workers.iter().flatten().next().cloned() else { return };
+        let task = |index: usize| Task { work: work.clone(), index: index as u32 };
+        let succeeded = workers.iter().enumerate().filter(|(_, worker)| worker.is_none());
+        for (index, _) in succeeded {
+            // The worker still has the room of its own part, which is booked below.
+            self.book_found(context, &task(index), &any);
+            self.planner.release(context.now, &task(index), Cause::Succeeded);
+        }
+        for (index, worker) in workers.iter().enumerate() {
+            if let Some(worker) = worker {
+                self.book_found(context, &task(index), worker);
+            }
+        }
+        for worker in workers.iter().flatten() {
+            self.publish_worker(context, worker);
         }
-        self.on_running(&task);
     }
 
     /// Handles an end that an earlier owner did not record.
@@ -373,7 +419,10 @@
                 self.acknowledge(worker, (task, attempt));
             }
             End::Succeeded { .. } if !service => {
-                self.note_end(context, &task, attempt, worker, end)
+                self.note_end(context, &task, attempt, worker, end);
+                if gang {
+                    self.book_gang(context, &task.work);
+                }
             }
             _ if !idempotent => {
                 state.phase = Phase::Free;
--- a/crates/shallotpost-control/tests/at_most_once.rs
+++ b/crates/shallotpost-control/tests/at_most_once.rs
@@ -61,6 +61,26 @@
     assert_eq!(world.starts(&work), 1);
 }
 
+/// Guards against an intent that stays recorded after its worker was given up without a start.
+#[test]
+fn worker_lost_before_the_start() {
+    let mut world = World::new(1);
+    world.take_over(1);
+    world.run(100);
+    world.write_faults = vec![WriteFailure::Unknown];
+    let work = world.admit(once("100"));
+    world.run_until(LIMIT, |world| world.write_faults.is_empty());
+    world.table_up = false;
+    world.node("w0").alive = false;
+    world.run(15_000);
+    world.table_up = true;
+    world.run(3000);
+    assert_eq!(world.record(&work).unwrap().state, State::Admitted);
+    world.node("w0").alive = true;
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+    assert_eq!(world.starts(&work), 1);
+}
+
 /// Guards against a second start by a new owner, whatever the record and the workers show.
 #[test]
 fn recorded_intents() {
@@ -75,7 +95,7 @@
         let intent = State::Starting { workers: vec![worker.to_owned()], epoch: 1 };
         let work = world.write_record(once("500"), intent);
         if runs {
-            world.start_directly("w0", 1, &once("500"));
+            world.start_directly("w0", 0, &once("500"));
         }
         world.take_over(2);
         let begun = world.now;
--- a/crates/shallotpost-control/tests/shard_recovery.rs
+++ b/crates/shallotpost-control/tests/shard_recovery.rs
@@ -168,13 +168,53 @@
     world.run_until(LIMIT, |world| world.starts(&work) == 2);
 }
 
+/// Guards against a gang of which only some parts run, and against tasks on a worker whose parts are not booked yet.
+#[test]
+fn half_started_gang() {
+    for (silent, cores) in [(false, 1), (true, 3)] {
+        let mut world = World::new(3);
+        world.node("w2").alive = !silent;
+        let sized = |specification| Specification { size: size(cores), ..specification };
+        let gang = sized(specification("gang", Class::Gang { parts: 2 }, &["run", "1000"]));
+        let work = world.write_record(gang.clone(), State::Admitted);
+        world.start_directly("w1", 0, &gang);
+        world.take_over(2);
+        for name in ["first", "second"] {
+            world.admit(sized(specification(name, Class::Batch, &["run", "12000"])));
+        }
+        world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+        assert_eq!(world.outcome(&work).unwrap().ending, Ending::Succeeded);
+        assert_eq!(world.starts(&work), 3, "the part that ran alone is started again");
+    }
+}
+
+/// Guards against workers that get no tasks because a part of the gang on them has ended before the takeover.
+#[test]
+fn half_ended_gang() {
+    let mut world = World::new(2);
+    let command = |milliseconds: &'static str| {
+        specification("gang", Class::Gang { parts: 2 }, &["run", milliseconds])
+    };
+    let work = world.write_record(command("3000"), State::Admitted);
+    world.start_directly("w0", 0, &command("3000"));
+    world.start_directly("w1", 1, &command("10"));
+    world.run(100);
+    world.take_over(2);
+    let job = |n: usize| specification(&format!("job{n}"), Class::Batch, &["run", "9000"]);
+    let jobs: Vec<WorkId> = (0..7).map(|n| world.admit(job(n))).collect();
+    world.run(500);
+    assert!(jobs.iter().all(|job| world.starts(job) == 1), "seven of eight cores are free");
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+    assert_eq!((world.outcome(&work).unwrap().ending, world.starts(&work)), (Ending::Succeeded, 2));
+}
+
 /// Guards against tasks that run on although their work ended or is not known.
 #[test]
 fn stray_tasks() {
     for ended in [false, true] {
         let mut world = World::new(1);
         let job = specification("job", Class::Batch, &["run", "60000"]);
-        world.start_directly("w0", 1, &job);
+        world.start_directly("w0", 0, &job);
         if ended {
             let (ending, detail) = (Ending::Cancelled, String::new());
             let outcome = Outcome { ending, detail, not_run: false, results: Vec::new() };
@@ -195,6 +235,8 @@
         world.run(30);
         let jobs = admit(&mut world);
         (0..steps).for_each(|_| world.step());
+        ["w0", "w1"].iter().for_each(|worker| world.fault(worker, Kind::Start, Fault::Slow, 2));
+        world.step();
         world.deliver(first, Message::Release { shard: shard() });
         let calls = world.start_calls;
         world.run_until(Duration::from_secs(3), |world| world.released == 1);
--- a/crates/shallotpost-control/tests/start_guards.rs
+++ b/crates/shallotpost-control/tests/start_guards.rs
@@ -140,6 +140,20 @@
     }
 }
 
+/// Guards against work that outlives its deadline in the queue after its worker was lost.
+#[test]
+fn deadline_after_a_loss() {
+    let mut world = World::new(1);
+    world.take_over(1);
+    let specification = specification("job", Class::Batch, &["run", "60000"]);
+    let work = world.admit(Specification { deadline_unix_ms: Some(500), ..specification });
+    world.run(1000);
+    world.node("w0").alive = false;
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+    let outcome = world.outcome(&work).unwrap();
+    assert_eq!((outcome.ending, outcome.not_run), (Ending::Expired, false));
+}
+
 /// Guards against a cancellation that is lost, leaves a task running, or claims that a started task was not run.
 #[test]
 fn cancel_in_each_phase() {
@@ -242,6 +256,18 @@
     assert_eq!(world.granted("dc/0"), Some(1000));
 }
 
+/// Guards against work that waits for the next regular read of the cap rows.
+#[test]
+fn first_grant() {
+    let mut world = World::new(1);
+    world.set_availability("other", Availability::Active);
+    world.take_over(1);
+    world.run(1500);
+    let work = world.admit(specification("job", Class::Batch, &["run", "100"]));
+    world.run(250);
+    assert_eq!(world.starts(&work), 1);
+}
+
 /// Guards against a cap that is ignored where the shard is the only one.
 #[test]
 fn cap_of_the_only_shard() {
@@ -259,13 +285,20 @@
 /// Guards against a drained data centre that kills its running work, and against work that stays stopped afterwards.
 #[test]
 fn drained_data_centre() {
-    for stop in [false, true] {
+    // Whether the policy stops running tasks, and whether their starts are still open.
+    for (stop, open) in [(false, false), (true, false), (true, true)] {
         let mut world = World::new(1);
         world.set_policy_on_cut(stop);
         world.take_over(1);
+        world.run(500);
+        if open {
+            world.fault("w0", Kind::Start, Fault::Slow, 2);
+            world.fault("w0", Kind::Sync, Fault::Slow, 20);
+            world.run(1000);
+        }
         let service = world.admit(specification("svc", Class::Service { replicas: 1 }, &["serve"]));
         let batch = world.admit(specification("job", Class::Batch, &["run", "3000"]));
-        world.run(500);
+        world.run(if open { 50 } else { 500 });
         world.set_availability("dc", Availability::Drained);
         world.run(1000);
         let expected = usize::from(!stop);
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -215,12 +215,13 @@
         value["grants"][shard]["processors_milli"].as_u64()
     }
 
-    /// Starts the first attempt of a task as an earlier owner did.
-    pub fn start_directly(&mut self, worker: &str, epoch: Epoch, specification: &Specification) {
+    /// Starts the first attempt of a task as the owner with epoch 1 did.
+    pub fn start_directly(&mut self, worker: &str, index: u32, specification: &Specification) {
+        let epoch = 1;
         let lease = self.settings.task_lease;
         self.execute(&worker.into(), &Request::Claim { shard: shard(), epoch, lease });
         let assignment = Assignment {
-            task: Task { work: specification.work_id(), index: 0 },
+            task: Task { work: specification.work_id(), index },
             attempt: 1,
             size: specification.size,
             command: specification.command.clone(),
--- a/crates/shallotpost-control/tests/worker_faults.rs
+++ b/crates/shallotpost-control/tests/worker_faults.rs
@@ -127,6 +127,19 @@
     }
 }
 
+/// Guards against a gang that goes on without a part whose start was refused.
+#[test]
+fn refused_gang_part() {
+    let mut world = World::new(2);
+    world.take_over(1);
+    world.fault("w1", Kind::Start, Fault::NotSent, 1);
+    let gang = specification("gang", Class::Gang { parts: 2 }, &["run", "1000"]);
+    let work = world.admit(Specification { size: size(3), ..gang });
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+    assert_eq!(world.outcome(&work).unwrap().ending, Ending::Succeeded);
+    assert_eq!(world.starts(&work), 3);
+}
+
 /// Guards against unbounded restarts on a worker that fails everything.
 #[test]
 fn failing_worker() {
