Write answers at once and stop gracefully at the byte level

Cause: tiny_http writes head and body separately and leaves Nagle's algorithm on, so each answer beyond 1 KiB waited for a delayed acknowledgement. A graceful stop closed connections whose last answer was still on the way. A caller that stalled within a body held a thread for the idle time of its connection.

Change: answers go out in one write, in the edge and in the stand-ins. The gate lets the inner server finish its answers before it closes a connection. The rest of a body must arrive within 10 s.

--- a/crates/shallotpost-edge/src/gate.rs
+++ b/crates/shallotpost-edge/src/gate.rs
@@ -9,7 +9,7 @@
 use std::future::pending;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc};
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -37,8 +37,10 @@
     Silent,
     /// This many more bytes pass to the caller, then the connection is closed.
     Truncate(usize),
-    /// The bytes that the inner server has already written pass, then the connection is closed.
+    /// The inner server sees the end of the caller's bytes; its answers pass until it closes the connection.
     Finish,
+    /// The bytes that can be read from the inner server pass, then the connection is closed.
+    Drain,
     /// The connection is closed at once.
     Closed,
 }
@@ -73,6 +75,7 @@
     limits: Limits,
     observer: Arc<dyn Observer>,
     connections: Mutex<HashMap<ConnectionId, watch::Sender<Mode>>>,
+    empty: Condvar,
 }
 
 impl Gate {
@@ -87,7 +90,13 @@
         let listener = StdListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let shared = Shared { target, limits, observer, connections: Mutex::default() };
+        let shared = Shared {
+            target,
+            limits,
+            observer,
+            connections: Mutex::default(),
+            empty: Condvar::new(),
+        };
         let shared = Arc::new(shared);
         let (stop, stopped) = watch::channel(false);
         let _context = runtime.enter();
@@ -134,6 +143,18 @@
         self.set_all(Mode::Closed, None);
     }
 
+    /// Stops listening, and closes each connection once the inner server has written its answers. Returns when all
+    /// connections are closed; those that are open after `bound` are closed at once.
+    pub fn finish(&self, bound: Duration) {
+        self.stop.send_replace(true);
+        self.set_all(Mode::Finish, None);
+        let connections = self.shared.lock();
+        let open = |connections: &mut HashMap<_, _>| !connections.is_empty();
+        let waited = self.shared.empty.wait_timeout_while(connections, bound, open);
+        drop(waited);
+        self.stop_and_wait();
+    }
+
     /// Stops, and returns once the port refuses connections. Must not be called from the I/O thread.
     pub fn stop_and_wait(&self) {
         self.stop();
@@ -184,7 +205,13 @@
     let _ = inner.set_nodelay(true);
     shared.observer.opened(connection);
     relay(&mut caller, &mut inner, mode, shared.limits.idle).await;
-    shared.lock().remove(&connection);
+    {
+        let mut connections = shared.lock();
+        connections.remove(&connection);
+        if connections.is_empty() {
+            shared.empty.notify_all();
+        }
+    }
     drop((caller, inner));
     shared.observer.closed(connection);
 }
@@ -217,30 +244,35 @@
 ) {
     let mut truncated = 0;
     loop {
-        let finishing = tokio::select! {
-            biased;
-            readable = source.readable() => match readable {
-                Ok(()) => false,
-                Err(_) => return,
-            },
-            _ = mode.wait_for(|mode| to_caller && *mode == Mode::Finish) => true,
+        let draining = match next_step(&source, &mut mode, to_caller).await {
+            Step::Readable => false,
+            Step::Drain => true,
+            Step::Finish => {
+                // The inner server answers what it has and then closes the connection.
+                let _ = sink.shutdown().await;
+                return pending().await;
+            }
+            Step::End => return,
         };
         let mut chunk = vec![0; RELAY_CHUNK];
         let length = match source.try_read(&mut chunk) {
             Ok(0) => return,
             Ok(length) => length,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock && !finishing => continue,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock && !draining => continue,
             Err(_) => return,
         };
         let current = *mode.borrow();
         let pass = match current {
             Mode::Truncate(limit) if to_caller => length.min(limit.saturating_sub(truncated)),
-            Mode::Open | Mode::Truncate(_) | Mode::Finish => length,
+            Mode::Open | Mode::Truncate(_) | Mode::Finish | Mode::Drain => length,
             Mode::Silent => pending().await,
             Mode::Closed => return,
         };
-        if sink.write_all(&chunk[..pass]).await.is_err() {
-            return;
+        match sink.write_all(&chunk[..pass]).await {
+            Ok(()) => {}
+            Err(_) if to_caller => return,
+            // The inner server takes no more bytes, but its answer may still be on the way to the caller.
+            Err(_) => return pending().await,
         }
         match current {
             Mode::Truncate(limit) if to_caller && truncated + pass >= limit => return,
@@ -251,6 +283,38 @@
     }
 }
 
+/// What a pump does next.
+enum Step {
+    /// Bytes or an end can be read.
+    Readable,
+    /// The bytes that can be read pass, then the connection is closed.
+    Drain,
+    /// The inner server must see the end of the caller's bytes.
+    Finish,
+    /// The connection is closed.
+    End,
+}
+
+async fn next_step(
+    source: &ReadHalf<'_>,
+    mode: &mut watch::Receiver<Mode>,
+    to_caller: bool,
+) -> Step {
+    let ending = if to_caller { Mode::Drain } else { Mode::Finish };
+    tokio::select! {
+        biased;
+        readable = source.readable() => match readable {
+            Ok(()) => Step::Readable,
+            Err(_) => Step::End,
+        },
+        changed = mode.wait_for(|mode| *mode == ending) => match changed {
+            Ok(_) if to_caller => Step::Drain,
+            Ok(_) => Step::Finish,
+            Err(_) => Step::End,
+        },
+    }
+}
+
 /// Returns once no byte has passed for `idle`.
 async fn silence(active: &Activity, idle: Duration) {
     while active.last().elapsed() < idle {
--- a/crates/shallotpost-edge/src/http/exchange.rs
+++ b/crates/shallotpost-edge/src/http/exchange.rs
@@ -6,9 +6,10 @@
 use serde::Serialize;
 use shallotpost_protocol::interface::Reply;
 use shallotpost_protocol::problem::{Kind, Problem};
-use tiny_http::{Header, Method, Request as HttpRequest, Response};
+use tiny_http::{Method, Request as HttpRequest, Response};
 
 use crate::gate::{ConnectionId, Mode};
+use crate::http::message::{Message, has_unread_body, respond};
 use crate::http::{BODY_LENGTH_MAX, OBJECT_LENGTH_MAX, Shared};
 
 /// A request that has not been answered. Counts as open until it is dropped; one that is dropped without an answer is
@@ -16,6 +17,7 @@
 pub struct Exchange {
     request: Option<Box<HttpRequest>>,
     released: bool,
+    read: bool,
     connection: ConnectionId,
     submit: bool,
     shared: Arc<Shared>,
@@ -25,7 +27,14 @@
     /// Takes over a request. The caller has counted it as open.
     pub fn new(request: HttpRequest, connection: ConnectionId, shared: Arc<Shared>) -> Exchange {
         let submit = *request.method() == Method::Post && request.url() == "/v1/work";
-        Exchange { request: Some(Box::new(request)), released: false, connection, submit, shared }
+        Exchange {
+            request: Some(Box::new(request)),
+            released: false,
+            read: false,
+            connection,
+            submit,
+            shared,
+        }
     }
 
     /// The connection that it came on.
@@ -66,11 +75,16 @@
         if declared.is_some_and(|length| length > BODY_LENGTH_MAX) {
             return Err(too_large());
         }
+        let unread = has_unread_body(request);
+        let _timer = unread.then(|| self.shared.limit_body(self.connection));
         let mut body = Vec::new();
         let read = request.as_reader().take(BODY_LENGTH_MAX as u64 + 1).read_to_end(&mut body);
         match read {
             Ok(length) if length > BODY_LENGTH_MAX => Err(too_large()),
-            Ok(length) if declared.is_none_or(|declared| declared == length) => Ok(body),
+            Ok(length) if declared.is_none_or(|declared| declared == length) => {
+                self.read = true;
+                Ok(body)
+            }
             _ => Err(early()),
         }
         .and_then(|body| if self.is_connected() { Ok(body) } else { Err(early()) })
@@ -92,7 +106,7 @@
         let response = Response::from_data(body).with_status_code(problem.kind.status());
         self.release();
         std::mem::forget(request.upgrade("close", response));
-        self.shared.set(self.connection, Mode::Finish);
+        self.shared.close_later(self.connection);
     }
 
     /// Answers with the kernel's result. `dry_run` tells that nothing was changed.
@@ -125,13 +139,16 @@
         self.send(status, "text/plain; charset=utf-8", text.into_bytes());
     }
 
-    /// Writes the head of a streamed answer with these header lines, and returns the rest of the answer.
+    /// Begins a streamed answer with these header lines.
     pub fn stream(mut self, headers: &str) -> io::Result<Stream> {
         let request = self.request.take().ok_or_else(|| io::Error::other("already answered"))?;
-        let mut writer = request.into_writer();
-        write!(writer, "HTTP/1.1 200 OK\r\n{headers}\r\n")?;
-        writer.flush()?;
-        Ok(Stream { writer, exchange: self, finished: false })
+        let buffer = format!("HTTP/1.1 200 OK\r\n{headers}\r\n").into_bytes();
+        Ok(Stream { writer: request.into_writer(), buffer, exchange: self, finished: false })
+    }
+
+    /// Marks the whole body as read.
+    pub fn set_read(&mut self) {
+        self.read = true;
     }
 
     /// Allows the next request on the connection.
@@ -147,16 +164,12 @@
 
     fn send(mut self, status: u16, content_type: &str, body: Vec<u8>) {
         let Some(request) = self.request.take() else { return };
-        let response =
-            Response::from_data(body).with_status_code(status).with_chunked_threshold(usize::MAX);
-        let header = Header::from_bytes("Content-Type", content_type);
-        let response = match header {
-            Ok(header) => response.with_header(header),
-            Err(()) => response,
-        };
+        let message = Message { status, headers: &[("Content-Type", content_type)], body: &body };
         // The caller may send its next request as soon as it has the answer.
         self.release();
-        let _ = request.respond(response);
+        let unread = !self.read && has_unread_body(&request);
+        let _timer = unread.then(|| self.shared.limit_body(self.connection));
+        let _ = respond(*request, self.read, &message);
     }
 }
 
@@ -185,6 +198,8 @@
 /// a broken answer and never a short one.
 pub struct Stream {
     writer: Box<dyn Write + Send>,
+    /// Bytes that go out with the next ones; separate writes would wait for acknowledgements, see [`respond`].
+    buffer: Vec<u8>,
     exchange: Exchange,
     finished: bool,
 }
@@ -197,36 +212,43 @@
 
     /// Writes bytes of a body with a declared length.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.writer.write_all(bytes)
+        self.buffer.extend_from_slice(bytes);
+        self.flush()
     }
 
     /// Writes one chunk of a chunked body and flushes it.
     pub fn chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
-        write!(self.writer, "{:x}\r\n", bytes.len())?;
-        self.writer.write_all(bytes)?;
-        self.writer.write_all(b"\r\n")?;
-        self.writer.flush()
+        write!(self.buffer, "{:x}\r\n", bytes.len())?;
+        self.buffer.extend_from_slice(bytes);
+        self.buffer.extend_from_slice(b"\r\n");
+        self.flush()
     }
 
     /// Ends the answer.
     pub fn finish(mut self) -> io::Result<()> {
         self.exchange.release();
-        self.writer.flush()?;
+        self.flush()?;
         self.finished = true;
         Ok(())
     }
 
     /// Ends a chunked answer.
     pub fn finish_chunked(mut self) -> io::Result<()> {
-        self.writer.write_all(b"0\r\n\r\n")?;
+        self.buffer.extend_from_slice(b"0\r\n\r\n");
         self.finish()
     }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.writer.write_all(&self.buffer)?;
+        self.buffer.clear();
+        self.writer.flush()
+    }
 }
 
 impl Drop for Stream {
     fn drop(&mut self) {
         if !self.finished {
-            self.exchange.shared.set(self.exchange.connection, Mode::Closed);
+            self.exchange.shared.set(self.exchange.connection, Mode::Drain);
         }
     }
 }
--- /dev/null
+++ b/crates/shallotpost-edge/src/http/message.rs
@@ -0,0 +1,61 @@
+//! Writes answers.
+
+use std::io::{self, Write};
+
+use tiny_http::{Header, Method, Request as HttpRequest, Response, StatusCode};
+
+/// `tiny_http` reads bodies up to this length together with the head.
+const BODY_READ_AHEAD: usize = 1024;
+
+/// An answer with a body that is held whole.
+#[derive(Clone, Copy, Debug)]
+pub struct Message<'a> {
+    /// HTTP status.
+    pub status: u16,
+    /// Header names and values; the length is added.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// Body.
+    pub body: &'a [u8],
+}
+
+/// Answers a request. `read` tells whether its whole body was read.
+///
+/// The answer is written at once. `tiny_http` writes head and body separately and leaves Nagle's algorithm on, so an answer
+/// beyond its buffer of 1 KiB waits for a delayed acknowledgement of 40 ms.
+pub fn respond(request: HttpRequest, read: bool, message: &Message<'_>) -> io::Result<()> {
+    if !read && has_unread_body(&request) {
+        return respond_first(request, message);
+    }
+    let with_body = *request.method() != Method::Head;
+    let reason = StatusCode(message.status).default_reason_phrase();
+    let mut bytes = Vec::with_capacity(message.body.len() + 256);
+    write!(bytes, "HTTP/1.1 {} {reason}\r\n", message.status)?;
+    for (name, value) in message.headers {
+        write!(bytes, "{name}: {value}\r\n")?;
+    }
+    write!(bytes, "Content-Length: {}\r\n\r\n", message.body.len())?;
+    bytes.extend_from_slice(if with_body { message.body } else { &[] });
+    let mut writer = request.into_writer();
+    writer.write_all(&bytes)?;
+    writer.flush()
+}
+
+/// Answers before the rest of the body is discarded: the caller may wait for the answer before it sends the body.
+fn respond_first(request: HttpRequest, message: &Message<'_>) -> io::Result<()> {
+    let length = Some(message.body.len());
+    let mut response = Response::new(message.status.into(), Vec::new(), message.body, length, None)
+        .with_chunked_threshold(usize::MAX);
+    for (name, value) in message.headers {
+        if let Ok(header) = Header::from_bytes(*name, *value) {
+            response.add_header(header);
+        }
+    }
+    request.respond(response)
+}
+
+/// Whether discarding the rest of the body may wait for the caller.
+pub fn has_unread_body(request: &HttpRequest) -> bool {
+    let has = |name: &'static str| request.headers().iter().any(|header| header.field.equiv(name));
+    let long = request.body_length().is_some_and(|length| length > BODY_READ_AHEAD);
+    long || has("Transfer-Encoding") || (has("Expect") && request.body_length() != Some(0))
+}
--- a/crates/shallotpost-edge/src/http/mod.rs
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use shallotpost_protocol::identity::{RequestId, Revision};
 use shallotpost_protocol::interface::{Call, Reply, Request};
@@ -15,10 +15,12 @@
 use shallotpost_protocol::problem::{Kind, Problem};
 use tiny_http::{Request as HttpRequest, Server as HttpServer};
 use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
 
 use crate::client::Client;
 use crate::gate::{ConnectionId, Gate, Limits as GateLimits, Mode, Observer};
 use crate::http::exchange::Exchange;
+use crate::http::message::{Message, respond};
 use crate::http::query::WAIT_DEFAULT;
 use crate::http::route::{Purpose, Route, route};
 use crate::http::watch::Watcher;
@@ -26,6 +28,7 @@
 use crate::settings::Settings;
 
 mod exchange;
+pub mod message;
 mod objects;
 pub mod query;
 pub mod route;
@@ -43,6 +46,13 @@
 /// A caller's connection on which no byte passes for this long is closed. Longer than the longest wait of a request.
 pub const CONNECTION_IDLE_MAX: Duration = Duration::from_secs(90);
 
+/// The rest of a request's body must arrive within this time, except for an object; else the connection is closed. A caller
+/// that went silent must not hold a thread.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for a caller to receive an answer after which its connection is closed.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Time for writing the last answers after the bound of a graceful shutdown has passed.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
@@ -68,6 +78,7 @@
     objects: ObjectStore,
     open_max: usize,
     next: AtomicU64,
+    runtime: Handle,
     state: Mutex<State>,
     idle: Condvar,
     server: HttpServer,
@@ -97,7 +108,7 @@
 
 enum Pending {
     Single(Exchange, Purpose),
-    Watch(Watcher, String),
+    Watch(Box<Watcher>, String),
 }
 
 impl Interface {
@@ -123,6 +134,7 @@
             objects,
             open_max: settings.open_requests,
             next: AtomicU64::new(1),
+            runtime: runtime.clone(),
             state: Mutex::default(),
             idle: Condvar::new(),
             server,
@@ -177,6 +189,7 @@
     /// Waits until all open requests are answered and written, at most for `bound`. Then answers the remaining ones with
     /// `Unknown` and stops. Returns whether all were answered in time.
     pub fn finish(&self, bound: Duration) -> bool {
+        let deadline = Instant::now() + bound;
         let complete = self.shared.wait_idle(bound);
         let left: Vec<Pending> = {
             let mut state = self.shared.lock();
@@ -189,6 +202,10 @@
             self.shared.deliver(pending, Err(Problem::new(Kind::Unknown, message)));
         }
         let _ = complete || self.shared.wait_idle(LAST_ANSWERS);
+        if let Some(gate) = self.shared.gate.get() {
+            let left = deadline.saturating_duration_since(Instant::now());
+            gate.finish(left.max(LAST_ANSWERS));
+        }
         self.shared.stop();
         complete
     }
@@ -212,6 +229,30 @@
         }
     }
 
+    /// Closes the connection unless the returned timer is dropped within [`BODY_TIMEOUT`].
+    fn limit_body(self: &Arc<Shared>, connection: ConnectionId) -> Timer {
+        Timer(self.close_after(BODY_TIMEOUT, connection))
+    }
+
+    /// Closes the connection after [`LINGER`].
+    fn close_later(self: &Arc<Shared>, connection: ConnectionId) {
+        drop(self.close_after(LINGER, connection));
+    }
+
+    fn close_after(
+        self: &Arc<Shared>,
+        pause: Duration,
+        connection: ConnectionId,
+    ) -> JoinHandle<()> {
+        let shared = Arc::downgrade(self);
+        self.runtime.spawn(async move {
+            tokio::time::sleep(pause).await;
+            if let Some(shared) = shared.upgrade() {
+                shared.set(connection, Mode::Closed);
+            }
+        })
+    }
+
     /// Whether a caller's connection is open.
     fn is_open(&self, connection: ConnectionId) -> bool {
         self.gate.get().is_some_and(|gate| gate.is_open(connection))
@@ -230,11 +271,19 @@
         }
     }
 
-    fn refuse(&self, request: HttpRequest, connection: ConnectionId, problem: Problem) {
+    fn refuse(
+        self: &Arc<Shared>,
+        request: HttpRequest,
+        connection: ConnectionId,
+        problem: Problem,
+    ) {
         let body = serde_json::to_vec(&problem).unwrap_or_default();
+        let timer = self.limit_body(connection);
         let refused = self.refusals.execute(Box::new(move || {
-            let response = tiny_http::Response::from_data(body);
-            let _ = request.respond(response.with_status_code(problem.kind.status()));
+            let _timer = timer;
+            let headers = &[("Content-Type", "application/json")];
+            let message = Message { status: problem.kind.status(), headers, body: &body };
+            let _ = respond(request, false, &message);
         }));
         if !refused {
             self.set(connection, Mode::Closed);
@@ -272,7 +321,9 @@
     fn watch(&self, watcher: Watcher, key: String, from: Revision) {
         let request = Request::Watch { from, wait: WAIT_DEFAULT };
         let call = Call { key: key.clone(), request };
-        if let Err(Pending::Watch(watcher, _)) = self.ask(Pending::Watch(watcher, key), call) {
+        if let Err(Pending::Watch(watcher, _)) =
+            self.ask(Pending::Watch(Box::new(watcher), key), call)
+        {
             watcher.end(&draining());
         }
     }
@@ -325,7 +376,7 @@
         };
         let call = Call { key: key.clone(), request: *request };
         let pending = match purpose {
-            Purpose::Stream => Pending::Watch(Watcher::New(exchange), key),
+            Purpose::Stream => Pending::Watch(Box::new(Watcher::New(exchange)), key),
             purpose => Pending::Single(exchange, purpose),
         };
         match self.ask(pending, call) {
@@ -384,6 +435,15 @@
     }
 }
 
+/// Stops a task when it is dropped.
+struct Timer(JoinHandle<()>);
+
+impl Drop for Timer {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 enum Admission {
     Admitted,
     Full,
--- a/crates/shallotpost-edge/src/http/objects.rs
+++ b/crates/shallotpost-edge/src/http/objects.rs
@@ -75,7 +75,13 @@
     let result = request.send(SendBody::from_reader(&mut body));
     match (body.failed, result) {
         (Some(problem), _) => Err(problem),
-        (None, Ok(response)) => stored(response),
+        (None, Ok(response)) => {
+            let object = stored(response);
+            if object.is_ok() {
+                exchange.set_read();
+            }
+            object
+        }
         (None, Err(error)) => Err(unreachable(&error)),
     }
 }
--- a/crates/shallotpost-edge/src/http/watch.rs
+++ b/crates/shallotpost-edge/src/http/watch.rs
@@ -58,7 +58,7 @@
             Watcher::New(exchange) => exchange.problem(problem),
             Watcher::Open(mut stream) => {
                 // A failed write means that the caller left.
-                let written = line(&mut stream, &Failed { problem });
+                let written = line(&Failed { problem }).and_then(|text| stream.chunk(&text));
                 let _ = written.and_then(|()| stream.finish_chunked());
             }
         }
@@ -74,17 +74,16 @@
 
 /// Writes the changes, or an empty line that shows the caller a live connection.
 fn lines<T: Serialize>(mut stream: Stream, changes: &[T]) -> io::Result<Stream> {
-    if changes.is_empty() {
-        stream.chunk(b"\n")?;
-    }
-    for change in changes {
-        line(&mut stream, change)?;
+    let lines = changes.iter().map(line).collect::<io::Result<Vec<_>>>()?;
+    match lines.is_empty() {
+        true => stream.chunk(b"\n")?,
+        false => stream.chunk(&lines.concat())?,
     }
     Ok(stream)
 }
 
-fn line<T: Serialize>(stream: &mut Stream, value: &T) -> io::Result<()> {
+fn line<T: Serialize>(value: &T) -> io::Result<Vec<u8>> {
     let mut text = serde_json::to_vec(value)?;
     text.push(b'\n');
-    stream.chunk(&text)
+    Ok(text)
 }
--- /dev/null
+++ b/crates/shallotpost-edge/tests/answer_delay.rs
@@ -0,0 +1,54 @@
+//! Answers beyond one buffer are not held back by delayed acknowledgements.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::thread;
+
+use shallotpost_protocol::port::Effect;
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::table::{Request, Write};
+use support::{Bench, PATIENCE, agent};
+
+/// Half of the delayed acknowledgement of 40 ms.
+const LIMIT: Duration = Duration::from_millis(20);
+
+fn fastest(mut trip: impl FnMut()) -> Duration {
+    let time = |_| {
+        let started = Instant::now();
+        trip();
+        started.elapsed()
+    };
+    (0..20).map(time).min().unwrap()
+}
+
+/// Guards against answers that are written in two parts; each such round trip takes 40 ms, so the fastest one tells.
+#[test]
+fn answers_are_written_at_once() {
+    let bench = Bench::start();
+    let table = |request| {
+        bench.edge.execute(Effect::Table { call: 1, request, timeout: PATIENCE });
+        bench.event();
+    };
+    let agent = agent();
+    for length in [1500, 6000] {
+        let value = Some("x".repeat(length));
+        let writes = vec![Write { key: "a".to_owned(), value }];
+        table(Request::Transact { checks: Vec::new(), writes });
+        let read = fastest(|| table(Request::Read { keys: vec!["a".to_owned()] }));
+        assert!(read < LIMIT, "table, {length} bytes: {read:?}");
+        let call = fastest(|| {
+            thread::scope(|scope| {
+                let caller = scope.spawn(|| {
+                    let mut response = agent.get(bench.url("/v1/status")).call().unwrap();
+                    response.body_mut().read_to_vec().unwrap()
+                });
+                let (request, _) = bench.request();
+                let message = "x".repeat(length);
+                bench.answer(request, Err(Problem::new(ProblemKind::NotFound, message)));
+                assert!(caller.join().unwrap().len() > length);
+            });
+        });
+        assert!(call < LIMIT, "interface, {length} bytes: {call:?}");
+    }
+}
--- a/crates/shallotpost-edge/tests/call_faults.rs
+++ b/crates/shallotpost-edge/tests/call_faults.rs
@@ -12,7 +12,7 @@
 use shallotpost_protocol::table::{Check, Reply, Request, Write as RowWrite};
 use shallotpost_protocol::{list, worker};
 use shallotpost_standin::fault::Fault;
-use support::{Bench, PATIENCE, any_port};
+use support::{Bench, PATIENCE, any_port, refusing};
 
 /// Timeout of calls that are expected to fail by it.
 const SHORT: Duration = Duration::from_millis(300);
@@ -62,8 +62,11 @@
 /// Guards against a refused connection that counts as ambiguous, which would block the id of a submission.
 #[test]
 fn a_refused_connection_is_not_sent() {
-    let bench = Bench::start();
-    bench.platform.stop();
+    let (_socket, address) = refusing();
+    let bench = Bench::with(|settings| {
+        settings.table_url = format!("http://{address}/table");
+        settings.list_url = format!("http://{address}/list");
+    });
     send(&bench, 1, create("a"), PATIENCE);
     assert_eq!(table_event(&bench), (1, Err(Failure::NotSent)));
     bench.edge.execute(Effect::List { call: 2, timeout: PATIENCE });
--- a/crates/shallotpost-edge/tests/http_requests.rs
+++ b/crates/shallotpost-edge/tests/http_requests.rs
@@ -23,7 +23,8 @@
     stream.write_all(request).unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).unwrap();
-    let status = answer.split(' ').nth(1).unwrap().parse().unwrap();
+    let status = answer.split(' ').nth(1).unwrap_or_else(|| panic!("no answer: {answer:?}"));
+    let status = status.parse().unwrap();
     (status, answer.split_once("\r\n\r\n").unwrap().1.to_owned())
 }
 
--- a/crates/shallotpost-edge/tests/object_streams.rs
+++ b/crates/shallotpost-edge/tests/object_streams.rs
@@ -12,7 +12,7 @@
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::work::Object;
 use shallotpost_standin::fault::Fault;
-use support::{Bench, PATIENCE, agent};
+use support::{Bench, PATIENCE, agent, refusing};
 
 const NAME: &str = "fish/catch";
 const PATH: &str = "/v1/objects/fish/catch";
@@ -111,7 +111,7 @@
     let (status, answer) = put(&bench, &content, &digest(b"something else"));
     assert_eq!(status, 400, "{answer}");
     assert!(bench.platform.objects().get(NAME).is_none());
-    let get = |result: Result<Reply, Problem>| {
+    let get = |bench: &Bench, result: Result<Reply, Problem>| {
         thread::scope(|scope| {
             let caller =
                 scope.spawn(|| agent().get(bench.url(PATH)).call().unwrap().status().as_u16());
@@ -120,10 +120,12 @@
             caller.join().unwrap()
         })
     };
-    assert_eq!(get(Err(Problem::new(ProblemKind::Forbidden, "no"))), 403);
-    assert_eq!(get(Ok(Reply::Allowed)), 404);
-    bench.platform.stop();
-    assert_eq!(get(Ok(Reply::Allowed)), 503);
+    assert_eq!(get(&bench, Err(Problem::new(ProblemKind::Forbidden, "no"))), 403);
+    assert_eq!(get(&bench, Ok(Reply::Allowed)), 404);
+    let (_socket, address) = refusing();
+    let unreachable =
+        Bench::with(|settings| settings.object_url = format!("http://{address}/objects"));
+    assert_eq!(get(&unreachable, Ok(Reply::Allowed)), 503);
 }
 
 /// Guards against a download that broke and looks complete.
@@ -135,7 +137,7 @@
     bench.platform.fault(&Fault { truncate_answers: Some(1), ..Fault::default() });
     let result = thread::scope(|scope| {
         let caller = scope.spawn(|| {
-            let response = agent().get(bench.url(PATH)).call().unwrap();
+            let response = agent().get(bench.url(PATH)).call()?;
             assert_eq!(response.status().as_u16(), 200);
             response.into_body().read_to_vec()
         });
--- a/crates/shallotpost-edge/tests/support/mod.rs
+++ b/crates/shallotpost-edge/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use shallotpost_protocol::prelude::*;
 use shallotpost_standin::hub::{Hub, Server};
 use shallotpost_standin::platform::Platform;
+use tokio::net::TcpSocket;
 
 /// Longer than anything that a passing test waits for.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -20,6 +21,14 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A socket that is bound and does not listen, so that its port refuses connections and no other process takes it.
+pub fn refusing() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(any_port()).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
 pub struct Bench {
     pub edge: Edge,
     pub events: Mutex<Receiver<Event>>,
--- a/crates/shallotpost-standin/src/hub.rs
+++ b/crates/shallotpost-standin/src/hub.rs
@@ -14,8 +14,9 @@
 use serde::Serialize;
 use shallotpost_edge::driver::Driver;
 use shallotpost_edge::gate::{ConnectionId, Gate, Limits as GateLimits, Mode, Observer};
+use shallotpost_edge::http::message::{self, Message};
 use shallotpost_edge::pool::{Limits, Pool};
-use tiny_http::{Header, Method, Request, Response, Server as HttpServer};
+use tiny_http::{Method, Request, Server as HttpServer};
 
 use crate::fault::{Fault, Switches, Verdict};
 
@@ -222,7 +223,7 @@
         let path = request.url().to_owned();
         if (&method, path.as_str()) == (&Method::Post, "/fault") {
             let answer = self.change(connection, &mut request);
-            return respond(request, &answer);
+            return respond(request, false, &answer);
         }
         let verdict = self.lock().decide();
         if verdict.lost_before {
@@ -236,7 +237,8 @@
         match verdict {
             Verdict { lost_after: true, .. } => self.close(connection),
             Verdict { truncated: true, .. } => self.truncate(connection, request, &answer),
-            _ => respond(request, &answer),
+            // A call that succeeded has read its whole body.
+            _ => respond(request, answer.status == 200, &answer),
         }
     }
 
@@ -283,15 +285,10 @@
     }
 }
 
-fn respond(request: Request, answer: &Answer) {
-    let length = answer.body.len();
-    let response =
-        Response::new(answer.status.into(), Vec::new(), &answer.body[..], Some(length), None);
-    let mut response = response.with_chunked_threshold(usize::MAX);
-    for (name, value) in &answer.headers {
-        if let Ok(header) = Header::from_bytes(*name, value.as_bytes()) {
-            response.add_header(header);
-        }
-    }
-    let _ = request.respond(response);
+fn respond(request: Request, read: bool, answer: &Answer) {
+    let headers: Vec<(&str, &str)> =
+        answer.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
+    let message = Message { status: answer.status, headers: &headers, body: &answer.body };
+    // A failed write means that the caller left.
+    let _ = message::respond(request, read, &message);
 }
