End the bounded start rate in time, keep gangs off workers where they failed, preempt whole gangs

The bound on starts ended only with the next timer of the worker, so gangs saw room for one part on returned workers for good. A gang restarted on the same failing worker for ever. Tasks whose stop was requested no longer count as use of their team when more is reclaimed.

--- a/crates/shallotpost-policy/src/claim.rs
+++ b/crates/shallotpost-policy/src/claim.rs
@@ -82,7 +82,7 @@
             return true;
         }
         let mut after = *booked;
-        after.subtract(&record.job.size);
+        after.subtract(&record.size_at_once());
         match self.urgent {
             true => self.level(account, booked) > self.fair_level(),
             false => self.level(account, &after) >= self.floor,
@@ -107,7 +107,9 @@
         let Some(record) = self.jobs.get(key.0) else { return false };
         let account = &self.teams.accounts[record.team];
         let running = matches!(self.state(key), Some(TaskState::Booked { stopping: false, .. }));
-        running && record.victim_rank().is_some() && judge.allows(account, &account.booked, record)
+        running
+            && record.victim_rank().is_some()
+            && judge.allows(account, &account.staying(), record)
     }
 
     /// Starts tasks whose room has become free, stops what did not save its progress in time, and drops old claims.
@@ -211,7 +213,7 @@
     fn cheapest_host(&self, size: &Size, judge: &Judge) -> Option<(usize, Vec<Key>)> {
         let mut over: Vec<(f64, usize)> = Vec::new();
         for (slot, account) in self.teams.accounts.iter().enumerate() {
-            let excess = account.level(&judge.total) - judge.fair_level();
+            let excess = judge.level(account, &account.staying()) - judge.fair_level();
             let gives = excess > 0.0 || judge.own == Some(slot);
             if gives && !account.victims.is_empty() {
                 over.push((excess, slot));
@@ -263,17 +265,30 @@
                 break;
             }
             let Some(record) = self.jobs.get(key.0) else { continue };
+            if victims.contains(&key) {
+                room.add(&record.job.size);
+                continue;
+            }
             let account = &self.teams.accounts[record.team];
-            let held = booked.entry(record.team).or_insert(account.booked);
+            let held = booked.entry(record.team).or_insert(account.staying());
             if judge.allows(account, held, record) {
-                held.subtract(&record.job.size);
+                held.subtract(&record.size_at_once());
                 room.add(&record.job.size);
-                victims.push(key);
+                victims.extend(self.ends_with(key));
             }
         }
         room.holds(size).then_some(victims)
     }
 
+    /// The task, or all running parts of its gang.
+    fn ends_with(&self, key: Key) -> Vec<Key> {
+        let Some(record) = self.jobs.get(key.0).filter(|record| record.is_gang()) else {
+            return vec![key];
+        };
+        let parts = (0..record.tasks.len() as u32).map(|index| (key.0, index));
+        parts.filter(|part| matches!(self.state(*part), Some(TaskState::Booked { .. }))).collect()
+    }
+
     pub(crate) fn stop_victims(&mut self, round: &mut Round, victims: &[Key], mode: Mode) {
         for key in victims {
             let Some(TaskState::Booked { host, stopping, .. }) = self.state(*key) else { continue };
--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -253,6 +253,7 @@
         let victim = rank.map(|rank| (rank, std::cmp::Reverse(*sequence), key));
         let account = &mut self.teams.accounts[record.team];
         victim.map(|victim| account.victims.remove(&victim));
+        account.stopping.add(&record.job.size);
         self.fleet.hosts[*host].stopping.add(&record.job.size);
         Some(*host)
     }
@@ -344,6 +345,9 @@
         }
         let account = &mut self.teams.accounts[team];
         account.booked.subtract(&size);
+        if stopping {
+            account.stopping.subtract(&size);
+        }
         account.running_tasks -= 1;
         rank.map(|rank| account.victims.remove(&(rank, std::cmp::Reverse(sequence), key)));
         self.fleet.unbook(host, key, &size, stopping);
--- a/crates/shallotpost-policy/src/explain.rs
+++ b/crates/shallotpost-policy/src/explain.rs
@@ -91,12 +91,12 @@
         let paused = self.fleet.hosts.iter().filter(|host| host.is_paused()).count();
         if record.is_gang() {
             self.find_gang_room(now, slot, record, findings);
-        } else if self.find_all(&size, 1).1 > 0 {
-            let free = self.fleet.largest_free();
+        } else if self.find_all(slot, &size, 1).1 > 0 {
+            let free = self.fleet.largest_free_with(size.accelerators);
             let resource = lacking(&size, &Sum::from(&free));
             findings.add(
                 format!(
-                    "no worker has {} free; {resource} is short, the most that is free anywhere is {}",
+                    "no worker has {} free; {resource} is short, the most of each that is free on such workers is {}",
                     text(&size),
                     text(&free)
                 ),
@@ -132,7 +132,7 @@
             );
             return;
         }
-        let (_, missing) = self.find_all(&record.job.size, parts);
+        let (_, missing) = self.find_all(slot, &record.job.size, parts);
         match self.reservations.iter().find(|reservation| reservation.slot == slot) {
             Some(reservation) => {
                 let left = reservation.until.saturating_duration_since(now).as_secs();
--- a/crates/shallotpost-policy/src/fleet.rs
+++ b/crates/shallotpost-policy/src/fleet.rs
@@ -279,7 +279,13 @@
 
     /// Largest amount of each resource that is free on one worker.
     pub(crate) fn largest_free(&self) -> Size {
-        let roots = self.pools.values().map(|pool| complement(pool.index.root()));
+        self.largest_free_with(0)
+    }
+
+    /// The same for the workers with at least some number of accelerators.
+    pub(crate) fn largest_free_with(&self, accelerators: u64) -> Size {
+        let pools = self.pools.range(accelerators..);
+        let roots = pools.map(|(_, pool)| complement(pool.index.root()));
         roots.fold(Size::ZERO, |largest, root| largest.max(&root))
     }
 
@@ -458,6 +464,7 @@
         host.returning_until = Some(now + RETURN_TIME);
         host.paused_until = Some(now + self.spacing);
         self.timers.insert((now + self.spacing, slot));
+        self.timers.insert((now + RETURN_TIME, slot));
         self.refresh(slot);
     }
 }
--- a/crates/shallotpost-policy/src/jobs.rs
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -56,10 +56,16 @@
             _ if !self.job.preemptible => None,
             Class::Batch => Some(0),
             Class::Service { .. } => Some(1),
-            Class::Gang { .. } | Class::Urgent => None,
+            Class::Gang { .. } => Some(2),
+            Class::Urgent => None,
         }
     }
 
+    /// What ends together with one of its running tasks: all running parts of a gang.
+    pub(crate) fn size_at_once(&self) -> Size {
+        if self.is_gang() { self.job.size.times(u64::from(self.booked)) } else { self.job.size }
+    }
+
     /// Whether it is a service.
     pub(crate) fn is_service(&self) -> bool {
         matches!(self.job.class, Class::Service { .. })
--- a/crates/shallotpost-policy/src/reserve.rs
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -23,13 +23,13 @@
 /// Workers that one attempt looks at for each task.
 const HOSTS_PER_TASK: usize = 4;
 /// Wait after which a gang may get a reservation.
-const GANG_PATIENCE: Duration = Duration::from_secs(1);
+const GANG_PATIENCE: Duration = Duration::from_secs(30);
 /// Wait after which urgent work may get one; until then, running tasks are asked to make way.
 const URGENT_PATIENCE: Duration = Duration::from_millis(500);
 /// Wait after which another task may get one.
 const TASK_PATIENCE: Duration = Duration::from_secs(20);
 /// Part of any resource that reservations may hold together; a single one may hold more.
-const HELD_PART_MAX: f64 = 0.1;
+const HELD_PART_MAX: f64 = 0.05;
 
 /// Room that is held for tasks of one job that start together.
 #[derive(Clone, Debug)]
@@ -54,7 +54,8 @@
             return false;
         }
         let enough = self.fleet.has_in_total(&size.times(parts));
-        let (hosts, missing) = if enough { self.find_all(&size, parts) } else { (vec![], parts) };
+        let (hosts, missing) =
+            if enough { self.find_all(slot, &size, parts) } else { (vec![], parts) };
         if missing > 0 {
             let version = self.fleet.version;
             self.jobs.get_mut(slot).into_iter().for_each(|record| record.tried = version);
@@ -178,15 +179,14 @@
         let account = &self.teams.accounts[team];
         let entitled = judge.level(account, &account.booked) < judge.fair_level();
         let judge = &judge.for_level(judge.level(account, &after));
-        let Some(hosts) = self.soonest_hosts(round.now, judge, entitled, &size, count) else {
+        let Some(hosts) = self.soonest_hosts(round.now, judge, entitled, slot, count) else {
             return false;
         };
         let mut victims = Vec::new();
         for (host, parts) in &hosts {
             let needed = size.times(*parts);
-            if entitled && let Some(more) = self.victims_on(*host, &needed, judge) {
-                let left = round.left();
-                let more: Vec<Key> = more.into_iter().take(left).collect();
+            let more = self.victims_on(*host, &needed, judge);
+            if let Some(more) = more.filter(|more| entitled && more.len() <= round.left()) {
                 self.stop_victims(round, &more, Mode::Checkpoint);
                 victims.extend(more);
             }
@@ -284,9 +284,10 @@
         now: Instant,
         judge: &Judge,
         entitled: bool,
-        size: &Size,
+        job: usize,
         tasks: u64,
     ) -> Option<Vec<(usize, u64)>> {
+        let size = &self.jobs.get(job)?.job.size;
         let mut offers: Vec<(Duration, usize)> = Vec::new();
         let mut looked = 0;
         let most = HOSTS_MAX.max(HOSTS_PER_TASK * tasks as usize);
@@ -294,7 +295,8 @@
         let hosts = (self.reserve_from % self.fleet.hosts.len()..).zip(after);
         for (slot, host) in hosts.chain(before.iter().enumerate()) {
             let fits = size.fits_in(&host.capacity);
-            if !fits || !host.known || !host.open || host.health.is_restricted() {
+            let open = host.known && host.open && !host.health.is_restricted();
+            if !fits || !open || !self.may_place((job, 0), slot) {
                 continue;
             }
             looked += 1;
--- a/crates/shallotpost-policy/src/search.rs
+++ b/crates/shallotpost-policy/src/search.rs
@@ -106,18 +106,26 @@
     }
 
     /// Workers with room for `parts` tasks now, with the number of tasks for each; fewer than asked for where room lacks.
-    pub(crate) fn find_all(&self, size: &Size, parts: u64) -> (Vec<(usize, u64)>, u64) {
+    pub(crate) fn find_all(
+        &self,
+        slot: usize,
+        size: &Size,
+        parts: u64,
+    ) -> (Vec<(usize, u64)>, u64) {
         let mut found = Vec::new();
         let mut left = parts;
         if left == 0 {
             return (found, 0);
         }
-        self.fleet.visit(size, 0, &mut |slot| {
-            let host = &self.fleet.hosts[slot];
+        self.fleet.visit(size, 0, &mut |position| {
+            let host = &self.fleet.hosts[position];
+            if !self.may_place((slot, 0), position) {
+                return Visit::Next;
+            }
             let room = host.free().map_or(0, |free| copies(&free, size));
             let count = room.min(host.starts_max()).min(left);
             if count > 0 {
-                found.push((slot, count));
+                found.push((position, count));
                 left -= count;
             }
             if left == 0 { Visit::Stop } else { Visit::Next }
--- a/crates/shallotpost-policy/src/teams.rs
+++ b/crates/shallotpost-policy/src/teams.rs
@@ -30,6 +30,8 @@
     /// `None` while the team is not known; it then gets no starts.
     pub(crate) grant: Option<Size>,
     pub(crate) booked: Sum,
+    /// Part of `booked` whose stop was requested.
+    pub(crate) stopping: Sum,
     pub(crate) waiting: Sum,
     pub(crate) waiting_tasks: u64,
     pub(crate) running_tasks: u64,
@@ -50,6 +52,7 @@
             share: 1,
             grant: None,
             booked: Sum::default(),
+            stopping: Sum::default(),
             waiting: Sum::default(),
             waiting_tasks: 0,
             running_tasks: 0,
@@ -77,6 +80,11 @@
         self.booked.size().dominant_part(total)
     }
 
+    /// What stays booked once all requested stops are confirmed.
+    pub(crate) fn staying(&self) -> Sum {
+        self.booked.less(&self.stopping)
+    }
+
     /// Dominant part over the weight; the lowest is served first.
     pub(crate) fn level(&self, total: &Size) -> f64 {
         self.dominant(total) / f64::from(self.share)
