Test the policy by feature, judge faulty work by distinct workers, name over-declared work

Found by the new tests: urgent work with a claim got a reservation on top and stopped twice as many tasks as needed; many faulty jobs together kept the workers in quarantine that they had failed on, as failures on a worker in quarantine did not count against the work.

--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    pub(crate) fn report(&mut self, task: &Task, usage: &Size) {
+        let slot = self.jobs.slot(&task.work);
+        if let Some(record) = slot.and_then(|slot| self.jobs.get_mut(slot)) {
+            record.used = Some(record.used.map_or(*usage, |used| used.max(usage)));
+        }
+    }
+
     pub(crate) fn set_open(&mut self, now: Instant, open: bool) {
         if open && !self.open {
             self.fleet.bound_starts(now);
--- a/crates/shallotpost-policy/src/evidence.rs
+++ b/crates/shallotpost-policy/src/evidence.rs
@@ -27,20 +27,15 @@
         let health = &mut self.fleet.hosts[host].health;
         health.fail(work);
         match health.state {
-            State::Probing { .. } => {
-                health.proved = false;
-                self.quarantine(now, host);
-            }
+            State::Probing { .. } => self.quarantine(now, host),
             State::Good => self.quarantine_suspect(now, host),
             State::Quarantined { .. } => {}
         }
     }
 
-    /// Whether the work failed on so many healthy workers that it is the cause itself.
+    /// Whether the work failed on so many workers that it is the cause itself.
     pub(crate) fn is_faulty(&self, slot: usize) -> bool {
-        let Some(record) = self.jobs.get(slot) else { return false };
-        let trusted = |host: &&usize| self.fleet.hosts[**host].health.is_trusted();
-        record.failed_on.iter().filter(trusted).count() >= FAULTY_WORKERS
+        self.jobs.get(slot).is_some_and(|record| record.failed_on.len() >= FAULTY_WORKERS)
     }
 
     fn quarantine_suspect(&mut self, now: Instant, host: usize) {
--- a/crates/shallotpost-policy/src/explain.rs
+++ b/crates/shallotpost-policy/src/explain.rs
@@ -11,6 +11,9 @@
 /// Names of the resources, in the order of `Size::parts`.
 const RESOURCES: [&str; 4] = ["processors", "memory", "accelerators", "slots"];
 
+/// Part of the declared amount below which the rest counts as waste. Tasks need some margin above their usual use.
+const WASTE_PART: f64 = 0.5;
+
 #[derive(Default)]
 struct Findings {
     reasons: Vec<String>,
@@ -33,6 +36,7 @@
         if phase == Phase::Waiting {
             self.find_reasons(now, slot, record, &mut findings);
         }
+        find_waste(record, &mut findings);
         let Findings { reasons, remedies } = findings;
         Some(Explanation { work: work.clone(), phase, reasons, remedies })
     }
@@ -189,6 +193,24 @@
     }
 }
 
+/// Names the resource of which the work declares much more than its tasks were seen to use.
+fn find_waste(record: &Record, findings: &mut Findings) {
+    let Some(used) = record.used else { return };
+    let declared = record.job.size;
+    let parts = declared.parts().into_iter().zip(used.parts());
+    let part = |(declared, used): (u64, u64)| used as f64 / declared.max(1) as f64;
+    // Slots are counted, not used.
+    let parts = RESOURCES[..3].iter().zip(parts).filter(|(_, parts)| parts.0 > 0);
+    let least = parts.map(|(name, parts)| (part(parts), name));
+    let Some((part, name)) = least.min_by(|left, right| left.0.total_cmp(&right.0)) else { return };
+    if part < WASTE_PART {
+        findings.add(
+            format!("its tasks used at most {:.0}% of the {name} that they declare", part * 100.0),
+            format!("declare less {name}"),
+        );
+    }
+}
+
 fn phase(record: &Record) -> Phase {
     let stopping =
         record.tasks.iter().any(|task| matches!(task, TaskState::Booked { stopping: true, .. }));
--- a/crates/shallotpost-policy/src/health.rs
+++ b/crates/shallotpost-policy/src/health.rs
@@ -7,7 +7,8 @@
 /// Most doublings of the quarantine.
 const DOUBLINGS_MAX: u32 = 6;
 
-/// Distinct healthy workers on which work must fail before it counts as faulty itself.
+/// Distinct workers on which work must fail before it counts as faulty itself. Few workers fail everything, and work is
+/// kept off workers where it failed, so sound work seldom meets that many of them.
 pub(crate) const FAULTY_WORKERS: usize = 3;
 
 /// Whether a worker may get tasks.
@@ -30,16 +31,9 @@
     pub(crate) failures: Vec<(u64, usize)>,
     /// Quarantines since the last success.
     pub(crate) repeats: u32,
-    /// Whether it succeeded with a task since its last failed probe.
-    pub(crate) proved: bool,
 }
 
 impl Health {
-    /// Whether its failures are evidence against the work that failed.
-    pub(crate) fn is_trusted(&self) -> bool {
-        self.state == State::Good || self.proved
-    }
-
     /// Whether it gets no task, or at most one.
     pub(crate) fn is_restricted(&self) -> bool {
         self.state != State::Good
@@ -47,7 +41,7 @@
 
     /// Takes note of a success.
     pub(crate) fn succeed(&mut self) {
-        *self = Health { proved: true, ..Health::default() };
+        *self = Health::default();
     }
 
     /// Takes note of failed work.
--- a/crates/shallotpost-policy/src/jobs.rs
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -34,6 +34,8 @@
     pub(crate) racks: BTreeMap<usize, u32>,
     /// Workers on which it failed.
     pub(crate) failed_on: BTreeSet<usize>,
+    /// Most of each resource that a task was seen to use.
+    pub(crate) used: Option<Size>,
     /// Whether it is forgotten once its last booking is released.
     pub(crate) finished: bool,
     /// Version of the free capacity at the last attempt to place the whole gang; 0 before the first.
@@ -112,6 +114,7 @@
             booked: 0,
             racks: BTreeMap::new(),
             failed_on: BTreeSet::new(),
+            used: None,
             finished: false,
             tried: 0,
             queued: now,
--- a/crates/shallotpost-policy/src/planner.rs
+++ b/crates/shallotpost-policy/src/planner.rs
@@ -163,8 +163,11 @@
         self.engine.finish(work);
     }
 
-    /// Takes note of measured use, which lags by some seconds.
-    pub fn report(&mut self, _now: Instant, _task: &Task, _usage: &Size) {}
+    /// Takes note of measured use, which lags by some seconds. Bookings stay at the declared size; `explain` names work that
+    /// declares much more than it uses.
+    pub fn report(&mut self, _now: Instant, task: &Task, usage: &Size) {
+        self.engine.report(task, usage);
+    }
 
     /// Opens or closes the whole shard for starts; closed while its data centre is drained.
     pub fn set_open(&mut self, now: Instant, open: bool) {
--- a/crates/shallotpost-policy/src/reserve.rs
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -116,7 +116,8 @@
     fn next_starving(&self, now: Instant, team: usize) -> Option<(usize, Vec<u32>)> {
         let account = &self.teams.accounts[team];
         let may = |slot: usize, patience: Duration| {
-            let reserved = self.reservations.iter().any(|reservation| reservation.slot == slot);
+            let reserved = self.reservations.iter().any(|reservation| reservation.slot == slot)
+                || self.claims.iter().any(|claim| claim.key.0 == slot);
             let record = self.jobs.get(slot).filter(|_| !reserved);
             record.is_some_and(|record| {
                 record.queued + patience <= now && record.reserve_at.is_none_or(|at| at <= now)
@@ -141,7 +142,8 @@
                 from = position + 1;
                 if !may(key.0, patience) {
                     // Tasks behind it have waited less, or are reserved one after the other.
-                    let held = self.reservations.iter().any(|other| other.slot == key.0);
+                    let held = self.reservations.iter().any(|other| other.slot == key.0)
+                        || self.claims.iter().any(|claim| claim.key.0 == key.0);
                     let resting = self.jobs.get(key.0).is_some_and(|it| it.reserve_at.is_some());
                     if held || resting {
                         continue;
--- /dev/null
+++ b/crates/shallotpost-policy/tests/fair_shares.rs
@@ -0,0 +1,137 @@
+//! Shares, grants, borrowing and giving back.
+
+mod common;
+
+use common::*;
+use shallotpost_policy::planner::{Action, Planner};
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::Policy;
+use shallotpost_protocol::work::Class;
+use shallotpost_protocol::worker::Mode;
+
+fn booked_cores(planner: &Planner, team: &str) -> u64 {
+    planner.booked(&team.to_owned()).processors_milli / 1000
+}
+
+/// Confirms all stops and plans again, until nothing changes.
+fn settle(planner: &mut Planner, now: &mut Instant) {
+    for _ in 0..50 {
+        *now += Duration::from_millis(200);
+        for (task, _) in stops(&planner.plan(*now, MANY)) {
+            confirm_stop(planner, &task, *now);
+        }
+    }
+}
+
+/// Guards against shares that ignore the weight, and against a first come, first served split.
+#[test]
+fn full_shard_is_split_by_weight() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 4, now);
+    planner.set_team(now, team("b", 3, unlimited()));
+    submit_batch(&mut planner, "a", "x", 40, size(1, 1, 0), now);
+    submit_batch(&mut planner, "b", "y", 40, size(1, 1, 0), now);
+    planner.plan(now, MANY);
+    assert_eq!(booked_cores(&planner, "a"), 8);
+    assert_eq!(booked_cores(&planner, "b"), 24);
+}
+
+/// Guards against shares of one resource only: team `b` is limited by memory, not by processors.
+#[test]
+fn share_counts_the_dominant_resource() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 4, now);
+    submit_batch(&mut planner, "a", "x", 40, size(2, 1, 0), now);
+    submit_batch(&mut planner, "b", "y", 40, size(1, 8, 0), now);
+    planner.plan(now, MANY);
+    let (first, second) = (planner.booked(&"a".to_owned()), planner.booked(&"b".to_owned()));
+    let processors = first.processors_milli as f64 / 32_000.0;
+    let memory = second.memory_mib as f64 / (128.0 * 1024.0);
+    assert!((processors - memory).abs() <= 0.13, "processors {processors}, memory {memory}");
+}
+
+/// Guards against idle capacity beside a waiting team, and against keeping it from its owner: only as much as the other
+/// team is entitled to comes back, by checkpoints.
+#[test]
+fn borrowed_capacity_is_given_back() {
+    let mut now = Instant::now();
+    let mut planner = shard(&Policy::default(), 4, now);
+    submit_batch(&mut planner, "a", "x", 40, size(1, 1, 0), now);
+    planner.plan(now, MANY);
+    assert_eq!(booked_cores(&planner, "a"), 32);
+    submit_batch(&mut planner, "b", "y", 40, size(1, 1, 0), now);
+    let actions = planner.plan(now, MANY);
+    assert!(!stops(&actions).is_empty());
+    assert!(
+        stops(&actions)
+            .iter()
+            .all(|(task, mode)| { task.work.team == "a" && *mode == Mode::Checkpoint })
+    );
+    for (task, _) in stops(&actions) {
+        confirm_stop(&mut planner, &task, now);
+    }
+    settle(&mut planner, &mut now);
+    assert_eq!((booked_cores(&planner, "a"), booked_cores(&planner, "b")), (16, 16));
+    now += Duration::from_secs(5);
+    assert_eq!(stops(&planner.plan(now, MANY)), []);
+}
+
+/// Guards against stops of work that cannot be started again.
+#[test]
+fn work_that_is_not_preemptible_keeps_running() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 1, now);
+    for index in 0..8 {
+        let mut fixed = job("a", &format!("x{index}"), Class::Batch, size(1, 1, 0), now);
+        fixed.preemptible = false;
+        planner.submit(now, fixed).expect("fits");
+    }
+    planner.plan(now, MANY);
+    submit_batch(&mut planner, "b", "y", 1, size(1, 1, 0), now);
+    planner.submit(now, job("b", "u", Class::Urgent, size(1, 1, 0), now)).expect("fits");
+    assert_eq!(planner.plan(now, MANY), []);
+}
+
+/// Guards against stops for a team that has its share already.
+#[test]
+fn team_at_its_share_reclaims_nothing() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 2, now);
+    submit_batch(&mut planner, "a", "x", 8, size(1, 1, 0), now);
+    submit_batch(&mut planner, "b", "y", 20, size(1, 1, 0), now);
+    let actions = planner.plan(now, MANY);
+    assert_eq!(starts(&actions).len(), 16);
+    assert_eq!(planner.plan(now + Duration::from_secs(1), MANY), []);
+}
+
+/// Guards against bookings beyond a grant in each resource, and against a grant that stays in force after it was raised.
+#[test]
+fn grant_limits_each_resource() {
+    let cases = [
+        ("processors", capacity(3, 100, 9, 9), 3),
+        ("memory", capacity(100, 2, 9, 9), 2),
+        ("accelerators", capacity(100, 100, 1, 9), 1),
+        ("slots", capacity(100, 100, 9, 4), 4),
+    ];
+    for (resource, grant, expected) in cases {
+        let now = Instant::now();
+        let mut planner = Planner::new(&Policy::default());
+        planner.set_worker(now, worker("w", "r", capacity(8, 32, 8, 8)));
+        planner.set_team(now, team("a", 1, grant));
+        submit_batch(&mut planner, "a", "x", 10, size(1, 1, 1), now);
+        assert_eq!(planner.plan(now, MANY).len(), expected, "{resource}");
+        planner.set_team(now, team("a", 1, unlimited()));
+        assert_eq!(planner.plan(now, MANY).len(), 8 - expected, "{resource} raised");
+    }
+}
+
+/// Guards against starts for a team that the shard does not know.
+#[test]
+fn unknown_team_gets_no_starts() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 1, now);
+    submit_batch(&mut planner, "z", "x", 1, size(1, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY), []);
+    planner.set_team(now, team("z", 1, unlimited()));
+    assert!(matches!(planner.plan(now, MANY)[..], [Action::Start { .. }]));
+}
--- /dev/null
+++ b/crates/shallotpost-policy/tests/urgent_start.rs
@@ -0,0 +1,103 @@
+//! Urgent work starts within the bound.
+
+mod common;
+
+use common::*;
+use shallotpost_policy::planner::Planner;
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::Policy;
+use shallotpost_protocol::work::Class;
+use shallotpost_protocol::worker::Mode;
+
+const STEP: Duration = Duration::from_millis(100);
+/// Time that a task takes to end after a request, with margin.
+const ENDING: Duration = Duration::from_millis(1500);
+
+fn full_shard(now: Instant) -> Planner {
+    let mut planner = shard(&Policy::default(), 2, now);
+    submit_batch(&mut planner, "a", "x", 16, size(1, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY).len(), 16);
+    planner
+}
+
+/// Time from the submission of urgent work until it starts. Tasks end on requests with one of `modes`, and ignore others.
+fn time_to_start(modes: &[Mode], size: Size) -> Option<Duration> {
+    let admitted = Instant::now();
+    let mut planner = full_shard(admitted);
+    planner.submit(admitted, job("b", "u", Class::Urgent, size, admitted)).expect("fits");
+    let mut ending: Vec<(Instant, Task)> = Vec::new();
+    for step in 0..100 {
+        let now = admitted + STEP * step;
+        let due = ending.iter().filter(|(at, _)| *at <= now);
+        due.for_each(|(_, task)| confirm_stop(&mut planner, task, now));
+        ending.retain(|(at, _)| *at > now);
+        let actions = planner.plan(now, MANY);
+        if starts(&actions).iter().any(|(task, _)| task.work.name == "u") {
+            return Some(now - admitted);
+        }
+        let asked = stops(&actions).into_iter().filter(|(_, mode)| modes.contains(mode));
+        ending.extend(asked.map(|(task, _)| (now + ENDING, task)));
+    }
+    None
+}
+
+/// Guards against urgent work that waits for other work to end by itself, and against a lost start when checkpoints are
+/// ignored.
+#[test]
+fn urgent_work_starts_within_the_bound() {
+    let cases = [
+        ("by checkpoint", vec![Mode::Checkpoint], size(1, 1, 0)),
+        ("a whole worker by checkpoint", vec![Mode::Checkpoint], size(8, 8, 0)),
+        ("by stop after ignored checkpoints", vec![Mode::Stop], size(2, 1, 0)),
+    ];
+    for (name, modes, size) in cases {
+        let time = time_to_start(&modes, size).expect(name);
+        assert!(time <= Policy::default().urgent_bound, "{name} took {time:?}");
+    }
+}
+
+/// Guards against stops before a task had time to save its progress, and against more stops than needed.
+#[test]
+fn checkpoint_comes_before_stop() {
+    let now = Instant::now();
+    let mut planner = full_shard(now);
+    planner.submit(now, job("b", "u", Class::Urgent, size(2, 1, 0), now)).expect("fits");
+    let asked = stops(&planner.plan(now, MANY));
+    assert_eq!(asked.len(), 2);
+    assert!(asked.iter().all(|(_, mode)| *mode == Mode::Checkpoint));
+    assert_eq!(planner.plan(now + Duration::from_secs(1), MANY), []);
+    let forced = stops(&planner.plan(now + Duration::from_secs(4), MANY));
+    let expected: Vec<(Task, Mode)> =
+        asked.into_iter().map(|(task, _)| (task, Mode::Stop)).collect();
+    assert_eq!(forced, expected);
+}
+
+/// Guards against the use of capacity before the task on it has ended.
+#[test]
+fn capacity_is_free_only_after_release() {
+    let now = Instant::now();
+    let mut planner = full_shard(now);
+    planner.submit(now, job("b", "u", Class::Urgent, size(1, 1, 0), now)).expect("fits");
+    let asked = stops(&planner.plan(now, MANY));
+    assert_eq!(planner.plan(now + STEP, MANY), []);
+    confirm_stop(&mut planner, &asked[0].0, now + STEP);
+    let started = starts(&planner.plan(now + STEP, MANY));
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].0.work.name, "u");
+}
+
+/// Guards against preemption of a team that is within its share.
+#[test]
+fn team_within_its_share_is_left_alone() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 2, now);
+    submit_batch(&mut planner, "a", "x", 8, size(1, 1, 0), now);
+    for index in 0..8 {
+        let mut fixed = job("b", &format!("y{index}"), Class::Batch, size(1, 1, 0), now);
+        fixed.preemptible = false;
+        planner.submit(now, fixed).expect("fits");
+    }
+    assert_eq!(planner.plan(now, MANY).len(), 16);
+    planner.submit(now, job("b", "u", Class::Urgent, size(1, 1, 0), now)).expect("fits");
+    assert_eq!(planner.plan(now, MANY), []);
+}
--- /dev/null
+++ b/crates/shallotpost-policy/tests/worker_quarantine.rs
@@ -0,0 +1,108 @@
+//! Quarantine and probes of workers; faulty work.
+
+mod common;
+
+use common::*;
+use shallotpost_policy::planner::{Cause, Planner};
+use shallotpost_protocol::prelude::*;
+use shallotpost_protocol::resource::Policy;
+use shallotpost_protocol::work::{Class, Phase};
+
+fn fail(planner: &mut Planner, task: &Task, now: Instant) {
+    planner.release(now, task, Cause::Failed);
+    planner.finish(&task.work);
+}
+
+/// One worker with `count` failed tasks of different work.
+fn failed_worker(count: usize, now: Instant) -> Planner {
+    let mut planner = shard(&Policy::default(), 1, now);
+    submit_batch(&mut planner, "a", "x", count, size(1, 1, 0), now);
+    for (task, _) in starts(&planner.plan(now, MANY)) {
+        fail(&mut planner, &task, now);
+    }
+    planner
+}
+
+/// Guards against a worker that fails everything and so attracts all work, and against a quarantine after fewer failures.
+#[test]
+fn failing_worker_is_quarantined() {
+    let now = Instant::now();
+    for (failures, expected) in [(2, 8), (3, 0)] {
+        let mut planner = failed_worker(failures, now);
+        submit_batch(&mut planner, "a", "y", 8, size(1, 1, 0), now);
+        assert_eq!(planner.plan(now, MANY).len(), expected, "after {failures} failures");
+    }
+}
+
+/// Guards against a probe with more than one task, and against a quarantine that never ends or never grows.
+#[test]
+fn probe_takes_one_task() {
+    let mut now = Instant::now();
+    let mut planner = failed_worker(3, now);
+    submit_batch(&mut planner, "a", "y", 9, size(1, 1, 0), now);
+    now += Duration::from_secs(29);
+    assert_eq!(planner.plan(now, MANY), []);
+    now += Duration::from_secs(1);
+    let probe = starts(&planner.plan(now, MANY));
+    assert_eq!(probe.len(), 1);
+    fail(&mut planner, &probe[0].0, now);
+    now += Duration::from_secs(59);
+    assert_eq!(planner.plan(now, MANY), [], "the quarantine doubles");
+    now += Duration::from_secs(1);
+    let probe = starts(&planner.plan(now, MANY));
+    assert_eq!(probe.len(), 1);
+    complete(&mut planner, &probe[0].0, now);
+    assert_eq!(planner.plan(now, MANY).len(), 7, "the worker is healthy again");
+}
+
+/// Guards against a quarantine of workers that fail now and then.
+#[test]
+fn success_clears_failures() {
+    let now = Instant::now();
+    let mut planner = failed_worker(2, now);
+    submit_batch(&mut planner, "a", "y", 2, size(1, 1, 0), now);
+    let running = starts(&planner.plan(now, MANY));
+    complete(&mut planner, &running[0].0, now);
+    fail(&mut planner, &running[1].0, now);
+    submit_batch(&mut planner, "a", "z", 4, size(1, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY).len(), 4);
+}
+
+/// Guards against faulty work that takes all workers out, and against a retry where it failed before.
+#[test]
+fn faulty_work_quarantines_no_worker() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 6, now);
+    submit_batch(&mut planner, "a", "bad", 6, size(1, 1, 0), now);
+    let mut failed_on: Vec<(Task, WorkerId)> = Vec::new();
+    for attempt in 0..4 {
+        for (task, worker) in starts(&planner.plan(now, MANY)) {
+            let pair = (task.clone(), worker);
+            assert!(!failed_on.contains(&pair), "attempt {attempt} repeats {pair:?}");
+            failed_on.push(pair);
+            planner.release(now, &task, Cause::Failed);
+            planner.requeue(now, &task);
+        }
+    }
+    for index in 0..6 {
+        planner.finish(&work("a", &format!("bad{index}")));
+    }
+    submit_batch(&mut planner, "a", "good", 48, size(1, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY).len(), 48, "all workers take work");
+}
+
+/// Guards against work that fails everywhere and nobody is told.
+#[test]
+fn faulty_work_is_explained() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 4, now);
+    planner.submit(now, job("a", "bad", Class::Batch, size(1, 1, 0), now)).expect("fits");
+    for _ in 0..3 {
+        let started = starts(&planner.plan(now, MANY));
+        planner.release(now, &started[0].0, Cause::Failed);
+        planner.requeue(now, &started[0].0);
+    }
+    let explanation = planner.explain(now, &work("a", "bad")).expect("known");
+    assert_eq!(explanation.phase, Phase::Waiting);
+    assert!(explanation.reasons.iter().any(|reason| reason.contains("failed on 3 workers")));
+}
