--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    pub(crate) fn report(&mut self, task: &Task, usage: &Size) {
+        let slot = self.jobs.slot(&task.work);
+        if let Some(record) = slot.and_then(|slot| self.jobs.get_mut(slot)) {
+            record.used = Some(record.used.map_or(*usage, |used| used.max(usage)));
+        }
+    }
+
     pub(crate) fn set_open(&mut self, now: Instant, open: bool) {
         if open && !self.open {
             self.fleet.bound_starts(now);
@@ -253,6 +260,7 @@
         let victim = rank.map(|rank| (rank, std::cmp::Reverse(*sequence), key));
         let account = &mut self.teams.accounts[record.team];
         victim.map(|victim| account.victims.remove(&victim));
+        account.stopping.add(&record.job.size);
         self.fleet.hosts[*host].stopping.add(&record.job.size);
         Some(*host)
     }
@@ -344,6 +352,9 @@
         }
         let account = &mut self.teams.accounts[team];
         account.booked.subtract(&size);
+        if stopping {
+            account.stopping.subtract(&size);
+        }
         account.running_tasks -= 1;
         rank.map(|rank| account.victims.remove(&(rank, std::cmp::Reverse(sequence), key)));
         self.fleet.unbook(host, key, &size, stopping);
--- a/crates/shallotpost-policy/src/jobs.rs
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -34,6 +34,8 @@
     pub(crate) racks: BTreeMap<usize, u32>,
     /// Workers on which it failed.
     pub(crate) failed_on: BTreeSet<usize>,
+    /// Most of each resource that a task was seen to use.
+    pub(crate) used: Option<Size>,
     /// Whether it is forgotten once its last booking is released.
     pub(crate) finished: bool,
     /// Version of the free capacity at the last attempt to place the whole gang; 0 before the first.
@@ -56,10 +58,16 @@
             _ if !self.job.preemptible => None,
             Class::Batch => Some(0),
             Class::Service { .. } => Some(1),
-            Class::Gang { .. } | Class::Urgent => None,
+            Class::Gang { .. } => Some(2),
+            Class::Urgent => None,
         }
     }
 
+    /// What ends together with one of its running tasks: all running parts of a gang.
+    pub(crate) fn size_at_once(&self) -> Size {
+        if self.is_gang() { self.job.size.times(u64::from(self.booked)) } else { self.job.size }
+    }
+
     /// Whether it is a service.
     pub(crate) fn is_service(&self) -> bool {
         matches!(self.job.class, Class::Service { .. })
@@ -106,6 +114,7 @@
             booked: 0,
             racks: BTreeMap::new(),
             failed_on: BTreeSet::new(),
+            used: None,
             finished: false,
             tried: 0,
             queued: now,
