Bound the cost of conflicts and expiries in group commit

Cause: batches that remained after a conflict were queued with newer ones and sent at once, so conflicts among those led to one transaction after the other, faster than the interval. Expired batches made the queue move all others, each tick. A row of a cap that could not be read was replaced by one without grants.

Change: after a conflict, the remaining batches alone are sent again. Expired batches are dropped in place. An update of a team is refused while the row of its cap cannot be read. Old log rows are deleted 100 per minute instead of 50 per 10 s.

--- a/crates/shallotpost-control/src/commit.rs
+++ b/crates/shallotpost-control/src/commit.rs
@@ -81,6 +81,8 @@
     sent: Instant,
     /// Batches that have no answer yet.
     batches: Vec<Batch>,
+    /// Bytes of all batches at the start.
+    bytes: usize,
     /// Whether a copy may have taken effect, or may still do.
     ambiguous: bool,
     /// Whether a batch expired, so that the transaction must not be sent again.
@@ -231,8 +233,7 @@
         if impossible || matches!(self.phase, Phase::Replaced) {
             return answer(context, &batch, Err(WriteFailure::Overloaded));
         }
-        let in_flight =
-            self.flight.iter().flat_map(|flight| &flight.batches).map(queue::size).sum();
+        let in_flight = self.flight.as_ref().map_or(0, |flight| flight.bytes);
         if let Err(batch) = self.queue.push(batch, in_flight) {
             answer(context, &batch, Err(WriteFailure::Overloaded));
         }
@@ -250,7 +251,10 @@
                 let request = Request::Read { keys: vec![self.key.clone()] };
                 self.phase = Phase::Reading(self.call(context, request));
             }
-            Phase::Ready if self.may_retry(now) && self.is_due(now) => self.begin(context),
+            Phase::Ready if self.may_retry(now) && self.is_due(now) => {
+                let batches = self.queue.take_compatible();
+                self.begin(context, batches)
+            }
             _ => {}
         }
         self.report_drained(context);
@@ -273,16 +277,16 @@
         Call { id: context.call_table(request, self.table_timeout), deadline }
     }
 
-    /// Builds a transaction of the batches that can go together and sends it.
-    fn begin(&mut self, context: &mut Context) {
+    /// Sends a transaction with these batches, which can go together.
+    fn begin(&mut self, context: &mut Context, batches: Vec<Batch>) {
         self.urgent = false;
-        let batches = self.queue.take_compatible();
         let request = self.transaction(&batches);
         self.flight = Some(Flight {
             request,
             sequence: self.host.sequence,
             first_sent: context.now,
             sent: context.now,
+            bytes: batches.iter().map(queue::size).sum(),
             batches,
             ambiguous: false,
             expired: false,
@@ -387,6 +391,7 @@
     fn transaction_committed(&mut self, context: &mut Context, version: Option<Version>) {
         self.version = version;
         self.established = true;
+        self.phase = Phase::Ready;
         match self.flight.take() {
             Some(Flight { fence: Some(fence), batches, .. }) => {
                 self.renewed(context, fence.sent);
@@ -398,7 +403,6 @@
             }
             None => {}
         }
-        self.phase = Phase::Ready;
     }
 
     fn renewed(&mut self, context: &mut Context, sent: Instant) {
@@ -418,12 +422,13 @@
         } else if flight.ambiguous {
             self.send_fence(context, keys);
         } else if let Some(flight) = self.flight.take() {
-            self.refuse(context, flight.batches, &keys);
             self.phase = Phase::Ready;
+            self.refuse(context, flight.batches, &keys);
         }
     }
 
-    /// Reports the batches whose checks failed, and queues the others again. None of them took effect.
+    /// Reports the batches whose checks failed, and sends the others again. None of them took effect. Batches that were
+    /// queued since are left out, so that conflicts among them do not lead to one transaction after the other.
     fn refuse(&mut self, context: &mut Context, batches: Vec<Batch>, failed: &[String]) {
         let is_failed = |key: &String| failed.contains(key);
         let mut rest = Vec::new();
@@ -431,12 +436,16 @@
             let keys = batch.checks.iter().map(|check| check.key.clone());
             let keys: Vec<String> = keys.filter(is_failed).collect();
             match keys.is_empty() {
+                true if queue::is_expired(&batch, context.now) => {
+                    answer(context, &batch, Err(WriteFailure::Expired))
+                }
                 true => rest.push(batch),
                 false => answer(context, &batch, Err(WriteFailure::Conflict(keys))),
             }
         }
-        self.urgent |= !rest.is_empty();
-        self.queue.put_back(rest);
+        if !rest.is_empty() {
+            self.begin(context, rest);
+        }
     }
 
     /// Queues the batches of the open transaction again, since it certainly did not take effect and never will.
@@ -514,9 +523,7 @@
     /// Answers the batches that have expired.
     fn expire(&mut self, context: &mut Context) {
         let now = context.now;
-        for batch in self.queue.take_expired(now) {
-            answer(context, &batch, Err(WriteFailure::Expired));
-        }
+        self.queue.drop_expired(now, |batch| answer(context, batch, Err(WriteFailure::Expired)));
         let Some(flight) = self.flight.as_mut().filter(|flight| flight.ambiguous) else { return };
         if !flight.batches.iter().any(|batch| queue::is_expired(batch, now)) {
             return;
--- a/crates/shallotpost-control/src/commit/queue.rs
+++ b/crates/shallotpost-control/src/commit/queue.rs
@@ -65,15 +65,24 @@
         std::mem::take(&mut self.batches).into()
     }
 
-    /// Takes the batches that have expired.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<Batch> {
+    /// Drops the batches that have expired, and tells of each.
+    pub fn drop_expired(&mut self, now: Instant, mut tell: impl FnMut(&Batch)) {
         if self.earliest_expiry.is_none_or(|earliest| now < earliest) {
-            return Vec::new();
+            return;
         }
-        let (expired, kept): (Vec<Batch>, Vec<Batch>) =
-            self.take_all().into_iter().partition(|batch| is_expired(batch, now));
-        self.put_back(kept);
-        expired
+        let (mut bytes, mut earliest) = (0, None);
+        self.batches.retain(|batch| {
+            let expired = is_expired(batch, now);
+            if expired {
+                bytes += size(batch);
+                tell(batch);
+            } else {
+                earliest = [earliest, batch.expires].into_iter().flatten().min();
+            }
+            !expired
+        });
+        self.bytes -= bytes;
+        self.earliest_expiry = earliest;
     }
 
     /// Takes batches that can share one transaction. A batch is left in the queue where it touches a key that another
--- a/crates/shallotpost-control/src/configuration/audit.rs
+++ b/crates/shallotpost-control/src/configuration/audit.rs
@@ -30,10 +30,10 @@
 pub const REFUSED_KEPT_MS: u64 = 30 * 24 * 3600 * 1000;
 
 /// Interval of deletions of old rows.
-pub const TRIM_INTERVAL: Duration = Duration::from_secs(10);
+pub const TRIM_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Rows that one deletion covers. At 23,000 changes per day, 3 per interval would do.
-const TRIM_ROWS: usize = 50;
+/// Rows that one deletion covers. At 23,000 changes per day, 16 per interval would do.
+const TRIM_ROWS: usize = 100;
 
 /// Sorts after each digit and separator of a key.
 const AFTER_ALL: &str = "~";
--- a/crates/shallotpost-control/src/configuration/update.rs
+++ b/crates/shallotpost-control/src/configuration/update.rs
@@ -264,8 +264,13 @@
             None => validate::delete(snapshot, update.kind, &update.name)?,
         }
         validate::expected_revision(snapshot, update.kind, &update.name, update.expected)?;
-        let grants = cap_row.and_then(|row| serde_json::from_str::<Cap>(&row.value).ok());
-        let granted = grants.is_some_and(|cap| cap.granted() != Size::ZERO);
+        let cap = cap_row.map(|row| serde_json::from_str::<Cap>(&row.value)).transpose();
+        let Ok(cap) = cap else {
+            // Without the grants, a new row would let owners grant them once more.
+            let message = format!("The row {} cannot be read.", cap::row_key(&update.name));
+            return Err(table_unavailable(&message));
+        };
+        let granted = cap.is_some_and(|cap| cap.granted() != Size::ZERO);
         if update.after.is_none() && update.kind == Kind::Team && granted {
             return Err(validate::with_remedy(
                 ProblemKind::Conflict,
--- a/crates/shallotpost-control/tests/config_updates.rs
+++ b/crates/shallotpost-control/tests/config_updates.rs
@@ -356,6 +356,10 @@
     grant(&mut cluster, 0);
     assert_eq!(kind(&cluster.answer(0, 6, delete)), Ok(5));
     assert_eq!(cluster.table.row(&cap::row_key("ants")), None);
+    // A new row in place of one that cannot be read would forget its grants.
+    cluster.overwrite([(cap::row_key("ants"), Some("?".to_owned()))]);
+    let unreadable = cluster.answer(0, 10, put("ants", team(1, 5), None));
+    assert_eq!(kind(&unreadable), Err(ProblemKind::Unavailable));
 }
 
 /// Grants that were read under an earlier cap must not put a lower one in force.
