Flush the queue at a stop and require a table read before peers confirm

Cause: a stopping host with many live hosts waited for the interval of 500 ms per transaction, so that a long queue did not fit into stop_bound. A host that restarted without the table could become fresh through peers at a revision below one that its earlier process had acknowledged, while others already reported that revision as in force.

Change: a stopping host sends its queue without waiting for the interval. Peers confirm the configuration of a host only after its first full read of the table.

Conclusion: a host that starts during an outage of the table accepts no keys until it reached the table once.

--- a/crates/shallotpost-control/src/commit.rs
+++ b/crates/shallotpost-control/src/commit.rs
@@ -267,9 +267,8 @@
     fn is_due(&self, now: Instant) -> bool {
         let Some(last) = self.last_sent else { return true };
         let elapsed = now.duration_since(last);
-        self.urgent
-            || elapsed >= HEARTBEAT_INTERVAL
-            || (!self.queue.is_empty() && elapsed >= self.interval)
+        let has_waited = self.stopping || elapsed >= self.interval;
+        self.urgent || elapsed >= HEARTBEAT_INTERVAL || (!self.queue.is_empty() && has_waited)
     }
 
     fn call(&mut self, context: &mut Context, request: Request) -> Call {
--- a/crates/shallotpost-control/src/configuration/mod.rs
+++ b/crates/shallotpost-control/src/configuration/mod.rs
@@ -337,11 +337,12 @@
         }
     }
 
+    /// Renews the freshness by the peers' answers. Before the first full read of the table, they prove nothing: others may
+    /// count on a newer revision that an earlier process of this host applied.
     fn confirm_by_peers(&mut self, context: &mut Context) {
         let (revision, in_flight) = (self.cache.revision(), self.is_update_in_flight());
-        let known = self.cache.loaded || revision > 0;
         let moment = freshness::confirmed_by_peers(&self.fleet, revision, in_flight);
-        if let Some(moment) = moment.filter(|_| known) {
+        if let Some(moment) = moment.filter(|_| self.cache.loaded) {
             self.confirm(context, moment);
         }
     }
--- a/crates/shallotpost-control/tests/config_freshness.rs
+++ b/crates/shallotpost-control/tests/config_freshness.rs
@@ -287,4 +287,14 @@
     // The peer's freshness counts for the revision that this host now applies.
     let until = asked - Duration::from_millis(200) + Duration::from_secs(6);
     assert_eq!(fresh_until(&cluster, 1), Some(until));
+    // A host that has not read the table since its start knows the changes, but must not act on them.
+    let mut started = Cluster::new(1, true);
+    started.nodes[0].outage = Some(Fault::LostBefore);
+    started.run(Duration::from_secs(1));
+    let seen = fleet(started.now, &[Some((100, 5, Some(0), false))]);
+    started.deliver(0, Name::Configuration, Message::Fleet(Rc::new(seen)));
+    let changes = (1..=5).map(|revision| change(revision, "t")).collect();
+    let frame = Frame::Changes { changes };
+    started.deliver(0, Name::Configuration, Message::Peer { from: "p".to_owned(), frame });
+    assert_eq!((started.revision(0), fresh_until(&started, 0)), (Some(5), None));
 }
--- a/crates/shallotpost-control/tests/group_commit.rs
+++ b/crates/shallotpost-control/tests/group_commit.rs
@@ -146,6 +146,21 @@
     assert_eq!(outcomes(&cluster, 3), [Ok(())]);
 }
 
+/// Conflicts must not make the host commit more often than twice in each interval.
+#[test]
+fn conflicts_do_not_defeat_the_interval() {
+    let mut cluster = ready();
+    let before = cluster.nodes[0].transactions.len();
+    for tag in 0..300 {
+        write(&mut cluster, batch(2 * tag, "work/x", "v", Some(Some(5))));
+        write(&mut cluster, batch(2 * tag + 1, &format!("work/{tag}"), "v", Some(None)));
+        cluster.step();
+    }
+    let sent = cluster.nodes[0].transactions.len() - before;
+    let intervals = (STEP * 300).div_duration_f32(INTERVAL_MIN) as usize;
+    assert!(sent <= 2 * intervals + 2, "{sent} transactions in {intervals} intervals");
+}
+
 /// Batches that depend on each other must not share a transaction; others do, up to the row limit.
 #[test]
 fn batches_share_a_transaction_only_where_they_are_independent() {
@@ -311,6 +326,22 @@
     assert!((9..=10).contains(&sent), "{sent} transactions");
 }
 
+/// A stopping host with a long queue must not wait for the interval.
+#[test]
+fn a_stop_does_not_wait_for_the_interval() {
+    let mut cluster = ready();
+    let peers = (0..200).map(|_| Peer { row_changed: Some(cluster.now), ..cluster::peer() });
+    let fleet = Fleet { peers: peers.collect() };
+    cluster.deliver(0, Name::Commit, Message::Fleet(Rc::new(fleet)));
+    let batches = TRANSACTION_ROWS_MAX as Tag * 20;
+    for tag in 0..batches {
+        write(&mut cluster, batch(tag, &format!("work/{tag}"), "v", None));
+    }
+    cluster.deliver(0, Name::Commit, Message::Stop);
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(outcomes(&cluster, batches - 1), [Ok(())]);
+}
+
 /// A stopping host must tell others at once and lose none of its queued writes.
 #[test]
 fn a_stop_flushes_the_queue() {
