--- a/crates/shallotpost-control/tests/config_updates.rs
+++ b/crates/shallotpost-control/tests/config_updates.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use cluster::{Cluster, Fault, pong, put, team};
+use cluster::{Cluster, Fault, STEP, pong, put, team};
 use shallotpost_control::configuration::audit::{LOG_ROWS_KEPT, REFUSED_BURST};
 use shallotpost_control::configuration::cache::CHANGES_MAX;
 use shallotpost_control::configuration::cap::{self, Cap};
@@ -74,7 +74,7 @@
         ("table down from the start", &[], Some((NotSent, 15)), Err(ProblemKind::Unavailable), 0),
         ("table down afterwards", &[LostBefore], Some((NotSent, 15)), Err(ProblemKind::Unknown), 0),
         (
-            "table down after the effect",
+            "table down after effect",
             &[LostAfter],
             Some((NotSent, 15)),
             Err(ProblemKind::Unknown),
@@ -157,6 +157,24 @@
     }
 }
 
+/// An update with an unknown outcome must not take another host's change of the same revision for its own.
+#[test]
+fn an_unknown_outcome_is_told_from_a_change_of_another_host() {
+    for (expected, outcome) in [(None, Ok(2)), (Some(0), Err(ProblemKind::Conflict))] {
+        let mut cluster = ready(2);
+        cluster.nodes[0].faults.push_back((HEAD_KEY, Fault::LostBefore));
+        cluster.ask(0, 1, put("ants", team(1, 9), expected));
+        cluster.run_until(Duration::from_secs(1), |c| c.nodes[0].faults.is_empty());
+        cluster.nodes[0].outage = Some(Fault::NotSent);
+        assert_eq!(kind(&cluster.answer(1, 2, put("ants", team(2, 9), None))), Ok(1));
+        cluster.run(Duration::from_secs(6));
+        cluster.nodes[0].outage = None;
+        cluster.run(Duration::from_secs(9));
+        assert_eq!(kind(&cluster.answers(0, 1)[0]), outcome);
+        assert_eq!(log(&cluster).len(), 1 + usize::from(outcome.is_ok()));
+    }
+}
+
 /// An update that loses against others each time must end.
 #[test]
 fn an_update_is_tried_a_bounded_number_of_times() {
@@ -227,6 +245,54 @@
     assert_eq!(cluster.revision(0), Some(2));
 }
 
+/// A dry run must check everything and change nothing; a list must be complete over its pages.
+#[test]
+fn dry_runs_change_nothing_and_lists_are_complete() {
+    let mut cluster = ready(1);
+    for (number, name) in (0..).zip(["a1", "a2", "b1", "a3"]) {
+        cluster.answer(0, number, put(name, team(1, 9), None)).expect("changed");
+    }
+    for (number, (name, share, expected)) in
+        (10..).zip([("c", 1, Ok(4)), ("c", 0, Err(ProblemKind::Malformed))])
+    {
+        let (name, resource) = (name.to_owned(), team(share, 9));
+        let request = Request::Put { name, resource, revision: None, dry_run: true };
+        assert_eq!(kind(&cluster.answer(0, number, request)), expected);
+    }
+    assert_eq!((log(&cluster).len(), cluster.table.rows("audit/").len()), (4, 0));
+    for (after, names, more) in [("", vec!["a1", "a2"], true), ("a2", vec!["a3"], false)] {
+        let (prefix, after) = ("a".to_owned(), after.to_owned());
+        let request = Request::Resources { kind: Kind::Team, prefix, after, limit: 2 };
+        match cluster.answer(0, 20 + u64::from(more), request) {
+            Ok(Reply::Entries { entries, revision: 4, more: found }) => {
+                let found_names: Vec<&str> = entries.iter().map(|entry| &*entry.name).collect();
+                assert_eq!((found_names, found), (names, more));
+            }
+            other => panic!("unexpected answer {other:?}"),
+        }
+    }
+}
+
+/// A stopping host must finish what it began and refuse the rest.
+#[test]
+fn a_stop_finishes_the_updates_that_began() {
+    let mut cluster = ready(1);
+    cluster.ask(0, 1, put("ants", team(1, 9), None));
+    cluster.ask(0, 2, Request::Watch { from: 9, wait: Duration::from_secs(50) });
+    cluster.deliver(0, Name::Configuration, Message::Stop);
+    cluster.ask(0, 3, put("bees", team(1, 9), None));
+    let drained = |c: &Cluster| {
+        c.last(0, |message| matches!(message, Message::Drained(Name::Configuration)).then_some(()))
+    };
+    cluster.run(STEP);
+    assert_eq!((cluster.answers(0, 1).len(), drained(&cluster)), (0, None));
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(kind(&cluster.answers(0, 1)[0]), Ok(1));
+    assert!(matches!(cluster.answers(0, 2)[..], [Ok(Reply::Changes { next: 9, .. })]));
+    assert_eq!(kind(&cluster.answers(0, 3)[0]), Err(ProblemKind::Draining));
+    assert_eq!(drained(&cluster), Some(()));
+}
+
 /// Only operators may use the configuration, but for the own team; refusals must not flood the table.
 #[test]
 fn only_operators_have_access() {
--- a/crates/shallotpost-control/tests/group_commit.rs
+++ b/crates/shallotpost-control/tests/group_commit.rs
@@ -5,14 +5,14 @@
 
 use std::rc::Rc;
 
-use cluster::{Cluster, Fault, STEP, batch, settings};
+use cluster::{Cluster, Fault, STEP, batch};
 use shallotpost_control::commit::queue::{QUEUE_BYTES_MAX, TRANSACTION_ROWS_MAX};
 use shallotpost_control::commit::{INTERVAL_MIN, interval};
 use shallotpost_control::membership::{Fleet, Peer};
 use shallotpost_control::message::{Batch, WriteFailure};
 use shallotpost_control::prelude::*;
 use shallotpost_protocol::host::Host;
-use shallotpost_protocol::table::{Check, Request, Write};
+use shallotpost_protocol::table::{Check, Write};
 
 const OWN_ROW: &str = "hosts/east/a";
 
@@ -64,10 +64,7 @@
         ("slow answer", &[Slow(Duration::from_millis(1900))]),
         ("copy takes effect while the next one is on its way", &[late, LostBefore]),
         ("copy arrives after the next one", &[late, LostAfter]),
-        (
-            "copy arrives while the next one is lost",
-            &[Late(Duration::from_millis(2050)), LostBefore],
-        ),
+        ("copy arrives as the next one leaves", &[Late(Duration::from_millis(2050)), LostBefore]),
     ];
     for (name, faults) in cases {
         let mut cluster = ready();
@@ -85,27 +82,15 @@
 /// A delayed copy must not take effect after its batch was reported as conflicting or expired.
 #[test]
 fn a_reported_failure_never_takes_effect_later() {
+    use Fault::*;
     type Case<'a> = (&'a str, Option<u64>, &'a [Fault], &'a [Outcome]);
+    let late = Late(Duration::from_millis(2500));
+    let conflict = WriteFailure::Conflict(vec!["work/x".to_owned()]);
     let cases: &[Case] = &[
-        (
-            "conflict after an unknown outcome",
-            None,
-            &[Fault::Late(Duration::from_millis(2500))],
-            &[Err(WriteFailure::Conflict(vec!["work/x".to_owned()]))],
-        ),
-        ("expired before it was sent", Some(20), &[], &[Err(WriteFailure::Expired)]),
-        (
-            "expired after a call that did not leave",
-            Some(35),
-            &[Fault::NotSent],
-            &[Err(WriteFailure::Expired)],
-        ),
-        (
-            "expired with an unknown outcome",
-            Some(1000),
-            &[Fault::LostBefore],
-            &[Err(WriteFailure::Unknown)],
-        ),
+        ("conflict after an unknown outcome", None, &[late], &[Err(conflict)]),
+        ("before it was sent", Some(20), &[], &[Err(WriteFailure::Expired)]),
+        ("after a call that did not leave", Some(35), &[NotSent], &[Err(WriteFailure::Expired)]),
+        ("with an unknown outcome", Some(1000), &[LostBefore], &[Err(WriteFailure::Unknown)]),
     ];
     for (name, expires_ms, faults, expected) in cases {
         let mut cluster = ready();
@@ -118,13 +103,9 @@
         if expires.is_none() {
             // Another host takes the key while the transaction is on its way, and gives it back once the second copy
             // has been refused.
-            let row = |value: Option<&str>| Request::Transact {
-                checks: Vec::new(),
-                writes: vec![Write { key: "work/x".to_owned(), value: value.map(str::to_owned) }],
-            };
-            cluster.table.handle(&row(Some("other")));
+            cluster.overwrite([("work/x".to_owned(), Some("other".to_owned()))]);
             cluster.run_until(Duration::from_secs(2), |c| c.nodes[0].transactions.len() > 3);
-            cluster.table.handle(&row(None));
+            cluster.overwrite([("work/x".to_owned(), None)]);
         }
         cluster.run(Duration::from_secs(8));
         assert_eq!(outcomes(&cluster, 1), *expected, "{name}");
@@ -234,19 +215,15 @@
 fn only_a_newer_incarnation_stops_the_service() {
     for (name, established) in [("older", false), ("newer", true)] {
         let mut cluster = Cluster::new(1, false);
-        let other = Host { incarnation: 55, sequence: 70, ..own_host() };
-        let value = serde_json::to_string(&other).expect("JSON");
-        let overwrite = Request::Transact {
-            checks: Vec::new(),
-            writes: vec![Write { key: OWN_ROW.to_owned(), value: Some(value) }],
-        };
-        cluster.table.handle(&overwrite);
+        let other = Host { incarnation: 55, sequence: 70, ..own_row(&ready()) };
+        let row = [(OWN_ROW.to_owned(), serde_json::to_string(&other).ok())];
+        cluster.overwrite(row.clone());
         match established {
             true => cluster.run(Duration::from_millis(500)),
             // The own row was read and the first transaction is not sent yet.
             false => cluster.step(),
         }
-        cluster.table.handle(&overwrite);
+        cluster.overwrite(row);
         write(&mut cluster, batch(1, "work/x", "v", None));
         cluster.run(Duration::from_secs(3));
         let errors = cluster.nodes[0].logs.iter().filter(|log| log.level == Level::Error).count();
@@ -258,20 +235,6 @@
     }
 }
 
-fn own_host() -> Host {
-    let settings = settings(0);
-    Host {
-        host: settings.host,
-        data_centre: settings.data_centre,
-        incarnation: settings.incarnation,
-        peer_address: String::new(),
-        http_address: String::new(),
-        sequence: 0,
-        applied: 0,
-        draining: false,
-    }
-}
-
 /// An outage of an hour must cost neither unbounded memory nor a flood of calls, and must end by itself.
 #[test]
 fn an_hour_long_outage_stays_bounded() {
