Shorten the table of ownership faults

Cause: the cases of the fault table took eight lines each.

Conclusion: the table has 9 cases in 9 lines.

--- a/crates/shallotpost-control/tests/shard_ownership.rs
+++ b/crates/shallotpost-control/tests/shard_ownership.rs
@@ -31,130 +31,70 @@
     site.nodes[owner].cut = false;
 }
 
-/// A fault at the owner (a node) and what follows from it.
-struct Case {
-    name: &'static str,
-    fencing: &'static [Fencing],
-    fault: fn(&mut Site, usize),
-    /// Whether the owner loses the shard to another host.
-    moves: bool,
-    /// Whether the epoch rises.
-    rises: bool,
+/// A fault at the owner, a node.
+type OwnerFault = fn(&mut Site, usize);
+
+fn pause(site: &mut Site, owner: usize, period_ms: u64) {
+    site.nodes[owner].paused = true;
+    site.pass(Duration::from_millis(period_ms));
+    site.nodes[owner].paused = false;
+}
+
+fn die_while_reads_are_slow(site: &mut Site, owner: usize) {
+    site.shard_read_delay = Duration::from_millis(900);
+    site.nodes[owner].running = false;
+}
+
+fn restart(site: &mut Site, owner: usize) {
+    site.nodes[owner].running = false;
+    site.join(["a", "b", "c"][owner], 2);
+}
+
+fn table_down_for_an_hour(site: &mut Site, owner: usize) {
+    site.nodes.iter_mut().for_each(|node| node.cut = true);
+    site.pass(SECOND * 3600);
+    reconnect(site, owner, Duration::from_millis(3400));
+}
+
+fn table_down_for_moments(site: &mut Site, owner: usize) {
+    for outage_ms in (1500..6000).step_by(100) {
+        // Outages that are longer than the lease give the owner more time.
+        let owner_ms = if outage_ms < 3600 { 700 } else { 3400 };
+        site.nodes.iter_mut().for_each(|node| node.cut = true);
+        site.pass(Duration::from_millis(outage_ms));
+        reconnect(site, owner, Duration::from_millis(owner_ms));
+        site.pass(SECOND * 8);
+    }
 }
 
 /// Guards against a shard without a live owner, with two owners, or taken from an owner that may still act. The site
 /// checks after every tick that no epoch has two owners, that no epoch falls, and that without fencing no two act.
 #[test]
 fn each_fault_leaves_exactly_one_rightful_owner() {
-    let cases = [
-        Case {
-            name: "owner dies",
-            fencing: &FENCINGS,
-            fault: |site, owner| site.nodes[owner].running = false,
-            moves: true,
-            rises: true,
-        },
-        Case {
-            name: "owner dies while reads are slow",
-            fencing: &FENCINGS,
-            fault: |site, owner| {
-                site.shard_read_delay = Duration::from_millis(900);
-                site.nodes[owner].running = false;
-            },
-            moves: true,
-            rises: true,
-        },
-        Case {
-            name: "owner is paused past its lease and woken",
-            fencing: &FENCINGS,
-            fault: |site, owner| {
-                site.nodes[owner].paused = true;
-                site.pass(SECOND * 6);
-                site.nodes[owner].paused = false;
-                site.pass(SECOND * 2);
-            },
-            moves: true,
-            rises: true,
-        },
-        Case {
-            name: "owner is paused past its lease, but for less than the observers wait",
-            fencing: &[Fencing::None],
-            fault: |site, owner| {
-                site.nodes[owner].paused = true;
-                site.pass(Duration::from_millis(3200));
-                site.nodes[owner].paused = false;
-            },
-            moves: false,
-            rises: true,
-        },
-        Case {
-            name: "owner is paused for less than its lease",
-            fencing: &FENCINGS,
-            fault: |site, owner| {
-                site.nodes[owner].paused = true;
-                site.pass(SECOND * 2);
-                site.nodes[owner].paused = false;
-            },
-            moves: false,
-            rises: false,
-        },
-        Case {
-            name: "host row of a replaced incarnation",
-            fencing: &FENCINGS,
-            fault: |site, owner| {
-                site.nodes[owner].running = false;
-                let host = ["a", "b", "c"][owner];
-                site.join(host, 2);
-            },
-            moves: true,
-            rises: true,
-        },
-        Case {
-            name: "only the owner is cut from the table",
-            fencing: &FENCINGS,
-            fault: |site, owner| site.nodes[owner].cut = true,
-            moves: true,
-            rises: true,
-        },
-        Case {
-            name: "table is down for an hour",
-            fencing: &[Fencing::Epoch],
-            fault: |site, owner| {
-                site.nodes.iter_mut().for_each(|node| node.cut = true);
-                site.pass(SECOND * 3600);
-                reconnect(site, owner, Duration::from_millis(3400));
-            },
-            moves: false,
-            rises: false,
-        },
-        Case {
-            name: "table is down for a moment",
-            fencing: &[Fencing::Epoch],
-            fault: |site, owner| {
-                for outage_ms in (1500..6000).step_by(100) {
-                    // Outages that are longer than the lease give the owner more time.
-                    let owner_ms = if outage_ms < 3600 { 700 } else { 3400 };
-                    site.nodes.iter_mut().for_each(|node| node.cut = true);
-                    site.pass(Duration::from_millis(outage_ms));
-                    reconnect(site, owner, Duration::from_millis(owner_ms));
-                    site.pass(SECOND * 8);
-                }
-            },
-            moves: false,
-            rises: false,
-        },
+    let (both, epoch, none) = (&FENCINGS[..], &FENCINGS[..1], &FENCINGS[1..]);
+    // Name, fencing, fault, whether the owner loses the shard to another process, whether the epoch rises.
+    let cases: [(&str, &[Fencing], OwnerFault, bool, bool); 9] = [
+        ("owner dies", both, |site, owner| site.nodes[owner].running = false, true, true),
+        ("owner dies, slow reads", both, die_while_reads_are_slow, true, true),
+        ("paused past its lease", both, |site, owner| pause(site, owner, 6000), true, true),
+        ("paused, not yet lapsed", none, |site, owner| pause(site, owner, 3200), false, true),
+        ("paused in its lease", both, |site, owner| pause(site, owner, 2000), false, false),
+        ("replaced incarnation", both, restart, true, true),
+        ("owner cut off", both, |site, owner| site.nodes[owner].cut = true, true, true),
+        ("table down for an hour", epoch, table_down_for_an_hour, false, false),
+        ("table down for moments", epoch, table_down_for_moments, false, false),
     ];
-    for case in cases {
-        for fencing in case.fencing {
-            let name = format!("{}, fencing {fencing}", case.name);
+    for (name, fencings, fault, moves, rises) in cases {
+        for fencing in fencings {
+            let name = format!("{name}, fencing {fencing}");
             let (mut site, before) = settled(*fencing);
             let epoch = site.row(0).expect("a row").epoch;
-            (case.fault)(&mut site, before);
+            fault(&mut site, before);
             site.pass(SECOND * 8);
             let row = site.row(0).expect("a row");
             let after = site.owner(0).unwrap_or_else(|| panic!("{name}: no single owner"));
-            assert_eq!(after != before, case.moves, "{name}");
-            assert_eq!(row.epoch, epoch + u64::from(case.rises), "{name}");
+            assert_eq!(after != before, moves, "{name}");
+            assert_eq!(row.epoch, epoch + u64::from(rises), "{name}");
             assert_eq!(site.nodes[after].held[&0], row.epoch, "{name}");
         }
     }
@@ -163,12 +103,12 @@
 /// Guards against a claim whose answer is lost being dropped or repeated blindly.
 #[test]
 fn lost_answers_of_claims_are_resolved_by_a_read() {
-    for (loss, epoch) in [(Loss::After, 1), (Loss::Before, 1)] {
+    for loss in [Loss::After, Loss::Before] {
         let mut site = Site::new(&["a"], Fencing::Epoch);
         site.nodes[0].loss = Some(loss);
         let took = site.pass_until(SECOND * 10, |site| site.owner(0).is_some());
         assert!(took < SECOND / 2, "{loss:?}: {took:?}");
-        assert_eq!(site.row(0).map(|row| row.epoch), Some(epoch), "{loss:?}");
+        assert_eq!(site.row(0).map(|row| row.epoch), Some(1), "{loss:?}");
         assert_eq!(site.nodes[0].loss, None, "{loss:?}: a claim was sent");
     }
 }
