Test the scans of host rows

Cause: no test covered the interval of the scans, scans of more than one page, or a table that answers slowly.

Change: three tests in host_membership.

A doubled interval, a second call while one is open, and a scan that ends after its first page each fail one.

Conclusion: scans read everything, at their interval, one call at a time.

--- a/crates/shallotpost-control/tests/host_membership.rs
+++ b/crates/shallotpost-control/tests/host_membership.rs
@@ -8,6 +8,7 @@
 use shallotpost_control::prelude::*;
 use shallotpost_control::settings::Seed;
 use shallotpost_protocol::host::row_key;
+use shallotpost_protocol::table::SCAN_LIMIT_MAX;
 use shallotpost_protocol::wire::Frame;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -111,6 +112,42 @@
     }
 }
 
+/// Guards against scans that overload the table or come too rarely, also after it was down.
+#[test]
+fn scans_keep_their_intervals() {
+    for down in [false, true] {
+        let mut bench = Bench::new(settings());
+        bench.table_down = down;
+        bench.pass(SECOND * 30);
+        bench.table_down = false;
+        let before = bench.table.reads;
+        bench.pass(SECOND * 120);
+        let reads = bench.table.reads - before;
+        // One a second, and one every 10 s to 12 s.
+        assert!((129..=133).contains(&reads), "down: {down}, {reads} reads");
+    }
+}
+
+/// Guards against a slow table getting more calls while one is open.
+#[test]
+fn open_scan_is_not_repeated() {
+    let mut bench = Bench::new(settings());
+    bench.answers_held = true;
+    bench.pass(SECOND * 3);
+    assert_eq!(bench.table.reads, 2);
+}
+
+/// Guards against rows beyond the limit of one page being taken for deleted.
+#[test]
+fn scan_reads_every_page() {
+    let mut bench = Bench::new(settings());
+    let hosts: Vec<String> = (0..SCAN_LIMIT_MAX + 1).map(|index| format!("h{index:04}")).collect();
+    hosts.iter().for_each(|host| bench.put(&host_row(host, "south", 7, 1, false)));
+    bench.pass(SECOND);
+    let unknown = hosts.iter().filter(|host| bench.peer(host).is_none()).count();
+    assert_eq!(unknown, 0);
+}
+
 /// Guards against hosts of other data centres staying unknown and against a lost `Send`.
 #[test]
 fn rows_make_peers_known() {
--- a/crates/shallotpost-control/tests/support/member_bench.rs
+++ b/crates/shallotpost-control/tests/support/member_bench.rs
@@ -16,6 +16,8 @@
     pub now: Instant,
     pub table: Table,
     pub table_down: bool,
+    /// Whether table and list answer nothing for now.
+    pub answers_held: bool,
     pub list: Result<Vec<list::Worker>, Failure>,
     pub fleets: Vec<(Instant, Rc<Fleet>)>,
     pub workers: Vec<Rc<Vec<list::Worker>>>,
@@ -31,6 +33,7 @@
             now: Instant::now(),
             table: Table::default(),
             table_down: false,
+            answers_held: false,
             list: Ok(Vec::new()),
             fleets: Vec::new(),
             workers: Vec::new(),
@@ -74,7 +77,9 @@
     }
 
     pub fn tick(&mut self) {
-        std::mem::take(&mut self.answers).into_iter().for_each(|answer| self.handle(answer));
+        if !self.answers_held {
+            std::mem::take(&mut self.answers).into_iter().for_each(|answer| self.handle(answer));
+        }
         self.handle(Message::Tick);
     }
 
