Make the writes and claims of an owner depend on its ownership

Change: every write of the scheduler is conditional on the version of the row shards/<data centre>/<n>, which is read at the takeover. A conflict on it is reported as Fenced. Workers are claimed only while the ownership lease holds, also with fencing. A fenced shard does nothing more. Requests that wait for a write are answered when the shard is given up.

Conclusion: an owner without the shard can no longer change records or claim workers.

--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use shallotpost_policy::planner;
 use shallotpost_protocol::port::Failure;
-use shallotpost_protocol::table::{Check, Reply, Request, Version, Write};
+use shallotpost_protocol::table::{Reply, Request, Version, Write};
 use shallotpost_protocol::work::Class;
 use shallotpost_protocol::worker::Mode;
 
@@ -195,7 +195,7 @@
         let batch = Batch {
             reply_to: Name::Scheduler,
             tag,
-            checks: vec![Check { key: key.clone(), version }],
+            checks: self.checks(key.clone(), version),
             writes: vec![Write { key, value: serde_json::to_string(&row).ok() }],
             expires: Some(context.now + CAPS_INTERVAL),
         };
--- a/crates/shallotpost-control/src/scheduler/environment.rs
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -13,7 +13,7 @@
 use crate::configuration::Snapshot;
 use crate::membership::Fleet;
 use crate::prelude::*;
-use crate::settings::surely_lapsed;
+use crate::settings::{HOLDER_MARGIN, surely_lapsed};
 
 /// State that is not specific to a shard.
 pub struct Environment {
@@ -75,6 +75,11 @@
         recent.map(|(_, worker)| worker).filter(|worker| self.belongs(worker, shard))
     }
 
+    /// Whether a lease is certain to hold until an effect of now has taken place.
+    pub fn holds(until: Option<Instant>, now: Instant) -> bool {
+        until.is_some_and(|until| now + HOLDER_MARGIN < until)
+    }
+
     /// A tag that no other write of this service has.
     pub fn next_tag(&self) -> Tag {
         self.next_tag.set(self.next_tag.get() + 1);
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -66,7 +66,7 @@
                 self.refresh(context);
             }
             Message::Acquired { shard, epoch } => self.acquire(context, shard, epoch),
-            Message::Lost { shard } => drop(self.shards.remove(&shard)),
+            Message::Lost { shard } => self.forget(context, &shard),
             Message::Release { shard } => self.release(context, shard),
             Message::Admitted { record, shard, work } => {
                 if let Some(owned) = self.shards.get_mut(&shard) {
@@ -100,7 +100,7 @@
             .map(|owned| owned.id.clone())
             .collect();
         for shard in released {
-            self.shards.remove(&shard);
+            self.forget(context, &shard);
             context.send(Name::Ownership, Message::Released { shard });
         }
         if self.stopping && self.shards.is_empty() {
@@ -132,11 +132,18 @@
     fn acquire(&mut self, context: &mut Context, shard: Shard, epoch: Epoch) {
         let known = self.shards.get(&shard).is_some_and(|owned| owned.epoch >= epoch);
         if !known {
+            self.forget(context, &shard);
             let owned = Owned::new(context, &self.environment, shard.clone(), epoch);
             self.shards.insert(shard, owned);
         }
     }
 
+    fn forget(&mut self, context: &mut Context, shard: &Shard) {
+        if let Some(mut owned) = self.shards.remove(shard) {
+            owned.abandon(context);
+        }
+    }
+
     fn release(&mut self, context: &mut Context, shard: Shard) {
         match self.shards.get_mut(&shard) {
             Some(owned) => {
@@ -155,6 +162,7 @@
         let environment = &self.environment;
         let Some((owned, purpose)) = take_call(&mut self.shards, call) else { return };
         match purpose {
+            Call::Ownership => owned.on_ownership_row(context, result),
             Call::Scan => owned.on_page(context, environment, result),
             Call::Read(works) => owned.on_read(context, environment, works, result),
             Call::Caps => owned.on_caps(context, environment, result),
@@ -178,16 +186,19 @@
             Call::Stop(worker, task, _) => {
                 owned.on_stop_answer(context, call, &worker, &task, result)
             }
-            Call::Scan | Call::Read(_) | Call::Caps => {}
+            Call::Ownership | Call::Scan | Call::Read(_) | Call::Caps => {}
         }
     }
 
     fn on_written(&mut self, context: &mut Context, tag: Tag, result: Result<(), WriteFailure>) {
         let environment = &self.environment;
-        let taken = self
+        let mut taken = self
             .shards
             .values_mut()
             .find_map(|owned| owned.rows.writes.remove(&tag).map(|purpose| (owned, purpose)));
+        if let Some((owned, _)) = &mut taken {
+            owned.note_conflict(context, &result);
+        }
         match taken {
             Some((owned, Purpose::Record(work))) => {
                 owned.on_record_written(context, environment, &work, result)
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -116,6 +116,13 @@
         if session.beat.is_some() || context.now < session.next_beat || !session.listed {
             return;
         }
+        // An owner that was paused or is cut off may have lost the shard. It may go on with workers that hold its epoch,
+        // but a new owner may already count a worker without a lease as empty.
+        let lapsed = environment.lease_until.is_some()
+            && !Environment::holds(environment.lease_until, context.now);
+        if !session.claimed && lapsed {
+            return;
+        }
         let wait = match session.claimed && session.answering {
             true => settings.sync_wait,
             false => Duration::ZERO,
--- a/crates/shallotpost-control/src/scheduler/requests.rs
+++ b/crates/shallotpost-control/src/scheduler/requests.rs
@@ -40,10 +40,11 @@
     let (Request::Status(work) | Request::Cancel(work) | Request::Explain(work)) = &request else {
         return;
     };
-    let loading = shards.values().any(|shard| !shard.rows.loaded);
-    let Some(shard) = shards.values_mut().find(|shard| shard.works.contains_key(work)) else {
-        let problem = match loading {
-            true => Problem::new(ProblemKind::Unavailable, "the records are still being read"),
+    let unsure = shards.values().any(|shard| !shard.rows.loaded || shard.fenced);
+    let mut owned = shards.values_mut().filter(|shard| !shard.fenced);
+    let Some(shard) = owned.find(|shard| shard.works.contains_key(work)) else {
+        let problem = match unsure {
+            true => Problem::new(ProblemKind::Unavailable, "a shard was just taken over or lost"),
             false => Problem::new(ProblemKind::NotFound, format!("no work {work}")),
         };
         return context.answer(origin, Err(problem));
--- a/crates/shallotpost-control/src/scheduler/rows.rs
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -56,12 +56,27 @@
     Grant(TeamId, Size),
 }
 
+/// What is known about the row that names the owner of the shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ownership {
+    /// It was not read yet.
+    Unread,
+    /// It names this epoch, in this version. A claim by another host changes the version.
+    Version(Version),
+    /// It does not name an epoch, so writes cannot be made conditional on it.
+    Unchecked,
+}
+
 /// Reads and writes of one shard.
 pub struct Rows {
     /// Whether every row was read once.
     pub loaded: bool,
     /// Open writes by tag.
     pub writes: HashMap<Tag, Purpose>,
+    ownership: Ownership,
+    ownership_call: Option<CallId>,
+    next_ownership: Instant,
+    scanned: bool,
     after: String,
     scan: Option<CallId>,
     next_page: Instant,
@@ -78,6 +93,10 @@
         Rows {
             loaded: false,
             writes: HashMap::new(),
+            ownership: Ownership::Unread,
+            ownership_call: None,
+            next_ownership: now,
+            scanned: false,
             after: String::new(),
             scan: None,
             next_page: now,
@@ -107,6 +126,15 @@
             return;
         }
         let timeout = environment.settings.table_timeout;
+        let unread = self.rows.ownership == Ownership::Unread;
+        let idle = self.rows.ownership_call.is_none() && context.now >= self.rows.next_ownership;
+        if unread && idle {
+            self.rows.next_ownership = context.now + environment.jitter(RETRY_DELAY);
+            let keys = vec![shard_key(&self.id)];
+            let call = context.call_table(Request::Read { keys }, timeout);
+            self.rows.ownership_call = Some(call);
+            self.calls.insert(call, Call::Ownership);
+        }
         if self.rows.scan.is_none() && context.now >= self.rows.next_page {
             let after = self.rows.after.clone();
             let request = Request::Scan { prefix: work::prefix(&self.id), after, limit: PAGE };
@@ -150,7 +178,60 @@
                 (true, true) => PAGE_INTERVAL,
                 (false, _) => SCAN_INTERVAL,
             };
-        if !more && !self.rows.loaded {
+        self.rows.scanned |= !more;
+        self.finish_loading(context);
+    }
+
+    /// Handles the row of the shard. All writes are conditional on it, so that an owner that was paused and lost the shard
+    /// cannot end work which the new owner runs.
+    pub fn on_ownership_row(&mut self, context: &mut Context, result: Result<Reply, Failure>) {
+        self.rows.ownership_call = None;
+        let Ok(Reply::Rows { rows, .. }) = result else { return };
+        let named = rows.first().and_then(|row| {
+            let value: serde_json::Value = serde_json::from_str(&row.value).ok()?;
+            Some((value["epoch"].as_u64()?, row.version))
+        });
+        match named {
+            Some((epoch, _)) if epoch > self.epoch => return self.fence(context, epoch),
+            // The read is older than the claim of this host.
+            Some((epoch, _)) if epoch < self.epoch => return,
+            Some((_, version)) => self.rows.ownership = Ownership::Version(version),
+            None => {
+                let fields = vec![("shard", self.id.to_string())];
+                context.log(Level::Error, "shard row without epoch, writes are not fenced", fields);
+                self.rows.ownership = Ownership::Unchecked;
+            }
+        }
+        self.finish_loading(context);
+    }
+
+    /// Checks of a batch that changes `key`.
+    pub fn checks(&self, key: String, version: Option<Version>) -> Vec<Check> {
+        let mut checks = self.ownership_checks();
+        checks.push(Check { key, version });
+        checks
+    }
+
+    fn ownership_checks(&self) -> Vec<Check> {
+        match self.rows.ownership {
+            Ownership::Version(version) => {
+                vec![Check { key: shard_key(&self.id), version: Some(version) }]
+            }
+            Ownership::Unread | Ownership::Unchecked => Vec::new(),
+        }
+    }
+
+    /// Stops acting on the shard where a conflict shows that another host claimed it.
+    pub fn note_conflict(&mut self, context: &mut Context, result: &Result<(), WriteFailure>) {
+        if let Err(WriteFailure::Conflict(keys)) = result
+            && keys.contains(&shard_key(&self.id))
+        {
+            self.fence(context, self.epoch + 1);
+        }
+    }
+
+    fn finish_loading(&mut self, context: &mut Context) {
+        if !self.rows.loaded && self.rows.scanned && self.rows.ownership != Ownership::Unread {
             self.rows.loaded = true;
             self.reconcile_unread(context);
         }
@@ -299,8 +380,8 @@
     }
 
     fn write_record(&mut self, context: &mut Context, environment: &Environment, work: &WorkId) {
-        let Some(entry) = self.works.get_mut(work) else { return };
-        let Some(state) = entry.wanted.take() else { return };
+        let wanted = self.works.get_mut(work).and_then(|entry| entry.wanted.take());
+        let (Some(state), Some(entry)) = (wanted, self.works.get(work)) else { return };
         let expires = match state {
             State::Starting { .. } => Some(context.now + INTENT_WAIT_MAX),
             _ => None,
@@ -308,14 +389,17 @@
         let record = Record { state: state.clone(), ..entry.record.clone() };
         let key = work::row_key(&self.id, work);
         let tag = environment.next_tag();
+        let checks = self.checks(key.clone(), Some(entry.version));
         let batch = Batch {
             reply_to: Name::Scheduler,
             tag,
-            checks: vec![Check { key: key.clone(), version: Some(entry.version) }],
+            checks,
             writes: vec![Write { key, value: serde_json::to_string(&record).ok() }],
             expires,
         };
-        entry.writing = Some((tag, state));
+        if let Some(entry) = self.works.get_mut(work) {
+            entry.writing = Some((tag, state));
+        }
         self.rows.writes.insert(tag, Purpose::Record(work.clone()));
         context.send(Name::Commit, Message::Write(batch));
     }
@@ -345,6 +429,15 @@
         }
     }
 
+    /// Answers the requests that wait for a write, when the shard is given up.
+    pub fn abandon(&mut self, context: &mut Context) {
+        for origin in self.works.values_mut().flat_map(|entry| std::mem::take(&mut entry.cancels)) {
+            let message =
+                "the shard has moved to another host before the cancellation was recorded";
+            context.answer(origin, Err(Problem::new(ProblemKind::Unknown, message)));
+        }
+    }
+
     fn on_not_written(&mut self, context: &mut Context, environment: &Environment, work: &WorkId) {
         let Some(entry) = self.works.get_mut(work) else { return };
         let Some((_, state)) = entry.writing.take() else { return };
@@ -515,7 +608,7 @@
         if open || context.now < self.rows.next_deletion || self.releasing.is_some() {
             return;
         }
-        let mut checks = Vec::new();
+        let mut checks = self.ownership_checks();
         let mut writes = Vec::new();
         while writes.len() < 2 * DELETIONS_PER_BATCH
             && let Some((ended, _)) = self.retained.front()
@@ -541,6 +634,11 @@
     }
 }
 
+/// Key of the row that names the owner of a shard.
+fn shard_key(shard: &Shard) -> String {
+    format!("shards/{shard}")
+}
+
 fn answer_cancels(context: &mut Context, cancels: Vec<Origin>) {
     for origin in cancels {
         context.answer(origin, Ok(shallotpost_protocol::interface::Reply::Cancelling));
--- a/crates/shallotpost-control/src/scheduler/shard.rs
+++ b/crates/shallotpost-control/src/scheduler/shard.rs
@@ -49,6 +49,8 @@
     Start(WorkerId, Task, Attempt),
     /// Stop of an attempt.
     Stop(WorkerId, Task, Attempt),
+    /// Row of the shard.
+    Ownership,
     /// Page of record rows.
     Scan,
     /// Record rows by key.
@@ -139,6 +141,9 @@
 
     /// Does what is due.
     pub fn tick(&mut self, context: &mut Context, environment: &Environment) {
+        if self.fenced {
+            return;
+        }
         self.scan_rows(context, environment);
         self.drive_sessions(context, environment);
         self.resolve_unplaced(context, environment);
--- a/crates/shallotpost-control/src/scheduler/starts.rs
+++ b/crates/shallotpost-control/src/scheduler/starts.rs
@@ -11,7 +11,7 @@
 use crate::scheduler::environment::Environment;
 use crate::scheduler::session::{ORDERS_IN_FLIGHT_MAX, Order};
 use crate::scheduler::shard::{Call, Owned, REFUSED_DELAY};
-use crate::settings::{Fencing, HOLDER_MARGIN};
+use crate::settings::Fencing;
 
 /// Why a start is not allowed now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -36,17 +36,18 @@
 impl Owned {
     /// The checks that concern the whole shard, in order.
     pub fn check_shard(&self, environment: &Environment, now: Instant) -> Result<(), Barrier> {
-        let holds = |until: Option<Instant>| until.is_some_and(|until| now + HOLDER_MARGIN < until);
         if !self.takes_starts() {
             return Err(Barrier::NotOwned);
         }
-        if !holds(environment.fresh_until) {
+        if !Environment::holds(environment.fresh_until, now) {
             return Err(Barrier::StaleConfiguration);
         }
         if environment.availability(&self.id.data_centre) != Availability::Active {
             return Err(Barrier::Drained);
         }
-        if environment.settings.fencing == Fencing::None && !holds(environment.lease_until) {
+        if environment.settings.fencing == Fencing::None
+            && !Environment::holds(environment.lease_until, now)
+        {
             return Err(Barrier::LeaseLapsed);
         }
         Ok(())
@@ -293,7 +294,8 @@
         }
     }
 
-    fn fence(&mut self, context: &mut Context, epoch: Epoch) {
+    /// Stops acting on a shard that another host has claimed.
+    pub fn fence(&mut self, context: &mut Context, epoch: Epoch) {
         if !self.fenced {
             self.fenced = true;
             let shard = self.id.clone();
--- a/crates/shallotpost-control/tests/shard_recovery.rs
+++ b/crates/shallotpost-control/tests/shard_recovery.rs
@@ -109,6 +109,26 @@
     }
 }
 
+/// Guards against an end recorded by an owner that was paused and does not know yet that it lost the shard.
+#[test]
+fn end_by_an_earlier_owner() {
+    let mut world = World::new(0);
+    let first = world.take_over(1);
+    let work = world.admit(specification("job", Class::Batch, &["run", "60000"]));
+    world.run(100);
+    world.set_running(first, false);
+    world.add_worker("w0", 4);
+    world.take_over(2);
+    world.run(500);
+    world.set_running(first, true);
+    world.ask(first, Ask::Cancel(work.clone()));
+    world.run(500);
+    assert_eq!(world.record(&work).unwrap().state, State::Admitted);
+    assert_eq!((world.runners(&work).len(), world.fenced.as_slice()), (1, [2].as_slice()));
+    world.deliver(first, Message::Lost { shard: shard() });
+    assert_eq!(world.answers.pop().unwrap().unwrap_err().kind, ProblemKind::Unknown);
+}
+
 /// Guards against idle waiting after a takeover in which every worker answers.
 #[test]
 fn quick_takeover() {
@@ -270,7 +290,7 @@
     let calls = world.calls;
     world.run(300);
     assert_eq!(world.calls, calls, "no call for a lost shard");
-    world.deliver(owner, Message::Acquired { shard: shard(), epoch: 3 });
+    world.acquire(owner, 3);
     world.run_until(LIMIT, |world| world.outcome(&work).is_some());
     assert_eq!(world.starts(&work), 1);
 }
--- a/crates/shallotpost-control/tests/start_guards.rs
+++ b/crates/shallotpost-control/tests/start_guards.rs
@@ -101,6 +101,22 @@
     }
 }
 
+/// Guards against an owner that claims a worker although another host may own the shard and count the worker as empty.
+#[test]
+fn claims_need_the_ownership_lease() {
+    let mut world = with_fencing(Fencing::Epoch);
+    world.take_over(1);
+    world.run(100);
+    world.lease = false;
+    world.expire_leases(true);
+    world.node("w0").worker.restart();
+    let work = world.admit(specification("job", Class::Batch, &["run", "100"]));
+    world.run(2000);
+    assert_eq!(world.starts(&work), 0);
+    world.lease = true;
+    world.run_until(LIMIT, |world| world.outcome(&work).is_some());
+}
+
 /// Guards against an owner that stops during an outage of the table although its workers fence older owners.
 #[test]
 fn fencing_outlives_the_ownership_lease() {
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -293,7 +293,12 @@
         owner
     }
 
+    /// Records the claim of an owner and tells it.
     pub fn acquire(&mut self, owner: usize, epoch: Epoch) {
+        let value = Some(serde_json::json!({ "owner": owner, "epoch": epoch }).to_string());
+        let write = table::Write { key: "shards/dc/0".into(), value };
+        let request = table::Request::Transact { checks: Vec::new(), writes: vec![write] };
+        self.table.handle(&request);
         self.deliver(owner, Message::Acquired { shard: shard(), epoch });
     }
 
@@ -430,7 +435,7 @@
                 let until = self.now + self.settings.configuration_lease;
                 self.deliver(owner, Message::Fresh { until });
             }
-            if self.lease {
+            if self.lease && owner + 1 == self.owners.len() {
                 let until = self.now + self.settings.ownership_lease;
                 self.deliver(owner, Message::Lease { until });
             }
