Keep unknown fields of cap rows and test reports and the planned stop

Cause: a cap row that another writer extends would have lost its further fields with the next change of a grant. Load reports, the end of a planned stop and the idleness of a fenced owner had no test.

Change: unknown fields of a cap row are written back unchanged. The tests cover the four points.

--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -31,7 +31,11 @@
     /// Most that the team may have booked fleet-wide.
     pub cap: Size,
     /// Part of each shard.
+    #[serde(default)]
     pub grants: BTreeMap<String, Size>,
+    /// Further fields, which are kept as they are.
+    #[serde(flatten)]
+    pub rest: BTreeMap<String, serde_json::Value>,
 }
 
 /// Grants of one shard.
@@ -175,7 +179,7 @@
         let (version, mut row) = match row {
             Some((version, row)) => (Some(version), row),
             None if booked == Size::ZERO && waiting == Size::ZERO => return,
-            None => (None, CapRow { cap: configured.cap, grants: BTreeMap::new() }),
+            None => (None, CapRow { cap: configured.cap, ..CapRow::default() }),
         };
         let own = self.id.to_string();
         let held = row.grants.get(&own).copied().unwrap_or(Size::ZERO);
--- a/crates/shallotpost-control/tests/shard_recovery.rs
+++ b/crates/shallotpost-control/tests/shard_recovery.rs
@@ -118,13 +118,17 @@
     world.run(100);
     world.set_running(first, false);
     world.add_worker("w0", 4);
-    world.take_over(2);
+    let second = world.take_over(2);
     world.run(500);
     world.set_running(first, true);
     world.ask(first, Ask::Cancel(work.clone()));
     world.run(500);
     assert_eq!(world.record(&work).unwrap().state, State::Admitted);
     assert_eq!((world.runners(&work).len(), world.fenced.as_slice()), (1, [2].as_slice()));
+    world.kill(second);
+    let reads = world.table.reads;
+    world.run(6000);
+    assert_eq!(world.table.reads, reads, "a fenced owner does nothing");
     world.deliver(first, Message::Lost { shard: shard() });
     assert_eq!(world.answers.pop().unwrap().unwrap_err().kind, ProblemKind::Unknown);
 }
@@ -257,10 +261,12 @@
         (0..steps).for_each(|_| world.step());
         ["w0", "w1"].iter().for_each(|worker| world.fault(worker, Kind::Start, Fault::Slow, 2));
         world.step();
+        world.deliver(first, Message::Stop);
         world.deliver(first, Message::Release { shard: shard() });
         let calls = world.start_calls;
         world.run_until(Duration::from_secs(3), |world| world.released == 1);
         assert_eq!(world.start_calls, calls, "no start after the request");
+        assert_eq!(world.drained, 1);
         world.take_over(2);
         check(&mut world, &jobs, &format!("released after {steps} steps"));
         assert!(world.fenced.is_empty());
--- a/crates/shallotpost-control/tests/start_guards.rs
+++ b/crates/shallotpost-control/tests/start_guards.rs
@@ -270,6 +270,8 @@
     world.run(4000);
     assert_eq!(running(&world), 1, "the cap was lowered");
     assert_eq!(world.granted("dc/0"), Some(1000));
+    let row = world.table.row("caps/red").unwrap();
+    assert!(row.value.contains("unmet"), "fields of other writers are kept: {}", row.value);
 }
 
 /// Guards against work that waits for the next regular read of the cap rows.
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -10,10 +10,11 @@
 use shallotpost_control::prelude::*;
 use shallotpost_control::scheduler::Scheduler;
 use shallotpost_control::settings::Fencing;
-pub use shallotpost_protocol::interface::{Reply as Answer, Request as Ask};
+pub use shallotpost_protocol::interface::{Reply as Answer, Request as Ask, ShardState};
 use shallotpost_protocol::resource::{
     Availability, DataCentre, Entry, OnCut, Policy, Resource, Right, Team,
 };
+use shallotpost_protocol::wire::Load;
 use shallotpost_protocol::work::{self, Class, Outcome, Record, Specification, State, Status};
 use shallotpost_protocol::worker::{Assignment, Refusal, Reply, Request};
 use shallotpost_protocol::{list, table};
@@ -84,6 +85,9 @@
     pub answers: Vec<Result<Answer, Problem>>,
     pub fenced: Vec<Epoch>,
     pub released: usize,
+    pub drained: usize,
+    /// Load reports to `membership` and `router`.
+    pub reports: (Vec<Load>, Vec<ShardState>),
     pub refused: Vec<Refusal>,
     /// Number of start calls that reached the edge, by owner.
     pub start_calls: usize,
@@ -147,6 +151,8 @@
             answers: Vec::new(),
             fenced: Vec::new(),
             released: 0,
+            drained: 0,
+            reports: (Vec::new(), Vec::new()),
             refused: Vec::new(),
             start_calls: 0,
             calls: 0,
@@ -202,7 +208,7 @@
     /// Writes the cap row of team `red`.
     pub fn set_cap_row(&mut self, cap: Size, grants: &[(&str, Size)]) {
         let grants: BTreeMap<&str, Size> = grants.iter().copied().collect();
-        let value = serde_json::json!({ "cap": cap, "grants": grants }).to_string();
+        let value = serde_json::json!({ "cap": cap, "grants": grants, "unmet": {} }).to_string();
         let write = table::Write { key: "caps/red".into(), value: Some(value) };
         let request = table::Request::Transact { checks: Vec::new(), writes: vec![write] };
         self.table.handle(&request);
@@ -479,6 +485,9 @@
             Message::Write(batch) => self.owners[owner].writes.push((self.now + STEP, batch)),
             Message::Ended { work, outcome } => self.ended.push((work, Outcome::clone(&outcome))),
             Message::Answer { result, .. } => self.answers.push(result),
+            Message::Drained(_) => self.drained += 1,
+            Message::Loads(loads) => self.reports.0 = loads,
+            Message::Shards(states) => self.reports.1 = states,
             Message::Fenced { epoch, .. } => self.fenced.push(epoch),
             Message::Released { .. } => {
                 assert!(self.open_orders.is_empty(), "released with open calls");
--- a/crates/shallotpost-control/tests/task_path.rs
+++ b/crates/shallotpost-control/tests/task_path.rs
@@ -72,6 +72,10 @@
         world.ask(owner, request);
         assert_eq!(world.answers.pop().unwrap().unwrap_err().kind, kind);
     }
+    world.run(500);
+    let (loads, states) = &world.reports;
+    assert_eq!((loads[0].epoch, loads[0].running_tasks, loads[0].workers), (1, 3, 1));
+    assert_eq!((states[0].owner.as_deref(), states[0].running), (Some("host"), 3));
     world.ask(owner, Ask::Explain(work("a")));
     assert!(matches!(world.answers.pop(), Some(Ok(Answer::Explanation(_)))));
 }
