--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use shallotpost_policy::planner;
 use shallotpost_protocol::port::Failure;
-use shallotpost_protocol::table::{Check, Reply, Request, Version, Write};
+use shallotpost_protocol::table::{Reply, Request, Version, Write};
 use shallotpost_protocol::work::Class;
 use shallotpost_protocol::worker::Mode;
 
@@ -31,7 +31,11 @@
     /// Most that the team may have booked fleet-wide.
     pub cap: Size,
     /// Part of each shard.
+    #[serde(default)]
     pub grants: BTreeMap<String, Size>,
+    /// Further fields, which are kept as they are.
+    #[serde(flatten)]
+    pub rest: BTreeMap<String, serde_json::Value>,
 }
 
 /// Grants of one shard.
@@ -175,7 +179,7 @@
         let (version, mut row) = match row {
             Some((version, row)) => (Some(version), row),
             None if booked == Size::ZERO && waiting == Size::ZERO => return,
-            None => (None, CapRow { cap: configured.cap, grants: BTreeMap::new() }),
+            None => (None, CapRow { cap: configured.cap, ..CapRow::default() }),
         };
         let own = self.id.to_string();
         let held = row.grants.get(&own).copied().unwrap_or(Size::ZERO);
@@ -195,7 +199,7 @@
         let batch = Batch {
             reply_to: Name::Scheduler,
             tag,
-            checks: vec![Check { key: key.clone(), version }],
+            checks: self.checks(key.clone(), version),
             writes: vec![Write { key, value: serde_json::to_string(&row).ok() }],
             expires: Some(context.now + CAPS_INTERVAL),
         };
