Bound calls per worker and send the last frames before a stop

Cause: one worker could take all calling threads and, over all hosts, more than its 64 connections. A planned stop dropped frames that still waited for a peer, among them answers to forwarded requests.

Change: at most 16 calls to one worker at once. Edge::finish sends the frames that wait and lets each receiver confirm them by the end of its answer. A Hello from the kernel is dropped, because the edge sends its own. The gate refuses excess connections before it connects to the inner server.

--- a/crates/shallotpost-edge/src/calls.rs
+++ b/crates/shallotpost-edge/src/calls.rs
@@ -1,7 +1,8 @@
 //! Calls to the table service, the worker list and the workers.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use shallotpost_protocol::identity::{Address, CallId};
@@ -24,6 +25,7 @@
     table: Pool,
     list: Pool,
     workers: Pool,
+    connections: Arc<Connections>,
 }
 
 /// Which event answers a call.
@@ -54,6 +56,10 @@
             table: Pool::new("edge-table", limits(settings.table_threads)),
             list: Pool::new("edge-list", limits(settings.list_threads)),
             workers: Pool::new("edge-worker", limits(settings.worker_threads)),
+            connections: Arc::new(Connections {
+                limit: settings.worker_connections,
+                open: Mutex::default(),
+            }),
         }
     }
 
@@ -80,10 +86,13 @@
         let client = Arc::clone(&self.client);
         let deadline = Instant::now() + timeout;
         let unanswered = self.unanswered(Kind::Worker, call);
+        let Some(connection) = Connections::take(&self.connections, &address) else { return };
         self.workers.execute(Box::new(move || {
             let unanswered = unanswered.started();
             let url = format!("http://{address}/");
             let result = client.post(&address, &url, &request, deadline);
+            // The kernel may call the worker again as soon as it has the answer.
+            drop(connection);
             unanswered.answer(Event::Worker { call, result });
         }));
     }
@@ -116,6 +125,43 @@
     }
 }
 
+/// Counts the calls to each worker.
+struct Connections {
+    limit: usize,
+    open: Mutex<HashMap<Address, usize>>,
+}
+
+/// One call to a worker.
+struct Connection {
+    connections: Arc<Connections>,
+    address: Address,
+}
+
+impl Connections {
+    /// Counts a call, unless the worker has too many.
+    fn take(connections: &Arc<Connections>, address: &Address) -> Option<Connection> {
+        let mut open = connections.lock();
+        let count = open.entry(address.clone()).or_default();
+        let free = *count < connections.limit;
+        *count += usize::from(free);
+        free.then(|| Connection { connections: Arc::clone(connections), address: address.clone() })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Address, usize>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let mut open = self.connections.lock();
+        match open.get_mut(&self.address) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => drop(open.remove(&self.address)),
+        }
+    }
+}
+
 impl Unanswered {
     /// From here on bytes may be sent.
     fn started(mut self) -> Unanswered {
--- a/crates/shallotpost-edge/src/edge.rs
+++ b/crates/shallotpost-edge/src/edge.rs
@@ -16,6 +16,9 @@
 /// Time for calls in flight to end after the callers' requests are answered.
 const CALLS_END: Duration = Duration::from_millis(500);
 
+/// Time for the last frames to reach the peers.
+const FRAMES_END: Duration = Duration::from_millis(500);
+
 /// The edge cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -93,7 +96,7 @@
         let complete = self.interface.finish(bound);
         self.calls.close();
         self.calls.join(Instant::now() + CALLS_END);
-        self.peers.stop();
+        self.peers.finish(FRAMES_END);
         complete
     }
 }
--- a/crates/shallotpost-edge/src/gate.rs
+++ b/crates/shallotpost-edge/src/gate.rs
@@ -191,6 +191,9 @@
 
 /// Relays one connection from its acceptance to its end.
 async fn serve(mut caller: TcpStream, shared: Arc<Shared>, stopped: watch::Receiver<bool>) {
+    if shared.lock().len() >= shared.limits.connections {
+        return;
+    }
     let Ok(mut inner) = TcpStream::connect(shared.target).await else { return };
     let Ok(connection) = inner.local_addr() else { return };
     let (sender, mode) = watch::channel(Mode::Open);
--- a/crates/shallotpost-edge/src/peer/incoming.rs
+++ b/crates/shallotpost-edge/src/peer/incoming.rs
@@ -83,7 +83,10 @@
         return;
     }
     let Ok(mut answer) = respond.send_response(Response::new(()), false) else { return };
-    if receive(request.into_body(), &mut answer, &hello, &events).await.is_err() {
+    let received = receive(request.into_body(), &mut answer, &hello, &events).await;
+    // The end of the answer tells the sender that all frames have arrived.
+    let ended = received.and_then(|()| Ok(answer.send_data(Bytes::new(), true)?));
+    if ended.is_err() {
         answer.send_reset(Reason::PROTOCOL_ERROR);
     }
 }
--- a/crates/shallotpost-edge/src/peer/mod.rs
+++ b/crates/shallotpost-edge/src/peer/mod.rs
@@ -7,9 +7,10 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
+use std::sync::mpsc::{Sender, SyncSender, sync_channel};
 use std::time::Duration;
 
+use bytes::Bytes;
 use shallotpost_protocol::identity::{Address, HostId};
 use shallotpost_protocol::port::Event;
 use shallotpost_protocol::wire::Frame;
@@ -61,10 +62,11 @@
     Unexpected,
 }
 
-struct Command {
-    to: HostId,
-    address: Address,
-    frame: Frame,
+enum Command {
+    /// Sends a frame.
+    Send { to: HostId, address: Address, frame: Box<Frame> },
+    /// Sends what waits, then drops the sender.
+    Finish(SyncSender<()>),
 }
 
 /// All peer connections.
@@ -111,7 +113,16 @@
 
     /// Queues a frame; it is lost where the peer cannot be reached or the queue is full.
     pub fn send(&self, to: HostId, address: Address, frame: Frame) {
-        let _ = self.commands.try_send(Command { to, address, frame });
+        let _ = self.commands.try_send(Command::Send { to, address, frame: Box::new(frame) });
+    }
+
+    /// Sends the frames that wait, at most for `bound`, then stops. Must not be called from the I/O thread.
+    pub fn finish(&self, bound: Duration) {
+        let (sender, done) = sync_channel(1);
+        if self.commands.try_send(Command::Finish(sender)).is_ok() {
+            let _ = done.recv_timeout(bound);
+        }
+        self.stop();
     }
 
     /// Closes all connections for sending and stops listening.
@@ -144,17 +155,36 @@
 /// Passes frames to the sending tasks.
 async fn distribute(mut commands: mpsc::Receiver<Command>, hello: Frame) {
     let mut peers: HashMap<HostId, Outgoing> = HashMap::new();
-    while let Some(Command { to, address, frame }) = commands.recv().await {
-        // A frame that is too long or has no valid address is lost, as the port's contract says.
-        let (Ok(address), Ok(bytes)) = (address.parse(), codec::encode(&frame)) else { continue };
-        let target = Target { host: to.clone(), address };
-        let current = peers.get(&to).filter(|peer| peer.target == target);
-        if current.is_some_and(|peer| peer.queue.push(bytes.clone())) {
-            continue;
+    while let Some(command) = commands.recv().await {
+        match command {
+            // Each stream begins with the edge's own `Hello`; another one would break it.
+            Command::Send { frame, .. } if matches!(*frame, Frame::Hello { .. }) => {}
+            Command::Send { to, address, frame } => {
+                // A frame that is too long or has no valid address is lost, as the port's contract says.
+                if let (Ok(address), Ok(bytes)) = (address.parse(), codec::encode(&frame)) {
+                    push(&mut peers, Target { host: to, address }, bytes, &hello);
+                }
+            }
+            Command::Finish(done) => {
+                peers.values().for_each(|peer| peer.queue.finish());
+                for peer in peers.values_mut() {
+                    let _ = (&mut peer.task).await;
+                }
+                drop(done);
+                return;
+            }
         }
-        peers.retain(|_, peer| !peer.task.is_finished());
-        let peer = Outgoing::start(target, hello.clone());
-        peer.queue.push(bytes);
-        peers.insert(to, peer);
     }
 }
+
+/// Queues a frame for a peer; starts its sending task where none runs for this address.
+fn push(peers: &mut HashMap<HostId, Outgoing>, target: Target, bytes: Bytes, hello: &Frame) {
+    let current = peers.get(&target.host).filter(|peer| peer.target == target);
+    if current.is_some_and(|peer| peer.queue.push(bytes.clone())) {
+        return;
+    }
+    peers.retain(|_, peer| !peer.task.is_finished());
+    let peer = Outgoing::start(target.clone(), hello.clone());
+    peer.queue.push(bytes);
+    peers.insert(target.host, peer);
+}
--- a/crates/shallotpost-edge/src/peer/outgoing.rs
+++ b/crates/shallotpost-edge/src/peer/outgoing.rs
@@ -108,10 +108,19 @@
 ) -> Result<(), Error> {
     loop {
         tokio::select! {
-            frame = queue.pop() => send(&mut sender, frame).await?,
+            frame = queue.pop() => match frame {
+                Some(frame) => send(&mut sender, frame).await?,
+                None => break,
+            },
             _ = answer.data() => return Err(Error::Closed),
         }
     }
+    // The peer ends its answer when it has received everything.
+    sender.send_data(Bytes::new(), true)?;
+    match answer.data().await {
+        None => Ok(()),
+        Some(_) => Err(Error::Unexpected),
+    }
 }
 
 /// Sends all bytes as the receiver grants capacity.
--- a/crates/shallotpost-edge/src/peer/queue.rs
+++ b/crates/shallotpost-edge/src/peer/queue.rs
@@ -27,6 +27,9 @@
 struct State {
     frames: VecDeque<(Instant, Bytes)>,
     bytes: usize,
+    /// No frame comes any more.
+    finishing: bool,
+    /// The sending task has ended.
     closed: bool,
 }
 
@@ -34,7 +37,7 @@
     /// Appends a frame and drops the oldest ones beyond the bounds. Returns false where the sending task has ended.
     pub fn push(&self, frame: Bytes) -> bool {
         let mut state = self.lock();
-        if state.closed {
+        if state.closed || state.finishing {
             return false;
         }
         state.bytes += frame.len();
@@ -47,20 +50,27 @@
         true
     }
 
-    /// Takes the oldest frame; waits for one.
-    pub async fn pop(&self) -> Bytes {
+    /// Takes the oldest frame; waits for one. `None` after the last frame of a finished queue.
+    pub async fn pop(&self) -> Option<Bytes> {
         loop {
-            if let Some(frame) = self.take() {
-                return frame;
+            match self.take() {
+                Some(frame) => return Some(frame),
+                None if self.lock().finishing => return None,
+                None => self.pushed.notified().await,
             }
-            self.pushed.notified().await;
         }
     }
 
+    /// Refuses further frames and lets the sending task end after the ones that wait.
+    pub fn finish(&self) {
+        self.lock().finishing = true;
+        self.pushed.notify_one();
+    }
+
     /// Waits until there is a frame. Where none comes within `idle`, closes the queue and returns false.
     pub async fn wait(&self, idle: Duration) -> bool {
         let filled = async {
-            while self.lock().frames.is_empty() {
+            while self.is_waiting() {
                 self.pushed.notified().await;
             }
         };
@@ -70,6 +80,11 @@
         !state.closed
     }
 
+    fn is_waiting(&self) -> bool {
+        let state = self.lock();
+        state.frames.is_empty() && !state.finishing
+    }
+
     fn take(&self) -> Option<Bytes> {
         let mut state = self.lock();
         while state.frames.front().is_some_and(|(since, _)| since.elapsed() > FRAME_AGE_MAX) {
--- a/crates/shallotpost-edge/src/settings.rs
+++ b/crates/shallotpost-edge/src/settings.rs
@@ -35,6 +35,9 @@
     /// Most worker calls at once; each open `sync` takes one for up to a second.
     #[serde(default = "worker_threads")]
     pub worker_threads: usize,
+    /// Most calls to one worker at once, each on its own connection. A worker takes 64 connections over all entry hosts.
+    #[serde(default = "worker_connections")]
+    pub worker_connections: usize,
     /// Most requests that are being read or answered at once.
     #[serde(default = "http_threads")]
     pub http_threads: usize,
@@ -61,6 +64,10 @@
     160
 }
 
+fn worker_connections() -> usize {
+    16
+}
+
 fn http_threads() -> usize {
     32
 }
@@ -93,6 +100,7 @@
             table_threads: table_threads(),
             list_threads: list_threads(),
             worker_threads: worker_threads(),
+            worker_connections: worker_connections(),
             http_threads: http_threads(),
             stream_threads: stream_threads(),
             open_requests: open_requests(),
--- a/crates/shallotpost-edge/tests/call_faults.rs
+++ b/crates/shallotpost-edge/tests/call_faults.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::thread;
 
+use shallotpost_edge::Settings;
 use shallotpost_protocol::port::{Effect, Event, Failure};
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::table::{Check, Reply, Request, Write as RowWrite};
@@ -157,36 +158,41 @@
     bench.no_event();
 }
 
-/// Guards against calls that wait for a thread: beyond the limit they fail at once, unsent.
+/// Guards against calls that wait for a thread or exceed a worker's share of connections: they fail at once, unsent.
 #[test]
-fn a_full_pool_refuses_at_once() {
-    let bench = Bench::with(|settings| settings.worker_threads = 2);
-    let worker = TcpListener::bind(any_port()).unwrap();
-    let execute = |call| {
-        bench.edge.execute(Effect::Worker {
-            call,
-            worker: "worker-1".to_owned(),
-            address: worker.local_addr().unwrap().to_string(),
-            request: worker::Request::Claim {
-                shard: "kochi/0".parse().unwrap(),
-                epoch: 1,
-                lease: PATIENCE,
-            },
-            timeout: PATIENCE,
-        });
-    };
-    execute(1);
-    execute(2);
-    let connections = [worker.accept().unwrap(), worker.accept().unwrap()];
-    execute(3);
-    assert!(matches!(bench.event(), Event::Worker { call: 3, result: Err(Failure::NotSent) }));
-    drop(connections);
-    for _ in 0..2 {
-        let event = bench.event();
-        let ambiguous = Err(Failure::Ambiguous);
-        assert!(matches!(event, Event::Worker { call: 1 | 2, result } if result == ambiguous));
+fn calls_beyond_a_limit_are_refused_at_once() {
+    type Adjust = fn(&mut Settings);
+    // Limits, and the workers of three calls of which the last one is refused.
+    let cases: [(Adjust, [usize; 3]); 2] = [
+        (|settings| settings.worker_threads = 2, [0, 1, 2]),
+        (|settings| settings.worker_connections = 1, [0, 1, 0]),
+    ];
+    for (adjust, targets) in cases {
+        let bench = Bench::with(adjust);
+        let workers = [0; 3].map(|_| TcpListener::bind(any_port()).unwrap());
+        let execute = |call: usize| {
+            let (shard, epoch, lease) = ("kochi/0".parse().unwrap(), 1, PATIENCE);
+            bench.edge.execute(Effect::Worker {
+                call: call as CallId,
+                worker: "worker-1".to_owned(),
+                address: workers[targets[call]].local_addr().unwrap().to_string(),
+                request: worker::Request::Claim { shard, epoch, lease },
+                timeout: PATIENCE,
+            });
+        };
+        execute(0);
+        execute(1);
+        let connections = [0, 1].map(|worker: usize| workers[worker].accept().unwrap());
+        execute(2);
+        assert!(matches!(bench.event(), Event::Worker { call: 2, result: Err(Failure::NotSent) }));
+        drop(connections);
+        for _ in 0..2 {
+            let event = bench.event();
+            let ambiguous = Err(Failure::Ambiguous);
+            assert!(matches!(event, Event::Worker { call: 0 | 1, result } if result == ambiguous));
+        }
+        bench.no_event();
     }
-    bench.no_event();
 }
 
 /// Guards against a worker list that is translated wrongly.
--- /dev/null
+++ b/crates/shallotpost-edge/tests/gate_limits.rs
@@ -0,0 +1,116 @@
+//! The gate in front of a server: bounds and modes of connections.
+#![allow(clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use shallotpost_edge::driver::Driver;
+use shallotpost_edge::gate::{ConnectionId, Gate, Limits, Mode, Observer};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Reports(Mutex<Sender<(ConnectionId, bool)>>);
+
+impl Observer for Reports {
+    fn opened(&self, connection: ConnectionId) {
+        self.0.lock().unwrap().send((connection, true)).unwrap();
+    }
+
+    fn closed(&self, connection: ConnectionId) {
+        let _ = self.0.lock().unwrap().send((connection, false));
+    }
+}
+
+struct Setup {
+    gate: Gate,
+    inner: TcpListener,
+    reports: Receiver<(ConnectionId, bool)>,
+    _driver: Driver,
+}
+
+impl Setup {
+    fn start(connections: usize, idle: Duration) -> Setup {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let inner = TcpListener::bind(any_port).unwrap();
+        let driver = Driver::start("test-gate").unwrap();
+        let (sender, reports) = channel();
+        let observer = Arc::new(Reports(Mutex::new(sender)));
+        let (target, limits) = (inner.local_addr().unwrap(), Limits { connections, idle });
+        let gate = Gate::start(driver.handle(), any_port, target, limits, observer).unwrap();
+        Setup { gate, inner, reports, _driver: driver }
+    }
+
+    /// A caller's end, the server's end and the name of a connection.
+    fn connect(&self) -> (TcpStream, TcpStream, ConnectionId) {
+        let caller = TcpStream::connect(self.gate.address()).unwrap();
+        caller.set_read_timeout(Some(PATIENCE)).unwrap();
+        let (server, peer) = self.inner.accept().unwrap();
+        server.set_read_timeout(Some(PATIENCE)).unwrap();
+        assert_eq!(self.reports.recv_timeout(PATIENCE).unwrap(), (peer, true));
+        (caller, server, peer)
+    }
+}
+
+/// What arrives until the connection ends.
+fn rest(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    bytes
+}
+
+/// Guards against connections without bound and against ones that stay open after they went silent.
+#[test]
+fn connections_are_bounded_in_number_and_time() {
+    let setup = Setup::start(1, Duration::from_millis(300));
+    let (mut caller, mut server, connection) = setup.connect();
+    let mut excess = TcpStream::connect(setup.gate.address()).unwrap();
+    excess.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert!(rest(&mut excess).is_empty());
+    let started = Instant::now();
+    caller.write_all(b"x").unwrap();
+    assert!(rest(&mut caller).is_empty());
+    assert!(started.elapsed() >= Duration::from_millis(300) && started.elapsed() < PATIENCE / 2);
+    assert_eq!(rest(&mut server), b"x");
+    assert_eq!(setup.reports.recv_timeout(PATIENCE).unwrap(), (connection, false));
+    setup.connect();
+}
+
+/// Guards against modes that pass too much or too little of an answer.
+#[test]
+fn modes_decide_what_passes() {
+    let answer = vec![7; 3 << 20];
+    let cases = [
+        (Mode::Finish, answer.len()),
+        (Mode::Truncate(100_000), 100_000),
+        (Mode::Truncate(0), 0),
+        (Mode::Closed, 0),
+    ];
+    for (mode, expected) in cases {
+        let setup = Setup::start(4, PATIENCE);
+        let (mut caller, mut server, connection) = setup.connect();
+        setup.gate.set(connection, mode);
+        let answer = answer.clone();
+        let writer = std::thread::spawn(move || {
+            let _ = server.write_all(&answer);
+            rest(&mut server)
+        });
+        let received = rest(&mut caller);
+        assert_eq!(received.len(), expected, "{mode:?}");
+        assert!(writer.join().unwrap().is_empty());
+        assert_eq!(setup.reports.recv_timeout(PATIENCE).unwrap(), (connection, false), "{mode:?}");
+    }
+}
+
+/// Guards against a connection that a caller closed and the handlers take for an open one.
+#[test]
+fn a_closed_connection_is_reported_before_the_server_sees_it() {
+    let setup = Setup::start(4, PATIENCE);
+    let (caller, mut server, connection) = setup.connect();
+    assert!(setup.gate.is_open(connection));
+    drop(caller);
+    assert!(rest(&mut server).is_empty());
+    assert!(!setup.gate.is_open(connection));
+}
--- a/crates/shallotpost-edge/tests/peer_frames.rs
+++ b/crates/shallotpost-edge/tests/peer_frames.rs
@@ -16,7 +16,7 @@
 use shallotpost_protocol::port::{Effect, Event};
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::wire::{FRAME_LENGTH_MAX, Frame};
-use support::{Bench, PATIENCE, any_port};
+use support::{Bench, PATIENCE, any_port, refusing};
 
 fn host(name: &str) -> Bench {
     Bench::with(|settings| settings.host = name.to_owned())
@@ -119,6 +119,20 @@
     }
 }
 
+/// Guards against a stop that loses the last frames, and against one that waits for a peer which cannot be reached.
+#[test]
+fn the_last_frames_are_sent_before_the_stop() {
+    let (one, two) = (host("one"), host("two"));
+    let (_socket, nobody) = refusing();
+    (0..100).for_each(|number| send(&one, "two", two.edge.peer_address(), ping(number)));
+    send(&one, "three", nobody, ping(1));
+    let started = Instant::now();
+    assert!(one.edge.finish(PATIENCE));
+    assert!(started.elapsed() < PATIENCE / 2);
+    assert!(is_hello(&peer_event(&two).1, "one"));
+    (0..100).for_each(|number| assert_eq!(peer_event(&two).1, ping(number)));
+}
+
 /// Guards against a connection that went silent and is used for ever.
 #[test]
 fn a_silent_connection_is_replaced() {
@@ -227,5 +241,5 @@
     (0..total).for_each(|number| assert!(queue.push(encode(&ping(number)).unwrap())));
     let driver = Driver::start("test-queue").unwrap();
     let first = driver.run(async move { queue.pop().await }).unwrap();
-    assert_eq!(first, encode(&ping(10)).unwrap());
+    assert_eq!(first, Some(encode(&ping(10)).unwrap()));
 }
