Close incoming peer connections on a stop

Cause: after Edge::finish, connections of peers stayed open until the edge was dropped. Trials that removed one mechanism at a time showed that no test noticed when a broken download left its connection open, and that the length check of uploads was redundant beside the check of the connection.

Change: incoming connections end with their listener. The redundant check is removed. a_broken_download_is_an_error limits the time to the error.

Conclusion: a stopped edge receives no more frames.

--- a/crates/shallotpost-edge/src/http/objects.rs
+++ b/crates/shallotpost-edge/src/http/objects.rs
@@ -71,7 +71,7 @@
         None => request.header("content-length", "0"),
     };
     let source = http_request.as_reader();
-    let mut body = CallerBody { source, length, connected: &connected, passed: 0, failed: None };
+    let mut body = CallerBody { source, connected: &connected, passed: 0, failed: None };
     let result = request.send(SendBody::from_reader(&mut body));
     match (body.failed, result) {
         (Some(problem), _) => Err(problem),
@@ -145,10 +145,10 @@
     }
 }
 
-/// The body of an upload. A body that ends early or is too long is an error, which also breaks the stream to the store.
+/// The body of an upload. A body that is too long or ends early, which only the closed connection tells, is an error that
+/// also breaks the stream to the store.
 struct CallerBody<'a> {
     source: &'a mut dyn Read,
-    length: Option<u64>,
     connected: &'a dyn Fn() -> bool,
     passed: u64,
     failed: Option<Problem>,
@@ -158,9 +158,8 @@
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let result = self.source.read(buffer);
         self.passed += result.as_ref().map_or(0, |count| *count as u64);
-        let short = self.length.is_some_and(|length| self.passed < length);
         match result {
-            Ok(0) if short || !(self.connected)() => self.fail(broken()),
+            Ok(0) if !(self.connected)() => self.fail(broken()),
             Ok(_) if self.passed > OBJECT_LENGTH_MAX => self.fail(too_long()),
             Ok(count) => Ok(count),
             Err(error) if error.kind() == io::ErrorKind::Interrupted => Err(error),
--- a/crates/shallotpost-edge/src/peer/incoming.rs
+++ b/crates/shallotpost-edge/src/peer/incoming.rs
@@ -1,6 +1,5 @@
 //! Connections of peers that send to this host.
 
-use std::sync::Arc;
 use std::sync::mpsc::Sender;
 
 use bytes::Bytes;
@@ -11,7 +10,7 @@
 use shallotpost_protocol::port::Event;
 use shallotpost_protocol::wire::Frame;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
 use tokio::time::{Duration, sleep, timeout};
 
 use crate::peer::codec::{Decoder, encode};
@@ -27,20 +26,17 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts connections for ever.
+/// Accepts connections for ever; closes all when it is dropped.
 pub async fn run(listener: TcpListener, hello: Frame, events: Sender<Event>) {
-    let free = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    let mut connections = JoinSet::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                // A connection beyond the limit is closed at once.
-                let Ok(permit) = Arc::clone(&free).try_acquire_owned() else { continue };
-                let (hello, events) = (hello.clone(), events.clone());
-                tokio::spawn(async move {
-                    // The sender reconnects by itself.
-                    let _ = serve(stream, hello, events).await;
-                    drop(permit);
-                });
+                while connections.try_join_next().is_some() {}
+                // A connection beyond the limit is closed at once; the sender reconnects by itself.
+                if connections.len() < CONNECTIONS_MAX {
+                    connections.spawn(serve(stream, hello.clone(), events.clone()));
+                }
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
--- a/crates/shallotpost-edge/tests/object_streams.rs
+++ b/crates/shallotpost-edge/tests/object_streams.rs
@@ -135,6 +135,7 @@
     let content = content(3 << 20);
     assert_eq!(put(&bench, &content, &digest(&content)).0, 200);
     bench.platform.fault(&Fault { truncate_answers: Some(1), ..Fault::default() });
+    let started = Instant::now();
     let result = thread::scope(|scope| {
         let caller = scope.spawn(|| {
             let response = agent().get(bench.url(PATH)).call()?;
@@ -145,4 +146,5 @@
         caller.join().unwrap()
     });
     assert!(result.is_err(), "{} bytes came", result.unwrap().len());
+    assert!(started.elapsed() < PATIENCE / 2, "the caller had to wait for its own timeout");
 }
