--- a/crates/shallotpost-control/tests/planned_stop.rs
+++ b/crates/shallotpost-control/tests/planned_stop.rs
@@ -52,3 +52,28 @@
     assert_eq!(cell.outcome("a2", RICE, &rice("late")).ending, Ending::Succeeded);
     assert_eq!(cell.starts("late"), 1);
 }
+
+/// A hand-over between the durable intent and the start must not leave work whose start is in doubt.
+#[test]
+fn hand_over_between_intent_and_start() {
+    for (offset, stopping) in (0..200).step_by(5).zip(["a1", "a2", "b1", "b2"].into_iter().cycle())
+    {
+        let entry = if stopping.starts_with('a') { "b1" } else { "a1" };
+        let mut cell = deploy();
+        for index in 0..20 {
+            cell.request(entry, RICE, Request::Submit(job(&format!("job-{index}"), 200, false)));
+        }
+        cell.run(Duration::from_millis(offset));
+        cell.stop(stopping);
+        cell.run(Duration::from_secs(10));
+        for index in 0..20 {
+            let name = format!("job-{index}");
+            let outcome = cell.outcome(entry, RICE, &rice(&name));
+            assert_eq!(
+                outcome.ending,
+                Ending::Succeeded,
+                "stop of {stopping} after {offset} ms: {name}: {outcome:?}"
+            );
+        }
+    }
+}
