--- a/crates/shallotpost-policy/src/claim.rs
+++ b/crates/shallotpost-policy/src/claim.rs
@@ -50,7 +50,7 @@
     pub(crate) urgent: bool,
     /// Level that a team must keep that gives for work that is not urgent.
     pub(crate) floor: f64,
-    /// Team whose own batch tasks may give way too, whatever its share.
+    /// Team whose own batch tasks (for urgent work, its gangs too) may give way as well, whatever its share.
     pub(crate) own: Option<usize>,
 }
 
@@ -78,8 +78,11 @@
 
     /// Whether a running task may be reclaimed while its team has `booked`.
     fn allows(&self, account: &Account, booked: &Sum, record: &Record) -> bool {
-        if self.own == Some(record.team) && record.job.class == Class::Batch {
-            return true;
+        let own = self.own == Some(record.team);
+        match record.job.class {
+            Class::Batch if own => return true,
+            Class::Gang { .. } if own && self.urgent => return true,
+            _ => {}
         }
         let mut after = *booked;
         after.subtract(&record.size_at_once());
--- a/crates/shallotpost-policy/src/decide.rs
+++ b/crates/shallotpost-policy/src/decide.rs
@@ -131,7 +131,7 @@
         let mut missed = Vec::new();
         let mut fit = None;
         for (grown, slot) in self.fleet.grown.range(queue.seen + 1..) {
-            let Some(free) = self.fleet.hosts[*slot].free() else { continue };
+            let Some(free) = self.fleet.free(*slot) else { continue };
             if queue.excludes(&free) {
                 continue;
             }
@@ -186,8 +186,7 @@
     fn may_have_room(&mut self, slot: usize) -> bool {
         let Some(record) = self.jobs.get_mut(slot) else { return false };
         let size = &record.job.size;
-        let fits =
-            |host: usize| self.fleet.hosts[host].free().is_some_and(|free| size.fits_in(&free));
+        let fits = |host: usize| self.fleet.free(host).is_some_and(|free| size.fits_in(&free));
         let grown = self.fleet.grown.range(record.tried + 1..);
         if record.tried == 0 || grown.into_iter().any(|(_, host)| fits(*host)) {
             return true;
--- a/crates/shallotpost-policy/src/fleet.rs
+++ b/crates/shallotpost-policy/src/fleet.rs
@@ -96,6 +96,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     pub(crate) hosts: Vec<Host>,
+    /// Free capacity by worker, as `Host::free` gives it. Kept apart from the workers, so that a look at many of them
+    /// touches little memory.
+    free: Vec<Option<Size>>,
     slots: HashMap<WorkerId, usize>,
     pub(crate) racks: Vec<RackId>,
     rack_slots: HashMap<RackId, usize>,
@@ -132,6 +135,7 @@
         }
         let slot = self.hosts.len();
         self.slots.insert(id.clone(), slot);
+        self.free.push(None);
         self.hosts.push(Host {
             id: id.clone(),
             known: false,
@@ -188,6 +192,7 @@
         host.paused_until = None;
         host.returning_until = None;
         host.capacity = Size::ZERO;
+        self.refresh(slot);
     }
 
     /// Bounds the start rate of every worker for a while.
@@ -344,8 +349,7 @@
         let mut position = rack.index.first(0, &bound);
         while let Some(place) = position {
             let host = rack.hosts.get(place).copied().flatten();
-            let fits = host
-                .filter(|slot| self.hosts[*slot].free().is_some_and(|free| size.fits_in(&free)));
+            let fits = host.filter(|slot| self.free(*slot).is_some_and(|free| size.fits_in(&free)));
             match fits.map_or(Visit::Next, &mut *found) {
                 Visit::Next => position = rack.index.first(place + 1, &bound),
                 Visit::NextRack => return Visit::Next,
@@ -361,11 +365,18 @@
         self.cursor
     }
 
+    /// Free capacity of a worker for any task; `None` where it may get none.
+    pub(crate) fn free(&self, slot: usize) -> Option<Size> {
+        self.free[slot]
+    }
+
     /// Brings the index up to date after a change of the worker.
     pub(crate) fn refresh(&mut self, slot: usize) {
         let host = &self.hosts[slot];
+        let free = host.free();
+        self.free[slot] = free;
         let Some((pool, place)) = host.place else { return };
-        let value = host.free().map_or(ABSENT, |free| free.parts().map(|part| !part));
+        let value = free.map_or(ABSENT, |free| free.parts().map(|part| !part));
         let rack_slot = host.rack;
         let Some(pool) = self.pools.get_mut(&pool) else { return };
         let rack = &mut pool.racks[rack_slot];
--- a/crates/shallotpost-policy/src/reserve.rs
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -28,7 +28,9 @@
 const URGENT_PATIENCE: Duration = Duration::from_millis(500);
 /// Wait after which another task may get one.
 const TASK_PATIENCE: Duration = Duration::from_secs(20);
-/// Part of any resource that reservations may hold together; a single one may hold more.
+/// Reservations that may exist whatever they hold; on a shard of few workers, one alone holds a large part.
+const RESERVATIONS_MIN: usize = 1;
+/// Part of any resource that more reservations may hold together.
 const HELD_PART_MAX: f64 = 0.05;
 
 /// Room that is held for tasks of one job that start together.
@@ -172,8 +174,9 @@
             held.add(&reservation.size.times(reservation.indices.len() as u64));
         }
         held.add(&size.times(count));
-        let first = self.reservations.is_empty() || record.job.class == Class::Urgent;
-        if !first && held.size().dominant_part(&judge.total) > HELD_PART_MAX {
+        let few = self.reservations.len() < RESERVATIONS_MIN;
+        let exempt = few || record.job.class == Class::Urgent;
+        if !exempt && held.size().dominant_part(&judge.total) > HELD_PART_MAX {
             return false;
         }
         let mut after = self.teams.accounts[team].booked;
--- a/crates/shallotpost-policy/src/search.rs
+++ b/crates/shallotpost-policy/src/search.rs
@@ -122,7 +122,7 @@
             if !self.may_place((slot, 0), position) {
                 return Visit::Next;
             }
-            let room = host.free().map_or(0, |free| copies(&free, size));
+            let room = self.fleet.free(position).map_or(0, |free| copies(&free, size));
             let count = room.min(host.starts_max()).min(left);
             if count > 0 {
                 found.push((position, count));
@@ -135,8 +135,9 @@
 
     /// Parts of its capacity that stay free on a worker when it takes `size`, summed over the resources.
     fn left_over(&self, host: usize, size: &Size) -> f64 {
+        let free = self.fleet.free(host);
         let host = &self.fleet.hosts[host];
-        let left = host.free().unwrap_or(Size::ZERO).minus(size).parts();
+        let left = free.unwrap_or(Size::ZERO).minus(size).parts();
         let parts = left.into_iter().zip(host.capacity.parts());
         parts.map(|(left, all)| if all == 0 { 0.0 } else { left as f64 / all as f64 }).sum()
     }
