Split the cap when a second data centre appears, and cut the cost of updates

Cause: a shard that had been the only one of the fleet kept the whole cap as its grant when another data centre appeared, until a row was written. Each Fleet message hashed the racks of all workers, and each worker list cloned the entries of the whole fleet.

Change: on that transition the grant falls to what is booked, and more must be granted by the row. Fleet messages are applied only where they change whether other data centres have hosts. Only own workers are kept as vanished.

Conclusion: a team stays within its cap while data centres are added.

--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -43,6 +43,7 @@
     grants: BTreeMap<TeamId, Size>,
     writing: BTreeSet<TeamId>,
     call: Option<CallId>,
+    only: bool,
     next_read: Instant,
     last_read: Instant,
 }
@@ -54,6 +55,7 @@
             grants: BTreeMap::new(),
             writing: BTreeSet::new(),
             call: None,
+            only: false,
             next_read: now,
             last_read: now,
         }
@@ -75,6 +77,7 @@
     /// Tells the planner the configured teams.
     pub fn refresh_teams(&mut self, context: &mut Context, environment: &Environment) {
         let only = environment.is_only_shard(&self.id);
+        let was_only = std::mem::replace(&mut self.caps.only, only);
         let names: Vec<TeamId> = environment
             .snapshot
             .names(shallotpost_protocol::resource::Kind::Team)
@@ -89,7 +92,12 @@
         for name in names {
             let Some(team) = environment.snapshot.team(&name) else { continue };
             let known = self.caps.grants.get(&name).copied().unwrap_or(Size::ZERO);
-            let grant = if only { team.cap } else { known };
+            let grant = match (only, was_only) {
+                (true, _) => team.cap,
+                // The cap is split from now on, and this shard holds no part of it yet.
+                (false, true) => self.planner.booked(&name),
+                (false, false) => known,
+            };
             self.set_grant(context, environment, &name, grant);
             if only {
                 self.stop_above(&name, &grant);
--- a/crates/shallotpost-control/src/scheduler/environment.rs
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -1,7 +1,7 @@
 //! What all owned shards share: settings, configuration, leases and the worker list.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
 use rand::rngs::StdRng;
@@ -29,8 +29,8 @@
     pub list: Option<Rc<Vec<list::Worker>>>,
     /// Workers that left the list, with the time at which this was seen.
     vanished: BTreeMap<WorkerId, (Instant, list::Worker)>,
-    /// The other entry hosts.
-    pub fleet: Rc<Fleet>,
+    /// Whether other data centres have entry hosts.
+    has_remote_hosts: bool,
     next_tag: Cell<Tag>,
     random: RefCell<StdRng>,
 }
@@ -45,7 +45,7 @@
             lease_until: None,
             list: None,
             vanished: BTreeMap::new(),
-            fleet: Rc::default(),
+            has_remote_hosts: false,
             next_tag: Cell::new(0),
             random: RefCell::new(StdRng::seed_from_u64(settings.random_seed)),
         }
@@ -55,11 +55,14 @@
     pub fn set_list(&mut self, now: Instant, list: Rc<Vec<list::Worker>>) {
         let lapse = surely_lapsed(self.settings.task_lease);
         self.vanished.retain(|_, (since, _)| now < *since + lapse);
-        for worker in self.list.iter().flat_map(|list| list.iter()) {
-            self.vanished.insert(worker.worker.clone(), (now, worker.clone()));
-        }
-        for worker in list.iter() {
-            self.vanished.remove(&worker.worker);
+        let own = |worker: &&list::Worker| worker.data_centre == self.settings.data_centre;
+        let listed: HashSet<&str> =
+            list.iter().filter(own).map(|worker| worker.worker.as_str()).collect();
+        self.vanished.retain(|worker, _| !listed.contains(worker.as_str()));
+        for worker in self.list.iter().flat_map(|list| list.iter()).filter(own) {
+            if !listed.contains(worker.worker.as_str()) {
+                self.vanished.insert(worker.worker.clone(), (now, worker.clone()));
+            }
         }
         self.list = Some(list);
     }
@@ -103,7 +106,14 @@
         let other = |name: &str| name != shard.data_centre;
         self.shard_count(&shard.data_centre) == 1
             && !self.snapshot.names(Kind::DataCentre).any(other)
-            && !self.fleet.peers.iter().any(|peer| other(&peer.data_centre))
+            && !self.has_remote_hosts
+    }
+
+    /// Takes over the other entry hosts. Returns whether this may change which shard is the only one.
+    pub fn set_fleet(&mut self, fleet: &Fleet) -> bool {
+        let own = &self.settings.data_centre;
+        let remote = fleet.peers.iter().any(|peer| peer.data_centre != *own);
+        std::mem::replace(&mut self.has_remote_hosts, remote) != remote
     }
 
     /// Workers of a shard; `None` before the list is loaded.
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 use shallotpost_protocol::wire::Frame;
 use shallotpost_protocol::{table, worker};
 
+use crate::membership::Fleet;
 use crate::message::WriteFailure;
 use crate::prelude::*;
 use environment::Environment;
@@ -57,10 +58,7 @@
             }
             Message::Fresh { until } => self.environment.fresh_until = Some(until),
             Message::Lease { until } => self.environment.lease_until = Some(until),
-            Message::Fleet(fleet) => {
-                self.environment.fleet = fleet;
-                self.refresh(context);
-            }
+            Message::Fleet(fleet) => self.on_fleet(context, &fleet),
             Message::Workers(list) => {
                 self.environment.set_list(context.now, list);
                 self.refresh(context);
@@ -122,6 +120,12 @@
         context.send(Name::Router, Message::Shards(states));
     }
 
+    fn on_fleet(&mut self, context: &mut Context, fleet: &Fleet) {
+        if self.environment.set_fleet(fleet) {
+            self.refresh(context);
+        }
+    }
+
     fn refresh(&mut self, context: &mut Context) {
         for owned in self.shards.values_mut() {
             owned.refresh_sessions(context, &self.environment);
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -20,8 +20,8 @@
 /// Interval at which unplaced work is checked while workers are silent.
 const RESOLVE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Calls per worker timeout to a worker that stopped answering. With one per timeout, a worker that hung for 5 s got the
-/// next call after its task lease had lapsed.
+/// Calls per worker timeout to a worker that stopped answering. With one per timeout, a worker that hung for 5 s got
+/// the next call after its task lease had lapsed.
 const PROBES_PER_TIMEOUT: u32 = 2;
 
 impl Owned {
@@ -116,8 +116,8 @@
         if session.beat.is_some() || context.now < session.next_beat || !session.listed {
             return;
         }
-        // An owner that was paused or is cut off may have lost the shard. It may go on with workers that hold its epoch,
-        // but a new owner may already count a worker without a lease as empty.
+        // An owner that was paused or is cut off may have lost the shard. It may go on with workers that hold its
+        // epoch, but a new owner may already count a worker without a lease as empty.
         let lapsed = environment.lease_until.is_some()
             && !Environment::holds(environment.lease_until, context.now);
         if !session.claimed && lapsed {
@@ -378,8 +378,8 @@
         entry.tasks[task.index as usize].queued = false;
     }
 
-    /// Books all parts of a gang once every part is found. The planner would place the queued parts of a gang of which it
-    /// knows some only.
+    /// Books all parts of a gang once every part is found. The planner would place the queued parts of a gang of which
+    /// it knows some only.
     fn book_gang(&mut self, context: &mut Context, work: &WorkId) {
         let Some(entry) = self.works.get(work) else { return };
         if entry.submitted || entry.closing.is_some() || entry.is_unplaced() {
--- a/crates/shallotpost-control/src/scheduler/rows.rs
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -182,8 +182,8 @@
         self.finish_loading(context);
     }
 
-    /// Handles the row of the shard. All writes are conditional on it, so that an owner that was paused and lost the shard
-    /// cannot end work which the new owner runs.
+    /// Handles the row of the shard. All writes are conditional on it, so that an owner that was paused and lost the
+    /// shard cannot end work which the new owner runs.
     pub fn on_ownership_row(&mut self, context: &mut Context, result: Result<Reply, Failure>) {
         self.rows.ownership_call = None;
         let Ok(Reply::Rows { rows, .. }) = result else { return };
--- a/crates/shallotpost-control/src/scheduler/session.rs
+++ b/crates/shallotpost-control/src/scheduler/session.rs
@@ -135,8 +135,8 @@
 
     /// Lease for the next call, and whether it counts as a full one; `None` where a call must wait.
     ///
-    /// While a worker is silent, its calls carry only the rest of the lease, so that a call whose answer is lost does not
-    /// prolong the time until its tasks count as ended.
+    /// While a worker is silent, its calls carry only the rest of the lease, so that a call whose answer is lost does
+    /// not prolong the time until its tasks count as ended.
     pub fn next_lease(
         &self,
         now: Instant,
--- a/crates/shallotpost-control/tests/start_guards.rs
+++ b/crates/shallotpost-control/tests/start_guards.rs
@@ -5,7 +5,10 @@
 #[path = "support/scheduling.rs"]
 mod scheduling;
 
+use std::rc::Rc;
+
 use scheduling::*;
+use shallotpost_control::membership::{Fleet, Peer};
 use shallotpost_control::message::WriteFailure;
 use shallotpost_control::prelude::*;
 use shallotpost_control::settings::Fencing;
@@ -277,13 +280,35 @@
 /// Guards against work that waits for the next regular read of the cap rows.
 #[test]
 fn first_grant() {
-    let mut world = World::new(1);
-    world.set_availability("other", Availability::Active);
-    world.take_over(1);
-    world.run(1500);
-    let work = world.admit(specification("job", Class::Batch, &["run", "100"]));
-    world.run(250);
-    assert_eq!(world.starts(&work), 1);
+    // The other data centre is known from its configuration or from its entry host.
+    for configured in [true, false] {
+        let mut world = World::new(1);
+        let owner = world.take_over(1);
+        match configured {
+            true => world.set_availability("other", Availability::Active),
+            false => {
+                let peers = vec![remote_peer()];
+                world.deliver(owner, Message::Fleet(Rc::new(Fleet { peers })));
+            }
+        }
+        world.run(1500);
+        let work = world.admit(specification("job", Class::Batch, &["run", "100"]));
+        world.run(250);
+        assert_eq!((world.starts(&work), world.granted("dc/0")), (1, Some(1000)));
+    }
+}
+
+fn remote_peer() -> Peer {
+    Peer {
+        host: "remote".into(),
+        data_centre: "other".into(),
+        peer_address: String::new(),
+        incarnation: 1,
+        answered: None,
+        row_changed: None,
+        applied: 1,
+        draining: false,
+    }
 }
 
 /// Guards against a cap that is ignored where the shard is the only one.
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -543,61 +543,37 @@
             *times -= 1;
             *fault
         });
-        let lost = Message::Worker { call, result: Err(Failure::Ambiguous) };
-        match fault {
-            _ if !self.nodes[&worker].alive => self.post(owner, timeout, lost),
-            Some(Fault::NotSent) => {
-                let result = Err(Failure::NotSent);
-                self.post(owner, STEP, Message::Worker { call, result });
-            }
-            Some(Fault::LostRequest) => self.post(owner, timeout, lost),
-            Some(Fault::LostAnswer) => {
-                self.execute(&worker, &request);
-                self.post(owner, timeout, lost);
-            }
-            Some(Fault::Late) => {
-                let result = Ok(self.execute(&worker, &request));
-                self.post(owner, timeout, lost);
-                self.post(owner, timeout + STEP * 50, Message::Worker { call, result });
-            }
-            Some(Fault::Slow) => {
-                let result = Ok(self.execute(&worker, &request));
-                self.post(owner, STEP * 10, Message::Worker { call, result });
-            }
-            Some(Fault::Twice) => {
-                let result = Ok(self.execute(&worker, &request));
-                for delay in [STEP, STEP * 2, STEP * 50] {
-                    let result = result.clone();
-                    self.post(owner, delay, Message::Worker { call, result });
-                }
-            }
-            Some(Fault::Crossed) => {
-                let result = Ok(self.execute(&worker, &request));
-                for call in [call + (7 << 40), call] {
-                    let result = result.clone();
-                    self.post(owner, STEP, Message::Worker { call, result });
-                }
-            }
-            None => match request {
-                Request::Sync { wait, .. } if !wait.is_zero() => {
-                    // The call reaches the worker at once and renews its lease.
-                    let reply = self.execute(&worker, &request);
-                    match reply {
-                        Reply::State(_) => {
-                            let due = self.now + wait;
-                            self.owners[owner].syncs.push((due, call, worker, request));
-                        }
-                        reply => {
-                            let result = Ok(reply);
-                            self.post(owner, STEP, Message::Worker { call, result });
-                        }
-                    }
-                }
-                _ => {
-                    let result = Ok(self.execute(&worker, &request));
-                    self.post(owner, STEP, Message::Worker { call, result });
-                }
-            },
+        let fault = if self.nodes[&worker].alive { fault } else { Some(Fault::LostRequest) };
+        let waits = matches!(request, Request::Sync { wait, .. } if !wait.is_zero());
+        // Whether the call takes effect, when and how it fails, and when it is answered.
+        let ambiguous = Some((timeout, Failure::Ambiguous));
+        let (executed, failure, answers) = match fault {
+            Some(Fault::NotSent) => (false, Some((STEP, Failure::NotSent)), vec![]),
+            Some(Fault::LostRequest) => (false, ambiguous, vec![]),
+            Some(Fault::LostAnswer) => (true, ambiguous, vec![]),
+            Some(Fault::Late) => (true, ambiguous, vec![timeout + STEP * 50]),
+            Some(Fault::Slow) => (true, None, vec![STEP * 10]),
+            Some(Fault::Twice) => (true, None, vec![STEP, STEP * 2, STEP * 50]),
+            Some(Fault::Crossed) | None => (true, None, vec![STEP]),
+        };
+        if let Some((delay, failure)) = failure {
+            self.post(owner, delay, Message::Worker { call, result: Err(failure) });
+        }
+        if !executed {
+            return;
+        }
+        let reply = self.execute(&worker, &request);
+        if fault.is_none() && waits && matches!(reply, Reply::State(_)) {
+            // The worker has renewed its lease and answers at the next change.
+            let Request::Sync { wait, .. } = request else { return };
+            return self.owners[owner].syncs.push((self.now + wait, call, worker, request));
+        }
+        if fault == Some(Fault::Crossed) {
+            let other = call + (7 << 40);
+            self.post(owner, STEP, Message::Worker { call: other, result: Ok(reply.clone()) });
+        }
+        for delay in answers {
+            self.post(owner, delay, Message::Worker { call, result: Ok(reply.clone()) });
         }
     }
 
