Let a new process wait for workers that may have left the list before

A host that starts and takes over a shard does not know that a worker left the list a second before, and queued its idempotent task at once.

A host that has run for longer is not delayed, nor is work that is admitted after the takeover.

--- a/crates/shallotpost-control/src/scheduler/environment.rs
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -27,6 +27,8 @@
     pub lease_until: Option<Instant>,
     /// The worker list, once loaded.
     pub list: Option<Rc<Vec<list::Worker>>>,
+    /// Time of the first list.
+    listed_since: Option<Instant>,
     /// Workers that left the list, with the time at which this was seen.
     vanished: BTreeMap<WorkerId, (Instant, list::Worker)>,
     /// Whether other data centres have entry hosts.
@@ -44,6 +46,7 @@
             fresh_until: None,
             lease_until: None,
             list: None,
+            listed_since: None,
             vanished: BTreeMap::new(),
             has_remote_hosts: false,
             next_tag: Cell::new(0),
@@ -65,6 +68,14 @@
             }
         }
         self.list = Some(list);
+        self.listed_since.get_or_insert(now);
+    }
+
+    /// Whether every worker that may still hold a lease is in the list or was seen to leave it. A process that started
+    /// less than a task lease ago cannot tell.
+    pub fn knows_vanished(&self, now: Instant) -> bool {
+        let lapse = surely_lapsed(self.settings.task_lease);
+        self.listed_since.is_some_and(|since| now >= since + lapse)
     }
 
     /// Workers of a shard that left the list less than a task lease ago.
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -495,7 +495,8 @@
         }
         let lease = environment.settings.task_lease;
         let silent_lapsed = context.now >= self.acquired + surely_lapsed(lease);
-        let known = self.is_settled(environment);
+        let known = self.is_settled(environment)
+            && (self.epoch == 1 || environment.knows_vanished(context.now));
         if !known && context.now < self.next_resolve {
             return;
         }
