--- a/crates/shallotpost-control/src/scheduler/environment.rs
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -1,7 +1,7 @@
 //! What all owned shards share: settings, configuration, leases and the worker list.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
 use rand::rngs::StdRng;
@@ -27,10 +27,12 @@
     pub lease_until: Option<Instant>,
     /// The worker list, once loaded.
     pub list: Option<Rc<Vec<list::Worker>>>,
+    /// Time of the first list.
+    listed_since: Option<Instant>,
     /// Workers that left the list, with the time at which this was seen.
     vanished: BTreeMap<WorkerId, (Instant, list::Worker)>,
-    /// The other entry hosts.
-    pub fleet: Rc<Fleet>,
+    /// Whether other data centres have entry hosts.
+    has_remote_hosts: bool,
     next_tag: Cell<Tag>,
     random: RefCell<StdRng>,
 }
@@ -44,8 +46,9 @@
             fresh_until: None,
             lease_until: None,
             list: None,
+            listed_since: None,
             vanished: BTreeMap::new(),
-            fleet: Rc::default(),
+            has_remote_hosts: false,
             next_tag: Cell::new(0),
             random: RefCell::new(StdRng::seed_from_u64(settings.random_seed)),
         }
@@ -55,13 +58,24 @@
     pub fn set_list(&mut self, now: Instant, list: Rc<Vec<list::Worker>>) {
         let lapse = surely_lapsed(self.settings.task_lease);
         self.vanished.retain(|_, (since, _)| now < *since + lapse);
-        for worker in self.list.iter().flat_map(|list| list.iter()) {
-            self.vanished.insert(worker.worker.clone(), (now, worker.clone()));
-        }
-        for worker in list.iter() {
-            self.vanished.remove(&worker.worker);
+        let own = |worker: &&list::Worker| worker.data_centre == self.settings.data_centre;
+        let listed: HashSet<&str> =
+            list.iter().filter(own).map(|worker| worker.worker.as_str()).collect();
+        self.vanished.retain(|worker, _| !listed.contains(worker.as_str()));
+        for worker in self.list.iter().flat_map(|list| list.iter()).filter(own) {
+            if !listed.contains(worker.worker.as_str()) {
+                self.vanished.insert(worker.worker.clone(), (now, worker.clone()));
+            }
         }
         self.list = Some(list);
+        self.listed_since.get_or_insert(now);
+    }
+
+    /// Whether every worker that may still hold a lease is in the list or was seen to leave it. A process that started
+    /// less than a task lease ago cannot tell.
+    pub fn knows_vanished(&self, now: Instant) -> bool {
+        let lapse = surely_lapsed(self.settings.task_lease);
+        self.listed_since.is_some_and(|since| now >= since + lapse)
     }
 
     /// Workers of a shard that left the list less than a task lease ago.
@@ -103,7 +117,14 @@
         let other = |name: &str| name != shard.data_centre;
         self.shard_count(&shard.data_centre) == 1
             && !self.snapshot.names(Kind::DataCentre).any(other)
-            && !self.fleet.peers.iter().any(|peer| other(&peer.data_centre))
+            && !self.has_remote_hosts
+    }
+
+    /// Takes over the other entry hosts. Returns whether this may change which shard is the only one.
+    pub fn set_fleet(&mut self, fleet: &Fleet) -> bool {
+        let own = &self.settings.data_centre;
+        let remote = fleet.peers.iter().any(|peer| peer.data_centre != *own);
+        std::mem::replace(&mut self.has_remote_hosts, remote) != remote
     }
 
     /// Workers of a shard; `None` before the list is loaded.
