Make the time for a request body a setting and test streaming

Cause: the time limit of a body, the refusal of pipelined requests and the streaming of objects had no tests.

Change: Settings::body_timeout (body_timeout_ms, 10 s by default), so that a test can shorten it. Tests that a stalled body is given up, that a pipelined request closes the connection, and that the store and the caller get the first half of an object before the second half is sent.

Conclusion: these bounds of the interface are guarded.

--- a/crates/shallotpost-edge/src/http/mod.rs
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -46,10 +46,6 @@
 /// A caller's connection on which no byte passes for this long is closed. Longer than the longest wait of a request.
 pub const CONNECTION_IDLE_MAX: Duration = Duration::from_secs(90);
 
-/// The rest of a request's body must arrive within this time, except for an object; else the connection is closed. A caller
-/// that went silent must not hold a thread.
-pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Time for a caller to receive an answer after which its connection is closed.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -77,6 +73,7 @@
     metrics: Metrics,
     objects: ObjectStore,
     open_max: usize,
+    body_timeout: Duration,
     next: AtomicU64,
     runtime: Handle,
     state: Mutex<State>,
@@ -133,6 +130,7 @@
             metrics,
             objects,
             open_max: settings.open_requests,
+            body_timeout: settings.body_timeout,
             next: AtomicU64::new(1),
             runtime: runtime.clone(),
             state: Mutex::default(),
@@ -229,9 +227,9 @@
         }
     }
 
-    /// Closes the connection unless the returned timer is dropped within [`BODY_TIMEOUT`].
+    /// Closes the connection unless the returned timer is dropped within the time for a body.
     fn limit_body(self: &Arc<Shared>, connection: ConnectionId) -> Timer {
-        Timer(self.close_after(BODY_TIMEOUT, connection))
+        Timer(self.close_after(self.body_timeout, connection))
     }
 
     /// Closes the connection after [`LINGER`].
--- a/crates/shallotpost-edge/src/settings.rs
+++ b/crates/shallotpost-edge/src/settings.rs
@@ -1,9 +1,11 @@
 //! Settings and limits of the edge.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use shallotpost_protocol::identity::{DataCentreId, HostId};
+use shallotpost_protocol::millis;
 
 /// Addresses, identity and pool sizes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +49,10 @@
     /// Most open requests of callers; further ones are refused.
     #[serde(default = "open_requests")]
     pub open_requests: usize,
+    /// The rest of a request's body must arrive within this time, except for an object; else the connection is closed. A
+    /// caller that went silent must not hold a thread.
+    #[serde(rename = "body_timeout_ms", with = "millis", default = "body_timeout")]
+    pub body_timeout: Duration,
     /// Most connections of callers; further ones are closed at once.
     #[serde(default = "connections")]
     pub connections: usize,
@@ -80,6 +86,10 @@
     1024
 }
 
+fn body_timeout() -> Duration {
+    Duration::from_secs(10)
+}
+
 fn connections() -> usize {
     2048
 }
@@ -104,6 +114,7 @@
             http_threads: http_threads(),
             stream_threads: stream_threads(),
             open_requests: open_requests(),
+            body_timeout: body_timeout(),
             connections: connections(),
         }
     }
--- a/crates/shallotpost-edge/tests/http_requests.rs
+++ b/crates/shallotpost-edge/tests/http_requests.rs
@@ -304,3 +304,36 @@
         assert_eq!(status, 200);
     }
 }
+
+/// Guards against pipelined requests, whose answers would wait for each other on the writing threads.
+#[test]
+fn pipelined_requests_close_the_connection() {
+    let bench = Bench::start();
+    let mut stream = TcpStream::connect(bench.edge.http_address()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head = "GET /v1/status HTTP/1.1\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let (first, _) = bench.request();
+    stream.write_all(head.as_bytes()).unwrap();
+    assert!(matches!(bench.event(), Event::Abandoned { request } if request == first));
+    assert_eq!(stream.read(&mut [0; 64]).unwrap_or(0), 0);
+    bench.no_event();
+}
+
+/// Guards against callers that go silent within a body and hold the reading threads.
+#[test]
+fn a_body_that_stalls_is_given_up() {
+    let bench = Bench::with(|settings| {
+        settings.http_threads = 1;
+        settings.body_timeout = Duration::from_millis(200);
+    });
+    let started = Instant::now();
+    for header in ["Content-Length: 5000", "Transfer-Encoding: chunked"] {
+        let mut stream = TcpStream::connect(bench.edge.http_address()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        write!(stream, "POST /v1/work HTTP/1.1\r\n{header}\r\n\r\n").unwrap();
+        assert_eq!(stream.read(&mut [0; 64]).unwrap_or(0), 0, "{header}");
+    }
+    assert!(started.elapsed() < PATIENCE / 2);
+    assert_eq!(raw(&bench, &message("GET /healthz", "", "")).0, 200);
+}
--- a/crates/shallotpost-edge/tests/object_streams.rs
+++ b/crates/shallotpost-edge/tests/object_streams.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 
 use shallotpost_protocol::interface::{Reply, Request};
@@ -12,7 +12,7 @@
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::work::Object;
 use shallotpost_standin::fault::Fault;
-use support::{Bench, PATIENCE, agent, refusing};
+use support::{Bench, PATIENCE, agent, any_port, refusing};
 
 const NAME: &str = "fish/catch";
 const PATH: &str = "/v1/objects/fish/catch";
@@ -148,3 +148,59 @@
     assert!(result.is_err(), "{} bytes came", result.unwrap().len());
     assert!(started.elapsed() < PATIENCE / 2, "the caller had to wait for its own timeout");
 }
+
+/// Guards against an interface that holds objects whole: the store gets the first bytes before the caller sends the last
+/// ones, and the other way round.
+#[test]
+fn bytes_pass_before_the_end_of_the_object() {
+    let store = TcpListener::bind(any_port()).unwrap();
+    let address = store.local_addr().unwrap();
+    let bench = Bench::with(|settings| settings.object_url = format!("http://{address}/objects"));
+    let (half, length) = (vec![b'x'; 1 << 20], 2 << 20);
+    let mut buffer = vec![0; 1 << 20];
+    let mut caller = TcpStream::connect(bench.edge.http_address()).unwrap();
+    caller.set_read_timeout(Some(PATIENCE)).unwrap();
+
+    write!(caller, "PUT {PATH} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n").unwrap();
+    allow(&bench, true);
+    caller.write_all(&half).unwrap();
+    let mut stream = store.accept().unwrap().0;
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut head = BufReader::new(stream.try_clone().unwrap());
+    assert!(skip_head(&mut head).starts_with("PUT /objects/fish/catch"));
+    head.read_exact(&mut buffer[..1000]).unwrap();
+    caller.write_all(&half).unwrap();
+    head.read_exact(&mut buffer).unwrap();
+    std::io::copy(
+        &mut head.by_ref().take(length - buffer.len() as u64 - 1000),
+        &mut std::io::sink(),
+    )
+    .unwrap();
+    let object = Object { name: NAME.to_owned(), length, digest: digest(b"") };
+    let answer = serde_json::to_string(&object).unwrap();
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len()).unwrap();
+    let mut answers = BufReader::new(caller.try_clone().unwrap());
+    assert_eq!(skip_head(&mut answers), "HTTP/1.1 200 OK");
+    answers.read_exact(&mut buffer[..answer.len()]).unwrap();
+    drop((stream, head));
+
+    write!(caller, "GET {PATH} HTTP/1.1\r\n\r\n").unwrap();
+    allow(&bench, false);
+    let mut stream = store.accept().unwrap().0;
+    skip_head(&mut BufReader::new(stream.try_clone().unwrap()));
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").unwrap();
+    stream.write_all(&half).unwrap();
+    assert_eq!(skip_head(&mut answers), "HTTP/1.1 200 OK");
+    answers.read_exact(&mut buffer).unwrap();
+    stream.write_all(&half).unwrap();
+    answers.read_exact(&mut buffer).unwrap();
+    assert!(buffer == half);
+}
+
+/// Reads a head and returns its first line.
+fn skip_head(reader: &mut impl BufRead) -> String {
+    let mut lines = reader.lines().map(|line| line.unwrap());
+    let first = lines.next().unwrap();
+    assert!(lines.any(|line| line.is_empty()));
+    first
+}
