Add the capacity example and process-level fault tests

Cause: docs/design.md refers to figures derived from measured slopes, and no test drove real daemon processes through signals and a table outage.

The files of the example `recover` that start processes and load move to tests/support, which the example includes by path. Four tests cover SIGKILL, SIGSTOP past the lease with SIGCONT, SIGTERM and a table outage of 7 s, each under load. The load now waits until every host knows the team's key; before, its first submissions were refused as unauthorized. A refusal of any kind must not have run, since each id is submitted once; before, only refusals marked `not_run` were checked. Idempotent work that ends as unknown counts as lost.

The refusals during the outage carry `not_run: false`, while section 7 of the design says `not_run: true`.

--- /dev/null
+++ b/crates/shallotpost-daemon/examples/capacity/main.rs
@@ -0,0 +1,49 @@
+//! Measures what one entry host costs per message and per item of state.
+//!
+//! `cargo run --release --example capacity` drives one kernel in virtual time at two or three sizes each, and the edge
+//! over loopback, and prints one JSON object per measurement. docs/CAPACITY.md works out the target size from them. A
+//! cost per message that grows by more than half when the size quadruples is printed with `"grows": true`.
+
+mod bench;
+mod memory;
+mod report;
+mod scenario;
+mod seed;
+mod transport;
+
+use std::process::ExitCode;
+
+use report::Report;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let result = match words.as_slice() {
+        [memory::ARGUMENT, kind, size] => memory::run(kind, size),
+        [transport::ARGUMENT, kind, address, count] => transport::run(kind, address, count),
+        _ => measure(),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("capacity: {error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure() -> eyre::Result<()> {
+    let mut report = Report;
+    scenario::workers(&mut report)?;
+    scenario::tasks_per_worker(&mut report)?;
+    scenario::peers(&mut report)?;
+    scenario::jobs(&mut report)?;
+    scenario::backlog(&mut report)?;
+    scenario::resources(&mut report)?;
+    scenario::watches(&mut report)?;
+    scenario::grants(&mut report)?;
+    scenario::rivals(&mut report);
+    scenario::list(&mut report)?;
+    memory::measure(&mut report)?;
+    transport::measure(&mut report)
+}
--- /dev/null
+++ b/crates/shallotpost-daemon/examples/capacity/seed.rs
@@ -0,0 +1,195 @@
+//! Size of a measured deployment, and the rows that it starts with.
+
+use shallotpost_control::prelude::*;
+use shallotpost_control::settings::Seed;
+use shallotpost_protocol::host::Host;
+use shallotpost_protocol::resource::{
+    Availability, DataCentre, Entry, HEAD_KEY, Key, Resource, Right, Team, row_key,
+};
+use shallotpost_protocol::table::{Request, Write};
+use shallotpost_protocol::work::{Class, Specification};
+use shallotpost_protocol::{key, list};
+use shallotpost_standin::table::Table;
+
+/// Name of the measured host.
+pub const HOST: &str = "d0-h0";
+
+/// Key with operator rights.
+pub const OPERATOR: &str = "operator.operator";
+
+/// Workers in one rack.
+const WORKERS_PER_RACK: usize = 5;
+
+/// Capacity of a worker: 18,000 workers have 36,000 accelerators.
+const CAPACITY: Size =
+    Size { processors_milli: 32_000, memory_mib: 131_072, accelerators: 2, slots: 8 };
+
+/// What is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Workers of the own data centre.
+    pub workers: usize,
+    /// Workers of other data centres, which the list also names.
+    pub listed_elsewhere: usize,
+    /// Other entry hosts, all in other data centres.
+    pub peers: usize,
+    /// Teams with a key each.
+    pub teams: usize,
+    /// Shards of the own data centre.
+    pub shards: u32,
+    /// Shards of other data centres that hold a grant of each team; with any, caps are split into grants.
+    pub granted_elsewhere: usize,
+}
+
+/// One owner of one shard at the target size, without peers.
+pub const SHARD: Shape = Shape {
+    workers: 133,
+    listed_elsewhere: 0,
+    peers: 0,
+    teams: 4,
+    shards: 1,
+    granted_elsewhere: 0,
+};
+
+impl Shape {
+    /// Rows of the configuration.
+    pub fn table(&self) -> Table {
+        let mut resources: Vec<(String, Resource)> = Vec::new();
+        let data_centre = |shards| {
+            Resource::DataCentre(DataCentre { availability: Availability::Active, shards })
+        };
+        resources.push(("d0".to_owned(), data_centre(self.shards)));
+        if self.granted_elsewhere > 0 {
+            resources.push(("d1".to_owned(), data_centre(1)));
+        }
+        let operator =
+            Key { right: Right::Operator, digest: key::digest(b"operator"), expires_unix_ms: None };
+        resources.push(("operator".to_owned(), Resource::Key(operator)));
+        for index in 0..self.teams {
+            let team = team(index);
+            let cap = Size::from_parts([1 << 40; 4]);
+            let digest = key::digest(team.as_bytes());
+            let right = Right::Team(team.clone());
+            let credential = Key { right, digest, expires_unix_ms: None };
+            resources.push((format!("{team}-key"), Resource::Key(credential)));
+            resources.push((team, Resource::Team(Team { share: 1, cap })));
+        }
+        let mut writes =
+            vec![Write { key: HEAD_KEY.to_owned(), value: Some(resources.len().to_string()) }];
+        if self.granted_elsewhere > 0 {
+            writes.extend((0..self.teams).map(|index| self.cap_row(index)));
+        }
+        for (index, (name, resource)) in resources.into_iter().enumerate() {
+            let key = row_key(resource.kind(), &name);
+            let entry = Entry { name, revision: index as u64 + 1, resource };
+            writes.push(Write { key, value: serde_json::to_string(&entry).ok() });
+        }
+        let mut table = Table::default();
+        table.handle(&Request::Transact { checks: Vec::new(), writes });
+        table
+    }
+
+    fn cap_row(&self, index: usize) -> Write {
+        let grant = serde_json::json!(Size::from_parts([500_000, 1_048_576, 20, 100]));
+        let shard = |index: usize| format!("d{}/{}", index / 9 + 1, index % 9);
+        let grants: serde_json::Map<String, serde_json::Value> =
+            (0..self.granted_elsewhere).map(|index| (shard(index), grant.clone())).collect();
+        let cap = Size::from_parts([1 << 40; 4]);
+        let row = serde_json::json!({"cap": cap, "grants": grants});
+        Write { key: format!("caps/{}", team(index)), value: Some(row.to_string()) }
+    }
+
+    /// The worker list.
+    pub fn workers(&self) -> Vec<list::Worker> {
+        let own = (0..self.workers).map(|index| listing("d0", index));
+        let elsewhere = (0..self.listed_elsewhere).map(|index| listing("d1", index));
+        own.chain(elsewhere).collect()
+    }
+
+    /// The other entry hosts with the shard that each owns.
+    pub fn peers(&self) -> Vec<(Host, Shard)> {
+        let peer = |index: usize| {
+            let data_centre = format!("d{}", index / 9 + 1);
+            let host = format!("{data_centre}-h{}", index % 9);
+            let shard = Shard { data_centre: data_centre.clone(), index: (index % 9) as u32 };
+            let row = Host {
+                peer_address: format!("10.1.{index}.2:7001"),
+                http_address: format!("10.1.{index}.2:7000"),
+                host,
+                data_centre,
+                incarnation: 0x9e37_79b9_7f4a_7c15 ^ index as u64,
+                sequence: 0,
+                applied: 0,
+                draining: false,
+            };
+            (row, shard)
+        };
+        (0..self.peers).map(peer).collect()
+    }
+}
+
+fn listing(data_centre: &str, index: usize) -> list::Worker {
+    let (high, low) = (index / 250, index % 250);
+    list::Worker {
+        worker: format!("{data_centre}-w{index:05}"),
+        address: format!("10.2.{high}.{low}:9000"),
+        data_centre: data_centre.to_owned(),
+        rack: format!("{data_centre}-r{:04}", index / WORKERS_PER_RACK),
+        capacity: CAPACITY,
+        leaving: false,
+    }
+}
+
+/// Name of a team.
+pub fn team(index: usize) -> TeamId {
+    format!("team-{index:04}")
+}
+
+/// Key of a team.
+pub fn team_key(index: usize) -> String {
+    let team = team(index);
+    format!("{team}-key.{team}")
+}
+
+/// Settings of the measured host.
+pub fn settings(shape: &Shape) -> Settings {
+    let seeds = shape.peers().into_iter().map(|(row, _)| Seed {
+        host: row.host,
+        data_centre: row.data_centre,
+        peer_address: row.peer_address,
+    });
+    Settings {
+        peer_address: "10.1.255.2:7001".to_owned(),
+        http_address: "10.1.255.2:7000".to_owned(),
+        seeds: seeds.collect(),
+        ..Settings::new(HOST, "d0")
+    }
+}
+
+/// A batch job that runs for this long in the own data centre.
+pub fn job(team_index: usize, id: &str, millis: u64, size: Size) -> Specification {
+    Specification {
+        id: id.to_owned(),
+        team: team(team_index),
+        class: Class::Batch,
+        size,
+        command: vec!["run".to_owned(), millis.to_string()],
+        run_time: Some(Duration::from_millis(millis)),
+        idempotent: true,
+        deadline_unix_ms: None,
+        data_centres: vec!["d0".to_owned()],
+        queue: None,
+        input: None,
+        attempts: 3,
+    }
+}
+
+/// A service that is kept running in the own data centre.
+pub fn service(team_index: usize, id: &str, replicas: u32, size: Size) -> Specification {
+    Specification {
+        class: Class::Service { replicas },
+        command: vec!["serve".to_owned()],
+        run_time: None,
+        ..job(team_index, id, 0, size)
+    }
+}
--- a/crates/shallotpost-daemon/examples/recover/main.rs
+++ b/crates/shallotpost-daemon/examples/recover/main.rs
@@ -4,20 +4,21 @@
 //! Consortium and nine daemons as processes of their own, applies a bounded load, kills the owner of a shard, pauses
 //! another one, and prints one JSON object per measurement. It exits with 1 if a target is missed.
 
-mod cluster;
-mod load;
-mod process;
+#[path = "../../tests/support/mod.rs"]
+mod support;
 
 use std::process::ExitCode;
 use std::time::Duration;
 
-use cluster::Cluster;
 use eyre::{WrapErr, ensure};
-use load::Load;
 use serde_json::json;
+use support::cluster::{Cluster, Plan};
+use support::load::{self, Load};
+use support::process::{self, DAEMON_ARGUMENT, Launcher};
 
-/// Argument that makes this program act as one daemon.
-pub const DAEMON_ARGUMENT: &str = "--daemon";
+/// The current size of the Consortium: data centres with the number of workers of each kind.
+const DATA_CENTRES: &[(&str, usize, usize)] =
+    &[("kochi", 15, 5), ("kozhikode", 10, 4), ("thrissur", 10, 4)];
 
 /// Time over which the cost of control is measured.
 const COST_PERIOD: Duration = Duration::from_secs(10);
@@ -34,6 +35,9 @@
 const WRITE_LIMIT_PER_SECOND: f64 = 300.0;
 const READ_LIMIT_PER_SECOND: f64 = 2000.0;
 
+/// Most time from a stop request to the exit.
+const STOP_BOUND: Duration = Duration::from_secs(30);
+
 /// Submissions per second at peak, over all entry hosts.
 const PEAK_RATE: u32 = 200;
 
@@ -58,7 +62,13 @@
 /// Prints the measurements; returns whether every target holds.
 fn measure() -> eyre::Result<bool> {
     let mut report = Report::default();
-    let mut cluster = Cluster::start().wrap_err("the cluster cannot be started")?;
+    let plan = Plan {
+        data_centres: DATA_CENTRES,
+        hosts: 3,
+        launcher: Launcher::Own,
+        stop_bound: STOP_BOUND,
+    };
+    let mut cluster = Cluster::start(plan).wrap_err("the cluster cannot be started")?;
     idle_cost(&mut cluster, &mut report)?;
     peak_cost(&mut cluster, &mut report)?;
     owner_dies(&mut cluster, &mut report)?;
@@ -157,8 +167,8 @@
     cluster.signal(&owner, process::Signal::Stop)?;
     let seconds = cluster.time_to_start("after-stop", &data_centre)?;
     report.add("recovery_after_stop", seconds.as_secs_f64(), "s", Some(URGENT_BOUND.as_secs_f64()));
-    let exited = cluster.await_exit(&owner, Duration::from_secs(30))?;
-    ensure!(exited, "{owner} did not exit within its stop bound");
+    let status = cluster.await_exit(&owner, STOP_BOUND)?;
+    ensure!(status.is_some(), "{owner} did not exit within its stop bound");
     let summary = running.finish(cluster)?;
     report.add("cut_requests_at_stop", summary.cut as f64, "requests", Some(0.0));
     report.add_summary("stopped", &summary);
--- a/crates/shallotpost-daemon/examples/recover/cluster.rs
+++ b/crates/shallotpost-daemon/tests/support/cluster.rs
@@ -1,17 +1,20 @@
-//! Stand-ins and daemon processes at the current size of the Consortium.
+//! Stand-ins and daemon processes of one deployment.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::net::SocketAddr;
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 use eyre::{WrapErr, bail, ensure, eyre};
+use serde_json::Value;
 use shallotpost_cli::Error;
 use shallotpost_cli::client::{Call, Client, Effect};
 use shallotpost_cli::secret::Key as Credential;
 use shallotpost_protocol::identity::{HostId, WorkerId};
-use shallotpost_protocol::interface::Reply;
+use shallotpost_protocol::interface::{Overview, Reply};
 use shallotpost_protocol::key;
+use shallotpost_protocol::problem::Kind;
 use shallotpost_protocol::resource::{Availability, DataCentre, Key, Resource, Right, Team};
 use shallotpost_protocol::size::Size;
 use shallotpost_protocol::work::{Class, Specification};
@@ -19,14 +22,20 @@
 use shallotpost_standin::settings::{Fleet, Settings as FleetSettings, WorkerSettings};
 use ureq::http::Method;
 
-use crate::process::{Process, Signal};
-
-/// Data centres, with the number of workers of each kind; 35 small and 13 large ones in all.
-const DATA_CENTRES: [(&str, usize, usize); 3] =
-    [("kochi", 15, 5), ("kozhikode", 10, 4), ("thrissur", 10, 4)];
-
-/// Entry hosts per data centre.
-const HOSTS_PER_DATA_CENTRE: usize = 3;
+use super::process::{Launcher, Process, Signal};
+
+/// Size of a deployment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Data centres, with the number of small and of large workers.
+    pub data_centres: &'static [(&'static str, usize, usize)],
+    /// Entry hosts per data centre.
+    pub hosts: usize,
+    /// How the daemons are started.
+    pub launcher: Launcher,
+    /// Most time from a stop request to the exit.
+    pub stop_bound: Duration,
+}
 
 /// Workers of the intake service, five a rack.
 const SMALL: Size =
@@ -64,25 +73,27 @@
 
 /// The cluster under measurement.
 pub struct Cluster {
+    plan: Plan,
     fleet: Fleet,
-    hosts: BTreeMap<HostId, (String, Process)>,
+    hosts: BTreeMap<HostId, (Value, Process)>,
 }
 
 impl Cluster {
     /// Starts everything and sets up data centres, a team and its key.
-    pub fn start() -> eyre::Result<Cluster> {
-        let fleet = Fleet::start(&fleet_settings()).wrap_err("stand-ins")?;
+    pub fn start(plan: Plan) -> eyre::Result<Cluster> {
+        let fleet = Fleet::start(&fleet_settings(&plan)).wrap_err("stand-ins")?;
         let platform = fleet.platform.address();
         let mut hosts = BTreeMap::new();
-        for (data_centre, _, _) in DATA_CENTRES {
-            for index in 0..HOSTS_PER_DATA_CENTRE {
+        for (data_centre, _, _) in plan.data_centres {
+            for index in 0..plan.hosts {
                 let host = format!("{data_centre}-{index}");
-                let settings = daemon_settings(&host, data_centre, platform);
-                let process = Process::start(&settings).wrap_err_with(|| host.clone())?;
+                let settings = daemon_settings(&plan, &host, data_centre, platform);
+                let process =
+                    Process::start(&plan.launcher, &settings).wrap_err_with(|| host.clone())?;
                 hosts.insert(host, (settings, process));
             }
         }
-        let cluster = Cluster { fleet, hosts };
+        let cluster = Cluster { plan, fleet, hosts };
         cluster.set_up()?;
         Ok(cluster)
     }
@@ -94,11 +105,67 @@
 
     /// The data centre and the host that owns its shard.
     pub fn owner(&self, data_centre: &str) -> eyre::Result<(String, HostId)> {
+        let value = self.shard_row(data_centre)?;
+        let owner = value["owner"].as_str().ok_or_else(|| eyre!("no owner in {value}"))?;
+        Ok((data_centre.to_owned(), owner.to_owned()))
+    }
+
+    /// Epoch of the owner of the data centre's shard.
+    pub fn epoch(&self, data_centre: &str) -> eyre::Result<u64> {
+        let value = self.shard_row(data_centre)?;
+        value["epoch"].as_u64().ok_or_else(|| eyre!("no epoch in {value}"))
+    }
+
+    fn shard_row(&self, data_centre: &str) -> eyre::Result<Value> {
         let row = self.fleet.platform.table().row(&format!("shards/{data_centre}/0"));
         let row = row.ok_or_else(|| eyre!("the shard of {data_centre} has no row"))?;
-        let value: serde_json::Value = serde_json::from_str(&row.value)?;
-        let owner = value["owner"].as_str().ok_or_else(|| eyre!("no owner in {}", row.value))?;
-        Ok((data_centre.to_owned(), owner.to_owned()))
+        Ok(serde_json::from_str(&row.value)?)
+    }
+
+    /// Waits until the condition holds.
+    pub fn await_condition(
+        &self,
+        what: &str,
+        bound: Duration,
+        condition: impl Fn(&Cluster) -> eyre::Result<bool>,
+    ) -> eyre::Result<()> {
+        let deadline = Instant::now() + bound;
+        while !condition(self)? {
+            ensure!(Instant::now() < deadline, "{what}: not within {bound:?}");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        Ok(())
+    }
+
+    /// Whether the host answers that it takes requests.
+    pub fn is_ready(&self, host: &str) -> bool {
+        self.overview(host).is_some()
+    }
+
+    /// Whether the host reaches the table service, as far as it knows.
+    pub fn reaches_table(&self, host: &str) -> Option<bool> {
+        self.overview(host).map(|overview| overview.table_reachable)
+    }
+
+    fn overview(&self, host: &str) -> Option<Overview> {
+        let (_, process) = self.hosts.get(host)?;
+        let credential = Credential::parse(&operator_key())?;
+        let client =
+            Client::new(vec![format!("http://{}", process.http_address)], Some(credential));
+        match client.send(&Call::get("/v1/status")) {
+            Ok(Reply::Overview(overview)) => Some(overview),
+            _ => None,
+        }
+    }
+
+    /// Number of submissions that the table has registered.
+    pub fn registered(&self) -> usize {
+        self.fleet.platform.table().rows("ids/").len()
+    }
+
+    /// Names of the hosts that run.
+    pub fn hosts(&self) -> Vec<HostId> {
+        self.hosts.keys().cloned().collect()
     }
 
     /// Ends a host at once.
@@ -109,8 +176,9 @@
 
     /// Starts a host that has ended.
     pub fn restart(&mut self, host: &str) -> eyre::Result<()> {
+        let launcher = self.plan.launcher.clone();
         let (settings, process) = self.host(host)?;
-        *process = Process::start(settings)?;
+        *process = Process::start(&launcher, settings)?;
         Ok(())
     }
 
@@ -119,17 +187,19 @@
         self.host(host)?.1.signal(signal)
     }
 
-    /// Whether the host exits within this time. It is taken out of the list of servers.
-    pub fn await_exit(&mut self, host: &str, bound: Duration) -> eyre::Result<bool> {
+    /// How the host exits; `None` where it does not within this time. It is taken out of the list of servers.
+    pub fn await_exit(&mut self, host: &str, bound: Duration) -> eyre::Result<Option<ExitStatus>> {
         let deadline = Instant::now() + bound;
-        while !self.host(host)?.1.has_exited()? {
+        loop {
+            if let Some(status) = self.host(host)?.1.exit_status()? {
+                self.hosts.remove(host);
+                return Ok(Some(status));
+            }
             if Instant::now() >= deadline {
-                return Ok(false);
+                return Ok(None);
             }
             std::thread::sleep(POLL_INTERVAL);
         }
-        self.hosts.remove(host);
-        Ok(true)
     }
 
     /// Switches the table service off or on.
@@ -224,8 +294,8 @@
     }
 
     fn set_up(&self) -> eyre::Result<()> {
-        let operator = self.client(&format!("bootstrap.{BOOTSTRAP_SECRET}"))?;
-        for (name, _, _) in DATA_CENTRES {
+        let operator = self.client(&operator_key())?;
+        for (name, _, _) in self.plan.data_centres {
             let content = DataCentre { availability: Availability::Active, shards: 1 };
             put(&operator, name, &Resource::DataCentre(content))?;
         }
@@ -237,17 +307,26 @@
         let owned = || {
             let rows = self.fleet.platform.table().rows("shards/");
             rows.iter().map(|row| row.key.clone()).collect::<BTreeSet<_>>().len()
-                == DATA_CENTRES.len()
+                == self.plan.data_centres.len()
         };
         let deadline = Instant::now() + BOUND;
         while !owned() {
             ensure!(Instant::now() < deadline, "not every shard has an owner after {BOUND:?}");
             std::thread::sleep(POLL_INTERVAL);
         }
-        Ok(())
+        self.await_condition("every host knows the team's key", BOUND, |cluster| {
+            Ok(cluster.servers().iter().all(|server| cluster.knows_team(server)))
+        })
     }
 
-    fn host(&mut self, host: &str) -> eyre::Result<&mut (String, Process)> {
+    /// Whether the entry host accepts the key of the team.
+    fn knows_team(&self, server: &str) -> bool {
+        let client = Client::new(vec![server.to_owned()], Credential::parse(TEAM_KEY));
+        let answer = client.send(&Call::get("/v1/work/laundry/none"));
+        matches!(answer, Err(Error::Problem { problem, .. }) if problem.kind == Kind::NotFound)
+    }
+
+    fn host(&mut self, host: &str) -> eyre::Result<&mut (Value, Process)> {
         self.hosts.get_mut(host).ok_or_else(|| eyre!("no host {host}"))
     }
 }
@@ -305,10 +384,14 @@
     repeat(|| operator.send(&call)).map(|_| ())
 }
 
-fn fleet_settings() -> FleetSettings {
+fn operator_key() -> String {
+    format!("bootstrap.{BOOTSTRAP_SECRET}")
+}
+
+fn fleet_settings(plan: &Plan) -> FleetSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut workers = Vec::new();
-    for (data_centre, small, large) in DATA_CENTRES {
+    for &(data_centre, small, large) in plan.data_centres {
         let mut add = |kind: &str, count: usize, per_rack: usize, capacity: Size| {
             workers.extend((0..count).map(|index| WorkerSettings {
                 worker: WorkerId::from(format!("{data_centre}-{kind}-{index}")),
@@ -324,8 +407,8 @@
     FleetSettings { platform: any, list_lag_ms: 1000, workers }
 }
 
-fn daemon_settings(host: &str, data_centre: &str, platform: SocketAddr) -> String {
-    let document = serde_json::json!({
+fn daemon_settings(plan: &Plan, host: &str, data_centre: &str, platform: SocketAddr) -> Value {
+    serde_json::json!({
         "host": host,
         "data_centre": data_centre,
         "http_address": "127.0.0.1:1",
@@ -336,9 +419,9 @@
             "list": format!("http://{platform}/list"),
         },
         "bootstrap_digest": key::digest(BOOTSTRAP_SECRET.as_bytes()),
+        "timeouts": {"stop_bound_ms": plan.stop_bound.as_millis() as u64},
         "log": {"level": "error"},
-    });
-    document.to_string()
+    })
 }
 
 /// Bytes received on loopback since the machine started; each byte is counted once.
--- a/crates/shallotpost-daemon/examples/recover/load.rs
+++ b/crates/shallotpost-daemon/tests/support/load.rs
@@ -1,7 +1,7 @@
 //! A bounded load of submissions, and the account of what became of them.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -13,7 +13,7 @@
 use shallotpost_protocol::problem::Kind;
 use shallotpost_protocol::work::{Class, Ending, Outcome, Specification};
 
-use crate::cluster::{Cluster, TEAM_KEY, job, submission};
+use super::cluster::{self, Cluster, TEAM_KEY, job, submission};
 
 /// Threads that submit.
 const THREADS: u32 = 16;
@@ -28,14 +28,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Answer {
     Accepted,
-    /// Refused with the statement that it was not run.
+    /// Refused with the statement that it was not run, or not sent at all.
     NotRun,
-    /// Refused or unreachable without such a statement.
+    /// Refused without such a statement.
     Refused,
     /// The connection broke before the answer.
     Cut,
 }
 
+impl Answer {
+    fn is_refusal(self) -> bool {
+        matches!(self, Answer::NotRun | Answer::Refused)
+    }
+}
+
 /// The account of a load.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Summary {
@@ -45,10 +51,12 @@
     pub lost: usize,
     /// Non-idempotent work that was started more than once.
     pub doubled: usize,
-    /// Work that ran although it was refused as not run.
+    /// Work that ran although it was refused. Each id is submitted once, so no earlier submission can have admitted it.
     pub refused_but_run: usize,
-    /// Accepted work that ended as unknown.
+    /// Accepted work that is not idempotent and ended as unknown.
     pub unknown: usize,
+    /// Submissions that were refused.
+    pub refused: usize,
     /// Requests whose connection broke before the answer.
     pub cut: usize,
 }
@@ -67,6 +75,8 @@
 /// A load that runs in the background.
 pub struct Running {
     threads: Vec<JoinHandle<Vec<(Specification, Answer)>>>,
+    stop: Arc<AtomicBool>,
+    accepted: Arc<AtomicUsize>,
 }
 
 impl Load {
@@ -81,7 +91,7 @@
             Specification { class: Class::Service { replicas }, ..job(id, &["serve"], true) };
         let client = client(self.servers.clone())?;
         let call = submission(&specification);
-        crate::cluster::repeat(|| client.send(&call))?;
+        cluster::repeat(|| client.send(&call))?;
         Ok(Service { id: id.to_owned(), replicas })
     }
 
@@ -90,12 +100,14 @@
         let stop = Arc::new(AtomicBool::new(false));
         let end = Instant::now() + period;
         let pause = Duration::from_secs(1) * THREADS / rate;
+        let accepted = Arc::new(AtomicUsize::new(0));
         let threads = (0..THREADS).map(|thread| {
-            let (label, servers, stop) =
-                (format!("{label}-{thread}"), self.servers.clone(), Arc::clone(&stop));
-            thread::spawn(move || submit_all(&label, thread as usize, &servers, pause, end, &stop))
+            let (label, servers) = (format!("{label}-{thread}"), self.servers.clone());
+            let (stop, accepted) = (Arc::clone(&stop), Arc::clone(&accepted));
+            let submitter = Submitter { label, thread: thread as usize, servers, pause, end };
+            thread::spawn(move || submitter.submit_all(&stop, &accepted))
         });
-        Running { threads: threads.collect() }
+        Running { threads: threads.collect(), stop, accepted }
     }
 }
 
@@ -117,6 +129,17 @@
 }
 
 impl Running {
+    /// Number of submissions that were accepted so far.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Ends the load now, and waits for the end of all accepted work.
+    pub fn stop(self, cluster: &Cluster) -> eyre::Result<Summary> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.finish(cluster)
+    }
+
     /// Waits for the end of the load and of all accepted work.
     pub fn finish(self, cluster: &Cluster) -> eyre::Result<Summary> {
         let mut submissions = Vec::new();
@@ -134,7 +157,7 @@
                     let outcome = outcome(&client, specification, deadline);
                     match outcome.as_ref().map(|outcome| outcome.ending) {
                         Some(Ending::Succeeded) => {}
-                        Some(Ending::Unknown) => summary.unknown += 1,
+                        Some(Ending::Unknown) if !specification.idempotent => summary.unknown += 1,
                         _ => summary.lost += 1,
                     }
                     if let Some(outcome) =
@@ -144,7 +167,7 @@
                     }
                 }
                 Answer::Cut => summary.cut += 1,
-                Answer::NotRun | Answer::Refused => {}
+                Answer::NotRun | Answer::Refused => summary.refused += 1,
             }
         }
         let starts = cluster.starts();
@@ -153,7 +176,7 @@
         for (specification, answer) in &submissions {
             summary.doubled += usize::from(!specification.idempotent && started(specification) > 1);
             summary.refused_but_run +=
-                usize::from(*answer == Answer::NotRun && started(specification) > 0);
+                usize::from(answer.is_refusal() && started(specification) > 0);
         }
         Ok(summary)
     }
@@ -164,35 +187,45 @@
     Ok(Client::new(servers, Some(credential)))
 }
 
-fn submit_all(
-    label: &str,
+/// One thread that submits.
+struct Submitter {
+    label: String,
     thread: usize,
-    servers: &[String],
+    servers: Vec<String>,
     pause: Duration,
     end: Instant,
-    stop: &AtomicBool,
-) -> Vec<(Specification, Answer)> {
-    let clients: Vec<Client> =
-        servers.iter().filter_map(|server| client(vec![server.clone()]).ok()).collect();
-    let mut submissions = Vec::new();
-    let mut next = Instant::now();
-    while Instant::now() < end && !stop.load(Ordering::Relaxed) {
-        let count = submissions.len();
-        let specification =
-            job(&format!("{label}-{count}"), COMMANDS[count / 4 % 2], count.is_multiple_of(2));
-        let answer = submit(&clients[(thread + count) % clients.len()], &specification);
-        submissions.push((specification, answer));
-        next += pause;
-        thread::sleep(next.saturating_duration_since(Instant::now()));
+}
+
+impl Submitter {
+    fn submit_all(
+        &self,
+        stop: &AtomicBool,
+        accepted: &AtomicUsize,
+    ) -> Vec<(Specification, Answer)> {
+        let clients: Vec<Client> =
+            self.servers.iter().filter_map(|server| client(vec![server.clone()]).ok()).collect();
+        let mut submissions = Vec::new();
+        let mut next = Instant::now();
+        while Instant::now() < self.end && !stop.load(Ordering::Relaxed) {
+            let count = submissions.len();
+            let id = format!("{}-{count}", self.label);
+            let specification = job(&id, COMMANDS[count / 4 % 2], count.is_multiple_of(2));
+            let answer = submit(&clients[(self.thread + count) % clients.len()], &specification);
+            accepted.fetch_add(usize::from(answer == Answer::Accepted), Ordering::Relaxed);
+            submissions.push((specification, answer));
+            next += self.pause;
+            thread::sleep(next.saturating_duration_since(Instant::now()));
+        }
+        submissions
     }
-    submissions
 }
 
 fn submit(client: &Client, specification: &Specification) -> Answer {
     match client.send(&submission(specification)) {
         Ok(_) => Answer::Accepted,
         Err(Error::Problem { problem, .. }) if problem.not_run => Answer::NotRun,
-        Err(Error::Problem { .. } | Error::Unreachable { .. }) => Answer::Refused,
+        Err(Error::Unreachable { .. }) => Answer::NotRun,
+        Err(Error::Problem { .. }) => Answer::Refused,
         Err(_) => Answer::Cut,
     }
 }
