Send the problem of an absurd body length with its body

Cause: the refusal of a declared length beyond 256 MiB came without the problem in its body, because tiny_http writes no body with an upgrade, the only way to keep it from allocating a buffer of that length.

Change: the answer follows an interim 100 Continue. broken_lengths_get_problems now reads the problem of each answer.

--- a/crates/shallotpost-edge/src/http/exchange.rs
+++ b/crates/shallotpost-edge/src/http/exchange.rs
@@ -6,10 +6,10 @@
 use serde::Serialize;
 use shallotpost_protocol::interface::Reply;
 use shallotpost_protocol::problem::{Kind, Problem};
-use tiny_http::{Method, Request as HttpRequest, Response};
+use tiny_http::{Method, Request as HttpRequest};
 
 use crate::gate::{ConnectionId, Mode};
-use crate::http::message::{Message, has_unread_body, respond};
+use crate::http::message::{Message, has_unread_body, respond, respond_and_leak};
 use crate::http::{BODY_LENGTH_MAX, OBJECT_LENGTH_MAX, Shared};
 
 /// A request that has not been answered. Counts as open until it is dropped; one that is dropped without an answer is
@@ -99,13 +99,15 @@
         length.is_some_and(|length| length as u64 > OBJECT_LENGTH_MAX)
     }
 
-    /// Answers with a problem, closes the connection and leaks the request, with one idle thread of `tiny_http`.
+    /// Answers with a problem, closes the connection and leaks the request; see [`respond_and_leak`].
     pub fn abort(mut self, problem: &Problem) {
         let Some(request) = self.request.take() else { return };
         let body = serde_json::to_vec(problem).unwrap_or_default();
-        let response = Response::from_data(body).with_status_code(problem.kind.status());
+        let headers = &[("Content-Type", "application/json"), ("Connection", "close")];
+        let message = Message { status: problem.kind.status(), headers, body: &body };
         self.release();
-        std::mem::forget(request.upgrade("close", response));
+        // A failed write means that the caller left.
+        let _ = respond_and_leak(*request, &message);
         self.shared.close_later(self.connection);
     }
 
--- a/crates/shallotpost-edge/src/http/message.rs
+++ b/crates/shallotpost-edge/src/http/message.rs
@@ -27,6 +27,14 @@
         return respond_first(request, message);
     }
     let with_body = *request.method() != Method::Head;
+    let bytes = encode(message, with_body)?;
+    let mut writer = request.into_writer();
+    writer.write_all(&bytes)?;
+    writer.flush()
+}
+
+/// The bytes of an answer.
+fn encode(message: &Message<'_>, with_body: bool) -> io::Result<Vec<u8>> {
     let reason = StatusCode(message.status).default_reason_phrase();
     let mut bytes = Vec::with_capacity(message.body.len() + 256);
     write!(bytes, "HTTP/1.1 {} {reason}\r\n", message.status)?;
@@ -35,9 +43,20 @@
     }
     write!(bytes, "Content-Length: {}\r\n\r\n", message.body.len())?;
     bytes.extend_from_slice(if with_body { message.body } else { &[] });
-    let mut writer = request.into_writer();
-    writer.write_all(&bytes)?;
-    writer.flush()
+    Ok(bytes)
+}
+
+/// Answers a request and leaks it, with one idle thread of `tiny_http`, because dropping it would allocate a buffer of the
+/// length that its body declares.
+///
+/// `tiny_http` gives out the reader and the writer together only after an answer of its own, so that one is an interim
+/// `100 Continue`, which callers skip.
+pub fn respond_and_leak(request: HttpRequest, message: &Message<'_>) -> io::Result<()> {
+    let mut stream = request.upgrade("close", Response::empty(100));
+    let written = encode(message, true).and_then(|bytes| stream.write_all(&bytes));
+    let flushed = written.and_then(|()| stream.flush());
+    std::mem::forget(stream);
+    flushed
 }
 
 /// Answers before the rest of the body is discarded: the caller may wait for the answer before it sends the body.
--- a/crates/shallotpost-edge/tests/http_requests.rs
+++ b/crates/shallotpost-edge/tests/http_requests.rs
@@ -23,6 +23,9 @@
     stream.write_all(request).unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).unwrap();
+    if answer.starts_with("HTTP/1.1 100 ") {
+        answer = answer.split_once("\r\n\r\n").unwrap().1.to_owned();
+    }
     let status = answer.split(' ').nth(1).unwrap_or_else(|| panic!("no answer: {answer:?}"));
     let status = status.parse().unwrap();
     (status, answer.split_once("\r\n\r\n").unwrap().1.to_owned())
@@ -104,7 +107,9 @@
     ];
     for (header, body, expected) in cases {
         let request = format!("POST /v1/work HTTP/1.1\r\nConnection: close\r\n{header}\r\n{body}");
-        assert_eq!(raw(&bench, request.as_bytes()).0, expected, "{header}");
+        let (status, answer) = raw(&bench, request.as_bytes());
+        let problem: Problem = serde_json::from_str(&answer).unwrap();
+        assert_eq!((status, problem.kind.status()), (expected, expected), "{header}");
     }
     bench.no_event();
 }
