--- a/crates/shallotpost-policy/examples/measure/speed.rs
+++ b/crates/shallotpost-policy/examples/measure/speed.rs
@@ -24,7 +24,7 @@
 /// Ratio of workers for `cost_growth`.
 const GROWTH: usize = 4;
 /// Runs of which the least disturbed counts for `cost_growth`.
-const REPEATS: usize = 3;
+const REPEATS: usize = 5;
 /// Tasks that end between two rounds when placements are counted.
 const BATCH: usize = 64;
 /// Bounds that the task states: milliseconds, placements a second, ratio.
--- a/crates/shallotpost-policy/src/decide.rs
+++ b/crates/shallotpost-policy/src/decide.rs
@@ -164,9 +164,13 @@
         if tried || self.teams.accounts[team].gangs.is_empty() || round.gangs >= GANGS_MAX {
             return false;
         }
-        let gangs: Vec<usize> =
-            self.teams.accounts[team].gangs.iter().map(|(_, slot)| *slot).collect();
-        for slot in gangs {
+        let account = &self.teams.accounts[team];
+        let grown = self.fleet.grown.range(account.gangs_seen + 1..);
+        let rooms: Vec<Size> = grown.filter_map(|(_, host)| self.fleet.free(*host)).collect();
+        let fits = |size: &Size| rooms.iter().any(|room| size.fits_in(room));
+        let worth = account.gangs_changed || account.gangs.values().any(fits);
+        let gangs: Vec<usize> = account.gangs.keys().map(|(_, slot)| *slot).collect();
+        for slot in gangs.into_iter().filter(|_| worth) {
             if !self.may_have_room(slot) {
                 continue;
             }
@@ -179,6 +183,12 @@
             }
         }
         round.gangs_tried[team] = Some(version);
+        // A gang may have been passed over only because the round had no space for it.
+        if round.actions.is_empty() {
+            let account = &mut self.teams.accounts[team];
+            account.gangs_seen = version;
+            account.gangs_changed = false;
+        }
         false
     }
 
--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -267,7 +267,9 @@
 
     /// Offers the workers that a team was passed over on because of its grant again.
     fn offer_missed(&mut self, team: usize) {
-        let missed = std::mem::take(&mut self.teams.accounts[team].missed);
+        let account = &mut self.teams.accounts[team];
+        account.gangs_changed = true;
+        let missed = std::mem::take(&mut account.missed);
         missed.into_iter().for_each(|host| self.fleet.touch(host));
         self.fleet.version += 1;
     }
@@ -308,7 +310,8 @@
             record.tasks[key.1 as usize] = TaskState::Part;
             record.tried = 0;
             if record.waiting as usize == record.tasks.len() {
-                account.gangs.insert((record.sequence, key.0));
+                account.gangs.insert((record.sequence, key.0), record.job.size);
+                account.gangs_changed = true;
             }
             return;
         }
--- a/crates/shallotpost-policy/src/reserve.rs
+++ b/crates/shallotpost-policy/src/reserve.rs
@@ -134,7 +134,7 @@
         };
         let gang = account
             .gangs
-            .iter()
+            .keys()
             .map(|(_, slot)| *slot)
             .find(|slot| may(*slot, GANG_PATIENCE) && self.startable_gang(*slot).is_some());
         if let Some((slot, parts)) =
--- a/crates/shallotpost-policy/src/teams.rs
+++ b/crates/shallotpost-policy/src/teams.rs
@@ -1,6 +1,6 @@
 //! Accounts of the teams: shares, grants, bookings and queues.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use shallotpost_protocol::prelude::*;
 
@@ -36,8 +36,12 @@
     pub(crate) waiting_tasks: u64,
     pub(crate) running_tasks: u64,
     pub(crate) lanes: [Lane; LANES],
-    /// Gangs whose parts all wait, by order of submission.
-    pub(crate) gangs: BTreeSet<(u64, usize)>,
+    /// Gangs whose parts all wait, by order of submission, with the size of a part.
+    pub(crate) gangs: BTreeMap<(u64, usize), Size>,
+    /// Version of the free capacity up to which no gang has room.
+    pub(crate) gangs_seen: u64,
+    /// Whether gangs came or the headroom grew since.
+    pub(crate) gangs_changed: bool,
     pub(crate) victims: BTreeSet<Victim>,
     /// Workers that were passed over only because of the grant.
     pub(crate) missed: BTreeSet<usize>,
@@ -57,7 +61,9 @@
             waiting_tasks: 0,
             running_tasks: 0,
             lanes: Default::default(),
-            gangs: BTreeSet::new(),
+            gangs: BTreeMap::new(),
+            gangs_seen: 0,
+            gangs_changed: false,
             victims: BTreeSet::new(),
             missed: BTreeSet::new(),
             reclaim_at: None,
