--- a/crates/shallotpost-daemon/examples/capacity/bench.rs
+++ b/crates/shallotpost-daemon/examples/capacity/bench.rs
@@ -126,6 +126,7 @@
     refused: u64,
     meters: BTreeMap<&'static str, Meter>,
     rivals: Option<Rivals>,
+    table_down: bool,
 }
 
 impl Bench {
@@ -147,6 +148,7 @@
             refused: 0,
             meters: BTreeMap::new(),
             rivals: None,
+            table_down: false,
         };
         for entry in shape.workers() {
             let state = Worker::new(1, entry.capacity);
@@ -206,6 +208,11 @@
         self.rivals = Some(Rivals { teams, rate, credit: 0, written: 0, random });
     }
 
+    /// Refuses every call to the table at once.
+    pub fn set_table_down(&mut self, down: bool) {
+        self.table_down = down;
+    }
+
     /// Number of requests without an answer.
     pub fn open_requests(&self) -> usize {
         self.waiting.len()
@@ -286,6 +293,10 @@
     fn call_table(&mut self, call: CallId, request: &table::Request) {
         let kind = cause(request);
         let _: Option<table::Request> = self.json(kind, request, true);
+        if self.table_down {
+            let event = Event::Table { call, result: Err(Failure::NotSent) };
+            return self.schedule(LATENCY, kind, event);
+        }
         let reply = self.table.handle(request);
         if matches!(reply, table::Reply::Conflict { .. }) {
             self.meters.entry("table_conflict").or_default().count += 1;
--- a/crates/shallotpost-daemon/examples/capacity/main.rs
+++ b/crates/shallotpost-daemon/examples/capacity/main.rs
@@ -43,6 +43,8 @@
     scenario::watches(&mut report)?;
     scenario::grants(&mut report)?;
     scenario::rivals(&mut report);
+    scenario::records(&mut report)?;
+    scenario::outage(&mut report)?;
     scenario::list(&mut report)?;
     memory::measure(&mut report)?;
     transport::measure(&mut report)
--- a/crates/shallotpost-daemon/examples/capacity/scenario.rs
+++ b/crates/shallotpost-daemon/examples/capacity/scenario.rs
@@ -404,6 +404,70 @@
     );
 }
 
+/// Table calls of one host with 134 peers during an outage of a minute, and in the busiest second after it.
+pub fn outage(report: &mut Report) -> eyre::Result<()> {
+    let mut bench = Bench::new(&Shape { peers: 134, ..SHARD });
+    let mut submitted = 0;
+    let mut second = |bench: &mut Bench| {
+        for _ in 0..28 {
+            let work = job(submitted % 4, &format!("job-{submitted}"), 1000, EIGHTH);
+            bench.request("submit", &team_key(submitted % 4), Request::Submit(work));
+            submitted += 1;
+        }
+        let meters = bench.measure(Duration::from_secs(1));
+        let calls = meters.iter().filter(|(kind, _)| kind.starts_with("table_"));
+        calls.map(|(_, meter)| meter.count).sum::<u64>() as f64
+    };
+    let before: Vec<f64> = (0..10).map(|_| second(&mut bench)).collect();
+    bench.set_table_down(true);
+    let during: Vec<f64> = (0..60).map(|_| second(&mut bench)).collect();
+    bench.set_table_down(false);
+    let after: Vec<f64> = (0..10).map(|_| second(&mut bench)).collect();
+    let mean = |calls: &[f64]| calls.iter().sum::<f64>() / calls.len() as f64;
+    report.value("table_calls_before_outage", mean(&before), "1/s");
+    report.value("table_calls_in_outage", mean(&during), "1/s");
+    report.value(
+        "table_calls_after_outage",
+        after.iter().fold(0.0, |max, call| max.max(*call)),
+        "1/s",
+    );
+    let ended = bench.run_until(Duration::from_secs(60), |bench| {
+        bench.running() == 0 && bench.open_requests() == 0
+    });
+    ensure!(ended, "{} requests stay open after the outage", bench.open_requests());
+    Ok(())
+}
+
+/// Cost and size of the scan of the records of a shard by the number of its records.
+pub fn records(report: &mut Report) -> eyre::Result<()> {
+    let sizes = [266, 532, 1064];
+    let run = |count: usize| {
+        let mut bench = Bench::new(&SHARD);
+        for index in 0..count {
+            let work = service(index % 4, &format!("service-{index}"), 1, EIGHTH);
+            bench.request("submit", &team_key(index % 4), Request::Submit(work));
+        }
+        let all = bench.run_until(Duration::from_secs(60), |bench| bench.running() == count);
+        ensure!(all, "{} of {count} services run, {} refused", bench.running(), bench.refused());
+        bench.run(Duration::from_secs(5));
+        Ok(bench.measure(PERIOD))
+    };
+    let runs = sizes.into_iter().map(|size| repeat(|| run(size)));
+    let runs = runs.collect::<eyre::Result<Vec<Meters>>>()?;
+    let per_second = |value: fn(&Meter) -> f64| {
+        let rate = move |meters: &Meters| {
+            let scan = meter(meters, "table_scan_work");
+            value(&scan) * scan.count as f64 / PERIOD.as_secs_f64()
+        };
+        points(&sizes, &runs, rate)
+    };
+    report.slope("scan_work_kernel", "us/s", "records", &per_second(Meter::kernel_micros));
+    report.slope("scan_work_codec", "us/s", "records", &per_second(Meter::codec_micros));
+    report.slope("scan_work_bytes", "bytes/s", "records", &per_second(Meter::bytes));
+    report.slope("scan_work_rate", "1/s", "records", &per_second(|_| 1.0));
+    Ok(())
+}
+
 /// Cost and size of the worker list by the number of workers of the fleet.
 pub fn list(report: &mut Report) -> eyre::Result<()> {
     let sizes = [1000, 2000, 4000];
--- a/crates/shallotpost-daemon/examples/capacity/transport.rs
+++ b/crates/shallotpost-daemon/examples/capacity/transport.rs
@@ -11,7 +11,7 @@
 
 use eyre::{bail, ensure};
 use shallotpost_edge::{Edge, Settings};
-use shallotpost_protocol::port::{Effect, Event};
+use shallotpost_protocol::port::{Effect, Event, Failure};
 use shallotpost_protocol::wire::Frame;
 use shallotpost_protocol::worker;
 use shallotpost_standin::settings::{Fleet, Settings as FleetSettings, WorkerSettings};
@@ -30,6 +30,9 @@
 /// Calls or frames that are under way at once.
 const WINDOW: usize = 16;
 
+/// Workers over which the open `sync` calls are spread; each takes at most 64 connections.
+const WORKERS: usize = 16;
+
 /// Clock ticks per second of `/proc/self/stat`, fixed on Linux for user space.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -48,6 +51,11 @@
     thread::spawn(move || while received.recv().is_ok() {});
     let micros = run_child("peer", &edge.peer_address().to_string(), FRAMES)?;
     report.value("peer_frame_process", micros, "us");
+    let refused: Vec<(usize, f64)> = [133, 266, 399]
+        .into_iter()
+        .map(|open| Ok((open, refused_calls(&fleet, open)?)))
+        .collect::<eyre::Result<_>>()?;
+    report.slope("worker_calls_refused", "calls", "open syncs", &refused);
     let (request, frame) = (request_overhead()?, frame_bytes()?);
     report.value("worker_request_head", request, "bytes");
     report.value("peer_ping_on_wire", frame, "bytes");
@@ -110,13 +118,39 @@
         epoch: 1,
         lease: Duration::from_secs(8),
     };
-    Effect::Worker {
-        call,
-        worker: "w0".to_owned(),
-        address: address.to_string(),
-        request,
-        timeout: Duration::from_secs(5),
+    call_to(call, address, request)
+}
+
+fn call_to(call: u64, address: SocketAddr, request: worker::Request) -> Effect {
+    let timeout = Duration::from_secs(10);
+    Effect::Worker { call, worker: "w0".to_owned(), address: address.to_string(), request, timeout }
+}
+
+/// Number of `sync` calls that the edge refuses at once when this many are open.
+fn refused_calls(fleet: &Fleet, open: usize) -> eyre::Result<f64> {
+    let (events, received) = mpsc::channel();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let edge = Edge::start(&Settings::loopback("a", "d0", any), events, Arc::new(String::new))?;
+    let address = |index: usize| fleet.workers[index % fleet.workers.len()].address();
+    for index in 0..fleet.workers.len() {
+        edge.execute(worker_call(0, address(index)));
+        let event = received.recv_timeout(BOUND)?;
+        ensure!(matches!(event, Event::Worker { result: Ok(_), .. }), "{event:?}");
+    }
+    for call in 0..open {
+        let (lease, wait) = (Duration::from_secs(30), Duration::from_secs(1));
+        let request = worker::Request::Sync { epoch: 1, lease, acknowledged: Vec::new(), wait };
+        edge.execute(call_to(call as u64, address(call), request));
     }
+    let mut refused = 0;
+    for _ in 0..open {
+        match received.recv_timeout(BOUND)? {
+            Event::Worker { result: Ok(_), .. } => {}
+            Event::Worker { result: Err(Failure::NotSent), .. } => refused += 1,
+            event => bail!("{event:?}"),
+        }
+    }
+    Ok(f64::from(refused))
 }
 
 fn ping(number: u64, address: SocketAddr) -> Effect {
@@ -218,12 +252,13 @@
 
 fn fleet_settings() -> FleetSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let workers = vec![WorkerSettings {
-        worker: "w0".to_owned(),
+    let worker = |index: usize| WorkerSettings {
+        worker: format!("w{index}"),
         address: any,
         data_centre: "d0".to_owned(),
         rack: "r0".to_owned(),
         capacity: shallotpost_protocol::size::Size::from_parts([32_000, 131_072, 2, 8]),
-    }];
+    };
+    let workers = (0..WORKERS).map(worker).collect();
     FleetSettings { platform: any, list_lag_ms: 0, workers }
 }
--- a/crates/shallotpost-daemon/tests/support/cluster.rs
+++ b/crates/shallotpost-daemon/tests/support/cluster.rs
@@ -147,7 +147,8 @@
         self.overview(host).map(|overview| overview.table_reachable)
     }
 
-    fn overview(&self, host: &str) -> Option<Overview> {
+    /// The fleet as a host sees it.
+    pub fn overview(&self, host: &str) -> Option<Overview> {
         let (_, process) = self.hosts.get(host)?;
         let credential = Credential::parse(&operator_key())?;
         let client =
