Offer a returned worker to gangs again when its start rate is no longer bounded

A gang that had been tried while each returned worker took one part stayed in the queue until another worker grew. The new tests fail when the mechanism they name is removed: floors of reclaiming, racks of replicas, workers missed because of a grant, stops that count as use, and the end of the bounded rate.

--- a/crates/shallotpost-policy/src/fleet.rs
+++ b/crates/shallotpost-policy/src/fleet.rs
@@ -210,7 +210,8 @@
             self.timers.remove(&(due, slot));
             let host = &mut self.hosts[slot];
             host.paused_until = host.paused_until.filter(|until| *until > now);
-            if host.returning_until.is_some_and(|until| until <= now) {
+            let returned = host.returning_until.is_some_and(|until| until <= now);
+            if returned {
                 host.returning_until = None;
             }
             match host.health.state {
@@ -220,6 +221,10 @@
                 _ => {}
             }
             self.refresh(slot);
+            if returned && self.hosts[slot].place.is_some() {
+                // Its free capacity may be the same, but it now takes several parts of a gang.
+                self.touch(slot);
+            }
         }
     }
 
--- a/crates/shallotpost-policy/tests/bounded_return.rs
+++ b/crates/shallotpost-policy/tests/bounded_return.rs
@@ -6,6 +6,7 @@
 use shallotpost_policy::planner::Planner;
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::resource::Policy;
+use shallotpost_protocol::work::Class;
 
 const WORKERS: usize = 10;
 const RATE: usize = 4;
@@ -82,3 +83,16 @@
     let later = now + Duration::from_secs(11);
     assert_eq!(planner.plan(later, MANY).len(), 8 * WORKERS);
 }
+
+/// Guards against returned workers that take one part of a gang at a time for good.
+#[test]
+fn gang_starts_on_a_returned_worker() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 1, now);
+    planner.set_open(now, false);
+    planner.set_open(now, true);
+    let gang = job("a", "g", Class::Gang { parts: 4 }, size(1, 1, 0), now);
+    planner.submit(now, gang).expect("fits");
+    assert_eq!(planner.plan(now + Duration::from_secs(1), MANY), []);
+    assert_eq!(planner.plan(now + Duration::from_secs(11), MANY).len(), 4);
+}
--- a/crates/shallotpost-policy/tests/fair_shares.rs
+++ b/crates/shallotpost-policy/tests/fair_shares.rs
@@ -135,3 +135,62 @@
     planner.set_team(now, team("z", 1, unlimited()));
     assert!(matches!(planner.plan(now, MANY)[..], [Action::Start { .. }]));
 }
+
+/// Guards against capacity taken from a team below its share because others cannot give any.
+#[test]
+fn team_below_its_share_gives_nothing() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 2, now);
+    planner.set_team(now, team("c", 1, unlimited()));
+    submit_batch(&mut planner, "a", "x", 4, size(1, 1, 0), now);
+    for index in 0..12 {
+        let mut fixed = job("b", &format!("y{index}"), Class::Batch, size(1, 1, 0), now);
+        fixed.preemptible = false;
+        planner.submit(now, fixed).expect("fits");
+    }
+    assert_eq!(planner.plan(now, MANY).len(), 16);
+    submit_batch(&mut planner, "c", "z", 4, size(1, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY), []);
+}
+
+/// Guards against stops that count as use for ever: the second time, capacity is given back like the first time.
+#[test]
+fn capacity_is_given_back_again() {
+    let mut now = Instant::now();
+    let mut planner = shard(&Policy::default(), 4, now);
+    submit_batch(&mut planner, "a", "x", 40, size(1, 1, 0), now);
+    planner.plan(now, MANY);
+    for round in 0..2 {
+        let prefix = format!("y{round}-");
+        submit_batch(&mut planner, "b", &prefix, 16, size(1, 1, 0), now);
+        settle(&mut planner, &mut now);
+        let shares = (booked_cores(&planner, "a"), booked_cores(&planner, "b"));
+        assert_eq!(shares, (16, 16), "round {round}");
+        (0..16).for_each(|index| {
+            complete(&mut planner, &task("b", &format!("{prefix}{index}"), 0), now);
+        });
+        settle(&mut planner, &mut now);
+        assert_eq!(booked_cores(&planner, "a"), 32, "round {round}");
+    }
+}
+
+/// Guards against a lost wake-up: a worker that grew while the grant was used up is offered again when the grant grows.
+#[test]
+fn raised_grant_offers_workers_that_grew_before() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 2, now);
+    // One worker has processors left, the other has memory left, and none has both.
+    submit_batch(&mut planner, "b", "memory", 1, size(1, 32, 0), now);
+    submit_batch(&mut planner, "b", "cores", 1, size(8, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY).len(), 2);
+    let mut both = job("a", "x", Class::Batch, size(2, 2, 0), now);
+    both.preemptible = false;
+    planner.set_team(now, team("b", 1000, unlimited()));
+    planner.submit(now, both).expect("fits");
+    assert_eq!(starts(&planner.plan(now, MANY)), []);
+    planner.set_team(now, team("a", 1, size(0, 0, 0)));
+    complete(&mut planner, &task("b", "memory0", 0), now);
+    assert_eq!(planner.plan(now, MANY), []);
+    planner.set_team(now, team("a", 1, unlimited()));
+    assert_eq!(starts(&planner.plan(now, MANY)).len(), 1);
+}
--- a/crates/shallotpost-policy/tests/service_spread.rs
+++ b/crates/shallotpost-policy/tests/service_spread.rs
@@ -72,3 +72,23 @@
     confirm_stop(&mut planner, &asked[0].0, now);
     assert_eq!(starts(&planner.plan(now, MANY))[0].0, started[0].0);
 }
+
+/// Guards against a rack chosen only in turn: other work between two replicas moves the turn back to the same rack.
+#[test]
+fn rack_with_fewest_replicas_is_chosen() {
+    let now = Instant::now();
+    for between in 0..4 {
+        let mut planner = shard(&Policy::default(), 8, now);
+        let service = job("a", "s", Class::Service { replicas: 2 }, size(1, 1, 0), now);
+        planner.submit(now, service).expect("fits");
+        let first = starts(&planner.plan(now, 1)).remove(0).1;
+        for index in 0..between {
+            let urgent = job("b", &format!("u{index}"), Class::Urgent, size(1, 1, 0), now);
+            planner.submit(now, urgent).expect("fits");
+        }
+        let later = starts(&planner.plan(now, MANY));
+        let second = later.into_iter().find(|(task, _)| task.work.name == "s");
+        let second = second.expect("the second replica starts").1;
+        assert_ne!(rack(&first), rack(&second), "{between} tasks between");
+    }
+}
--- a/crates/shallotpost-policy/tests/urgent_start.rs
+++ b/crates/shallotpost-policy/tests/urgent_start.rs
@@ -101,3 +101,20 @@
     planner.submit(now, job("b", "u", Class::Urgent, size(1, 1, 0), now)).expect("fits");
     assert_eq!(planner.plan(now, MANY), []);
 }
+
+/// Guards against preemption of a team within its share on a worker where another team is above its own.
+#[test]
+fn only_what_is_above_a_share_makes_way() {
+    let now = Instant::now();
+    let mut planner = shard(&Policy::default(), 1, now);
+    planner.set_team(now, team("c", 1, unlimited()));
+    submit_batch(&mut planner, "a", "x", 2, size(1, 1, 0), now);
+    submit_batch(&mut planner, "b", "y", 6, size(1, 1, 0), now);
+    assert_eq!(planner.plan(now, MANY).len(), 8);
+    planner.submit(now, job("c", "large", Class::Urgent, size(8, 8, 0), now)).expect("fits");
+    assert_eq!(planner.plan(now, MANY), [], "team b alone cannot make room for it");
+    planner.submit(now, job("c", "small", Class::Urgent, size(3, 3, 0), now)).expect("fits");
+    let later = now + Duration::from_secs(1);
+    let asked = stops(&planner.plan(later, MANY));
+    assert!(asked.iter().all(|(task, _)| task.work.team == "b"), "{asked:?}");
+}
