--- a/crates/shallotpost-daemon/examples/capacity/main.rs
+++ b/crates/shallotpost-daemon/examples/capacity/main.rs
@@ -1,14 +1,17 @@
 //! Measures what one entry host costs per message and per item of state.
 //!
 //! `cargo run --release --example capacity` drives one kernel in virtual time at two or three sizes each, and the edge
-//! over loopback, and prints one JSON object per measurement. docs/CAPACITY.md works out the target size from them. A
+//! and a whole daemon over loopback, and prints one JSON object per measurement. docs/CAPACITY.md works out the target size from them. A
 //! cost per message that grows by more than half when the size quadruples is printed with `"grows": true`.
 
 mod bench;
 mod memory;
+mod process;
 mod report;
 mod scenario;
 mod seed;
+#[path = "../../tests/support/mod.rs"]
+mod support;
 mod transport;
 
 use std::process::ExitCode;
@@ -21,6 +24,7 @@
     let result = match words.as_slice() {
         [memory::ARGUMENT, kind, size] => memory::run(kind, size),
         [transport::ARGUMENT, kind, address, count] => transport::run(kind, address, count),
+        [support::process::DAEMON_ARGUMENT, settings] => support::process::run_daemon(settings),
         _ => measure(),
     };
     match result {
@@ -47,5 +51,6 @@
     scenario::outage(&mut report)?;
     scenario::list(&mut report)?;
     memory::measure(&mut report)?;
-    transport::measure(&mut report)
+    transport::measure(&mut report)?;
+    process::measure(&mut report)
 }
