Claim not_run at the edge only for bodies that are never admitted

Cause: the edge claimed not_run for every submission that it refused itself. The same id may have been submitted before through another host and run, so the claim could be false for overloaded and draining hosts, for a body that broke off, a missing key and an unknown query.

Change: the claim is made for a body that is no specification or too large. Every other refusal of a submission says that this request admitted nothing. A submission that is dropped after the kernel saw it is answered with unknown; this needs a thread that cannot be started and has no test.

--- a/crates/shallotpost-edge/src/http/exchange.rs
+++ b/crates/shallotpost-edge/src/http/exchange.rs
@@ -10,16 +10,19 @@
 
 use crate::gate::{ConnectionId, Mode};
 use crate::http::message::{Message, has_unread_body, respond, respond_and_leak};
+use crate::http::objects::too_long;
 use crate::http::{BODY_LENGTH_MAX, OBJECT_LENGTH_MAX, Shared};
 
 /// A request that has not been answered. Counts as open until it is dropped; one that is dropped without an answer is
-/// refused as `Overloaded`, which happens where a pool of threads is full.
+/// refused, which happens where a pool of threads is full: as `Overloaded`, or as `Unknown` where the kernel may have
+/// made a change for it.
 pub struct Exchange {
     request: Option<Box<HttpRequest>>,
     released: bool,
     read: bool,
     connection: ConnectionId,
     submit: bool,
+    asked: bool,
     shared: Arc<Shared>,
 }
 
@@ -33,6 +36,7 @@
             read: false,
             connection,
             submit,
+            asked: false,
             shared,
         }
     }
@@ -67,8 +71,11 @@
 
     /// Reads the whole body, at most [`BODY_LENGTH_MAX`].
     pub fn body(&mut self) -> Result<Vec<u8>, Problem> {
-        let too_large =
-            || Problem::new(Kind::TooLarge, format!("the body exceeds {BODY_LENGTH_MAX} bytes."));
+        let submit = self.submit;
+        let too_large = || Problem {
+            not_run: submit,
+            ..Problem::new(Kind::TooLarge, format!("the body exceeds {BODY_LENGTH_MAX} bytes."))
+        };
         let early = || Problem::new(Kind::Malformed, "the body ends early.");
         let Some(request) = &mut self.request else { return Ok(Vec::new()) };
         let declared = request.body_length();
@@ -99,10 +106,11 @@
         length.is_some_and(|length| length as u64 > OBJECT_LENGTH_MAX)
     }
 
-    /// Answers with a problem, closes the connection and leaks the request; see [`respond_and_leak`].
-    pub fn abort(mut self, problem: &Problem) {
+    /// Answers with `TooLarge`, closes the connection and leaks the request; see [`respond_and_leak`].
+    pub fn abort(mut self) {
         let Some(request) = self.request.take() else { return };
-        let body = serde_json::to_vec(problem).unwrap_or_default();
+        let problem = Problem { not_run: self.submit, ..too_long() };
+        let body = serde_json::to_vec(&problem).unwrap_or_default();
         let headers = &[("Content-Type", "application/json"), ("Connection", "close")];
         let message = Message { status: problem.kind.status(), headers, body: &body };
         self.release();
@@ -124,12 +132,17 @@
         self.json(problem.kind.status(), problem);
     }
 
-    /// Refuses before the kernel saw the request, so a submission was certainly not run.
-    pub fn refuse(self, kind: Kind, message: &str) {
-        let problem = self.refusal(kind, message);
+    /// Refuses before the kernel saw the request.
+    pub fn refuse(self, problem: Problem) {
+        let problem = self.refusal(problem);
         self.problem(&problem);
     }
 
+    /// Marks the request as passed to the kernel, whose reply is the whole answer. The kernel may make a change for it.
+    pub fn set_asked(&mut self) {
+        self.asked = true;
+    }
+
     /// Answers with JSON.
     pub fn json<T: Serialize>(self, status: u16, value: &T) {
         let body = serde_json::to_vec(value).unwrap_or_default();
@@ -160,8 +173,24 @@
         }
     }
 
-    fn refusal(&self, kind: Kind, message: &str) -> Problem {
-        Problem { not_run: self.submit, ..Problem::new(kind, message) }
+    /// The same id may have been submitted before, also through another host, and run. So a refusal of a submission claims
+    /// `not_run` only where its body can never be admitted, and else speaks for this request alone.
+    fn refusal(&self, problem: Problem) -> Problem {
+        match self.submit && !problem.not_run {
+            true => {
+                let message = format!("{} This request admitted nothing.", problem.message);
+                Problem { message, ..problem }
+            }
+            false => problem,
+        }
+    }
+
+    /// The problem of a request that is dropped without an answer.
+    fn dropped(&self, method: &Method) -> Problem {
+        match self.asked && *method != Method::Get {
+            true => Problem::new(Kind::Unknown, "too many answers are waiting to be written."),
+            false => self.refusal(Problem::new(Kind::Overloaded, "too many requests are open.")),
+        }
     }
 
     fn send(mut self, status: u16, content_type: &str, body: Vec<u8>) {
@@ -178,7 +207,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         if let Some(request) = self.request.take() {
-            let problem = self.refusal(Kind::Overloaded, "too many requests are open.");
+            let problem = self.dropped(request.method());
             self.release();
             self.shared.refuse(*request, self.connection, problem);
         }
--- a/crates/shallotpost-edge/src/http/mod.rs
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -327,7 +327,7 @@
     }
 
     /// Passes a call to the kernel. Returns the request where the host is draining.
-    fn ask(&self, pending: Pending, call: Call) -> Result<(), Pending> {
+    fn ask(&self, mut pending: Pending, call: Call) -> Result<(), Pending> {
         let connection = match &pending {
             Pending::Single(exchange, _) => exchange.connection(),
             Pending::Watch(watcher, _) => watcher.exchange().connection(),
@@ -344,6 +344,9 @@
             drop(pending);
             return Ok(());
         }
+        if let Pending::Single(exchange, Purpose::Plain) = &mut pending {
+            exchange.set_asked();
+        }
         state.busy.insert(connection, Some(request));
         state.pending.insert(request, pending);
         // Sent under the lock, so that `Abandoned` comes after it.
@@ -354,7 +357,7 @@
     /// Reads one request and answers it or passes it on.
     fn handle(self: &Arc<Shared>, mut exchange: Exchange) {
         if exchange.is_absurd() {
-            return exchange.abort(&objects::too_long());
+            return exchange.abort();
         }
         let Some(request) = exchange.request() else { return };
         let (method, url) = (request.method().clone(), request.url().to_owned());
@@ -366,11 +369,11 @@
                 return exchange.text(200, page);
             }
             Ok(Route::Kernel(request, purpose)) => (request, purpose),
-            Err(problem) => return exchange.refuse(problem.kind, &problem.message),
+            Err(problem) => return exchange.refuse(problem),
         };
         let key = match key(exchange.header("Authorization")) {
             Ok(key) => key,
-            Err(problem) => return exchange.refuse(problem.kind, &problem.message),
+            Err(problem) => return exchange.refuse(problem),
         };
         let call = Call { key: key.clone(), request: *request };
         let pending = match purpose {
@@ -380,7 +383,7 @@
         match self.ask(pending, call) {
             Ok(()) => {}
             Err(Pending::Single(exchange, _)) => {
-                exchange.refuse(Kind::Draining, "the entry host is shutting down.");
+                exchange.refuse(draining());
             }
             Err(Pending::Watch(watcher, _)) => watcher.end(&draining()),
         }
--- a/crates/shallotpost-edge/src/http/route.rs
+++ b/crates/shallotpost-edge/src/http/route.rs
@@ -82,7 +82,7 @@
     body: ReadBody<'_>,
 ) -> Result<Route, Problem> {
     let request = match (method, rest) {
-        (Method::Post, []) => Request::Submit(parse(&body()?)?),
+        (Method::Post, []) => Request::Submit(parse(&body()?).map_err(never_admitted)?),
         (Method::Get, [team]) => {
             let (team, after) = (name(team)?, query.text("after"));
             Request::List { team, after, limit: query.limit()? }
@@ -161,6 +161,11 @@
     serde_json::from_slice(body).map_err(|error| malformed(format!("the body is invalid: {error}")))
 }
 
+/// No host admits a body that is no specification, so the work of such a submission was certainly not run.
+fn never_admitted(problem: Problem) -> Problem {
+    Problem { not_run: true, ..problem }
+}
+
 fn parse_kind(text: &str) -> Result<resource::Kind, Problem> {
     let unknown = || Problem::new(Kind::NotFound, format!("{text:?} is no kind of resource."));
     text.parse().map_err(|_| unknown())
