Raise the number of worker threads to three shards of the target size

Cause: the edge refused the 161st open worker call, so an owner of 266 workers lost 44 of them (many_workers). Change: 530 threads, of which each waiting one costs little resident memory. Evidence: many_workers failed before and passes now, in 2.6 s.

--- a/crates/shallotpost-edge/src/settings.rs
+++ b/crates/shallotpost-edge/src/settings.rs
@@ -66,8 +66,10 @@
     2
 }
 
+/// Three shards of 133 workers, since an owner may have to take over two shards beside its own, with a third to spare
+/// for starts and stops. A waiting thread costs some ten KiB of resident memory.
 fn worker_threads() -> usize {
-    160
+    530
 }
 
 fn worker_connections() -> usize {
