List the work of shards without an owner from the table

Cause: a list left out the work of a shard whose entry hosts were all gone, so it was not the whole answer. Change: the router scans the records of such shards; if that fails, the list is refused as unavailable.

--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -73,6 +73,8 @@
     listings: BTreeMap<RequestId, Listing>,
     /// Tickets by the table call that they wait for.
     lookups: HashMap<CallId, RequestId>,
+    /// Lists and shards by the table call that they wait for.
+    scans: HashMap<CallId, (RequestId, Shard)>,
     /// Tickets that wait for work of an owned shard to end.
     waits: HashMap<WorkId, Vec<RequestId>>,
     homes: HashMap<WorkId, Shard>,
@@ -95,6 +97,7 @@
             tickets: BTreeMap::new(),
             listings: BTreeMap::new(),
             lookups: HashMap::new(),
+            scans: HashMap::new(),
             waits: HashMap::new(),
             homes: HashMap::new(),
             shutdown: None,
@@ -212,6 +215,9 @@
         call: CallId,
         result: Result<table::Reply, Failure>,
     ) {
+        if let Some((id, shard)) = self.scans.remove(&call) {
+            return self.scanned(context, id, shard, result);
+        }
         let Some(id) = self.lookups.remove(&call) else { return };
         let row = match result {
             Ok(table::Reply::Rows { rows, .. }) => rows.into_iter().next().map(|row| row.value),
--- a/crates/shallotpost-control/src/router/overview.rs
+++ b/crates/shallotpost-control/src/router/overview.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Shards of the configured data centres whose owner is not known.
+    pub(super) fn unowned_shards(&self) -> Vec<Shard> {
+        let unowned = self.shard_states().into_iter().filter(|state| state.owner.is_none());
+        unowned.map(|state| state.shard).collect()
+    }
+
     fn shard_states(&self) -> Vec<ShardState> {
         let mut states: BTreeMap<Shard, ShardState> = BTreeMap::new();
         for name in self.snapshot.names(Kind::DataCentre) {
--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -265,6 +265,36 @@
     }
 }
 
+/// A list without the work of a shard whose hosts are all gone would not be the whole answer.
+#[test]
+fn list_with_unowned_shard() {
+    let cases: [(&str, Result<(), Failure>, bool); 2] =
+        [("readable", Ok(()), true), ("not readable", Err(Failure::Ambiguous), false)];
+    for (name, read, complete) in cases {
+        let mut bench = Bench::new(Name::Router, &Settings::new("a", "east"));
+        bench.handle(Message::Snapshot(snapshot()));
+        bench.handle(Message::Fresh { until: bench.at(600_000) });
+        bench.handle(Message::Loads(vec![load("east", 1)]));
+        let mut table = table("west", State::Admitted);
+        let list = Request::List { team: "rice".to_owned(), after: String::new(), limit: 10 };
+        request(&mut bench, 1, list);
+        let [origin] = take_asks(&mut bench).try_into().expect("the scheduler is asked once");
+        let own = Reply::Work { entries: Vec::new(), more: false };
+        bench.handle(Message::Answer { origin, result: Ok(own) });
+        let [(call, scan)] = bench.take_table_calls().try_into().expect("one shard has no owner");
+        let result = read.map(|()| table.handle(&scan));
+        bench.handle(Message::Table { call, result });
+        match bench.take_answers().as_slice() {
+            [(1, Ok(Reply::Work { entries, more: false }))] if complete => {
+                assert_eq!(entries.len(), 1, "{name}");
+                assert_eq!(entries[0].work, work(), "{name}");
+            }
+            [(1, Err(problem))] if !complete => assert_eq!(problem.kind, ProblemKind::Unavailable),
+            other => panic!("{name}: {other:?}"),
+        }
+    }
+}
+
 #[test]
 fn planned_stop() {
     let mut bench = router();
