Hold requests open at the owner while it stops

Change: eight requests wait for the end of work at the owner when it is asked to stop, and all must be answered.

--- a/crates/shallotpost-daemon/tests/support/cluster.rs
+++ b/crates/shallotpost-daemon/tests/support/cluster.rs
@@ -103,6 +103,11 @@
         self.hosts.values().map(|(_, process)| format!("http://{}", process.http_address)).collect()
     }
 
+    /// HTTP URL of a host.
+    pub fn server(&self, host: &str) -> Option<String> {
+        self.hosts.get(host).map(|(_, process)| format!("http://{}", process.http_address))
+    }
+
     /// The data centre and the host that owns its shard.
     pub fn owner(&self, data_centre: &str) -> eyre::Result<(String, HostId)> {
         let value = self.shard_row(data_centre)?;
--- a/crates/shallotpost-daemon/tests/support/load.rs
+++ b/crates/shallotpost-daemon/tests/support/load.rs
@@ -7,7 +7,7 @@
 
 use eyre::{ensure, eyre};
 use shallotpost_cli::Error;
-use shallotpost_cli::client::{Call, Client};
+use shallotpost_cli::client::{Call, Client, Effect};
 use shallotpost_cli::secret::Key as Credential;
 use shallotpost_protocol::interface::Reply;
 use shallotpost_protocol::problem::Kind;
@@ -61,6 +61,53 @@
     pub cut: usize,
 }
 
+/// Requests that wait for the end of work at one entry host.
+pub struct Held {
+    threads: Vec<JoinHandle<Result<Reply, Error>>>,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl Held {
+    /// Opens `count` requests. Each first waits for a moment, so that its host is known to answer, and then for `wait`.
+    pub fn open(server: &str, work: &str, count: usize, wait: Duration) -> eyre::Result<Held> {
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let mut threads = Vec::new();
+        for _ in 0..count {
+            let client = client(vec![server.to_owned()])?;
+            let call = |wait| {
+                let call = Call::get(format!("/v1/work/{work}/wait")).waiting(wait);
+                // A lost answer to a read would look like a request that was never sent.
+                Call { effect: Effect::Repeatable, ..call }
+            };
+            let (first, second) = (call(Duration::from_millis(100)), call(wait));
+            let waiting = Arc::clone(&waiting);
+            threads.push(thread::spawn(move || {
+                let _ = client.send(&first);
+                waiting.fetch_add(1, Ordering::Relaxed);
+                client.send(&second)
+            }));
+        }
+        Ok(Held { threads, waiting })
+    }
+
+    /// Number of requests that wait, or are about to be sent.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Number of requests whose connection broke before the answer, and the number of the others.
+    pub fn finish(self) -> eyre::Result<(usize, usize)> {
+        let (mut cut, mut answered) = (0, 0);
+        for thread in self.threads {
+            match thread.join().map_err(|_| eyre!("a waiting thread has panicked"))? {
+                Ok(_) | Err(Error::Problem { .. }) => answered += 1,
+                Err(_) => cut += 1,
+            }
+        }
+        Ok((cut, answered))
+    }
+}
+
 /// Starts loads on a cluster.
 pub struct Load {
     servers: Vec<String>,
