Share the caps of teams between shards by fair parts

Cause: a shard raised its grant of a team's cap to what its waiting work needed. While several shards had work, the first took all of the cap and the others got nothing until its queue was empty.

Change: the scheduler plans its grants with grants::Allotment, after each change of the demand and before it starts tasks. A new owner plans the grant of a capped team only once the tasks of all workers are known. configuration::cap::Cap is the only type of the row caps/<team>; it keeps fields that it does not know, also when configuration changes the cap. A shard that runs tasks without a grant, because the cap was not split before, stops what exceeds the room beside the other grants. A row that was deleted and created again, with versions from 1, is accepted after a conflict.

Parts become fair as tasks end: running work is stopped only for a lowered cap.

--- a/crates/shallotpost-control/src/configuration/cap.rs
+++ b/crates/shallotpost-control/src/configuration/cap.rs
@@ -17,15 +17,27 @@
 
 /// Value of the row. Configuration writes the cap; the owner of each shard writes its own grant, and raises it only where
 /// the sum of all grants stays within the cap.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cap {
     /// Most that the team may have running fleet-wide.
     pub cap: Size,
-    /// What each shard may have running.
+    /// Part of the cap that each shard may use. The sum never exceeds the cap, except after the cap was lowered.
+    #[serde(default)]
     pub grants: BTreeMap<Shard, Size>,
+    /// What each shard lacks beyond its grant, rounded up to powers of two so that it changes rarely.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unmet: BTreeMap<Shard, Size>,
+    /// Further fields, such as those of a later release, which are kept as they are.
+    #[serde(flatten)]
+    pub rest: BTreeMap<String, serde_json::Value>,
 }
 
 impl Cap {
+    /// Grant of a shard.
+    pub fn grant(&self, shard: &Shard) -> Size {
+        self.grants.get(shard).copied().unwrap_or(Size::ZERO)
+    }
+
     /// Sum of all grants; saturates.
     pub fn granted(&self) -> Size {
         self.grants.values().fold(Size::ZERO, |sum, grant| sum.plus(grant))
--- a/crates/shallotpost-control/src/configuration/update.rs
+++ b/crates/shallotpost-control/src/configuration/update.rs
@@ -1,8 +1,6 @@
 //! Updates by operators: checked against the current revision, committed with a check on `config/head`, and resolved by
 //! reading their log row where the outcome is unknown.
 
-use std::collections::BTreeMap;
-
 use shallotpost_protocol::interface::{Reply, Request};
 use shallotpost_protocol::resource::{
     self, Change, Entry, HEAD_KEY, Kind, Resource, Team, log_key,
@@ -460,8 +458,7 @@
             if current.as_ref().is_some_and(|current| current.cap == *cap) {
                 return None;
             }
-            let grants = current.map_or_else(BTreeMap::new, |current| current.grants);
-            Some(json(&Cap { cap: *cap, grants }))
+            Some(json(&Cap { cap: *cap, ..current.unwrap_or_default() }))
         }
         None if change.kind == Kind::Team => Some(None),
         _ => None,
--- a/crates/shallotpost-control/src/scheduler/caps.rs
+++ b/crates/shallotpost-control/src/scheduler/caps.rs
@@ -2,17 +2,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
 use shallotpost_policy::planner;
 use shallotpost_protocol::port::Failure;
-use shallotpost_protocol::table::{Reply, Request, Version, Write};
+use shallotpost_protocol::table::{self, Reply, Request, Write};
 use shallotpost_protocol::work::Class;
 use shallotpost_protocol::worker::Mode;
 
+use crate::configuration::cap::{Cap, row_key};
 use crate::message::{Batch, WriteFailure};
 use crate::prelude::*;
-use crate::scheduler::entry::TaskEntry;
+use crate::scheduler::entry::{Phase, TaskEntry};
 use crate::scheduler::environment::Environment;
+use crate::scheduler::grants::{Allotment, Change, Demand};
 use crate::scheduler::rows::Purpose;
 use crate::scheduler::shard::{Call, Owned};
 
@@ -25,25 +26,18 @@
 /// Most cap rows of one read.
 const CAPS_PER_READ: usize = 500;
 
-/// Value of the row `caps/<team>`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CapRow {
-    /// Most that the team may have booked fleet-wide.
-    pub cap: Size,
-    /// Part of each shard.
-    #[serde(default)]
-    pub grants: BTreeMap<String, Size>,
-    /// Further fields, which are kept as they are.
-    #[serde(flatten)]
-    pub rest: BTreeMap<String, serde_json::Value>,
-}
-
 /// Grants of one shard.
 pub struct Caps {
+    /// Most that each team may book, as the planner was told.
     grants: BTreeMap<TeamId, Size>,
-    writing: BTreeSet<TeamId>,
-    call: Option<CallId>,
+    allotments: BTreeMap<TeamId, Allotment>,
+    /// Demand at the last call of [`Allotment::plan`] and the time of the next one.
+    planned: BTreeMap<TeamId, (Size, Size, Instant)>,
+    /// The open read and its teams, without those whose write ended after it was sent.
+    call: Option<BTreeSet<TeamId>>,
     only: bool,
+    /// Whether the tasks of all workers were known once.
+    settled: bool,
     next_read: Instant,
     last_read: Instant,
 }
@@ -53,26 +47,17 @@
     pub fn new(now: Instant) -> Caps {
         Caps {
             grants: BTreeMap::new(),
-            writing: BTreeSet::new(),
+            allotments: BTreeMap::new(),
+            planned: BTreeMap::new(),
             call: None,
             only: false,
+            settled: false,
             next_read: now,
             last_read: now,
         }
     }
 }
 
-/// Grant that a shard should hold: what it has booked and what its waiting tasks need, as far as the cap leaves room
-/// beside the grants of the other shards, and never less than what is booked.
-pub fn next_grant(cap: &Size, others: &Size, booked: &Size, waiting: &Size) -> Size {
-    booked.plus(waiting).min(&cap.minus(others)).max(booked)
-}
-
-/// Key of a team's cap row.
-pub fn row_key(team: &str) -> String {
-    format!("caps/{team}")
-}
-
 impl Owned {
     /// Tells the planner the configured teams.
     pub fn refresh_teams(&mut self, context: &mut Context, environment: &Environment) {
@@ -87,10 +72,14 @@
             self.caps.grants.keys().filter(|team| !names.contains(team)).cloned().collect();
         for team in gone {
             self.caps.grants.remove(&team);
+            self.caps.allotments.remove(&team);
+            self.caps.planned.remove(&team);
             self.planner.remove_team(&team);
         }
         for name in names {
             let Some(team) = environment.snapshot.team(&name) else { continue };
+            let allotment = || Allotment::new(self.id.clone(), context.now);
+            self.caps.allotments.entry(name.clone()).or_insert_with(allotment);
             let known = self.caps.grants.get(&name).copied().unwrap_or(Size::ZERO);
             let grant = match (only, was_only) {
                 (true, _) => team.cap,
@@ -128,107 +117,174 @@
         }
     }
 
-    /// Reads the cap rows of the teams with waiting or booked work.
+    /// Reads the cap rows of the teams with work or a grant.
     pub fn update_grants(&mut self, context: &mut Context, environment: &Environment) {
-        let idle = self.caps.call.is_none() && context.now >= self.caps.next_read;
-        if !idle || !self.takes_starts() || environment.is_only_shard(&self.id) {
+        if self.caps.call.is_some() || !self.takes_starts() || environment.is_only_shard(&self.id) {
+            return;
+        }
+        let teams = || self.caps.allotments.iter().filter(|(team, _)| self.uses_cap(team));
+        let missing = teams().any(|(_, allotment)| allotment.needs_read());
+        let due = context.now >= self.caps.next_read
+            || missing && context.now >= self.caps.last_read + CAPS_INTERVAL_MIN;
+        if !due {
             return;
         }
+        let teams: BTreeSet<TeamId> =
+            teams().map(|(team, _)| team.clone()).take(CAPS_PER_READ).collect();
         self.caps.next_read = context.now + CAPS_INTERVAL;
         self.caps.last_read = context.now;
-        let needed = self.caps.grants.iter().filter(|(team, grant)| {
-            **grant != Size::ZERO
-                || self.planner.booked(team) != Size::ZERO
-                || self.planner.waiting(team) != Size::ZERO
-        });
-        let keys: Vec<String> = needed.map(|(team, _)| row_key(team)).take(CAPS_PER_READ).collect();
-        if keys.is_empty() {
+        if teams.is_empty() {
             return;
         }
+        let keys = teams.iter().map(|team| row_key(team)).collect();
         let call = context.call_table(Request::Read { keys }, environment.settings.table_timeout);
-        self.caps.call = Some(call);
+        self.caps.call = Some(teams);
         self.calls.insert(call, Call::Caps);
     }
 
-    /// Adjusts the grants to the rows that were read.
+    /// Whether the team has work or a grant on this shard.
+    fn uses_cap(&self, team: &TeamId) -> bool {
+        let row = self.caps.allotments.get(team).and_then(Allotment::row);
+        let granted = row.is_some_and(|row| row.grant(&self.id) != Size::ZERO);
+        granted
+            || self.caps.grants.get(team).is_some_and(|grant| *grant != Size::ZERO)
+            || self.planner.booked(team) != Size::ZERO
+            || self.planner.waiting(team) != Size::ZERO
+    }
+
+    /// Takes over the rows that were read.
     pub fn on_caps(
         &mut self,
         context: &mut Context,
         environment: &Environment,
         result: Result<Reply, Failure>,
     ) {
-        self.caps.call = None;
+        let Some(teams) = self.caps.call.take() else { return };
         let Ok(Reply::Rows { rows, .. }) = result else { return };
-        let rows: BTreeMap<String, (Version, CapRow)> = rows
-            .into_iter()
-            .filter_map(|row| {
-                Some((row.key, (row.version, serde_json::from_str(&row.value).ok()?)))
-            })
-            .collect();
+        let rows: BTreeMap<String, table::Row> =
+            rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        for team in teams {
+            let (row, version) = match rows.get(&row_key(&team)) {
+                Some(row) => match serde_json::from_str(&row.value) {
+                    Ok(value) => (value, row.version),
+                    Err(_) => continue,
+                },
+                None => match environment.snapshot.team(&team) {
+                    Some(configured) => {
+                        let new = Allotment::new(self.id.clone(), context.now);
+                        self.caps.allotments.insert(team.clone(), new);
+                        (Cap { cap: configured.cap, ..Cap::default() }, 0)
+                    }
+                    None => continue,
+                },
+            };
+            if let Some(allotment) = self.caps.allotments.get_mut(&team) {
+                allotment.record(row, version);
+            }
+            self.caps.planned.remove(&team);
+        }
+        self.plan_grants(context, environment);
+    }
+
+    /// Plans the grants of the teams whose demand or row changed, and of all teams once per interval.
+    pub fn plan_grants(&mut self, context: &mut Context, environment: &Environment) {
+        if !self.takes_starts() || environment.is_only_shard(&self.id) {
+            return;
+        }
+        self.caps.settled |= self.is_settled(environment)
+            && (self.epoch == 1 || environment.knows_vanished(context.now));
         let teams: Vec<TeamId> = self.caps.grants.keys().cloned().collect();
         for team in teams {
-            if !self.caps.writing.contains(&team) {
-                let row = rows.get(&row_key(&team)).cloned();
-                self.adjust_grant(context, environment, &team, row);
+            let (booked, waiting) = (self.planner.booked(&team), self.planner.waiting(&team));
+            let same = self.caps.planned.get(&team).is_some_and(|(before, queued, next)| {
+                (*before, *queued) == (booked, waiting) && context.now < *next
+            });
+            if !same && self.uses_cap(&team) {
+                let next = context.now + CAPS_INTERVAL;
+                self.caps.planned.insert(team.clone(), (booked, waiting, next));
+                self.plan_grant(context, environment, &team);
             }
         }
     }
 
-    fn adjust_grant(
+    fn plan_grant(&mut self, context: &mut Context, environment: &Environment, team: &TeamId) {
+        let demand = self.demand(team);
+        let Some(allotment) = self.caps.allotments.get_mut(team) else { return };
+        // Without a cap it does not matter which tasks are still unknown.
+        let unlimited =
+            allotment.row().is_some_and(|row| row.cap == Size::from_parts([u64::MAX; 4]));
+        if !self.caps.settled && !unlimited {
+            return;
+        }
+        let plan = allotment.plan(context.now, &demand);
+        self.set_grant(context, environment, team, plan.limit);
+        if plan.stop != Size::ZERO {
+            self.stop_above(team, &demand.booked.minus(&plan.stop));
+        }
+        if let Some(change) = plan.write {
+            self.write_grant(context, environment, team, &change);
+        }
+    }
+
+    fn write_grant(
         &mut self,
         context: &mut Context,
         environment: &Environment,
         team: &TeamId,
-        row: Option<(Version, CapRow)>,
+        change: &Change,
     ) {
-        let Some(configured) = environment.snapshot.team(team) else { return };
-        let booked = self.planner.booked(team);
-        let waiting = self.planner.waiting(team);
-        let (version, mut row) = match row {
-            Some((version, row)) => (Some(version), row),
-            None if booked == Size::ZERO && waiting == Size::ZERO => return,
-            None => (None, CapRow { cap: configured.cap, ..CapRow::default() }),
-        };
-        let own = self.id.to_string();
-        let held = row.grants.get(&own).copied().unwrap_or(Size::ZERO);
-        let others = row.grants.iter().filter(|(shard, _)| **shard != own);
-        let others = others.fold(Size::ZERO, |sum, (_, grant)| sum.plus(grant));
-        let next = next_grant(&row.cap, &others, &booked, &waiting);
-        // The planner may use only what is durable now and stays durable after the write.
-        let room = row.cap.minus(&others);
-        self.set_grant(context, environment, team, held.min(&next).min(&room));
-        self.stop_above(team, &room);
-        if next == held {
-            return;
-        }
-        row.grants.insert(own, next);
         let key = row_key(team);
         let tag = environment.next_tag();
+        let version = (change.version > 0).then_some(change.version);
         let batch = Batch {
             reply_to: Name::Scheduler,
             tag,
             checks: self.checks(key.clone(), version),
-            writes: vec![Write { key, value: serde_json::to_string(&row).ok() }],
+            writes: vec![Write { key, value: serde_json::to_string(&change.row).ok() }],
             expires: Some(context.now + CAPS_INTERVAL),
         };
-        self.caps.writing.insert(team.clone());
-        self.rows.writes.insert(tag, Purpose::Grant(team.clone(), next.min(&room)));
+        self.rows.writes.insert(tag, Purpose::Grant(team.clone()));
         context.send(Name::Commit, Message::Write(batch));
     }
 
-    /// Uses a grant once it is durable. After any other outcome the next read tells.
+    /// What the team has and needs on this shard.
+    fn demand(&self, team: &TeamId) -> Demand {
+        let mut booked = self.planner.booked(team);
+        let mut largest = Size::ZERO;
+        let first = WorkId { team: team.clone(), name: String::new() };
+        for (_, entry) in self.works.range(first..).take_while(|(work, _)| work.team == *team) {
+            let size = entry.record.specification.size;
+            if !entry.submitted {
+                // Parts of a gang that were found on workers and that the planner has not booked yet.
+                let sent = entry.tasks.iter().filter(|task| task.phase.is_sent()).count();
+                booked = booked.plus(&size.times(sent as u64));
+            }
+            if entry.tasks.iter().any(|task| task.phase == Phase::Waiting) {
+                let together = if entry.is_gang() { entry.tasks.len() as u64 } else { 1 };
+                largest = largest.max(&size.times(together));
+            }
+        }
+        let open = self.sessions.values().filter(|session| session.is_open());
+        let target = open.fold(Size::ZERO, |sum, session| sum.plus(&session.listing.capacity));
+        Demand { booked, waiting: self.planner.waiting(team), largest, target }
+    }
+
+    /// Takes over the outcome of a write.
     pub fn on_grant_written(
         &mut self,
         context: &mut Context,
         environment: &Environment,
         team: &TeamId,
-        grant: Size,
         result: Result<(), WriteFailure>,
     ) {
-        self.caps.writing.remove(team);
-        if result.is_ok() && self.caps.grants.contains_key(team) {
-            self.set_grant(context, environment, team, grant);
+        if let Some(teams) = &mut self.caps.call {
+            teams.remove(team);
+        }
+        if let Some(allotment) = self.caps.allotments.get_mut(team) {
+            allotment.written(result.as_ref().copied());
         }
+        self.caps.planned.remove(team);
+        self.plan_grants(context, environment);
     }
 
     /// Stops tasks of a team until the rest fits into `limit`, those of the last admitted work first.
--- a/crates/shallotpost-control/src/scheduler/grants.rs
+++ b/crates/shallotpost-control/src/scheduler/grants.rs
@@ -6,9 +6,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use serde::{Deserialize, Serialize};
 use shallotpost_protocol::table::Version;
 
+use crate::configuration::cap::Cap;
 use crate::message::WriteFailure;
 use crate::prelude::*;
 
@@ -25,52 +25,6 @@
 /// An amount without a cap.
 const UNLIMITED: u64 = u64::MAX;
 
-/// Value of the row `caps/<team>`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
-    /// Most that the team may have running fleet-wide.
-    pub cap: Size,
-    /// Part of the cap that each shard may use. The sum never exceeds the cap, except after the cap was lowered.
-    #[serde(default)]
-    pub grants: BTreeMap<Shard, Size>,
-    /// What each shard lacks beyond its grant, rounded up to powers of two so that it changes rarely.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub unmet: BTreeMap<Shard, Size>,
-}
-
-impl Row {
-    /// Grant of a shard.
-    pub fn grant(&self, shard: &Shard) -> Size {
-        self.grants.get(shard).copied().unwrap_or(Size::ZERO)
-    }
-
-    fn amounts(&self, shard: &Shard, index: usize) -> Amounts {
-        let amount = |sizes: &BTreeMap<Shard, Size>, shard: &Shard| {
-            sizes.get(shard).map_or(0, |size| size.parts()[index])
-        };
-        let others = || self.grants.keys().chain(self.unmet.keys()).filter(|other| *other != shard);
-        let mut wants: BTreeMap<&Shard, u64> = BTreeMap::new();
-        for other in self.grants.keys().chain(self.unmet.keys()).chain([shard]) {
-            let want = amount(&self.grants, other).saturating_add(amount(&self.unmet, other));
-            wants.insert(other, want);
-        }
-        let cap = self.cap.parts()[index];
-        let granted = self.grants.iter().filter(|(other, _)| *other != shard);
-        Amounts {
-            cap,
-            own: amount(&self.grants, shard),
-            others: granted.map(|(_, size)| u128::from(size.parts()[index])).sum(),
-            fair: fair_part(cap, &wants, shard),
-            contended: cap != UNLIMITED && others().any(|other| amount(&self.unmet, other) > 0),
-        }
-    }
-}
-
-/// Key of a team's row.
-pub fn row_key(team: &str) -> String {
-    format!("caps/{team}")
-}
-
 /// What a shard has and needs of a team's cap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Demand {
@@ -87,10 +41,10 @@
 /// A conditional write of the row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
-    /// Version that the row must have.
+    /// Version that the row must have; zero where it must not exist.
     pub version: Version,
     /// Its new value.
-    pub row: Row,
+    pub row: Cap,
 }
 
 /// What a shard does next.
@@ -125,7 +79,7 @@
 #[derive(Debug)]
 pub struct Allotment {
     shard: Shard,
-    row: Option<(Row, Version)>,
+    row: Option<(Cap, Version)>,
     pending: Option<Pending>,
     /// Whether the row must be read before the next write.
     stale: bool,
@@ -150,7 +104,7 @@
     }
 
     /// Records a read of the row that was sent after the last outcome of a write.
-    pub fn record(&mut self, row: Row, version: Version) {
+    pub fn record(&mut self, row: Cap, version: Version) {
         if self.row.as_ref().is_some_and(|(_, known)| version < *known) {
             return;
         }
@@ -184,10 +138,19 @@
             Err(WriteFailure::Conflict(_)) => {
                 self.pending = None;
                 self.stale = true;
+                // The row may have been deleted and created again, with versions from 1.
+                if let Some((_, version)) = &mut self.row {
+                    *version = 0;
+                }
             }
         }
     }
 
+    /// The row as last read or written.
+    pub fn row(&self) -> Option<&Cap> {
+        self.row.as_ref().map(|(row, _)| row)
+    }
+
     /// Whether the row must be read.
     pub fn needs_read(&self) -> bool {
         self.stale
@@ -203,7 +166,7 @@
             return Plan { write: None, limit: Size::ZERO, stop: Size::ZERO };
         };
         let amounts: [Amounts; AMOUNTS] =
-            std::array::from_fn(|index| row.amounts(&self.shard, index));
+            std::array::from_fn(|index| amounts(row, &self.shard, index));
         let step = Step {
             demand,
             need,
@@ -291,6 +254,28 @@
     }
 }
 
+/// One amount of the row, as `shard` sees it.
+fn amounts(row: &Cap, shard: &Shard, index: usize) -> Amounts {
+    let amount = |sizes: &BTreeMap<Shard, Size>, shard: &Shard| {
+        sizes.get(shard).map_or(0, |size| size.parts()[index])
+    };
+    let others = || row.grants.keys().chain(row.unmet.keys()).filter(|other| *other != shard);
+    let mut wants: BTreeMap<&Shard, u64> = BTreeMap::new();
+    for other in row.grants.keys().chain(row.unmet.keys()).chain([shard]) {
+        let want = amount(&row.grants, other).saturating_add(amount(&row.unmet, other));
+        wants.insert(other, want);
+    }
+    let cap = row.cap.parts()[index];
+    let granted = row.grants.iter().filter(|(other, _)| *other != shard);
+    Amounts {
+        cap,
+        own: amount(&row.grants, shard),
+        others: granted.map(|(_, size)| u128::from(size.parts()[index])).sum(),
+        fair: fair_part(cap, &wants, shard),
+        contended: cap != UNLIMITED && others().any(|other| amount(&row.unmet, other) > 0),
+    }
+}
+
 /// Next state of one amount.
 #[derive(Clone, Copy, Debug)]
 struct Next {
@@ -341,7 +326,9 @@
         let lowered = self.lowered(amounts, index);
         let grant = if raised > own { raised } else { lowered.min(own) };
         let yielded = amounts.contended && grant < own;
-        Next { grant, unmet: unmet(grant), stop: 0, yielded }
+        // A shard that was the only one runs tasks without a grant once the cap is split.
+        let stop = booked.saturating_sub(room);
+        Next { grant, unmet: unmet(grant), stop, yielded }
     }
 
     /// Grant that the shard aims for where it needs more than it has.
@@ -415,7 +402,7 @@
 }
 
 /// The row with another grant and lack of one shard.
-fn with_own(row: &Row, shard: &Shard, grant: Size, unmet: Size) -> Row {
+fn with_own(row: &Cap, shard: &Shard, grant: Size, unmet: Size) -> Cap {
     let mut row = row.clone();
     for (sizes, size) in [(&mut row.grants, grant), (&mut row.unmet, unmet)] {
         match size == Size::ZERO {
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -211,8 +211,8 @@
             Some((owned, Purpose::Record(work))) => {
                 owned.on_record_written(context, environment, &work, result)
             }
-            Some((owned, Purpose::Grant(team, grant))) => {
-                owned.on_grant_written(context, environment, &team, grant, result)
+            Some((owned, Purpose::Grant(team))) => {
+                owned.on_grant_written(context, environment, &team, result)
             }
             Some((_, Purpose::Deletion)) | None => {}
         }
--- a/crates/shallotpost-control/src/scheduler/rows.rs
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -53,7 +53,7 @@
     /// Deletion of ended records.
     Deletion,
     /// Grant of a team.
-    Grant(TeamId, Size),
+    Grant(TeamId),
 }
 
 /// What is known about the row that names the owner of the shard.
--- a/crates/shallotpost-control/src/scheduler/shard.rs
+++ b/crates/shallotpost-control/src/scheduler/shard.rs
@@ -150,6 +150,7 @@
         self.expire(context);
         self.requeue_due(context, environment);
         self.retry_unfit(context, environment);
+        self.plan_grants(context, environment);
         self.plan(context, environment);
         self.send_orders(context, environment);
         self.write_records(context, environment);
--- a/crates/shallotpost-control/tests/support/cell.rs
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -232,6 +232,14 @@
         tasks.filter(|task| task.work.team == team).count()
     }
 
+    /// Number of tasks of a team that run now in a data centre.
+    pub fn running_in(&self, team: &str, data_centre: &str) -> usize {
+        let machines =
+            self.machines.values().filter(|machine| machine.entry.data_centre == data_centre);
+        let tasks = machines.flat_map(|machine| machine.state.running());
+        tasks.filter(|task| task.work.team == team).count()
+    }
+
     /// Number of starts of the work so far, over all workers.
     pub fn starts(&self, work: &str) -> usize {
         let starts = self.machines.values().flat_map(|machine| machine.state.starts.iter());
