List the workers for operators

Cause: operators could not see which workers a shard has, what is booked on them and which are silent. Change: GET /v1/workers and `shallotpost list workers`, gathered from all owners like lists of work. The list of records of a shard without an owner goes on behind a page of ended work.

--- a/crates/shallotpost-cli/src/commands/list.rs
+++ b/crates/shallotpost-cli/src/commands/list.rs
@@ -1,4 +1,4 @@
-//! `list`: shows all resources of a kind, or a team's work.
+//! `list`: shows all resources of a kind, a team's work, or the workers.
 
 use getopts::Options;
 use shallotpost_protocol::identity::TeamId;
@@ -13,8 +13,8 @@
 /// The command.
 pub const COMMAND: Command = Command {
     name: "list",
-    arguments: "<kind> | work <team>",
-    summary: "list resources of a kind, or a team's work that has not ended",
+    arguments: "<kind> | work <team> | workers",
+    summary: "list resources of a kind, a team's work that has not ended, or the workers",
     example: "shallotpost list work intake",
     options,
     counts: (1, 2),
@@ -31,6 +31,7 @@
             let team = context.name(1)?;
             list_work(context, &team)
         }
+        ("workers", 1) => list_workers(context),
         ("work", _) => Err(context.usage("`list work` needs a team")),
         (_, 1) => {
             let kind = context.kind(0)?;
@@ -75,6 +76,23 @@
     context.show(&Reply::Work { entries: all, more: false }, &text)
 }
 
+fn list_workers(context: &mut Context) -> Result<(), Error> {
+    let (mut all, mut after) = (Vec::new(), String::new());
+    loop {
+        let call = page("/v1/workers".to_owned(), &after);
+        let Reply::Workers { entries, more } = context.client.send(&call)? else {
+            return Err(Error::Reply { expected: "a page of workers" });
+        };
+        all.extend(entries);
+        match all.last() {
+            Some(last) if more && last.worker > after => after = last.worker.clone(),
+            _ => break,
+        }
+    }
+    let text = output::workers(&all);
+    context.show(&Reply::Workers { entries: all, more: false }, &text)
+}
+
 fn page(path: String, after: &str) -> Call {
     Call::get(path).query("after", after).query("limit", PAGE_LIMIT_MAX)
 }
--- a/crates/shallotpost-cli/src/output.rs
+++ b/crates/shallotpost-cli/src/output.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use shallotpost_protocol::interface::Overview;
+use shallotpost_protocol::interface::{Overview, WorkerState};
 use shallotpost_protocol::resource::{
     Availability, Change, Entry, Force, Refused, Resource, Right,
 };
@@ -144,6 +144,27 @@
     table(&header, &entries.iter().map(row).collect::<Vec<_>>())
 }
 
+/// Workers, one a line.
+pub fn workers(entries: &[WorkerState]) -> String {
+    let row = |state: &WorkerState| {
+        let condition = match state {
+            WorkerState { answers: false, .. } => "silent",
+            WorkerState { leaving: true, .. } => "leaving",
+            _ => "open",
+        };
+        vec![
+            state.worker.clone(),
+            state.shard.to_string(),
+            state.rack.clone(),
+            condition.to_owned(),
+            size(&state.booked),
+            size(&state.capacity),
+        ]
+    };
+    let header = ["worker", "shard", "rack", "state", "booked", "capacity"];
+    table(&header, &entries.iter().map(row).collect::<Vec<_>>())
+}
+
 /// Status of one piece of work with its tasks.
 pub fn status(status: &Status) -> String {
     let mut text = work(std::slice::from_ref(status));
--- a/crates/shallotpost-control/src/router/listing.rs
+++ b/crates/shallotpost-control/src/router/listing.rs
@@ -1,8 +1,8 @@
-//! Lists of a team's work, gathered from every owner, and from the table for shards without an owner.
+//! Lists of a team's work and of workers, gathered from every owner. The work of shards without an owner comes from the table.
 
 use std::collections::BTreeMap;
 
-use shallotpost_protocol::interface::{Call, PAGE_LIMIT_MAX, Reply, Request};
+use shallotpost_protocol::interface::{Call, PAGE_LIMIT_MAX, Reply, Request, WorkerState};
 use shallotpost_protocol::table::{self, Row};
 use shallotpost_protocol::wire::Frame;
 use shallotpost_protocol::work::{self, Record, State, Status};
@@ -22,6 +22,13 @@
     Records(Shard),
 }
 
+/// An open scan of the records of a shard without an owner.
+pub struct RecordScan {
+    id: RequestId,
+    shard: Shard,
+    prefix: String,
+}
+
 /// An open list request.
 pub struct Listing {
     /// Where the answer goes.
@@ -29,10 +36,54 @@
     limit: usize,
     deadline: Instant,
     missing: Vec<Part>,
-    entries: BTreeMap<String, Status>,
+    entries: Entries,
     more: bool,
 }
 
+/// What has come so far, by name.
+enum Entries {
+    /// Work.
+    Work(BTreeMap<WorkName, Status>),
+    /// Workers.
+    Workers(BTreeMap<WorkerId, WorkerState>),
+}
+
+impl Entries {
+    fn len(&self) -> usize {
+        match self {
+            Entries::Work(entries) => entries.len(),
+            Entries::Workers(entries) => entries.len(),
+        }
+    }
+
+    /// Adds a part of a list; returns whether more follow, and nothing where the reply is no such part.
+    fn add(&mut self, reply: Reply) -> Option<bool> {
+        match (self, reply) {
+            (Entries::Work(known), Reply::Work { entries, more }) => {
+                known.extend(entries.into_iter().map(|status| (status.work.name.clone(), status)));
+                Some(more)
+            }
+            (Entries::Workers(known), Reply::Workers { entries, more }) => {
+                known.extend(entries.into_iter().map(|state| (state.worker.clone(), state)));
+                Some(more)
+            }
+            _ => None,
+        }
+    }
+
+    fn into_reply(self, limit: usize, more: bool) -> Reply {
+        let more = more || self.len() > limit;
+        match self {
+            Entries::Work(entries) => {
+                Reply::Work { entries: entries.into_values().take(limit).collect(), more }
+            }
+            Entries::Workers(entries) => {
+                Reply::Workers { entries: entries.into_values().take(limit).collect(), more }
+            }
+        }
+    }
+}
+
 impl Router {
     /// Asks every host that owns a shard.
     pub(super) fn list(
@@ -42,7 +93,13 @@
         identity: Identity,
         call: Call,
     ) {
-        let Request::List { team, after, limit } = call.request.clone() else { return };
+        let (entries, limit, records) = match &call.request {
+            Request::List { team, after, limit } => {
+                (Entries::Work(BTreeMap::new()), *limit, Some((team.clone(), after.clone())))
+            }
+            Request::Workers { limit, .. } => (Entries::Workers(BTreeMap::new()), *limit, None),
+            _ => return,
+        };
         let limit = limit.clamp(1, PAGE_LIMIT_MAX);
         let id = self.new_id();
         let forwarded = matches!(origin, Origin::Peer { .. });
@@ -56,21 +113,37 @@
         }
         ask(context, Name::Scheduler, Origin::Caller(id), identity, call.request);
         let hosts = peers.into_iter().chain([self.settings.host.clone()]).map(Part::Host);
-        let unowned = if forwarded { Vec::new() } else { self.unowned_shards() };
-        for shard in &unowned {
-            let prefix = format!("{}{team}/", work::prefix(shard));
-            let after = format!("{prefix}{after}");
-            let scan = table::Request::Scan { prefix, after, limit };
-            let scan = context.call_table(scan, self.settings.table_timeout);
-            self.scans.insert(scan, (id, shard.clone()));
+        let unowned = match &records {
+            Some(_) if !forwarded => self.unowned_shards(),
+            _ => Vec::new(),
+        };
+        if let Some((team, after)) = records {
+            unowned.iter().for_each(|shard| {
+                let prefix = format!("{}{team}/", work::prefix(shard));
+                let after = format!("{prefix}{after}");
+                self.scan_records(context, id, shard.clone(), prefix, after, limit);
+            });
         }
         let missing = hosts.chain(unowned.into_iter().map(Part::Records)).collect();
         let deadline = context.now + ANSWER_BOUND;
-        let listing =
-            Listing { origin, limit, deadline, missing, entries: BTreeMap::new(), more: false };
+        let listing = Listing { origin, limit, deadline, missing, entries, more: false };
         self.listings.insert(id, listing);
     }
 
+    fn scan_records(
+        &mut self,
+        context: &mut Context,
+        id: RequestId,
+        shard: Shard,
+        prefix: String,
+        after: String,
+        limit: usize,
+    ) {
+        let scan = table::Request::Scan { prefix: prefix.clone(), after, limit };
+        let call = context.call_table(scan, self.settings.table_timeout);
+        self.scans.insert(call, RecordScan { id, shard, prefix });
+    }
+
     /// Takes the part of one host.
     pub(super) fn listed(
         &mut self,
@@ -81,26 +154,32 @@
     ) {
         let part = Part::Host(host.clone());
         match result {
-            Ok(Reply::Work { entries, more }) => self.add_part(context, id, &part, entries, more),
             _ if !self.is_missing(id, &part) => {}
-            Ok(_) => self.fail_listing(context, id, incomplete(&part)),
+            Ok(reply) => self.add_part(context, id, &part, reply, true),
             Err(problem) => self.fail_listing(context, id, problem),
         }
     }
 
-    /// Takes the records of a shard without an owner.
+    /// Takes a page of records of a shard without an owner.
     pub(super) fn scanned(
         &mut self,
         context: &mut Context,
-        id: RequestId,
-        shard: Shard,
+        scan: RecordScan,
         result: Result<table::Reply, Failure>,
     ) {
-        let part = Part::Records(shard);
+        let RecordScan { id, shard, prefix } = scan;
+        let part = Part::Records(shard.clone());
+        let Some(limit) = self.listings.get(&id).map(|listing| listing.limit) else { return };
         match result {
             Ok(table::Reply::Rows { rows, more }) => {
-                let entries = rows.iter().filter_map(open_status).collect();
-                self.add_part(context, id, &part, entries, more);
+                let entries: Vec<Status> = rows.iter().filter_map(open_status).collect();
+                // A page may hold fewer entries than rows, because records of ended work are left out.
+                let next = rows.last().filter(|_| more && entries.len() < limit);
+                let reply = Reply::Work { entries, more: more && next.is_none() };
+                self.add_part(context, id, &part, reply, next.is_none());
+                if let Some(last) = next {
+                    self.scan_records(context, id, shard, prefix, last.key.clone(), limit);
+                }
             }
             _ => self.fail_listing(context, id, incomplete(&part)),
         }
@@ -110,24 +189,23 @@
         self.listings.get(&id).is_some_and(|listing| listing.missing.contains(part))
     }
 
-    /// Adds a part that was still missing; answers once every part has come.
+    /// Adds entries of a part; answers once every part is complete.
     fn add_part(
         &mut self,
         context: &mut Context,
         id: RequestId,
         part: &Part,
-        entries: Vec<Status>,
-        more: bool,
+        reply: Reply,
+        complete: bool,
     ) {
         let Some(listing) = self.listings.get_mut(&id) else { return };
-        let Some(position) = listing.missing.iter().position(|missing| missing == part) else {
-            return;
+        let Some(more) = listing.entries.add(reply) else {
+            return self.fail_listing(context, id, incomplete(part));
         };
-        listing.missing.swap_remove(position);
         listing.more |= more;
-        listing
-            .entries
-            .extend(entries.into_iter().map(|status| (status.work.name.clone(), status)));
+        if complete {
+            listing.missing.retain(|missing| missing != part);
+        }
         if listing.missing.is_empty() {
             self.finish_listing(context, id);
         }
@@ -145,9 +223,8 @@
 
     fn finish_listing(&mut self, context: &mut Context, id: RequestId) {
         let Some(listing) = self.listings.remove(&id) else { return };
-        let more = listing.more || listing.entries.len() > listing.limit;
-        let entries = listing.entries.into_values().take(listing.limit).collect();
-        self.reply(context, &listing.origin, Ok(Reply::Work { entries, more }));
+        let reply = listing.entries.into_reply(listing.limit, listing.more);
+        self.reply(context, &listing.origin, Ok(reply));
     }
 
     fn fail_listing(&mut self, context: &mut Context, id: RequestId, problem: Problem) {
--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -22,7 +22,7 @@
 use crate::configuration::Snapshot;
 use crate::membership::Fleet;
 use crate::prelude::*;
-use listing::Listing;
+use listing::{Listing, RecordScan};
 use ticket::{Stage, Ticket};
 
 /// Most open requests; more are refused at once.
@@ -73,8 +73,8 @@
     listings: BTreeMap<RequestId, Listing>,
     /// Tickets by the table call that they wait for.
     lookups: HashMap<CallId, RequestId>,
-    /// Lists and shards by the table call that they wait for.
-    scans: HashMap<CallId, (RequestId, Shard)>,
+    /// Scans of records by their table call.
+    scans: HashMap<CallId, RecordScan>,
     /// Tickets that wait for work of an owned shard to end.
     waits: HashMap<WorkId, Vec<RequestId>>,
     homes: HashMap<WorkId, Shard>,
@@ -167,7 +167,9 @@
                 let (work, wait) = (work.clone(), (*wait).min(WAIT_MAX));
                 self.open(context, origin.clone(), identity, call, work, wait);
             }
-            Request::List { .. } => self.list(context, origin.clone(), identity, call),
+            Request::List { .. } | Request::Workers { .. } => {
+                self.list(context, origin.clone(), identity, call);
+            }
             Request::Object { .. } => self.reply(context, origin, Ok(Reply::Allowed)),
             Request::Overview => {
                 let overview = self.overview(context.now);
@@ -215,8 +217,8 @@
         call: CallId,
         result: Result<table::Reply, Failure>,
     ) {
-        if let Some((id, shard)) = self.scans.remove(&call) {
-            return self.scanned(context, id, shard, result);
+        if let Some(scan) = self.scans.remove(&call) {
+            return self.scanned(context, scan, result);
         }
         let Some(id) = self.lookups.remove(&call) else { return };
         let row = match result {
--- a/crates/shallotpost-control/src/scheduler/requests.rs
+++ b/crates/shallotpost-control/src/scheduler/requests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use shallotpost_protocol::interface::{PAGE_LIMIT_MAX, Reply, Request};
+use shallotpost_protocol::interface::{PAGE_LIMIT_MAX, Reply, Request, WorkerState};
 use shallotpost_protocol::resource::Right;
 use shallotpost_protocol::work::{Ending, Explanation, Phase, State, Status};
 
@@ -18,6 +18,9 @@
     identity: &Identity,
     request: Request,
 ) {
+    if let Request::Workers { after, limit } = &request {
+        return context.answer(origin, Ok(workers(shards, after, *limit)));
+    }
     let team = match &request {
         Request::Status(work) | Request::Cancel(work) | Request::Explain(work) => &work.team,
         Request::List { team, .. } => team,
@@ -62,6 +65,17 @@
     }
 }
 
+fn workers(shards: &BTreeMap<Shard, Owned>, after: &str, limit: usize) -> Reply {
+    let limit = limit.clamp(1, PAGE_LIMIT_MAX);
+    let states = shards.values().flat_map(Owned::worker_states);
+    let mut entries: Vec<WorkerState> =
+        states.filter(|state| state.worker.as_str() > after).collect();
+    entries.sort_by(|left, right| left.worker.cmp(&right.worker));
+    let more = entries.len() > limit;
+    entries.truncate(limit);
+    Reply::Workers { entries, more }
+}
+
 fn list(shards: &BTreeMap<Shard, Owned>, team: &str, after: &str, limit: usize) -> Reply {
     let limit = limit.clamp(1, PAGE_LIMIT_MAX);
     let first = WorkId { team: team.to_owned(), name: after.to_owned() };
@@ -79,6 +93,22 @@
 }
 
 impl Owned {
+    fn worker_states(&self) -> impl Iterator<Item = WorkerState> {
+        self.sessions.iter().map(|(worker, session)| {
+            let tasks = session.tasks.iter().filter_map(|task| self.works.get(&task.work));
+            let sizes = tasks.map(|entry| entry.record.specification.size);
+            WorkerState {
+                worker: worker.clone(),
+                shard: self.id.clone(),
+                rack: session.listing.rack.clone(),
+                capacity: session.listing.capacity,
+                booked: sizes.fold(Size::ZERO, |sum, size| sum.plus(&size)),
+                leaving: session.leaving || session.listing.leaving,
+                answers: session.claimed && !session.silent,
+            }
+        })
+    }
+
     /// Cancels work. The answer follows once the cancellation is durable.
     fn cancel(&mut self, context: &mut Context, origin: Origin, work: &WorkId) {
         let Some(entry) = self.works.get_mut(work) else { return };
--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -295,6 +295,38 @@
     }
 }
 
+/// A page full of ended work must not hide the open work behind it.
+#[test]
+fn list_behind_ended_records() {
+    let mut bench = Bench::new(Name::Router, &Settings::new("a", "east"));
+    bench.handle(Message::Snapshot(snapshot()));
+    bench.handle(Message::Fresh { until: bench.at(600_000) });
+    bench.handle(Message::Loads(vec![load("east", 1)]));
+    let mut table = table("west", State::Admitted);
+    let ended = |index: usize| {
+        let specification = batch("rice", &format!("a-{index}"));
+        let key = work::row_key(&shard("west"), &specification.work_id());
+        let state = State::Ended(outcome());
+        let record =
+            Record { specification, shard: shard("west"), state, admitted_unix_ms: UNIX_MS };
+        Write { key, value: serde_json::to_string(&record).ok() }
+    };
+    let writes = (0..12).map(ended).collect();
+    table.handle(&table::Request::Transact { checks: Vec::new(), writes });
+    let list = Request::List { team: "rice".to_owned(), after: String::new(), limit: 5 };
+    request(&mut bench, 1, list);
+    let [origin] = take_asks(&mut bench).try_into().expect("the scheduler is asked once");
+    let own = Reply::Work { entries: Vec::new(), more: false };
+    bench.handle(Message::Answer { origin, result: Ok(own) });
+    for _ in 0..3 {
+        answer_reads(&mut bench, &mut table);
+    }
+    match bench.take_answers().as_slice() {
+        [(1, Ok(Reply::Work { entries, more: false }))] => assert_eq!(entries[0].work, work()),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn planned_stop() {
     let mut bench = router();
--- a/crates/shallotpost-control/tests/whole_path.rs
+++ b/crates/shallotpost-control/tests/whole_path.rs
@@ -6,7 +6,7 @@
 use shallotpost_protocol::interface::{Reply, Request};
 use shallotpost_protocol::work::{Class, Ending, Specification, State};
 use support::cell::Cell;
-use support::deployment::{RICE, deploy, job, rice, service};
+use support::deployment::{CAPACITY, OPERATOR, RICE, deploy, job, rice, service};
 
 #[test]
 fn each_class() {
@@ -85,3 +85,34 @@
         assert_eq!(cell.starts(&name), 1, "{name}");
     }
 }
+
+#[test]
+fn workers_of_all_shards() {
+    let mut cell = deploy();
+    cell.submit("a1", RICE, service("intake", 3));
+    cell.run_until(Duration::from_secs(5), |cell| cell.places("intake").len() == 3);
+    cell.silence("west-w3", true);
+    cell.run(Duration::from_secs(5));
+    let list = |after: &str| Request::Workers { after: after.to_owned(), limit: 5 };
+    let Ok(Reply::Workers { entries: first, more: true }) = cell.ask("b1", OPERATOR, list(""))
+    else {
+        panic!("the first of two pages is expected")
+    };
+    let Ok(Reply::Workers { entries: second, more: false }) =
+        cell.ask("b1", OPERATOR, list(&first[4].worker))
+    else {
+        panic!("the second of two pages is expected")
+    };
+    let workers: Vec<_> = first.into_iter().chain(second).collect();
+    assert_eq!(workers.len(), 8);
+    let silent: Vec<&str> =
+        workers.iter().filter(|state| !state.answers).map(|state| state.worker.as_str()).collect();
+    assert_eq!(silent, ["west-w3"]);
+    assert_eq!(workers.iter().map(|state| state.booked.slots).sum::<u64>(), 3);
+    assert!(workers.iter().all(|state| state.capacity == CAPACITY));
+    let refused = cell.ask("b1", RICE, list(""));
+    assert!(
+        matches!(&refused, Err(problem) if problem.kind == ProblemKind::Forbidden),
+        "{refused:?}"
+    );
+}
--- a/crates/shallotpost-daemon/src/metrics.rs
+++ b/crates/shallotpost-daemon/src/metrics.rs
@@ -63,6 +63,8 @@
     Audit,
     /// `GET /v1/status`.
     Overview,
+    /// `GET /v1/workers`.
+    Workers,
     /// `GET /readyz`.
     Ready,
     /// Everything that the edge answers itself, such as `/metrics` and unknown paths.
@@ -85,6 +87,7 @@
             Request::Force(_) => Route::Force,
             Request::Audit { .. } => Route::Audit,
             Request::Overview => Route::Overview,
+            Request::Workers { .. } => Route::Workers,
             Request::Ready => Route::Ready,
         }
     }
--- a/crates/shallotpost-edge/src/http/route.rs
+++ b/crates/shallotpost-edge/src/http/route.rs
@@ -57,6 +57,10 @@
             let revision = revision.parse();
             plain(Request::Force(revision.map_err(|_| malformed("the revision is no number"))?))
         }
+        (Method::Get, ["v1", "workers"]) => {
+            let after = query.text("after");
+            plain(Request::Workers { after, limit: query.limit()? })
+        }
         (Method::Get, ["v1", "audit"]) => {
             let from = query.value("from")?.unwrap_or(0);
             plain(Request::Audit { from, limit: query.limit()? })
--- a/crates/shallotpost-protocol/src/interface.rs
+++ b/crates/shallotpost-protocol/src/interface.rs
@@ -4,9 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::{HostId, Revision, Shard, WorkId};
+use crate::identity::{HostId, RackId, Revision, Shard, WorkId, WorkerId};
 use crate::millis;
 use crate::resource::{Change, Entry, Force, Kind, Refused, Resource};
+use crate::size::Size;
 use crate::work::{Explanation, Outcome, Specification, Status};
 
 /// Most entries in one page.
@@ -119,6 +120,13 @@
     },
     /// `GET /v1/status`: entry hosts and shards as this host sees them.
     Overview,
+    /// `GET /v1/workers?after=&limit=`: workers of all shards that have an owner, in name order.
+    Workers {
+        /// Only names greater than this one.
+        after: String,
+        /// Most entries, at most [`PAGE_LIMIT_MAX`].
+        limit: usize,
+    },
     /// `GET /readyz`: whether the balancer should send requests.
     Ready,
 }
@@ -189,6 +197,13 @@
     },
     /// Entry hosts and shards.
     Overview(Overview),
+    /// A page of workers.
+    Workers {
+        /// Entries.
+        entries: Vec<WorkerState>,
+        /// Whether more follow.
+        more: bool,
+    },
     /// The host takes requests.
     Ready,
 }
@@ -223,6 +238,25 @@
     pub revision: Revision,
 }
 
+/// One worker, as the owner of its shard sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerState {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its shard.
+    pub shard: Shard,
+    /// Its rack.
+    pub rack: RackId,
+    /// What it can hold.
+    pub capacity: Size,
+    /// What is booked on it.
+    pub booked: Size,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Whether it accepted the owner's claim and answers.
+    pub answers: bool,
+}
+
 /// One shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardState {
