Read the worker list conditionally and count the bytes of calls by cause

Cause: every host read the whole worker list every second. It was 60% of the bytes between daemons and stand-ins without load.

Change: the edge names its data centre in the query and the entity tag of the last list; an unchanged list is answered with 304. The stand-in supports both, and a server may ignore both. Calls carry no user-agent, accept and accept-encoding headers. The stand-ins count the bytes of HTTP by cause, and `recover idle` prints them and stops after the cost without load.

--- a/crates/shallotpost-daemon/examples/recover/main.rs
+++ b/crates/shallotpost-daemon/examples/recover/main.rs
@@ -2,7 +2,8 @@
 //!
 //! `cargo run --release --example recover` starts stand-ins for the platform and the workers at the current size of the
 //! Consortium and nine daemons as processes of their own, applies a bounded load, kills the owner of a shard, pauses
-//! another one, and prints one JSON object per measurement. It exits with 1 if a target is missed.
+//! another one, and prints one JSON object per measurement. It exits with 1 if a target is missed. With the argument `idle`
+//! it measures only the cost without load.
 
 #[path = "../../tests/support/mod.rs"]
 mod support;
@@ -20,6 +21,9 @@
 const DATA_CENTRES: &[(&str, usize, usize)] =
     &[("kochi", 15, 5), ("kozhikode", 10, 4), ("thrissur", 10, 4)];
 
+/// Limits the run to the cost without load.
+const IDLE_ARGUMENT: &str = "idle";
+
 /// Time over which the cost of control is measured.
 const COST_PERIOD: Duration = Duration::from_secs(10);
 
@@ -47,7 +51,8 @@
         [argument, settings] if argument == DAEMON_ARGUMENT => {
             process::run_daemon(settings).map(|()| true)
         }
-        _ => measure(),
+        [argument] if argument == IDLE_ARGUMENT => measure(true),
+        _ => measure(false),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
@@ -59,8 +64,8 @@
     }
 }
 
-/// Prints the measurements; returns whether every target holds.
-fn measure() -> eyre::Result<bool> {
+/// Prints the measurements, or only those without load; returns whether every target holds.
+fn measure(idle: bool) -> eyre::Result<bool> {
     let mut report = Report::default();
     let plan = Plan {
         data_centres: DATA_CENTRES,
@@ -70,6 +75,9 @@
     };
     let mut cluster = Cluster::start(plan).wrap_err("the cluster cannot be started")?;
     idle_cost(&mut cluster, &mut report)?;
+    if idle {
+        return Ok(report.holds);
+    }
     peak_cost(&mut cluster, &mut report)?;
     owner_dies(&mut cluster, &mut report)?;
     owner_pauses(&mut cluster, &mut report)?;
@@ -92,6 +100,12 @@
     report.add("idle_memory", cost.memory_mib, "MiB", Some(MEMORY_LIMIT_MIB));
     let traffic = cost.traffic_kb_per_second;
     report.add("idle_traffic", traffic, "KB/s", Some(TRAFFIC_LIMIT_KB_PER_SECOND));
+    for (cause, traffic) in &cost.calls_kb_per_second {
+        report.add(&format!("idle_calls_{cause}"), *traffic, "KB/s", None);
+    }
+    // Peer streams do not pass a stand-in and are not in this sum.
+    let calls = cost.calls_kb_per_second.iter().map(|(_, traffic)| traffic).sum();
+    report.add("idle_calls", calls, "KB/s", Some(TRAFFIC_LIMIT_KB_PER_SECOND));
     report.add("idle_table_writes", cost.writes_per_second, "1/s", Some(WRITE_LIMIT_PER_SECOND));
     report.add("idle_table_reads", cost.reads_per_second, "1/s", Some(READ_LIMIT_PER_SECOND));
     Ok(())
--- a/crates/shallotpost-daemon/tests/support/cluster.rs
+++ b/crates/shallotpost-daemon/tests/support/cluster.rs
@@ -19,6 +19,7 @@
 use shallotpost_protocol::size::Size;
 use shallotpost_protocol::work::{Class, Specification};
 use shallotpost_standin::fault::Fault;
+use shallotpost_standin::hub::Traffic;
 use shallotpost_standin::settings::{Fleet, Settings as FleetSettings, WorkerSettings};
 use ureq::http::Method;
 
@@ -65,6 +66,8 @@
     pub memory_mib: f64,
     /// All bytes on loopback in the period, by host; callers and workers included.
     pub traffic_kb_per_second: f64,
+    /// Bytes between daemons and stand-ins, by cause, without the headers of TCP and IP.
+    pub calls_kb_per_second: Vec<(&'static str, f64)>,
     /// Transactions.
     pub writes_per_second: f64,
     /// Reads and scans.
@@ -268,12 +271,17 @@
             time.saturating_sub(before.processor.get(host).copied().unwrap_or(*time)).as_secs_f64()
         });
         let rate = |before: u64, after: u64| (after - before) as f64 / seconds;
+        let calls = after.calls.iter().map(|(cause, bytes)| {
+            let before = before.calls.get(cause).copied().unwrap_or(0);
+            (*cause, rate(before, *bytes) / 1000.0 / self.hosts.len() as f64)
+        });
         Ok(Cost {
             processor_percent: 100.0 * busiest.fold(0.0, f64::max) / seconds,
             memory_mib: after.memory_mib,
             traffic_kb_per_second: rate(before.bytes, after.bytes)
                 / 1000.0
                 / self.hosts.len() as f64,
+            calls_kb_per_second: calls.collect(),
             writes_per_second: rate(before.writes, after.writes),
             reads_per_second: rate(before.reads, after.reads),
         })
@@ -286,6 +294,12 @@
         };
         let mut counters =
             Counters { reads, writes, bytes: loopback_bytes()?, ..Counters::default() };
+        let workers = self.fleet.workers.iter().map(|worker| worker.traffic());
+        for traffic in workers.chain([self.fleet.platform.traffic()]) {
+            for (cause, bytes) in traffic {
+                *counters.calls.entry(cause).or_default() += bytes;
+            }
+        }
         for (host, (_, process)) in &self.hosts {
             counters.processor.insert(host.clone(), process.processor_time()?);
             counters.memory_mib = counters.memory_mib.max(process.memory_mib()?);
@@ -336,6 +350,7 @@
     reads: u64,
     writes: u64,
     bytes: u64,
+    calls: Traffic,
     processor: BTreeMap<HostId, Duration>,
     memory_mib: f64,
 }
--- a/crates/shallotpost-edge/src/calls.rs
+++ b/crates/shallotpost-edge/src/calls.rs
@@ -7,9 +7,9 @@
 
 use shallotpost_protocol::identity::{Address, CallId};
 use shallotpost_protocol::port::{Event, Failure};
-use shallotpost_protocol::{table, worker};
+use shallotpost_protocol::{list, table, worker};
 
-use crate::client::Client;
+use crate::client::{Client, Content};
 use crate::pool::{Limits, Pool};
 use crate::settings::Settings;
 
@@ -22,6 +22,7 @@
     client: Arc<Client>,
     table_url: String,
     list_url: String,
+    known: Arc<KnownList>,
     table: Pool,
     list: Pool,
     workers: Pool,
@@ -52,7 +53,8 @@
             events,
             client: Arc::default(),
             table_url: settings.table_url.clone(),
-            list_url: settings.list_url.clone(),
+            list_url: list_url(settings),
+            known: Arc::default(),
             table: Pool::new("edge-table", limits(settings.table_threads)),
             list: Pool::new("edge-list", limits(settings.list_threads)),
             workers: Pool::new("edge-worker", limits(settings.worker_threads)),
@@ -100,11 +102,12 @@
     /// Reads the worker list.
     pub fn list(&self, call: CallId, timeout: Duration) {
         let (client, url) = (Arc::clone(&self.client), self.list_url.clone());
+        let known = Arc::clone(&self.known);
         let deadline = Instant::now() + timeout;
         let unanswered = self.unanswered(Kind::List, call);
         self.list.execute(Box::new(move || {
             let unanswered = unanswered.started();
-            let result = client.get(&url, &url, deadline);
+            let result = known.read(&client, &url, deadline);
             unanswered.answer(Event::List { call, result });
         }));
     }
@@ -125,6 +128,41 @@
     }
 }
 
+/// Address of the list with the only data centre that is needed; a server may ignore the query.
+fn list_url(settings: &Settings) -> String {
+    let separator = if settings.list_url.contains('?') { '&' } else { '?' };
+    format!("{}{separator}data_centre={}", settings.list_url, settings.data_centre)
+}
+
+/// The last list that had an entity tag.
+#[derive(Default)]
+struct KnownList {
+    last: Mutex<Option<(String, Vec<list::Worker>)>>,
+}
+
+impl KnownList {
+    fn read(
+        &self,
+        client: &Client,
+        url: &str,
+        deadline: Instant,
+    ) -> Result<Vec<list::Worker>, Failure> {
+        let known = self.lock().clone();
+        let tag = known.as_ref().map(|(tag, _)| tag.as_str());
+        match client.get::<Vec<list::Worker>>(url, url, tag, deadline)? {
+            Content::Known => Ok(known.map(|(_, workers)| workers).unwrap_or_default()),
+            Content::New(workers, tag) => {
+                *self.lock() = tag.map(|tag| (tag, workers.clone()));
+                Ok(workers)
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<(String, Vec<list::Worker>)>> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Counts the calls to each worker.
 struct Connections {
     limit: usize,
--- a/crates/shallotpost-edge/src/client.rs
+++ b/crates/shallotpost-edge/src/client.rs
@@ -9,8 +9,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use shallotpost_protocol::port::Failure;
-use ureq::config::Config;
-use ureq::http::{Response, Uri};
+use ureq::config::{AutoHeaderValue, Config};
+use ureq::http::header::{ETAG, IF_NONE_MATCH};
+use ureq::http::{Response, StatusCode, Uri};
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
@@ -38,6 +39,15 @@
 /// Number of addresses after which agents that were not used for [`CONNECTION_AGE_MAX`] are dropped.
 const AGENTS_KEPT: usize = 256;
 
+/// Content of an answer that may have been known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content<R> {
+    /// The content with the known tag is the current one.
+    Known,
+    /// Another content, and its entity tag where the server names one.
+    New(R, Option<String>),
+}
+
 /// HTTP client with one connection pool per address, so that a fault at one address costs the others nothing.
 pub struct Client {
     buffer_length: usize,
@@ -71,17 +81,23 @@
         self.answer(address, result)
     }
 
-    /// Gets `url` and parses the JSON answer.
+    /// Gets `url` and parses the JSON answer. `known` is the entity tag of an earlier answer, to save an answer with the
+    /// same content.
     pub fn get<R: DeserializeOwned>(
         &self,
         address: &str,
         url: &str,
+        known: Option<&str>,
         deadline: Instant,
-    ) -> Result<R, Failure> {
+    ) -> Result<Content<R>, Failure> {
         let timeout = remaining(deadline)?;
         let request = self.agent(address).get(url);
+        let request = match known {
+            Some(tag) => request.header(IF_NONE_MATCH, tag),
+            None => request,
+        };
         let result = request.config().timeout_global(Some(timeout)).build().call();
-        self.answer(address, result)
+        self.check(address, result, |response| content(response, known.is_some()))
     }
 
     /// The agent for an address.
@@ -108,7 +124,16 @@
         address: &str,
         result: Result<Response<Body>, Error>,
     ) -> Result<R, Failure> {
-        let answer = result.map_err(|error| classify(&error)).and_then(parse);
+        self.check(address, result, parse)
+    }
+
+    fn check<R>(
+        &self,
+        address: &str,
+        result: Result<Response<Body>, Error>,
+        read: impl FnOnce(Response<Body>) -> Result<R, Failure>,
+    ) -> Result<R, Failure> {
+        let answer = result.map_err(|error| classify(&error)).and_then(read);
         if matches!(answer, Err(Failure::Ambiguous)) {
             self.forget(address);
         }
@@ -147,12 +172,26 @@
     }
 }
 
+fn content<R: DeserializeOwned>(
+    response: Response<Body>,
+    conditional: bool,
+) -> Result<Content<R>, Failure> {
+    if conditional && response.status() == StatusCode::NOT_MODIFIED {
+        return Ok(Content::Known);
+    }
+    let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+    parse(response).map(|value| Content::New(value, tag))
+}
+
 fn new_agent(buffer_length: usize) -> Agent {
     let config = Config::builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .max_redirects_will_error(false)
         .proxy(None)
+        .user_agent(AutoHeaderValue::None)
+        .accept(AutoHeaderValue::None)
+        .accept_encoding(AutoHeaderValue::None)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .input_buffer_size(buffer_length)
         .output_buffer_size(buffer_length)
--- a/crates/shallotpost-edge/src/http/message.rs
+++ b/crates/shallotpost-edge/src/http/message.rs
@@ -34,7 +34,7 @@
 }
 
 /// The bytes of an answer.
-fn encode(message: &Message<'_>, with_body: bool) -> io::Result<Vec<u8>> {
+pub fn encode(message: &Message<'_>, with_body: bool) -> io::Result<Vec<u8>> {
     let reason = StatusCode(message.status).default_reason_phrase();
     let mut bytes = Vec::with_capacity(message.body.len() + 256);
     write!(bytes, "HTTP/1.1 {} {reason}\r\n", message.status)?;
--- /dev/null
+++ b/crates/shallotpost-edge/tests/list_reads.rs
@@ -0,0 +1,129 @@
+//! Reads of the worker list: conditional, limited to one data centre, and correct with servers that do neither.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+
+use shallotpost_protocol::list;
+use shallotpost_protocol::port::{Effect, Event, Failure};
+use shallotpost_protocol::prelude::*;
+use support::{Bench, PATIENCE, any_port};
+
+fn worker(name: &str, data_centre: &str) -> list::Worker {
+    list::Worker {
+        worker: name.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: data_centre.to_owned(),
+        rack: "r".to_owned(),
+        capacity: Size::from_parts([1, 2, 3, 4]),
+        leaving: false,
+    }
+}
+
+fn read(bench: &Bench) -> Result<Vec<list::Worker>, Failure> {
+    bench.edge.execute(Effect::List { call: 1, timeout: PATIENCE });
+    match bench.event() {
+        Event::List { call: 1, result } => result,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The head of one request; the requests have no body.
+fn head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).unwrap().to_ascii_lowercase()
+}
+
+/// Guards against a list that is sent again though it did not change, and against one that stays old when it did.
+#[test]
+fn an_unchanged_list_is_not_sent_again() {
+    let bench = Bench::start();
+    let near: Vec<_> = (0..50).map(|index| worker(&format!("w-{index}"), "kochi")).collect();
+    bench.platform.update_list(|list| list.extend(near.clone()));
+    bench.platform.update_list(|list| list.push(worker("far", "thrissur")));
+    let bytes = || bench.platform.traffic().get("list").copied().unwrap_or(0);
+    assert_eq!(read(&bench), Ok(near.clone()));
+    let first = bytes();
+    assert_eq!(read(&bench), Ok(near.clone()));
+    let second = bytes() - first;
+    assert!(second * 10 < first, "{first} bytes, then {second}");
+    bench.platform.update_list(|list| list[0].leaving = true);
+    let changed = read(&bench).unwrap();
+    assert!(changed[0].leaving);
+    assert_eq!(changed[1..], near[1..]);
+}
+
+/// Guards against wrong lists from servers without entity tags, with changing ones, or with answers out of place.
+#[test]
+fn lists_of_other_servers_are_read() {
+    let full = |tag: &str, name: &str| {
+        let body = serde_json::to_string(&[worker(name, "kochi")]).unwrap();
+        format!("HTTP/1.1 200 OK\r\n{tag}Content-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let same = || "HTTP/1.1 304 Not Modified\r\n\r\n".to_owned();
+    let failed = || "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_owned();
+    let (one, two) = ("ETag: \"1\"\r\n", "ETag: W/\"2\"\r\n");
+    // Answers, each with the tag that the request must name and with the worker that must be read.
+    let ambiguous = Err(Failure::Ambiguous);
+    type Step = (String, Option<&'static str>, Result<&'static str, Failure>);
+    let cases: [(&str, Vec<Step>); 5] = [
+        ("no tags", vec![(full("", "a"), None, Ok("a")), (full("", "b"), None, Ok("b"))]),
+        ("unasked", vec![(same(), None, ambiguous), (full(one, "a"), None, Ok("a"))]),
+        (
+            "changing",
+            vec![
+                (full(one, "a"), None, Ok("a")),
+                (full(two, "b"), Some("\"1\""), Ok("b")),
+                (same(), Some("w/\"2\""), Ok("b")),
+            ],
+        ),
+        (
+            "failing",
+            vec![
+                (full(one, "a"), None, Ok("a")),
+                (failed(), Some("\"1\""), ambiguous),
+                (same(), Some("\"1\""), Ok("a")),
+            ],
+        ),
+        (
+            "no tag any more",
+            vec![
+                (full(one, "a"), None, Ok("a")),
+                (full("", "b"), Some("\"1\""), Ok("b")),
+                (full("", "c"), None, Ok("c")),
+            ],
+        ),
+    ];
+    for (name, steps) in cases {
+        let listener = TcpListener::bind(any_port()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let bench = Bench::with(|settings| settings.list_url = format!("http://{address}/list"));
+        for (answer, tag, expected) in steps {
+            let result = thread::scope(|scope| {
+                let server = scope.spawn(|| {
+                    let (mut stream, _) = listener.accept().unwrap();
+                    let head = head(&mut stream);
+                    let close = answer.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+                    stream.write_all(close.as_bytes()).unwrap();
+                    head
+                });
+                let result = read(&bench);
+                let head = server.join().unwrap();
+                assert!(head.starts_with("get /list?data_centre=kochi "), "{name}: {head}");
+                let sent = head.lines().find_map(|line| line.strip_prefix("if-none-match: "));
+                assert_eq!(sent, tag, "{name}");
+                result
+            });
+            let expected = expected.map(|expected| vec![worker(expected, "kochi")]);
+            assert_eq!(result, expected, "{name}");
+        }
+    }
+}
--- a/crates/shallotpost-standin/src/host.rs
+++ b/crates/shallotpost-standin/src/host.rs
@@ -105,7 +105,7 @@
     ) -> Answer {
         match (method, path) {
             (Method::Post, "/") => match read_json(request) {
-                Ok(call) => Answer::json(&self.call(&call)),
+                Ok(call) => Answer::json(&self.call(&call)).caused_by(cause(&call)),
                 Err(answer) => answer,
             },
             _ => Answer::refused(404, "no such route"),
@@ -134,3 +134,12 @@
         self.changed.notify_all();
     }
 }
+
+fn cause(call: &Request) -> &'static str {
+    match call {
+        Request::Claim { .. } => "worker_claim",
+        Request::Start { .. } => "worker_start",
+        Request::Stop { .. } => "worker_stop",
+        Request::Sync { .. } => "worker_sync",
+    }
+}
--- a/crates/shallotpost-standin/src/hub.rs
+++ b/crates/shallotpost-standin/src/hub.rs
@@ -3,7 +3,7 @@
 //! One inner `tiny_http` server handles the requests of all stand-ins. Each stand-in has its own listening gate, through
 //! which connection faults are injected; the gate's address of a connection tells which stand-in is meant.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::ops::Deref;
@@ -37,20 +37,36 @@
     pub headers: Vec<(&'static str, String)>,
     /// Body.
     pub body: Arc<Vec<u8>>,
+    /// What the call was made for; the bytes of calls are counted by it.
+    pub cause: &'static str,
 }
 
+/// Bytes of calls and answers by cause: lines, headers and bodies of HTTP, without the headers of TCP and IP.
+pub type Traffic = BTreeMap<&'static str, u64>;
+
+/// Cause of calls without a name.
+const OTHER: &str = "other";
+
 impl Answer {
     /// A JSON answer with status 200.
     pub fn json<T: Serialize>(value: &T) -> Answer {
         match serde_json::to_vec(value) {
-            Ok(body) => Answer { status: 200, headers: Vec::new(), body: Arc::new(body) },
+            Ok(body) => {
+                Answer { status: 200, headers: Vec::new(), body: Arc::new(body), cause: OTHER }
+            }
             Err(error) => Answer::refused(500, &error.to_string()),
         }
     }
 
     /// A refusal with a reason.
     pub fn refused(status: u16, reason: &str) -> Answer {
-        Answer { status, headers: Vec::new(), body: Arc::new(reason.as_bytes().to_vec()) }
+        let body = Arc::new(reason.as_bytes().to_vec());
+        Answer { status, headers: Vec::new(), body, cause: OTHER }
+    }
+
+    /// The same answer with a cause.
+    pub fn caused_by(self, cause: &'static str) -> Answer {
+        Answer { cause, ..self }
     }
 }
 
@@ -98,6 +114,7 @@
     service: Arc<dyn Service>,
     switches: Mutex<Switches>,
     gate: OnceLock<Gate>,
+    traffic: Mutex<Traffic>,
 }
 
 /// A running stand-in. Dereferences to its service. Stops when it is dropped.
@@ -128,6 +145,7 @@
             service: Arc::clone(&service) as Arc<dyn Service>,
             switches: Mutex::default(),
             gate: OnceLock::new(),
+            traffic: Mutex::default(),
         });
         let registrar = Registrar { sites: Arc::clone(&self.sites), site: Arc::downgrade(&site) };
         let runtime = self.driver.handle();
@@ -151,6 +169,11 @@
         self.address
     }
 
+    /// Bytes of all calls so far.
+    pub fn traffic(&self) -> Traffic {
+        self.site.traffic.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Changes fault switches.
     pub fn fault(&self, fault: &Fault) {
         self.site.set(fault, None);
@@ -231,6 +254,7 @@
         }
         let connected = || self.gate.get().is_some_and(|gate| gate.is_open(connection));
         let answer = self.service.handle(&method, &path, &mut request, &connected);
+        self.count(&request, &answer);
         if verdict.slow_ms > 0 {
             thread::sleep(Duration::from_millis(verdict.slow_ms));
         }
@@ -242,6 +266,19 @@
         }
     }
 
+    fn count(&self, request: &Request, answer: &Answer) {
+        let line = format!("{} {} HTTP/1.1\r\n\r\n", request.method(), request.url()).len();
+        let headers = request.headers().iter();
+        let headers: usize = headers
+            .map(|header| header.field.as_str().as_str().len() + header.value.len() + 4)
+            .sum();
+        let answered = with_message(answer, |message| message::encode(message, true));
+        let answered = answered.map_or(0, |bytes| bytes.len());
+        let bytes = line + headers + request.body_length().unwrap_or(0) + answered;
+        let mut traffic = self.traffic.lock().unwrap_or_else(PoisonError::into_inner);
+        *traffic.entry(answer.cause).or_default() += bytes as u64;
+    }
+
     /// Closes the connection. The status 500 that `tiny_http` writes for a dropped request does not pass the gate any more.
     fn close(&self, connection: ConnectionId) {
         if let Some(gate) = self.gate.get() {
@@ -286,9 +323,12 @@
 }
 
 fn respond(request: Request, read: bool, answer: &Answer) {
+    // A failed write means that the caller left.
+    let _ = with_message(answer, |message| message::respond(request, read, message));
+}
+
+fn with_message<R>(answer: &Answer, action: impl FnOnce(&Message<'_>) -> R) -> R {
     let headers: Vec<(&str, &str)> =
         answer.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
-    let message = Message { status: answer.status, headers: &headers, body: &answer.body };
-    // A failed write means that the caller left.
-    let _ = message::respond(request, read, &message);
+    action(&Message { status: answer.status, headers: &headers, body: &answer.body })
 }
--- a/crates/shallotpost-standin/src/platform.rs
+++ b/crates/shallotpost-standin/src/platform.rs
@@ -1,9 +1,11 @@
-//! The platform: table service (`POST /table`), object store (`/objects/<team>/<name>`) and worker list (`GET /list`).
+//! The platform: table service (`POST /table`), object store (`/objects/<team>/<name>`) and worker list (`GET /list`, with entity tags and an
+//! optional `data_centre` in the query).
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::hash::{DefaultHasher, Hasher};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use shallotpost_protocol::list;
+use shallotpost_protocol::{list, table};
 use tiny_http::{Method, Request};
 
 use crate::fault::Fault;
@@ -47,6 +49,21 @@
         lock(&self.list).update(Instant::now(), change);
     }
 
+    fn read_list(&self, path: &str, request: &Request) -> Answer {
+        let mut workers = lock(&self.list).read(Instant::now());
+        if let Some((_, data_centre)) = path.split_once("?data_centre=") {
+            workers.retain(|worker| worker.data_centre == data_centre);
+        }
+        let mut answer = Answer::json(&workers).caused_by("list");
+        let tag = format!("\"{}\"", digest(&answer.body));
+        let known = request.headers().iter().find(|header| header.field.equiv("If-None-Match"));
+        if known.is_some_and(|known| known.value == tag.as_str()) {
+            answer = Answer { status: 304, body: Arc::default(), ..answer };
+        }
+        answer.headers.push(("ETag", tag));
+        answer
+    }
+
     fn read_object(&self, name: &str) -> Answer {
         let Some(stored) = self.objects().get(name) else {
             return Answer::refused(404, "no such object");
@@ -55,6 +72,7 @@
             status: 200,
             headers: vec![(DIGEST_HEADER, stored.object.digest.clone())],
             body: stored.content,
+            cause: "objects",
         }
     }
 
@@ -90,10 +108,10 @@
     ) -> Answer {
         match (method, path, path.strip_prefix(OBJECT_PATH)) {
             (Method::Post, "/table", _) => match read_json(request) {
-                Ok(call) => Answer::json(&self.table().handle(&call)),
+                Ok(call) => Answer::json(&self.table().handle(&call)).caused_by(cause(&call)),
                 Err(answer) => answer,
             },
-            (Method::Get, "/list", _) => Answer::json(&lock(&self.list).read(Instant::now())),
+            (Method::Get, _, _) if is_list(path) => self.read_list(path, request),
             (Method::Get, _, Some(name)) => self.read_object(name),
             (Method::Put, _, Some(name)) => self.write_object(name, request, connected),
             _ => Answer::refused(404, "no such route"),
@@ -107,6 +125,27 @@
     }
 }
 
+fn is_list(path: &str) -> bool {
+    path == "/list" || path.starts_with("/list?")
+}
+
+fn digest(body: &[u8]) -> String {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(body);
+    format!("{:016x}", hasher.finish())
+}
+
+fn cause(call: &table::Request) -> &'static str {
+    match call {
+        table::Request::Read { .. } => "table_read",
+        table::Request::Scan { prefix, .. } if prefix.starts_with("hosts/") => "table_scan_hosts",
+        table::Request::Scan { prefix, .. } if prefix.starts_with("shards/") => "table_scan_shards",
+        table::Request::Scan { prefix, .. } if prefix.starts_with("work/") => "table_scan_work",
+        table::Request::Scan { .. } => "table_scan",
+        table::Request::Transact { .. } => "table_transact",
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
