Start tasks on connections of their own

Cause: a worker that closes an idle connection while a start is being sent on it leaves the outcome of the start unknown. Work that is not idempotent then ends unknown, though no worker failed. The probe of a pooled connection before the call cannot exclude this.

Change: a start opens a connection and closes it after the answer. Where it cannot be opened, the start is not sent. It costs one round trip within a data centre and a handshake for each start.

Conclusion: this does not explain the job that `recover` ended unknown in a table outage, because the stand-ins keep idle connections for an hour.

--- a/crates/shallotpost-edge/src/calls.rs
+++ b/crates/shallotpost-edge/src/calls.rs
@@ -92,7 +92,12 @@
         self.workers.execute(Box::new(move || {
             let unanswered = unanswered.started();
             let url = format!("http://{address}/");
-            let result = client.post(&address, &url, &request, deadline);
+            let result = match request {
+                worker::Request::Start { .. } => {
+                    client.post_alone(&address, &url, &request, deadline)
+                }
+                _ => client.post(&address, &url, &request, deadline),
+            };
             // The kernel may call the worker again as soon as it has the answer.
             drop(connection);
             unanswered.answer(Event::Worker { call, result });
--- a/crates/shallotpost-edge/src/client.rs
+++ b/crates/shallotpost-edge/src/client.rs
@@ -52,6 +52,7 @@
 pub struct Client {
     buffer_length: usize,
     agents: Mutex<HashMap<String, (Agent, Instant)>>,
+    fresh: Agent,
 }
 
 impl Default for Client {
@@ -63,7 +64,8 @@
 impl Client {
     /// A client whose connections have buffers of this many bytes in each direction.
     pub fn with_buffers(buffer_length: usize) -> Client {
-        Client { buffer_length, agents: Mutex::default() }
+        let fresh = new_agent(buffer_length, 0);
+        Client { buffer_length, agents: Mutex::default(), fresh }
     }
 
     /// Posts `body` as JSON and parses the JSON answer. `address` selects the connection pool.
@@ -81,6 +83,22 @@
         self.answer(address, result)
     }
 
+    /// As [`Client::post`], on a connection of its own. A server can close an idle connection while a call is being sent
+    /// on it, and whether it read the call is not known then.
+    pub fn post_alone<T: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        url: &str,
+        body: &T,
+        deadline: Instant,
+    ) -> Result<R, Failure> {
+        let body = serde_json::to_vec(body).map_err(|_| Failure::NotSent)?;
+        let timeout = remaining(deadline)?;
+        let request = self.fresh.post(url).header("content-type", "application/json");
+        let result = request.config().timeout_global(Some(timeout)).build().send(&body[..]);
+        self.answer(address, result)
+    }
+
     /// Gets `url` and parses the JSON answer. `known` is the entity tag of an earlier answer, to save an answer with the
     /// same content.
     pub fn get<R: DeserializeOwned>(
@@ -109,7 +127,7 @@
         }
         let entry = agents
             .entry(address.to_owned())
-            .or_insert_with(|| (new_agent(self.buffer_length), now));
+            .or_insert_with(|| (new_agent(self.buffer_length, IDLE_CONNECTIONS), now));
         entry.1 = now;
         entry.0.clone()
     }
@@ -183,7 +201,7 @@
     parse(response).map(|value| Content::New(value, tag))
 }
 
-fn new_agent(buffer_length: usize) -> Agent {
+fn new_agent(buffer_length: usize, idle_connections: usize) -> Agent {
     let config = Config::builder()
         .http_status_as_error(false)
         .max_redirects(0)
@@ -195,8 +213,8 @@
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .input_buffer_size(buffer_length)
         .output_buffer_size(buffer_length)
-        .max_idle_connections(IDLE_CONNECTIONS)
-        .max_idle_connections_per_host(IDLE_CONNECTIONS)
+        .max_idle_connections(idle_connections)
+        .max_idle_connections_per_host(idle_connections)
         .max_idle_age(CONNECTION_IDLE_MAX)
         .build();
     Agent::with_parts(config, TrackingConnector, LiteralResolver)
--- a/crates/shallotpost-edge/tests/call_faults.rs
+++ b/crates/shallotpost-edge/tests/call_faults.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::thread;
 
 use shallotpost_edge::Settings;
@@ -195,6 +195,68 @@
     }
 }
 
+/// Reads one call with its body, which can come in pieces.
+fn read_call(stream: &mut TcpStream) {
+    let mut bytes = Vec::new();
+    loop {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        bytes.push(byte[0]);
+        let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        if length.unwrap().parse::<usize>().unwrap() == body.len() {
+            return;
+        }
+    }
+}
+
+/// Guards against a start that counts as ambiguous, which ends work that is not idempotent as `unknown`, because the worker
+/// closed an idle connection while the start was being sent on it.
+#[test]
+fn a_start_meets_no_connection_that_is_being_closed() {
+    let bench = Bench::start();
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    // Answers one call on each connection and closes the connection when the next one comes.
+    let answered = thread::spawn(move || {
+        let mut open = Vec::new();
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().unwrap();
+            read_call(&mut stream);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n\"done\"").unwrap();
+            let closing = stream.try_clone().unwrap();
+            thread::spawn(move || {
+                let _ = (&closing).read(&mut [0; 4096]);
+                let _ = closing.shutdown(Shutdown::Both);
+            });
+            open.push(stream);
+        }
+        open
+    });
+    let (shard, epoch, lease) = ("kochi/0".parse().unwrap(), 1, PATIENCE);
+    let assignment = worker::Assignment {
+        task: Task { work: "fish/job-1".parse().unwrap(), index: 0 },
+        attempt: 1,
+        size: Size::from_parts([1, 1, 0, 1]),
+        command: vec!["run".to_owned()],
+        input: None,
+    };
+    let requests = [
+        worker::Request::Claim { shard, epoch, lease },
+        worker::Request::Start { epoch, assignment },
+    ];
+    for (call, request) in (1..).zip(requests) {
+        let (worker, address) = ("worker-1".to_owned(), address.clone());
+        bench.edge.execute(Effect::Worker { call, worker, address, request, timeout: PATIENCE });
+        match bench.event() {
+            Event::Worker { result, .. } => assert_eq!(result, Ok(worker::Reply::Done), "{call}"),
+            other => panic!("{other:?}"),
+        }
+    }
+    drop(answered.join().unwrap());
+}
+
 /// Guards against a worker list that is translated wrongly.
 #[test]
 fn the_list_is_read() {
