Change the home shard of work in a transaction

Cause: a record stayed in the shard that admission chose. Draining a data centre left its services running and its queue stuck, and a long queue was not helped by free capacity in another shard.

Work that waits in a full shard moves to one with room, and work that fits no worker of its shard moves to a shard that can hold it. The record keeps the highest attempt, so that a later 'not run' stays true, and the time of the move. A move with an unknown outcome is decided by reading the row, and is written again where the row is unchanged. Page and read answers that are older than a move do not add the work again. The router follows a move: open waits go on at the new home, and a missing record leads to a new read of ids/. A repeated submission makes the owner read the row, since the work may have moved.

--- a/crates/shallotpost-control/src/admission/home.rs
+++ b/crates/shallotpost-control/src/admission/home.rs
@@ -73,9 +73,62 @@
     };
     let candidates: Vec<&Load> =
         fitting.into_iter().filter(|load| open(&load.shard.data_centre)).collect();
-    match candidates.as_slice() {
-        [] => unowned(snapshot, |name| allowed(name) && open(name), random),
-        [only] => Ok(only.shard.clone()),
+    match less_loaded(&candidates, local, random) {
+        Some(shard) => Ok(shard),
+        None => unowned(snapshot, |name| allowed(name) && open(name), random),
+    }
+}
+
+/// What a shard must offer to take over work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// It could hold the work when empty.
+    Place,
+    /// It has room for the work now, beside what waits there.
+    Room,
+}
+
+/// Part of its capacity up to which a shard takes work over for balance; leaves room for loads that are a second old.
+const ROOM_PART: f64 = 0.9;
+
+/// Chooses another home for admitted work among the loads of other shards; `None` where none can take it.
+pub fn choose_other(
+    specification: &Specification,
+    snapshot: &Snapshot,
+    loads: &BTreeMap<Shard, Load>,
+    need: Need,
+    local: &str,
+    random: &mut StdRng,
+) -> Option<Shard> {
+    let total = specification.size.times(u64::from(specification.class.tasks()));
+    let has_room = |load: &Load| {
+        let used = load.booked.plus(&load.waiting).plus(&total);
+        used.fits_in(&load.capacity) && used.dominant_part(&load.capacity) <= ROOM_PART
+    };
+    let open = |name: &str| {
+        snapshot.data_centre(name).is_none_or(|entry| entry.availability == Availability::Active)
+    };
+    let takes = |load: &&Load| {
+        may_hold(load, specification)
+            && open(&load.shard.data_centre)
+            && (need == Need::Place || has_room(load))
+    };
+    let candidates: Vec<&Load> = loads.values().filter(takes).collect();
+    less_loaded(&candidates, local, random)
+}
+
+/// Whether the work is allowed on the shard and fits its empty workers.
+pub fn may_hold(load: &Load, specification: &Specification) -> bool {
+    let allowed = &specification.data_centres;
+    let name = &load.shard.data_centre;
+    (allowed.is_empty() || allowed.contains(name)) && holds(load, specification)
+}
+
+/// The less loaded of two different random shards.
+fn less_loaded(candidates: &[&Load], local: &str, random: &mut StdRng) -> Option<Shard> {
+    match candidates {
+        [] => None,
+        [only] => Some(only.shard.clone()),
         candidates => {
             let first = random.random_range(0..candidates.len());
             let second = (first + random.random_range(1..candidates.len())) % candidates.len();
@@ -84,7 +137,7 @@
                 true => pair[0],
                 false => pair[1],
             };
-            Ok(better.shard.clone())
+            Some(better.shard.clone())
         }
     }
 }
--- a/crates/shallotpost-control/src/admission/mod.rs
+++ b/crates/shallotpost-control/src/admission/mod.rs
@@ -1,7 +1,7 @@
 //! Admission of submissions: validation, choice of the home shard, and the durable record.
 
 mod home;
-pub(crate) use home::owner;
+pub(crate) use home::{Need, choose_other, loads, may_hold, owner};
 mod validation;
 
 use std::collections::BTreeMap;
@@ -124,7 +124,14 @@
             &mut self.random,
         )?;
         let admitted_unix_ms = context.unix_ms;
-        Ok(Record { specification, shard, state: State::Admitted, admitted_unix_ms })
+        Ok(Record {
+            specification,
+            shard,
+            state: State::Admitted,
+            admitted_unix_ms,
+            attempt: 0,
+            moved_unix_ms: 0,
+        })
     }
 
     fn write(&mut self, context: &mut Context, submission: Submission) {
@@ -172,7 +179,7 @@
     fn accept(&mut self, context: &mut Context, submission: Submission) {
         let record = submission.record;
         let (shard, work) = (record.shard.clone(), record.specification.work_id());
-        self.notify_owner(context, &shard, &work, record);
+        self.notify_owner(context, &shard, &work, Some(record));
         context.answer(submission.origin, Ok(Reply::Accepted { work, shard, repeated: false }));
     }
 
@@ -182,13 +189,12 @@
         context: &mut Context,
         shard: &Shard,
         work: &WorkId,
-        record: Rc<Record>,
+        record: Option<Rc<Record>>,
     ) {
         let (shard, work) = (shard.clone(), work.clone());
         match home::owner(&self.fleet, &self.own_loads, &self.host, &shard) {
             Some(host) if host == self.host => {
-                context
-                    .send(Name::Scheduler, Message::Admitted { record: Some(record), shard, work });
+                context.send(Name::Scheduler, Message::Admitted { record, shard, work });
             }
             Some(host) => {
                 let frame = Frame::Admitted { shard, work };
@@ -228,8 +234,9 @@
         match found {
             Some(registration) if registration.digest == specification.digest() => {
                 let (work, shard) = (specification.work_id(), registration.shard);
-                // The earlier submission's notification may have been lost.
-                self.notify_owner(context, &shard, &work, Rc::clone(&submission.record));
+                // The earlier submission's notification may have been lost. The work may have moved since this read, so
+                // the owner reads the row.
+                self.notify_owner(context, &shard, &work, None);
                 context
                     .answer(submission.origin, Ok(Reply::Accepted { work, shard, repeated: true }));
             }
--- a/crates/shallotpost-control/src/message.rs
+++ b/crates/shallotpost-control/src/message.rs
@@ -244,6 +244,13 @@
         /// Its outcome.
         outcome: Rc<Outcome>,
     },
+    /// From `scheduler` to `router`: an owned shard gave the work to another home.
+    Moved {
+        /// The work.
+        work: WorkId,
+        /// Its new home shard.
+        shard: Shard,
+    },
     /// From any service to `router`: the graceful shutdown of that service is complete.
     Drained(Name),
     /// From `scheduler` to `router`: state of the owned shards, for the overview.
--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -116,6 +116,7 @@
             Message::Peer { from, frame } => self.peer(context, from, frame),
             Message::Table { call, result } => self.table(context, call, result),
             Message::Ended { work, outcome } => self.ended(context, &work, &outcome),
+            Message::Moved { work, shard } => self.moved(context, work, shard),
             Message::Snapshot(snapshot) => self.snapshot = snapshot,
             Message::Fresh { until } => self.fresh_until = Some(until),
             Message::TableReachable(reachable) => self.table_reachable = reachable,
@@ -260,10 +261,21 @@
             }
             // The record exists, but its owner has not loaded it yet.
             (Some(_), _) => self.pause(context, id),
-            (None, _) => self.finish(context, id, Err(not_found(&work))),
+            // The work may have moved since its home was read. Where it is gone, the next read finds no registration.
+            (None, _) => {
+                self.homes.remove(&work);
+                self.pause(context, id);
+            }
         }
     }
 
+    /// Lets the requests that wait for the end of moved work go on at its new home.
+    fn moved(&mut self, context: &mut Context, work: WorkId, shard: Shard) {
+        let waiting = self.waits.remove(&work).unwrap_or_default();
+        self.remember_home(work, shard);
+        waiting.into_iter().for_each(|id| self.resolve(context, id));
+    }
+
     fn ended(&mut self, context: &mut Context, work: &WorkId, outcome: &Rc<Outcome>) {
         for id in self.waits.remove(work).unwrap_or_default() {
             self.finish(context, id, Ok(Reply::Outcome(outcome.as_ref().clone())));
--- a/crates/shallotpost-control/src/router/ticket.rs
+++ b/crates/shallotpost-control/src/router/ticket.rs
@@ -80,6 +80,12 @@
                 Some(host) if host == self.settings.host => self.ask_scheduler(context, id),
                 // A forwarded request is not forwarded again: the asker looks up the owner anew.
                 Some(host) if !forwarded => self.forward(context, id, host),
+                // The asker finds the new home itself; only a status can be answered from the row.
+                Some(_) if !matches!(ticket.call.request, Request::Status(_)) => {
+                    let message = format!("The home of {} has moved.", ticket.work);
+                    let problem = Problem::new(ProblemKind::Unavailable, message);
+                    self.finish(context, id, Err(problem));
+                }
                 _ => self.look_up(context, id, Stage::Record),
             },
         }
@@ -145,6 +151,12 @@
             Err(problem) if problem.kind == ProblemKind::NotFound => {
                 self.look_up(context, id, Stage::Record)
             }
+            // The work is moving, or its shard was just taken over.
+            Err(problem) if problem.kind == ProblemKind::Unavailable => {
+                let work = ticket.work.clone();
+                self.homes.remove(&work);
+                self.pause(context, id);
+            }
             result => self.finish(context, id, result),
         }
     }
--- a/crates/shallotpost-control/src/scheduler/ends.rs
+++ b/crates/shallotpost-control/src/scheduler/ends.rs
@@ -176,6 +176,7 @@
                 }
             }
             Some(Closing::Retry) => self.retry(context, work),
+            Some(Closing::Move) => self.on_stopped_for_move(context, work),
             None => {}
         }
     }
--- a/crates/shallotpost-control/src/scheduler/entry.rs
+++ b/crates/shallotpost-control/src/scheduler/entry.rs
@@ -7,6 +7,7 @@
 use shallotpost_protocol::worker::Mode;
 
 use crate::prelude::*;
+use crate::scheduler::moves::Move;
 
 /// Position of a call in the sequence of calls of a shard; orders worker snapshots and starts.
 pub type Sequence = u64;
@@ -85,6 +86,8 @@
     End(Outcome),
     /// All parts of the gang start again.
     Retry,
+    /// The work moves to another shard.
+    Move,
 }
 
 /// One work record.
@@ -114,6 +117,10 @@
     pub held: Vec<(WorkerId, Task, Attempt)>,
     /// Requests that are answered when the cancellation is durable.
     pub cancels: Vec<Origin>,
+    /// Set while a change of the home shard is written.
+    pub moving: Option<Move>,
+    /// Why it does not leave the drained data centre.
+    pub stays: Option<&'static str>,
 }
 
 impl Entry {
@@ -121,19 +128,20 @@
     pub fn new(record: Record, version: Version) -> Entry {
         let task = TaskEntry {
             phase: Phase::Free,
-            attempt: 0,
+            attempt: record.attempt,
             worker: None,
             settled: 0,
             queued: false,
             stop: None,
         };
+        let ran_before = record.attempt > 0;
         let count = record.specification.class.tasks() as usize;
         Entry {
             record,
             version,
             tasks: vec![task; count],
             closing: None,
-            may_have_run: false,
+            may_have_run: ran_before,
             failures: 0,
             submitted: false,
             wanted: None,
@@ -141,6 +149,8 @@
             write_after: None,
             held: Vec::new(),
             cancels: Vec::new(),
+            moving: None,
+            stays: None,
         }
     }
 
--- a/crates/shallotpost-control/src/scheduler/environment.rs
+++ b/crates/shallotpost-control/src/scheduler/environment.rs
@@ -9,12 +9,18 @@
 use sha2::{Digest, Sha256};
 use shallotpost_protocol::list;
 use shallotpost_protocol::resource::{Availability, Kind};
+use shallotpost_protocol::wire::Load;
+use shallotpost_protocol::work::Specification;
 
+use crate::admission::{self, Need};
 use crate::configuration::Snapshot;
-use crate::membership::Fleet;
+use crate::membership::{Fleet, Peer};
 use crate::prelude::*;
 use crate::settings::{HOLDER_MARGIN, surely_lapsed};
 
+/// Time since its last answer within which the owner of a shard counts as answering.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(3);
+
 /// State that is not specific to a shard.
 pub struct Environment {
     /// Settings of this host.
@@ -33,6 +39,10 @@
     vanished: BTreeMap<WorkerId, (Instant, list::Worker)>,
     /// Whether other data centres have entry hosts.
     has_remote_hosts: bool,
+    /// Entry hosts with their latest answers.
+    pub fleet: Rc<Fleet>,
+    /// Latest loads of the shards of this host.
+    pub own_loads: Vec<Load>,
     next_tag: Cell<Tag>,
     random: RefCell<StdRng>,
 }
@@ -49,6 +59,8 @@
             listed_since: None,
             vanished: BTreeMap::new(),
             has_remote_hosts: false,
+            fleet: Rc::default(),
+            own_loads: Vec::new(),
             next_tag: Cell::new(0),
             random: RefCell::new(StdRng::seed_from_u64(settings.random_seed)),
         }
@@ -105,6 +117,33 @@
         base.mul_f64(1.0 + self.random.borrow_mut().random::<f64>())
     }
 
+    /// Latest loads of all shards whose owner answers.
+    pub fn loads(&self, now: Instant) -> BTreeMap<Shard, Load> {
+        let answers = |peer: &&Peer| {
+            let sent = peer.answered.as_ref().map(|(sent, _)| *sent);
+            sent.is_some_and(|sent| now < sent + ANSWERS_WITHIN)
+        };
+        let peers = self.fleet.peers.iter().filter(answers).cloned().collect();
+        admission::loads(&Fleet { peers }, &self.own_loads)
+    }
+
+    /// The host that owns a shard, as far as this host knows.
+    pub fn owner(&self, shard: &Shard) -> Option<HostId> {
+        admission::owner(&self.fleet, &self.own_loads, &self.settings.host, shard)
+    }
+
+    /// Chooses another home for work among these shards.
+    pub fn choose_target(
+        &self,
+        specification: &Specification,
+        loads: &BTreeMap<Shard, Load>,
+        need: Need,
+    ) -> Option<Shard> {
+        let random = &mut self.random.borrow_mut();
+        let local = &self.settings.data_centre;
+        admission::choose_other(specification, &self.snapshot, loads, need, local, random)
+    }
+
     /// Availability of a data centre; active where it is not configured.
     pub fn availability(&self, data_centre: &str) -> Availability {
         self.snapshot
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 pub mod environment;
 pub mod grants;
+pub mod moves;
 mod recovery;
 mod requests;
 mod rows;
@@ -59,7 +60,10 @@
             }
             Message::Fresh { until } => self.environment.fresh_until = Some(until),
             Message::Lease { until } => self.environment.lease_until = Some(until),
-            Message::Fleet(fleet) => self.on_fleet(context, &fleet),
+            Message::Fleet(fleet) => {
+                self.on_fleet(context, &fleet);
+                self.environment.fleet = fleet;
+            }
             Message::Workers(list) => {
                 self.environment.set_list(context.now, list);
                 self.refresh(context);
@@ -112,15 +116,15 @@
         }
     }
 
-    fn report(&self, context: &mut Context) {
-        let owned = || self.shards.values();
+    fn report(&mut self, context: &mut Context) {
         let loads: Vec<Load> =
-            owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
+            self.shards.values().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
         for name in [Name::Membership, Name::Admission, Name::Router] {
             context.send(name, Message::Loads(loads.clone()));
         }
+        self.environment.own_loads = loads;
         let host = &self.environment.settings.host;
-        let states = owned().map(|owned| owned.state(host)).collect();
+        let states = self.shards.values().map(|owned| owned.state(host)).collect();
         context.send(Name::Router, Message::Shards(states));
     }
 
@@ -214,6 +218,9 @@
             Some((owned, Purpose::Grant(team, grant))) => {
                 owned.on_grant_written(context, environment, &team, grant, result)
             }
+            Some((owned, Purpose::Move(work))) => {
+                owned.on_move_written(context, environment, &work, result)
+            }
             Some((_, Purpose::Deletion)) | None => {}
         }
     }
--- a/crates/shallotpost-control/src/scheduler/requests.rs
+++ b/crates/shallotpost-control/src/scheduler/requests.rs
@@ -40,11 +40,15 @@
     let (Request::Status(work) | Request::Cancel(work) | Request::Explain(work)) = &request else {
         return;
     };
-    let unsure = shards.values().any(|shard| !shard.rows.loaded || shard.fenced);
+    let moves = |shard: &Owned| shard.works.get(work).is_some_and(|entry| entry.moving.is_some());
+    let unsure = shards.values().any(|shard| !shard.rows.loaded || shard.fenced || moves(shard));
     let mut owned = shards.values_mut().filter(|shard| !shard.fenced);
-    let Some(shard) = owned.find(|shard| shard.works.contains_key(work)) else {
+    let Some(shard) = owned.find(|shard| shard.works.contains_key(work) && !moves(shard)) else {
         let problem = match unsure {
-            true => Problem::new(ProblemKind::Unavailable, "a shard was just taken over or lost"),
+            true => Problem::new(
+                ProblemKind::Unavailable,
+                "a shard was just taken over or lost, or the work is moving",
+            ),
             false => Problem::new(ProblemKind::NotFound, format!("no work {work}")),
         };
         return context.answer(origin, Err(problem));
@@ -69,7 +73,7 @@
     for shard in shards.values() {
         let range = shard.works.range(first.clone()..).skip_while(|(work, _)| **work == first);
         let of_team = range.take_while(|(work, _)| work.team == team);
-        let open = of_team.filter(|(_, entry)| !entry.has_ended());
+        let open = of_team.filter(|(_, entry)| !entry.has_ended() && entry.moving.is_none());
         entries.extend(open.take(limit + 1).map(|(_, entry)| entry.status()));
     }
     entries.sort_by(|left, right| left.work.cmp(&right.work));
@@ -122,6 +126,11 @@
             _ if entry.tasks.iter().any(|task| task.phase == TaskPhase::Backoff) => {
                 own(Phase::Waiting, "it waits to be started again", "wait for the next attempt")
             }
+            _ if entry.stays.is_some() => own(
+                phase_of(entry),
+                &format!("its data centre is drained; {}", entry.stays.unwrap_or_default()),
+                "restore the data centre, or let another one run it",
+            ),
             _ => self.planner.explain(now, work).unwrap_or_else(|| {
                 own(phase_of(entry), "no worker of the shard can hold it now", "lower its size")
             }),
--- a/crates/shallotpost-control/src/scheduler/rows.rs
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -50,6 +50,8 @@
 pub enum Purpose {
     /// State of a record.
     Record(WorkId),
+    /// Change of the home shard.
+    Move(WorkId),
     /// Deletion of ended records.
     Deletion,
     /// Grant of a team.
@@ -113,6 +115,21 @@
         !self.writes.is_empty() || !self.dirty.is_empty()
     }
 
+    /// Whether a page of a scan is awaited.
+    pub fn has_open_scan(&self) -> bool {
+        self.scan.is_some()
+    }
+
+    /// Whether rows that are read by key are awaited.
+    pub fn has_open_read(&self) -> bool {
+        self.read.is_some()
+    }
+
+    /// Requests that the row of the work is read.
+    pub fn read_again(&mut self, work: &WorkId) {
+        self.unread.insert(work.clone());
+    }
+
     /// Number of records whose write is under way or waits.
     pub fn unwritten(&self) -> usize {
         self.writes.len() + self.dirty.len()
@@ -169,7 +186,11 @@
             Some(row) if more => row.key.clone(),
             _ => String::new(),
         };
+        let left = std::mem::take(&mut self.moves.left_during_scan);
         for row in rows {
+            if self.work_of(&row.key).is_some_and(|work| left.contains(&work)) {
+                continue;
+            }
             self.note_row(context, environment, row);
         }
         self.rows.next_page = context.now
@@ -252,12 +273,20 @@
         };
         let mut found: HashMap<String, Row> =
             rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        let left = std::mem::take(&mut self.moves.left_during_read);
         for work in works {
             self.rows.unread.remove(&work);
+            if left.contains(&work) {
+                continue;
+            }
             let row = found.remove(&work::row_key(&self.id, &work));
             match (row, self.works.contains_key(&work)) {
+                (Some(row), true) if self.is_unmoved(&work, &row) => {
+                    self.on_move_unwritten(context, environment, &work)
+                }
                 (Some(row), true) => self.settle_write(context, environment, &work, row),
                 (Some(row), false) => self.note_row(context, environment, row),
+                (None, true) if self.is_moving(&work) => self.depart(context, environment, &work),
                 (None, true) => self.note_deleted(context, &work),
                 (None, false) => {}
             }
@@ -275,7 +304,8 @@
         match record {
             _ if self.works.contains_key(&work) => {}
             // A new row has version 1; a wrong guess shows as a conflict of the first write.
-            Some(record) if self.rows.loaded => {
+            // Work that left since the notification was sent must not be added from it.
+            Some(record) if self.rows.loaded && !self.moves.has_departed(&work) => {
                 self.add(context, environment, Record::clone(&record), 1)
             }
             _ => {
@@ -287,7 +317,11 @@
     fn note_row(&mut self, context: &mut Context, environment: &Environment, row: Row) {
         let Some(work) = self.work_of(&row.key) else { return };
         match self.works.get(&work) {
-            Some(entry) if row.version > entry.version && entry.writing.is_none() => {
+            Some(entry)
+                if row.version > entry.version
+                    && entry.writing.is_none()
+                    && entry.moving.is_none() =>
+            {
                 self.settle_write(context, environment, &work, row)
             }
             Some(_) => {}
@@ -301,6 +335,16 @@
         }
     }
 
+    fn is_moving(&self, work: &WorkId) -> bool {
+        self.works.get(work).is_some_and(|entry| entry.moving.is_some())
+    }
+
+    /// Whether a move was requested and the row is the one before it.
+    fn is_unmoved(&self, work: &WorkId, row: &Row) -> bool {
+        self.is_moving(work)
+            && self.works.get(work).is_some_and(|entry| row.version <= entry.version)
+    }
+
     fn work_of(&self, key: &str) -> Option<WorkId> {
         key.strip_prefix(&work::prefix(&self.id))?.parse().ok()
     }
@@ -322,7 +366,7 @@
         };
         // Non-idempotent work is recorded before it starts, so an admitted record shows that it was not started.
         let earlier_owner = self.epoch > 1 && !self.is_settled(environment);
-        entry.may_have_run = unplaced || earlier_owner && idempotent;
+        entry.may_have_run |= unplaced || earlier_owner && idempotent;
         if unplaced {
             entry.tasks.iter_mut().for_each(|state| state.phase = Phase::Unplaced);
         }
@@ -523,6 +567,7 @@
             vec![("work", work.to_string())],
         );
         let Some(entry) = self.works.get_mut(work) else { return };
+        entry.moving = None;
         let interrupted = entry.writing.take().map(|(_, state)| state);
         entry.version = version;
         entry.record = record;
--- a/crates/shallotpost-control/src/scheduler/shard.rs
+++ b/crates/shallotpost-control/src/scheduler/shard.rs
@@ -12,6 +12,7 @@
 use crate::scheduler::caps::Caps;
 use crate::scheduler::entry::{Closing, Entry, Phase, Sequence, TaskEntry};
 use crate::scheduler::environment::Environment;
+use crate::scheduler::moves::Moves;
 use crate::scheduler::rows::Rows;
 use crate::scheduler::session::{Order, Session};
 
@@ -87,6 +88,8 @@
     pub unfit: BTreeSet<WorkId>,
     /// Work with a deadline, in milliseconds since the Unix epoch.
     pub deadlines: BTreeSet<(u64, WorkId)>,
+    /// Changes of home shards.
+    pub moves: Moves,
     /// Ended work in order of its end.
     pub retained: VecDeque<(Instant, WorkId)>,
     /// Counts the calls that may change what a worker runs.
@@ -118,6 +121,7 @@
             backoffs: BTreeSet::new(),
             unfit: BTreeSet::new(),
             deadlines: BTreeSet::new(),
+            moves: Moves::default(),
             retained: VecDeque::new(),
             sequence: 0,
             fenced: false,
@@ -150,6 +154,7 @@
         self.expire(context);
         self.requeue_due(context, environment);
         self.retry_unfit(context, environment);
+        self.search_moves(context, environment);
         self.plan(context, environment);
         self.send_orders(context, environment);
         self.write_records(context, environment);
@@ -230,7 +235,10 @@
                     task.queued = true;
                 }
             }
-            Err(unfit) if self.knows_all_workers(environment) => {
+            Err(unfit)
+                if self.knows_all_workers(environment)
+                    && !self.fits_elsewhere(environment, context.now, work) =>
+            {
                 self.unfit.remove(work);
                 let detail =
                     format!("{}; the nearest capacity is {:?}", unfit.message, unfit.nearest);
@@ -387,7 +395,7 @@
     /// Ends work once none of its tasks is booked, and stops the booked ones.
     pub fn end(&mut self, context: &mut Context, work: &WorkId, ending: Ending, detail: &str) {
         let Some(entry) = self.works.get_mut(work) else { return };
-        if entry.is_ending() {
+        if entry.is_ending() || entry.moving.is_some() {
             return;
         }
         entry.closing = Some(Closing::End(entry.outcome(ending, detail)));
--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -29,8 +29,14 @@
     let mut table = Table::default();
     let specification = batch("rice", "one");
     let registration = Registration { shard: shard(data_centre), digest: specification.digest() };
-    let record =
-        Record { specification, shard: shard(data_centre), state, admitted_unix_ms: UNIX_MS };
+    let record = Record {
+        specification,
+        shard: shard(data_centre),
+        state,
+        admitted_unix_ms: UNIX_MS,
+        attempt: 0,
+        moved_unix_ms: 0,
+    };
     let writes = vec![
         Write {
             key: work::registration_key(&work()),
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -350,7 +350,14 @@
     /// Writes a record without a notification.
     pub fn write_record(&mut self, specification: Specification, state: State) -> WorkId {
         let work = specification.work_id();
-        let record = Record { specification, shard: shard(), state, admitted_unix_ms: 0 };
+        let record = Record {
+            specification,
+            shard: shard(),
+            state,
+            admitted_unix_ms: 0,
+            attempt: 0,
+            moved_unix_ms: 0,
+        };
         let value = Some(serde_json::to_string(&record).unwrap());
         let registration =
             table::Write { key: work::registration_key(&work), value: Some("{}".into()) };
--- a/crates/shallotpost-protocol/src/work.rs
+++ b/crates/shallotpost-protocol/src/work.rs
@@ -199,6 +199,12 @@
     pub state: State,
     /// Time of admission, in milliseconds since the Unix epoch.
     pub admitted_unix_ms: u64,
+    /// Highest attempt that an earlier home shard may have started; 0 where it certainly started none.
+    #[serde(default)]
+    pub attempt: Attempt,
+    /// Time of the last change of the home shard, in milliseconds since the Unix epoch; 0 before the first.
+    #[serde(default)]
+    pub moved_unix_ms: u64,
 }
 
 /// Value of the row `ids/<team>/<id>`.
