--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -29,8 +29,14 @@
     let mut table = Table::default();
     let specification = batch("rice", "one");
     let registration = Registration { shard: shard(data_centre), digest: specification.digest() };
-    let record =
-        Record { specification, shard: shard(data_centre), state, admitted_unix_ms: UNIX_MS };
+    let record = Record {
+        specification,
+        shard: shard(data_centre),
+        state,
+        admitted_unix_ms: UNIX_MS,
+        attempt: 0,
+        moved_unix_ms: 0,
+    };
     let writes = vec![
         Write {
             key: work::registration_key(&work()),
@@ -307,8 +313,14 @@
         let specification = batch("rice", &format!("a-{index}"));
         let key = work::row_key(&shard("west"), &specification.work_id());
         let state = State::Ended(outcome());
-        let record =
-            Record { specification, shard: shard("west"), state, admitted_unix_ms: UNIX_MS };
+        let record = Record {
+            specification,
+            shard: shard("west"),
+            state,
+            admitted_unix_ms: UNIX_MS,
+            attempt: 0,
+            moved_unix_ms: 0,
+        };
         Write { key, value: serde_json::to_string(&record).ok() }
     };
     let writes = (0..12).map(ended).collect();
