Let a submitter to an open queue follow its own work

Cause: a key of another team could submit to an open queue, but not read the outcome of its own request. Change: the record names the key that submitted it; that key may read, wait for, explain and cancel the work. Whether a key of another team may ask is decided by the record instead of the team alone, and unknown work is forbidden to it as before. Objects of such work are readable by the paying team only.

--- a/crates/shallotpost-control/src/admission/mod.rs
+++ b/crates/shallotpost-control/src/admission/mod.rs
@@ -125,6 +125,7 @@
         )?;
         let admitted_unix_ms = context.unix_ms;
         Ok(Record {
+            submitter: identity.key.clone(),
             specification,
             shard,
             state: State::Admitted,
--- a/crates/shallotpost-control/src/router/authentication.rs
+++ b/crates/shallotpost-control/src/router/authentication.rs
@@ -4,7 +4,7 @@
 use shallotpost_protocol::key;
 use shallotpost_protocol::resource::{Kind, Resource, Right};
 
-use super::{Router, acts_for, stale};
+use super::{Router, acts_for, forbidden, stale};
 use crate::prelude::*;
 
 /// Name of the key of the first set-up. It works only until an operator's key exists.
@@ -49,10 +49,10 @@
 pub fn check_right(identity: &Identity, request: &Request) -> Result<(), Problem> {
     let allowed = match request {
         Request::Ready | Request::Submit(_) => true,
-        Request::Status(work)
-        | Request::Cancel(work)
-        | Request::Explain(work)
-        | Request::Wait { work, .. } => acts_for(identity, &work.team),
+        // Only the record tells whether this key submitted the work to an open queue of another team.
+        Request::Status(_) | Request::Cancel(_) | Request::Explain(_) | Request::Wait { .. } => {
+            true
+        }
         Request::List { team, .. } => acts_for(identity, team),
         Request::Object { name, .. } => {
             name.split_once('/').is_some_and(|(team, _)| acts_for(identity, team))
@@ -68,10 +68,7 @@
     };
     match allowed {
         true => Ok(()),
-        false => {
-            let message = format!("The key {:?} does not allow this request.", identity.key);
-            Err(Problem::new(ProblemKind::Forbidden, message))
-        }
+        false => Err(forbidden(identity)),
     }
 }
 
--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -242,14 +242,30 @@
                 self.remember_home(work, registration.shard);
                 self.resolve(context, id);
             }
-            None => self.finish(context, id, Err(not_found(&work))),
+            None => self.finish_unknown(context, id, &work),
         }
     }
 
+    /// Answers that there is no such work, or, to a key of another team, that it may not ask.
+    fn finish_unknown(&mut self, context: &mut Context, id: RequestId, work: &WorkId) {
+        let Some(ticket) = self.tickets.get(&id) else { return };
+        let problem = match acts_for(&ticket.identity, &work.team) {
+            true => not_found(work),
+            false => forbidden(&ticket.identity),
+        };
+        self.finish(context, id, Err(problem));
+    }
+
     fn recorded(&mut self, context: &mut Context, id: RequestId, row: Option<String>) {
         let record: Option<Record> = row.and_then(|row| serde_json::from_str(&row).ok());
         let Some(ticket) = self.tickets.get(&id) else { return };
         let work = ticket.work.clone();
+        let forbidden = record.as_ref().is_some_and(|record| {
+            !acts_for(&ticket.identity, &work.team) && record.submitter != ticket.identity.key
+        });
+        if forbidden {
+            return self.finish_unknown(context, id, &work);
+        }
         match (record, &ticket.call.request) {
             (Some(Record { state: State::Ended(outcome), .. }), Request::Wait { .. }) => {
                 self.finish(context, id, Ok(Reply::Outcome(outcome)));
@@ -383,6 +399,11 @@
     Problem::new(ProblemKind::NotFound, format!("No work {work} is recorded."))
 }
 
+fn forbidden(identity: &Identity) -> Problem {
+    let message = format!("The key {:?} does not allow this request.", identity.key);
+    Problem::new(ProblemKind::Forbidden, message)
+}
+
 fn stale() -> Problem {
     let message =
         "This entry host could not confirm its configuration in time, so it may not accept keys.";
--- a/crates/shallotpost-control/src/scheduler/requests.rs
+++ b/crates/shallotpost-control/src/scheduler/requests.rs
@@ -29,16 +29,20 @@
             return context.answer(origin, Err(problem));
         }
     };
-    let allowed = match &identity.right {
+    let own_team = match &identity.right {
         Right::Operator => true,
         Right::Team(own) => own == team,
     };
-    if !allowed {
-        let message = format!("the key has no right to the work of team {team}");
-        return context.answer(origin, Err(Problem::new(ProblemKind::Forbidden, message)));
-    }
+    let forbidden = || {
+        let message = format!("the key has no right to this work of team {team}");
+        Problem::new(ProblemKind::Forbidden, message)
+    };
     if let Request::List { team, after, limit } = &request {
-        return context.answer(origin, Ok(list(shards, team, after, *limit)));
+        let result = match own_team {
+            true => Ok(list(shards, team, after, *limit)),
+            false => Err(forbidden()),
+        };
+        return context.answer(origin, result);
     }
     let (Request::Status(work) | Request::Cancel(work) | Request::Explain(work)) = &request else {
         return;
@@ -56,6 +60,9 @@
         };
         return context.answer(origin, Err(problem));
     };
+    if !own_team && shard.works[work].record.submitter != identity.key {
+        return context.answer(origin, Err(forbidden()));
+    }
     match request {
         Request::Cancel(work) => shard.cancel(context, origin, &work),
         Request::Explain(work) => {
--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -36,6 +36,7 @@
         admitted_unix_ms: UNIX_MS,
         attempt: 0,
         moved_unix_ms: 0,
+        submitter: "rice-key".to_owned(),
     };
     let writes = vec![
         Write {
@@ -320,6 +321,7 @@
             admitted_unix_ms: UNIX_MS,
             attempt: 0,
             moved_unix_ms: 0,
+            submitter: String::new(),
         };
         Write { key, value: serde_json::to_string(&record).ok() }
     };
--- a/crates/shallotpost-control/tests/support/deployment.rs
+++ b/crates/shallotpost-control/tests/support/deployment.rs
@@ -16,6 +16,9 @@
 /// Key of the team `rice`.
 pub const RICE: &str = "rice-key.rice";
 
+/// Key of the team `jute`.
+pub const JUTE: &str = "jute-key.jute";
+
 /// Key of an operator, for use after the set-up.
 pub const OPERATOR: &str = "admin.root";
 
--- a/crates/shallotpost-control/tests/support/scheduling.rs
+++ b/crates/shallotpost-control/tests/support/scheduling.rs
@@ -357,6 +357,7 @@
             admitted_unix_ms: 0,
             attempt: 0,
             moved_unix_ms: 0,
+            submitter: String::new(),
         };
         let value = Some(serde_json::to_string(&record).unwrap());
         let registration =
--- a/crates/shallotpost-control/tests/whole_path.rs
+++ b/crates/shallotpost-control/tests/whole_path.rs
@@ -4,9 +4,10 @@
 
 use shallotpost_control::prelude::*;
 use shallotpost_protocol::interface::{Reply, Request};
+use shallotpost_protocol::resource::{Queue, Resource};
 use shallotpost_protocol::work::{Class, Ending, Specification, State};
 use support::cell::Cell;
-use support::deployment::{CAPACITY, OPERATOR, RICE, deploy, job, rice, service};
+use support::deployment::{CAPACITY, JUTE, OPERATOR, RICE, deploy, job, put, rice, service};
 
 #[test]
 fn each_class() {
@@ -116,3 +117,43 @@
         "{refused:?}"
     );
 }
+
+/// Requests about the work `rice/<id>`.
+fn requests_about(id: &str) -> [Request; 4] {
+    let wait = Duration::from_secs(5);
+    [
+        Request::Status(rice(id)),
+        Request::Explain(rice(id)),
+        Request::Wait { work: rice(id), wait },
+        Request::Cancel(rice(id)),
+    ]
+}
+
+/// A key of another team reads and cancels only what it submitted itself to an open queue, through any host and also after the end.
+#[test]
+fn work_of_another_team() {
+    let mut cell = deploy();
+    let queue = Queue { team: "rice".to_owned(), open: true };
+    put(&mut cell, OPERATOR, "public", Resource::Queue(queue));
+    cell.run(Duration::from_secs(2));
+    let queued = |id: &str, millis: u64| Specification {
+        queue: Some("public".to_owned()),
+        ..job(id, millis, true)
+    };
+    cell.submit("a1", JUTE, queued("by-jute", 1000));
+    cell.submit("a1", RICE, queued("by-rice", 1000));
+    for host in ["a1", "b2"] {
+        for request in ["by-rice", "unknown"].into_iter().flat_map(requests_about) {
+            let answer = cell.ask(host, JUTE, request.clone());
+            let forbidden =
+                matches!(&answer, Err(problem) if problem.kind == ProblemKind::Forbidden);
+            assert!(forbidden, "{host}: {request:?}: {answer:?}");
+        }
+        for request in requests_about("by-jute") {
+            let answer = cell.ask(host, JUTE, request.clone());
+            assert!(answer.is_ok(), "{host}: {request:?}: {answer:?}");
+        }
+    }
+    assert_eq!(cell.outcome("b1", RICE, &rice("by-rice")).ending, Ending::Succeeded);
+    assert_eq!(cell.outcome("b1", JUTE, &rice("by-jute")).ending, Ending::Succeeded);
+}
--- a/crates/shallotpost-protocol/src/work.rs
+++ b/crates/shallotpost-protocol/src/work.rs
@@ -199,6 +199,9 @@
     pub state: State,
     /// Time of admission, in milliseconds since the Unix epoch.
     pub admitted_unix_ms: u64,
+    /// Name of the key that submitted it. In an open queue it may be of another team.
+    #[serde(default)]
+    pub submitter: String,
     /// Highest attempt that an earlier home shard may have started; 0 where it certainly started none.
     #[serde(default)]
     pub attempt: Attempt,
