Rule out late starts, and report waits and the ownership lease

Non-idempotent work ended as unknown although its start had never arrived. Nothing emitted Observation::Waited and Observation::OwnershipLease, and Message::Shards repeated what Message::Loads tells.

The scheduler emits the two measurements; Message::Shards and Owned::state are removed.

Conclusion: a late start no longer takes effect once its owner has decided.

--- a/crates/shallotpost-control/src/message.rs
+++ b/crates/shallotpost-control/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use shallotpost_protocol::interface::{Call, Reply, Request, ShardState};
+use shallotpost_protocol::interface::{Call, Reply, Request};
 use shallotpost_protocol::list;
 use shallotpost_protocol::port::Failure;
 use shallotpost_protocol::prelude::*;
@@ -225,7 +225,7 @@
         /// The shard.
         shard: Shard,
     },
-    /// From `scheduler` to `membership`: load of the owned shards.
+    /// From `scheduler` to `membership`, `admission` and `router`: load of the owned shards.
     Loads(Vec<Load>),
 
     /// To `scheduler`: a record was admitted to an owned shard.
@@ -246,6 +246,4 @@
     },
     /// From any service to `router`: the graceful shutdown of that service is complete.
     Drained(Name),
-    /// From `scheduler` to `router`: state of the owned shards, for the overview.
-    Shards(Vec<ShardState>),
 }
--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use shallotpost_protocol::interface::{Call, Reply, Request, ShardState, WAIT_MAX};
+use shallotpost_protocol::interface::{Call, Reply, Request, WAIT_MAX};
 use shallotpost_protocol::resource::Right;
 use shallotpost_protocol::table;
 use shallotpost_protocol::wire::{Frame, Load};
@@ -67,7 +67,6 @@
     table_reachable: bool,
     fleet: Rc<Fleet>,
     loads: Vec<Load>,
-    shards: Vec<ShardState>,
     next_ticket: RequestId,
     tickets: BTreeMap<RequestId, Ticket>,
     listings: BTreeMap<RequestId, Listing>,
@@ -90,7 +89,6 @@
             table_reachable: false,
             fleet: Rc::default(),
             loads: Vec::new(),
-            shards: Vec::new(),
             next_ticket: INTERNAL,
             tickets: BTreeMap::new(),
             listings: BTreeMap::new(),
@@ -121,7 +119,6 @@
             Message::TableReachable(reachable) => self.table_reachable = reachable,
             Message::Fleet(fleet) => self.fleet = fleet,
             Message::Loads(loads) => self.take_loads(context, loads),
-            Message::Shards(shards) => self.shards = shards,
             Message::Stop => self.stop(context),
             Message::Drained(name) => self.drained(name),
             Message::Tick => self.tick(context),
--- a/crates/shallotpost-control/src/scheduler/entry.rs
+++ b/crates/shallotpost-control/src/scheduler/entry.rs
@@ -22,8 +22,13 @@
     Planned,
     /// A start call is open.
     Starting(CallId),
-    /// The answer of the start call was lost.
+    /// The answer of the start call was lost; the next snapshot tells whether the worker has the task.
     Doubtful,
+    /// The worker does not have the task whose start is in doubt, and a stop is sent to rule out that the start arrives
+    /// late. The call is `None` before it is sent.
+    RulingOut(Option<CallId>),
+    /// The stop was confirmed. If the next snapshot lacks the task, the start had no effect.
+    RuledOut,
     /// The worker runs it.
     Running,
     /// A stop was requested. The call is `None` once it was answered.
@@ -39,7 +44,8 @@
 impl Phase {
     /// Whether a worker may have the task.
     pub fn is_sent(&self) -> bool {
-        matches!(self, Phase::Starting(_) | Phase::Doubtful | Phase::Running | Phase::Stopping(..))
+        let in_doubt = matches!(self, Phase::Doubtful | Phase::RulingOut(_) | Phase::RuledOut);
+        in_doubt || matches!(self, Phase::Starting(_) | Phase::Running | Phase::Stopping(..))
     }
 
     /// Whether the planner has booked capacity for it.
@@ -63,6 +69,10 @@
     pub queued: bool,
     /// Stop that was requested while the start was open.
     pub stop: Option<Mode>,
+    /// Whether a worker is known to have run an attempt of it.
+    pub started: bool,
+    /// Incarnation of the worker before the start was sent; `None` where workers do not rule out late starts.
+    pub incarnation: Option<u64>,
 }
 
 impl TaskEntry {
@@ -126,6 +136,8 @@
             settled: 0,
             queued: false,
             stop: None,
+            started: false,
+            incarnation: None,
         };
         let count = record.specification.class.tasks() as usize;
         Entry {
@@ -220,7 +232,8 @@
             task: Task { work: work.clone(), index: index as u32 },
             phase: match entry.phase {
                 Phase::Unplaced | Phase::Waiting | Phase::Backoff => work::Phase::Waiting,
-                Phase::Planned | Phase::Starting(_) | Phase::Doubtful => work::Phase::Starting,
+                Phase::Planned | Phase::Starting(_) => work::Phase::Starting,
+                Phase::Doubtful | Phase::RulingOut(_) | Phase::RuledOut => work::Phase::Starting,
                 Phase::Running => work::Phase::Running,
                 Phase::Stopping(..) => work::Phase::Stopping,
                 Phase::Free | Phase::Done(_) => work::Phase::Ended,
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -113,15 +113,17 @@
     }
 
     fn report(&self, context: &mut Context) {
-        let owned = || self.shards.values();
+        let owned = self.shards.values();
         let loads: Vec<Load> =
-            owned().map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
+            owned.map(|owned| owned.planner.load(&owned.id, owned.epoch)).collect();
         for name in [Name::Membership, Name::Admission, Name::Router] {
             context.send(name, Message::Loads(loads.clone()));
         }
-        let host = &self.environment.settings.host;
-        let states = owned().map(|owned| owned.state(host)).collect();
-        context.send(Name::Router, Message::Shards(states));
+        let left = match (self.shards.is_empty(), self.environment.lease_until) {
+            (false, Some(until)) => until.saturating_duration_since(context.now),
+            _ => Duration::ZERO,
+        };
+        context.observe(Observation::OwnershipLease(left));
     }
 
     fn on_fleet(&mut self, context: &mut Context, fleet: &Fleet) {
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -281,7 +281,7 @@
         let unplaced = phase == Some(&Phase::Unplaced);
         match state {
             TaskState::Running { .. } if booked => {
-                self.note_running(worker, sequence, &task, attempt);
+                self.note_running(context, worker, sequence, &task, attempt);
                 if let Some(usage) = usage {
                     self.planner.report(context.now, &task, &usage);
                 }
@@ -309,6 +309,7 @@
 
     fn note_running(
         &mut self,
+        context: &mut Context,
         worker: &WorkerId,
         sequence: Sequence,
         task: &Task,
@@ -316,7 +317,7 @@
     ) {
         let Some(state) = self.task_mut(task) else { return };
         match state.phase {
-            Phase::Starting(_) | Phase::Doubtful => self.on_running(task),
+            Phase::Starting(_) | Phase::Doubtful => self.on_running(context, task),
             Phase::Stopping(mode, None) if state.settled < sequence => {
                 // The stop call failed, or the worker has not carried it out yet.
                 let order = Order::Stop(task.clone(), attempt, mode);
@@ -348,6 +349,7 @@
         entry.may_have_run = true;
         let state = &mut entry.tasks[task.index as usize];
         state.phase = Phase::Running;
+        state.started = true;
         state.attempt = attempt;
         state.worker = Some(worker.clone());
         let gang = entry.is_gang();
@@ -361,7 +363,7 @@
             }
             false => self.book_found(context, &task, worker),
         }
-        self.on_running(&task);
+        self.on_running(context, &task);
     }
 
     /// Books a found task with the planner.
@@ -447,18 +449,27 @@
         sequence: Sequence,
         task: &Task,
     ) {
+        let incarnation = self.sessions.get(worker).and_then(|session| session.incarnation);
         let Some(state) = self.task_mut(task) else { return };
-        let gone = state.worker.as_ref() == Some(worker)
-            && state.settled < sequence
-            && match state.phase {
-                Phase::Doubtful | Phase::Running | Phase::Stopping(_, None) => true,
-                // An open start may take effect after the snapshot was made.
-                Phase::Starting(_) => false,
-                _ => false,
-            };
-        if gone {
-            self.free(context, task, Some(Cause::Lost));
-            self.after_loss(context, task);
+        if state.worker.as_ref() != Some(worker) || state.settled >= sequence {
+            return;
+        }
+        match state.phase {
+            Phase::Doubtful => {
+                state.phase = Phase::RulingOut(None);
+                let order = Order::Stop(task.clone(), state.attempt, Mode::Stop);
+                self.push_order(worker, order);
+            }
+            // The same process has neither run the attempt nor forgotten its end, which only this owner acknowledges.
+            Phase::RuledOut if incarnation.is_some() && state.incarnation == incarnation => {
+                self.put_back(context, task)
+            }
+            Phase::RuledOut | Phase::Running | Phase::Stopping(_, None) => {
+                self.free(context, task, Some(Cause::Lost));
+                self.after_loss(context, task);
+            }
+            // An open start or stop may take effect after the snapshot was made.
+            _ => {}
         }
     }
 
--- a/crates/shallotpost-control/src/scheduler/shard.rs
+++ b/crates/shallotpost-control/src/scheduler/shard.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use shallotpost_policy::planner::{self, Action, Planner};
-use shallotpost_protocol::interface::ShardState;
 use shallotpost_protocol::resource::{Availability, OnCut};
 use shallotpost_protocol::work::{Class, Ending, Record};
 use shallotpost_protocol::worker::Mode;
@@ -280,21 +279,6 @@
         !self.fenced && self.releasing.is_none() && self.rows.loaded
     }
 
-    /// Load for the overview.
-    pub fn state(&self, host: &str) -> ShardState {
-        let load = self.planner.load(&self.id, self.epoch);
-        let silent = self.sessions.values().filter(|session| !session.answering).count();
-        ShardState {
-            shard: self.id.clone(),
-            owner: Some(host.to_owned()),
-            epoch: self.epoch,
-            waiting: load.waiting_tasks,
-            running: load.running_tasks,
-            workers: self.sessions.len() as u64,
-            silent_workers: silent as u64,
-        }
-    }
-
     fn requeue_due(&mut self, context: &mut Context, environment: &Environment) {
         while let Some((due, _)) = self.backoffs.first()
             && *due <= context.now
--- a/crates/shallotpost-control/src/scheduler/starts.rs
+++ b/crates/shallotpost-control/src/scheduler/starts.rs
@@ -7,7 +7,7 @@
 use shallotpost_protocol::worker::{Assignment, Mode, Refusal, Reply, Request};
 
 use crate::prelude::*;
-use crate::scheduler::entry::{Closing, Entry, Phase};
+use crate::scheduler::entry::{Closing, Entry, Phase, TaskEntry};
 use crate::scheduler::environment::Environment;
 use crate::scheduler::session::{ORDERS_IN_FLIGHT_MAX, Order};
 use crate::scheduler::shard::{Call, Owned, REFUSED_DELAY};
@@ -127,7 +127,9 @@
         if !entry.is_idempotent() && !self.intent_is_durable(entry, &task, worker) {
             return;
         }
-        let open = self.sessions.get(worker).is_some_and(|session| session.is_open());
+        let session = self.sessions.get(worker);
+        let open = session.is_some_and(|session| session.is_open());
+        let incarnation = session.and_then(|session| session.incarnation);
         match self.check_start(context, environment, entry) {
             Ok(()) if open => {
                 let specification = &entry.record.specification;
@@ -143,7 +145,12 @@
                 let call = self.call_order(context, environment, worker, request, order);
                 let Some(entry) = self.works.get_mut(&task.work) else { return };
                 entry.may_have_run = true;
-                entry.tasks[task.index as usize].phase = Phase::Starting(call);
+                let state = &mut entry.tasks[task.index as usize];
+                state.phase = Phase::Starting(call);
+                state.incarnation = match environment.settings.fencing {
+                    Fencing::Epoch => incarnation,
+                    Fencing::None => None,
+                };
             }
             Err(Barrier::Expired) => {
                 let work = task.work;
@@ -181,7 +188,7 @@
         let call = self.call_order(context, environment, worker, request, order);
         if let Some(state) = self.task_mut(&task)
             && state.attempt == attempt
-            && let Phase::Stopping(_, open) = &mut state.phase
+            && let Phase::Stopping(_, open) | Phase::RulingOut(open) = &mut state.phase
         {
             *open = Some(call);
         }
@@ -228,7 +235,7 @@
         match result {
             Ok(Reply::Done) => {
                 state.settled = sequence;
-                self.on_running(task);
+                self.on_running(context, task);
             }
             Ok(Reply::Refused(_)) | Err(Failure::NotSent | Failure::Rejected) => {
                 self.put_back(context, task)
@@ -252,13 +259,19 @@
         self.close_order(worker);
         self.note_refusal(context, worker, &result);
         let sequence = self.next_sequence();
-        if let Some(state) = self.task_mut(task)
-            && let Phase::Stopping(_, open) = &mut state.phase
-            && *open == Some(call)
-        {
-            *open = None;
-            state.settled = sequence;
-        }
+        let Some(state) = self.task_mut(task) else { return };
+        let next = match (&state.phase, &result) {
+            (Phase::Stopping(mode, Some(open)), _) if *open == call => Phase::Stopping(*mode, None),
+            (Phase::RulingOut(Some(open)), result) if *open == call => match result {
+                Ok(Reply::Refused(Refusal::NoSuchTask)) => Phase::RuledOut,
+                // The start has arrived late, and the stop has ended the task.
+                Ok(Reply::Done) => Phase::Stopping(Mode::Stop, None),
+                _ => Phase::Doubtful,
+            },
+            _ => return,
+        };
+        state.phase = next;
+        state.settled = sequence;
     }
 
     fn close_order(&mut self, worker: &WorkerId) {
@@ -307,7 +320,10 @@
     pub fn put_back(&mut self, context: &mut Context, task: &Task) {
         self.free(context, task, Some(Cause::Refused));
         let Some(entry) = self.works.get_mut(&task.work) else { return };
-        let others_sent = entry.tasks.iter().any(|other| other.phase.is_sent());
+        // A part that succeeded already must not run again either.
+        let ran =
+            |other: &TaskEntry| other.phase.is_sent() || matches!(other.phase, Phase::Done(_));
+        let others_ran = entry.tasks.iter().any(ran);
         let recorded = matches!(entry.record.state, State::Starting { .. });
         match () {
             _ if entry.closing.is_some() => self.close(context, &task.work),
@@ -316,7 +332,7 @@
                 self.close(context, &task.work);
             }
             _ if entry.is_idempotent() => self.queue_later(context, task, REFUSED_DELAY),
-            _ if others_sent => {
+            _ if others_ran => {
                 self.end(context, &task.work, Ending::Failed, "a part could not be started");
             }
             _ => self.withdraw_intent(context, &task.work, recorded),
@@ -370,10 +386,17 @@
     }
 
     /// Takes note that a worker runs the task, and stops it where that was requested meanwhile.
-    pub fn on_running(&mut self, task: &Task) {
-        let closing = self.works.get(&task.work).is_some_and(|entry| entry.closing.is_some());
-        let Some(state) = self.task_mut(task) else { return };
+    pub fn on_running(&mut self, context: &mut Context, task: &Task) {
+        let Some(entry) = self.works.get_mut(&task.work) else { return };
+        let closing = entry.closing.is_some();
+        let Some(state) = entry.tasks.get_mut(task.index as usize) else { return };
         state.phase = Phase::Running;
+        if !std::mem::replace(&mut state.started, true) {
+            let waiting = context.unix_ms.saturating_sub(entry.record.admitted_unix_ms);
+            let class = entry.record.specification.class;
+            let waiting = Duration::from_millis(waiting);
+            context.observe(Observation::Waited { class, waiting });
+        }
         let mode = state.stop.take();
         if let Some(mode) = if closing { Some(Mode::Stop) } else { mode } {
             self.stop_task(task, mode);
--- a/crates/shallotpost-control/tests/fault_pairs.rs
+++ b/crates/shallotpost-control/tests/fault_pairs.rs
@@ -33,6 +33,7 @@
     },
     Fault { name: "table answers lost", begin: |cell| cell.lose_table_answers = 5, end: |_| {} },
     Fault { name: "start answers lost", begin: |cell| cell.lose_start_answers = 5, end: |_| {} },
+    Fault { name: "starts late", begin: |cell| cell.late_starts = 5, end: |_| {} },
     Fault {
         name: "worker silent",
         begin: |cell| cell.silence("east-w0", true),
--- a/crates/shallotpost-control/tests/support/cell.rs
+++ b/crates/shallotpost-control/tests/support/cell.rs
@@ -17,6 +17,10 @@
 /// Time from an effect to its event where nothing fails.
 const LATENCY: Duration = Duration::from_millis(1);
 
+/// Time after which a late start is delivered: after its call has failed and two later snapshots were answered, and before the
+/// task lease can lapse.
+const LATE_START: Duration = Duration::from_secs(7);
+
 /// Key with operator rights that every cell starts with.
 pub const ADMIN: &str = "bootstrap.first";
 
@@ -31,6 +35,9 @@
     Table(HostId, u64, CallId, table::Request, Duration),
     /// A worker call that arrives.
     Worker(HostId, u64, CallId, WorkerId, worker::Request, Duration),
+    /// A start that arrives after its caller gave it up, for this incarnation of the worker; the connections of a process
+    /// end with it.
+    LateStart(WorkerId, u64, worker::Request),
     /// An open `Sync` and the end of its wait.
     Sync(HostId, u64, CallId, WorkerId, worker::Request, Instant),
 }
@@ -70,6 +77,8 @@
     pub lose_table_answers: u32,
     /// Number of worker answers to starts that get lost after the call took effect.
     pub lose_start_answers: u32,
+    /// Number of starts that are delivered only after their calls have failed.
+    pub late_starts: u32,
     /// Pairs of places that cannot reach each other: data centres or `platform`.
     pub cuts: BTreeSet<(String, String)>,
     /// Log events of all hosts.
@@ -94,6 +103,7 @@
             table_down: false,
             lose_table_answers: 0,
             lose_start_answers: 0,
+            late_starts: 0,
             cuts: BTreeSet::new(),
             logs: Vec::new(),
         };
@@ -300,6 +310,13 @@
                 Due::Worker(host, incarnation, call, worker, request, timeout) => {
                     self.worker_call(host, incarnation, call, worker, request, timeout);
                 }
+                Due::LateStart(worker, incarnation, request) => {
+                    let now = self.now;
+                    let machine = self.machine(&worker);
+                    if machine.state.incarnation() == incarnation {
+                        machine.state.handle(now, &request);
+                    }
+                }
                 Due::Sync(host, incarnation, call, worker, request, until) => {
                     self.sync(host, incarnation, call, worker, request, until);
                 }
@@ -441,6 +458,12 @@
             );
         }
         let start = matches!(request, worker::Request::Start { .. });
+        if start && self.late_starts > 0 {
+            self.late_starts -= 1;
+            let process = machine.state.incarnation();
+            self.schedule(LATE_START, Due::LateStart(worker, process, request));
+            return self.schedule(timeout, Due::Event(host, incarnation, failed));
+        }
         let reply = machine.state.handle(now, &request);
         match start && self.lose_start_answers > 0 {
             true => {
--- a/crates/shallotpost-protocol/src/worker.rs
+++ b/crates/shallotpost-protocol/src/worker.rs
@@ -74,6 +74,11 @@
         assignment: Assignment,
     },
     /// Stops, checkpoints, throttles or resumes a task. Idempotent.
+    ///
+    /// A `stop` or `checkpoint` of an attempt that the worker does not know is refused with `NoSuchTask` and rules out a
+    /// later start of this attempt: the worker refuses such a start with `NoSuchTask` until it accepts a higher epoch or
+    /// ends. A start may arrive after its caller gave it up; a caller that got the refusal can be sure that it has no
+    /// effect. A worker that does not check epochs does not offer this either.
     Stop {
         /// Caller's epoch.
         epoch: Epoch,
@@ -177,7 +182,7 @@
     Leaving,
     /// The worker was never claimed, or its lease lapsed: claim it first.
     NotClaimed,
-    /// No such task or attempt.
+    /// No such task or attempt; for a start, the attempt was ruled out by an earlier stop.
     NoSuchTask,
 }
 
--- a/crates/shallotpost-standin/src/worker.rs
+++ b/crates/shallotpost-standin/src/worker.rs
@@ -4,7 +4,7 @@
 //! fails after that time, `["serve"]` runs until it is stopped. An optional third argument is the share of the booked
 //! processors that the task really uses, for example `["run", "500", "0.4"]`; without it the task uses all of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use shallotpost_protocol::prelude::*;
 use shallotpost_protocol::worker::{
@@ -37,6 +37,8 @@
     epoch: Epoch,
     lease_until: Option<Instant>,
     runs: BTreeMap<(Task, Attempt), Run>,
+    /// Unknown attempts that were stopped in this epoch.
+    ruled_out: BTreeSet<(Task, Attempt)>,
     /// Counts state changes.
     pub changes: u64,
     reported: u64,
@@ -56,6 +58,7 @@
             epoch: 0,
             lease_until: None,
             runs: BTreeMap::new(),
+            ruled_out: BTreeSet::new(),
             changes: 0,
             reported: 0,
             starts: Vec::new(),
@@ -74,6 +77,10 @@
                 self.stale()
             }
             Request::Claim { epoch, lease, .. } => {
+                if *epoch > self.epoch {
+                    // Starts of the lower epochs are refused from now on.
+                    self.ruled_out.clear();
+                }
                 self.epoch = *epoch;
                 self.lease_until = Some(now + *lease);
                 Reply::State(self.snapshot(now))
@@ -170,10 +177,16 @@
         self.capacity
     }
 
+    /// Distinguishes the runs of the worker's process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Loses all state, as after a crash and a restart.
     pub fn restart(&mut self) {
         self.incarnation += 1;
         self.runs.clear();
+        self.ruled_out.clear();
         self.lease_until = None;
         self.changes += 1;
     }
@@ -186,6 +199,7 @@
         let key = (assignment.task.clone(), assignment.attempt);
         match () {
             _ if self.runs.contains_key(&key) => Reply::Done,
+            _ if self.ruled_out.contains(&key) => Reply::Refused(Refusal::NoSuchTask),
             _ if self.leaving => Reply::Refused(Refusal::Leaving),
             _ if !self.booked().plus(&assignment.size).fits_in(&self.capacity) => {
                 Reply::Refused(Refusal::Full)
@@ -203,7 +217,12 @@
     }
 
     fn stop(&mut self, key: &(Task, Attempt), mode: Mode) -> Reply {
-        let Some(run) = self.runs.get_mut(key) else { return Reply::Refused(Refusal::NoSuchTask) };
+        let Some(run) = self.runs.get_mut(key) else {
+            if self.fencing && matches!(mode, Mode::Stop | Mode::Checkpoint) {
+                self.ruled_out.insert(key.clone());
+            }
+            return Reply::Refused(Refusal::NoSuchTask);
+        };
         if is_running(&run.state) {
             run.throttled = mode == Mode::Throttle;
             run.state = match mode {
