--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -123,9 +123,11 @@
             context.send(name, Message::Loads(loads.clone()));
         }
         self.environment.own_loads = loads;
-        let host = &self.environment.settings.host;
-        let states = self.shards.values().map(|owned| owned.state(host)).collect();
-        context.send(Name::Router, Message::Shards(states));
+        let left = match (self.shards.is_empty(), self.environment.lease_until) {
+            (false, Some(until)) => until.saturating_duration_since(context.now),
+            _ => Duration::ZERO,
+        };
+        context.observe(Observation::OwnershipLease(left));
     }
 
     fn on_fleet(&mut self, context: &mut Context, fleet: &Fleet) {
