Ping peers less often from the receiving end

Cause: both ends of each peer connection sent an HTTP/2 ping every second. The frames are short, so most bytes of peer traffic are headers of segments.

Change: the receiving end pings every 10 s. It costs freshness in one place: a receiver keeps the slot of a silent connection for up to 12 s instead of 3 s. The sender notices it as before and opens another one. Frames and their rate stay.

--- a/crates/shallotpost-edge/src/peer/incoming.rs
+++ b/crates/shallotpost-edge/src/peer/incoming.rs
@@ -15,7 +15,7 @@
 
 use crate::peer::codec::{Decoder, encode};
 use crate::peer::outgoing::{send, watch};
-use crate::peer::{Error, SILENCE_MAX, STREAM_PATH, WINDOW};
+use crate::peer::{Error, PING_INTERVAL_RECEIVER, SILENCE_MAX, STREAM_PATH, WINDOW};
 
 /// Most connections of peers; a fleet of the target size has 135 entry hosts.
 const CONNECTIONS_MAX: usize = 512;
@@ -63,7 +63,7 @@
     };
     tokio::select! {
         result = accept => result,
-        error = watch(ping_pong) => Err(error),
+        error = watch(ping_pong, PING_INTERVAL_RECEIVER) => Err(error),
     }
 }
 
--- a/crates/shallotpost-edge/src/peer/mod.rs
+++ b/crates/shallotpost-edge/src/peer/mod.rs
@@ -31,9 +31,13 @@
 /// A connection whose other end answers no ping, grants no capacity or sends no `Hello` for this long is closed.
 pub const SILENCE_MAX: Duration = Duration::from_secs(2);
 
-/// Pause between a ping's answer and the next ping.
+/// Pause between a ping's answer and the next ping at the end that sends the frames.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same at the end that receives the frames. Only its slot for the connection depends on the answer: the sender
+/// notices a silent connection by its own pings and opens another one.
+const PING_INTERVAL_RECEIVER: Duration = Duration::from_secs(10);
+
 /// Path of the request that carries the frames.
 const STREAM_PATH: &str = "/frames";
 
--- a/crates/shallotpost-edge/src/peer/outgoing.rs
+++ b/crates/shallotpost-edge/src/peer/outgoing.rs
@@ -81,7 +81,7 @@
     tokio::select! {
         result = &mut connection => Ok(result?),
         result = exchange => result,
-        error = watch(ping_pong) => Err(error),
+        error = watch(ping_pong, PING_INTERVAL) => Err(error),
     }
 }
 
@@ -134,12 +134,12 @@
     Ok(())
 }
 
-/// Pings the other end; returns once an answer is missing.
-pub async fn watch(ping_pong: Option<PingPong>) -> Error {
+/// Pings the other end, with this pause after each answer; returns once an answer is missing.
+pub async fn watch(ping_pong: Option<PingPong>, interval: Duration) -> Error {
     let Some(mut ping_pong) = ping_pong else { return Error::Closed };
     loop {
         match timeout(SILENCE_MAX, ping_pong.ping(Ping::opaque())).await {
-            Ok(Ok(_)) => sleep(PING_INTERVAL).await,
+            Ok(Ok(_)) => sleep(interval).await,
             Ok(Err(error)) => return error.into(),
             Err(elapsed) => return elapsed.into(),
         }
