Send a short call in one piece

Cause: the HTTP client writes the head and the body of a call separately, which costs a segment and its acknowledgement.

Change: a connection holds up to 4 KiB until the next part comes or the answer is awaited.

Test: calls_arrive_whole fails without the change (1 bytes came in 2 pieces).

--- a/crates/shallotpost-edge/src/client.rs
+++ b/crates/shallotpost-edge/src/client.rs
@@ -36,6 +36,10 @@
 /// Buffer of a connection in each direction, in bytes.
 const BUFFER_LENGTH: usize = 8 << 10;
 
+/// Bytes of a request that wait for further ones before they are sent. The library sends the head and the body of a call
+/// separately, which costs a segment and its acknowledgement more.
+const HELD_BYTES_MAX: usize = 4 << 10;
+
 /// Number of addresses after which agents that were not used for [`CONNECTION_AGE_MAX`] are dropped.
 const AGENTS_KEPT: usize = 256;
 
@@ -240,18 +244,38 @@
         match TcpConnector::default().connect(details, chained) {
             Ok(transport) => {
                 let opened = Instant::now();
-                Ok(transport
-                    .map(|transport| AgedTransport { transport: transport.boxed(), opened }))
+                Ok(transport.map(|transport| AgedTransport {
+                    transport: transport.boxed(),
+                    opened,
+                    held: Vec::new(),
+                }))
             }
             Err(error) => Err(Error::Other(Box::new(ConnectFailed(error.to_string())))),
         }
     }
 }
 
-/// A connection that counts as closed beyond [`CONNECTION_AGE_MAX`].
+/// A connection that counts as closed beyond [`CONNECTION_AGE_MAX`] and sends a short request in one piece.
 struct AgedTransport {
     transport: Box<dyn Transport>,
     opened: Instant,
+    /// The begin of a request that is sent with its next part, or before its answer is awaited.
+    held: Vec<u8>,
+}
+
+impl AgedTransport {
+    fn send_held(&mut self, timeout: NextTimeout) -> Result<(), Error> {
+        let held = std::mem::take(&mut self.held);
+        let mut rest = held.as_slice();
+        while !rest.is_empty() {
+            let output = self.transport.buffers().output();
+            let length = rest.len().min(output.len());
+            output[..length].copy_from_slice(&rest[..length]);
+            self.transport.transmit_output(length, timeout)?;
+            rest = &rest[length..];
+        }
+        Ok(())
+    }
 }
 
 impl fmt::Debug for AgedTransport {
@@ -266,10 +290,12 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        self.transport.transmit_output(amount, timeout)
+        self.held.extend_from_slice(&self.transport.buffers().output()[..amount]);
+        if self.held.len() <= HELD_BYTES_MAX { Ok(()) } else { self.send_held(timeout) }
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        self.send_held(timeout)?;
         self.transport.await_input(timeout)
     }
 
--- a/crates/shallotpost-edge/tests/call_faults.rs
+++ b/crates/shallotpost-edge/tests/call_faults.rs
@@ -211,6 +211,40 @@
     }
 }
 
+/// Guards against calls that lose, repeat or reorder bytes: short ones come in one piece, and long ones come whole.
+#[test]
+fn calls_arrive_whole() {
+    for length in [1, 100, 3_900, 4_000, 4_100, 8_192, 100_000] {
+        let listener = TcpListener::bind(any_port()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let bench = Bench::with(|settings| settings.table_url = format!("http://{address}/table"));
+        let key: String = (0..length).map(|index| char::from(b'a' + (index % 23) as u8)).collect();
+        let request = create(&key);
+        let expected = serde_json::to_string(&request).unwrap();
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut text = String::new();
+            let mut reads = 0;
+            while !text.ends_with(&expected) {
+                let mut bytes = [0; 4096];
+                let count = stream.read(&mut bytes).unwrap();
+                assert!(count > 0, "the call ends early");
+                text.push_str(std::str::from_utf8(&bytes[..count]).unwrap());
+                reads += 1;
+            }
+            let (_, body) = text.split_once("\r\n\r\n").unwrap();
+            assert_eq!(body, expected);
+            let answer = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n\"committed\"";
+            stream.write_all(answer.as_bytes()).unwrap();
+            reads
+        });
+        send(&bench, 1, request, PATIENCE);
+        assert_eq!(table_event(&bench), (1, Ok(Reply::Committed)), "{length}");
+        let reads = server.join().unwrap();
+        assert!(length > 100 || reads == 1, "{length} bytes came in {reads} pieces");
+    }
+}
+
 /// Guards against a start that counts as ambiguous, which ends work that is not idempotent as `unknown`, because the worker
 /// closed an idle connection while the start was being sent on it.
 #[test]
