Check requests of other teams against known work of theirs

Cause: the scheduler answers NotFound to a key of another team for unknown work, so that the router reads the record, which may name the key as submitter; the test expected Forbidden for unknown work there. Change: the test asks for known work of the other team, three requests instead of two; the cell test work_of_another_team keeps Forbidden for unknown work at the interface.

--- a/crates/shallotpost-control/tests/task_path.rs
+++ b/crates/shallotpost-control/tests/task_path.rs
@@ -53,6 +53,11 @@
     for name in ["a", "b", "c"] {
         world.admit(specification(name, Class::Batch, &["run", "9000"]));
     }
+    let foreign = Specification {
+        team: "blue".into(),
+        ..specification("foreign", Class::Batch, &["run", "9000"])
+    };
+    let foreign = world.admit(foreign);
     world.run(100);
     let list = |after: &str, limit| Ask::List { team: "red".into(), after: after.into(), limit };
     for (request, names, rest) in [(list("", 2), "ab", true), (list("b", 2), "c", false)] {
@@ -61,10 +66,10 @@
         let found: String = entries.into_iter().map(|entry| entry.work.name).collect();
         assert_eq!((found.as_str(), more), (names, rest));
     }
-    let foreign = WorkId { team: "blue".into(), name: "a".into() };
     let cases = [
         (Ask::Status(work("none")), ProblemKind::NotFound),
         (Ask::Cancel(work("none")), ProblemKind::NotFound),
+        (Ask::Status(foreign.clone()), ProblemKind::Forbidden),
         (Ask::Explain(foreign.clone()), ProblemKind::Forbidden),
         (Ask::Cancel(foreign), ProblemKind::Forbidden),
     ];
