Add the fleet of jobs, its adapter to the prepared platform and the deploy file

The product's work is one set of equal tasks; the platform's jobs are graphs of steps with approvals, gangs and leases. The new crate shallotpost-fleet holds these decisions, platform/ translates.

--- a/crates/shallotpost-daemon/src/logs.rs
+++ b/crates/shallotpost-daemon/src/logs.rs
@@ -37,6 +37,16 @@
         Writer::with_sink(settings, sink)
     }
 
+    /// A writer to standard output.
+    ///
+    /// # Errors
+    ///
+    /// The logger cannot be built.
+    pub fn standard_output(settings: &settings::Log) -> Result<Writer, spdlog::Error> {
+        let sink = StdStreamSink::builder().stdout().style_mode(StyleMode::Never).build_arc()?;
+        Writer::with_sink(settings, sink)
+    }
+
     /// A writer to `sink`; replaces the formatter of the sink.
     ///
     /// # Errors
--- a/crates/shallotpost-daemon/src/main.rs
+++ b/crates/shallotpost-daemon/src/main.rs
@@ -6,6 +6,7 @@
 use eyre::{WrapErr, eyre};
 use getopts::Options;
 use shallotpost_daemon::daemon::Daemon;
+use shallotpost_daemon::fleet;
 use shallotpost_daemon::settings::{check, listing};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -27,6 +28,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file (JSON)", "FILE");
+    options.optflag("", "fleet", "run an entry host of a job fleet on the prepared platform");
     options.optflag("c", "check", "check the settings file, list every fault, and exit");
     options.optflag("h", "help", "show this help");
     options
@@ -36,13 +38,16 @@
     let options = options();
     let matches = options.parse(arguments).wrap_err("see `shallotpostd --help`")?;
     if matches.opt_present("help") {
-        let brief = "Usage: shallotpostd --settings FILE [--check]\n\nExample: shallotpostd --settings host-a.json";
+        let brief = "Usage: shallotpostd --settings FILE [--fleet] [--check]\n\nExample: shallotpostd --settings host-a.json";
         print!("{}", options.usage(brief));
         return Ok(ExitCode::SUCCESS);
     }
     let path = matches
         .opt_str("settings")
         .ok_or_else(|| eyre!("name a settings file with --settings FILE"))?;
+    if matches.opt_present("fleet") {
+        return run_fleet(Path::new(&path), matches.opt_present("check"));
+    }
     match check(Path::new(&path)) {
         Err(faults) => {
             eprintln!("{}", listing(Path::new(&path), &faults));
@@ -65,3 +70,20 @@
         }
     }
 }
+
+fn run_fleet(path: &Path, check_only: bool) -> eyre::Result<ExitCode> {
+    match fleet::settings::read(path) {
+        Err(faults) => {
+            eprintln!("{}: {faults}", path.display());
+            Ok(ExitCode::from(BAD_SETTINGS))
+        }
+        Ok(_) if check_only => {
+            println!("{}: no faults", path.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        Ok(settings) => {
+            fleet::run(settings)?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
--- a/crates/shallotpost-daemon/src/metrics.rs
+++ b/crates/shallotpost-daemon/src/metrics.rs
@@ -463,6 +463,7 @@
         Frame::Forward { .. } => "forward",
         Frame::Forwarded { .. } => "forwarded",
         Frame::AskChanges { .. } => "ask_changes",
+        Frame::Fleet(_) => "fleet",
         Frame::Changes { .. } => "changes",
     }
 }
--- a/crates/shallotpost-edge/src/edge.rs
+++ b/crates/shallotpost-edge/src/edge.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use crate::calls::Calls;
 use crate::driver::Driver;
 use crate::http::{Interface, Metrics};
-use crate::peer::Peers;
+use crate::peer::{Identity, Peers};
 use crate::settings::Settings;
 
 /// Time for calls in flight to end after the callers' requests are answered.
@@ -53,7 +54,15 @@
         let driver = Driver::start("edge-io")?;
         let runtime = driver.handle();
         let listen = |address| move |source| Error::Listen { address, source };
-        let peers = Peers::start(settings, runtime, events.clone())
+        let identity = Identity {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: settings.incarnation,
+            listen: settings.peer_listen,
+        };
+        let sender = events.clone();
+        let receiver = Arc::new(move |from, frame| drop(sender.send(Event::Peer { from, frame })));
+        let peers = Peers::start(identity, runtime, receiver)
             .map_err(listen(settings.peer_listen))?;
         let interface = Interface::start(settings, runtime, events.clone(), metrics)
             .map_err(listen(settings.http_listen))?;
--- a/crates/shallotpost-edge/src/peer/incoming.rs
+++ b/crates/shallotpost-edge/src/peer/incoming.rs
@@ -1,13 +1,10 @@
 //! Connections of peers that send to this host.
 
-use std::sync::mpsc::Sender;
-
 use bytes::Bytes;
 use h2::server::{Builder, SendResponse};
 use h2::{Reason, RecvStream, SendStream};
 use http::{Request, Response};
 use shallotpost_protocol::identity::HostId;
-use shallotpost_protocol::port::Event;
 use shallotpost_protocol::wire::Frame;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -15,7 +12,7 @@
 
 use crate::peer::codec::{Decoder, encode};
 use crate::peer::outgoing::{send, watch};
-use crate::peer::{Error, PING_INTERVAL_RECEIVER, SILENCE_MAX, STREAM_PATH, WINDOW};
+use crate::peer::{Error, PING_INTERVAL_RECEIVER, Receiver, SILENCE_MAX, STREAM_PATH, WINDOW};
 
 /// Most connections of peers; a fleet of the target size has 135 entry hosts.
 const CONNECTIONS_MAX: usize = 512;
@@ -27,7 +24,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections for ever; closes all when it is dropped.
-pub async fn run(listener: TcpListener, hello: Frame, events: Sender<Event>) {
+pub async fn run(listener: TcpListener, hello: Frame, receiver: Receiver) {
     let mut connections = JoinSet::new();
     loop {
         match listener.accept().await {
@@ -35,7 +32,7 @@
                 while connections.try_join_next().is_some() {}
                 // A connection beyond the limit is closed at once; the sender reconnects by itself.
                 if connections.len() < CONNECTIONS_MAX {
-                    connections.spawn(serve(stream, hello.clone(), events.clone()));
+                    connections.spawn(serve(stream, hello.clone(), receiver.clone()));
                 }
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -43,7 +40,7 @@
     }
 }
 
-async fn serve(stream: TcpStream, hello: Frame, events: Sender<Event>) -> Result<(), Error> {
+async fn serve(stream: TcpStream, hello: Frame, receiver: Receiver) -> Result<(), Error> {
     stream.set_nodelay(true)?;
     let mut builder = Builder::new();
     builder
@@ -56,8 +53,8 @@
     let accept = async {
         while let Some(accepted) = connection.accept().await {
             let (request, respond) = accepted?;
-            let (hello, events) = (hello.clone(), events.clone());
-            tokio::spawn(answer(request, respond, hello, events));
+            let (hello, receiver) = (hello.clone(), receiver.clone());
+            tokio::spawn(answer(request, respond, hello, receiver));
         }
         Ok(())
     };
@@ -72,14 +69,14 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     hello: Frame,
-    events: Sender<Event>,
+    receiver: Receiver,
 ) {
     if request.uri().path() != STREAM_PATH {
         respond.send_reset(Reason::REFUSED_STREAM);
         return;
     }
     let Ok(mut answer) = respond.send_response(Response::new(()), false) else { return };
-    let received = receive(request.into_body(), &mut answer, &hello, &events).await;
+    let received = receive(request.into_body(), &mut answer, &hello, &receiver).await;
     // The end of the answer tells the sender that all frames have arrived.
     let ended = received.and_then(|()| Ok(answer.send_data(Bytes::new(), true)?));
     if ended.is_err() {
@@ -91,7 +88,7 @@
     mut body: RecvStream,
     answer: &mut SendStream<Bytes>,
     hello: &Frame,
-    events: &Sender<Event>,
+    receiver: &Receiver,
 ) -> Result<(), Error> {
     send(answer, encode(hello)?).await?;
     let mut decoder = Decoder::default();
@@ -107,7 +104,7 @@
                 (Some(_), _) => {}
             }
             let from = sender.clone().unwrap_or_default();
-            let _ = events.send(Event::Peer { from, frame });
+            receiver(from, frame);
         }
     }
     Ok(())
--- a/crates/shallotpost-edge/src/peer/mod.rs
+++ b/crates/shallotpost-edge/src/peer/mod.rs
@@ -7,12 +7,11 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
-use std::sync::mpsc::{Sender, SyncSender, sync_channel};
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 
 use bytes::Bytes;
-use shallotpost_protocol::identity::{Address, HostId};
-use shallotpost_protocol::port::Event;
+use shallotpost_protocol::identity::{Address, DataCentreId, HostId};
 use shallotpost_protocol::wire::Frame;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -21,7 +20,6 @@
 
 use crate::peer::outgoing::Target;
 use crate::peer::queue::Queue;
-use crate::settings::Settings;
 
 pub mod codec;
 mod incoming;
@@ -73,6 +71,22 @@
     Finish(SyncSender<()>),
 }
 
+/// Takes the frames that peers send, with the name of the sender.
+pub type Receiver = Arc<dyn Fn(HostId, Frame) + Send + Sync>;
+
+/// How this host introduces itself to its peers.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of this host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Drawn at random when the process starts.
+    pub incarnation: u64,
+    /// Where peers connect; port 0 for any.
+    pub listen: SocketAddr,
+}
+
 /// All peer connections.
 pub struct Peers {
     address: SocketAddr,
@@ -83,26 +97,26 @@
 impl Peers {
     /// Starts to listen.
     pub fn start(
-        settings: &Settings,
+        identity: Identity,
         runtime: &Handle,
-        events: Sender<Event>,
+        receiver: Receiver,
     ) -> io::Result<Peers> {
-        let listener = StdListener::bind(settings.peer_listen)?;
+        let listener = StdListener::bind(identity.listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let _context = runtime.enter();
         let listener = TcpListener::from_std(listener)?;
         let hello = Frame::Hello {
-            host: settings.host.clone(),
-            data_centre: settings.data_centre.clone(),
-            incarnation: settings.incarnation,
+            host: identity.host,
+            data_centre: identity.data_centre,
+            incarnation: identity.incarnation,
         };
-        let (commands, receiver) = mpsc::channel(COMMANDS_MAX);
+        let (commands, queued) = mpsc::channel(COMMANDS_MAX);
         let (stop, mut stopped) = watch::channel(false);
-        let receiving = runtime.spawn(incoming::run(listener, hello.clone(), events));
+        let receiving = runtime.spawn(incoming::run(listener, hello.clone(), receiver));
         runtime.spawn(async move {
             tokio::select! {
-                () = distribute(receiver, hello) => {}
+                () = distribute(queued, hello) => {}
                 _ = stopped.wait_for(|stop| *stop) => {}
             }
             receiving.abort();
--- /dev/null
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -0,0 +1,242 @@
+//! Orders to workers: starts and stops.
+
+use crate::port::Counter;
+use crate::prelude::*;
+use crate::scheduler::ends::new_placement;
+use crate::scheduler::session::{Phase, WorkerKey, milliseconds};
+use crate::scheduler::stage::Place;
+use crate::scheduler::{Context, Purpose, Scheduler};
+use crate::worker::{Call, Error, Refusal, Report};
+
+/// Time for the answer to a start or a stop. Answers take a few milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause in which an unhealthy worker gets no further starts.
+const UNHEALTHY_PAUSE: Duration = Duration::from_secs(1);
+
+impl Scheduler {
+    /// Number for the next run; it is higher than any of an earlier epoch.
+    pub(super) fn allocate_run(&mut self) -> u64 {
+        self.last_run += 1;
+        self.last_run
+    }
+
+    /// Books a task on a worker and starts it.
+    pub(super) fn start(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        number: u64,
+        priority: u32,
+        context: &mut Context,
+    ) {
+        let now = context.now;
+        let (Some(step), Some(entry)) =
+            (self.step(task.stage).cloned(), self.jobs.get(&task.stage.job))
+        else {
+            return;
+        };
+        let (team, job) = (entry.team.clone(), Rc::clone(&entry.job));
+        let placement = new_placement(&step, number, team, priority, now);
+        self.book(worker, task, placement);
+        let Some(stage) = self.stage_mut(task.stage) else { return };
+        let ticket = stage.verdicts.get(worker).and_then(|verdict| verdict.ticket.clone());
+        let Some(state) = stage.tasks.get_mut(task.index as usize) else { return };
+        state.place = Place::Placed(Rc::clone(worker));
+        let checkpoint = state.checkpoint.clone();
+        let lease = context.horizon.saturating_sub(now).min(self.bounds.hold_max);
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let until_ms = session.clock_now(now).unwrap_or_default() + milliseconds(lease);
+        session.lease_until = session.lease_until.max(until_ms);
+        let request = Call::Start {
+            task,
+            number,
+            specification: job.specification.clone(),
+            until_ms,
+            checkpoint,
+            ticket,
+        };
+        context.outputs.push(Output::Count { counter: Counter::Starts, amount: 1 });
+        self.order(worker, Purpose::Start(task, number), request, context);
+    }
+
+    fn order(
+        &mut self,
+        worker: &WorkerKey,
+        purpose: Purpose,
+        request: Call,
+        context: &mut Context,
+    ) {
+        let Some(session) = self.sessions.get(worker) else { return };
+        let call = context.allocate_call();
+        context.outputs.push(Output::Worker {
+            call,
+            address: session.registration.address.clone(),
+            worker: worker.to_string(),
+            fence: session.fence,
+            request,
+            timeout: ORDER_TIMEOUT,
+        });
+        self.calls.insert(call, (Rc::clone(worker), session.life, purpose));
+    }
+
+    /// Sets the share at which a run works.
+    pub(super) fn send_pace(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        number: u64,
+        percent: u32,
+        context: &mut Context,
+    ) {
+        self.order(worker, Purpose::Pace, Call::Pace { task, number, percent }, context);
+    }
+
+    /// A start has been answered, or not.
+    pub(super) fn start_result(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        number: u64,
+        result: Result<Report, Error>,
+        context: &mut Context,
+    ) {
+        let now = context.now;
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let current = session.placements.get_mut(&task).filter(|run| run.number == number);
+        let Some(placement) = current else { return };
+        let error = match result {
+            Ok(report) => {
+                if placement.phase == Phase::Starting {
+                    placement.phase = Phase::Running;
+                    placement.changed = now;
+                }
+                session.clock = Some((report.clock_ms, now));
+                self.note_started(task.stage.job);
+                return;
+            }
+            Err(error) => error,
+        };
+        let fields = vec![
+            ("task", task.to_string()),
+            ("run", number.to_string()),
+            ("worker", worker.to_string()),
+            ("error", error.to_string()),
+        ];
+        context.log("start_failed", fields);
+        match error {
+            Error::Unanswered => {
+                if placement.phase == Phase::Starting {
+                    placement.phase = Phase::Doubtful;
+                    self.send_stop(worker, task, number, context);
+                }
+                return;
+            }
+            Error::Refused(Refusal::Ticket) => {
+                if let Some(stage) = self.stage_mut(task.stage) {
+                    stage.verdicts.remove(worker);
+                }
+            }
+            Error::Unhealthy => session.avoid_until = now + UNHEALTHY_PAUSE,
+            Error::Unreachable | Error::OtherWorker => self.lose_contact(worker, error, context),
+            Error::Refused(_) => {}
+        }
+        self.release(worker, &task);
+        self.requeue(task, worker);
+        self.break_gang(task, context);
+    }
+
+    /// Stops a run, or prevents one that has not arrived yet.
+    pub(super) fn send_stop(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        number: u64,
+        context: &mut Context,
+    ) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        if let Some(placement) = session.placements.get_mut(&task)
+            && placement.number == number
+        {
+            if placement.phase != Phase::Doubtful {
+                placement.phase = Phase::Stopping;
+            }
+            placement.changed = context.now;
+        }
+        self.order(worker, Purpose::Stop(task, number), Call::Stop { task, number }, context);
+    }
+
+    /// Stops a run that is listed under an older number than the booked one.
+    pub(super) fn rule_out(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        number: u64,
+        context: &mut Context,
+    ) {
+        self.order(worker, Purpose::Stop(task, number), Call::Stop { task, number }, context);
+    }
+
+    /// A stop has been answered, or not.
+    pub(super) fn stop_result(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        number: u64,
+        result: Result<Report, Error>,
+        context: &mut Context,
+    ) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        match result {
+            Ok(report) => {
+                session.clock = Some((report.clock_ms, context.now));
+                if let Some(placement) = session.placements.get_mut(&task)
+                    && placement.number == number
+                {
+                    placement.stop_confirmed = true;
+                    placement.changed = context.now;
+                }
+            }
+            Err(Error::Unreachable | Error::OtherWorker) => {
+                self.lose_contact(worker, Error::Unreachable, context);
+            }
+            // It is repeated while the run is booked.
+            Err(_) => {}
+        }
+    }
+
+    /// Stops all runs of a job.
+    pub(super) fn stop_job(&mut self, id: JobId, context: &mut Context) {
+        let mut runs = Vec::new();
+        for (worker, session) in &self.sessions {
+            for (task, run) in &session.placements {
+                let stops = matches!(run.phase, Phase::Stopping | Phase::Doubtful);
+                if task.stage.job == id && !stops {
+                    runs.push((Rc::clone(worker), *task, run.number));
+                }
+            }
+        }
+        for (worker, task, number) in runs {
+            self.send_stop(&worker, task, number, context);
+        }
+    }
+
+    /// Stops the other members of a gang after one of them ended or could not start: they cannot work alone.
+    pub(super) fn break_gang(&mut self, task: TaskId, context: &mut Context) {
+        if !self.step(task.stage).is_some_and(|step| step.gang) {
+            return;
+        }
+        let range = task.stage.task(0)..=task.stage.task(u32::MAX);
+        let mut runs = Vec::new();
+        for (worker, session) in &self.sessions {
+            for (member, run) in session.placements.range(range.clone()) {
+                if !matches!(run.phase, Phase::Stopping | Phase::Doubtful) {
+                    runs.push((Rc::clone(worker), *member, run.number));
+                }
+            }
+        }
+        for (worker, member, number) in runs {
+            self.send_stop(&worker, member, number, context);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -0,0 +1,459 @@
+//! Placement of waiting tasks: approvals, choice of workers and preemption.
+
+use crate::configuration::Terms;
+use crate::job::StageId;
+use crate::port::{ApprovalRequest, Counter};
+use crate::prelude::*;
+use crate::scheduler::session::{Phase, Session, WorkerKey};
+use crate::scheduler::stage::{Place, Stage};
+use crate::scheduler::{Ask, Context, Entry, Scheduler};
+
+/// Pause after a call for approval that failed, or that approved no worker with room.
+pub(super) const ASK_PAUSE: Duration = Duration::from_millis(150);
+
+/// A ticket is not used within this time of its expiry: the start takes a few milliseconds to arrive.
+pub(super) const TICKET_MARGIN: Duration = Duration::from_millis(250);
+
+/// Most workers that one call for approval names.
+const WORKERS_MAX: usize = 100;
+
+/// Most workers whose tickets are renewed with one call; each costs time.
+const RENEWALS_MAX: usize = 10;
+
+/// Time for which a stage waits for room before it preempts. Most rooms free up by themselves within it.
+const PREEMPT_AFTER: Duration = Duration::from_millis(20);
+
+/// Pause between two preemptions for one stage: the stopped runs must end first.
+const PREEMPT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time before the expected end of the preceding steps at which approval is asked for, beyond the call's duration.
+const ASK_EARLY: Duration = Duration::from_millis(150);
+
+/// A run without checkpoints is preempted only while it is younger than this; later too much work is lost.
+const PREEMPT_AGE_MAX: Duration = Duration::from_millis(1500);
+
+/// A stage with tasks to place, in the order in which stages are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    priority: u32,
+    /// Jobs beyond their objective come after those that can still meet it.
+    late: bool,
+    due: Uptime,
+    stage: StageId,
+    /// The preceding steps are not done yet.
+    early: bool,
+}
+
+/// What limits the placement of one stage.
+struct Demand {
+    id: StageId,
+    step: Step,
+    terms: Terms,
+    team: Option<Rc<str>>,
+    cap: Size,
+}
+
+impl Scheduler {
+    /// One round over all stages with tasks to place.
+    pub(super) fn place(&mut self, context: &mut Context) {
+        if !context.may_start {
+            return;
+        }
+        for candidate in self.candidates(context) {
+            let Some(demand) = self.demand(candidate.stage, context.configuration) else { continue };
+            if !candidate.early {
+                match demand.step.gang {
+                    true => self.place_gang(&demand, context),
+                    false => self.place_tasks(&demand, context),
+                }
+            }
+            self.ask(&demand, candidate.early, context);
+            if !candidate.early {
+                self.preempt(&demand, context);
+            }
+        }
+    }
+
+    fn candidates(&self, context: &Context) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for id in &self.open {
+            let Some(entry) = self.jobs.get(id) else { continue };
+            let queue = context.configuration.queue(&entry.job.queue);
+            let terms = queue.map_or(&entry.job.terms, |queue| &queue.terms);
+            let objective = entry.job.longest_chain().mul_f64(terms.stretch.max(1.0)) + terms.target;
+            let due = entry.admitted + objective;
+            for ((occurrence, step), stage) in &entry.stages {
+                if stage.open == 0 || !stage.tasks.iter().any(|task| task.place == Place::Waiting) {
+                    continue;
+                }
+                let Some(remaining) = self.remaining(entry, *occurrence, *step, context.now) else {
+                    continue;
+                };
+                let call = terms.approval.map_or(Duration::ZERO, |approval| approval.duration(16));
+                if remaining > call + ASK_EARLY {
+                    continue;
+                }
+                candidates.push(Candidate {
+                    priority: terms.priority,
+                    late: due < context.now,
+                    due,
+                    stage: StageId { job: *id, occurrence: *occurrence, step: *step },
+                    early: remaining > Duration::ZERO,
+                });
+            }
+        }
+        candidates.sort_unstable();
+        candidates
+    }
+
+    /// Expected time until the preceding steps are done; zero where they are, `None` where they have tasks that wait.
+    fn remaining(
+        &self,
+        entry: &Entry,
+        occurrence: u32,
+        step: u16,
+        now: Uptime,
+    ) -> Option<Duration> {
+        let after = &entry.job.steps.get(usize::from(step))?.after;
+        let mut remaining = Duration::ZERO;
+        for before in after {
+            let stage = entry.stages.get(&(occurrence, *before))?;
+            if stage.open == 0 {
+                continue;
+            }
+            let estimate = entry.job.steps.get(usize::from(*before))?.estimate;
+            for (task, index) in stage.tasks.iter().zip(0u32..) {
+                let worker = match &task.place {
+                    Place::Done => continue,
+                    Place::Placed(worker) => worker,
+                    Place::Waiting | Place::Uncertain => return None,
+                };
+                let id = StageId { job: entry.id, occurrence, step: *before }.task(index);
+                let run = self.sessions.get(worker)?.placements.get(&id)?;
+                let left = estimate.saturating_sub(now.saturating_sub(run.since));
+                remaining = remaining.max(left.max(Duration::from_millis(1)));
+            }
+        }
+        Some(remaining)
+    }
+
+    fn demand(&self, id: StageId, configuration: &Configuration) -> Option<Demand> {
+        let entry = self.jobs.get(&id.job)?;
+        let terms = self.terms(id.job, configuration)?;
+        let team = entry.team.clone();
+        let cap = team.as_deref().and_then(|team| configuration.team(team));
+        let cap = cap.map_or(Size::ZERO, |team| team.cap);
+        Some(Demand { id, step: self.step(id)?.clone(), terms, team, cap })
+    }
+
+    /// Whether the team's cap leaves room for this much more.
+    fn within_cap(&self, demand: &Demand, more: &Size) -> bool {
+        let Some(team) = &demand.team else { return true };
+        let used = self.usage.get(team).copied().unwrap_or(Size::ZERO).plus(more);
+        let exceeds = |(used, cap): (u64, u64)| cap > 0 && used > cap;
+        !used.parts().into_iter().zip(demand.cap.parts()).any(exceeds)
+    }
+
+    /// Whether a stage may run on a worker, apart from approval and room.
+    fn suits(demand: &Demand, session: &Session, context: &Context) -> bool {
+        session.takes_tasks()
+            && session.registration.pool == demand.terms.pool
+            && !context.evacuated.contains(&session.registration.zone)
+            && (demand.step.label.is_empty()
+                || session.registration.labels.contains(&demand.step.label))
+            && demand.step.booking().fits_in(&session.registration.capacity)
+    }
+
+    /// Whether a valid ticket for the worker is at hand.
+    fn has_ticket(
+        demand: &Demand,
+        stage: &Stage,
+        key: &WorkerKey,
+        session: &Session,
+        now: Uptime,
+    ) -> bool {
+        demand.terms.approval.is_none()
+            || stage.verdicts.get(key).is_some_and(|verdict| {
+                verdict.ticket.is_some() && verdict.life == session.life && verdict.expires > now
+            })
+    }
+
+    /// Number of further tasks of the stage that fit on a worker.
+    fn room(demand: &Demand, session: &Session, free: &Size) -> u32 {
+        let booking = demand.step.booking();
+        let parts = booking.parts().into_iter().zip(free.parts());
+        let fits = parts.filter(|(need, _)| *need > 0).map(|(need, have)| have / need).min();
+        let fits = u32::try_from(fits.unwrap_or(u64::from(u32::MAX))).unwrap_or(u32::MAX);
+        match demand.step.per_worker_max {
+            0 => fits,
+            limit => {
+                let range = demand.id.task(0)..=demand.id.task(u32::MAX);
+                let present = session.placements.range(range).count();
+                fits.min(limit.saturating_sub(u32::try_from(present).unwrap_or(u32::MAX)))
+            }
+        }
+    }
+
+    /// How well a worker suits the next task; lower is better.
+    fn cost(demand: &Demand, session: &Session, now: Uptime) -> (bool, bool, bool, u64) {
+        let step = &demand.step;
+        let conflicts = session.placements.values().any(|run| match step.fills {
+            true => run.target.is_some(),
+            false => step.latency_target > Duration::ZERO && run.fills,
+        });
+        let far = !step.data_rack.is_empty() && session.rack() != step.data_rack;
+        let free = session.free();
+        let left = match step.fills {
+            // Left-over capacity is what these tasks work with.
+            true => 1.0 - free.dominant_part(&session.registration.capacity),
+            false => free.minus(&step.booking()).dominant_part(&session.registration.capacity),
+        };
+        (session.avoid_until > now, conflicts, far, (left * 1e6) as u64)
+    }
+
+    fn place_tasks(&mut self, demand: &Demand, context: &mut Context) {
+        let now = context.now;
+        let Some(stage) = self.stage(demand.id) else { return };
+        let mut workers: Vec<WorkerKey> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| Self::suits(demand, session, context))
+            .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
+            .map(|(key, _)| Rc::clone(key))
+            .collect();
+        for index in stage.waiting() {
+            if workers.is_empty() || !self.within_cap(demand, &demand.step.size) {
+                return;
+            }
+            let failed_on = self
+                .stage(demand.id)
+                .and_then(|stage| stage.tasks.get(index as usize))
+                .and_then(|task| task.failed_on.clone());
+            let sessions = &self.sessions;
+            workers.retain(|key| {
+                sessions.get(key).is_some_and(|session| {
+                    Self::room(demand, session, &session.free()) > 0
+                })
+            });
+            let best = workers
+                .iter()
+                .filter_map(|key| Some((key, sessions.get(key)?)))
+                .min_by_key(|(key, session)| {
+                    (failed_on.as_ref() == Some(key), Self::cost(demand, session, now))
+                })
+                .map(|(key, _)| Rc::clone(key));
+            let Some(worker) = best else { return };
+            let number = self.allocate_run();
+            let priority = demand.terms.priority;
+            self.start(&worker, demand.id.task(index), number, priority, context);
+        }
+    }
+
+    /// Places all members of a gang at the same time, or none.
+    fn place_gang(&mut self, demand: &Demand, context: &mut Context) {
+        let now = context.now;
+        let Some(stage) = self.stage(demand.id) else { return };
+        let waiting = stage.waiting();
+        let range = demand.id.task(0)..=demand.id.task(u32::MAX);
+        let remains = self
+            .sessions
+            .values()
+            .any(|session| session.placements.range(range.clone()).next().is_some());
+        // Members of the previous run must be gone first.
+        if remains || waiting.len() != stage.tasks.len() {
+            return;
+        }
+        let all = demand.step.size.times(waiting.len() as u64);
+        if !self.within_cap(demand, &all) {
+            return;
+        }
+        let mut rooms: Vec<(WorkerKey, &Session, u32)> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| Self::suits(demand, session, context))
+            .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
+            .map(|(key, session)| {
+                (Rc::clone(key), session, Self::room(demand, session, &session.free()))
+            })
+            .filter(|(_, _, room)| *room > 0)
+            .collect();
+        rooms.sort_by_key(|(_, session, _)| Self::cost(demand, session, now));
+        let whole = |rooms: &[(WorkerKey, &Session, u32)]| {
+            let room: u64 = rooms.iter().map(|(_, _, room)| u64::from(*room)).sum();
+            room >= waiting.len() as u64
+        };
+        if demand.step.one_rack {
+            let racks: BTreeSet<&str> = rooms.iter().map(|(_, session, _)| session.rack()).collect();
+            let fitting = racks.into_iter().find(|rack| {
+                let on_rack: Vec<_> =
+                    rooms.iter().filter(|(_, session, _)| session.rack() == *rack).cloned().collect();
+                whole(&on_rack)
+            });
+            if let Some(rack) = fitting {
+                rooms.retain(|(_, session, _)| session.rack() == rack);
+            }
+        }
+        if !whole(&rooms) {
+            return;
+        }
+        let places = rooms.into_iter().flat_map(|(key, _, room)| {
+            std::iter::repeat_n(key, usize::try_from(room).unwrap_or(usize::MAX))
+        });
+        let starts: Vec<(u32, WorkerKey)> = waiting.into_iter().zip(places).collect();
+        let number = self.allocate_run();
+        for (index, worker) in starts {
+            let priority = demand.terms.priority;
+            self.start(&worker, demand.id.task(index), number, priority, context);
+        }
+    }
+
+    /// Asks for the approval of workers where it is missing or about to expire.
+    fn ask(&mut self, demand: &Demand, early: bool, context: &mut Context) {
+        let now = context.now;
+        let Some(approval) = demand.terms.approval else { return };
+        let Some(stage) = self.stage(demand.id) else { return };
+        let waiting = stage.waiting().len();
+        if waiting == 0 || stage.asking || stage.next_ask > now || !self.approvers.is_available() {
+            return;
+        }
+        let mut unknown = Vec::new();
+        let mut expired = Vec::new();
+        let mut usable = 0u64;
+        for (key, session) in &self.sessions {
+            if !Self::suits(demand, session, context) {
+                continue;
+            }
+            let room = Self::room(demand, session, &session.free());
+            match stage.verdicts.get(key).filter(|verdict| verdict.life == session.life) {
+                None => unknown.push((Rc::clone(key), session.life, room)),
+                Some(verdict) if verdict.ticket.is_none() => {}
+                Some(verdict) if verdict.expires > now => usable += u64::from(room),
+                Some(_) => expired.push((Rc::clone(key), session.life, room)),
+            }
+        }
+        let first = stage.verdicts.is_empty();
+        if !first && (early || usable >= waiting as u64) {
+            return;
+        }
+        expired.retain(|(_, _, room)| *room > 0);
+        expired.sort_by_key(|(_, _, room)| std::cmp::Reverse(*room));
+        expired.truncate(RENEWALS_MAX.min(waiting.max(2) * 2));
+        if !first {
+            unknown.retain(|(_, _, room)| *room > 0);
+        }
+        let mut named = expired;
+        named.append(&mut unknown);
+        named.truncate(WORKERS_MAX);
+        if named.is_empty() {
+            return;
+        }
+        let workers = named.iter().map(|(key, _, _)| key.to_string()).collect();
+        let duration = approval.duration(named.len());
+        let request = ApprovalRequest { stage: demand.id, workers };
+        let call = context.allocate_call();
+        if !self.approvers.send(call, request, duration, context.outputs) {
+            return;
+        }
+        context.outputs.push(Output::Count { counter: Counter::Approvals, amount: 1 });
+        let ask = Ask {
+            stage: demand.id,
+            workers: named.into_iter().map(|(key, life, _)| (key, life)).collect(),
+            expires: now + duration * 4 + Duration::from_secs(2),
+        };
+        self.asks.insert(call, ask);
+        if let Some(stage) = self.stage_mut(demand.id) {
+            stage.asking = true;
+        }
+    }
+
+    /// Stops runs of lower priority to make room for the tasks of a stage that still wait.
+    fn preempt(&mut self, demand: &Demand, context: &mut Context) {
+        let now = context.now;
+        let Some(stage) = self.stage_mut(demand.id) else { return };
+        let waiting = stage.waiting().len();
+        if waiting == 0 || stage.verdicts.is_empty() && demand.terms.approval.is_some() {
+            stage.blocked_since = None;
+            return;
+        }
+        let since = *stage.blocked_since.get_or_insert(now);
+        if now.saturating_sub(since) < PREEMPT_AFTER || stage.next_preemption > now {
+            return;
+        }
+        if !self.within_cap(demand, &demand.step.size) {
+            return;
+        }
+        let victims = self.victims(demand, waiting, context);
+        if victims.is_empty() {
+            return;
+        }
+        if let Some(stage) = self.stage_mut(demand.id) {
+            stage.next_preemption = now + PREEMPT_PAUSE;
+        }
+        for (worker, task, number) in victims {
+            let fields = vec![
+                ("task", task.to_string()),
+                ("worker", worker.to_string()),
+                ("for", demand.id.to_string()),
+            ];
+            context.log("preempted", fields);
+            context.outputs.push(Output::Count { counter: Counter::Preemptions, amount: 1 });
+            self.send_stop(&worker, task, number, context);
+        }
+    }
+
+    /// Runs to stop so that up to `waiting` tasks fit.
+    fn victims(
+        &self,
+        demand: &Demand,
+        waiting: usize,
+        context: &Context,
+    ) -> Vec<(WorkerKey, TaskId, u64)> {
+        let now = context.now;
+        let Some(stage) = self.stage(demand.id) else { return Vec::new() };
+        let booking = demand.step.booking();
+        let mut victims = Vec::new();
+        let mut missing = waiting;
+        for (key, session) in &self.sessions {
+            let approved = demand.terms.approval.is_none()
+                || stage.verdicts.get(key).is_some_and(|verdict| {
+                    verdict.ticket.is_some() && verdict.life == session.life
+                });
+            if !approved || !Self::suits(demand, session, context) {
+                continue;
+            }
+            let mut free = session.free().plus(&session.freeing());
+            let mut runs: Vec<_> = session
+                .placements
+                .iter()
+                .filter(|(_, run)| run.phase == Phase::Running && run.preemptible)
+                .filter(|(_, run)| run.priority > demand.terms.priority)
+                .filter(|(_, run)| {
+                    run.checkpoints || now.saturating_sub(run.since) < PREEMPT_AGE_MAX
+                })
+                .collect();
+            // The least work is lost with runs that save their progress and with the youngest ones.
+            runs.sort_by_key(|(_, run)| (run.checkpoints, run.since));
+            let mut room = Self::room(demand, session, &free);
+            loop {
+                let fitting = usize::try_from(room).unwrap_or(usize::MAX).min(missing);
+                missing -= fitting;
+                if missing == 0 {
+                    return victims;
+                }
+                free = free.minus(&booking.times(fitting as u64));
+                let mut chosen = Vec::new();
+                while Self::room(demand, session, &free) == 0 {
+                    let Some((task, run)) = runs.pop() else { break };
+                    free = free.plus(&run.booking);
+                    chosen.push((Rc::clone(key), *task, run.number));
+                }
+                room = Self::room(demand, session, &free);
+                if room == 0 || chosen.is_empty() {
+                    break;
+                }
+                victims.append(&mut chosen);
+            }
+        }
+        victims
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -0,0 +1,209 @@
+//! Sessions with workers: bookings, leases and the lists that workers report.
+
+use crate::prelude::*;
+use crate::worker::Registration;
+
+/// Identifier of a worker, shared between the places that refer to it.
+pub type WorkerKey = Rc<str>;
+
+/// Rate by which a worker's clock may be slower than this host's.
+const CLOCK_RATE_MIN: f64 = 0.98;
+
+/// Consecutive failed runs after which a worker is avoided. Single failures are mostly the task's own.
+const FAILURES_MAX: u32 = 2;
+
+/// Time for which a worker is avoided after consecutive failures.
+const AVOID: Duration = Duration::from_secs(4);
+
+/// What is known of a run on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The start is on its way.
+    Starting,
+    /// The worker has confirmed or listed it.
+    Running,
+    /// The start was not answered; a stop is sent to rule it out.
+    Doubtful,
+    /// A stop is on its way or confirmed; the end is not listed yet.
+    Stopping,
+}
+
+/// A booking on a worker.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Number of the run.
+    pub number: u64,
+    /// What it takes of the worker.
+    pub booking: Size,
+    /// What counts against the team's cap.
+    pub size: Size,
+    /// The team.
+    pub team: Option<Rc<str>>,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// What is known of it.
+    pub phase: Phase,
+    /// When the start was sent, or the run was found.
+    pub since: Uptime,
+    /// When the phase changed, or the last stop was sent.
+    pub changed: Uptime,
+    /// Whether the worker has confirmed the stop.
+    pub stop_confirmed: bool,
+    /// Whether a worker's list has shown it.
+    pub listed: bool,
+    /// Newest progress in percent, and when it changed.
+    pub percent: f64,
+    /// When the progress changed.
+    pub progressed: Uptime,
+    /// Whether a stop loses little work.
+    pub checkpoints: bool,
+    /// Whether it may be preempted.
+    pub preemptible: bool,
+    /// Whether it serves under a latency target.
+    pub target: Option<Duration>,
+    /// Whether it uses left-over processor time.
+    pub fills: bool,
+    /// Share at which it was told to work, in percent.
+    pub pace: u32,
+    /// When the share was changed last.
+    pub paced: Uptime,
+    /// Newest gauge of the worker's list.
+    pub gauge: Option<f64>,
+}
+
+/// Contact with a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// It has not answered in this epoch yet.
+    Joining,
+    /// It answers.
+    Live,
+    /// It has stopped answering.
+    Silent,
+}
+
+/// State of one life of a worker.
+#[derive(Clone, Debug)]
+pub struct Session {
+    /// Its registration.
+    pub registration: Registration,
+    /// Whether the registration is still there.
+    pub registered: bool,
+    /// Counts the lives of this worker in this epoch.
+    pub life: u64,
+    /// Fencing token of this epoch and life.
+    pub fence: u64,
+    /// Contact.
+    pub contact: Contact,
+    /// Its clock in milliseconds, and when that was read.
+    pub clock: Option<(u64, Uptime)>,
+    /// Latest end of a lease that was sent, on its clock.
+    pub lease_until: u64,
+    /// Highest end that is stored.
+    pub seen: u64,
+    /// Highest end that is processed.
+    pub processed: u64,
+    /// The call that waits for an end, and when it was sent.
+    pub hold: Option<(CallId, Uptime)>,
+    /// When the next one is due.
+    pub next_hold: Uptime,
+    /// Bookings.
+    pub placements: BTreeMap<TaskId, Placement>,
+    /// Sum of the bookings.
+    pub used: Size,
+    /// Failed runs since the last completed one.
+    pub consecutive_failures: u32,
+    /// The worker is avoided until this moment.
+    pub avoid_until: Uptime,
+}
+
+impl Session {
+    /// A session before the first contact.
+    pub fn new(registration: Registration, life: u64, fence: u64, now: Uptime) -> Session {
+        Session {
+            registration,
+            registered: true,
+            life,
+            fence,
+            contact: Contact::Joining,
+            clock: None,
+            lease_until: 0,
+            seen: 0,
+            processed: 0,
+            hold: None,
+            next_hold: now,
+            placements: BTreeMap::new(),
+            used: Size::ZERO,
+            consecutive_failures: 0,
+            avoid_until: Uptime::ZERO,
+        }
+    }
+
+    /// Rack of the worker: the second of its labels.
+    pub fn rack(&self) -> &str {
+        self.registration.labels.get(1).map_or("", String::as_str)
+    }
+
+    /// Room that is not booked.
+    pub fn free(&self) -> Size {
+        self.registration.capacity.minus(&self.used)
+    }
+
+    /// Room that is being freed by stops.
+    pub fn freeing(&self) -> Size {
+        let stopping = self.placements.values().filter(|run| run.phase == Phase::Stopping);
+        stopping.fold(Size::ZERO, |sum, run| sum.plus(&run.booking))
+    }
+
+    /// The worker's clock as it is most likely now.
+    pub fn clock_now(&self, now: Uptime) -> Option<u64> {
+        let (clock, read) = self.clock?;
+        Some(clock + milliseconds(now.saturating_sub(read)))
+    }
+
+    /// Whether every lease that was sent has expired for certain.
+    pub fn lease_lapsed(&self, now: Uptime) -> bool {
+        let Some((clock, read)) = self.clock else { return false };
+        let least = now.saturating_sub(read).mul_f64(CLOCK_RATE_MIN);
+        clock + milliseconds(least) > self.lease_until
+    }
+
+    /// Whether new tasks may start there.
+    pub fn takes_tasks(&self) -> bool {
+        self.contact == Contact::Live && self.registered && !self.registration.draining
+    }
+
+    /// Books a run.
+    pub fn book(&mut self, task: TaskId, placement: Placement) {
+        self.used = self.used.plus(&placement.booking);
+        self.placements.insert(task, placement);
+    }
+
+    /// Removes a booking.
+    pub fn release(&mut self, task: &TaskId) -> Option<Placement> {
+        let placement = self.placements.remove(task)?;
+        self.used = self.used.minus(&placement.booking);
+        Some(placement)
+    }
+
+    /// Records that a run failed or completed, to detect workers that fail everything.
+    pub fn record_outcome(&mut self, failed: bool, now: Uptime) {
+        match failed {
+            false => {
+                self.consecutive_failures = 0;
+                self.avoid_until = Uptime::ZERO;
+            }
+            true => {
+                self.consecutive_failures += 1;
+                if self.consecutive_failures >= FAILURES_MAX {
+                    self.avoid_until = now + AVOID;
+                }
+            }
+        }
+    }
+}
+
+/// A duration in whole milliseconds.
+pub fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/shallotpost-protocol/src/wire.rs
+++ b/crates/shallotpost-protocol/src/wire.rs
@@ -57,6 +57,8 @@
         /// The answer.
         result: Result<Reply, Problem>,
     },
+    /// A message between the entry hosts of a fleet of jobs, encoded by its own crate.
+    Fleet(Vec<u8>),
     /// Asks for changes after a revision.
     AskChanges {
         /// Revision that the sender has.
