--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -11,6 +11,7 @@
 use crate::prelude::*;
 use crate::progress::Progress;
 use crate::scheduler::{Batch, Scheduler};
+use crate::worker::Registration;
 
 /// Least time between two commits, so that the ends of one moment share a transaction.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(25);
@@ -72,6 +73,8 @@
     registry_waiting: bool,
     registry_next: Uptime,
     registry_present: BTreeSet<String>,
+    /// Workers that the previous owner could not reach.
+    pub(super) absent: Vec<(WorkerId, Registration)>,
     commit: Option<Commit>,
     next_commit: Uptime,
     next_hosts: Uptime,
@@ -111,6 +114,7 @@
             registry_waiting: false,
             registry_next: now,
             registry_present: BTreeSet::new(),
+            absent: Vec::new(),
             commit: None,
             next_commit: now,
             next_hosts: now + HOSTS_INTERVAL,
@@ -200,6 +204,7 @@
         let jobs = std::mem::take(&mut owner.jobs);
         let progress = std::mem::take(&mut owner.progress);
         let cancelled = std::mem::take(&mut owner.cancelled);
+        let absent = owner.absent.clone();
         let count = jobs.len();
         let now = self.now;
         self.with_scheduler(|scheduler, context| {
@@ -212,6 +217,9 @@
             for id in cancelled {
                 scheduler.cancel(id, context);
             }
+            for (worker, registration) in absent {
+                scheduler.expect_absent(&worker, registration, context);
+            }
         });
         self.log("jobs_loaded", vec![("jobs", count.to_string())]);
     }
@@ -429,6 +437,10 @@
             epoch: owner.epoch,
             sequence: owner.sequence,
             released: owner.releasing,
+            absent: match owner.is_loaded() {
+                true => owner.scheduler.absent(),
+                false => owner.absent.clone(),
+            },
         };
         let Ok(bytes) = encode(&row) else { return };
         let mut writes = batch.writes;
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -15,6 +15,7 @@
     Content, Counter, HostName, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
 };
 use crate::prelude::*;
+use crate::worker::Registration;
 
 /// Key of the ownership row.
 pub(super) const KEY: &str = "owner";
@@ -41,7 +42,7 @@
 const CLOCK_SLACK: f64 = 1.03;
 
 /// The ownership row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct OwnerRow {
     pub(super) host: HostName,
     pub(super) incarnation: u64,
@@ -50,6 +51,9 @@
     pub(super) sequence: u64,
     /// The owner has stopped in an orderly way.
     pub(super) released: bool,
+    /// Workers that may run tasks and were out of reach or had lost their registration. A successor does not find them in
+    /// the registry.
+    pub(super) absent: Vec<(WorkerId, Registration)>,
 }
 
 /// What this host knows of the ownership row.
@@ -189,6 +193,11 @@
         u32::try_from(self.peers.iter().filter(before).count()).unwrap_or(u32::MAX)
     }
 
+    /// Workers out of reach, as the last owner recorded them.
+    fn absent_workers(&self) -> Vec<(WorkerId, Registration)> {
+        self.ownership.row.as_ref().map(|row| row.absent.clone()).unwrap_or_default()
+    }
+
     fn claim(&mut self) {
         let epoch = self.ownership.epoch() + 1;
         let row = OwnerRow {
@@ -197,6 +206,7 @@
             epoch,
             sequence: 0,
             released: false,
+            absent: self.absent_workers(),
         };
         let Ok(bytes) = encode(&row) else { return };
         self.ownership.claiming = true;
@@ -219,6 +229,7 @@
                     epoch,
                     sequence: 0,
                     released: false,
+                    absent: self.absent_workers(),
                 });
                 self.ownership.version = answer.version;
                 self.start_owner(previous.as_ref());
@@ -265,7 +276,9 @@
             self.settings.bounds,
             uncertain_until,
         );
-        self.owner = Some(Owner::new(scheduler, row.epoch, self.ownership.version, self.now));
+        let mut owner = Owner::new(scheduler, row.epoch, self.ownership.version, self.now);
+        owner.absent = row.absent;
+        self.owner = Some(owner);
         self.next_beat = self.now;
         self.load_jobs();
     }
--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -123,16 +123,11 @@
         let attempts_max = self.terms(id.job, context.configuration).map(|terms| terms.attempts_max);
         let Some(stage) = self.stage_mut(id) else { return };
         let index = if gang { 0 } else { end.task.index as usize };
-        if gang && stage.gang_failed_run >= end.number {
-            return;
-        }
-        if gang {
-            stage.gang_failed_run = end.number;
-        }
         let Some(task) = stage.tasks.get_mut(index) else { return };
-        if task.place == Place::Done {
+        if task.place == Place::Done || end.number <= task.failed_run {
             return;
         }
+        task.failed_run = end.number;
         task.failures += 1;
         task.failed_on = Some(Rc::clone(worker));
         let failures = task.failures;
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -543,8 +543,10 @@
 
     /// Forgets workers that have left and on which nothing can run.
     fn prune_sessions(&mut self) {
+        let unsettled = self.is_unsettled();
         self.sessions.retain(|_, session| {
             session.registered
+                || (unsettled && session.clock.is_none())
                 || !session.placements.is_empty()
                 || session.contact == Contact::Live
                 || session.processed > session.seen
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -22,8 +22,10 @@
 pub struct Task {
     /// Where it is.
     pub place: Place,
-    /// Runs that failed.
+    /// Runs that failed. For a gang, the first task counts.
     pub failures: u32,
+    /// Number of the last run that was counted as failed.
+    pub failed_run: u64,
     /// Newest checkpoint of an ended run; empty for none.
     pub checkpoint: String,
     /// Worker on which the last run failed; another one is preferred.
@@ -32,7 +34,7 @@
 
 impl Task {
     fn new(place: Place) -> Task {
-        Task { place, failures: 0, checkpoint: String::new(), failed_on: None }
+        Task { place, failures: 0, failed_run: 0, checkpoint: String::new(), failed_on: None }
     }
 }
 
@@ -60,8 +62,6 @@
     pub asking: bool,
     /// No call for approval before this moment.
     pub next_ask: Uptime,
-    /// Last run whose failure was counted for the gang.
-    pub gang_failed_run: u64,
     /// Since when tasks wait for room.
     pub blocked_since: Option<Uptime>,
     /// No preemption for this stage before this moment.
@@ -77,7 +77,6 @@
             verdicts: BTreeMap::new(),
             asking: false,
             next_ask: Uptime::ZERO,
-            gang_failed_run: 0,
             blocked_since: None,
             next_preemption: Uptime::ZERO,
         }
@@ -93,9 +92,10 @@
                 task.place = Place::Done;
             }
         }
-        for (index, failures) in &progress.failures {
+        for (index, failures, run) in &progress.failures {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
                 task.failures = *failures;
+                task.failed_run = *run;
             }
         }
         for (index, checkpoint) in &progress.checkpoints {
@@ -124,7 +124,7 @@
             },
             failures: list(|task| task.failures > 0)
                 .filter(|(_, task)| open(task))
-                .map(|(index, task)| (index, task.failures))
+                .map(|(index, task)| (index, task.failures, task.failed_run))
                 .collect(),
             checkpoints: list(|task| !task.checkpoint.is_empty())
                 .filter(|(_, task)| open(task))
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -2,7 +2,9 @@
 
 use crate::prelude::*;
 use crate::scheduler::stage::Place;
+use crate::scheduler::session::{Contact, Session};
 use crate::scheduler::{Context, Scheduler};
+use crate::worker::Registration;
 
 /// What a new owner does not know yet.
 #[derive(Debug)]
@@ -26,6 +28,36 @@
         self.takeover.registry_complete.get_or_insert(from);
     }
 
+    /// A worker that the previous owner could not reach and that need not be registered: it may run tasks.
+    pub fn expect_absent(
+        &mut self,
+        worker: &str,
+        registration: Registration,
+        context: &mut Context,
+    ) {
+        self.set_registration(worker, Some(registration), context);
+        self.set_registration(worker, None, context);
+    }
+
+    /// Workers that may run tasks and that a successor may not find in the registry, or not reach.
+    pub fn absent(&self) -> Vec<(WorkerId, Registration)> {
+        let absent = |session: &&Session| {
+            let known = session.registered && session.contact == Contact::Live;
+            let unheard = session.clock.is_none() && !self.takeover.settled;
+            !known && (unheard || !session.placements.is_empty())
+        };
+        self.sessions
+            .iter()
+            .filter(|(_, session)| absent(session))
+            .map(|(key, session)| (key.to_string(), session.registration.clone()))
+            .collect()
+    }
+
+    /// Whether tasks may be running on workers that have not answered yet.
+    pub(super) fn is_unsettled(&self) -> bool {
+        !self.takeover.settled
+    }
+
     /// An earlier owner has certainly ended, so its leases lapse by `until`.
     pub fn limit_uncertainty(&mut self, until: Uptime) {
         self.takeover.uncertain_until = self.takeover.uncertain_until.min(until);
@@ -43,7 +75,7 @@
         let lapsed = context.now >= self.takeover.uncertain_until;
         let unheard = |pool: &str| {
             self.sessions.values().any(|session| {
-                session.registered && session.clock.is_none() && session.registration.pool == pool
+                session.clock.is_none() && session.registration.pool == pool
             })
         };
         let mut pending = false;
