--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -141,6 +141,9 @@
     }
 
     pub(super) fn jobs_read(&mut self, result: Result<StoreAnswer, StoreError>) {
+        if self.owner.as_ref().is_some_and(Owner::is_loaded) {
+            return self.jobs_read_again(result);
+        }
         let Some(owner) = self.owner.as_mut().filter(|owner| owner.phase == Phase::Jobs) else {
             return;
         };
@@ -278,11 +281,43 @@
                     self.apply_job_row(row);
                 }
             }
-            Err(StoreError::HistoryLost) => self.lose_ownership("the history of the jobs is lost"),
+            Err(StoreError::HistoryLost) => {
+                owner.jobs_waiting = true;
+                owner.jobs_after = 0;
+                self.log("jobs_read_again", Vec::new());
+                self.load_page(Table::Jobs, String::new());
+            }
             Err(_) => {}
         }
     }
 
+    /// A page of the jobs after their history was lost: it covers what the feed has missed.
+    fn jobs_read_again(&mut self, result: Result<StoreAnswer, StoreError>) {
+        let Some(owner) = &mut self.owner else { return };
+        let Ok(answer) = result else {
+            // The feed fails again with the version zero, and the read starts anew.
+            owner.jobs_after = 0;
+            owner.jobs_waiting = false;
+            owner.jobs_next = self.now + RETRY_PAUSE;
+            return;
+        };
+        if owner.jobs_after == 0 {
+            owner.jobs_after = answer.version;
+        }
+        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        for row in answer.rows {
+            self.apply_job_row(row);
+        }
+        match last.filter(|_| answer.more) {
+            Some(from) => self.load_page(Table::Jobs, from),
+            None => {
+                if let Some(owner) = &mut self.owner {
+                    owner.jobs_waiting = false;
+                }
+            }
+        }
+    }
+
     fn apply_job_row(&mut self, row: Row) {
         let Content::Bytes(bytes) = &row.content else { return };
         if let Some(id) = row.key.strip_suffix(CANCELLATION).and_then(parse_job_id) {
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -70,6 +70,8 @@
     last_read: Option<Uptime>,
     reading: bool,
     claiming: bool,
+    /// Epoch of a claim whose outcome is not known.
+    unanswered_claim: Option<u64>,
     next_read: Uptime,
 }
 
@@ -144,12 +146,13 @@
                 _ => None,
             });
         }
-        let own = self.ownership.row.as_ref().is_some_and(|row| {
+        let claimed = self.ownership.unanswered_claim.take();
+        let won = self.ownership.row.as_ref().is_some_and(|row| {
             row.host == self.settings.host
                 && row.incarnation == self.settings.incarnation
-                && !row.released
+                && claimed == Some(row.epoch)
         });
-        if own && self.owner.is_none() && self.stopping.is_none() {
+        if won && self.owner.is_none() && self.stopping.is_none() {
             // The claim took effect although its answer was lost.
             self.become_owner();
         }
@@ -178,7 +181,8 @@
     /// Whether the process that won the row is known to have ended.
     fn has_restarted(&self, row: &OwnerRow) -> bool {
         if row.host == self.settings.host {
-            return row.incarnation != self.settings.incarnation;
+            // This process has given up an epoch that it had won; the next one needs a claim of its own.
+            return true;
         }
         self.peers
             .get(&row.host)
@@ -240,6 +244,7 @@
             }
             Err(_) => {
                 // It may have taken effect; the row tells.
+                self.ownership.unanswered_claim = Some(epoch);
                 self.ownership.next_read = self.now;
                 self.ownership.last_read = None;
             }
