--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -10,7 +10,7 @@
 };
 use crate::prelude::*;
 use crate::progress::Progress;
-use crate::scheduler::{Batch, Scheduler};
+use crate::scheduler::{Batch, JOB_PARTS, Scheduler, cancellation_key, job_key};
 use crate::worker::Registration;
 
 /// Least time between two commits, so that the ends of one moment share a transaction.
@@ -40,20 +40,15 @@
 /// Interval of deletions of the rows of hosts that are gone.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Interval of deletions of ended jobs.
+const DELETION_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Most rows that one read returns.
 const PAGE: u32 = 400;
 
 /// Mark of cancellation rows in their keys.
 const CANCELLATION: &str = ".cancel";
 
-/// What is loaded already.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    Jobs,
-    Progress,
-    Loaded,
-}
-
 /// State of the owner.
 pub(super) struct Owner {
     pub(super) scheduler: Scheduler,
@@ -62,7 +57,14 @@
     epoch: u64,
     sequence: u64,
     version: RowVersion,
-    phase: Phase,
+    loaded: bool,
+    /// Pages that are being read.
+    pages_open: u32,
+    /// Pages to read again, and when.
+    pages_again: Vec<(Uptime, Table, String)>,
+    /// Whether the jobs are read again after their history was lost.
+    reading_again: bool,
+    next_deletion: Uptime,
     jobs: BTreeMap<JobId, Job>,
     cancelled: BTreeSet<JobId>,
     progress: BTreeMap<JobId, Progress>,
@@ -103,7 +105,11 @@
             epoch,
             sequence: 0,
             version,
-            phase: Phase::Jobs,
+            loaded: false,
+            pages_open: 0,
+            pages_again: Vec::new(),
+            reading_again: false,
+            next_deletion: now + DELETION_INTERVAL,
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -124,68 +130,101 @@
 
     /// Whether the jobs and their progress are known.
     pub(super) fn is_loaded(&self) -> bool {
-        self.phase == Phase::Loaded
+        self.loaded
     }
 }
 
 impl Host {
-    /// Reads the jobs from the start.
+    /// Reads the jobs and their progress, all parts at once.
     pub(super) fn load_jobs(&mut self) {
-        self.load_page(Table::Jobs, String::new());
+        for part in JOB_PARTS.chars() {
+            self.load_page(Table::Jobs, part.to_string());
+        }
+        self.load_page(Table::Progress, String::new());
     }
 
     fn load_page(&mut self, table: Table, from: String) {
-        let purpose =
-            if table == Table::Jobs { Purpose::JobsRead } else { Purpose::ProgressRead };
-        self.call_store(purpose, StoreRequest::Read { table, from, limit: PAGE }, Duration::ZERO);
+        if let Some(owner) = &mut self.owner {
+            owner.pages_open += 1;
+        }
+        let request = StoreRequest::Read { table, from: from.clone(), limit: PAGE };
+        let purpose = match table {
+            Table::Jobs => Purpose::JobsRead { from },
+            _ => Purpose::ProgressRead { from },
+        };
+        self.call_store(purpose, request, Duration::ZERO);
     }
 
-    pub(super) fn jobs_read(&mut self, result: Result<StoreAnswer, StoreError>) {
-        if self.owner.as_ref().is_some_and(Owner::is_loaded) {
-            return self.jobs_read_again(result);
+    /// Reads a page again later. Rows that were read before are the same.
+    fn page_failed(&mut self, table: Table, from: String) {
+        let again = self.now + RETRY_PAUSE;
+        if let Some(owner) = &mut self.owner {
+            owner.pages_again.push((again, table, from));
         }
-        let Some(owner) = self.owner.as_mut().filter(|owner| owner.phase == Phase::Jobs) else {
-            return;
-        };
-        let Ok(answer) = result else {
-            // Pages are read from the start again; rows that were read before are the same.
-            owner.jobs_next = self.now + RETRY_PAUSE;
-            owner.jobs_waiting = true;
+    }
+
+    /// Begins reads whose time has come again, and ends the reading once all pages are there.
+    fn follow_pages(&mut self) {
+        let now = self.now;
+        let Some(owner) = &mut self.owner else { return };
+        let (due, later): (Vec<_>, Vec<_>) =
+            owner.pages_again.drain(..).partition(|(again, _, _)| *again <= now);
+        owner.pages_again = later;
+        for (_, table, from) in due {
+            self.load_page(table, from);
+        }
+        let Some(owner) = &mut self.owner else { return };
+        if owner.pages_open > 0 || !owner.pages_again.is_empty() {
             return;
-        };
-        if owner.jobs_after == 0 {
-            owner.jobs_after = answer.version;
         }
+        owner.jobs_waiting &= !owner.reading_again;
+        owner.reading_again = false;
+        if !owner.loaded {
+            self.finish_loading();
+        }
+    }
+
+    pub(super) fn jobs_read(&mut self, from: String, result: Result<StoreAnswer, StoreError>) {
+        let Some(owner) = &mut self.owner else { return };
+        owner.pages_open = owner.pages_open.saturating_sub(1);
+        let Ok(answer) = result else { return self.page_failed(Table::Jobs, from) };
+        // Changes during the following pages come with the feed.
+        owner.jobs_after = match owner.jobs_after {
+            0 => answer.version,
+            after => after.min(answer.version),
+        };
         let last = answer.rows.last().map(|row| format!("{}~", row.key));
         for row in answer.rows {
-            let Content::Bytes(bytes) = &row.content else { continue };
-            if let Some(id) = row.key.strip_suffix(CANCELLATION).and_then(parse_job_id) {
-                owner.cancelled.insert(id);
-            } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
-                owner.jobs.insert(id, job);
-            } else {
-                let event = Log { event: "job_unreadable", fields: vec![("key", row.key)] };
-                self.outputs.push(Output::Log(event));
+            match self.owner.as_ref().is_some_and(Owner::is_loaded) {
+                true => self.apply_job_row(row),
+                false => self.load_job_row(row),
             }
         }
-        match last.filter(|_| answer.more) {
-            Some(from) => self.load_page(Table::Jobs, from),
-            None => {
-                owner.phase = Phase::Progress;
-                self.load_page(Table::Progress, String::new());
-            }
+        if let Some(from) = last.filter(|_| answer.more) {
+            self.load_page(Table::Jobs, from);
         }
+        self.follow_pages();
     }
 
-    pub(super) fn progress_read(&mut self, result: Result<StoreAnswer, StoreError>) {
-        let Some(owner) = self.owner.as_mut().filter(|owner| owner.phase == Phase::Progress) else {
-            return;
-        };
-        let Ok(answer) = result else {
-            owner.jobs_next = self.now + RETRY_PAUSE;
-            owner.jobs_waiting = true;
-            return;
-        };
+    fn load_job_row(&mut self, row: Row) {
+        let (Some(owner), Content::Bytes(bytes)) = (&mut self.owner, &row.content) else { return };
+        if let Some(id) = row.key.strip_suffix(CANCELLATION).and_then(parse_job_id) {
+            owner.cancelled.insert(id);
+        } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
+            owner.jobs.insert(id, job);
+        } else {
+            self.log("job_unreadable", vec![("key", row.key)]);
+        }
+    }
+
+    pub(super) fn progress_read(
+        &mut self,
+        from: String,
+        result: Result<StoreAnswer, StoreError>,
+    ) {
+        let Some(owner) = &mut self.owner else { return };
+        owner.pages_open = owner.pages_open.saturating_sub(1);
+        let Ok(answer) = result else { return self.page_failed(Table::Progress, from) };
         let last = answer.rows.last().map(|row| format!("{}~", row.key));
         for row in answer.rows {
             let Content::Bytes(bytes) = &row.content else { continue };
@@ -193,15 +232,15 @@
                 owner.progress.insert(id, progress);
             }
         }
-        match last.filter(|_| answer.more) {
-            Some(from) => self.load_page(Table::Progress, from),
-            None => self.finish_loading(),
+        if let Some(from) = last.filter(|_| answer.more) {
+            self.load_page(Table::Progress, from);
         }
+        self.follow_pages();
     }
 
     fn finish_loading(&mut self) {
         let Some(owner) = &mut self.owner else { return };
-        owner.phase = Phase::Loaded;
+        owner.loaded = true;
         owner.jobs_waiting = false;
         owner.registry_next = self.now;
         let jobs = std::mem::take(&mut owner.jobs);
@@ -230,15 +269,10 @@
     /// Keeps the feeds of the owner open.
     pub(super) fn follow_as_owner(&mut self) {
         let Some(owner) = &mut self.owner else { return };
-        if owner.phase != Phase::Loaded {
-            if owner.jobs_waiting && owner.jobs_next <= self.now {
-                owner.jobs_waiting = false;
-                let table =
-                    if owner.phase == Phase::Jobs { Table::Jobs } else { Table::Progress };
-                self.load_page(table, String::new());
-            }
-            return;
+        if !owner.loaded || owner.reading_again {
+            self.follow_pages();
         }
+        let Some(owner) = self.owner.as_mut().filter(|owner| owner.loaded) else { return };
         if self.operator.configuration.is_none() {
             return;
         }
@@ -262,6 +296,7 @@
         }
         self.update_approvers();
         self.delete_gone_hosts();
+        self.delete_ended_jobs();
     }
 
     fn read_registry(&mut self, from: String) {
@@ -283,38 +318,14 @@
             }
             Err(StoreError::HistoryLost) => {
                 owner.jobs_waiting = true;
+                owner.reading_again = true;
                 owner.jobs_after = 0;
                 self.log("jobs_read_again", Vec::new());
-                self.load_page(Table::Jobs, String::new());
-            }
-            Err(_) => {}
-        }
-    }
-
-    /// A page of the jobs after their history was lost: it covers what the feed has missed.
-    fn jobs_read_again(&mut self, result: Result<StoreAnswer, StoreError>) {
-        let Some(owner) = &mut self.owner else { return };
-        let Ok(answer) = result else {
-            // The feed fails again with the version zero, and the read starts anew.
-            owner.jobs_after = 0;
-            owner.jobs_waiting = false;
-            owner.jobs_next = self.now + RETRY_PAUSE;
-            return;
-        };
-        if owner.jobs_after == 0 {
-            owner.jobs_after = answer.version;
-        }
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
-        for row in answer.rows {
-            self.apply_job_row(row);
-        }
-        match last.filter(|_| answer.more) {
-            Some(from) => self.load_page(Table::Jobs, from),
-            None => {
-                if let Some(owner) = &mut self.owner {
-                    owner.jobs_waiting = false;
+                for part in JOB_PARTS.chars() {
+                    self.load_page(Table::Jobs, part.to_string());
                 }
             }
+            Err(_) => {}
         }
     }
 
@@ -422,6 +433,31 @@
         }
     }
 
+    /// Deletes the rows of ended jobs whose state need not be kept any longer. Their progress is deleted afterwards, so
+    /// that a job without progress is never one that has ended.
+    fn delete_ended_jobs(&mut self) {
+        let now = self.now;
+        let Some(owner) = self.owner.as_mut().filter(|owner| owner.next_deletion <= now) else {
+            return;
+        };
+        owner.next_deletion = now + DELETION_INTERVAL;
+        for ids in owner.scheduler.expired_jobs(now) {
+            let rows = |id: &JobId| {
+                [(Table::Jobs, job_key(*id)), (Table::Jobs, cancellation_key(*id))]
+            };
+            let deletes = ids.iter().flat_map(rows).collect();
+            let request =
+                StoreRequest::Transact { conditions: Vec::new(), writes: Vec::new(), deletes };
+            self.call_store(Purpose::JobsDeleted(ids), request, Duration::ZERO);
+        }
+    }
+
+    pub(super) fn jobs_deleted(&mut self, ids: &[JobId], deleted: bool) {
+        if let Some(owner) = self.owner.as_mut().filter(|_| deleted) {
+            owner.scheduler.forget_jobs(ids);
+        }
+    }
+
     fn delete_gone_hosts(&mut self) {
         let now = self.now;
         let Some(owner) = self.owner.as_mut().filter(|owner| owner.next_hosts <= now) else {
@@ -462,7 +498,7 @@
         }
         owner.releasing = release && !dirty;
         let batch = match owner.is_loaded() {
-            true => owner.scheduler.collect(now),
+            true => owner.scheduler.collect(),
             false => Batch::default(),
         };
         owner.sequence += 1;
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -229,7 +229,7 @@
     Operator,
     /// Registrations, written by the workers.
     Workers,
-    /// Jobs and their cancellations.
+    /// Jobs and their cancellations, in one part for each first digit of the key.
     Jobs,
     /// Progress of jobs.
     Progress,
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -10,8 +10,8 @@
 /// Most progress rows in a transaction; the store takes 100 entries, some of which are conditions and deletions.
 const ROWS_MAX: usize = 60;
 
-/// Most ended jobs that are deleted in a transaction; each takes three entries.
-const DELETIONS_MAX: usize = 10;
+/// Most ended jobs that are deleted in a transaction; each takes two entries.
+const DELETIONS_MAX: usize = 15;
 
 /// Rows of one transaction.
 #[derive(Debug, Default)]
@@ -26,10 +26,14 @@
 #[derive(Debug, Default)]
 pub(super) struct Journal {
     jobs: Vec<(JobId, State)>,
-    deleted: Vec<JobId>,
+    /// Jobs whose progress is to be deleted.
+    obsolete: Vec<JobId>,
     seen: Vec<(WorkerKey, u64, u64)>,
 }
 
+/// First digits of jobs. Jobs with the same one share a part of the store, which handles one transaction at a time.
+pub const JOB_PARTS: &str = "0123456789abcdef";
+
 /// Key of a job's rows.
 pub fn job_key(id: JobId) -> String {
     format!("{id:016x}")
@@ -49,7 +53,7 @@
 
     /// Rows for the next transaction. Exactly one call of [`Scheduler::committed`] or
     /// [`Scheduler::not_committed`] must follow.
-    pub fn collect(&mut self, now: Uptime) -> Batch {
+    pub fn collect(&mut self) -> Batch {
         let mut batch = Batch::default();
         let ids: Vec<JobId> = self.dirty.iter().take(ROWS_MAX).copied().collect();
         for id in ids {
@@ -81,31 +85,44 @@
                 }
             }
         }
-        self.collect_deletions(now, &mut batch);
+        let obsolete = self.commit.obsolete.len().min(DELETIONS_MAX);
+        for id in self.commit.obsolete.drain(..obsolete) {
+            batch.deletes.push((Table::Progress, job_key(id)));
+        }
         batch
     }
 
-    fn collect_deletions(&mut self, now: Uptime, batch: &mut Batch) {
+    /// Ended jobs whose rows may be deleted, by part.
+    pub fn expired_jobs(&self, now: Uptime) -> Vec<Vec<JobId>> {
         let expired = |finished: Uptime| now.saturating_sub(finished) > self.bounds.retention;
-        let ids: Vec<JobId> = self
+        let mut parts: BTreeMap<char, Vec<JobId>> = BTreeMap::new();
+        let ended = self
             .jobs
             .iter()
             .filter(|(_, entry)| entry.finished.is_some_and(expired))
-            .filter(|(_, entry)| entry.stored == entry.state)
-            .map(|(id, _)| *id)
-            .take(DELETIONS_MAX)
-            .collect();
+            .filter(|(_, entry)| entry.stored == entry.state);
+        for (id, _) in ended {
+            let part = job_key(*id).chars().next().unwrap_or('0');
+            let ids = parts.entry(part).or_default();
+            if ids.len() < DELETIONS_MAX {
+                ids.push(*id);
+            }
+        }
+        parts.into_values().collect()
+    }
+
+    /// The rows of these jobs are deleted; their progress goes with the next transaction.
+    pub fn forget_jobs(&mut self, ids: &[JobId]) {
         for id in ids {
-            batch.deletes.push((Table::Jobs, job_key(id)));
-            batch.deletes.push((Table::Jobs, cancellation_key(id)));
-            batch.deletes.push((Table::Progress, job_key(id)));
-            self.commit.deleted.push(id);
+            self.jobs.remove(id);
+            self.dirty.remove(id);
+            self.commit.obsolete.push(*id);
         }
     }
 
     /// The transaction has taken effect.
     pub fn committed(&mut self, context: &mut Context) {
-        let journal = std::mem::take(&mut self.commit);
+        let journal = self.take_journal();
         for (id, state) in journal.jobs {
             if let Some(entry) = self.jobs.get_mut(&id) {
                 entry.stored = state;
@@ -115,9 +132,6 @@
                 }
             }
         }
-        for id in journal.deleted {
-            self.jobs.remove(&id);
-        }
         for (worker, life, processed) in journal.seen {
             if let Some(session) = self.sessions.get_mut(&worker)
                 && session.life == life
@@ -129,9 +143,14 @@
         self.send_holds(context);
     }
 
+    fn take_journal(&mut self) -> Journal {
+        let obsolete = std::mem::take(&mut self.commit.obsolete);
+        std::mem::replace(&mut self.commit, Journal { obsolete, ..Journal::default() })
+    }
+
     /// The transaction has not taken effect.
     pub fn not_committed(&mut self) {
-        let journal = std::mem::take(&mut self.commit);
+        let journal = self.take_journal();
         self.dirty.extend(journal.jobs.into_iter().map(|(id, _)| id));
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/holds.rs
+++ b/crates/shallotpost-fleet/src/scheduler/holds.rs
@@ -49,6 +49,8 @@
         let until_ms = session
             .clock_now(now)
             .filter(|_| lease >= LEASE_MIN)
+            // A call without an answer may still extend the lease, and then the lease of a lost worker never lapses.
+            .filter(|_| session.contact != Contact::Silent)
             .map(|clock| clock + milliseconds(lease));
         session.lease_until = session.lease_until.max(until_ms.unwrap_or_default());
         let watched = session.placements.values().any(|run| run.target.is_some());
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -21,7 +21,7 @@
 use crate::worker::{Error, Registration, Report};
 
 use approvers::Approvers;
-pub use commit::{Batch, cancellation_key, job_key};
+pub use commit::{Batch, JOB_PARTS, cancellation_key, job_key};
 use session::{Contact, Session, WorkerKey};
 use stage::{Place, Stage};
 
