--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -10,8 +10,7 @@
 };
 use crate::prelude::*;
 use crate::progress::Progress;
-use crate::scheduler::{Batch, JOB_PARTS, Scheduler, cancellation_key, job_key};
-use crate::worker::Registration;
+use crate::scheduler::{Absent, Batch, JOB_PARTS, Scheduler, cancellation_key, job_key};
 
 /// Least time between two commits, so that the ends of one moment share a transaction.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(25);
@@ -76,7 +75,9 @@
     registry_next: Uptime,
     registry_present: BTreeSet<String>,
     /// Workers that the previous owner could not reach.
-    pub(super) absent: Vec<(WorkerId, Registration)>,
+    pub(super) absent: Vec<Absent>,
+    /// When the previous owner's last commit was first seen.
+    pub(super) absent_since: Uptime,
     commit: Option<Commit>,
     next_commit: Uptime,
     next_hosts: Uptime,
@@ -121,6 +122,7 @@
             registry_next: now,
             registry_present: BTreeSet::new(),
             absent: Vec::new(),
+            absent_since: now,
             commit: None,
             next_commit: now,
             next_hosts: now + HOSTS_INTERVAL,
@@ -246,7 +248,7 @@
         let jobs = std::mem::take(&mut owner.jobs);
         let progress = std::mem::take(&mut owner.progress);
         let cancelled = std::mem::take(&mut owner.cancelled);
-        let absent = owner.absent.clone();
+        let (absent, since) = (std::mem::take(&mut owner.absent), owner.absent_since);
         let count = jobs.len();
         let now = self.now;
         self.with_scheduler(|scheduler, context| {
@@ -259,8 +261,8 @@
             for id in cancelled {
                 scheduler.cancel(id, context);
             }
-            for (worker, registration) in absent {
-                scheduler.expect_absent(&worker, registration, context);
+            for absent in absent {
+                scheduler.expect_absent(absent, since, context);
             }
         });
         self.log("jobs_loaded", vec![("jobs", count.to_string())]);
@@ -509,10 +511,13 @@
             sequence: owner.sequence,
             released: owner.releasing,
             absent: match owner.is_loaded() {
-                true => owner.scheduler.absent(),
+                true => owner.scheduler.absent(now),
                 false => owner.absent.clone(),
             },
         };
+        if owner.loaded {
+            owner.scheduler.add_recorded(&row.absent);
+        }
         let Ok(bytes) = encode(&row) else { return };
         let mut writes = batch.writes;
         writes.push((Table::Ownership, KEY.to_owned(), bytes));
@@ -567,6 +572,9 @@
         owner.confirmed = commit.sent;
         owner.next_commit = now + COMMIT_INTERVAL;
         let released = commit.row.released;
+        if owner.loaded {
+            owner.scheduler.set_recorded(&commit.row.absent);
+        }
         self.renew_row(version, commit.row);
         if released {
             self.owner = None;
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -15,7 +15,7 @@
     Content, Counter, HostName, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
 };
 use crate::prelude::*;
-use crate::worker::Registration;
+use crate::scheduler::Absent;
 
 /// Key of the ownership row.
 pub(super) const KEY: &str = "owner";
@@ -51,9 +51,8 @@
     pub(super) sequence: u64,
     /// The owner has stopped in an orderly way.
     pub(super) released: bool,
-    /// Workers that may run tasks and were out of reach or had lost their registration. A successor does not find them in
-    /// the registry.
-    pub(super) absent: Vec<(WorkerId, Registration)>,
+    /// Workers out of the owner's reach.
+    pub(super) absent: Vec<Absent>,
 }
 
 /// What this host knows of the ownership row.
@@ -198,7 +197,7 @@
     }
 
     /// Workers out of reach, as the last owner recorded them.
-    fn absent_workers(&self) -> Vec<(WorkerId, Registration)> {
+    fn absent_workers(&self) -> Vec<Absent> {
         self.ownership.row.as_ref().map(|row| row.absent.clone()).unwrap_or_default()
     }
 
@@ -283,6 +282,7 @@
         );
         let mut owner = Owner::new(scheduler, row.epoch, self.ownership.version, self.now);
         owner.absent = row.absent;
+        owner.absent_since = observed;
         self.owner = Some(owner);
         self.next_beat = self.now;
         self.load_jobs();
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -14,6 +14,8 @@
 pub mod stage;
 mod takeover;
 
+pub use takeover::Absent;
+
 use crate::job::StageId;
 use crate::port::{ApprovalError, HostName, Ticket};
 use crate::prelude::*;
@@ -543,13 +545,14 @@
 
     /// Forgets workers that have left and on which nothing can run.
     fn prune_sessions(&mut self) {
-        let unsettled = self.is_unsettled();
-        self.sessions.retain(|_, session| {
+        let mut sessions = std::mem::take(&mut self.sessions);
+        sessions.retain(|key, session| {
             session.registered
-                || (unsettled && session.clock.is_none())
+                || (session.clock.is_none() && self.may_hold_tasks(key))
                 || !session.placements.is_empty()
                 || session.contact == Contact::Live
                 || session.processed > session.seen
         });
+        self.sessions = sessions;
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -155,8 +155,9 @@
     }
 
     /// Whether a stage may run on a worker, apart from approval and room.
-    fn suits(demand: &Demand, session: &Session, context: &Context) -> bool {
+    fn suits(&self, demand: &Demand, key: &WorkerKey, session: &Session, context: &Context) -> bool {
         session.takes_tasks()
+            && !self.is_recorded_absent(key)
             && session.registration.pool == demand.terms.pool
             && !context.evacuated.contains(&session.registration.zone)
             && (demand.step.label.is_empty()
@@ -217,7 +218,7 @@
         let mut workers: Vec<WorkerKey> = self
             .sessions
             .iter()
-            .filter(|(_, session)| Self::suits(demand, session, context))
+            .filter(|(key, session)| self.suits(demand, key, session, context))
             .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
             .map(|(key, _)| Rc::clone(key))
             .collect();
@@ -270,7 +271,7 @@
         let mut rooms: Vec<(WorkerKey, &Session, u32)> = self
             .sessions
             .iter()
-            .filter(|(_, session)| Self::suits(demand, session, context))
+            .filter(|(key, session)| self.suits(demand, key, session, context))
             .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
             .map(|(key, session)| {
                 (Rc::clone(key), session, Self::room(demand, session, &session.free()))
@@ -320,7 +321,7 @@
         let mut expired = Vec::new();
         let mut usable = 0u64;
         for (key, session) in &self.sessions {
-            if !Self::suits(demand, session, context) {
+            if !self.suits(demand, key, session, context) {
                 continue;
             }
             let room = Self::room(demand, session, &session.free());
@@ -418,7 +419,7 @@
                 || stage.verdicts.get(key).is_some_and(|verdict| {
                     verdict.ticket.is_some() && verdict.life == session.life
                 });
-            if !approved || !Self::suits(demand, session, context) {
+            if !approved || !self.suits(demand, key, session, context) {
                 continue;
             }
             let mut free = session.free().plus(&session.freeing());
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -168,6 +168,13 @@
         clock + milliseconds(least) > self.lease_until
     }
 
+    /// Longest time until every lease that was sent has expired for certain.
+    pub fn lapses_in(&self, now: Uptime) -> Duration {
+        let Some((clock, read)) = self.clock else { return Duration::ZERO };
+        let left = Duration::from_millis(self.lease_until.saturating_sub(clock) + 1);
+        left.div_f64(CLOCK_RATE_MIN).saturating_sub(now.saturating_sub(read))
+    }
+
     /// Whether new tasks may start there.
     pub fn takes_tasks(&self) -> bool {
         self.contact == Contact::Live && self.registered && !self.registration.draining
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -1,11 +1,30 @@
 //! Tasks that an earlier owner may have left running.
+//!
+//! The owner records with each commit which workers are out of its reach and what they may run, and starts nothing there
+//! until a commit without them has taken effect. So a successor knows what those workers may run at most. Only a worker
+//! that is out of the successor's reach and was not recorded leaves every other task of its pool uncertain.
+
+use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::scheduler::session::{Contact, Session, WorkerKey};
 use crate::scheduler::stage::Place;
-use crate::scheduler::session::{Contact, Session};
 use crate::scheduler::{Context, Scheduler};
 use crate::worker::Registration;
 
+/// A worker out of reach.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Absent {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its last registration; the registry may have dropped it.
+    pub registration: Registration,
+    /// Tasks that it may run; `None` where any task of its pool may run there.
+    pub tasks: Option<Vec<TaskId>>,
+    /// Time from the commit after which its leases have lapsed for certain.
+    pub lapses_in: Duration,
+}
+
 /// What a new owner does not know yet.
 #[derive(Debug)]
 pub(super) struct Takeover {
@@ -13,12 +32,22 @@
     uncertain_until: Uptime,
     /// When the registry had been read as a whole and was complete.
     registry_complete: Option<Uptime>,
+    /// Workers out of reach with the tasks that they may run, and when their leases have lapsed.
+    held: BTreeMap<WorkerKey, (BTreeSet<TaskId>, Uptime)>,
+    /// Workers that stored rows name as out of reach; nothing is started there.
+    recorded: BTreeSet<WorkerKey>,
     settled: bool,
 }
 
 impl Takeover {
     pub(super) fn new(uncertain_until: Uptime) -> Takeover {
-        Takeover { uncertain_until, registry_complete: None, settled: false }
+        Takeover {
+            uncertain_until,
+            registry_complete: None,
+            held: BTreeMap::new(),
+            recorded: BTreeSet::new(),
+            settled: false,
+        }
     }
 }
 
@@ -28,56 +57,100 @@
         self.takeover.registry_complete.get_or_insert(from);
     }
 
-    /// A worker that the previous owner could not reach and that need not be registered: it may run tasks.
-    pub fn expect_absent(
-        &mut self,
-        worker: &str,
-        registration: Registration,
-        context: &mut Context,
-    ) {
-        self.set_registration(worker, Some(registration), context);
-        self.set_registration(worker, None, context);
+    /// A worker that the previous owner recorded as out of reach, `since` its last commit was seen.
+    pub fn expect_absent(&mut self, absent: Absent, since: Uptime, context: &mut Context) {
+        let key = WorkerKey::from(absent.worker.as_str());
+        self.set_registration(&absent.worker, Some(absent.registration), context);
+        self.set_registration(&absent.worker, None, context);
+        if let Some(tasks) = absent.tasks {
+            let tasks = tasks.into_iter().collect();
+            self.takeover.held.insert(Rc::clone(&key), (tasks, since + absent.lapses_in));
+        }
+        self.takeover.recorded.insert(key);
     }
 
-    /// Workers that may run tasks and that a successor may not find in the registry, or not reach.
-    pub fn absent(&self) -> Vec<(WorkerId, Registration)> {
-        let absent = |session: &&Session| {
-            let known = session.registered && session.contact == Contact::Live;
-            let unheard = session.clock.is_none() && !self.takeover.settled;
-            !known && (unheard || !session.placements.is_empty())
-        };
-        self.sessions
-            .iter()
-            .filter(|(_, session)| absent(session))
-            .map(|(key, session)| (key.to_string(), session.registration.clone()))
+    /// Workers out of reach, for the next commit.
+    pub fn absent(&self, now: Uptime) -> Vec<Absent> {
+        let sessions = self.sessions.iter();
+        sessions
+            .filter(|(_, session)| session.contact != Contact::Live)
+            .map(|(key, session)| Absent {
+                worker: key.to_string(),
+                registration: session.registration.clone(),
+                tasks: self.tasks_at_most(key, session),
+                lapses_in: match self.takeover.held.get(key) {
+                    Some((_, lapse)) => lapse.saturating_sub(now),
+                    None if session.clock.is_some() => session.lapses_in(now),
+                    None => self.takeover.uncertain_until.saturating_sub(now),
+                },
+            })
             .collect()
     }
 
-    /// Whether tasks may be running on workers that have not answered yet.
-    pub(super) fn is_unsettled(&self) -> bool {
-        !self.takeover.settled
+    /// A commit with this list of workers out of reach is on its way.
+    pub fn add_recorded(&mut self, absent: &[Absent]) {
+        let keys = absent.iter().map(|absent| WorkerKey::from(absent.worker.as_str()));
+        self.takeover.recorded.extend(keys);
+    }
+
+    /// Tasks that a worker out of reach may run; `None` where they are not known.
+    fn tasks_at_most(&self, key: &WorkerKey, session: &Session) -> Option<Vec<TaskId>> {
+        let placed = session.placements.keys().copied();
+        match self.takeover.held.get(key) {
+            Some((held, _)) => Some(held.iter().copied().chain(placed).collect()),
+            None if session.clock.is_some() || self.takeover.settled => Some(placed.collect()),
+            None => None,
+        }
+    }
+
+    /// A commit with this list of workers out of reach has taken effect.
+    pub fn set_recorded(&mut self, absent: &[Absent]) {
+        self.takeover.recorded =
+            absent.iter().map(|absent| WorkerKey::from(absent.worker.as_str())).collect();
+        self.round_due = true;
+    }
+
+    /// Whether a successor would take a worker for one out of reach.
+    pub(super) fn is_recorded_absent(&self, key: &WorkerKey) -> bool {
+        self.takeover.recorded.contains(key)
     }
 
-    /// An earlier owner has certainly ended, so its leases lapse by `until`.
-    pub fn limit_uncertainty(&mut self, until: Uptime) {
-        self.takeover.uncertain_until = self.takeover.uncertain_until.min(until);
+    /// Whether tasks of an earlier owner may be running on a worker that has not answered yet.
+    pub(super) fn may_hold_tasks(&self, key: &WorkerKey) -> bool {
+        !self.takeover.settled || self.takeover.held.contains_key(key)
     }
 
     /// Releases uncertain tasks once all workers that may run them have answered, or no lease can be left.
     pub(super) fn settle_takeover(&mut self, context: &mut Context) {
-        if self.takeover.settled {
+        let held = self.takeover.held.len();
+        let sessions = &self.sessions;
+        self.takeover.held.retain(|key, (_, lapse)| {
+            let heard = sessions.get(key).is_some_and(|session| session.clock.is_some());
+            !heard && *lapse > context.now
+        });
+        let released = self.takeover.held.len() < held;
+        if self.takeover.settled && !released {
             return;
         }
         let complete = self.takeover.registry_complete.is_some_and(|from| from <= context.now);
-        if !complete {
-            return;
+        if complete {
+            self.release_uncertain(context);
         }
-        let lapsed = context.now >= self.takeover.uncertain_until;
-        let unheard = |pool: &str| {
-            self.sessions.values().any(|session| {
-                session.clock.is_none() && session.registration.pool == pool
+    }
+
+    fn release_uncertain(&mut self, context: &mut Context) {
+        // Once settled, workers that have not answered are newcomers and run nothing.
+        let lapsed = self.takeover.settled || context.now >= self.takeover.uncertain_until;
+        let unheard: BTreeSet<&str> = self
+            .sessions
+            .iter()
+            .filter(|(key, session)| {
+                session.clock.is_none() && !self.takeover.held.contains_key(*key)
             })
-        };
+            .map(|(_, session)| session.registration.pool.as_str())
+            .collect();
+        let held: BTreeSet<TaskId> =
+            self.takeover.held.values().flat_map(|(tasks, _)| tasks.iter().copied()).collect();
         let mut pending = false;
         let mut released = Vec::new();
         for id in &self.open {
@@ -85,39 +158,41 @@
             if !entry.stages.values().any(super::Stage::is_uncertain) {
                 continue;
             }
-            let pool = &entry.job.terms.pool;
-            let current = self.terms(*id, context.configuration);
-            let other = current.map(|terms| terms.pool).filter(|current| current != pool);
-            if !lapsed && (unheard(pool) || other.is_some_and(|pool| unheard(&pool))) {
+            let current = context.configuration.queue(&entry.job.queue);
+            let pool = current.map_or(&entry.job.terms.pool, |queue| &queue.terms.pool);
+            let possible = [pool, &entry.job.terms.pool];
+            if !lapsed && possible.iter().any(|pool| unheard.contains(pool.as_str())) {
                 pending = true;
-                continue;
+            } else {
+                released.push(*id);
             }
-            released.push(*id);
-        }
-        for id in released {
-            self.release_uncertain(id, context);
         }
-        if !pending {
-            self.takeover.settled = true;
+        let settled = lapsed || !pending && unheard.is_empty();
+        if settled && !self.takeover.settled {
             context.log("takeover_settled", vec![("lapsed", lapsed.to_string())]);
         }
+        self.takeover.settled |= settled;
+        for id in released {
+            self.release_job(id, &held, context);
+        }
     }
 
-    fn release_uncertain(&mut self, id: JobId, context: &mut Context) {
+    fn release_job(&mut self, id: JobId, held: &BTreeSet<TaskId>, context: &mut Context) {
         self.round_due = true;
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         let mut broken = Vec::new();
         for ((occurrence, step), stage) in &mut entry.stages {
             let gang = entry.job.steps.get(usize::from(*step)).is_some_and(|step| step.gang);
-            let uncertain = stage.is_uncertain();
-            for task in &mut stage.tasks {
-                if task.place == Place::Uncertain {
+            let stage_id = crate::job::StageId { job: id, occurrence: *occurrence, step: *step };
+            let mut changed = false;
+            for (task, index) in stage.tasks.iter_mut().zip(0u32..) {
+                if task.place == Place::Uncertain && !held.contains(&stage_id.task(index)) {
                     task.place = Place::Waiting;
+                    changed = true;
                 }
             }
-            if gang && uncertain {
-                let stage = crate::job::StageId { job: id, occurrence: *occurrence, step: *step };
-                broken.push(stage.task(0));
+            if gang && changed {
+                broken.push(stage_id.task(0));
             }
         }
         for task in broken {
