--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -8,7 +8,7 @@
 use crate::scheduler::{Context, Scheduler};
 
 /// Most progress rows in a transaction; the store takes 100 entries, some of which are conditions and deletions.
-const ROWS_MAX: usize = 60;
+const ROWS_MAX: usize = 80;
 
 /// Most ended jobs that are deleted in a transaction; each takes two entries.
 const DELETIONS_MAX: usize = 15;
@@ -77,6 +77,7 @@
                 batch.writes.push((Table::Progress, job_key(id), bytes));
             }
         }
+        self.takeover.set_unstored(!self.dirty.is_empty());
         // Ends may only be noted with all the progress that they caused.
         if self.dirty.is_empty() {
             for (key, session) in &self.sessions {
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -88,6 +88,8 @@
 struct Entry {
     id: JobId,
     job: Rc<Job>,
+    /// Longest chain of steps, by their estimates.
+    chain: Duration,
     team: Option<Rc<str>>,
     admitted: Uptime,
     state: State,
@@ -129,6 +131,9 @@
     commit: commit::Journal,
     round_due: bool,
     last_round: Uptime,
+    last_whole_round: Uptime,
+    /// Time to the next round beyond the interval, by the work of the last one.
+    round_pause: Duration,
 }
 
 /// An open call for approval.
@@ -159,6 +164,8 @@
             commit: commit::Journal::default(),
             round_due: true,
             last_round: Uptime::ZERO,
+            last_whole_round: Uptime::ZERO,
+            round_pause: Duration::ZERO,
         }
     }
 
@@ -180,6 +187,7 @@
         let team = job.team.as_deref().map(Rc::from);
         let entry = Entry {
             id,
+            chain: job.longest_chain(),
             job: Rc::new(job),
             team,
             admitted: context.now,
@@ -408,7 +416,8 @@
     /// Places what waits, if something has changed.
     pub fn run_round(&mut self, context: &mut Context) {
         let since = context.now.saturating_sub(self.last_round);
-        let due = (self.round_due && since >= ROUND_INTERVAL) || since >= ROUND_INTERVAL_MAX;
+        let due = (self.round_due && since >= ROUND_INTERVAL + self.round_pause)
+            || since >= ROUND_INTERVAL_MAX + self.round_pause;
         if due {
             self.round_due = false;
             self.last_round = context.now;
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -32,6 +32,33 @@
 /// A run without checkpoints is preempted only while it is younger than this; later too much work is lost.
 const PREEMPT_AGE_MAX: Duration = Duration::from_millis(1500);
 
+/// Most stages of one pool that a round tries without success; the others wait for the next whole round. Each try costs
+/// some microseconds for each worker.
+const FAILURES_PER_ROUND: u32 = 24;
+
+/// Interval of rounds that try all stages.
+const WHOLE_ROUND_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Most stages of one round for which runs are preempted.
+const PREEMPTIONS_PER_ROUND: u32 = 6;
+
+/// Pause after a round for each stage that it tried. It bounds the processor time of a host with a quarter of a core.
+const PAUSE_PER_STAGE: Duration = Duration::from_micros(60);
+
+/// Workers that may take tasks in this round, by pool.
+#[derive(Default)]
+struct Round {
+    workers: BTreeMap<String, Vec<WorkerKey>>,
+    failures: BTreeMap<String, u32>,
+    preemptions: u32,
+}
+
+impl Round {
+    fn workers(&self, demand: &Demand) -> &[WorkerKey] {
+        self.workers.get(&demand.terms.pool).map(Vec::as_slice).unwrap_or_default()
+    }
+}
+
 /// A stage with tasks to place, in the order in which stages are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
@@ -59,19 +86,73 @@
         if !context.may_start {
             return;
         }
+        let whole = context.now.saturating_sub(self.last_whole_round) >= WHOLE_ROUND_INTERVAL;
+        if whole {
+            self.last_whole_round = context.now;
+        }
+        let mut round = self.begin_round(context);
+        let mut tried = 0;
         for candidate in self.candidates(context) {
             let Some(demand) = self.demand(candidate.stage, context.configuration) else { continue };
-            if !candidate.early {
+            let failures = round.failures.get(&demand.terms.pool).copied().unwrap_or_default();
+            if !whole && failures >= FAILURES_PER_ROUND {
+                continue;
+            }
+            tried += 1;
+            if !candidate.early && self.has_room(&demand, &round) {
                 match demand.step.gang {
-                    true => self.place_gang(&demand, context),
-                    false => self.place_tasks(&demand, context),
+                    true => self.place_gang(&demand, &round, context),
+                    false => self.place_tasks(&demand, &round, context),
                 }
             }
-            self.ask(&demand, candidate.early, context);
-            if !candidate.early {
-                self.preempt(&demand, context);
+            self.ask(&demand, candidate.early, &round, context);
+            if !candidate.early && self.has_waiting(demand.id) {
+                *round.failures.entry(demand.terms.pool.clone()).or_default() += 1;
+                self.preempt(&demand, &mut round, context);
+            }
+        }
+        self.round_pause = PAUSE_PER_STAGE * tried;
+    }
+
+    fn begin_round(&self, context: &Context) -> Round {
+        let mut round = Round::default();
+        for (key, session) in &self.sessions {
+            let usable = session.takes_tasks()
+                && !self.is_recorded_absent(key)
+                && !context.evacuated.contains(&session.registration.zone);
+            if usable {
+                let pool = round.workers.entry(session.registration.pool.clone()).or_default();
+                pool.push(Rc::clone(key));
             }
         }
+        round
+    }
+
+    /// Whether any worker of the pool has room for one task of the stage.
+    fn has_room(&self, demand: &Demand, round: &Round) -> bool {
+        let booking = demand.step.booking();
+        let mut sessions = round.workers(demand).iter().filter_map(|key| self.sessions.get(key));
+        sessions.any(|session| booking.fits_in(&session.free()))
+    }
+
+    fn has_waiting(&self, id: StageId) -> bool {
+        let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
+        self.stage(id).is_some_and(waits)
+    }
+
+    /// Workers of the round that suit a stage, apart from approval and room.
+    fn suitable<'a>(
+        &'a self,
+        demand: &'a Demand,
+        round: &'a Round,
+    ) -> impl Iterator<Item = (&'a WorkerKey, &'a Session)> {
+        let sessions = round.workers(demand).iter();
+        let sessions = sessions.filter_map(|key| Some((key, self.sessions.get(key)?)));
+        sessions.filter(|(_, session)| {
+            let label = &demand.step.label;
+            (label.is_empty() || session.registration.labels.contains(label))
+                && demand.step.booking().fits_in(&session.registration.capacity)
+        })
     }
 
     fn candidates(&self, context: &Context) -> Vec<Candidate> {
@@ -80,7 +161,7 @@
             let Some(entry) = self.jobs.get(id) else { continue };
             let queue = context.configuration.queue(&entry.job.queue);
             let terms = queue.map_or(&entry.job.terms, |queue| &queue.terms);
-            let objective = entry.job.longest_chain().mul_f64(terms.stretch.max(1.0)) + terms.target;
+            let objective = entry.chain.mul_f64(terms.stretch.max(1.0)) + terms.target;
             let due = entry.admitted + objective;
             for ((occurrence, step), stage) in &entry.stages {
                 if stage.open == 0 || !stage.tasks.iter().any(|task| task.place == Place::Waiting) {
@@ -154,17 +235,6 @@
         !used.parts().into_iter().zip(demand.cap.parts()).any(exceeds)
     }
 
-    /// Whether a stage may run on a worker, apart from approval and room.
-    fn suits(&self, demand: &Demand, key: &WorkerKey, session: &Session, context: &Context) -> bool {
-        session.takes_tasks()
-            && !self.is_recorded_absent(key)
-            && session.registration.pool == demand.terms.pool
-            && !context.evacuated.contains(&session.registration.zone)
-            && (demand.step.label.is_empty()
-                || session.registration.labels.contains(&demand.step.label))
-            && demand.step.booking().fits_in(&session.registration.capacity)
-    }
-
     /// Whether a valid ticket for the worker is at hand.
     fn has_ticket(
         demand: &Demand,
@@ -212,13 +282,11 @@
         (session.avoid_until > now, conflicts, far, (left * 1e6) as u64)
     }
 
-    fn place_tasks(&mut self, demand: &Demand, context: &mut Context) {
+    fn place_tasks(&mut self, demand: &Demand, round: &Round, context: &mut Context) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
         let mut workers: Vec<WorkerKey> = self
-            .sessions
-            .iter()
-            .filter(|(key, session)| self.suits(demand, key, session, context))
+            .suitable(demand, round)
             .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
             .map(|(key, _)| Rc::clone(key))
             .collect();
@@ -251,7 +319,7 @@
     }
 
     /// Places all members of a gang at the same time, or none.
-    fn place_gang(&mut self, demand: &Demand, context: &mut Context) {
+    fn place_gang(&mut self, demand: &Demand, round: &Round, context: &mut Context) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
         let waiting = stage.waiting();
@@ -269,9 +337,7 @@
             return;
         }
         let mut rooms: Vec<(WorkerKey, &Session, u32)> = self
-            .sessions
-            .iter()
-            .filter(|(key, session)| self.suits(demand, key, session, context))
+            .suitable(demand, round)
             .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
             .map(|(key, session)| {
                 (Rc::clone(key), session, Self::room(demand, session, &session.free()))
@@ -309,7 +375,7 @@
     }
 
     /// Asks for the approval of workers where it is missing or about to expire.
-    fn ask(&mut self, demand: &Demand, early: bool, context: &mut Context) {
+    fn ask(&mut self, demand: &Demand, early: bool, round: &Round, context: &mut Context) {
         let now = context.now;
         let Some(approval) = demand.terms.approval else { return };
         let Some(stage) = self.stage(demand.id) else { return };
@@ -320,10 +386,7 @@
         let mut unknown = Vec::new();
         let mut expired = Vec::new();
         let mut usable = 0u64;
-        for (key, session) in &self.sessions {
-            if !self.suits(demand, key, session, context) {
-                continue;
-            }
+        for (key, session) in self.suitable(demand, round) {
             let room = Self::room(demand, session, &session.free());
             match stage.verdicts.get(key).filter(|verdict| verdict.life == session.life) {
                 None => unknown.push((Rc::clone(key), session.life, room)),
@@ -368,7 +431,7 @@
     }
 
     /// Stops runs of lower priority to make room for the tasks of a stage that still wait.
-    fn preempt(&mut self, demand: &Demand, context: &mut Context) {
+    fn preempt(&mut self, demand: &Demand, round: &mut Round, context: &mut Context) {
         let now = context.now;
         let Some(stage) = self.stage_mut(demand.id) else { return };
         let waiting = stage.waiting().len();
@@ -380,10 +443,12 @@
         if now.saturating_sub(since) < PREEMPT_AFTER || stage.next_preemption > now {
             return;
         }
-        if !self.within_cap(demand, &demand.step.size) {
+        let exhausted = round.preemptions >= PREEMPTIONS_PER_ROUND;
+        if exhausted || !self.within_cap(demand, &demand.step.size) {
             return;
         }
-        let victims = self.victims(demand, waiting, context);
+        round.preemptions += 1;
+        let victims = self.victims(demand, waiting, round, context);
         if victims.is_empty() {
             return;
         }
@@ -407,6 +472,7 @@
         &self,
         demand: &Demand,
         waiting: usize,
+        round: &Round,
         context: &Context,
     ) -> Vec<(WorkerKey, TaskId, u64)> {
         let now = context.now;
@@ -414,12 +480,12 @@
         let booking = demand.step.booking();
         let mut victims = Vec::new();
         let mut missing = waiting;
-        for (key, session) in &self.sessions {
+        for (key, session) in self.suitable(demand, round) {
             let approved = demand.terms.approval.is_none()
                 || stage.verdicts.get(key).is_some_and(|verdict| {
                     verdict.ticket.is_some() && verdict.life == session.life
                 });
-            if !approved || !self.suits(demand, key, session, context) {
+            if !approved {
                 continue;
             }
             let mut free = session.free().plus(&session.freeing());
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -37,6 +37,8 @@
     /// Workers that stored rows name as out of reach; nothing is started there.
     recorded: BTreeSet<WorkerKey>,
     settled: bool,
+    /// Whether ends were processed whose progress is not in the commit being built.
+    unstored: bool,
 }
 
 impl Takeover {
@@ -47,8 +49,13 @@
             held: BTreeMap::new(),
             recorded: BTreeSet::new(),
             settled: false,
+            unstored: false,
         }
     }
+
+    pub(super) fn set_unstored(&mut self, unstored: bool) {
+        self.unstored = unstored;
+    }
 }
 
 impl Scheduler {
@@ -95,6 +102,10 @@
 
     /// Tasks that a worker out of reach may run; `None` where they are not known.
     fn tasks_at_most(&self, key: &WorkerKey, session: &Session) -> Option<Vec<TaskId>> {
+        // An end that was processed and is not stored leaves no booking, but its run must not be repeated.
+        if self.takeover.unstored && session.processed > session.seen {
+            return None;
+        }
         let placed = session.placements.keys().copied();
         match self.takeover.held.get(key) {
             Some((held, _)) => Some(held.iter().copied().chain(placed).collect()),
