--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -1,7 +1,7 @@
 //! Duties of the owner: reading the jobs and the registry, and committing progress.
 
 use crate::host::Host;
-use crate::host::ownership::{KEY, OwnerRow};
+use crate::host::ownership::{KEY, OwnerRow, ROSTER_KEY};
 use crate::host::store::Purpose;
 use crate::job::parse_job_id;
 use crate::message::{decode, encode};
@@ -10,6 +10,7 @@
 };
 use crate::prelude::*;
 use crate::progress::Progress;
+use crate::worker::Registration;
 use crate::scheduler::{Absent, Batch, JOB_PARTS, Scheduler, cancellation_key, job_key};
 
 /// Least time between two commits, so that the ends of one moment share a transaction.
@@ -67,6 +68,7 @@
     jobs: BTreeMap<JobId, Job>,
     cancelled: BTreeSet<JobId>,
     progress: BTreeMap<JobId, Progress>,
+    roster: Vec<(WorkerId, Registration)>,
     jobs_after: RowVersion,
     jobs_waiting: bool,
     jobs_next: Uptime,
@@ -91,6 +93,8 @@
     /// Not sent again before this moment; `None` while an answer is awaited.
     again: Option<Uptime>,
     row: OwnerRow,
+    /// Whether it holds the roster of workers.
+    rosters: bool,
 }
 
 impl Owner {
@@ -114,6 +118,7 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             progress: BTreeMap::new(),
+            roster: Vec::new(),
             jobs_after: 0,
             jobs_waiting: false,
             jobs_next: now,
@@ -143,6 +148,7 @@
             self.load_page(Table::Jobs, part.to_string());
         }
         self.load_page(Table::Progress, String::new());
+        self.load_page(Table::Ownership, ROSTER_KEY.to_owned());
     }
 
     fn load_page(&mut self, table: Table, from: String) {
@@ -152,6 +158,7 @@
         let request = StoreRequest::Read { table, from: from.clone(), limit: PAGE };
         let purpose = match table {
             Table::Jobs => Purpose::JobsRead { from },
+            Table::Ownership => Purpose::RosterRead,
             _ => Purpose::ProgressRead { from },
         };
         self.call_store(purpose, request, Duration::ZERO);
@@ -240,6 +247,22 @@
         self.follow_pages();
     }
 
+    pub(super) fn roster_read(&mut self, result: Result<StoreAnswer, StoreError>) {
+        let Some(owner) = &mut self.owner else { return };
+        owner.pages_open = owner.pages_open.saturating_sub(1);
+        let Ok(answer) = result else {
+            return self.page_failed(Table::Ownership, ROSTER_KEY.to_owned());
+        };
+        let row = answer.rows.into_iter().find(|row| row.key == ROSTER_KEY);
+        if let Some(Content::Bytes(bytes)) = row.map(|row| row.content) {
+            match decode(&bytes) {
+                Ok(roster) => owner.roster = roster,
+                Err(error) => self.log("roster_unreadable", vec![("error", error.to_string())]),
+            }
+        }
+        self.follow_pages();
+    }
+
     fn finish_loading(&mut self) {
         let Some(owner) = &mut self.owner else { return };
         owner.loaded = true;
@@ -249,6 +272,7 @@
         let progress = std::mem::take(&mut owner.progress);
         let cancelled = std::mem::take(&mut owner.cancelled);
         let (absent, since) = (std::mem::take(&mut owner.absent), owner.absent_since);
+        let roster = std::mem::take(&mut owner.roster);
         let count = jobs.len();
         let now = self.now;
         self.with_scheduler(|scheduler, context| {
@@ -261,8 +285,11 @@
             for id in cancelled {
                 scheduler.cancel(id, context);
             }
+            for (worker, registration) in roster {
+                scheduler.expect(&worker, registration, context);
+            }
             for absent in absent {
-                scheduler.expect_absent(absent, since, context);
+                scheduler.expect_absent(absent, since);
             }
         });
         self.log("jobs_loaded", vec![("jobs", count.to_string())]);
@@ -520,6 +547,11 @@
         }
         let Ok(bytes) = encode(&row) else { return };
         let mut writes = batch.writes;
+        let roster = if owner.loaded { owner.scheduler.changed_roster() } else { None };
+        let rosters = roster.is_some();
+        if let Some(Ok(bytes)) = roster.map(|roster| encode(&roster)) {
+            writes.push((Table::Ownership, ROSTER_KEY.to_owned(), bytes));
+        }
         writes.push((Table::Ownership, KEY.to_owned(), bytes));
         let request = StoreRequest::Transact {
             conditions: vec![(Table::Ownership, KEY.to_owned(), owner.version)],
@@ -527,7 +559,7 @@
             deletes: batch.deletes,
         };
         let sequence = owner.sequence;
-        owner.commit = Some(Commit { request: request.clone(), sent: now, again: None, row });
+        owner.commit = Some(Commit { request: request.clone(), sent: now, again: None, row, rosters });
         self.outputs.push(Output::Count { counter: Counter::Commits, amount: 1 });
         self.call_store(Purpose::Commit { sequence }, request, Duration::ZERO);
     }
@@ -575,6 +607,9 @@
         if owner.loaded {
             owner.scheduler.set_recorded(&commit.row.absent);
         }
+        if commit.rosters {
+            owner.scheduler.set_rostered();
+        }
         self.renew_row(version, commit.row);
         if released {
             self.owner = None;
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -20,6 +20,9 @@
 /// Key of the ownership row.
 pub(super) const KEY: &str = "owner";
 
+/// Key of the roster of workers.
+pub(super) const ROSTER_KEY: &str = "roster";
+
 /// Time without a commit after which another host takes over. The owner commits every 400 ms at least.
 const CLAIM_AFTER: Duration = Duration::from_millis(1300);
 
--- a/crates/shallotpost-fleet/src/progress.rs
+++ b/crates/shallotpost-fleet/src/progress.rs
@@ -50,9 +50,9 @@
     pub complete: bool,
     /// Positions of tasks that are done, if not all are.
     pub done: Vec<u32>,
-    /// Positions of tasks with failed runs, the number of these, and the number of the last such run. An end may be listed
-    /// again after its failure was stored, so a run counts only if it is newer.
-    pub failures: Vec<(u32, u32, u64)>,
+    /// Positions of tasks with failed runs, and the numbers of these runs. Workers list an end again after its failure was
+    /// stored, and ends of several workers arrive in any order.
+    pub failures: Vec<(u32, Vec<u64>)>,
     /// Positions of tasks with a checkpoint of an ended run, and the checkpoint.
     pub checkpoints: Vec<(u32, String)>,
 }
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -48,6 +48,7 @@
     /// Whether there is something to store.
     pub fn is_dirty(&self) -> bool {
         !self.dirty.is_empty()
+            || self.sessions.values().any(|session| !session.rostered)
             || self.sessions.values().any(|session| session.processed > session.seen)
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -124,13 +124,12 @@
         let Some(stage) = self.stage_mut(id) else { return };
         let index = if gang { 0 } else { end.task.index as usize };
         let Some(task) = stage.tasks.get_mut(index) else { return };
-        if task.place == Place::Done || end.number <= task.failed_run {
+        if task.place == Place::Done || task.failed_runs.contains(&end.number) {
             return;
         }
-        task.failed_run = end.number;
-        task.failures += 1;
+        task.failed_runs.push(end.number);
         task.failed_on = Some(Rc::clone(worker));
-        let failures = task.failures;
+        let failures = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
         if failures < attempts_max.unwrap_or(1).max(1) {
             return;
         }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -318,7 +318,8 @@
         ];
         context.log("worker_joined", fields);
         let fence = self.epoch * LIVES_MAX + life.min(LIVES_MAX - 1);
-        let session = Session::new(registration, life, fence, context.now);
+        let mut session = Session::new(registration, life, fence, context.now);
+        session.rostered = self.sessions.get(&worker).is_some_and(|earlier| earlier.rostered);
         self.sessions.insert(worker, session);
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -93,6 +93,8 @@
     pub life: u64,
     /// Fencing token of this epoch and life.
     pub fence: u64,
+    /// Whether the stored roster names the worker; nothing is started there before.
+    pub rostered: bool,
     /// Contact.
     pub contact: Contact,
     /// Its clock in milliseconds, and when that was read.
@@ -125,6 +127,7 @@
             registered: true,
             life,
             fence,
+            rostered: false,
             contact: Contact::Joining,
             clock: None,
             lease_until: 0,
@@ -177,7 +180,10 @@
 
     /// Whether new tasks may start there.
     pub fn takes_tasks(&self) -> bool {
-        self.contact == Contact::Live && self.registered && !self.registration.draining
+        self.contact == Contact::Live
+            && self.rostered
+            && self.registered
+            && !self.registration.draining
     }
 
     /// Books a run.
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -22,10 +22,8 @@
 pub struct Task {
     /// Where it is.
     pub place: Place,
-    /// Runs that failed. For a gang, the first task counts.
-    pub failures: u32,
-    /// Number of the last run that was counted as failed.
-    pub failed_run: u64,
+    /// Numbers of the runs that failed. For a gang, the first task counts.
+    pub failed_runs: Vec<u64>,
     /// Newest checkpoint of an ended run; empty for none.
     pub checkpoint: String,
     /// Worker on which the last run failed; another one is preferred.
@@ -34,7 +32,7 @@
 
 impl Task {
     fn new(place: Place) -> Task {
-        Task { place, failures: 0, failed_run: 0, checkpoint: String::new(), failed_on: None }
+        Task { place, failed_runs: Vec::new(), checkpoint: String::new(), failed_on: None }
     }
 }
 
@@ -92,10 +90,9 @@
                 task.place = Place::Done;
             }
         }
-        for (index, failures, run) in &progress.failures {
+        for (index, runs) in &progress.failures {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.failures = *failures;
-                task.failed_run = *run;
+                task.failed_runs.clone_from(runs);
             }
         }
         for (index, checkpoint) in &progress.checkpoints {
@@ -122,9 +119,9 @@
                 true => Vec::new(),
                 false => list(|task| task.place == Place::Done).map(|(index, _)| index).collect(),
             },
-            failures: list(|task| task.failures > 0)
+            failures: list(|task| !task.failed_runs.is_empty())
                 .filter(|(_, task)| open(task))
-                .map(|(index, task)| (index, task.failures, task.failed_run))
+                .map(|(index, task)| (index, task.failed_runs.clone()))
                 .collect(),
             checkpoints: list(|task| !task.checkpoint.is_empty())
                 .filter(|(_, task)| open(task))
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -2,7 +2,8 @@
 //!
 //! The owner records with each commit which workers are out of its reach and what they may run, and starts nothing there
 //! until a commit without them has taken effect. So a successor knows what those workers may run at most. Only a worker
-//! that is out of the successor's reach and was not recorded leaves every other task of its pool uncertain.
+//! that is out of the successor's reach and was not recorded leaves every other task of its pool uncertain. The roster, a
+//! row with all workers on which anything may have been started, tells which workers there are.
 
 use serde::{Deserialize, Serialize};
 
@@ -17,8 +18,6 @@
 pub struct Absent {
     /// The worker.
     pub worker: WorkerId,
-    /// Its last registration; the registry may have dropped it.
-    pub registration: Registration,
     /// Tasks that it may run; `None` where any task of its pool may run there.
     pub tasks: Option<Vec<TaskId>>,
     /// Time from the commit after which its leases have lapsed for certain.
@@ -36,6 +35,10 @@
     held: BTreeMap<WorkerKey, (BTreeSet<TaskId>, Uptime)>,
     /// Workers that stored rows name as out of reach; nothing is started there.
     recorded: BTreeSet<WorkerKey>,
+    /// Workers of the stored roster.
+    roster: BTreeSet<WorkerKey>,
+    /// Workers of the roster in the commit in flight.
+    roster_sent: BTreeSet<WorkerKey>,
     settled: bool,
     /// Whether ends were processed whose progress is not in the commit being built.
     unstored: bool,
@@ -48,6 +51,8 @@
             registry_complete: None,
             held: BTreeMap::new(),
             recorded: BTreeSet::new(),
+            roster: BTreeSet::new(),
+            roster_sent: BTreeSet::new(),
             settled: false,
             unstored: false,
         }
@@ -64,11 +69,42 @@
         self.takeover.registry_complete.get_or_insert(from);
     }
 
+    /// A worker of the stored roster. The registry drops workers that do not reach the store, although they run on.
+    pub fn expect(&mut self, worker: &str, registration: Registration, context: &mut Context) {
+        self.set_registration(worker, Some(registration), context);
+        self.set_registration(worker, None, context);
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.rostered = true;
+        }
+    }
+
+    /// The roster of workers for the next commit, if it has changed.
+    pub fn changed_roster(&mut self) -> Option<Vec<(WorkerId, Registration)>> {
+        let present: BTreeSet<WorkerKey> = self.sessions.keys().cloned().collect();
+        if present == self.takeover.roster {
+            return None;
+        }
+        self.takeover.roster_sent = present;
+        let entry = |(key, session): (&WorkerKey, &Session)| {
+            (key.to_string(), session.registration.clone())
+        };
+        Some(self.sessions.iter().map(entry).collect())
+    }
+
+    /// The commit with the changed roster has taken effect.
+    pub fn set_rostered(&mut self) {
+        self.takeover.roster = std::mem::take(&mut self.takeover.roster_sent);
+        for key in &self.takeover.roster {
+            if let Some(session) = self.sessions.get_mut(key) {
+                session.rostered = true;
+            }
+        }
+        self.round_due = true;
+    }
+
     /// A worker that the previous owner recorded as out of reach, `since` its last commit was seen.
-    pub fn expect_absent(&mut self, absent: Absent, since: Uptime, context: &mut Context) {
+    pub fn expect_absent(&mut self, absent: Absent, since: Uptime) {
         let key = WorkerKey::from(absent.worker.as_str());
-        self.set_registration(&absent.worker, Some(absent.registration), context);
-        self.set_registration(&absent.worker, None, context);
         if let Some(tasks) = absent.tasks {
             let tasks = tasks.into_iter().collect();
             self.takeover.held.insert(Rc::clone(&key), (tasks, since + absent.lapses_in));
@@ -83,7 +119,6 @@
             .filter(|(_, session)| session.contact != Contact::Live)
             .map(|(key, session)| Absent {
                 worker: key.to_string(),
-                registration: session.registration.clone(),
                 tasks: self.tasks_at_most(key, session),
                 lapses_in: match self.takeover.held.get(key) {
                     Some((_, lapse)) => lapse.saturating_sub(now),
