Test the fleet in virtual time: job path, take-over and placement

A store, workers and whole hosts under faults. lost_start failed first: a confirmed stop was repeated and so never counted as settled, and the task stayed booked for good. The repetition now ends with the confirmation.

--- a/crates/shallotpost-daemon/src/fleet/mod.rs
+++ b/crates/shallotpost-daemon/src/fleet/mod.rs
@@ -58,7 +58,8 @@
 pub fn run(settings: Settings) -> eyre::Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let handle = runtime.handle().clone();
-    LocalSet::new().block_on(&runtime, async move { Runtime::start(settings, &handle).await?.run().await })
+    LocalSet::new()
+        .block_on(&runtime, async move { Runtime::start(settings, &handle).await?.run().await })
 }
 
 /// State of the process.
@@ -280,8 +281,7 @@
 }
 
 fn shared(inputs: &Inputs, answers: &Answers, counters: &Rc<Counters>) -> Shared {
-    let (inputs, answers, counters) =
-        (inputs.clone(), Rc::clone(answers), Rc::clone(counters));
+    let (inputs, answers, counters) = (inputs.clone(), Rc::clone(answers), Rc::clone(counters));
     let last = Cell::new(0);
     let handler = move |body: Request| -> Later {
         last.set(last.get() + 1);
--- a/crates/shallotpost-daemon/src/fleet/settings.rs
+++ b/crates/shallotpost-daemon/src/fleet/settings.rs
@@ -97,8 +97,9 @@
 ///
 /// The file cannot be read, is not of the expected form, or contradicts itself; all contradictions are listed.
 pub fn read(path: &Path) -> Result<Settings, Faults> {
-    let text = fs::read_to_string(path)
-        .map_err(|error| Faults(vec![format!("the file cannot be read: {error}. Check its path.")]))?;
+    let text = fs::read_to_string(path).map_err(|error| {
+        Faults(vec![format!("the file cannot be read: {error}. Check its path.")])
+    })?;
     parse(&text)
 }
 
@@ -108,8 +109,9 @@
 ///
 /// As for [`read`].
 pub fn parse(text: &str) -> Result<Settings, Faults> {
-    let settings: Settings = serde_json::from_str(text)
-        .map_err(|error| Faults(vec![format!("{error}. Compare with deploy/settings.json.template.")]))?;
+    let settings: Settings = serde_json::from_str(text).map_err(|error| {
+        Faults(vec![format!("{error}. Compare with deploy/settings.json.template.")])
+    })?;
     let mut faults = Vec::new();
     if settings.host.is_empty() {
         faults.push("host is empty. Give each host a name of its own.".to_owned());
@@ -126,7 +128,10 @@
         }
     }
     if settings.bounds.hold_max < HOLD_MIN {
-        faults.push(format!("bounds.hold_max_ms is below {} ms. Use the platform's figure.", HOLD_MIN.as_millis()));
+        faults.push(format!(
+            "bounds.hold_max_ms is below {} ms. Use the platform's figure.",
+            HOLD_MIN.as_millis()
+        ));
     }
     if settings.log_lines_per_second == 0 {
         faults.push("log_lines_per_second is 0. Use 1 or more.".to_owned());
--- a/crates/shallotpost-edge/src/edge.rs
+++ b/crates/shallotpost-edge/src/edge.rs
@@ -62,8 +62,8 @@
         };
         let sender = events.clone();
         let receiver = Arc::new(move |from, frame| drop(sender.send(Event::Peer { from, frame })));
-        let peers = Peers::start(identity, runtime, receiver)
-            .map_err(listen(settings.peer_listen))?;
+        let peers =
+            Peers::start(identity, runtime, receiver).map_err(listen(settings.peer_listen))?;
         let interface = Interface::start(settings, runtime, events.clone(), metrics)
             .map_err(listen(settings.http_listen))?;
         Ok(Edge { interface, calls: Calls::new(settings, events), peers, _driver: driver })
--- a/crates/shallotpost-edge/src/peer/mod.rs
+++ b/crates/shallotpost-edge/src/peer/mod.rs
@@ -96,11 +96,7 @@
 
 impl Peers {
     /// Starts to listen.
-    pub fn start(
-        identity: Identity,
-        runtime: &Handle,
-        receiver: Receiver,
-    ) -> io::Result<Peers> {
+    pub fn start(identity: Identity, runtime: &Handle, receiver: Receiver) -> io::Result<Peers> {
         let listener = StdListener::bind(identity.listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -403,12 +403,11 @@
         let id = pending.id;
         let Ok(answer) = result else { return self.retry_later(request) };
         let key = job_key(id);
-        let stored = answer.rows.iter().find(|row| row.key == key).and_then(|row| {
-            match &row.content {
+        let stored =
+            answer.rows.iter().find(|row| row.key == key).and_then(|row| match &row.content {
                 Content::Bytes(bytes) => decode::<Progress>(bytes).ok(),
                 _ => None,
-            }
-        });
+            });
         let state = match stored.map(|progress| progress.state) {
             Some(state) if state.is_final() => state,
             _ if cancelled => State::Cancelled,
--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -3,7 +3,9 @@
 use crate::host::Host;
 use crate::host::store::Purpose;
 use crate::message::Message;
-use crate::port::{Content, HostName, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table};
+use crate::port::{
+    Content, HostName, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
+};
 use crate::prelude::*;
 
 /// How long the store waits for a change. A feed on a silent connection is noticed soon after it.
@@ -49,8 +51,7 @@
                 self.call_store(Purpose::OperatorRead, request, Duration::ZERO);
             }
             Some(after) => {
-                let request =
-                    StoreRequest::Feed { table: Table::Operator, after, wait: FEED_WAIT };
+                let request = StoreRequest::Feed { table: Table::Operator, after, wait: FEED_WAIT };
                 self.call_store(Purpose::OperatorFeed, request, FEED_WAIT);
             }
         }
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -10,8 +10,8 @@
 };
 use crate::prelude::*;
 use crate::progress::Progress;
-use crate::worker::Registration;
 use crate::scheduler::{Absent, Batch, JOB_PARTS, Scheduler, cancellation_key, job_key};
+use crate::worker::Registration;
 
 /// Least time between two commits, so that the ends of one moment share a transaction.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(25);
@@ -98,12 +98,7 @@
 }
 
 impl Owner {
-    pub(super) fn new(
-        scheduler: Scheduler,
-        epoch: u64,
-        version: RowVersion,
-        now: Uptime,
-    ) -> Owner {
+    pub(super) fn new(scheduler: Scheduler, epoch: u64, version: RowVersion, now: Uptime) -> Owner {
         Owner {
             scheduler,
             confirmed: now,
@@ -226,11 +221,7 @@
         }
     }
 
-    pub(super) fn progress_read(
-        &mut self,
-        from: String,
-        result: Result<StoreAnswer, StoreError>,
-    ) {
+    pub(super) fn progress_read(&mut self, from: String, result: Result<StoreAnswer, StoreError>) {
         let Some(owner) = &mut self.owner else { return };
         owner.pages_open = owner.pages_open.saturating_sub(1);
         let Ok(answer) = result else { return self.page_failed(Table::Progress, from) };
@@ -471,9 +462,8 @@
         };
         owner.next_deletion = now + DELETION_INTERVAL;
         for ids in owner.scheduler.expired_jobs(now) {
-            let rows = |id: &JobId| {
-                [(Table::Jobs, job_key(*id)), (Table::Jobs, cancellation_key(*id))]
-            };
+            let rows =
+                |id: &JobId| [(Table::Jobs, job_key(*id)), (Table::Jobs, cancellation_key(*id))];
             let deletes = ids.iter().flat_map(rows).collect();
             let request =
                 StoreRequest::Transact { conditions: Vec::new(), writes: Vec::new(), deletes };
@@ -559,16 +549,13 @@
             deletes: batch.deletes,
         };
         let sequence = owner.sequence;
-        owner.commit = Some(Commit { request: request.clone(), sent: now, again: None, row, rosters });
+        owner.commit =
+            Some(Commit { request: request.clone(), sent: now, again: None, row, rosters });
         self.outputs.push(Output::Count { counter: Counter::Commits, amount: 1 });
         self.call_store(Purpose::Commit { sequence }, request, Duration::ZERO);
     }
 
-    pub(super) fn commit_result(
-        &mut self,
-        sequence: u64,
-        result: Result<StoreAnswer, StoreError>,
-    ) {
+    pub(super) fn commit_result(&mut self, sequence: u64, result: Result<StoreAnswer, StoreError>) {
         let now = self.now;
         let Some(owner) = &mut self.owner else { return };
         let Some(commit) = owner.commit.as_mut().filter(|commit| commit.row.sequence == sequence)
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -113,9 +113,10 @@
             return;
         }
         let interval = if well { READ_INTERVAL } else { WATCH_INTERVAL };
-        let due = self.ownership.next_read.min(
-            self.ownership.last_read.map_or(Uptime::ZERO, |read| read + interval),
-        );
+        let due = self
+            .ownership
+            .next_read
+            .min(self.ownership.last_read.map_or(Uptime::ZERO, |read| read + interval));
         if !self.ownership.reading && due <= self.now {
             self.ownership.reading = true;
             self.read_ownership();
--- a/crates/shallotpost-fleet/src/host/peers.rs
+++ b/crates/shallotpost-fleet/src/host/peers.rs
@@ -110,8 +110,7 @@
 
     pub(super) fn hosts_read(&mut self, result: Result<StoreAnswer, StoreError>) {
         self.ownership.discovery.busy = false;
-        let interval =
-            if self.now < START_PHASE { HOSTS_INTERVAL_FIRST } else { HOSTS_INTERVAL };
+        let interval = if self.now < START_PHASE { HOSTS_INTERVAL_FIRST } else { HOSTS_INTERVAL };
         self.ownership.discovery.next = self.now + interval;
         let Ok(answer) = result else { return };
         let mut present = BTreeSet::new();
@@ -145,9 +144,8 @@
 
     /// Rows of hosts that have been silent for long, for the owner to delete.
     pub(super) fn gone_hosts(&self) -> Vec<HostName> {
-        let gone = |peer: &Peer| {
-            self.now.saturating_sub(peer.heard.unwrap_or(peer.since)) > HOST_GONE
-        };
+        let gone =
+            |peer: &Peer| self.now.saturating_sub(peer.heard.unwrap_or(peer.since)) > HOST_GONE;
         self.peers.iter().filter(|(_, peer)| gone(peer)).map(|(name, _)| name.clone()).collect()
     }
 
@@ -174,8 +172,7 @@
         if self.next_beat > self.now {
             return;
         }
-        let interval =
-            if self.owner.is_some() { BEAT_INTERVAL_OWNER } else { BEAT_INTERVAL };
+        let interval = if self.owner.is_some() { BEAT_INTERVAL_OWNER } else { BEAT_INTERVAL };
         self.next_beat = self.now + interval;
         let beat = self.beat();
         let names: Vec<HostName> = self.peers.keys().cloned().collect();
--- a/crates/shallotpost-fleet/src/kernel.rs
+++ b/crates/shallotpost-fleet/src/kernel.rs
@@ -48,8 +48,7 @@
         let mut stakker = Stakker::new(now);
         let shared = Rc::new(Shared::default());
         let host = Host::new(settings);
-        let service =
-            actor!(stakker, Service::init(host, now, Rc::clone(&shared)), ret_nop!());
+        let service = actor!(stakker, Service::init(host, now, Rc::clone(&shared)), ret_nop!());
         stakker.run(now, false);
         Kernel { stakker, service, shared }
     }
--- a/crates/shallotpost-fleet/src/progress.rs
+++ b/crates/shallotpost-fleet/src/progress.rs
@@ -3,7 +3,6 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
-
 /// State of a job as its submitter sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/shallotpost-fleet/src/scheduler/approvers.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvers.rs
@@ -35,7 +35,8 @@
 
     /// Replaces the other hosts.
     pub fn set_peers(&mut self, peers: &[(HostName, String)]) {
-        self.hosts.retain(|name, _| *name == self.own || peers.iter().any(|(peer, _)| peer == name));
+        self.hosts
+            .retain(|name, _| *name == self.own || peers.iter().any(|(peer, _)| peer == name));
         for (name, address) in peers {
             self.hosts.entry(name.clone()).or_default().address.clone_from(address);
         }
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -68,11 +68,8 @@
                     .filter_map(|((occurrence, step), stage)| stage.progress(*occurrence, *step))
                     .collect(),
             };
-            let progress = Progress {
-                state: entry.state,
-                occurrences_done: entry.occurrences_done,
-                stages,
-            };
+            let progress =
+                Progress { state: entry.state, occurrences_done: entry.occurrences_done, stages };
             self.commit.jobs.push((id, entry.state));
             if let Ok(bytes) = encode(&progress) {
                 batch.writes.push((Table::Progress, job_key(id), bytes));
--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -120,7 +120,8 @@
     /// Counts a failed run against the attempts of its task or gang.
     fn fail(&mut self, worker: &WorkerKey, end: &End, gang: bool, context: &mut Context) {
         let id = end.task.stage;
-        let attempts_max = self.terms(id.job, context.configuration).map(|terms| terms.attempts_max);
+        let attempts_max =
+            self.terms(id.job, context.configuration).map(|terms| terms.attempts_max);
         let Some(stage) = self.stage_mut(id) else { return };
         let index = if gang { 0 } else { end.task.index as usize };
         let Some(task) = stage.tasks.get_mut(index) else { return };
@@ -158,7 +159,9 @@
             // The value of any member is valid for the whole gang, and all must carry the same one.
             let members = match gang {
                 true => &mut stage.tasks[..],
-                false => stage.tasks.get_mut(end.task.index as usize..=end.task.index as usize)
+                false => stage
+                    .tasks
+                    .get_mut(end.task.index as usize..=end.task.index as usize)
                     .unwrap_or_default(),
             };
             members.iter_mut().for_each(|task| task.checkpoint.clone_from(&end.checkpoint));
@@ -248,9 +251,10 @@
         let id = run.task.stage;
         let priority = self.terms(id.job, context.configuration).map_or(0, |terms| terms.priority);
         let wanted = self.open.contains(&id.job)
-            && self.stage(id).and_then(|stage| stage.tasks.get(run.task.index as usize)).is_some_and(
-                |task| matches!(task.place, Place::Waiting | Place::Uncertain),
-            )
+            && self
+                .stage(id)
+                .and_then(|stage| stage.tasks.get(run.task.index as usize))
+                .is_some_and(|task| matches!(task.place, Place::Waiting | Place::Uncertain))
             && self.fits_gang(run.task, run.number);
         let entry = self.jobs.get(&id.job);
         let team = entry.and_then(|entry| entry.team.clone());
--- a/crates/shallotpost-fleet/src/scheduler/holds.rs
+++ b/crates/shallotpost-fleet/src/scheduler/holds.rs
@@ -11,6 +11,9 @@
 /// The same for a worker with tasks whose latency is watched; the gauge covers half a second.
 const WAIT_WATCHED: Duration = Duration::from_millis(500);
 
+/// The same for a worker with stops that are confirmed: the list shows when the room is free.
+const WAIT_SETTLING: Duration = Duration::from_millis(100);
+
 /// Time for the answer beyond the wait. Answers take a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -54,9 +57,13 @@
             .map(|clock| clock + milliseconds(lease));
         session.lease_until = session.lease_until.max(until_ms.unwrap_or_default());
         let watched = session.placements.values().any(|run| run.target.is_some());
+        let settling = session.placements.values().any(|run| run.stop_confirmed);
         let wait = match session.contact {
-            Contact::Live if until_ms.is_some() => if watched { WAIT_WATCHED } else { WAIT },
-            _ => Duration::ZERO,
+            Contact::Live if until_ms.is_none() => Duration::ZERO,
+            Contact::Live if settling => WAIT_SETTLING,
+            Contact::Live if watched => WAIT_WATCHED,
+            Contact::Live => WAIT,
+            Contact::Joining | Contact::Silent => Duration::ZERO,
         };
         let call = context.allocate_call();
         session.hold = Some((call, now));
@@ -113,10 +120,9 @@
     /// Contact with a worker is lost, or never was.
     pub(super) fn lose_contact(&mut self, worker: &WorkerKey, error: Error, context: &mut Context) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
-        context.outputs.push(Output::Count {
-            counter: crate::port::Counter::WorkerFailures,
-            amount: 1,
-        });
+        context
+            .outputs
+            .push(Output::Count { counter: crate::port::Counter::WorkerFailures, amount: 1 });
         if session.contact == Contact::Live {
             session.contact = Contact::Silent;
             let fields = vec![("worker", worker.to_string()), ("error", error.to_string())];
@@ -142,7 +148,7 @@
         }
     }
 
-    /// Repeats stops that were not confirmed, and stops whose run is still listed.
+    /// Repeats stops that were not confirmed.
     pub(super) fn repeat_stops(&mut self, context: &mut Context) {
         let patience = self.bounds.stop_timeout + ANSWER_TIMEOUT;
         let mut due = Vec::new();
@@ -152,7 +158,11 @@
             }
             for (task, run) in &session.placements {
                 let stops = matches!(run.phase, Phase::Stopping | Phase::Doubtful);
-                if stops && context.now.saturating_sub(run.changed) > patience {
+                // A confirmed stop needs no repetition: the next list shows whether the run is gone.
+                if stops
+                    && !run.stop_confirmed
+                    && context.now.saturating_sub(run.changed) > patience
+                {
                     due.push((Rc::clone(worker), *task, run.number));
                 }
             }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -355,7 +355,9 @@
             return;
         }
         match purpose {
-            Purpose::Start(task, number) => self.start_result(&worker, task, number, result, context),
+            Purpose::Start(task, number) => {
+                self.start_result(&worker, task, number, result, context)
+            }
             Purpose::Stop(task, number) => self.stop_result(&worker, task, number, result, context),
             Purpose::Hold(sent) => self.hold_result(&worker, sent, result, context),
             Purpose::Pace => {}
--- a/crates/shallotpost-fleet/src/scheduler/pace.rs
+++ b/crates/shallotpost-fleet/src/scheduler/pace.rs
@@ -46,9 +46,7 @@
 }
 
 /// Highest latency of the serving tasks as a share of their targets; `None` without serving tasks.
-fn worst_load<'a>(
-    placements: impl Iterator<Item = &'a super::session::Placement>,
-) -> Option<f64> {
+fn worst_load<'a>(placements: impl Iterator<Item = &'a super::session::Placement>) -> Option<f64> {
     let load = |run: &super::session::Placement| {
         let target = run.target?.as_secs_f64() * 1e3;
         Some(run.gauge.unwrap_or_default() / target)
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -93,7 +93,9 @@
         let mut round = self.begin_round(context);
         let mut tried = 0;
         for candidate in self.candidates(context) {
-            let Some(demand) = self.demand(candidate.stage, context.configuration) else { continue };
+            let Some(demand) = self.demand(candidate.stage, context.configuration) else {
+                continue;
+            };
             let failures = round.failures.get(&demand.terms.pool).copied().unwrap_or_default();
             if !whole && failures >= FAILURES_PER_ROUND {
                 continue;
@@ -300,9 +302,9 @@
                 .and_then(|task| task.failed_on.clone());
             let sessions = &self.sessions;
             workers.retain(|key| {
-                sessions.get(key).is_some_and(|session| {
-                    Self::room(demand, session, &session.free()) > 0
-                })
+                sessions
+                    .get(key)
+                    .is_some_and(|session| Self::room(demand, session, &session.free()) > 0)
             });
             let best = workers
                 .iter()
@@ -350,10 +352,14 @@
             room >= waiting.len() as u64
         };
         if demand.step.one_rack {
-            let racks: BTreeSet<&str> = rooms.iter().map(|(_, session, _)| session.rack()).collect();
+            let racks: BTreeSet<&str> =
+                rooms.iter().map(|(_, session, _)| session.rack()).collect();
             let fitting = racks.into_iter().find(|rack| {
-                let on_rack: Vec<_> =
-                    rooms.iter().filter(|(_, session, _)| session.rack() == *rack).cloned().collect();
+                let on_rack: Vec<_> = rooms
+                    .iter()
+                    .filter(|(_, session, _)| session.rack() == *rack)
+                    .cloned()
+                    .collect();
                 whole(&on_rack)
             });
             if let Some(rack) = fitting {
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/placing.rs
@@ -0,0 +1,214 @@
+//! Where tasks are placed: room, caps, priorities, gangs, limits for a worker, drained workers, approvals.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::configuration::Configuration;
+use shallotpost_fleet::job::Step;
+use shallotpost_fleet::port::{Action, Answer, Content, Table};
+use shallotpost_fleet::progress::State;
+use shallotpost_fleet::worker::Ending;
+use shallotpost_protocol::size::Size;
+use support::{Site, configuration, job, ms, step, task};
+
+fn settled(workers: usize) -> Site {
+    let mut site = Site::new(&["a", "b"], workers);
+    site.run_until(Duration::from_secs(3), "an owner", |site| site.owner().is_some());
+    site.run(ms(1500));
+    site
+}
+
+/// No worker gets more than it can hold, whatever waits.
+#[test]
+fn room() {
+    let mut site = settled(2);
+    for id in 0..10 {
+        site.submit("a", "batch", 0x100 + id, vec![step(5, 300)]);
+    }
+    for _ in 0..100 {
+        site.run(ms(20));
+        site.check();
+    }
+    site.run(ms(2000));
+    assert_eq!(site.state("b", "batch", 0x109), Some(State::Completed));
+}
+
+/// A team's cap holds over all workers, also across a take-over.
+#[test]
+fn cap_of_team() {
+    let mut site = settled(3);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(2500));
+    let submit = Action::Submit(Ok(Box::new(job(vec![step(8, 2500)]))));
+    site.request("a", "/batch/0000000000000200", Some("key-b"), submit);
+    let running = |site: &Site| -> usize {
+        site.workers.values().map(|worker| worker.running().count()).sum()
+    };
+    site.run(ms(500));
+    assert_eq!(running(&site), 3);
+    let owner = site.owner().expect("there is an owner");
+    site.kill_host(&owner);
+    for _ in 0..200 {
+        site.run(ms(20));
+        assert!(running(&site) <= 3, "the cap is exceeded");
+    }
+}
+
+/// Urgent work preempts batch work on a full fleet; the batch work is started again.
+#[test]
+fn preemption() {
+    let mut site = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(3));
+    let saving = Step { checkpoints: true, ..step(4, 3000) };
+    site.submit("a", "batch", 0x300, vec![saving]);
+    site.run(ms(2000));
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(300));
+    site.submit("b", "urgent", 0x301, vec![step(2, 300)]);
+    site.run(ms(1000));
+    assert_eq!(site.starts_of_job(0x301), 2);
+    site.run(ms(5000));
+    assert_eq!(site.state("a", "batch", 0x300), Some(State::Completed));
+    site.check();
+}
+
+/// A gang starts as a whole under one run number, or waits.
+#[test]
+fn gang_as_a_whole() {
+    let mut site = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(900));
+    site.submit("a", "batch", 0x400, vec![step(3, 900)]);
+    site.run(ms(100));
+    site.submit("a", "batch", 0x401, vec![Step { gang: true, ..step(6, 900) }]);
+    site.run(ms(500));
+    assert_eq!(site.starts_of_job(0x401), 0, "part of a gang was started");
+    site.run(ms(2500));
+    let numbers: std::collections::BTreeSet<u64> = site
+        .workers
+        .values()
+        .flat_map(|worker| worker.starts.iter())
+        .filter(|(_, task, _)| task.stage.job == 0x401)
+        .map(|(_, _, number)| *number)
+        .collect();
+    assert_eq!(numbers.len(), 1);
+    assert_eq!(site.state("a", "batch", 0x401), Some(State::Completed));
+}
+
+/// The other members of a gang are stopped when one cannot start, and the gang starts again under a higher number.
+#[test]
+fn broken_gang() {
+    let mut site = settled(2);
+    site.workers.get_mut("w1").expect("there is a worker").loses_starts = true;
+    site.submit("a", "batch", 0x402, vec![Step { gang: true, ..step(6, 300) }]);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(1500));
+    // The gang is tried again while the fault lasts, but no member waits for the others until the worker gives up.
+    for _ in 0..150 {
+        site.run(ms(20));
+        let newest = site.workers["w0"].starts.last().map(|(at, _, _)| *at);
+        let waiting_since = newest.filter(|_| site.workers["w0"].running().count() > 0);
+        let waited = waiting_since.map_or(Duration::ZERO, |since| site.now - since);
+        assert!(waited < ms(1500), "a member waits alone for {waited:?}");
+    }
+    site.workers.get_mut("w1").expect("there is a worker").loses_starts = false;
+    site.run(ms(6000));
+    assert_eq!(site.state("a", "batch", 0x402), Some(State::Completed));
+}
+
+/// At most the stated number of tasks of a step run on one worker.
+#[test]
+fn limit_for_a_worker() {
+    let mut site = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(9));
+    site.submit("a", "batch", 0x500, vec![Step { per_worker_max: 1, ..step(4, 9000) }]);
+    site.run(ms(1000));
+    assert!(site.workers.values().all(|worker| worker.running().count() == 1));
+}
+
+/// A worker that drains, and a data centre that is evacuated, get no new tasks.
+#[test]
+fn drained_and_evacuated() {
+    let mut site = settled(1);
+    site.register("w0", true);
+    site.run(ms(600));
+    site.submit("a", "batch", 0x600, vec![step(1, 100)]);
+    site.run(ms(1000));
+    assert_eq!(site.starts_of_job(0x600), 0);
+    let zone = Content::Evacuation { zone: "kochi".to_owned() };
+    site.store.put(Table::Operator, "evacuate/kochi", zone);
+    site.run(ms(1500));
+    site.register("w0", false);
+    site.run(ms(1000));
+    assert_eq!(site.starts_of_job(0x600), 0);
+    site.store.delete(Table::Operator, "evacuate/kochi");
+    site.run(ms(2000));
+    assert_eq!(site.starts_of_job(0x600), 1);
+}
+
+/// A step runs only on approved workers, with a ticket; approval calls are spread over the hosts.
+#[test]
+fn approval() {
+    let mut site = settled(2);
+    site.disapproved.insert("w0".to_owned());
+    site.submit("a", "approved", 0x700, vec![step(2, 300)]);
+    site.run(ms(1500));
+    assert_eq!(site.workers["w0"].starts.len(), 0);
+    assert_eq!(site.workers["w1"].tickets, [Some("t-w1".to_owned()), Some("t-w1".to_owned())]);
+    assert_eq!(site.approvals.len(), 1, "one call names all workers");
+    assert_eq!(site.state("b", "approved", 0x700), Some(State::Completed));
+}
+
+/// Tasks that last are started again however they end, and count no attempts.
+#[test]
+fn long_running() {
+    let mut site = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.ending = Ending::Failed);
+    site.submit("a", "batch", 0x800, vec![Step { long_running: true, ..step(1, 300) }]);
+    site.run(ms(3000));
+    assert!(site.starts(task(0x800, 0, 0)) >= 4);
+    assert_eq!(site.state("a", "batch", 0x800), Some(State::Running));
+}
+
+/// A worker that fails everything is avoided after two failures while another one has room. Without it the job below
+/// would use up its attempts there.
+#[test]
+fn failing_worker() {
+    let mut site = settled(2);
+    site.workers.get_mut("w0").expect("there is a worker").ending = Ending::Failed;
+    for id in 0..4 {
+        site.submit("a", "batch", 0x900 + id, vec![step(1, 300)]);
+        site.run(ms(1200));
+    }
+    for id in 0..4 {
+        assert_eq!(site.state("a", "batch", 0x900 + id), Some(State::Completed));
+    }
+}
+
+/// A backlog that cannot run does not keep the owner from renewing its ownership or from placing what fits.
+#[test]
+fn backlog() {
+    let mut site = settled(1);
+    for id in 0..300 {
+        let large = Step { size: Size { processors_milli: 9000, ..Size::ZERO }, ..step(1, 300) };
+        site.submit("a", "batch", 0x1000 + id, vec![large]);
+    }
+    site.run(ms(1000));
+    site.submit("a", "batch", 0x2000, vec![step(1, 300)]);
+    site.run(ms(1500));
+    assert_eq!(site.state("a", "batch", 0x2000), Some(State::Completed));
+}
+
+/// A queue that was removed takes no more jobs, and those that it has accepted go on.
+#[test]
+fn removed_queue() {
+    let mut site = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(1000));
+    site.submit("a", "batch", 0xa00, vec![step(8, 1000)]);
+    site.run(ms(300));
+    let mut next = Configuration { version: 2, ..configuration() };
+    next.queues.retain(|queue| queue.name != "batch");
+    site.configure(next);
+    site.run(ms(1500));
+    let request = site.submit("b", "batch", 0xa01, vec![step(1, 300)]);
+    site.run(ms(3000));
+    assert_eq!(site.answers[&request], Answer::NoQueue);
+    assert_eq!(site.starts_of_job(0xa00), 8);
+}
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -0,0 +1,133 @@
+//! A store of rows with versions.
+
+use std::collections::BTreeMap;
+
+use shallotpost_fleet::port::{
+    Content, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
+};
+
+/// What the next transactions meet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// They are refused.
+    Refused,
+    /// They take effect, and the answer is lost.
+    AnswerLost,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    rows: BTreeMap<(Table, String), Row>,
+    changes: Vec<Row>,
+    version: RowVersion,
+    /// Fault of transactions.
+    pub fault: Fault,
+    /// Whether reads and feeds are refused too.
+    pub down: bool,
+    /// Feeds that need changes up to this version find their history gone.
+    pub forgotten: RowVersion,
+    /// Transactions that took effect.
+    pub transactions: usize,
+}
+
+impl Store {
+    pub fn put(&mut self, table: Table, key: &str, content: Content) {
+        self.version += 1;
+        self.set(table, key, content);
+    }
+
+    pub fn delete(&mut self, table: Table, key: &str) {
+        self.version += 1;
+        self.rows.remove(&(table, key.to_owned()));
+        let row =
+            Row { table, key: key.to_owned(), version: self.version, content: Content::Deleted };
+        self.changes.push(row);
+    }
+
+    /// Forgets the history so far.
+    pub fn compact(&mut self) {
+        self.forgotten = self.version;
+    }
+
+    pub fn has(&self, table: Table, key: &str) -> bool {
+        self.rows.contains_key(&(table, key.to_owned()))
+    }
+
+    fn set(&mut self, table: Table, key: &str, content: Content) {
+        let row = Row { table, key: key.to_owned(), version: self.version, content };
+        self.changes.push(row.clone());
+        self.rows.insert((table, key.to_owned()), row);
+    }
+
+    pub fn call(&mut self, request: &StoreRequest) -> Result<StoreAnswer, StoreError> {
+        if self.down {
+            return Err(StoreError::NotDone);
+        }
+        match request {
+            StoreRequest::Transact { conditions, writes, deletes } => {
+                self.transact(conditions, writes, deletes)
+            }
+            StoreRequest::Read { table, from, limit } => Ok(self.read(*table, from, *limit)),
+            StoreRequest::Feed { after, .. } if *after < self.forgotten => {
+                Err(StoreError::HistoryLost)
+            }
+            StoreRequest::Feed { table, after, .. } => {
+                let new = |row: &&Row| row.table == *table && row.version > *after;
+                let rows = self.changes.iter().filter(new).cloned().collect();
+                Ok(StoreAnswer { rows, more: false, version: self.version })
+            }
+        }
+    }
+
+    fn read(&self, table: Table, from: &str, limit: u32) -> StoreAnswer {
+        // Jobs lie in a part for each first digit, and a read covers one part.
+        let part = |key: &str| match table {
+            Table::Jobs => key.chars().next() == from.chars().next(),
+            _ => true,
+        };
+        let mut rows: Vec<Row> = self
+            .rows
+            .range((table, from.to_owned())..)
+            .take_while(|((of, key), _)| *of == table && part(key))
+            .map(|(_, row)| row.clone())
+            .collect();
+        let more = rows.len() > limit as usize;
+        rows.truncate(limit as usize);
+        StoreAnswer { rows, more, version: self.version }
+    }
+
+    fn transact(
+        &mut self,
+        conditions: &[(Table, String, RowVersion)],
+        writes: &[(Table, String, Vec<u8>)],
+        deletes: &[(Table, String)],
+    ) -> Result<StoreAnswer, StoreError> {
+        if self.fault == Fault::Refused {
+            return Err(StoreError::NotDone);
+        }
+        let row = |table: &Table, key: &String| self.rows.get(&(*table, key.clone()));
+        let holds = conditions
+            .iter()
+            .all(|(table, key, version)| row(table, key).map_or(0, |row| row.version) == *version);
+        if !holds {
+            let rows = conditions.iter().filter_map(|(table, key, _)| row(table, key).cloned());
+            return Err(StoreError::Conflict { rows: rows.collect() });
+        }
+        self.version += 1;
+        self.transactions += 1;
+        for (table, key, bytes) in writes {
+            self.set(*table, key, Content::Bytes(bytes.clone()));
+        }
+        for (table, key) in deletes {
+            self.rows.remove(&(*table, key.clone()));
+        }
+        match self.fault {
+            Fault::AnswerLost => Err(StoreError::Unanswered),
+            _ => Ok(StoreAnswer { version: self.version, ..StoreAnswer::default() }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -0,0 +1,248 @@
+//! A successor of an owner that died, was cut off or stopped: nothing runs twice, and nothing is forgotten.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::port::Answer;
+use shallotpost_fleet::progress::State;
+use shallotpost_fleet::worker::Ending;
+use support::store::Fault;
+use support::{Site, ms, step, task};
+
+/// A fleet of three hosts that has settled, and the name of its owner.
+fn settled(workers: usize) -> (Site, String) {
+    let mut site = Site::new(&["a", "b", "c"], workers);
+    site.run_until(Duration::from_secs(3), "an owner", |site| site.owner().is_some());
+    site.run(ms(1500));
+    let owner = site.owner().expect("there is an owner");
+    (site, owner)
+}
+
+fn other(owner: &str) -> &'static str {
+    if owner == "a" { "b" } else { "a" }
+}
+
+/// Kills the owner and waits for its successor.
+fn replace(site: &mut Site, owner: &str) -> String {
+    site.kill_host(owner);
+    site.run_until(Duration::from_secs(6), "a take-over", |site| site.owner().is_some());
+    site.run(ms(300));
+    site.owner().expect("there is an owner")
+}
+
+/// Tasks that run while their owner dies run on, and are not started again.
+#[test]
+fn running_tasks_continue() {
+    let (mut site, owner) = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(5));
+    site.submit(&owner, "batch", 0x11, vec![step(6, 5000)]);
+    site.run(ms(500));
+    let successor = replace(&mut site, &owner);
+    site.run(ms(5000));
+    site.check();
+    for index in 0..6 {
+        assert_eq!(site.starts(task(0x11, 0, index)), 1);
+    }
+    assert_eq!(site.state(&successor, "batch", 0x11), Some(State::Completed));
+}
+
+/// A task that ended while there was no owner is taken from the worker's list.
+#[test]
+fn ends_without_owner() {
+    let (mut site, owner) = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(900));
+    site.submit(other(&owner), "batch", 0x12, vec![step(2, 900)]);
+    site.run(ms(300));
+    let successor = replace(&mut site, &owner);
+    site.run(ms(1000));
+    assert_eq!(site.starts(task(0x12, 0, 0)), 1);
+    assert_eq!(site.state(&successor, "batch", 0x12), Some(State::Completed));
+}
+
+/// A worker that lost its registration behind a cut still holds its ends. Guards against starting again what has ended
+/// there, which happened when a successor knew only the workers of the registry.
+#[test]
+fn unregistered_worker() {
+    let (mut site, owner) = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(400));
+    site.submit(&owner, "batch", 0x13, vec![step(8, 400)]);
+    site.run(ms(100));
+    for host in ["a", "b", "c"] {
+        site.cut(host, "w0", true);
+    }
+    site.unregister("w0");
+    replace(&mut site, &owner);
+    site.run(ms(1500));
+    assert_eq!(site.starts_of_job(0x13), 8, "a task that had ended was started again");
+    for host in ["a", "b", "c"] {
+        site.cut(host, "w0", false);
+    }
+    site.register("w0", false);
+    site.run(ms(2500));
+    let successor = site.owner().expect("there is an owner");
+    assert_eq!(site.starts_of_job(0x13), 8);
+    assert_eq!(site.state(&successor, "batch", 0x13), Some(State::Completed));
+}
+
+/// A failed run counts once, also when its end is listed again to a successor and ends of two workers arrive in the wrong
+/// order. Guards against jobs that failed too early (one count too many) or too late (one too few).
+#[test]
+fn failures_count_once() {
+    let (mut site, owner) = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.ending = Ending::Failed);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(1200));
+    site.submit(&owner, "batch", 0x14, vec![step(1, 1200)]);
+    // The failure of the first run is stored; the worker is not told, because the owner dies.
+    site.run(ms(1150));
+    for worker in ["w0", "w1"] {
+        site.cut(&owner, worker, true);
+    }
+    site.run(ms(200));
+    let successor = replace(&mut site, &owner);
+    site.run(ms(6000));
+    assert_eq!(site.starts(task(0x14, 0, 0)), 2);
+    assert_eq!(site.state(&successor, "batch", 0x14), Some(State::Failed));
+}
+
+/// The owner reads the jobs again where their history is lost and keeps its epoch. Guards against run numbers that begin
+/// anew below runs that have ended.
+#[test]
+fn lost_history() {
+    let (mut site, owner) = settled(1);
+    site.submit(&owner, "batch", 0x15, vec![step(1, 300)]);
+    site.run(ms(1500));
+    site.store.compact();
+    site.submit(other(&owner), "batch", 0x16, vec![step(1, 300)]);
+    site.run(ms(3000));
+    assert_eq!(site.owner().as_deref(), Some(owner.as_str()));
+    assert_eq!(site.state(&owner, "batch", 0x16), Some(State::Completed));
+    let numbers: Vec<u64> =
+        site.workers["w0"].starts.iter().map(|(_, _, number)| *number).collect();
+    assert!(numbers.is_sorted(), "{numbers:?}");
+}
+
+/// The lease of a worker that does not answer any more lapses, and its tasks run elsewhere. Guards against calls without
+/// an answer that extended the recorded lease for ever.
+#[test]
+fn silent_worker() {
+    let (mut site, owner) = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(4));
+    site.submit(&owner, "batch", 0x17, vec![step(8, 4000)]);
+    site.run(ms(300));
+    site.workers.remove("w0");
+    site.unregister("w0");
+    site.run(Duration::from_secs(16));
+    assert_eq!(site.state(&owner, "batch", 0x17), Some(State::Completed));
+}
+
+/// While the store is away the owner goes on with accepted jobs and tells nobody that a job has ended before that is
+/// stored.
+#[test]
+fn store_outage() {
+    let (mut site, owner) = settled(1);
+    site.submit(
+        &owner,
+        "batch",
+        0x18,
+        vec![step(4, 300), shallotpost_fleet::job::Step { after: vec![0], ..step(1, 300) }],
+    );
+    site.run(ms(50));
+    site.store.down = true;
+    site.run(ms(2000));
+    assert_eq!(site.starts(task(0x18, 1, 0)), 1, "the second step has to start without the store");
+    assert_eq!(site.workers["w0"].noted(), 0, "an end was noted that is not stored");
+    assert_eq!(site.state(&owner, "batch", 0x18), Some(State::Running));
+    let refused = site.submit(&owner, "batch", 0x19, vec![step(1, 100)]);
+    site.run(ms(100));
+    assert!(matches!(site.answers[&refused], Answer::NotAdmitted { .. }));
+    site.store.down = false;
+    site.run(ms(1500));
+    assert_eq!(site.state(&owner, "batch", 0x18), Some(State::Completed));
+    assert_eq!(site.workers["w0"].noted(), site.workers["w0"].ends());
+}
+
+/// Answers of the store are lost after the write took effect: a job is admitted once, and ownership stays.
+#[test]
+fn lost_answers() {
+    let (mut site, owner) = settled(1);
+    site.store.fault = Fault::AnswerLost;
+    let request = site.submit(other(&owner), "batch", 0x1a, vec![step(1, 300)]);
+    site.run(ms(2000));
+    assert_eq!(site.answers[&request], Answer::Accepted);
+    assert_eq!(site.starts(task(0x1a, 0, 0)), 1);
+    assert_eq!(site.owner().as_deref(), Some(owner.as_str()));
+    site.store.fault = Fault::None;
+    site.run(ms(500));
+    assert_eq!(site.state(&owner, "batch", 0x1a), Some(State::Completed));
+}
+
+/// A host that the store alone refuses goes on through a peer: as owner, for submissions, and for the configuration.
+#[test]
+fn refused_by_store() {
+    let (mut site, owner) = settled(1);
+    site.cut(&owner, "store", true);
+    site.run(ms(1000));
+    let request = site.submit(&owner, "batch", 0x1b, vec![step(1, 300)]);
+    site.run(ms(2500));
+    assert_eq!(site.answers[&request], Answer::Accepted);
+    assert_eq!(site.state(&owner, "batch", 0x1b), Some(State::Completed));
+    site.configure(shallotpost_fleet::configuration::Configuration {
+        version: 2,
+        queues: Vec::new(),
+        ..support::configuration()
+    });
+    site.run(ms(1900));
+    let gone = site.submit(&owner, "batch", 0x1c, vec![step(1, 300)]);
+    site.run(ms(50));
+    assert_eq!(site.answers[&gone], Answer::NoQueue);
+}
+
+/// A planned stop hands over within a second and interrupts no task.
+#[test]
+fn planned_stop() {
+    let (mut site, owner) = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(3));
+    site.submit(other(&owner), "batch", 0x1d, vec![step(2, 3000)]);
+    site.run(ms(300));
+    site.stop_host(&owner);
+    site.run_until(Duration::from_secs(1), "a successor", |site| {
+        site.owner().is_some_and(|now| now != owner)
+    });
+    site.run(ms(4000));
+    assert_eq!(site.starts_of_job(0x1d), 2);
+    let successor = site.owner().expect("there is an owner");
+    assert_eq!(site.state(&successor, "batch", 0x1d), Some(State::Completed));
+}
+
+/// A worker that starts again under its identifier runs nothing of before: its tasks are started again, under a fencing
+/// token that late orders of the earlier life do not have.
+#[test]
+fn reborn_worker() {
+    let (mut site, owner) = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(2000));
+    site.submit(&owner, "batch", 0x1e, vec![step(2, 2000)]);
+    site.run(ms(500));
+    let now = site.now;
+    site.workers.get_mut("w0").expect("there is a worker").reborn(now);
+    site.register("w0", false);
+    site.run(ms(4500));
+    assert_eq!(site.starts_of_job(0x1e), 4);
+    assert_eq!(site.state(&owner, "batch", 0x1e), Some(State::Completed));
+}
+
+/// A start without an answer is ruled out before the task is placed again.
+#[test]
+fn lost_start() {
+    let (mut site, owner) = settled(2);
+    site.workers.get_mut("w0").expect("there is a worker").loses_starts = true;
+    site.submit(&owner, "batch", 0x1f, vec![step(6, 300)]);
+    site.run(ms(800));
+    site.workers.get_mut("w0").expect("there is a worker").loses_starts = false;
+    site.run(ms(4000));
+    site.check();
+    for index in 0..6 {
+        assert_eq!(site.starts(task(0x1f, 0, index)), 1);
+    }
+    assert_eq!(site.state(&owner, "batch", 0x1f), Some(State::Completed));
+}
