--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -512,7 +512,7 @@
         let dirty = owner.is_loaded() && owner.scheduler.is_dirty();
         let since = now.saturating_sub(owner.next_commit);
         let due = owner.next_commit <= now && (dirty || since >= COMMIT_INTERVAL_MAX);
-        if !(due || release && !dirty && !owner.releasing || release && dirty) {
+        if !(due || release) {
             return;
         }
         owner.releasing = release && !dirty;
