--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -51,6 +51,8 @@
     workers: BTreeMap<String, Vec<WorkerKey>>,
     failures: BTreeMap<String, u32>,
     preemptions: u32,
+    /// What teams may have running out of sight after a take-over.
+    uncertain: BTreeMap<Rc<str>, Size>,
 }
 
 impl Round {
@@ -117,7 +119,7 @@
     }
 
     fn begin_round(&self, context: &Context) -> Round {
-        let mut round = Round::default();
+        let mut round = Round { uncertain: self.uncertain_usage(), ..Round::default() };
         for (key, session) in &self.sessions {
             let usable = session.takes_tasks()
                 && !self.is_recorded_absent(key)
@@ -230,9 +232,11 @@
     }
 
     /// Whether the team's cap leaves room for this much more.
-    fn within_cap(&self, demand: &Demand, more: &Size) -> bool {
+    fn within_cap(&self, demand: &Demand, more: &Size, round: &Round) -> bool {
         let Some(team) = &demand.team else { return true };
-        let used = self.usage.get(team).copied().unwrap_or(Size::ZERO).plus(more);
+        let booked = self.usage.get(team).copied().unwrap_or(Size::ZERO);
+        let uncertain = round.uncertain.get(team).copied().unwrap_or(Size::ZERO);
+        let used = booked.plus(&uncertain).plus(more);
         let exceeds = |(used, cap): (u64, u64)| cap > 0 && used > cap;
         !used.parts().into_iter().zip(demand.cap.parts()).any(exceeds)
     }
@@ -293,7 +297,7 @@
             .map(|(key, _)| Rc::clone(key))
             .collect();
         for index in stage.waiting() {
-            if workers.is_empty() || !self.within_cap(demand, &demand.step.size) {
+            if workers.is_empty() || !self.within_cap(demand, &demand.step.size, round) {
                 return;
             }
             let failed_on = self
@@ -335,7 +339,7 @@
             return;
         }
         let all = demand.step.size.times(waiting.len() as u64);
-        if !self.within_cap(demand, &all) {
+        if !self.within_cap(demand, &all, round) {
             return;
         }
         let mut rooms: Vec<(WorkerKey, &Session, u32)> = self
@@ -450,7 +454,7 @@
             return;
         }
         let exhausted = round.preemptions >= PREEMPTIONS_PER_ROUND;
-        if exhausted || !self.within_cap(demand, &demand.step.size) {
+        if exhausted || !self.within_cap(demand, &demand.step.size, round) {
             return;
         }
         round.preemptions += 1;
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::job::StageId;
 use crate::prelude::*;
 use crate::scheduler::session::{Contact, Session, WorkerKey};
 use crate::scheduler::stage::Place;
@@ -166,6 +167,47 @@
         !self.takeover.settled || self.takeover.held.contains_key(key)
     }
 
+    /// What each team may have running on workers that have not answered, beyond what is booked. It counts against the
+    /// team's cap until it is known.
+    pub(super) fn uncertain_usage(&self) -> BTreeMap<Rc<str>, Size> {
+        let mut usage = BTreeMap::new();
+        if self.takeover.settled && self.takeover.held.is_empty() {
+            return usage;
+        }
+        let unheard = self.sessions.iter().filter(|(key, session)| {
+            session.clock.is_none() && !self.takeover.held.contains_key(*key)
+        });
+        let room = unheard
+            .fold(Size::ZERO, |sum, (_, session)| sum.plus(&session.registration.capacity));
+        let held: BTreeSet<TaskId> =
+            self.takeover.held.values().flat_map(|(tasks, _)| tasks.iter().copied()).collect();
+        let mut known: BTreeMap<Rc<str>, Size> = BTreeMap::new();
+        for id in &self.open {
+            let Some(entry) = self.jobs.get(id) else { continue };
+            let Some(team) = &entry.team else { continue };
+            for ((occurrence, position), stage) in &entry.stages {
+                let Some(step) = entry.job.steps.get(usize::from(*position)) else { continue };
+                let stage_id = StageId { job: *id, occurrence: *occurrence, step: *position };
+                for (task, index) in stage.tasks.iter().zip(0u32..) {
+                    if task.place != Place::Uncertain {
+                        continue;
+                    }
+                    let exact = held.contains(&stage_id.task(index));
+                    let sums = if exact { &mut known } else { &mut usage };
+                    let sum = sums.entry(Rc::clone(team)).or_insert(Size::ZERO);
+                    *sum = sum.plus(&step.size);
+                }
+            }
+        }
+        // No more can run on these workers than they hold.
+        usage.values_mut().for_each(|sum| *sum = sum.min(&room));
+        for (team, size) in known {
+            let sum = usage.entry(team).or_insert(Size::ZERO);
+            *sum = sum.plus(&size);
+        }
+        usage
+    }
+
     /// Releases uncertain tasks once all workers that may run them have answered, or no lease can be left.
     pub(super) fn settle_takeover(&mut self, context: &mut Context) {
         let held = self.takeover.held.len();
@@ -229,7 +271,7 @@
         let mut broken = Vec::new();
         for ((occurrence, step), stage) in &mut entry.stages {
             let gang = entry.job.steps.get(usize::from(*step)).is_some_and(|step| step.gang);
-            let stage_id = crate::job::StageId { job: id, occurrence: *occurrence, step: *step };
+            let stage_id = StageId { job: id, occurrence: *occurrence, step: *step };
             let mut changed = false;
             for (task, index) in stage.tasks.iter_mut().zip(0u32..) {
                 if task.place == Place::Uncertain && !held.contains(&stage_id.task(index)) {
--- a/crates/shallotpost-fleet/tests/placing.rs
+++ b/crates/shallotpost-fleet/tests/placing.rs
@@ -54,6 +54,32 @@
     }
 }
 
+/// Tasks on a worker that a successor does not reach count against the cap of their team. Guards against a start beyond the
+/// cap while such a worker runs on.
+#[test]
+fn cap_with_unheard_worker() {
+    let mut site = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(4));
+    let submit = |tasks| Action::Submit(Ok(Box::new(job(vec![step(tasks, 4000)]))));
+    let spread = Step { per_worker_max: 1, ..step(2, 4000) };
+    let action = Action::Submit(Ok(Box::new(job(vec![spread]))));
+    site.request("a", "/batch/0000000000000210", Some("key-b"), action);
+    site.run(ms(300));
+    let owner = site.owner().expect("there is an owner");
+    for host in ["a", "b"] {
+        site.cut(host, "w0", true);
+    }
+    site.kill_host(&owner);
+    site.run_until(Duration::from_secs(4), "a take-over", |site| site.owner().is_some());
+    let other = site.owner().expect("there is an owner");
+    site.request(&other, "/batch/0000000000000211", Some("key-b"), submit(4));
+    for _ in 0..100 {
+        site.run(ms(20));
+        let running: usize = site.workers.values().map(|worker| worker.running().count()).sum();
+        assert!(running <= 3, "{running} tasks run although the cap allows 3");
+    }
+}
+
 /// Urgent work preempts batch work on a full fleet; the batch work is started again.
 #[test]
 fn preemption() {
