--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -348,6 +348,10 @@
         if session.life != life {
             return;
         }
+        if result == Err(Error::OtherWorker) {
+            self.worker_gone(&worker, context);
+            return;
+        }
         if let Ok(report) = &result
             && report.born.is_some_and(|born| born != session.registration.born)
         {
@@ -364,6 +368,15 @@
         }
     }
 
+    /// Another worker listens at the address of this one, so its process has ended and nothing runs there any more.
+    fn worker_gone(&mut self, worker: &WorkerKey, context: &mut Context) {
+        context.log("worker_gone", vec![("worker", worker.to_string())]);
+        self.forget_runs(worker, "address taken over", context);
+        self.sessions.remove(worker);
+        self.release_held(worker);
+        self.round_due = true;
+    }
+
     /// Another process answers under the identifier and address of a worker.
     fn change_of_life(&mut self, worker: &WorkerKey, born: u64, context: &mut Context) {
         let Some(session) = self.sessions.get(worker) else { return };
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -208,6 +208,13 @@
         usage
     }
 
+    /// A worker out of reach has certainly ended; the next tick releases what it was taken to run.
+    pub(super) fn release_held(&mut self, key: &WorkerKey) {
+        if let Some((_, lapse)) = self.takeover.held.get_mut(key) {
+            *lapse = Uptime::ZERO;
+        }
+    }
+
     /// Releases uncertain tasks once all workers that may run them have answered, or no lease can be left.
     pub(super) fn settle_takeover(&mut self, context: &mut Context) {
         let held = self.takeover.held.len();
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -26,6 +26,8 @@
     pub size: Size,
     /// Whether starts get no answer and are not carried out.
     pub loses_starts: bool,
+    /// Whether another worker has its address.
+    pub replaced: bool,
     start: Duration,
     now: Duration,
     fence: u64,
@@ -50,6 +52,7 @@
             ending: Ending::Done,
             size: Size { processors_milli: 1000, ..Size::ZERO },
             loses_starts: false,
+            replaced: false,
             start: now,
             now,
             fence: 0,
@@ -155,6 +158,9 @@
     }
 
     pub fn call(&mut self, now: Duration, fence: u64, request: &Call) -> Result<Report, Error> {
+        if self.replaced {
+            return Err(Error::OtherWorker);
+        }
         if fence < self.fence {
             return Err(Error::Refused(Refusal::Fence));
         }
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -246,3 +246,19 @@
     }
     assert_eq!(site.state(&owner, "batch", 0x1f), Some(State::Completed));
 }
+
+/// Another worker at the address of one that is out of reach proves that it has ended: its tasks are placed again at once,
+/// and a take-over does not wait for its lease.
+#[test]
+fn address_taken_over() {
+    let (mut site, owner) = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(2));
+    site.submit(&owner, "batch", 0x20, vec![step(8, 2000)]);
+    site.run(ms(300));
+    site.workers.get_mut("w0").expect("there is a worker").replaced = true;
+    replace(&mut site, &owner);
+    site.run(ms(4000));
+    assert_eq!(site.starts_of_job(0x20), 12);
+    let successor = site.owner().expect("there is an owner");
+    assert_eq!(site.state(&successor, "batch", 0x20), Some(State::Completed));
+}
