--- a/crates/shallotpost-daemon/src/fleet/settings.rs
+++ b/crates/shallotpost-daemon/src/fleet/settings.rs
@@ -10,6 +10,9 @@
 use shallotpost_fleet::scheduler::Bounds;
 use shallotpost_protocol::millis;
 
+/// Longest lease that is asked for. Work of a worker that is lost waits for the end of its lease.
+const LEASE_MAX: Duration = Duration::from_secs(6);
+
 /// Shortest lease that leaves time for a failover of the owner.
 const HOLD_MIN: Duration = Duration::from_secs(2);
 
@@ -73,7 +76,7 @@
     /// The bounds that decisions depend on.
     pub fn bounds(&self) -> Bounds {
         Bounds {
-            hold_max: self.hold_max,
+            hold_max: self.hold_max.min(LEASE_MAX),
             stop_timeout: self.stop_timeout,
             gang_timeout: self.gang_timeout,
             retention: Duration::from_secs(self.retention_seconds),
--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -21,7 +21,7 @@
 
 /// Time for which an owner may start tasks after its last successful commit. A successor waits for it where a worker does
 /// not answer; outages of the store that are shorter interrupt nothing.
-pub const OWNERSHIP_LEASE: Duration = Duration::from_secs(5);
+pub const OWNERSHIP_LEASE: Duration = Duration::from_secs(4);
 
 /// Time after the request to stop in which an owner waits for the answers to its orders.
 const QUIET_BOUND: Duration = Duration::from_millis(400);
