--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod placement;
 pub mod session;
+mod shares;
 pub mod stage;
 mod takeover;
 
@@ -90,6 +91,8 @@
     job: Rc<Job>,
     /// Longest chain of steps, by their estimates.
     chain: Duration,
+    /// Whether its team had submitted more than its share.
+    beyond_share: bool,
     team: Option<Rc<str>>,
     admitted: Uptime,
     state: State,
@@ -127,6 +130,7 @@
     asks: BTreeMap<CallId, Ask>,
     approvers: Approvers,
     usage: BTreeMap<Rc<str>, Size>,
+    shares: shares::Shares,
     takeover: takeover::Takeover,
     commit: commit::Journal,
     round_due: bool,
@@ -160,6 +164,7 @@
             asks: BTreeMap::new(),
             approvers: Approvers::new(own),
             usage: BTreeMap::new(),
+            shares: shares::Shares::default(),
             takeover: takeover::Takeover::new(uncertain_until),
             commit: commit::Journal::default(),
             round_due: true,
@@ -184,10 +189,17 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let team = job.team.as_deref().map(Rc::from);
+        let team: Option<Rc<str>> = job.team.as_deref().map(Rc::from);
+        let weight = |team: &Rc<str>| context.configuration.team(team).map(|team| team.weight);
+        // What was submitted to an earlier owner does not count: its times are not known.
+        let beyond_share = !inherited
+            && team.as_ref().is_some_and(|team| {
+                weight(team).is_some_and(|weight| self.shares.take(team, weight, context.now))
+            });
         let entry = Entry {
             id,
             chain: job.longest_chain(),
+            beyond_share,
             job: Rc::new(job),
             team,
             admitted: context.now,
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -61,9 +61,24 @@
     }
 }
 
+/// Whether a job still counts for its team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// It is within its team's share and of use.
+    Regular,
+    /// It is so late that it is of little use to its submitter.
+    Expired,
+    /// Its team has submitted more than its share.
+    BeyondShare,
+}
+
+/// Multiple of the objective after which a job is of little use; the platform counts nothing later.
+const EXPIRY: u32 = 3;
+
 /// A stage with tasks to place, in the order in which stages are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
+    urgency: Urgency,
     priority: u32,
     /// Jobs beyond their objective come after those that can still meet it.
     late: bool,
@@ -167,6 +182,12 @@
             let terms = queue.map_or(&entry.job.terms, |queue| &queue.terms);
             let objective = entry.chain.mul_f64(terms.stretch.max(1.0)) + terms.target;
             let due = entry.admitted + objective;
+            let urgency = match () {
+                () if entry.beyond_share => Urgency::BeyondShare,
+                () if entry.job.long_running() => Urgency::Regular,
+                () if context.now > entry.admitted + objective * EXPIRY => Urgency::Expired,
+                () => Urgency::Regular,
+            };
             for ((occurrence, step), stage) in &entry.stages {
                 if stage.open == 0 || !stage.tasks.iter().any(|task| task.place == Place::Waiting) {
                     continue;
@@ -179,6 +200,7 @@
                     continue;
                 }
                 candidates.push(Candidate {
+                    urgency,
                     priority: terms.priority,
                     late: due < context.now,
                     due,
