--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -177,8 +177,8 @@
         let unheard = self.sessions.iter().filter(|(key, session)| {
             session.clock.is_none() && !self.takeover.held.contains_key(*key)
         });
-        let room = unheard
-            .fold(Size::ZERO, |sum, (_, session)| sum.plus(&session.registration.capacity));
+        let room =
+            unheard.fold(Size::ZERO, |sum, (_, session)| sum.plus(&session.registration.capacity));
         let held: BTreeSet<TaskId> =
             self.takeover.held.values().flat_map(|(tasks, _)| tasks.iter().copied()).collect();
         let mut known: BTreeMap<Rc<str>, Size> = BTreeMap::new();
