--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -58,10 +58,11 @@
 impl Host {
     pub(super) fn request(&mut self, request: RequestId, body: Request) {
         let Some(configuration) = &self.operator.configuration else {
-            return self.refuse(request, "no configuration yet");
+            return self.refuse(request, body.path, "no configuration yet");
         };
+        let version = configuration.version;
         let Some(queue) = configuration.route(&body.host, &body.path).cloned() else {
-            return self.answer(request, Answer::NoQueue);
+            return self.reject(request, &body.path, version, Answer::NoQueue);
         };
         let team = body.key.as_deref().and_then(|key| configuration.team_of_key(key));
         let team = team.map(|team| team.name.clone());
@@ -70,7 +71,7 @@
         // A key that is shown must be known everywhere; queues that are open need none, nor does a count.
         let keyless = body.key.is_none() && (queue.open || counts);
         if team.is_none() && !keyless {
-            return self.answer(request, Answer::BadKey);
+            return self.reject(request, &body.path, version, Answer::BadKey);
         }
         let deadline = self.now + body.patience.mul_f64(PATIENCE_SHARE);
         match (body.action, parse_job_id(&rest)) {
@@ -78,10 +79,12 @@
             (Action::Submit(Ok(job)), Some(id)) => {
                 self.submit(request, id, *job, &queue, team, deadline);
             }
-            (Action::Submit(Err(fault)), _) => self.answer(request, Answer::Malformed(fault)),
+            (Action::Submit(Err(fault)), _) => {
+                self.reject(request, &body.path, version, Answer::Malformed(fault));
+            }
             (Action::Submit(_), None) => {
                 let fault = "name the job with 16 lower-case hexadecimal digits".to_owned();
-                self.answer(request, Answer::Malformed(fault));
+                self.reject(request, &body.path, version, Answer::Malformed(fault));
             }
             (Action::Read, Some(id)) => self.read_state(request, id, team, queue.name, deadline),
             (Action::Cancel, Some(id)) => {
@@ -93,14 +96,43 @@
         }
     }
 
+    /// Refuses a request for what the caller sent, under this version of the configuration.
+    fn reject(&mut self, request: RequestId, path: &str, version: u64, answer: Answer) {
+        let fields = vec![
+            ("request", request.to_string()),
+            ("path", path.to_owned()),
+            ("answer", format!("{answer:?}")),
+            ("configuration", version.to_string()),
+        ];
+        self.log("rejected", fields);
+        self.answer(request, answer);
+    }
+
     fn answer(&mut self, request: RequestId, answer: Answer) {
-        self.gateway.pending.remove(&request);
+        let pending = self.gateway.pending.remove(&request);
+        if let Some(pending) = pending
+            && matches!(answer, Answer::NoJob | Answer::Unknown | Answer::Malformed(_))
+        {
+            let fields = vec![
+                ("request", request.to_string()),
+                ("job", job_key(pending.id)),
+                ("answer", format!("{answer:?}")),
+                ("store_age_ms", self.store_age().as_millis().to_string()),
+            ];
+            self.log("unserved", fields);
+        }
         self.outputs.push(Output::Answer { request, answer });
     }
 
-    fn refuse(&mut self, request: RequestId, cause: &'static str) {
+    /// Refuses a request, for a job or a path, for a reason of this host; nothing was done.
+    fn refuse(&mut self, request: RequestId, subject: String, cause: &'static str) {
         self.outputs.push(Output::Count { counter: Counter::JobsRefused, amount: 1 });
-        let fields = vec![("request", request.to_string()), ("cause", cause.to_owned())];
+        let fields = vec![
+            ("request", request.to_string()),
+            ("subject", subject),
+            ("cause", cause.to_owned()),
+            ("store_age_ms", self.store_age().as_millis().to_string()),
+        ];
         self.log("refused", fields);
         self.answer(request, Answer::NotAdmitted { retry_after: RETRY_AFTER });
     }
@@ -176,7 +208,10 @@
                 self.prefer_relay();
                 self.attempt_submit(request);
             }
-            Err(_) => self.refuse(request, "the store is not available"),
+            Err(_) => {
+                let job = job_key(pending.id);
+                self.refuse(request, job, "the store is not available");
+            }
         }
     }
 
@@ -351,7 +386,9 @@
             (Subject::Waiting, Knowledge::Waiting(jobs)) => {
                 self.answer(request, Answer::Waiting(jobs));
             }
-            (Subject::Waiting, _) => self.refuse(request, "the owner is not known"),
+            (Subject::Waiting, _) => {
+                self.refuse(request, "queue".to_owned(), "the owner is not known");
+            }
             (
                 Subject::State { team, queue, .. },
                 Knowledge::State { state, team: of_job, queue: of },
--- a/crates/shallotpost-fleet/src/host/peers.rs
+++ b/crates/shallotpost-fleet/src/host/peers.rs
@@ -156,10 +156,10 @@
             operator_version: self.operator.mark,
             epoch: self.ownership.epoch(),
             owner: self.owner.is_some(),
-            store_age: self
-                .store
-                .answered
-                .map_or(Duration::MAX, |answered| self.now.saturating_sub(answered)),
+            store_age: match self.store.answered {
+                Some(_) => self.store_age(),
+                None => Duration::MAX,
+            },
             commit_age: self
                 .owner
                 .as_ref()
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -104,6 +104,11 @@
         self.store.reached.is_some_and(recent)
     }
 
+    /// Time since the store last answered this host directly; the time since the start where it never has.
+    pub(super) fn store_age(&self) -> Duration {
+        self.now.saturating_sub(self.store.answered.unwrap_or_default())
+    }
+
     /// Whether another path to the store is worth an immediate second attempt.
     pub(super) fn store_has_relay(&self) -> bool {
         self.relay_host().is_some()
--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -35,16 +35,14 @@
         if was_current {
             self.release(worker, &task);
         }
-        if end.ending != Ending::Done {
-            let fields = vec![
-                ("task", task.to_string()),
-                ("run", end.number.to_string()),
-                ("worker", worker.to_string()),
-                ("ending", end.ending.to_string()),
-                ("ordered", ordered.to_string()),
-            ];
-            context.log("run_ended", fields);
-        }
+        let fields = vec![
+            ("task", task.to_string()),
+            ("run", end.number.to_string()),
+            ("worker", worker.to_string()),
+            ("ending", end.ending.to_string()),
+            ("ordered", ordered.to_string()),
+        ];
+        context.log("run_ended", fields);
         if matches!(end.ending, Ending::Done | Ending::Failed)
             && let Some(session) = self.sessions.get_mut(worker)
         {
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -56,6 +56,13 @@
             checkpoint,
             ticket,
         };
+        let fields = vec![
+            ("task", task.to_string()),
+            ("run", number.to_string()),
+            ("worker", worker.to_string()),
+            ("lease_ms", lease.as_millis().to_string()),
+        ];
+        context.log("run_started", fields);
         context.outputs.push(Output::Count { counter: Counter::Starts, amount: 1 });
         self.order(worker, Purpose::Start(task, number), request, context);
     }
