--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -186,6 +186,7 @@
         let Some(pending) = self.gateway.pending.get_mut(&request) else { return };
         let Kind::Submit { unanswered, attempts, .. } = &mut pending.kind else { return };
         let late = now + RETRY_PAUSE >= pending.deadline;
+        let job = job_key(pending.id);
         match result {
             Ok(_) | Err(StoreError::Conflict { .. }) => self.admitted(request),
             Err(StoreError::Unanswered) => {
@@ -209,7 +210,6 @@
                 self.attempt_submit(request);
             }
             Err(_) => {
-                let job = job_key(pending.id);
                 self.refuse(request, job, "the store is not available");
             }
         }
