--- a/crates/shallotpost-fleet/src/scheduler/holds.rs
+++ b/crates/shallotpost-fleet/src/scheduler/holds.rs
@@ -17,6 +17,9 @@
 /// Time for the answer beyond the wait. Answers take a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Calls in a row without an answer after which a worker counts as silent. Single answers are lost on the way.
+const UNANSWERED_MAX: u32 = 2;
+
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -60,6 +63,7 @@
         let settling = session.placements.values().any(|run| run.stop_confirmed);
         let wait = match session.contact {
             Contact::Live if until_ms.is_none() => Duration::ZERO,
+            Contact::Live if session.unanswered > 0 => Duration::ZERO,
             Contact::Live if settling => WAIT_SETTLING,
             Contact::Live if watched => WAIT_WATCHED,
             Contact::Live => WAIT,
@@ -91,12 +95,18 @@
         session.hold = None;
         let report = match result {
             Ok(report) => report,
+            Err(Error::Unanswered) if session.unanswered + 1 < UNANSWERED_MAX => {
+                session.unanswered += 1;
+                session.next_hold = now;
+                return;
+            }
             Err(error) => {
                 session.next_hold = now + RETRY_PAUSE;
                 self.lose_contact(worker, error, context);
                 return;
             }
         };
+        session.unanswered = 0;
         session.clock = Some((report.clock_ms, now));
         let joined = session.contact != Contact::Live;
         session.contact = Contact::Live;
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -105,6 +105,8 @@
     pub seen: u64,
     /// Highest end that is processed.
     pub processed: u64,
+    /// Calls in a row that got no answer.
+    pub unanswered: u32,
     /// The call that waits for an end, and when it was sent.
     pub hold: Option<(CallId, Uptime)>,
     /// When the next one is due.
@@ -133,6 +135,7 @@
             lease_until: 0,
             seen: 0,
             processed: 0,
+            unanswered: 0,
             hold: None,
             next_hold: now,
             placements: BTreeMap::new(),
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -53,6 +53,8 @@
     pub logs: Vec<(Duration, String, String)>,
     /// Pairs of host and worker, or host and `store`, or two hosts, that do not reach each other.
     pub cuts: BTreeSet<(String, String)>,
+    /// Number of answers of workers that are lost next.
+    pub lost_answers: usize,
     /// Workers that approve nothing.
     pub disapproved: BTreeSet<String>,
     /// Approval calls, with the number of workers named.
@@ -76,6 +78,7 @@
             answers: BTreeMap::new(),
             logs: Vec::new(),
             cuts: BTreeSet::new(),
+            lost_answers: 0,
             disapproved: BTreeSet::new(),
             approvals: Vec::new(),
             started: BTreeMap::new(),
@@ -275,10 +278,12 @@
                     let next = self.now + ms(5);
                     return self.push(next, Event::WorkerWait { host, call, worker, until });
                 }
-                let result = match self.is_cut(&host, &worker) {
+                let lost = self.lost_answers > 0;
+                let result = match self.is_cut(&host, &worker) || lost {
                     true => Err(Error::Unanswered),
                     false => Ok(state.report(self.now)),
                 };
+                self.lost_answers -= usize::from(lost);
                 self.push(self.now + DELAY, Event::Input(host, Input::Worker { call, result }));
             }
         }
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -262,3 +262,18 @@
     let successor = site.owner().expect("there is an owner");
     assert_eq!(site.state(&successor, "batch", 0x20), Some(State::Completed));
 }
+
+/// A single answer that is lost does not take a worker out of use. Guards against a fleet that loses a part of its room
+/// while a share of the answers is lost.
+#[test]
+fn single_lost_answer() {
+    let (mut site, owner) = settled(1);
+    site.submit(&owner, "batch", 0x21, vec![step(8, 300)]);
+    site.run(ms(100));
+    site.lost_answers = 1;
+    site.run(ms(3000));
+    assert_eq!(site.lost_answers, 0);
+    let silent = site.logs.iter().filter(|(_, _, text)| text.starts_with("worker_silent")).count();
+    assert_eq!(silent, 0);
+    assert_eq!(site.state(&owner, "batch", 0x21), Some(State::Completed));
+}
