--- a/crates/shallotpost-cli/src/client.rs
+++ b/crates/shallotpost-cli/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use serde_json::Value;
 use shallotpost_protocol::interface::Reply;
 use shallotpost_protocol::problem::{Kind, Problem};
 use ureq::http::{Method, Request, Response, StatusCode};
@@ -92,6 +93,9 @@
     }
 }
 
+/// Scheme of team keys at the entry hosts of a fleet; the product's own interface has another one.
+const TEAM_KEY_SCHEME: &str = "Token";
+
 /// Why one entry host gave no reply.
 enum Attempt {
     /// The request certainly had no effect there; another entry host may take it.
@@ -224,6 +228,59 @@
         }
     }
 
+    /// Sends a request on a job of a fleet to one entry host after the other until one answers. The same request may be
+    /// repeated: a job's id names one job.
+    ///
+    /// # Errors
+    ///
+    /// No entry host took it, all refused it, or its outcome is not known.
+    pub fn send_job(
+        &self,
+        method: &Method,
+        path: &str,
+        team_key: Option<&str>,
+        body: &[u8],
+        check: &str,
+    ) -> Result<Value, Error> {
+        let attempt = |server: &str| self.exchange_job(server, method, path, team_key, body);
+        let effect = if *method == Method::GET { Effect::Read } else { Effect::Repeatable };
+        self.try_servers(effect, check, attempt)
+    }
+
+    fn exchange_job(
+        &self,
+        server: &str,
+        method: &Method,
+        path: &str,
+        team_key: Option<&str>,
+        body: &[u8],
+    ) -> Result<Value, Attempt> {
+        let mut builder = Request::builder().method(method.clone()).uri(format!("{server}{path}"));
+        if let Some(key) = team_key {
+            builder = builder.header("authorization", format!("{TEAM_KEY_SCHEME} {key}"));
+        }
+        let unsendable = |error: ureq::http::Error| Attempt::NotTaken(error.to_string());
+        let mut response = match *method == Method::POST {
+            true => {
+                builder = builder.header("content-type", "application/json");
+                self.run(builder.body(body).map_err(unsendable)?, REQUEST_TIMEOUT)
+            }
+            false => self.run(builder.body(()).map_err(unsendable)?, REQUEST_TIMEOUT),
+        }?;
+        let status = response.status();
+        let text = read_text(&mut response).map_err(Attempt::Lost)?;
+        let answer: Value = serde_json::from_str(&text)
+            .map_err(|error| Attempt::Lost(format!("the answer cannot be read ({error})")))?;
+        match job_problem(status) {
+            None if status.is_success() => Ok(answer),
+            None => Err(Attempt::Lost(format!("status {status}"))),
+            Some(kind) => {
+                let message = answer["error"].as_str().unwrap_or("no reason given");
+                Err(Attempt::Refused(Problem::new(kind, message)))
+            }
+        }
+    }
+
     fn exchange(&self, server: &str, call: &Call) -> Result<Reply, Attempt> {
         let mut builder = self.request(call.method.clone(), server, &call.path, &call.query);
         if call.body.is_some() {
@@ -294,6 +351,18 @@
     }
 }
 
+/// Kind of problem behind a status of a fleet's entry host; none for a success and for an outcome that is not known.
+fn job_problem(status: StatusCode) -> Option<Kind> {
+    Some(match status.as_u16() {
+        401 => Kind::Unauthorized,
+        404 | 410 => Kind::NotFound,
+        413 => Kind::TooLarge,
+        429 | 503 => Kind::Unavailable,
+        400..=499 => Kind::Malformed,
+        _ => return None,
+    })
+}
+
 fn read_text(response: &mut Response<Body>) -> Result<String, String> {
     let body = response.body_mut().with_config().limit(REPLY_LENGTH_MAX);
     body.read_to_string().map_err(|error| format!("the reply is incomplete ({error})"))
--- a/crates/shallotpost-cli/src/commands/mod.rs
+++ b/crates/shallotpost-cli/src/commands/mod.rs
@@ -8,6 +8,10 @@
 pub mod explain;
 pub mod force;
 pub mod get;
+mod job;
+pub mod job_cancel;
+pub mod job_state;
+pub mod job_submit;
 pub mod key_grant;
 pub mod key_rotate;
 pub mod key_withdraw;
@@ -26,7 +30,7 @@
 use crate::command::Command;
 
 /// All commands.
-pub const ALL: [&Command; 20] = [
+pub const ALL: [&Command; 23] = [
     &submit::COMMAND,
     &wait::COMMAND,
     &status::COMMAND,
@@ -47,6 +51,9 @@
     &key_grant::COMMAND,
     &key_withdraw::COMMAND,
     &key_rotate::COMMAND,
+    &job_submit::COMMAND,
+    &job_state::COMMAND,
+    &job_cancel::COMMAND,
 ];
 
 /// For commands without options of their own.
