--- /dev/null
+++ b/crates/shallotpost-daemon/tests/fleet_settings.rs
@@ -0,0 +1,69 @@
+//! Settings of a fleet's entry host: the template's form, and each fault with its remedy.
+
+use std::time::Duration;
+
+use shallotpost_daemon::fleet::settings::parse;
+
+const TEMPLATE: &str = include_str!("../../../deploy/settings.json.template");
+
+/// The template as the platform fills it in.
+fn filled() -> String {
+    let values = [
+        ("{{node|json}}", "\"front-kochi-1\""),
+        ("{{zone|json}}", "\"kochi\""),
+        ("{{listen.front|json}}", "\"10.1.0.5:8686\""),
+        ("{{listen.ready|json}}", "\"10.1.0.5:8689\""),
+        ("{{ip}}", "10.1.0.5"),
+        ("{{internal_ports.0}}", "7180"),
+        ("{{internal_ports.1}}", "7195"),
+        ("{{#advice}}", ""),
+        ("{{/advice}}", ""),
+        ("{{.}}", "10.200.1.9:8683"),
+        ("{{platform.address|json}}", "\"10.200.1.7:8683\""),
+        ("{{bounds.max_hold_ms}}", "10000"),
+        ("{{bounds.stop_timeout_ms}}", "200"),
+        ("{{bounds.gang_timeout_ms}}", "3000"),
+        ("{{bounds.status_s}}", "120"),
+        ("{{bounds.grace_s}}", "6"),
+    ];
+    values.iter().fold(TEMPLATE.to_owned(), |text, (name, value)| text.replace(name, value))
+}
+
+/// The template must give settings that the daemon accepts.
+#[test]
+fn template() {
+    let settings = parse(&filled()).expect("the template is accepted");
+    assert_eq!(settings.host, "front-kochi-1");
+    assert_eq!(settings.peer_address.port(), 7180);
+    assert!(settings.platform.approval.is_some());
+    assert_eq!(settings.bounds.bounds().hold_max, Duration::from_secs(6), "leases are bounded");
+}
+
+/// A fleet without approvals has no such service.
+#[test]
+fn no_approval() {
+    let text = filled().replace("\"approval\": \"10.200.1.9:8683\",", "");
+    let settings = parse(&text).expect("the field is optional");
+    assert_eq!(settings.platform.approval, None);
+}
+
+/// Each fault is reported with what to do about it, several at once.
+#[test]
+fn faults() {
+    let cases = [
+        ("\"front-kochi-1\"", "\"\"", "Give each host a name"),
+        ("10.1.0.5:7195", "10.1.0.5:7180", "a port of its own"),
+        ("\"hold_max_ms\": 10000", "\"hold_max_ms\": 100", "Use the platform's figure"),
+        ("\"log_lines_per_second\": 200", "\"log_lines_per_second\": 0", "Use 1 or more"),
+        ("\"host\"", "\"hots\"", "settings.json.template"),
+        ("\"10.200.1.7:8683\"", "\"store.example\"", "settings.json.template"),
+        ("{", "", "settings.json.template"),
+    ];
+    for (from, to, remedy) in cases {
+        let text = filled().replacen(from, to, 1);
+        let faults = parse(&text).expect_err("a fault").to_string();
+        assert!(faults.contains(remedy), "{from}: {faults}");
+    }
+    let text = filled().replace("\"front-kochi-1\"", "\"\"").replace("7195", "7180");
+    assert_eq!(parse(&text).expect_err("two faults").to_string().lines().count(), 2);
+}
