Wait for all leases after a claim without an answer

A successor whose claim was not answered took its own row for the one that it had replaced, and so waited for one lease in place of the ownership lease and one lease. Removes functions without callers.

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -8,7 +8,7 @@
 mod store;
 
 use crate::message::Message;
-use crate::port::{HostName, Input, Log, RowVersion};
+use crate::port::{HostName, Input, Log};
 use crate::prelude::*;
 use crate::scheduler::{self, Bounds, Scheduler};
 
@@ -185,11 +185,6 @@
         quiet || self.now.saturating_sub(since) > QUIET_BOUND
     }
 
-    /// Version of the newest order of the operator that this host applies.
-    pub fn operator_mark(&self) -> RowVersion {
-        self.operator.mark
-    }
-
     /// Whether this host owns the fleet.
     pub fn is_owner(&self) -> bool {
         self.owner.is_some()
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -200,22 +200,40 @@
         u32::try_from(self.peers.iter().filter(before).count()).unwrap_or(u32::MAX)
     }
 
-    /// Workers out of reach, as the last owner recorded them.
-    fn absent_workers(&self) -> Vec<Absent> {
-        self.ownership.row.as_ref().map(|row| row.absent.clone()).unwrap_or_default()
-    }
-
-    fn claim(&mut self) {
-        let epoch = self.ownership.epoch() + 1;
-        let row = OwnerRow {
+    /// The row of an epoch that this host has just won. Workers out of reach are those that the last owner recorded.
+    fn own_row(&self, epoch: u64) -> OwnerRow {
+        OwnerRow {
             host: self.settings.host.clone(),
             incarnation: self.settings.incarnation,
             epoch,
             sequence: 0,
             released: false,
-            absent: self.absent_workers(),
-        };
-        let Ok(bytes) = encode(&row) else { return };
+            absent: self.ownership.row.as_ref().map(|row| row.absent.clone()).unwrap_or_default(),
+        }
+    }
+
+    /// Longest time for which a lease of the previous owner can be in force.
+    fn lease_bound(&self) -> Duration {
+        self.settings.bounds.hold_max.mul_f64(CLOCK_SLACK)
+    }
+
+    /// When no lease of the previous owner can be in force any more.
+    fn uncertain_until(&self, previous: Option<&OwnerRow>) -> Uptime {
+        match previous {
+            None => self.now,
+            Some(previous) if previous.released || self.has_restarted(previous) => {
+                self.now + self.lease_bound()
+            }
+            Some(_) => {
+                let observed = self.ownership.observed.unwrap_or(self.now);
+                observed + OWNERSHIP_LEASE + self.lease_bound()
+            }
+        }
+    }
+
+    fn claim(&mut self) {
+        let epoch = self.ownership.epoch() + 1;
+        let Ok(bytes) = encode(&self.own_row(epoch)) else { return };
         self.ownership.claiming = true;
         let request = StoreRequest::Transact {
             conditions: vec![(Table::Ownership, KEY.to_owned(), self.ownership.version)],
@@ -230,16 +248,11 @@
         self.ownership.claiming = false;
         match result {
             Ok(answer) => {
-                let previous = self.ownership.row.replace(OwnerRow {
-                    host: self.settings.host.clone(),
-                    incarnation: self.settings.incarnation,
-                    epoch,
-                    sequence: 0,
-                    released: false,
-                    absent: self.absent_workers(),
-                });
+                let row = self.own_row(epoch);
+                let previous = self.ownership.row.replace(row);
                 self.ownership.version = answer.version;
-                self.start_owner(previous.as_ref());
+                let uncertain_until = self.uncertain_until(previous.as_ref());
+                self.start_owner(previous.map(|row| row.host), uncertain_until);
             }
             Err(StoreError::Conflict { rows }) => {
                 let row = rows.into_iter().find(|row| row.key == KEY);
@@ -256,24 +269,17 @@
 
     fn become_owner(&mut self) {
         // The row that was replaced is not known any more; its owner may have renewed it just before.
-        self.start_owner(self.ownership.row.clone().as_ref());
+        let uncertain_until = self.now + OWNERSHIP_LEASE + self.lease_bound();
+        self.start_owner(None, uncertain_until);
     }
 
-    fn start_owner(&mut self, previous: Option<&OwnerRow>) {
+    fn start_owner(&mut self, previous: Option<HostName>, uncertain_until: Uptime) {
         let Some(row) = self.ownership.row.clone() else { return };
-        let hold_max = self.settings.bounds.hold_max.mul_f64(CLOCK_SLACK);
         let observed = self.ownership.observed.unwrap_or(self.now);
-        let uncertain_until = match previous {
-            None => self.now,
-            Some(previous) if previous.released || self.has_restarted(previous) => {
-                self.now + hold_max
-            }
-            Some(_) => observed + OWNERSHIP_LEASE + hold_max,
-        };
         self.ownership.observed = Some(self.now);
         let fields = vec![
             ("epoch", row.epoch.to_string()),
-            ("previous", previous.map_or_else(String::new, |row| row.host.clone())),
+            ("previous", previous.unwrap_or_default()),
             ("uncertain_ms", uncertain_until.saturating_sub(self.now).as_millis().to_string()),
         ];
         self.log("ownership_won", fields);
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -52,8 +52,8 @@
             || self.sessions.values().any(|session| session.processed > session.seen)
     }
 
-    /// Rows for the next transaction. Exactly one call of [`Scheduler::committed`] or
-    /// [`Scheduler::not_committed`] must follow.
+    /// Rows for the next transaction. The caller sends it until it takes effect and then calls [`Scheduler::committed`], or
+    /// drops the scheduler.
     pub fn collect(&mut self) -> Batch {
         let mut batch = Batch::default();
         let ids: Vec<JobId> = self.dirty.iter().take(ROWS_MAX).copied().collect();
@@ -146,10 +146,4 @@
         let obsolete = std::mem::take(&mut self.commit.obsolete);
         std::mem::replace(&mut self.commit, Journal { obsolete, ..Journal::default() })
     }
-
-    /// The transaction has not taken effect.
-    pub fn not_committed(&mut self) {
-        let journal = self.take_journal();
-        self.dirty.extend(journal.jobs.into_iter().map(|(id, _)| id));
-    }
 }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -257,11 +257,6 @@
         self.stop_job(id, context);
     }
 
-    /// Whether the job is known.
-    pub fn knows(&self, id: JobId) -> bool {
-        self.jobs.contains_key(&id)
-    }
-
     /// State of a job as callers may see it, with its team and queue.
     pub fn state(&self, id: JobId) -> Option<(State, Option<&str>, &str)> {
         let entry = self.jobs.get(&id)?;
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -277,3 +277,24 @@
     assert_eq!(silent, 0);
     assert_eq!(site.state(&owner, "batch", 0x21), Some(State::Completed));
 }
+
+/// A claim whose answer was lost proves nothing about the previous owner, which may have renewed its leases just before.
+/// Guards against a successor that takes its own row for the one that it replaced, and waits for one lease only.
+#[test]
+fn claim_without_answer() {
+    let (mut site, owner) = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(400));
+    site.submit(&owner, "batch", 0x22, vec![step(8, 400)]);
+    site.run(ms(100));
+    for host in ["a", "b", "c"] {
+        site.cut(host, "w0", true);
+    }
+    site.kill_host(&owner);
+    site.store.fault = Fault::AnswerLost;
+    site.run_until(Duration::from_secs(6), "a take-over", |site| site.owner().is_some());
+    site.store.fault = Fault::None;
+    site.run(ms(8000));
+    assert_eq!(site.starts_of_job(0x22), 8, "a task was started again before every lease had lapsed");
+    site.run(ms(6000));
+    assert_eq!(site.starts_of_job(0x22), 12);
+}
