--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -23,6 +23,9 @@
 /// Time after which a caller whose job was not admitted may try again; the store's short outages last seconds.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Most open requests; further ones are refused at once. Each takes up to 50 KB until the store answers.
+pub const OPEN_REQUESTS_MAX: usize = 1000;
+
 /// Longest row, in bytes, before the platform's encoding.
 const ROW_MAX: usize = 48 << 10;
 
@@ -57,6 +60,9 @@
 
 impl Host {
     pub(super) fn request(&mut self, request: RequestId, body: Request) {
+        if self.gateway.pending.len() >= OPEN_REQUESTS_MAX {
+            return self.refuse(request, body.path, "too many open requests");
+        }
         let Some(configuration) = &self.operator.configuration else {
             return self.refuse(request, body.path, "no configuration yet");
         };
--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -13,6 +13,7 @@
 use crate::scheduler::{self, Bounds, Scheduler};
 
 use gateway::Gateway;
+pub use gateway::OPEN_REQUESTS_MAX;
 use operator::Operator;
 use owner::Owner;
 use ownership::Ownership;
--- a/crates/shallotpost-fleet/tests/job_path.rs
+++ b/crates/shallotpost-fleet/tests/job_path.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use shallotpost_fleet::configuration::Configuration;
+use shallotpost_fleet::host::OPEN_REQUESTS_MAX;
 use shallotpost_fleet::job::Schedule;
 use shallotpost_fleet::port::{Action, Answer, Table};
 use shallotpost_fleet::progress::State;
@@ -173,3 +174,31 @@
     site.run(ms(200));
     assert_eq!(site.answers[&request], Answer::Waiting(2));
 }
+
+/// Requests beyond the limit are refused at once while the store does not answer, so that memory stays bounded.
+#[test]
+fn open_requests() {
+    let mut site = settled(&["a"], 1);
+    site.store.fault = support::store::Fault::AnswerLost;
+    let requests: Vec<_> = (0..OPEN_REQUESTS_MAX as u64 + 5)
+        .map(|id| site.submit("a", "batch", 0x1000 + id, vec![step(1, 100)]))
+        .collect();
+    site.run(Duration::ZERO);
+    let refused =
+        |request: &&u64| matches!(site.answers.get(request), Some(Answer::NotAdmitted { .. }));
+    assert_eq!(requests.iter().filter(refused).count(), 5);
+}
+
+/// The rows of an ended job are deleted after the time for which its state is kept, and not before.
+#[test]
+fn retention() {
+    let mut site = settled(&["a"], 1);
+    site.submit("a", "batch", 0x80, vec![step(1, 100)]);
+    site.run(Duration::from_secs(110));
+    assert_eq!(site.state("a", "batch", 0x80), Some(State::Completed));
+    site.run(Duration::from_secs(20));
+    for table in [Table::Jobs, Table::Progress] {
+        assert!(!site.store.has(table, "0000000000000080"), "{table:?}");
+    }
+    assert_eq!(site.state("a", "batch", 0x80), None);
+}
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -294,7 +294,11 @@
     site.run_until(Duration::from_secs(6), "a take-over", |site| site.owner().is_some());
     site.store.fault = Fault::None;
     site.run(ms(8000));
-    assert_eq!(site.starts_of_job(0x22), 8, "a task was started again before every lease had lapsed");
+    assert_eq!(
+        site.starts_of_job(0x22),
+        8,
+        "a task was started again before every lease had lapsed"
+    );
     site.run(ms(6000));
     assert_eq!(site.starts_of_job(0x22), 12);
 }
