--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -24,9 +24,6 @@
 /// not answer; outages of the store that are shorter interrupt nothing.
 pub const OWNERSHIP_LEASE: Duration = Duration::from_secs(4);
 
-/// Time after the request to stop in which an owner waits for the answers to its orders.
-const QUIET_BOUND: Duration = Duration::from_millis(400);
-
 /// Identity and bounds of a host.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -129,7 +126,7 @@
             evacuated: &self.operator.evacuated,
             last_call: &mut self.last_call,
             outputs: &mut self.outputs,
-            may_start: self.now < deadline && self.stopping.is_none(),
+            may_start: self.now < deadline && owner.releasing.is_none(),
             horizon: deadline + self.settings.bounds.hold_max,
         };
         run(&mut owner.scheduler, &mut context);
@@ -179,13 +176,6 @@
         }
     }
 
-    /// Whether the owner may release ownership: its orders are answered, or it has waited long enough.
-    fn may_release(&self) -> bool {
-        let Some(since) = self.stopping else { return false };
-        let quiet = self.owner.as_ref().is_none_or(|owner| owner.scheduler.is_quiet());
-        quiet || self.now.saturating_sub(since) > QUIET_BOUND
-    }
-
     /// Whether this host owns the fleet.
     pub fn is_owner(&self) -> bool {
         self.owner.is_some()
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -19,6 +19,9 @@
 /// Most time between two commits: they renew the ownership.
 const COMMIT_INTERVAL_MAX: Duration = Duration::from_millis(400);
 
+/// Time that an owner waits for the answers to its orders before it releases its ownership.
+const QUIET_BOUND: Duration = Duration::from_millis(400);
+
 /// Pause after a commit that the store refused.
 const COMMIT_RETRY: Duration = Duration::from_millis(100);
 
@@ -83,7 +86,8 @@
     commit: Option<Commit>,
     next_commit: Uptime,
     next_hosts: Uptime,
-    releasing: bool,
+    /// Since when nothing is started any more because the ownership is about to be released.
+    pub(super) releasing: Option<Uptime>,
 }
 
 /// The commit in flight.
@@ -126,7 +130,7 @@
             commit: None,
             next_commit: now,
             next_hosts: now + HOSTS_INTERVAL,
-            releasing: false,
+            releasing: None,
         }
     }
 
@@ -497,7 +501,7 @@
 
     /// Commits what is due: progress, the renewal of the ownership, or its release.
     pub(super) fn advance_owner(&mut self) {
-        let release = self.may_release();
+        let stopping = self.stopping.is_some();
         let now = self.now;
         let Some(owner) = &mut self.owner else { return };
         if let Some(commit) = &mut owner.commit {
@@ -512,10 +516,15 @@
         let dirty = owner.is_loaded() && owner.scheduler.is_dirty();
         let since = now.saturating_sub(owner.next_commit);
         let due = owner.next_commit <= now && (dirty || since >= COMMIT_INTERVAL_MAX);
-        if !(due || release) {
+        if stopping {
+            // Starts go on while an earlier commit is on its way. They end before the last one.
+            let since = *owner.releasing.get_or_insert(now);
+            if !owner.scheduler.is_quiet() && now.saturating_sub(since) < QUIET_BOUND {
+                return;
+            }
+        } else if !due {
             return;
         }
-        owner.releasing = release && !dirty;
         let batch = match owner.is_loaded() {
             true => owner.scheduler.collect(),
             false => Batch::default(),
@@ -526,7 +535,8 @@
             incarnation: self.settings.incarnation,
             epoch: owner.epoch,
             sequence: owner.sequence,
-            released: owner.releasing,
+            // Ends that do not fit are stored first; those that arrive later are listed to the successor again.
+            released: stopping && (!owner.loaded || owner.scheduler.is_collected()),
             absent: match owner.is_loaded() {
                 true => owner.scheduler.absent(now),
                 false => owner.absent.clone(),
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -52,6 +52,11 @@
             || self.sessions.values().any(|session| session.processed > session.seen)
     }
 
+    /// Whether the rows of the last call of [`Scheduler::collect`] hold all progress.
+    pub fn is_collected(&self) -> bool {
+        self.dirty.is_empty()
+    }
+
     /// Rows for the next transaction. The caller sends it until it takes effect and then calls [`Scheduler::committed`], or
     /// drops the scheduler.
     pub fn collect(&mut self) -> Batch {
--- a/crates/shallotpost-fleet/src/scheduler/holds.rs
+++ b/crates/shallotpost-fleet/src/scheduler/holds.rs
@@ -24,7 +24,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Pause between reads of a worker whose ends cannot be stored at present: it answers at once each time.
-const UNSTORED_PAUSE: Duration = Duration::from_millis(400);
+const UNSTORED_PAUSE: Duration = Duration::from_millis(150);
 
 /// A lease shorter than this is not worth extending.
 const LEASE_MIN: Duration = Duration::from_millis(300);
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -53,6 +53,8 @@
     pub logs: Vec<(Duration, String, String)>,
     /// Pairs of host and worker, or host and `store`, or two hosts, that do not reach each other.
     pub cuts: BTreeSet<(String, String)>,
+    /// Time that the store takes for an answer beyond the usual.
+    pub store_delay: Duration,
     /// Number of answers of workers that are lost next.
     pub lost_answers: usize,
     /// Workers that approve nothing.
@@ -78,6 +80,7 @@
             answers: BTreeMap::new(),
             logs: Vec::new(),
             cuts: BTreeSet::new(),
+            store_delay: Duration::ZERO,
             lost_answers: 0,
             disapproved: BTreeSet::new(),
             approvals: Vec::new(),
@@ -264,7 +267,8 @@
                     true => Err(StoreError::NotDone),
                     false => self.store.call(&request),
                 };
-                self.push(self.now + DELAY, Event::Input(host, Input::Store { call, result }));
+                let answered = self.now + DELAY + self.store_delay;
+                self.push(answered, Event::Input(host, Input::Store { call, result }));
             }
             Event::Worker { host, call, worker, fence, request } => {
                 self.call_worker(host, call, worker, fence, &request);
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use shallotpost_fleet::job::Step;
 use shallotpost_fleet::port::Answer;
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::worker::Ending;
@@ -141,12 +142,7 @@
 #[test]
 fn store_outage() {
     let (mut site, owner) = settled(1);
-    site.submit(
-        &owner,
-        "batch",
-        0x18,
-        vec![step(4, 300), shallotpost_fleet::job::Step { after: vec![0], ..step(1, 300) }],
-    );
+    site.submit(&owner, "batch", 0x18, vec![step(4, 300), Step { after: vec![0], ..step(1, 300) }]);
     site.run(ms(50));
     site.store.down = true;
     site.run(ms(2000));
@@ -302,3 +298,45 @@
     site.run(ms(6000));
     assert_eq!(site.starts_of_job(0x22), 12);
 }
+
+/// A planned stop while the store is slow interrupts starts for little more than the hand-over takes. Guards against a
+/// stopping owner that starts nothing while it still has progress to store.
+#[test]
+fn planned_stop_with_slow_store() {
+    let (mut site, owner) = settled(8);
+    for (worker, milliseconds) in site.workers.values_mut().zip((1..).map(|step| step * 400)) {
+        worker.duration = ms(milliseconds);
+    }
+    site.submit(&owner, "batch", 0x23, vec![step(600, 1500)]);
+    site.run(ms(100));
+    site.store_delay = ms(300);
+    site.run(ms(2000));
+    let stopped = site.now;
+    site.stop_host(&owner);
+    site.run(ms(4000));
+    let mut starts: Vec<Duration> =
+        site.workers.values().flat_map(|worker| &worker.starts).map(|(at, _, _)| *at).collect();
+    starts.retain(|at| *at > stopped);
+    starts.extend([stopped, site.now]);
+    starts.sort_unstable();
+    let gap = starts.windows(2).map(|pair| pair[1] - pair[0]).max().expect("there are starts");
+    // The release, the claim and the reads of jobs and registry take 1.2 s with this store, and the lists a little more.
+    assert!(gap < ms(2000), "nothing was started for {gap:?}");
+    site.check();
+}
+
+/// Ends are noticed while the store is slow, so that the next steps start. Guards against a worker that is read only as
+/// often as the store answers.
+#[test]
+fn ends_with_slow_store() {
+    let (mut site, owner) = settled(1);
+    site.submit(&owner, "batch", 0x24, vec![step(4, 300)]);
+    site.run(ms(100));
+    site.store_delay = ms(1000);
+    let steps = (0..6u16).map(|position| Step { after: (0..position).collect(), ..step(4, 300) });
+    site.submit(&owner, "batch", 0x25, steps.collect());
+    // Admission takes a second with this store, and each of five steps 300 ms and the time until its ends are noticed,
+    // for which half a second is more than enough.
+    site.run(ms(1000 + 5 * 500));
+    assert_eq!(site.starts(task(0x25, 5, 0)), 1, "the last step has not started");
+}
