--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -330,13 +330,13 @@
 #[test]
 fn ends_with_slow_store() {
     let (mut site, owner) = settled(1);
-    site.submit(&owner, "batch", 0x24, vec![step(4, 300)]);
+    site.workers.values_mut().for_each(|worker| worker.duration = ms(410));
+    site.submit(&owner, "batch", 0x24, vec![step(4, 410)]);
     site.run(ms(100));
     site.store_delay = ms(1000);
-    let steps = (0..6u16).map(|position| Step { after: (0..position).collect(), ..step(4, 300) });
+    let steps = (0..6u16).map(|position| Step { after: (0..position).collect(), ..step(4, 410) });
     site.submit(&owner, "batch", 0x25, steps.collect());
-    // Admission takes a second with this store, and each of five steps 300 ms and the time until its ends are noticed,
-    // for which half a second is more than enough.
-    site.run(ms(1000 + 5 * 500));
+    // Admission takes a second with this store, and each of five steps 410 ms and at most 150 until its ends are read.
+    site.run(ms(1000 + 5 * 560));
     assert_eq!(site.starts(task(0x25, 5, 0)), 1, "the last step has not started");
 }
