--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -5,6 +5,7 @@
 mod owner;
 mod ownership;
 mod peers;
+mod reading;
 mod store;
 
 use crate::message::Message;
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod pace;
 mod placement;
+mod preemption;
 pub mod session;
 mod shares;
 pub mod stage;
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -1,10 +1,10 @@
-//! Placement of waiting tasks: approvals, choice of workers and preemption.
+//! Placement of waiting tasks: approvals and the choice of workers.
 
 use crate::configuration::Terms;
 use crate::job::StageId;
 use crate::port::{ApprovalRequest, Counter};
 use crate::prelude::*;
-use crate::scheduler::session::{Phase, Session, WorkerKey};
+use crate::scheduler::session::{Session, WorkerKey};
 use crate::scheduler::stage::{Place, Stage};
 use crate::scheduler::{Ask, Context, Entry, Scheduler};
 
@@ -20,18 +20,9 @@
 /// Most workers whose tickets are renewed with one call; each costs time.
 const RENEWALS_MAX: usize = 10;
 
-/// Time for which a stage waits for room before it preempts. Most rooms free up by themselves within it.
-const PREEMPT_AFTER: Duration = Duration::from_millis(20);
-
-/// Pause between two preemptions for one stage: the stopped runs must end first.
-const PREEMPT_PAUSE: Duration = Duration::from_millis(300);
-
 /// Time before the expected end of the preceding steps at which approval is asked for, beyond the call's duration.
 const ASK_EARLY: Duration = Duration::from_millis(150);
 
-/// A run without checkpoints is preempted only while it is younger than this; later too much work is lost.
-const PREEMPT_AGE_MAX: Duration = Duration::from_millis(1500);
-
 /// Most stages of one pool that a round tries without success; the others wait for the next whole round. Each try costs
 /// some microseconds for each worker.
 const FAILURES_PER_ROUND: u32 = 24;
@@ -39,18 +30,15 @@
 /// Interval of rounds that try all stages.
 const WHOLE_ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Most stages of one round for which runs are preempted.
-const PREEMPTIONS_PER_ROUND: u32 = 6;
-
 /// Pause after a round for each stage that it tried. It bounds the processor time of a host with a quarter of a core.
 const PAUSE_PER_STAGE: Duration = Duration::from_micros(60);
 
 /// Workers that may take tasks in this round, by pool.
 #[derive(Default)]
-struct Round {
+pub(super) struct Round {
     workers: BTreeMap<String, Vec<WorkerKey>>,
     failures: BTreeMap<String, u32>,
-    preemptions: u32,
+    pub(super) preemptions: u32,
     /// What teams may have running out of sight after a take-over.
     uncertain: BTreeMap<Rc<str>, Size>,
 }
@@ -89,12 +77,12 @@
 }
 
 /// What limits the placement of one stage.
-struct Demand {
-    id: StageId,
-    step: Step,
-    terms: Terms,
-    team: Option<Rc<str>>,
-    cap: Size,
+pub(super) struct Demand {
+    pub(super) id: StageId,
+    pub(super) step: Step,
+    pub(super) terms: Terms,
+    pub(super) team: Option<Rc<str>>,
+    pub(super) cap: Size,
 }
 
 impl Scheduler {
@@ -160,7 +148,7 @@
     }
 
     /// Workers of the round that suit a stage, apart from approval and room.
-    fn suitable<'a>(
+    pub(super) fn suitable<'a>(
         &'a self,
         demand: &'a Demand,
         round: &'a Round,
@@ -254,7 +242,7 @@
     }
 
     /// Whether the team's cap leaves room for this much more.
-    fn within_cap(&self, demand: &Demand, more: &Size, round: &Round) -> bool {
+    pub(super) fn within_cap(&self, demand: &Demand, more: &Size, round: &Round) -> bool {
         let Some(team) = &demand.team else { return true };
         let booked = self.usage.get(team).copied().unwrap_or(Size::ZERO);
         let uncertain = round.uncertain.get(team).copied().unwrap_or(Size::ZERO);
@@ -278,7 +266,7 @@
     }
 
     /// Number of further tasks of the stage that fit on a worker.
-    fn room(demand: &Demand, session: &Session, free: &Size) -> u32 {
+    pub(super) fn room(demand: &Demand, session: &Session, free: &Size) -> u32 {
         let booking = demand.step.booking();
         let parts = booking.parts().into_iter().zip(free.parts());
         let fits = parts.filter(|(need, _)| *need > 0).map(|(need, have)| have / need).min();
@@ -461,98 +449,4 @@
             stage.asking = true;
         }
     }
-
-    /// Stops runs of lower priority to make room for the tasks of a stage that still wait.
-    fn preempt(&mut self, demand: &Demand, round: &mut Round, context: &mut Context) {
-        let now = context.now;
-        let Some(stage) = self.stage_mut(demand.id) else { return };
-        let waiting = stage.waiting().len();
-        if waiting == 0 || stage.verdicts.is_empty() && demand.terms.approval.is_some() {
-            stage.blocked_since = None;
-            return;
-        }
-        let since = *stage.blocked_since.get_or_insert(now);
-        if now.saturating_sub(since) < PREEMPT_AFTER || stage.next_preemption > now {
-            return;
-        }
-        let exhausted = round.preemptions >= PREEMPTIONS_PER_ROUND;
-        if exhausted || !self.within_cap(demand, &demand.step.size, round) {
-            return;
-        }
-        round.preemptions += 1;
-        let victims = self.victims(demand, waiting, round, context);
-        if victims.is_empty() {
-            return;
-        }
-        if let Some(stage) = self.stage_mut(demand.id) {
-            stage.next_preemption = now + PREEMPT_PAUSE;
-        }
-        for (worker, task, number) in victims {
-            let fields = vec![
-                ("task", task.to_string()),
-                ("worker", worker.to_string()),
-                ("for", demand.id.to_string()),
-            ];
-            context.log("preempted", fields);
-            context.outputs.push(Output::Count { counter: Counter::Preemptions, amount: 1 });
-            self.send_stop(&worker, task, number, context);
-        }
-    }
-
-    /// Runs to stop so that up to `waiting` tasks fit.
-    fn victims(
-        &self,
-        demand: &Demand,
-        waiting: usize,
-        round: &Round,
-        context: &Context,
-    ) -> Vec<(WorkerKey, TaskId, u64)> {
-        let now = context.now;
-        let Some(stage) = self.stage(demand.id) else { return Vec::new() };
-        let booking = demand.step.booking();
-        let mut victims = Vec::new();
-        let mut missing = waiting;
-        for (key, session) in self.suitable(demand, round) {
-            let approved = demand.terms.approval.is_none()
-                || stage.verdicts.get(key).is_some_and(|verdict| {
-                    verdict.ticket.is_some() && verdict.life == session.life
-                });
-            if !approved {
-                continue;
-            }
-            let mut free = session.free().plus(&session.freeing());
-            let mut runs: Vec<_> = session
-                .placements
-                .iter()
-                .filter(|(_, run)| run.phase == Phase::Running && run.preemptible)
-                .filter(|(_, run)| run.priority > demand.terms.priority)
-                .filter(|(_, run)| {
-                    run.checkpoints || now.saturating_sub(run.since) < PREEMPT_AGE_MAX
-                })
-                .collect();
-            // The least work is lost with runs that save their progress and with the youngest ones.
-            runs.sort_by_key(|(_, run)| (run.checkpoints, run.since));
-            let mut room = Self::room(demand, session, &free);
-            loop {
-                let fitting = usize::try_from(room).unwrap_or(usize::MAX).min(missing);
-                missing -= fitting;
-                if missing == 0 {
-                    return victims;
-                }
-                free = free.minus(&booking.times(fitting as u64));
-                let mut chosen = Vec::new();
-                while Self::room(demand, session, &free) == 0 {
-                    let Some((task, run)) = runs.pop() else { break };
-                    free = free.plus(&run.booking);
-                    chosen.push((Rc::clone(key), *task, run.number));
-                }
-                room = Self::room(demand, session, &free);
-                if room == 0 || chosen.is_empty() {
-                    break;
-                }
-                victims.append(&mut chosen);
-            }
-        }
-        victims
-    }
 }
