--- a/crates/shallotpost-daemon/src/fleet/settings.rs
+++ b/crates/shallotpost-daemon/src/fleet/settings.rs
@@ -61,9 +61,6 @@
     /// Time after which a stopped run is gone.
     #[serde(rename = "stop_timeout_ms", with = "millis")]
     pub stop_timeout: Duration,
-    /// Time that a member of a gang waits for the others.
-    #[serde(rename = "gang_timeout_ms", with = "millis")]
-    pub gang_timeout: Duration,
     /// Time for which the state of an ended job can be read.
     #[serde(rename = "retention_s")]
     pub retention_seconds: u64,
@@ -78,7 +75,6 @@
         Bounds {
             hold_max: self.hold_max.min(LEASE_MAX),
             stop_timeout: self.stop_timeout,
-            gang_timeout: self.gang_timeout,
             retention: Duration::from_secs(self.retention_seconds),
         }
     }
--- a/crates/shallotpost-daemon/tests/fleet_settings.rs
+++ b/crates/shallotpost-daemon/tests/fleet_settings.rs
@@ -22,7 +22,6 @@
         ("{{platform.address|json}}", "\"10.200.1.7:8683\""),
         ("{{bounds.max_hold_ms}}", "10000"),
         ("{{bounds.stop_timeout_ms}}", "200"),
-        ("{{bounds.gang_timeout_ms}}", "3000"),
         ("{{bounds.status_s}}", "120"),
         ("{{bounds.grace_s}}", "6"),
     ];
--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -284,10 +284,6 @@
             placement.phase = Phase::Running;
             placement.changed = now;
         }
-        if (placement.percent - run.percent).abs() > f64::EPSILON {
-            placement.progressed = now;
-        }
-        placement.listed = true;
         placement.percent = run.percent;
         placement.gauge = run.gauge;
         self.note_started(run.task.stage.job);
@@ -322,7 +318,6 @@
         let team = entry.and_then(|entry| entry.team.clone());
         let step = self.step(id).cloned().unwrap_or_default();
         let placement = Placement {
-            listed: true,
             percent: run.percent,
             gauge: run.gauge,
             phase: Phase::Running,
@@ -382,9 +377,7 @@
         since: now,
         changed: now,
         stop_confirmed: false,
-        listed: false,
         percent: 0.0,
-        progressed: now,
         checkpoints: step.checkpoints,
         preemptible: !step.gang && !step.long_running,
         target: (step.latency_target > Duration::ZERO).then_some(step.latency_target),
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -52,8 +52,6 @@
     pub hold_max: Duration,
     /// Time after which a stopped run is gone.
     pub stop_timeout: Duration,
-    /// Time that a member of a gang waits for the others.
-    pub gang_timeout: Duration,
     /// Time for which the state of an ended job is kept.
     pub retention: Duration,
 }
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -49,12 +49,8 @@
     pub changed: Uptime,
     /// Whether the worker has confirmed the stop.
     pub stop_confirmed: bool,
-    /// Whether a worker's list has shown it.
-    pub listed: bool,
-    /// Newest progress in percent, and when it changed.
+    /// Newest progress in percent.
     pub percent: f64,
-    /// When the progress changed.
-    pub progressed: Uptime,
     /// Whether a stop loses little work.
     pub checkpoints: bool,
     /// Whether it may be preempted.
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -143,7 +143,6 @@
             bounds: Bounds {
                 hold_max: ms(6000),
                 stop_timeout: ms(200),
-                gang_timeout: ms(3000),
                 retention: Duration::from_secs(120),
             },
         };
