--- a/crates/shallotpost-daemon/examples/quickstart.rs
+++ b/crates/shallotpost-daemon/examples/quickstart.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 0 only if every piece of work was placed and ended as it should.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -15,7 +16,7 @@
 use shallotpost_protocol::key;
 use shallotpost_protocol::resource::{Availability, DataCentre, Key, Resource, Right, Team};
 use shallotpost_protocol::size::Size;
-use shallotpost_protocol::work::{Class, Ending, Phase, Specification, Status};
+use shallotpost_protocol::work::{Class, Ending, Phase, Specification, State, Status};
 use shallotpost_standin::settings::{Fleet, Settings as FleetSettings, WorkerSettings};
 use ureq::http::Method;
 
@@ -23,7 +24,7 @@
 const BOUND: Duration = Duration::from_secs(50);
 
 /// Interval at which the status is read while something is awaited.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Capacity of each worker.
 const CAPACITY: Size =
@@ -184,14 +185,9 @@
     let accepted = retry(deadline, || submitter.send(&call.clone().json(specification)))?;
     let Reply::Accepted { shard, .. } = accepted else { bail!("{work}: {accepted:?}") };
     let service = matches!(specification.class, Class::Service { .. });
-    let mut placed = String::new();
+    let status = format!("/v1/work/{work}");
+    let placed = await_running(reader, &status, specification.class.tasks(), deadline)?;
     if service {
-        placed = await_running(
-            reader,
-            &format!("/v1/work/{work}"),
-            specification.class.tasks(),
-            deadline,
-        )?;
         let path = format!("/v1/work/{work}/cancel");
         let cancel = Call::change(Method::POST, path, Effect::Repeatable, String::new());
         retry(deadline, || submitter.send(&cancel))?;
@@ -211,19 +207,21 @@
     })
 }
 
-/// Waits until every task runs; returns the workers.
+/// Waits until every task runs, or the work has ended; returns the workers on which its tasks were seen.
 fn await_running(
     reader: &Client,
     path: &str,
     tasks: u32,
     deadline: Instant,
 ) -> eyre::Result<String> {
+    let mut seen: BTreeSet<String> = BTreeSet::new();
     loop {
         let reply = retry(deadline, || reader.send(&Call::get(path)))?;
         let Reply::Status(status) = reply else { bail!("{path}: {reply:?}") };
         let workers = running_workers(&status);
-        if workers.len() as u32 == tasks {
-            return Ok(workers.join(" "));
+        seen.extend(workers.iter().cloned());
+        if workers.len() as u32 == tasks || matches!(status.state, State::Ended(_)) {
+            return Ok(Vec::from_iter(seen).join(" "));
         }
         ensure!(Instant::now() < deadline, "{path}: {} of {tasks} tasks run", workers.len());
         std::thread::sleep(POLL_INTERVAL);
