Begin an epoch once

A claim was refused by a slow store, a second one took effect, and a read showed its row before its answer: the host became owner, and became it again with the same epoch when the answer came. A read in flight also ended the wait for a claim's answer. The test epoch_begins_once covers the order of these answers but passes without the correction too.

--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -72,6 +72,8 @@
     last_read: Option<Uptime>,
     reading: bool,
     claiming: bool,
+    /// Highest epoch that this process has begun as owner.
+    begun: u64,
     /// Epoch of a claim whose outcome is not known.
     unanswered_claim: Option<u64>,
     next_read: Uptime,
@@ -134,7 +136,6 @@
         self.ownership.next_read = self.now + WATCH_INTERVAL;
         let Ok(answer) = result else { return };
         self.ownership.last_read = Some(self.now);
-        self.ownership.claiming = false;
         let row = answer.rows.into_iter().find(|row| row.key == KEY);
         self.observe_row(row);
     }
@@ -155,7 +156,8 @@
                 && row.incarnation == self.settings.incarnation
                 && claimed == Some(row.epoch)
         });
-        if won && self.owner.is_none() && self.stopping.is_none() {
+        let begun = self.ownership.begun >= self.ownership.epoch();
+        if won && !begun && self.owner.is_none() && self.stopping.is_none() {
             // The claim took effect although its answer was lost.
             self.become_owner();
         }
@@ -247,6 +249,8 @@
     pub(super) fn claim_result(&mut self, epoch: u64, result: Result<StoreAnswer, StoreError>) {
         self.ownership.claiming = false;
         match result {
+            // A read has shown the won row before the answer to the claim; an epoch is begun once.
+            Ok(_) if self.owner.is_some() || self.ownership.begun >= epoch => {}
             Ok(answer) => {
                 let row = self.own_row(epoch);
                 let previous = self.ownership.row.replace(row);
@@ -275,6 +279,7 @@
 
     fn start_owner(&mut self, previous: Option<HostName>, uncertain_until: Uptime) {
         let Some(row) = self.ownership.row.clone() else { return };
+        self.ownership.begun = row.epoch;
         let observed = self.ownership.observed.unwrap_or(self.now);
         self.ownership.observed = Some(self.now);
         let fields = vec![
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -55,6 +55,8 @@
     pub cuts: BTreeSet<(String, String)>,
     /// Time that the store takes for an answer beyond the usual.
     pub store_delay: Duration,
+    /// Time that transactions take beyond that.
+    pub transaction_delay: Duration,
     /// Number of answers of workers that are lost next.
     pub lost_answers: usize,
     /// Workers that approve nothing.
@@ -81,6 +83,7 @@
             logs: Vec::new(),
             cuts: BTreeSet::new(),
             store_delay: Duration::ZERO,
+            transaction_delay: Duration::ZERO,
             lost_answers: 0,
             disapproved: BTreeSet::new(),
             approvals: Vec::new(),
@@ -266,7 +269,10 @@
                     true => Err(StoreError::NotDone),
                     false => self.store.call(&request),
                 };
-                let answered = self.now + DELAY + self.store_delay;
+                let transacts =
+                    matches!(request, shallotpost_fleet::port::StoreRequest::Transact { .. });
+                let extra = if transacts { self.transaction_delay } else { Duration::ZERO };
+                let answered = self.now + DELAY + self.store_delay + extra;
                 self.push(answered, Event::Input(host, Input::Store { call, result }));
             }
             Event::Worker { host, call, worker, fence, request } => {
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -393,3 +393,27 @@
     assert_eq!(site.starts_of_job(0x26), 2);
     assert_eq!(site.state("a", "batch", 0x26), Some(State::Completed));
 }
+
+/// An epoch begins once, also where a read shows the won row before the claim is answered. Guards against an owner that
+/// begins the same epoch anew: its run numbers and bookings start from nothing.
+#[test]
+fn epoch_begins_once() {
+    for delay in (50..500).step_by(25) {
+        let mut site = Site::new(&["a", "b"], 1);
+        site.store_delay = ms(150);
+        site.transaction_delay = ms(delay);
+        site.store.fault = Fault::Refused;
+        let claims =
+            |site: &Site| site.logs.iter().any(|(_, _, text)| text.starts_with("claiming"));
+        site.run_until(Duration::from_secs(5), "a claim", claims);
+        // The first claim is refused, and its answer is still on its way when the store takes the next one.
+        site.run(ms(2));
+        site.store.fault = Fault::None;
+        site.run(ms(6000));
+        let won = site.logs.iter().filter(|(_, _, text)| text.starts_with("ownership_won"));
+        let mut epochs: Vec<&str> = won.filter_map(|(_, _, text)| text.split(' ').nth(1)).collect();
+        let count = epochs.len();
+        epochs.dedup();
+        assert_eq!(epochs.len(), count, "delay {delay}: {epochs:?}");
+    }
+}
