Do not send approval calls through hosts that are out of reach

Cause: a new owner spread calls for approval over hosts that were silent for up to 2.5 s, among them those of a data centre that was cut off, and gave up such a call only after 2.1 s. A host whose calls fail at once had the least load and got most calls.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -30,6 +30,9 @@
 /// Interval of deletions of ended jobs.
 const DELETION_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Silence of a peer after which it gets no calls for approval: an interval of beats and the delay of a busy host.
+const APPROVER_SILENCE_MAX: Duration = Duration::from_millis(1500);
+
 /// State of the owner.
 pub(super) struct Owner {
     pub(super) scheduler: Scheduler,
@@ -124,7 +127,8 @@
         let peers: Vec<(HostName, String)> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.is_fresh(now) && !peer.beat.stopping)
+            .filter(|(_, peer)| peer.age(now).is_some_and(|age| age < APPROVER_SILENCE_MAX))
+            .filter(|(_, peer)| !peer.beat.stopping)
             .map(|(name, peer)| (name.clone(), peer.address.clone()))
             .collect();
         if let Some(owner) = &mut self.owner {
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -425,7 +425,10 @@
         result: Result<Vec<Ticket>, ApprovalError>,
         context: &mut Context,
     ) {
-        self.approvers.end(call);
+        match &result {
+            Ok(_) => self.approvers.end(call),
+            Err(_) => self.approvers.fail(call, context.now),
+        }
         let Some(ask) = self.asks.remove(&call) else { return };
         let Some(terms) = self.terms(ask.stage.job, context.configuration) else { return };
         let validity = terms.approval.map_or(Duration::ZERO, |approval| approval.validity);
@@ -483,7 +486,7 @@
             .map(|(call, _)| *call)
             .collect();
         for call in expired {
-            self.approvers.end(call);
+            self.approvers.fail(call, context.now);
             if let Some(ask) = self.asks.remove(&call)
                 && let Some(stage) = self.stage_mut(ask.stage)
             {
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -400,7 +400,8 @@
         let Some(approval) = demand.terms.approval else { return };
         let Some(stage) = self.stage(demand.id) else { return };
         let waiting = stage.waiting().len();
-        if waiting == 0 || stage.asking || stage.next_ask > now || !self.approvers.is_available() {
+        if waiting == 0 || stage.asking || stage.next_ask > now || !self.approvers.is_available(now)
+        {
             return;
         }
         let mut unknown = Vec::new();
@@ -435,14 +436,13 @@
         let duration = approval.duration(named.len());
         let request = ApprovalRequest { stage: demand.id, workers };
         let call = context.allocate_call();
-        if !self.approvers.send(call, request, duration, context.outputs) {
-            return;
-        }
+        let sent = self.approvers.send(call, request, duration, now, context.outputs);
+        let Some(expires) = sent else { return };
         context.outputs.push(Output::Count { counter: Counter::Approvals, amount: 1 });
         let ask = Ask {
             stage: demand.id,
             workers: named.into_iter().map(|(key, life, _)| (key, life)).collect(),
-            expires: now + duration * 4 + Duration::from_secs(2),
+            expires,
         };
         self.asks.insert(call, ask);
         if let Some(stage) = self.stage_mut(demand.id) {
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -12,7 +12,8 @@
 use shallotpost_fleet::job::{Job, JobId, Step, TaskId};
 use shallotpost_fleet::message::Message;
 use shallotpost_fleet::port::{
-    Action, Answer, Content, Input, Output, Request, RequestId, StoreError, Table, Ticket,
+    Action, Answer, ApprovalError, Content, Input, Output, Request, RequestId, StoreError, Table,
+    Ticket,
 };
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::scheduler::Bounds;
@@ -51,7 +52,7 @@
     pub hosts: BTreeMap<String, Host>,
     pub answers: BTreeMap<RequestId, Answer>,
     pub logs: Vec<(Duration, String, String)>,
-    /// Pairs of host and worker, or host and `store`, or two hosts, that do not reach each other.
+    /// Pairs of host and worker, host and `store`, host and `approver`, or two hosts, that do not reach each other.
     pub cuts: BTreeSet<(String, String)>,
     /// Time that the store takes for an answer beyond the usual.
     pub store_delay: Duration,
@@ -347,6 +348,10 @@
             }
             Output::Approval { call, request, .. } => {
                 self.approvals.push((self.now, request.workers.len()));
+                if self.is_cut(from, "approver") {
+                    let input = Input::Approval { call, result: Err(ApprovalError::Unanswered) };
+                    return self.push(later, Event::Input(host, input));
+                }
                 let tickets = request
                     .workers
                     .into_iter()
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -417,3 +417,42 @@
         assert_eq!(epochs.len(), count, "delay {delay}: {epochs:?}");
     }
 }
+
+/// Calls for approval are not sent through hosts that the owner does not reach. Guards against jobs that wait for calls
+/// without a result after their data centre's neighbour was cut off.
+#[test]
+fn approvals_beside_a_cut_off_host() {
+    let (mut site, owner) = settled(4);
+    let rest: Vec<&str> = ["a", "b", "c"].into_iter().filter(|name| *name != owner).collect();
+    for other in rest.iter().copied().chain(["store", "w0", "w1", "w2", "w3"]) {
+        site.cut(&owner, other, true);
+    }
+    let owned = |site: &Site| rest.iter().any(|name| site.hosts[*name].is_owner());
+    site.run_until(Duration::from_secs(6), "a take-over", owned);
+    site.run(ms(100));
+    for job in 0..8 {
+        site.submit(rest[0], "approved", 0x2700 + job, vec![step(1, 100)]);
+    }
+    site.run(ms(500));
+    for job in 0..8 {
+        assert_eq!(site.starts_of_job(0x2700 + job), 1, "job {job}");
+    }
+}
+
+/// A host whose calls for approval fail does not get most of them because it is always free. Guards against jobs that are
+/// refused again and again while other hosts could ask for them.
+#[test]
+fn approvals_beside_a_failing_host() {
+    let (mut site, owner) = settled(4);
+    let failing = if owner == "a" { "b" } else { "a" };
+    site.cut(failing, "approver", true);
+    site.approvals.clear();
+    for job in 0..8 {
+        site.submit(&owner, "approved", 0x2800 + job, vec![step(1, 100)]);
+    }
+    site.run(ms(800));
+    for job in 0..8 {
+        assert_eq!(site.starts_of_job(0x2800 + job), 1, "job {job}");
+    }
+    assert!(site.approvals.len() <= 12, "{} calls", site.approvals.len());
+}
