Record with each job the epoch in which it was accepted

Cause: after a take-over with workers out of reach, every job of the first 1.5 s counted as one that the earlier owner might have started, and waited for leases to lapse; jobs that came through the feed did so until all workers had answered. Change: the accepting host writes the highest won epoch that it knows into the job's row. An owner leaves jobs of a later epoch alone, so jobs of its own epoch were started by nobody else. The waiting time after a take-over is gone.

--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -158,6 +158,7 @@
         job.queue.clone_from(&queue.name);
         job.team = team;
         job.terms = queue.terms.clone();
+        job.epoch = self.highest_epoch();
         let bytes = match encode(&job) {
             Ok(bytes) if bytes.len() <= ROW_MAX => bytes,
             _ => {
@@ -241,7 +242,7 @@
         }
         if self.owner.is_some() {
             self.with_scheduler(|scheduler, context| {
-                scheduler.add_new_job(id, *job, true, context);
+                scheduler.add_job(id, *job, context);
                 scheduler.run_round(context);
             });
         } else if let Some(owner) = self.fresh_owner() {
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -293,7 +293,6 @@
             self.settings.host.clone(),
             row.epoch,
             self.settings.bounds,
-            self.now,
             uncertain_until,
         );
         let mut owner = Owner::new(scheduler, row.epoch, self.ownership.version, self.now);
@@ -305,6 +304,12 @@
     }
 
     /// A peer knows of a higher epoch, or the previous owner turns out to have ended.
+    /// Highest epoch of which this host knows that it was won.
+    pub(super) fn highest_epoch(&self) -> u64 {
+        let heard = self.peers.values().map(|peer| peer.beat.epoch).max();
+        heard.unwrap_or_default().max(self.ownership.epoch())
+    }
+
     pub(super) fn note_epoch(&mut self, from: &HostName, beat: &Beat) {
         if beat.epoch > self.ownership.epoch() {
             self.ownership.next_read = self.now;
--- a/crates/shallotpost-fleet/src/host/peers.rs
+++ b/crates/shallotpost-fleet/src/host/peers.rs
@@ -187,7 +187,7 @@
             Message::AskOperator => self.tell_operator(&from),
             Message::Operator { version, rows } => self.operator_told(version, rows),
             Message::Submitted { id, job } => self.with_scheduler(|scheduler, context| {
-                scheduler.add_new_job(id, *job, true, context);
+                scheduler.add_job(id, *job, context);
                 scheduler.run_round(context);
             }),
             Message::Cancelled { id } => {
--- a/crates/shallotpost-fleet/src/host/reading.rs
+++ b/crates/shallotpost-fleet/src/host/reading.rs
@@ -163,7 +163,7 @@
         let now = self.now;
         self.with_scheduler(|scheduler, context| {
             for (id, job) in jobs {
-                scheduler.add_job(id, job, true, context);
+                scheduler.add_job(id, job, context);
             }
             for (id, progress) in &progress {
                 scheduler.restore(*id, progress, now);
@@ -249,9 +249,7 @@
         if let Some(id) = row.key.strip_suffix(CANCELLATION).and_then(parse_job_id) {
             self.with_scheduler(|scheduler, context| scheduler.cancel(id, context));
         } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
-            self.with_scheduler(|scheduler, context| {
-                scheduler.add_new_job(id, job, false, context)
-            });
+            self.with_scheduler(|scheduler, context| scheduler.add_job(id, job, context));
         }
     }
 
--- a/crates/shallotpost-fleet/src/job.rs
+++ b/crates/shallotpost-fleet/src/job.rs
@@ -32,6 +32,9 @@
     pub schedule: Option<Schedule>,
     /// Terms of the queue when the job was admitted. They apply once the queue is removed.
     pub terms: Terms,
+    /// Highest epoch of ownership that the accepting host knew. An owner of a lower epoch does not start the job, so the
+    /// owner of this epoch knows that nobody did before it.
+    pub epoch: u64,
 }
 
 /// Times at which a job's steps run.
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -41,10 +41,6 @@
 /// Most time between two placement rounds while work waits.
 const ROUND_INTERVAL_MAX: Duration = Duration::from_millis(100);
 
-/// Time after a take-over in which the earlier owner may go on without knowing: its next commit fails. Commits are sent
-/// every 400 ms and answered within a second also by a slow store.
-const OVERLAP: Duration = Duration::from_millis(1500);
-
 /// Bounds of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -122,7 +118,6 @@
 /// The scheduler of one epoch of ownership.
 pub struct Scheduler {
     epoch: u64,
-    since: Uptime,
     bounds: Bounds,
     last_run: u64,
     jobs: BTreeMap<JobId, Entry>,
@@ -155,16 +150,9 @@
 impl Scheduler {
     /// A scheduler that has just taken ownership. Tasks that an earlier owner may have left on workers that do not answer
     /// are not placed before `uncertain_until`.
-    pub fn new(
-        own: HostName,
-        epoch: u64,
-        bounds: Bounds,
-        now: Uptime,
-        uncertain_until: Uptime,
-    ) -> Scheduler {
+    pub fn new(own: HostName, epoch: u64, bounds: Bounds, uncertain_until: Uptime) -> Scheduler {
         Scheduler {
             epoch,
-            since: now,
             bounds,
             last_run: epoch << RUN_BITS,
             jobs: BTreeMap::new(),
@@ -195,11 +183,18 @@
         self.approvers.set_peers(peers);
     }
 
-    /// A job that is stored. `inherited` jobs may have been started by an earlier owner.
-    pub fn add_job(&mut self, id: JobId, job: Job, inherited: bool, context: &mut Context) {
+    /// A job that is stored. One that was accepted in an earlier epoch counts as inherited until the workers have answered:
+    /// the owner of that epoch may have started it, also after it lost its ownership without noticing. One of a later epoch
+    /// is left to the successor.
+    pub fn add_job(&mut self, id: JobId, job: Job, context: &mut Context) {
         if self.jobs.contains_key(&id) {
             return;
         }
+        if job.epoch > self.epoch {
+            context.log("job_of_successor", vec![("job", format!("{id:016x}"))]);
+            return;
+        }
+        let inherited = self.is_unsettled() && job.epoch < self.epoch;
         let team: Option<Rc<str>> = job.team.as_deref().map(Rc::from);
         let weight = |team: &Rc<str>| context.configuration.team(team).map(|team| team.weight);
         // What was submitted to an earlier owner does not count: its times are not known.
@@ -230,15 +225,6 @@
         self.round_due = true;
     }
 
-    /// A job that was stored after this owner had read the jobs. An earlier owner that has not noticed its loss may have
-    /// heard of it too, so it counts as inherited until the workers have answered; a job that was handed to this owner alone
-    /// only for a short time.
-    pub fn add_new_job(&mut self, id: JobId, job: Job, direct: bool, context: &mut Context) {
-        let young = context.now < self.since + OVERLAP;
-        let inherited = self.is_unsettled() && (!direct || young);
-        self.add_job(id, job, inherited, context);
-    }
-
     /// Stored progress of a job that was added before.
     pub fn restore(&mut self, id: JobId, progress: &Progress, now: Uptime) {
         let Some(entry) = self.jobs.get_mut(&id) else { return };
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -210,6 +210,12 @@
         self.request(host, &path, Some("key-a"), Action::Submit(Ok(Box::new(job))))
     }
 
+    /// Sends a message to a host as one of its peers.
+    pub fn tell(&mut self, host: &str, from: &str, message: Message) {
+        let input = Input::Peer { from: from.to_owned(), message };
+        self.push(self.now, Event::Input(host.to_owned(), input));
+    }
+
     /// Reads the state of a job through a host.
     pub fn state(&mut self, host: &str, queue: &str, id: JobId) -> Option<State> {
         let path = format!("/{queue}/{id:016x}");
@@ -453,6 +459,7 @@
         steps,
         schedule: None,
         terms: Terms::default(),
+        epoch: 0,
     }
 }
 
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use shallotpost_fleet::job::Step;
+use shallotpost_fleet::job::{Job, Step};
+use shallotpost_fleet::message::Message;
 use shallotpost_fleet::port::Answer;
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::worker::{Call, Ending};
@@ -456,3 +457,39 @@
     }
     assert!(site.approvals.len() <= 12, "{} calls", site.approvals.len());
 }
+
+/// A job that is accepted after a take-over starts at once, although a worker of the earlier owner is out of reach. Guards
+/// against a successor that takes such jobs for ones that the earlier owner may have started.
+#[test]
+fn new_jobs_beside_a_cut_off_worker() {
+    let (mut site, owner) = settled(4);
+    let rest: Vec<&str> = ["a", "b", "c"].into_iter().filter(|name| *name != owner).collect();
+    for other in rest.iter().copied().chain(["store", "w1", "w2", "w3"]) {
+        site.cut(&owner, other, true);
+    }
+    rest.iter().for_each(|other| site.cut(other, "w0", true));
+    let owned = |site: &Site| rest.iter().any(|name| site.hosts[*name].is_owner());
+    site.run_until(Duration::from_secs(6), "a take-over", owned);
+    site.run(ms(200));
+    for (job, host) in [(0x2900, rest[0]), (0x2901, rest[1])] {
+        site.submit(host, "batch", job, vec![step(1, 100)]);
+    }
+    site.run(ms(300));
+    assert_eq!([site.starts_of_job(0x2900), site.starts_of_job(0x2901)], [1, 1]);
+}
+
+/// An owner that does not know yet that it was replaced hears of jobs that were accepted under its successor, and leaves
+/// them alone. Guards against a job that both start.
+#[test]
+fn jobs_of_the_successor() {
+    let (mut site, owner) = settled(2);
+    for (id, epoch) in [(0x2a00, 1), (0x2a01, 2)] {
+        let team = Some("a".to_owned());
+        let terms = support::configuration().queues[0].terms.clone();
+        let queue = "batch".to_owned();
+        let job = Job { queue, team, terms, epoch, ..support::job(vec![step(1, 100)]) };
+        site.tell(&owner, other(&owner), Message::Submitted { id, job: Box::new(job) });
+    }
+    site.run(ms(500));
+    assert_eq!([site.starts_of_job(0x2a00), site.starts_of_job(0x2a01)], [1, 0]);
+}
