Keep the room of a preemption for the stage that needs it

Cause: room that a preemption made was taken by waiting work of lower priority while the other runs were still ending, and was preempted again; runs were stopped for gangs that could not fit even then, for tickets that had expired, and for jobs beyond their team's share that were not next in order. Change: a preemption reserves the room, a gang preempts for all members or not at all and only with valid tickets, tickets are renewed where room can come from preemption, and only jobs that count for their team preempt.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -85,6 +85,13 @@
     pub(super) cap: Size,
 }
 
+impl Demand {
+    /// Room of a worker that the stage may use.
+    fn free(&self, session: &Session, now: Uptime) -> Size {
+        session.free_for(&self.id, self.terms.priority, now)
+    }
+}
+
 impl Scheduler {
     /// One round over all stages with tasks to place.
     pub(super) fn place(&mut self, context: &mut Context) {
@@ -106,7 +113,7 @@
                 continue;
             }
             tried += 1;
-            if !candidate.early && self.has_room(&demand, &round) {
+            if !candidate.early && self.has_room(&demand, &round, context.now) {
                 match demand.step.gang {
                     true => self.place_gang(&demand, &round, context),
                     false => self.place_tasks(&demand, &round, context),
@@ -115,7 +122,10 @@
             self.ask(&demand, candidate.early, &round, context);
             if !candidate.early && self.has_waiting(demand.id) {
                 *round.failures.entry(demand.terms.pool.clone()).or_default() += 1;
-                self.preempt(&demand, &mut round, context);
+                // What counts no longer does not displace what still does.
+                if candidate.urgency == Urgency::Regular {
+                    self.preempt(&demand, &mut round, context);
+                }
             }
         }
         self.round_pause = PAUSE_PER_STAGE * tried;
@@ -136,10 +146,10 @@
     }
 
     /// Whether any worker of the pool has room for one task of the stage.
-    fn has_room(&self, demand: &Demand, round: &Round) -> bool {
+    fn has_room(&self, demand: &Demand, round: &Round, now: Uptime) -> bool {
         let booking = demand.step.booking();
         let mut sessions = round.workers(demand).iter().filter_map(|key| self.sessions.get(key));
-        sessions.any(|session| booking.fits_in(&session.free()))
+        sessions.any(|session| booking.fits_in(&demand.free(session, now)))
     }
 
     fn has_waiting(&self, id: StageId) -> bool {
@@ -252,7 +262,7 @@
     }
 
     /// Whether a valid ticket for the worker is at hand.
-    fn has_ticket(
+    pub(super) fn has_ticket(
         demand: &Demand,
         stage: &Stage,
         key: &WorkerKey,
@@ -316,9 +326,9 @@
                 .and_then(|task| task.failed_on.clone());
             let sessions = &self.sessions;
             workers.retain(|key| {
-                sessions
-                    .get(key)
-                    .is_some_and(|session| Self::room(demand, session, &session.free()) > 0)
+                sessions.get(key).is_some_and(|session| {
+                    Self::room(demand, session, &demand.free(session, now)) > 0
+                })
             });
             let best = workers
                 .iter()
@@ -356,7 +366,7 @@
             .suitable(demand, round)
             .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
             .map(|(key, session)| {
-                (Rc::clone(key), session, Self::room(demand, session, &session.free()))
+                (Rc::clone(key), session, Self::room(demand, session, &demand.free(session, now)))
             })
             .filter(|(_, _, room)| *room > 0)
             .collect();
@@ -408,7 +418,9 @@
         let mut expired = Vec::new();
         let mut usable = 0u64;
         for (key, session) in self.suitable(demand, round) {
-            let room = Self::room(demand, session, &session.free());
+            // Room may also come from preemption, which needs the ticket first.
+            let obtainable = Self::obtainable(demand, session, now);
+            let room = Self::room(demand, session, &obtainable);
             match stage.verdicts.get(key).filter(|verdict| verdict.life == session.life) {
                 None => unknown.push((Rc::clone(key), session.life, room)),
                 Some(verdict) if verdict.ticket.is_none() => {}
--- a/crates/shallotpost-fleet/src/scheduler/preemption.rs
+++ b/crates/shallotpost-fleet/src/scheduler/preemption.rs
@@ -3,7 +3,7 @@
 use crate::port::Counter;
 use crate::prelude::*;
 use crate::scheduler::placement::{Demand, Round};
-use crate::scheduler::session::{Phase, WorkerKey};
+use crate::scheduler::session::{Phase, Placement, Reservation, Session, WorkerKey};
 use crate::scheduler::{Context, Scheduler};
 
 /// Time for which a stage waits for room before it preempts. Most rooms free up by themselves within it.
@@ -18,6 +18,14 @@
 /// Most stages of one round for which runs are preempted.
 const PREEMPTIONS_PER_ROUND: u32 = 6;
 
+/// What a preemption stops, and the room that it makes.
+#[derive(Default)]
+struct Plan {
+    victims: Vec<(WorkerKey, TaskId, u64)>,
+    /// Number of tasks of the stage that fit then, by worker.
+    rooms: Vec<(WorkerKey, u64)>,
+}
+
 impl Scheduler {
     /// Stops runs of lower priority to make room for the tasks of a stage that still wait.
     pub(super) fn preempt(&mut self, demand: &Demand, round: &mut Round, context: &mut Context) {
@@ -37,14 +45,25 @@
             return;
         }
         round.preemptions += 1;
-        let victims = self.victims(demand, waiting, round, context);
-        if victims.is_empty() {
+        let plan = self.plan_preemption(demand, waiting, round, context);
+        if plan.victims.is_empty() {
             return;
         }
         if let Some(stage) = self.stage_mut(demand.id) {
             stage.next_preemption = now + PREEMPT_PAUSE;
         }
-        for (worker, task, number) in victims {
+        for (worker, tasks) in plan.rooms {
+            if let Some(session) = self.sessions.get_mut(&worker) {
+                let reservation = Reservation {
+                    stage: demand.id,
+                    priority: demand.terms.priority,
+                    size: demand.step.booking().times(tasks),
+                    until: now + PREEMPT_PAUSE,
+                };
+                session.reserve(reservation, now);
+            }
+        }
+        for (worker, task, number) in plan.victims {
             let fields = vec![
                 ("task", task.to_string()),
                 ("worker", worker.to_string()),
@@ -56,47 +75,67 @@
         }
     }
 
-    /// Runs to stop so that up to `waiting` tasks fit.
-    fn victims(
+    /// Runs of a worker that may make room for a stage, those that lose the most work first.
+    fn preemptible<'a>(
+        demand: &Demand,
+        session: &'a Session,
+        now: Uptime,
+    ) -> Vec<(&'a TaskId, &'a Placement)> {
+        let mut runs: Vec<_> = session
+            .placements
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Running && run.preemptible)
+            .filter(|(_, run)| run.priority > demand.terms.priority)
+            .filter(|(_, run)| run.checkpoints || now.saturating_sub(run.since) < PREEMPT_AGE_MAX)
+            .collect();
+        // The least work is lost with runs that save their progress and with the youngest ones.
+        runs.sort_by_key(|(_, run)| (run.checkpoints, run.since));
+        runs
+    }
+
+    /// Room that a stage can get on a worker with preemption.
+    pub(super) fn obtainable(demand: &Demand, session: &Session, now: Uptime) -> Size {
+        let room = session.free().plus(&session.freeing());
+        let runs = Self::preemptible(demand, session, now);
+        runs.iter().fold(room, |room, (_, run)| room.plus(&run.booking))
+    }
+
+    /// Runs to stop so that up to `waiting` tasks fit; for a gang, so that all fit.
+    fn plan_preemption(
         &self,
         demand: &Demand,
         waiting: usize,
         round: &Round,
         context: &Context,
-    ) -> Vec<(WorkerKey, TaskId, u64)> {
+    ) -> Plan {
         let now = context.now;
-        let Some(stage) = self.stage(demand.id) else { return Vec::new() };
+        let mut plan = Plan::default();
+        let Some(stage) = self.stage(demand.id) else { return plan };
         let booking = demand.step.booking();
-        let mut victims = Vec::new();
         let mut missing = waiting;
-        for (key, session) in self.suitable(demand, round) {
-            let approved = demand.terms.approval.is_none()
-                || stage.verdicts.get(key).is_some_and(|verdict| {
-                    verdict.ticket.is_some() && verdict.life == session.life
-                });
-            if !approved {
+        let mut workers: Vec<_> = self.suitable(demand, round).collect();
+        // Fewer runs are stopped where more room is free.
+        workers.sort_by_cached_key(|(_, session)| {
+            let free = session.free().plus(&session.freeing());
+            std::cmp::Reverse((free.dominant_part(&session.registration.capacity) * 1e6) as u64)
+        });
+        for (key, session) in workers {
+            // The stopped runs take some time to end, and the ticket must still be valid then.
+            if !Self::has_ticket(demand, stage, key, session, now + PREEMPT_PAUSE) {
                 continue;
             }
             let mut free = session.free().plus(&session.freeing());
-            let mut runs: Vec<_> = session
-                .placements
-                .iter()
-                .filter(|(_, run)| run.phase == Phase::Running && run.preemptible)
-                .filter(|(_, run)| run.priority > demand.terms.priority)
-                .filter(|(_, run)| {
-                    run.checkpoints || now.saturating_sub(run.since) < PREEMPT_AGE_MAX
-                })
-                .collect();
-            // The least work is lost with runs that save their progress and with the youngest ones.
-            runs.sort_by_key(|(_, run)| (run.checkpoints, run.since));
+            let mut runs = Self::preemptible(demand, session, now);
             let mut room = Self::room(demand, session, &free);
+            let mut fitted = 0;
             loop {
                 let fitting = usize::try_from(room).unwrap_or(usize::MAX).min(missing);
                 missing -= fitting;
+                fitted += fitting as u64;
+                free = free.minus(&booking.times(fitting as u64));
                 if missing == 0 {
-                    return victims;
+                    break;
                 }
-                free = free.minus(&booking.times(fitting as u64));
                 let mut chosen = Vec::new();
                 while Self::room(demand, session, &free) == 0 {
                     let Some((task, run)) = runs.pop() else { break };
@@ -107,9 +146,18 @@
                 if room == 0 || chosen.is_empty() {
                     break;
                 }
-                victims.append(&mut chosen);
+                plan.victims.append(&mut chosen);
             }
+            if fitted > 0 {
+                plan.rooms.push((Rc::clone(key), fitted));
+            }
+            if missing == 0 {
+                return plan;
+            }
+        }
+        match demand.step.gang {
+            true => Plan::default(),
+            false => plan,
         }
-        victims
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -1,5 +1,6 @@
 //! Sessions with workers: bookings, leases and the lists that workers report.
 
+use crate::job::StageId;
 use crate::prelude::*;
 use crate::worker::{End, Registration};
 
@@ -78,6 +79,19 @@
     Silent,
 }
 
+/// Room that is kept for a stage for which runs were preempted, until its tasks start there.
+#[derive(Clone, Debug)]
+pub struct Reservation {
+    /// The stage.
+    pub stage: StageId,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// The room.
+    pub size: Size,
+    /// When it is given up.
+    pub until: Uptime,
+}
+
 /// State of one life of a worker.
 #[derive(Clone, Debug)]
 pub struct Session {
@@ -115,6 +129,8 @@
     pub placements: BTreeMap<TaskId, Placement>,
     /// Sum of the bookings.
     pub used: Size,
+    /// Room that is kept for stages.
+    pub reservations: Vec<Reservation>,
     /// Failed runs since the last completed one.
     pub consecutive_failures: u32,
     /// The worker is avoided until this moment.
@@ -142,6 +158,7 @@
             next_hold: now,
             placements: BTreeMap::new(),
             used: Size::ZERO,
+            reservations: Vec::new(),
             consecutive_failures: 0,
             avoid_until: Uptime::ZERO,
         }
@@ -157,6 +174,22 @@
         self.registration.capacity.minus(&self.used)
     }
 
+    /// Room for a stage of this priority: what is not booked and not kept for more urgent stages.
+    pub fn free_for(&self, stage: &StageId, priority: u32, now: Uptime) -> Size {
+        let kept = self.reservations.iter().filter(|reservation| {
+            reservation.until > now
+                && reservation.stage != *stage
+                && reservation.priority < priority
+        });
+        kept.fold(self.free(), |free, reservation| free.minus(&reservation.size))
+    }
+
+    /// Keeps room for a stage, in place of what was kept for it before.
+    pub fn reserve(&mut self, reservation: Reservation, now: Uptime) {
+        self.reservations.retain(|kept| kept.until > now && kept.stage != reservation.stage);
+        self.reservations.push(reservation);
+    }
+
     /// Room that is being freed by stops.
     pub fn freeing(&self) -> Size {
         let stopping = self.placements.values().filter(|run| run.phase == Phase::Stopping);
--- a/crates/shallotpost-fleet/tests/placing.rs
+++ b/crates/shallotpost-fleet/tests/placing.rs
@@ -97,6 +97,52 @@
     site.check();
 }
 
+/// Nothing is stopped for a gang that would not fit then either. Guards against work that is stopped again and again for a
+/// gang with too few suitable workers.
+#[test]
+fn preemption_in_vain() {
+    let mut site = settled(2);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(5));
+    site.submit("a", "batch", 0x310, vec![Step { checkpoints: true, ..step(8, 5000) }]);
+    site.run(ms(500));
+    site.submit("a", "urgent", 0x311, vec![Step { gang: true, ..step(12, 300) }]);
+    site.run(ms(1500));
+    assert_eq!(site.starts_of_job(0x310), 8, "work was stopped for a gang that cannot start");
+}
+
+/// The room that a preemption makes is kept for the stage that needs it. Guards against waiting work that takes it while
+/// the other runs are still ending, and is stopped in turn.
+#[test]
+fn room_for_the_preemptor() {
+    let mut site = settled(2);
+    for (worker, stop) in site.workers.values_mut().zip([20, 200]) {
+        worker.duration = Duration::from_secs(5);
+        worker.stop_time = ms(stop);
+    }
+    site.submit("a", "batch", 0x320, vec![Step { checkpoints: true, ..step(24, 5000) }]);
+    site.run(ms(500));
+    site.submit("a", "urgent", 0x321, vec![Step { gang: true, ..step(8, 300) }]);
+    site.run(ms(600));
+    assert_eq!(site.starts_of_job(0x321), 8);
+    assert_eq!(site.starts_of_job(0x320), 8, "waiting work took the room of the gang");
+}
+
+/// A job beyond its team's share does not displace work within it, whatever its priority. Guards against work that is stopped
+/// for such a job and started again in its place.
+#[test]
+fn no_preemption_beyond_share() {
+    let mut site = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(3));
+    // The team may submit one job a second and catch up on two.
+    site.submit("a", "batch", 0x330, vec![Step { checkpoints: true, ..step(4, 3000) }]);
+    site.run(ms(100));
+    site.submit("a", "urgent", 0x331, vec![step(1, 300)]);
+    site.submit("a", "urgent", 0x332, vec![step(1, 300)]);
+    site.run(ms(900));
+    assert_eq!([site.starts_of_job(0x331), site.starts_of_job(0x332)], [1, 0]);
+    assert_eq!(site.starts_of_job(0x330), 4, "work was stopped for a job beyond the share");
+}
+
 /// A gang starts as a whole under one run number, or waits.
 #[test]
 fn gang_as_a_whole() {
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -24,6 +24,8 @@
     pub ending: Ending,
     /// Size of every task.
     pub size: Size,
+    /// How long a stop takes.
+    pub stop_time: Duration,
     /// Whether starts get no answer and are not carried out.
     pub loses_starts: bool,
     /// Whether another worker has its address.
@@ -53,6 +55,7 @@
             duration: Duration::from_millis(300),
             ending: Ending::Done,
             size: Size { processors_milli: 1000, ..Size::ZERO },
+            stop_time: Duration::ZERO,
             loses_starts: false,
             replaced: false,
             start: now,
@@ -189,7 +192,11 @@
                 self.starts.push((now, *task, *number));
                 self.tickets.push(ticket.clone());
             }
-            Call::Stop { task, number } => match self.present.get(task) {
+            Call::Stop { task, number } => match self.present.get_mut(task) {
+                Some(run) if run.number == *number && self.stop_time > Duration::ZERO => {
+                    run.ends = run.ends.min(now + self.stop_time);
+                    run.ending = Ending::Stopped;
+                }
                 Some(run) if run.number == *number => self.end(*task, Ending::Stopped),
                 _ => {
                     let closed = self.closed.entry(*task).or_default();
