Serve latency histograms, and write log lines without waiting for their reader

Cause: the metrics page of a fleet's host had counters only, and a full pipe on standard output stopped the process. A line is written where the pipe has room for it (polled, at most PIPE_BUF bytes); others are dropped and counted.

--- a/crates/shallotpost-daemon/src/fleet/mod.rs
+++ b/crates/shallotpost-daemon/src/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! Entry host of a job fleet: connects the kernel to the platform's adapter and to its peers, on one thread.
 
-mod counters;
+pub mod metrics;
 pub mod settings;
 
 use std::cell::{Cell, RefCell};
@@ -15,7 +15,10 @@
 use shallotpost_fleet::host;
 use shallotpost_fleet::kernel::Kernel;
 use shallotpost_fleet::message::{decode, encode};
-use shallotpost_fleet::port::{Answer, ApprovalError, Input, Log, Output, Request, RequestId};
+use shallotpost_fleet::port::{
+    Answer, ApprovalError, Counter, Input, Log, Output, Request, RequestId, StoreRequest, Timing,
+};
+use shallotpost_fleet::worker::Call;
 use shallotpost_platform::client::Client;
 use shallotpost_platform::server::{Later, Port, Shared, listen};
 use shallotpost_platform::{approval, store, worker};
@@ -29,7 +32,7 @@
 
 use crate::logs::Writer;
 use crate::settings::Log as LogSettings;
-use counters::Counters;
+use metrics::Metrics;
 use settings::Settings;
 
 /// Interval of ticks. Leases, holds and retries are due at multiples of some hundred milliseconds.
@@ -74,7 +77,7 @@
     peers: Peers,
     shared: Rc<Shared>,
     answers: Answers,
-    counters: Rc<Counters>,
+    metrics: Rc<Metrics>,
     logs: Writer,
     terminate: Signal,
     reload: Signal,
@@ -97,8 +100,8 @@
         let peers = start_peers(&settings, incarnation, handle, inputs.clone())
             .wrap_err_with(|| format!("cannot listen on {}", settings.peer_address))?;
         let answers = Answers::default();
-        let counters = Rc::new(Counters::default());
-        let shared = Rc::new(shared(&inputs, &answers, &counters));
+        let metrics = Rc::new(Metrics::new().wrap_err("the metrics cannot be set up")?);
+        let shared = Rc::new(shared(&inputs, &answers, &metrics));
         let ports = [
             (settings.callers_address, Port::Callers),
             (settings.readiness_address, Port::Readiness),
@@ -128,7 +131,7 @@
             peers,
             shared,
             answers,
-            counters,
+            metrics,
             logs,
             terminate: signal(SignalKind::terminate())?,
             reload: signal(SignalKind::hangup())?,
@@ -201,35 +204,49 @@
             }
             Output::Store { call, request, timeout } => {
                 let (client, inputs) = (Rc::clone(&self.client), self.inputs.clone());
+                let metrics = Rc::clone(&self.metrics);
                 let address = self.settings.platform.store;
                 spawn_local(async move {
+                    let sent = Instant::now();
                     let result = store::call(&client, address, &request, timeout).await;
+                    if !matches!(request, StoreRequest::Feed { .. }) {
+                        metrics.record(Timing::StoreCall, sent.elapsed());
+                    }
                     let _ = inputs.send(Input::Store { call, result });
                 });
             }
             Output::Worker { call, address, worker, fence, request, timeout } => {
                 let (client, inputs) = (Rc::clone(&self.client), self.inputs.clone());
+                let metrics = Rc::clone(&self.metrics);
                 spawn_local(async move {
+                    let sent = Instant::now();
                     let result =
                         worker::call(&client, &address, &worker, fence, &request, timeout).await;
+                    if matches!(request, Call::Start { .. } | Call::Stop { .. }) {
+                        metrics.record(Timing::WorkerOrder, sent.elapsed());
+                    }
                     let _ = inputs.send(Input::Worker { call, result });
                 });
             }
             Output::Approval { call, request, timeout } => {
                 let (client, inputs) = (Rc::clone(&self.client), self.inputs.clone());
+                let metrics = Rc::clone(&self.metrics);
                 let address = self.settings.platform.approval;
                 spawn_local(async move {
+                    let sent = Instant::now();
                     let result = match address {
                         Some(address) => approval::call(&client, address, &request, timeout).await,
                         None => Err(ApprovalError::Unanswered),
                     };
+                    metrics.record(Timing::ApprovalCall, sent.elapsed());
                     let _ = inputs.send(Input::Approval { call, result });
                 });
             }
             Output::Ready(ready) => self.shared.ready.set(ready),
             Output::Limits(limits) => self.shared.limits.set(limits),
             Output::Log(Log { event, fields }) => self.log(event, fields),
-            Output::Count { counter, amount } => self.counters.add(counter, amount),
+            Output::Count { counter, amount } => self.metrics.add(counter, amount),
+            Output::Time { timing, duration } => self.metrics.record(timing, duration),
             Output::Stopped => self.released = Some(Instant::now()),
         }
     }
@@ -254,6 +271,10 @@
     fn log(&mut self, event: &'static str, fields: Vec<(&'static str, String)>) {
         let event = LogEvent { level: Level::Info, event, fields };
         self.logs.write(&event, Instant::now(), SystemTime::now());
+        let dropped = self.logs.take_dropped();
+        if dropped > 0 {
+            self.metrics.add(Counter::LogLinesDropped, dropped);
+        }
     }
 }
 
@@ -280,8 +301,9 @@
     Peers::start(identity, handle, receiver)
 }
 
-fn shared(inputs: &Inputs, answers: &Answers, counters: &Rc<Counters>) -> Shared {
-    let (inputs, answers, counters) = (inputs.clone(), Rc::clone(answers), Rc::clone(counters));
+fn shared(inputs: &Inputs, answers: &Answers, metrics: &Rc<Metrics>) -> Shared {
+    let (inputs, answers, metrics) = (inputs.clone(), Rc::clone(answers), Rc::clone(metrics));
+    let page = Rc::clone(&metrics);
     let last = Cell::new(0);
     let handler = move |body: Request| -> Later {
         last.set(last.get() + 1);
@@ -289,7 +311,12 @@
         let (sender, receiver) = oneshot::channel();
         answers.borrow_mut().insert(request, sender);
         let _ = inputs.send(Input::Request { request, body });
-        Box::pin(async move { receiver.await.unwrap_or(Answer::Unknown) })
+        let (metrics, received) = (Rc::clone(&metrics), Instant::now());
+        Box::pin(async move {
+            let answer = receiver.await.unwrap_or(Answer::Unknown);
+            metrics.record(Timing::Request, received.elapsed());
+            answer
+        })
     };
     Shared {
         handler: Box::new(handler),
@@ -298,7 +325,7 @@
         stopping: Cell::new(false),
         connections: Cell::new(0),
         requests: Cell::new(0),
-        metrics: Box::new(move || counters.render()),
+        metrics: Box::new(move || page.render()),
     }
 }
 
--- a/crates/shallotpost-daemon/src/logs.rs
+++ b/crates/shallotpost-daemon/src/logs.rs
@@ -1,18 +1,21 @@
-//! Log output: one JSON object a line on standard error.
+//! Log output: one JSON object a line on standard error, or on standard output for fleets.
 //!
 //! A line reads `{"time_unix_ms":..,"level":..,"event":..,"fields":{..}}`. An event name that repeats too often is
 //! written a limited number of times per interval. The first line of a later interval carries the number of events that
 //! were left out as `suppressed`; [`Writer::report_suppressed`] writes the number where no such line follows.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use serde::{Serialize, Serializer};
 use shallotpost_protocol::port::{Level, Log};
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::{Sink, SinkPropAccess, StdStreamSink};
-use spdlog::terminal_style::StyleMode;
+use spdlog::sink::{Sink, SinkPropAccess, WriteSink};
 use spdlog::{LevelFilter, Logger, Record, StringBuf};
 
 use crate::settings;
@@ -20,10 +23,18 @@
 /// Event name of the lines of [`Writer::report_suppressed`].
 pub const SUPPRESSED_EVENT: &str = "events_suppressed";
 
-/// Writes log events. It belongs to one thread.
+/// Longest line that is written, in bytes with the line end. A pipe that has room takes this much without blocking: it is
+/// `PIPE_BUF` on Linux.
+const LINE_MAX: usize = 4096;
+
+/// Writes log events. It belongs to one thread, and does not wait for the reader of the log: lines for which there is no
+/// room are dropped and counted.
 pub struct Writer {
     logger: Arc<Logger>,
     limiter: Limiter,
+    /// Where the lines go; `None` for sinks that never block.
+    output: Option<File>,
+    dropped: u64,
 }
 
 impl Writer {
@@ -32,9 +43,8 @@
     /// # Errors
     ///
     /// The logger cannot be built.
-    pub fn standard_error(settings: &settings::Log) -> Result<Writer, spdlog::Error> {
-        let sink = StdStreamSink::builder().stderr().style_mode(StyleMode::Never).build_arc()?;
-        Writer::with_sink(settings, sink)
+    pub fn standard_error(settings: &settings::Log) -> eyre::Result<Writer> {
+        Writer::to_file(settings, io::stderr().as_fd().try_clone_to_owned()?)
     }
 
     /// A writer to standard output.
@@ -42,9 +52,20 @@
     /// # Errors
     ///
     /// The logger cannot be built.
-    pub fn standard_output(settings: &settings::Log) -> Result<Writer, spdlog::Error> {
-        let sink = StdStreamSink::builder().stdout().style_mode(StyleMode::Never).build_arc()?;
-        Writer::with_sink(settings, sink)
+    pub fn standard_output(settings: &settings::Log) -> eyre::Result<Writer> {
+        Writer::to_file(settings, io::stdout().as_fd().try_clone_to_owned()?)
+    }
+
+    /// A writer to an open file or pipe.
+    ///
+    /// # Errors
+    ///
+    /// The logger cannot be built.
+    pub fn to_file(settings: &settings::Log, file: impl Into<File>) -> eyre::Result<Writer> {
+        let file = file.into();
+        let sink = WriteSink::builder().target(file.try_clone()?).build_arc()?;
+        let writer = Writer::with_sink(settings, sink)?;
+        Ok(Writer { output: Some(file), ..writer })
     }
 
     /// A writer to `sink`; replaces the formatter of the sink.
@@ -63,7 +84,7 @@
             .sink(sink)
             .build_arc()?;
         let limiter = Limiter::new(settings.repeat_limit, settings.repeat_interval);
-        Ok(Writer { logger, limiter })
+        Ok(Writer { logger, limiter, output: None, dropped: 0 })
     }
 
     /// Writes one event, unless its level is filtered or its name repeats too often.
@@ -86,9 +107,28 @@
         }
     }
 
-    fn put(&self, log: &Log, suppressed: u64, time: SystemTime) {
+    /// Takes the number of lines that were dropped since the last call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
+    }
+
+    fn put(&mut self, log: &Log, suppressed: u64, time: SystemTime) {
         let text = line(log, suppressed, time);
-        spdlog::log!(logger: self.logger, severity(log.level), "{text}");
+        if self.has_room(text.len() + 1) {
+            spdlog::log!(logger: self.logger, severity(log.level), "{text}");
+        } else {
+            self.dropped += 1;
+        }
+    }
+
+    /// Whether a line of this length can be written without waiting.
+    fn has_room(&self, length: usize) -> bool {
+        let Some(output) = &self.output else { return true };
+        let mut entries = [PollFd::new(output, PollFlags::OUT)];
+        let ready = poll(&mut entries, Some(&Timespec::default()));
+        length <= LINE_MAX
+            && ready.is_ok()
+            && entries.iter().all(|entry| entry.revents() == PollFlags::OUT)
     }
 }
 
--- a/crates/shallotpost-daemon/tests/log_lines.rs
+++ b/crates/shallotpost-daemon/tests/log_lines.rs
@@ -1,5 +1,7 @@
 //! Log output: JSON lines, level filter and rate limit of repeated events.
 
+use std::io::{BufRead, BufReader};
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -95,3 +97,42 @@
     assert_eq!(last["fields"], json!({ "name": "table_slow" }));
     assert_eq!(last["suppressed"], 3);
 }
+
+/// Nobody reads the log. Guards against a process that stands still because a pipe is full.
+#[test]
+fn full_pipe_drops_lines() {
+    let (reader, pipe) = std::io::pipe().expect("a pipe");
+    let settings =
+        settings::Log { level: Level::Info, repeat_limit: u32::MAX, repeat_interval: INTERVAL };
+    let mut writer = Writer::to_file(&settings, OwnedFd::from(pipe)).expect("a writer");
+    let text = "x".repeat(1000);
+    for _ in 0..400 {
+        let log =
+            Log { level: Level::Info, event: "run_started", fields: vec![("task", text.clone())] };
+        writer.write(&log, Instant::now(), SystemTime::now());
+    }
+    let dropped = writer.take_dropped();
+    assert!((1..400).contains(&dropped), "{dropped} lines were dropped");
+    drop(writer);
+    let lines = BufReader::new(reader).lines().map(|line| line.expect("a line"));
+    let whole = lines.filter(|line| serde_json::from_str::<Value>(line).is_ok()).count();
+    assert_eq!(u64::try_from(whole).expect("it is small") + dropped, 400);
+}
+
+/// A line longer than a pipe takes at once is left out, as writing it could block.
+#[test]
+fn long_line_is_dropped() {
+    let (reader, pipe) = std::io::pipe().expect("a pipe");
+    let settings = settings::Log { level: Level::Info, repeat_limit: 9, repeat_interval: INTERVAL };
+    let mut writer = Writer::to_file(&settings, OwnedFd::from(pipe)).expect("a writer");
+    let fields = vec![("path", "x".repeat(5000))];
+    writer.write(
+        &Log { level: Level::Info, event: "rejected", fields },
+        Instant::now(),
+        SystemTime::now(),
+    );
+    writer.write(&event(Level::Info, "short"), Instant::now(), SystemTime::now());
+    assert_eq!(writer.take_dropped(), 1);
+    drop(writer);
+    assert_eq!(BufReader::new(reader).lines().count(), 1);
+}
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -5,7 +5,7 @@
 use crate::host::store::Purpose;
 use crate::message::{decode, encode};
 use crate::port::{
-    Content, Counter, HostName, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
+    Content, Counter, HostName, RowVersion, StoreAnswer, StoreError, StoreRequest, Table, Timing,
 };
 use crate::prelude::*;
 use crate::progress::Progress;
@@ -278,6 +278,8 @@
         let Some(commit) = owner.commit.take() else { return };
         owner.version = version;
         owner.confirmed = commit.sent;
+        let duration = now.saturating_sub(commit.sent);
+        self.outputs.push(Output::Time { timing: Timing::Commit, duration });
         owner.next_commit = now + COMMIT_INTERVAL;
         let released = commit.row.released;
         if owner.loaded {
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -1,7 +1,7 @@
 //! What goes into and comes out of an entry host's state machine.
 
 use serde::{Deserialize, Serialize};
-use strum::Display;
+use strum::{Display, EnumIter};
 
 use crate::message::Message;
 use crate::prelude::*;
@@ -122,6 +122,13 @@
     Limits(crate::configuration::Limits),
     /// Writes a log line.
     Log(Log),
+    /// Adds to a latency histogram.
+    Time {
+        /// The histogram.
+        timing: Timing,
+        /// What was measured.
+        duration: Duration,
+    },
     /// Adds to a counter.
     Count {
         /// Name of the counter.
@@ -134,7 +141,7 @@
 }
 
 /// Counters of the metrics page.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
 #[strum(serialize_all = "snake_case")]
 pub enum Counter {
     /// Jobs stored.
@@ -157,6 +164,28 @@
     WorkerFailures,
     /// Ownership taken.
     Takeovers,
+    /// Log lines left out because the reader of the log was behind, or because they were too long.
+    LogLinesDropped,
+}
+
+/// Latency histograms of the metrics page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum Timing {
+    /// From a caller's request to its answer.
+    Request,
+    /// A call to the store that does not wait for changes.
+    StoreCall,
+    /// A start or a stop at a worker.
+    WorkerOrder,
+    /// A call for approval by this host.
+    ApprovalCall,
+    /// A transaction of the owner, with repetitions.
+    Commit,
+    /// From the time at which this owner heard of a job to the first of its starts.
+    JobStart,
+    /// From the time at which this owner heard of a job to its stored end.
+    JobEnd,
 }
 
 /// A structured log line.
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -1,7 +1,7 @@
 //! What the owner stores: progress of jobs, many jobs in one transaction.
 
 use crate::message::encode;
-use crate::port::Table;
+use crate::port::{Table, Timing};
 use crate::prelude::*;
 use crate::progress::{Progress, State};
 use crate::scheduler::session::WorkerKey;
@@ -132,6 +132,8 @@
                 entry.stored = state;
                 if state.is_final() {
                     let state = state.to_string();
+                    let duration = context.now.saturating_sub(entry.admitted);
+                    context.outputs.push(Output::Time { timing: Timing::JobEnd, duration });
                     context.log("job_ended", vec![("job", job_key(id)), ("state", state)]);
                 }
             }
--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -1,7 +1,7 @@
 //! What workers report: ends of runs, and the runs that are present.
 
 use crate::job::StageId;
-use crate::port::Counter;
+use crate::port::{Counter, Timing};
 use crate::prelude::*;
 use crate::progress::State;
 use crate::scheduler::session::{Phase, Placement, WorkerKey};
@@ -71,7 +71,7 @@
                 session.placements.range(range.clone()).map(|(task, _)| *task).collect();
             let ends = std::mem::take(&mut session.waiting_ends);
             for task in runs {
-                self.note_started(id);
+                self.note_started(id, context);
                 if let Some(stage) = self.stage_mut(task.stage)
                     && let Some(state) = stage.tasks.get_mut(task.index as usize)
                 {
@@ -286,7 +286,7 @@
         }
         placement.percent = run.percent;
         placement.gauge = run.gauge;
-        self.note_started(run.task.stage.job);
+        self.note_started(run.task.stage.job, context);
         if let Some(stage) = self.stage_mut(run.task.stage)
             && let Some(task) = stage.tasks.get_mut(run.task.index as usize)
             && !run.checkpoint.is_empty()
@@ -296,11 +296,13 @@
     }
 
     /// A task of the job has started.
-    pub(super) fn note_started(&mut self, id: JobId) {
+    pub(super) fn note_started(&mut self, id: JobId, context: &mut Context) {
         if let Some(entry) = self.jobs.get_mut(&id)
             && entry.state == State::Queued
         {
             entry.state = State::Running;
+            let duration = context.now.saturating_sub(entry.admitted);
+            context.outputs.push(Output::Time { timing: Timing::JobStart, duration });
         }
     }
 
@@ -335,7 +337,7 @@
         }
         let fields = vec![("task", run.task.to_string()), ("worker", worker.to_string())];
         context.log("run_adopted", fields);
-        self.note_started(id.job);
+        self.note_started(id.job, context);
         if let Some(stage) = self.stage_mut(id)
             && let Some(task) = stage.tasks.get_mut(run.task.index as usize)
         {
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -119,7 +119,7 @@
                     placement.changed = now;
                 }
                 session.clock = Some((report.clock_ms, now));
-                self.note_started(task.stage.job);
+                self.note_started(task.stage.job, context);
                 return;
             }
             Err(error) => error,
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -373,7 +373,11 @@
                 let text = format!("{} {}", log.event, fields.join(" "));
                 self.logs.push((self.now, host, text));
             }
-            Output::Ready(_) | Output::Limits(_) | Output::Count { .. } | Output::Stopped => {}
+            Output::Ready(_)
+            | Output::Limits(_)
+            | Output::Count { .. }
+            | Output::Time { .. }
+            | Output::Stopped => {}
         }
     }
 
