Serve connections that arrive while the gate finishes

Cause: when a host stopped, the gate closed its listening socket with connections in the backlog, dropped connections that it had accepted and not yet connected to the inner server, and ended connections before their first bytes could be read. Callers saw their requests cut. Change: a finishing gate empties the backlog before it closes the socket, counts arriving connections as open, and waits up to 0.2 s for the first bytes of a connection. Test: a_finishing_gate_serves_what_has_arrived fails without the change.

--- a/crates/shallotpost-edge/src/gate.rs
+++ b/crates/shallotpost-edge/src/gate.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Most bytes relayed at once; allocated only while bytes are under way.
 const RELAY_CHUNK: usize = 16 << 10;
@@ -25,6 +25,10 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time for which a finishing gate waits for the first bytes of a connection: callers send their request as soon as they are
+/// connected, and a connection that ends before its answer counts as a failed request.
+const FIRST_BYTES: Duration = Duration::from_millis(200);
+
 /// Times at which [`wake_inner`] follows a new connection; the second one covers a first one that came too early as well.
 const WAKE_DELAYS: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(50)];
 
@@ -69,18 +73,46 @@
 pub struct Gate {
     shared: Arc<Shared>,
     address: SocketAddr,
-    stop: watch::Sender<bool>,
+    stop: watch::Sender<Phase>,
     closed: Mutex<mpsc::Receiver<()>>,
 }
 
+/// What the gate as a whole does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It accepts connections.
+    Open,
+    /// It serves the connections that have arrived, and accepts no more.
+    Finishing,
+    /// It closes everything.
+    Stopped,
+}
+
 struct Shared {
     target: SocketAddr,
     limits: Limits,
     observer: Arc<dyn Observer>,
-    connections: Mutex<HashMap<ConnectionId, watch::Sender<Mode>>>,
+    connections: Mutex<Connections>,
     empty: Condvar,
 }
 
+#[derive(Default)]
+struct Connections {
+    open: HashMap<ConnectionId, watch::Sender<Mode>>,
+    /// Accepted, and not connected to the inner server yet.
+    arriving: usize,
+}
+
+impl Connections {
+    fn is_empty(&self) -> bool {
+        self.open.is_empty() && self.arriving == 0
+    }
+
+    fn len(&self) -> usize {
+        self.open.len() + self.arriving
+    }
+}
+
 impl Gate {
     /// Listens on `address` (port 0 for any) and relays to the inner server at `target`.
     pub fn start(
@@ -101,7 +133,7 @@
             empty: Condvar::new(),
         };
         let shared = Arc::new(shared);
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(Phase::Open);
         let _context = runtime.enter();
         let listener = TcpListener::from_std(listener)?;
         let (ended, closed) = mpsc::channel();
@@ -121,12 +153,12 @@
 
     /// Whether the connection is still open.
     pub fn is_open(&self, connection: ConnectionId) -> bool {
-        self.shared.lock().contains_key(&connection)
+        self.shared.lock().open.contains_key(&connection)
     }
 
     /// Changes one connection.
     pub fn set(&self, connection: ConnectionId, mode: Mode) {
-        if let Some(sender) = self.shared.lock().get(&connection) {
+        if let Some(sender) = self.shared.lock().open.get(&connection) {
             sender.send_replace(mode);
         }
     }
@@ -134,7 +166,8 @@
     /// Changes all connections that are open now, except one.
     pub fn set_all(&self, mode: Mode, except: Option<ConnectionId>) {
         let connections = self.shared.lock();
-        let affected = connections.iter().filter(|(connection, _)| Some(**connection) != except);
+        let affected =
+            connections.open.iter().filter(|(connection, _)| Some(**connection) != except);
         affected.for_each(|(_, sender)| {
             sender.send_replace(mode);
         });
@@ -142,17 +175,22 @@
 
     /// Stops listening and closes all connections.
     pub fn stop(&self) {
-        self.stop.send_replace(true);
+        self.stop.send_replace(Phase::Stopped);
         self.set_all(Mode::Closed, None);
     }
 
-    /// Stops listening, and closes each connection once the inner server has written its answers. Returns when all
-    /// connections are closed; those that are open after `bound` are closed at once.
+    /// Stops listening, and closes each connection once the inner server has written its answers, also those that wait in
+    /// the backlog of the listening socket. Returns when all connections are closed; those that are open after `bound` are
+    /// closed at once. Must not be called from the I/O thread.
     pub fn finish(&self, bound: Duration) {
-        self.stop.send_replace(true);
+        self.stop.send_replace(Phase::Finishing);
+        // The listening socket is closed once its backlog is empty.
+        let closed = self.closed.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = closed.recv_timeout(bound);
+        drop(closed);
         self.set_all(Mode::Finish, None);
         let connections = self.shared.lock();
-        let open = |connections: &mut HashMap<_, _>| !connections.is_empty();
+        let open = |connections: &mut Connections| !connections.is_empty();
         let waited = self.shared.empty.wait_timeout_while(connections, bound, open);
         drop(waited);
         self.stop_and_wait();
@@ -172,49 +210,53 @@
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, HashMap<ConnectionId, watch::Sender<Mode>>> {
+    fn lock(&self) -> MutexGuard<'_, Connections> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<Phase>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
+            _ = stopped.wait_for(|phase| *phase != Phase::Open) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, Arc::clone(&shared), stopped.clone()));
-            }
+            Ok((stream, _)) => admit(stream, &shared, &stopped),
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
+    // Connections that are left in the backlog would be reset with the listening socket.
+    while *stopped.borrow() == Phase::Finishing
+        && let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await
+    {
+        admit(stream, &shared, &stopped);
+    }
 }
 
-/// Relays one connection from its acceptance to its end.
-async fn serve(mut caller: TcpStream, shared: Arc<Shared>, stopped: watch::Receiver<bool>) {
-    if shared.lock().len() >= shared.limits.connections {
-        return;
-    }
-    let Ok(mut inner) = TcpStream::connect(shared.target).await else { return };
-    tokio::spawn(wake_inner(shared.target));
-    let Ok(connection) = inner.local_addr() else { return };
-    let (sender, mode) = watch::channel(Mode::Open);
+/// Serves an accepted connection, if there is room for it.
+fn admit(stream: TcpStream, shared: &Arc<Shared>, stopped: &watch::Receiver<Phase>) {
     {
         let mut connections = shared.lock();
-        if connections.len() >= shared.limits.connections || *stopped.borrow() {
+        if connections.len() >= shared.limits.connections {
             return;
         }
-        connections.insert(connection, sender);
+        connections.arriving += 1;
     }
+    tokio::spawn(serve(stream, Arc::clone(shared), stopped.clone()));
+}
+
+/// Relays one connection from its acceptance to its end.
+async fn serve(mut caller: TcpStream, shared: Arc<Shared>, stopped: watch::Receiver<Phase>) {
+    let connected = connect(&shared, &stopped).await;
+    let Some((mut inner, connection, mode)) = connected else { return };
     let _ = caller.set_nodelay(true);
     let _ = inner.set_nodelay(true);
     shared.observer.opened(connection);
     relay(&mut caller, &mut inner, mode, shared.limits.idle).await;
     {
         let mut connections = shared.lock();
-        connections.remove(&connection);
+        connections.open.remove(&connection);
         if connections.is_empty() {
             shared.empty.notify_all();
         }
@@ -223,6 +265,32 @@
     shared.observer.closed(connection);
 }
 
+/// Connects an arriving connection to the inner server; `None` where that fails or the gate has stopped.
+async fn connect(
+    shared: &Shared,
+    stopped: &watch::Receiver<Phase>,
+) -> Option<(TcpStream, ConnectionId, watch::Receiver<Mode>)> {
+    let inner = TcpStream::connect(shared.target).await;
+    tokio::spawn(wake_inner(shared.target));
+    let mut connections = shared.lock();
+    connections.arriving -= 1;
+    let mode = match *stopped.borrow() {
+        Phase::Open => Some(Mode::Open),
+        Phase::Finishing => Some(Mode::Finish),
+        Phase::Stopped => None,
+    };
+    let named = inner.and_then(|inner| Ok((inner.local_addr()?, inner))).ok();
+    if let (Some(mode), Some((connection, inner))) = (mode, named) {
+        let (sender, mode) = watch::channel(mode);
+        connections.open.insert(connection, sender);
+        return Some((inner, connection, mode));
+    }
+    if connections.is_empty() {
+        shared.empty.notify_all();
+    }
+    None
+}
+
 /// Opens and closes short connections, so that the inner server does not leave another one unread.
 ///
 /// `tiny_http` 0.12 hands two connections that come at the same moment to one idle thread. The second one then waits until
@@ -263,10 +331,14 @@
     active: &Activity,
 ) {
     let mut truncated = 0;
+    let mut passed = false;
     loop {
         let draining = match next_step(&source, &mut mode, to_caller).await {
             Step::Readable => false,
             Step::Drain => true,
+            Step::Finish if !passed && timeout(FIRST_BYTES, source.readable()).await.is_ok() => {
+                false
+            }
             Step::Finish => {
                 // The inner server answers what it has and then closes the connection.
                 let _ = sink.shutdown().await;
@@ -299,6 +371,7 @@
             Mode::Truncate(_) if to_caller => truncated += pass,
             _ => {}
         }
+        passed = true;
         active.record();
     }
 }
--- a/crates/shallotpost-edge/tests/gate_limits.rs
+++ b/crates/shallotpost-edge/tests/gate_limits.rs
@@ -117,3 +117,36 @@
     assert!(rest(&mut server).is_empty());
     assert!(!setup.gate.is_open(connection));
 }
+
+/// Connections that arrive while the gate finishes get their answers. Guards against requests that are cut because their
+/// connection waited in the backlog or was accepted just before.
+#[test]
+fn a_finishing_gate_serves_what_has_arrived() {
+    for _ in 0..20 {
+        let setup = Setup::start(64, PATIENCE);
+        let address = setup.gate.address();
+        let inner = setup.inner.try_clone().unwrap();
+        std::thread::spawn(move || {
+            for stream in inner.incoming() {
+                std::thread::spawn(move || {
+                    let mut stream = stream.unwrap();
+                    let mut request = [0; 4];
+                    while stream.read_exact(&mut request).is_ok() {
+                        stream.write_all(b"done").unwrap();
+                    }
+                });
+            }
+        });
+        let mut callers: Vec<TcpStream> =
+            (0..24).map(|_| TcpStream::connect(address).unwrap()).collect();
+        let finishing = std::thread::spawn(move || setup.gate.finish(PATIENCE));
+        for caller in &mut callers {
+            caller.write_all(b"work").unwrap();
+        }
+        for caller in &mut callers {
+            caller.set_read_timeout(Some(PATIENCE)).unwrap();
+            assert_eq!(rest(caller), b"done");
+        }
+        finishing.join().unwrap();
+    }
+}
