--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -398,7 +398,7 @@
 /// An epoch begins once, also where a read shows the won row before the claim is answered. Guards against an owner that
 /// begins the same epoch anew: its run numbers and bookings start from nothing.
 #[test]
-fn epoch_begins_once() {
+fn epoch_begins_once_with_a_slow_store() {
     for delay in (50..500).step_by(25) {
         let mut site = Site::new(&["a", "b"], 1);
         site.store_delay = ms(150);
