--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -64,6 +64,8 @@
     pub disapproved: BTreeSet<String>,
     /// Approval calls, with the number of workers named.
     pub approvals: Vec<(Duration, usize)>,
+    /// Processor time that hosts took, in real time.
+    pub spent: BTreeMap<String, Duration>,
     started: BTreeMap<String, Duration>,
     events: BTreeMap<(Duration, u64), Event>,
     sequence: u64,
@@ -88,6 +90,7 @@
             lost_answers: 0,
             disapproved: BTreeSet::new(),
             approvals: Vec::new(),
+            spent: BTreeMap::new(),
             started: BTreeMap::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -329,7 +332,9 @@
         let Some(host) = self.hosts.get_mut(name) else { return };
         let uptime = self.now - self.started[name];
         let unix_ms = UNIX_MS + u64::try_from(self.now.as_millis()).expect("time fits");
+        let begun = std::time::Instant::now();
         let outputs = host.handle(uptime, unix_ms, input);
+        *self.spent.entry(name.to_owned()).or_default() += begun.elapsed();
         for output in outputs {
             self.execute(name, output);
         }
