Place tasks from one list of workers for each round

Each task looked up every worker of the pool by name several times, terms and steps were cloned with their texts for each stage and round, the queue of each job was searched in the list of all queues, and approvals of blocked stages were evaluated in every round. Change: a round copies what the choice needs into one list of slots, costs are computed once for each stage, jobs hold the terms that apply (refreshed with the configuration), and a stage that needs no approval at present is looked at again after 50 ms.

--- a/crates/shallotpost-fleet/src/scheduler/ends.rs
+++ b/crates/shallotpost-fleet/src/scheduler/ends.rs
@@ -174,8 +174,7 @@
     /// Counts a failed run against the attempts of its task or gang.
     fn fail(&mut self, worker: &WorkerKey, end: &End, gang: bool, context: &mut Context) {
         let id = end.task.stage;
-        let attempts_max =
-            self.terms(id.job, context.configuration).map(|terms| terms.attempts_max);
+        let attempts_max = self.terms(id.job).map(|terms| terms.attempts_max);
         let Some(stage) = self.stage_mut(id) else { return };
         let index = if gang { 0 } else { end.task.index as usize };
         let Some(task) = stage.tasks.get_mut(index) else { return };
@@ -309,7 +308,7 @@
     /// Books a run that a worker lists and this owner did not start, or stops it where it is not wanted.
     fn adopt(&mut self, worker: &WorkerKey, run: Run, context: &mut Context) {
         let id = run.task.stage;
-        let priority = self.terms(id.job, context.configuration).map_or(0, |terms| terms.priority);
+        let priority = self.terms(id.job).map_or(0, |terms| terms.priority);
         let wanted = self.open.contains(&id.job)
             && self
                 .stage(id)
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod placement;
 mod preemption;
+mod round;
 pub mod session;
 mod shares;
 pub mod stage;
@@ -18,6 +19,7 @@
 
 pub use takeover::Absent;
 
+use crate::configuration::Terms;
 use crate::job::StageId;
 use crate::port::{ApprovalError, HostName, Ticket};
 use crate::prelude::*;
@@ -88,6 +90,8 @@
 struct Entry {
     id: JobId,
     job: Rc<Job>,
+    /// Terms of its queue at present, or of when it was admitted if the queue is gone.
+    terms: Rc<Terms>,
     /// Longest chain of steps, by their estimates.
     chain: Duration,
     /// Whether its team had submitted more than its share.
@@ -137,6 +141,8 @@
     last_whole_round: Uptime,
     /// Time to the next round beyond the interval, by the work of the last one.
     round_pause: Duration,
+    /// Version of the configuration from which the terms of the jobs come.
+    terms_version: u64,
 }
 
 /// An open call for approval.
@@ -170,6 +176,7 @@
             last_round: Uptime::ZERO,
             last_whole_round: Uptime::ZERO,
             round_pause: Duration::ZERO,
+            terms_version: 0,
         }
     }
 
@@ -205,6 +212,7 @@
         let entry = Entry {
             id,
             chain: job.longest_chain(),
+            terms: effective_terms(&job, context.configuration),
             beyond_share,
             job: Rc::new(job),
             team,
@@ -416,7 +424,7 @@
             Err(_) => self.approvers.fail(call, context.now),
         }
         let Some(ask) = self.asks.remove(&call) else { return };
-        let Some(terms) = self.terms(ask.stage.job, context.configuration) else { return };
+        let Some(terms) = self.terms(ask.stage.job) else { return };
         let validity = terms.approval.map_or(Duration::ZERO, |approval| approval.validity);
         self.round_due = true;
         let Some(stage) = self.stage_mut(ask.stage) else { return };
@@ -510,14 +518,22 @@
     }
 
     /// Terms of the job's queue as configured now, or as they were when the job was admitted.
-    fn terms(
-        &self,
-        id: JobId,
-        configuration: &Configuration,
-    ) -> Option<crate::configuration::Terms> {
-        let entry = self.jobs.get(&id)?;
-        let queue = configuration.queue(&entry.job.queue);
-        Some(queue.map_or_else(|| entry.job.terms.clone(), |queue| queue.terms.clone()))
+    /// The terms that apply to a job at present.
+    fn terms(&self, id: JobId) -> Option<Rc<Terms>> {
+        Some(Rc::clone(&self.jobs.get(&id)?.terms))
+    }
+
+    /// Applies a new configuration to the jobs that are open.
+    fn refresh_terms(&mut self, configuration: &Configuration) {
+        if self.terms_version == configuration.version {
+            return;
+        }
+        self.terms_version = configuration.version;
+        for id in &self.open {
+            if let Some(entry) = self.jobs.get_mut(id) {
+                entry.terms = effective_terms(&entry.job, configuration);
+            }
+        }
     }
 
     fn stage(&self, id: StageId) -> Option<&Stage> {
@@ -598,3 +614,8 @@
         self.sessions = sessions;
     }
 }
+
+fn effective_terms(job: &Job, configuration: &Configuration) -> Rc<Terms> {
+    let queue = configuration.queue(&job.queue);
+    Rc::new(queue.map_or(&job.terms, |queue| &queue.terms).clone())
+}
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -4,7 +4,8 @@
 use crate::job::StageId;
 use crate::port::{ApprovalRequest, Counter};
 use crate::prelude::*;
-use crate::scheduler::session::{Session, WorkerKey};
+use crate::scheduler::round::{Round, Slot};
+use crate::scheduler::session::Session;
 use crate::scheduler::stage::{Place, Stage};
 use crate::scheduler::{Ask, Context, Entry, Scheduler};
 
@@ -14,6 +15,10 @@
 /// A ticket is not used within this time of its expiry: the start takes a few milliseconds to arrive.
 pub(super) const TICKET_MARGIN: Duration = Duration::from_millis(250);
 
+/// Pause between two looks at the approvals of a stage that needs none at present. Each look costs some microseconds for
+/// each worker.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
 /// Most workers that one call for approval names.
 const WORKERS_MAX: usize = 100;
 
@@ -33,22 +38,6 @@
 /// Pause after a round for each stage that it tried. It bounds the processor time of a host with a quarter of a core.
 const PAUSE_PER_STAGE: Duration = Duration::from_micros(60);
 
-/// Workers that may take tasks in this round, by pool.
-#[derive(Default)]
-pub(super) struct Round {
-    workers: BTreeMap<String, Vec<WorkerKey>>,
-    failures: BTreeMap<String, u32>,
-    pub(super) preemptions: u32,
-    /// What teams may have running out of sight after a take-over.
-    uncertain: BTreeMap<Rc<str>, Size>,
-}
-
-impl Round {
-    fn workers(&self, demand: &Demand) -> &[WorkerKey] {
-        self.workers.get(&demand.terms.pool).map(Vec::as_slice).unwrap_or_default()
-    }
-}
-
 /// Whether a job still counts for its team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -79,16 +68,15 @@
 /// What limits the placement of one stage.
 pub(super) struct Demand {
     pub(super) id: StageId,
-    pub(super) step: Step,
-    pub(super) terms: Terms,
+    job: Rc<Job>,
+    pub(super) terms: Rc<Terms>,
     pub(super) team: Option<Rc<str>>,
     pub(super) cap: Size,
 }
 
 impl Demand {
-    /// Room of a worker that the stage may use.
-    fn free(&self, session: &Session, now: Uptime) -> Size {
-        session.free_for(&self.id, self.terms.priority, now)
+    pub(super) fn step(&self) -> &Step {
+        &self.job.steps[usize::from(self.id.step)]
     }
 }
 
@@ -98,6 +86,7 @@
         if !context.may_start {
             return;
         }
+        self.refresh_terms(context.configuration);
         let whole = context.now.saturating_sub(self.last_whole_round) >= WHOLE_ROUND_INTERVAL;
         if whole {
             self.last_whole_round = context.now;
@@ -108,48 +97,65 @@
             let Some(demand) = self.demand(candidate.stage, context.configuration) else {
                 continue;
             };
-            let failures = round.failures.get(&demand.terms.pool).copied().unwrap_or_default();
-            if !whole && failures >= FAILURES_PER_ROUND {
+            let pool = &demand.terms.pool;
+            if !whole && round.failures(pool) >= FAILURES_PER_ROUND {
                 continue;
             }
             tried += 1;
-            if !candidate.early && self.has_room(&demand, &round, context.now) {
-                match demand.step.gang {
-                    true => self.place_gang(&demand, &round, context),
-                    false => self.place_tasks(&demand, &round, context),
+            let mut slots = round.take_slots(pool);
+            if !candidate.early && self.has_room(&demand, &slots, context.now) {
+                match demand.step().gang {
+                    true => self.place_gang(&demand, &mut slots, &round, context),
+                    false => self.place_tasks(&demand, &mut slots, &round, context),
                 }
             }
-            self.ask(&demand, candidate.early, &round, context);
+            self.ask(&demand, candidate.early, &slots, context);
             if !candidate.early && self.has_waiting(demand.id) {
-                *round.failures.entry(demand.terms.pool.clone()).or_default() += 1;
+                round.add_failure(pool);
                 // What counts no longer does not displace what still does.
                 if candidate.urgency == Urgency::Regular {
-                    self.preempt(&demand, &mut round, context);
+                    self.preempt(&demand, &slots, &mut round, context);
                 }
             }
+            round.put_slots(pool, slots);
         }
         self.round_pause = PAUSE_PER_STAGE * tried;
     }
 
     fn begin_round(&self, context: &Context) -> Round {
-        let mut round = Round { uncertain: self.uncertain_usage(), ..Round::default() };
+        let mut round = Round::new(self.uncertain_usage());
         for (key, session) in &self.sessions {
             let usable = session.takes_tasks()
                 && !self.is_recorded_absent(key)
                 && !context.evacuated.contains(&session.registration.zone);
             if usable {
-                let pool = round.workers.entry(session.registration.pool.clone()).or_default();
-                pool.push(Rc::clone(key));
+                round.add(&session.registration.pool, Slot::new(key, session, context.now));
             }
         }
         round
     }
 
+    /// Room of a worker that the stage may use.
+    fn free(&self, demand: &Demand, slot: &Slot, now: Uptime) -> Size {
+        let session = if slot.reserved { self.sessions.get(&slot.key) } else { None };
+        session
+            .map_or(slot.free, |session| session.free_for(&demand.id, demand.terms.priority, now))
+    }
+
+    /// Number of further tasks of the stage that may start on a worker.
+    fn room_in(&self, demand: &Demand, slot: &Slot, now: Uptime) -> u32 {
+        let free = self.free(demand, slot, now);
+        if demand.step().per_worker_max == 0 {
+            return fits(&demand.step().booking(), &free);
+        }
+        let session = self.sessions.get(&slot.key);
+        session.map_or(0, |session| Self::room(demand, session, &free))
+    }
+
     /// Whether any worker of the pool has room for one task of the stage.
-    fn has_room(&self, demand: &Demand, round: &Round, now: Uptime) -> bool {
-        let booking = demand.step.booking();
-        let mut sessions = round.workers(demand).iter().filter_map(|key| self.sessions.get(key));
-        sessions.any(|session| booking.fits_in(&demand.free(session, now)))
+    fn has_room(&self, demand: &Demand, slots: &[Slot], now: Uptime) -> bool {
+        let booking = demand.step().booking();
+        slots.iter().any(|slot| booking.fits_in(&self.free(demand, slot, now)))
     }
 
     fn has_waiting(&self, id: StageId) -> bool {
@@ -157,27 +163,31 @@
         self.stage(id).is_some_and(waits)
     }
 
-    /// Workers of the round that suit a stage, apart from approval and room.
+    /// Whether a worker suits a stage, apart from approval and room.
+    fn suits(&self, demand: &Demand, slot: &Slot) -> bool {
+        let label = &demand.step().label;
+        let labelled = || {
+            let session = self.sessions.get(&slot.key);
+            session.is_some_and(|session| session.registration.labels.contains(label))
+        };
+        demand.step().booking().fits_in(&slot.capacity) && (label.is_empty() || labelled())
+    }
+
+    /// Workers that suit a stage, apart from approval and room.
     pub(super) fn suitable<'a>(
         &'a self,
         demand: &'a Demand,
-        round: &'a Round,
-    ) -> impl Iterator<Item = (&'a WorkerKey, &'a Session)> {
-        let sessions = round.workers(demand).iter();
-        let sessions = sessions.filter_map(|key| Some((key, self.sessions.get(key)?)));
-        sessions.filter(|(_, session)| {
-            let label = &demand.step.label;
-            (label.is_empty() || session.registration.labels.contains(label))
-                && demand.step.booking().fits_in(&session.registration.capacity)
-        })
+        slots: &'a [Slot],
+    ) -> impl Iterator<Item = (&'a Slot, &'a Session)> {
+        let slots = slots.iter().filter(|slot| self.suits(demand, slot));
+        slots.filter_map(|slot| Some((slot, self.sessions.get(&slot.key)?)))
     }
 
     fn candidates(&self, context: &Context) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         for id in &self.open {
             let Some(entry) = self.jobs.get(id) else { continue };
-            let queue = context.configuration.queue(&entry.job.queue);
-            let terms = queue.map_or(&entry.job.terms, |queue| &queue.terms);
+            let terms = &entry.terms;
             let objective = entry.chain.mul_f64(terms.stretch.max(1.0)) + terms.target;
             let due = entry.admitted + objective;
             let urgency = match () {
@@ -244,11 +254,12 @@
 
     fn demand(&self, id: StageId, configuration: &Configuration) -> Option<Demand> {
         let entry = self.jobs.get(&id.job)?;
-        let terms = self.terms(id.job, configuration)?;
+        entry.job.steps.get(usize::from(id.step))?;
         let team = entry.team.clone();
         let cap = team.as_deref().and_then(|team| configuration.team(team));
         let cap = cap.map_or(Size::ZERO, |team| team.cap);
-        Some(Demand { id, step: self.step(id)?.clone(), terms, team, cap })
+        let (job, terms) = (Rc::clone(&entry.job), Rc::clone(&entry.terms));
+        Some(Demand { id, job, terms, team, cap })
     }
 
     /// Whether the team's cap leaves room for this much more.
@@ -262,26 +273,17 @@
     }
 
     /// Whether a valid ticket for the worker is at hand.
-    pub(super) fn has_ticket(
-        demand: &Demand,
-        stage: &Stage,
-        key: &WorkerKey,
-        session: &Session,
-        now: Uptime,
-    ) -> bool {
+    pub(super) fn has_ticket(demand: &Demand, stage: &Stage, slot: &Slot, now: Uptime) -> bool {
         demand.terms.approval.is_none()
-            || stage.verdicts.get(key).is_some_and(|verdict| {
-                verdict.ticket.is_some() && verdict.life == session.life && verdict.expires > now
+            || stage.verdicts.get(&slot.key).is_some_and(|verdict| {
+                verdict.ticket.is_some() && verdict.life == slot.life && verdict.expires > now
             })
     }
 
     /// Number of further tasks of the stage that fit on a worker.
     pub(super) fn room(demand: &Demand, session: &Session, free: &Size) -> u32 {
-        let booking = demand.step.booking();
-        let parts = booking.parts().into_iter().zip(free.parts());
-        let fits = parts.filter(|(need, _)| *need > 0).map(|(need, have)| have / need).min();
-        let fits = u32::try_from(fits.unwrap_or(u64::from(u32::MAX))).unwrap_or(u32::MAX);
-        match demand.step.per_worker_max {
+        let fits = fits(&demand.step().booking(), free);
+        match demand.step().per_worker_max {
             0 => fits,
             limit => {
                 let range = demand.id.task(0)..=demand.id.task(u32::MAX);
@@ -292,60 +294,73 @@
     }
 
     /// How well a worker suits the next task; lower is better.
-    fn cost(demand: &Demand, session: &Session, now: Uptime) -> (bool, bool, bool, u64) {
-        let step = &demand.step;
-        let conflicts = session.placements.values().any(|run| match step.fills {
-            true => run.target.is_some(),
-            false => step.latency_target > Duration::ZERO && run.fills,
-        });
-        let far = !step.data_rack.is_empty() && session.rack() != step.data_rack;
-        let free = session.free();
+    fn cost(&self, demand: &Demand, slot: &Slot, now: Uptime) -> (bool, bool, bool, u64) {
+        let step = demand.step();
+        let conflicts = match step.fills {
+            true => slot.serves,
+            false => step.latency_target > Duration::ZERO && slot.fills,
+        };
+        let far = !step.data_rack.is_empty()
+            && self.sessions.get(&slot.key).is_none_or(|session| session.rack() != step.data_rack);
+        let free = self.free(demand, slot, now);
         let left = match step.fills {
             // Left-over capacity is what these tasks work with.
-            true => 1.0 - free.dominant_part(&session.registration.capacity),
-            false => free.minus(&step.booking()).dominant_part(&session.registration.capacity),
+            true => 1.0 - free.dominant_part(&slot.capacity),
+            false => free.minus(&step.booking()).dominant_part(&slot.capacity),
         };
-        (session.avoid_until > now, conflicts, far, (left * 1e6) as u64)
+        (slot.avoided, conflicts, far, (left * 1e6) as u64)
     }
 
-    fn place_tasks(&mut self, demand: &Demand, round: &Round, context: &mut Context) {
+    fn place_tasks(
+        &mut self,
+        demand: &Demand,
+        slots: &mut [Slot],
+        round: &Round,
+        context: &mut Context,
+    ) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
-        let mut workers: Vec<WorkerKey> = self
-            .suitable(demand, round)
-            .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
-            .map(|(key, _)| Rc::clone(key))
+        // Workers with their cost; only the cost of the chosen worker changes.
+        let mut open: Vec<_> = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| self.suits(demand, slot))
+            .filter(|(_, slot)| Self::has_ticket(demand, stage, slot, now))
+            .filter(|(_, slot)| self.room_in(demand, slot, now) > 0)
+            .map(|(position, slot)| (position, self.cost(demand, slot, now)))
             .collect();
         for index in stage.waiting() {
-            if workers.is_empty() || !self.within_cap(demand, &demand.step.size, round) {
+            if open.is_empty() || !self.within_cap(demand, &demand.step().size, round) {
                 return;
             }
-            let failed_on = self
-                .stage(demand.id)
-                .and_then(|stage| stage.tasks.get(index as usize))
-                .and_then(|task| task.failed_on.clone());
-            let sessions = &self.sessions;
-            workers.retain(|key| {
-                sessions.get(key).is_some_and(|session| {
-                    Self::room(demand, session, &demand.free(session, now)) > 0
-                })
+            let task = self.stage(demand.id).and_then(|stage| stage.tasks.get(index as usize));
+            let failed_on = task.and_then(|task| task.failed_on.clone());
+            let best = (0..open.len()).min_by_key(|at| {
+                let (position, cost) = open[*at];
+                (failed_on.as_ref() == Some(&slots[position].key), cost)
             });
-            let best = workers
-                .iter()
-                .filter_map(|key| Some((key, sessions.get(key)?)))
-                .min_by_key(|(key, session)| {
-                    (failed_on.as_ref() == Some(key), Self::cost(demand, session, now))
-                })
-                .map(|(key, _)| Rc::clone(key));
-            let Some(worker) = best else { return };
+            let Some(at) = best else { return };
+            let slot = &mut slots[open[at].0];
             let number = self.allocate_run();
             let priority = demand.terms.priority;
-            self.start(&worker, demand.id.task(index), number, priority, context);
+            self.start(&slot.key, demand.id.task(index), number, priority, context);
+            slot.book(demand);
+            if self.room_in(demand, slot, now) == 0 {
+                open.remove(at);
+            } else {
+                open[at].1 = self.cost(demand, slot, now);
+            }
         }
     }
 
     /// Places all members of a gang at the same time, or none.
-    fn place_gang(&mut self, demand: &Demand, round: &Round, context: &mut Context) {
+    fn place_gang(
+        &mut self,
+        demand: &Demand,
+        slots: &mut [Slot],
+        round: &Round,
+        context: &mut Context,
+    ) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
         let waiting = stage.waiting();
@@ -358,24 +373,27 @@
         if remains || waiting.len() != stage.tasks.len() {
             return;
         }
-        let all = demand.step.size.times(waiting.len() as u64);
+        let all = demand.step().size.times(waiting.len() as u64);
         if !self.within_cap(demand, &all, round) {
             return;
         }
-        let mut rooms: Vec<(WorkerKey, &Session, u32)> = self
-            .suitable(demand, round)
-            .filter(|(key, session)| Self::has_ticket(demand, stage, key, session, now))
-            .map(|(key, session)| {
-                (Rc::clone(key), session, Self::room(demand, session, &demand.free(session, now)))
-            })
-            .filter(|(_, _, room)| *room > 0)
-            .collect();
-        rooms.sort_by_key(|(_, session, _)| Self::cost(demand, session, now));
-        let whole = |rooms: &[(WorkerKey, &Session, u32)]| {
+        let mut rooms: Vec<(usize, &Session, u32)> = Vec::new();
+        for (position, slot) in slots.iter().enumerate() {
+            let room = self.room_in(demand, slot, now);
+            if room > 0
+                && self.suits(demand, slot)
+                && Self::has_ticket(demand, stage, slot, now)
+                && let Some(session) = self.sessions.get(&slot.key)
+            {
+                rooms.push((position, session, room));
+            }
+        }
+        rooms.sort_by_cached_key(|(position, ..)| self.cost(demand, &slots[*position], now));
+        let whole = |rooms: &[(usize, &Session, u32)]| {
             let room: u64 = rooms.iter().map(|(_, _, room)| u64::from(*room)).sum();
             room >= waiting.len() as u64
         };
-        if demand.step.one_rack {
+        if demand.step().one_rack {
             let racks: BTreeSet<&str> =
                 rooms.iter().map(|(_, session, _)| session.rack()).collect();
             let fitting = racks.into_iter().find(|rack| {
@@ -393,19 +411,21 @@
         if !whole(&rooms) {
             return;
         }
-        let places = rooms.into_iter().flat_map(|(key, _, room)| {
-            std::iter::repeat_n(key, usize::try_from(room).unwrap_or(usize::MAX))
+        let places = rooms.into_iter().flat_map(|(position, _, room)| {
+            std::iter::repeat_n(position, usize::try_from(room).unwrap_or(usize::MAX))
         });
-        let starts: Vec<(u32, WorkerKey)> = waiting.into_iter().zip(places).collect();
+        let starts: Vec<(u32, usize)> = waiting.into_iter().zip(places).collect();
         let number = self.allocate_run();
-        for (index, worker) in starts {
+        for (index, position) in starts {
             let priority = demand.terms.priority;
-            self.start(&worker, demand.id.task(index), number, priority, context);
+            let slot = &mut slots[position];
+            self.start(&slot.key, demand.id.task(index), number, priority, context);
+            slot.book(demand);
         }
     }
 
     /// Asks for the approval of workers where it is missing or about to expire.
-    fn ask(&mut self, demand: &Demand, early: bool, round: &Round, context: &mut Context) {
+    fn ask(&mut self, demand: &Demand, early: bool, slots: &[Slot], context: &mut Context) {
         let now = context.now;
         let Some(approval) = demand.terms.approval else { return };
         let Some(stage) = self.stage(demand.id) else { return };
@@ -417,19 +437,20 @@
         let mut unknown = Vec::new();
         let mut expired = Vec::new();
         let mut usable = 0u64;
-        for (key, session) in self.suitable(demand, round) {
+        for (slot, session) in self.suitable(demand, slots) {
             // Room may also come from preemption, which needs the ticket first.
-            let obtainable = Self::obtainable(demand, session, now);
-            let room = Self::room(demand, session, &obtainable);
-            match stage.verdicts.get(key).filter(|verdict| verdict.life == session.life) {
-                None => unknown.push((Rc::clone(key), session.life, room)),
+            let room = Self::room(demand, session, &Self::obtainable(demand, session, now));
+            let named = (Rc::clone(&slot.key), slot.life, room);
+            match stage.verdicts.get(&slot.key).filter(|verdict| verdict.life == slot.life) {
+                None => unknown.push(named),
                 Some(verdict) if verdict.ticket.is_none() => {}
                 Some(verdict) if verdict.expires > now => usable += u64::from(room),
-                Some(_) => expired.push((Rc::clone(key), session.life, room)),
+                Some(_) => expired.push(named),
             }
         }
         let first = stage.verdicts.is_empty();
         if !first && (early || usable >= waiting as u64) {
+            self.postpone_ask(demand.id, now);
             return;
         }
         expired.retain(|(_, _, room)| *room > 0);
@@ -442,6 +463,7 @@
         named.append(&mut unknown);
         named.truncate(WORKERS_MAX);
         if named.is_empty() {
+            self.postpone_ask(demand.id, now);
             return;
         }
         let workers = named.iter().map(|(key, _, _)| key.to_string()).collect();
@@ -461,4 +483,18 @@
             stage.asking = true;
         }
     }
+
+    /// Looks at the approvals of a stage again after a while.
+    fn postpone_ask(&mut self, stage: StageId, now: Uptime) {
+        if let Some(stage) = self.stage_mut(stage) {
+            stage.next_ask = now + LOOK_PAUSE;
+        }
+    }
+}
+
+/// How often a booking fits into a room.
+fn fits(booking: &Size, room: &Size) -> u32 {
+    let parts = booking.parts().into_iter().zip(room.parts());
+    let fits = parts.filter(|(need, _)| *need > 0).map(|(need, have)| have / need).min();
+    u32::try_from(fits.unwrap_or(u64::from(u32::MAX))).unwrap_or(u32::MAX)
 }
--- a/crates/shallotpost-fleet/src/scheduler/preemption.rs
+++ b/crates/shallotpost-fleet/src/scheduler/preemption.rs
@@ -2,7 +2,8 @@
 
 use crate::port::Counter;
 use crate::prelude::*;
-use crate::scheduler::placement::{Demand, Round};
+use crate::scheduler::placement::Demand;
+use crate::scheduler::round::{Round, Slot};
 use crate::scheduler::session::{Phase, Placement, Reservation, Session, WorkerKey};
 use crate::scheduler::{Context, Scheduler};
 
@@ -28,7 +29,13 @@
 
 impl Scheduler {
     /// Stops runs of lower priority to make room for the tasks of a stage that still wait.
-    pub(super) fn preempt(&mut self, demand: &Demand, round: &mut Round, context: &mut Context) {
+    pub(super) fn preempt(
+        &mut self,
+        demand: &Demand,
+        slots: &[Slot],
+        round: &mut Round,
+        context: &mut Context,
+    ) {
         let now = context.now;
         let Some(stage) = self.stage_mut(demand.id) else { return };
         let waiting = stage.waiting().len();
@@ -41,11 +48,11 @@
             return;
         }
         let exhausted = round.preemptions >= PREEMPTIONS_PER_ROUND;
-        if exhausted || !self.within_cap(demand, &demand.step.size, round) {
+        if exhausted || !self.within_cap(demand, &demand.step().size, round) {
             return;
         }
         round.preemptions += 1;
-        let plan = self.plan_preemption(demand, waiting, round, context);
+        let plan = self.plan_preemption(demand, waiting, slots, context);
         if plan.victims.is_empty() {
             return;
         }
@@ -57,7 +64,7 @@
                 let reservation = Reservation {
                     stage: demand.id,
                     priority: demand.terms.priority,
-                    size: demand.step.booking().times(tasks),
+                    size: demand.step().booking().times(tasks),
                     until: now + PREEMPT_PAUSE,
                 };
                 session.reserve(reservation, now);
@@ -105,23 +112,23 @@
         &self,
         demand: &Demand,
         waiting: usize,
-        round: &Round,
+        slots: &[Slot],
         context: &Context,
     ) -> Plan {
         let now = context.now;
         let mut plan = Plan::default();
         let Some(stage) = self.stage(demand.id) else { return plan };
-        let booking = demand.step.booking();
+        let booking = demand.step().booking();
         let mut missing = waiting;
-        let mut workers: Vec<_> = self.suitable(demand, round).collect();
+        let mut workers: Vec<_> = self.suitable(demand, slots).collect();
         // Fewer runs are stopped where more room is free.
         workers.sort_by_cached_key(|(_, session)| {
             let free = session.free().plus(&session.freeing());
             std::cmp::Reverse((free.dominant_part(&session.registration.capacity) * 1e6) as u64)
         });
-        for (key, session) in workers {
+        for (slot, session) in workers {
             // The stopped runs take some time to end, and the ticket must still be valid then.
-            if !Self::has_ticket(demand, stage, key, session, now + PREEMPT_PAUSE) {
+            if !Self::has_ticket(demand, stage, slot, now + PREEMPT_PAUSE) {
                 continue;
             }
             let mut free = session.free().plus(&session.freeing());
@@ -140,7 +147,7 @@
                 while Self::room(demand, session, &free) == 0 {
                     let Some((task, run)) = runs.pop() else { break };
                     free = free.plus(&run.booking);
-                    chosen.push((Rc::clone(key), *task, run.number));
+                    chosen.push((Rc::clone(&slot.key), *task, run.number));
                 }
                 room = Self::room(demand, session, &free);
                 if room == 0 || chosen.is_empty() {
@@ -149,13 +156,13 @@
                 plan.victims.append(&mut chosen);
             }
             if fitted > 0 {
-                plan.rooms.push((Rc::clone(key), fitted));
+                plan.rooms.push((Rc::clone(&slot.key), fitted));
             }
             if missing == 0 {
                 return plan;
             }
         }
-        match demand.step.gang {
+        match demand.step().gang {
             true => Plan::default(),
             false => plan,
         }
