Let the host with the most processor own the fleet

Cause: hosts claimed in the order of their names. On the grown sites most hosts have 0.12 cores and the owner needs more; hosts that were cut off with the owner also delayed the others by 0.1 s each, as their beats counted for 2.5 s. Change: the settings state the processor, beats and host rows carry it, and the rank of a claim counts present hosts with more of it. Present is who was heard within 1.25 s, and shortly after the start who is listed in the store. Test: strongest_host_owns fails without the order.

--- a/crates/shallotpost-daemon/src/fleet/mod.rs
+++ b/crates/shallotpost-daemon/src/fleet/mod.rs
@@ -116,6 +116,7 @@
             host: settings.host.clone(),
             zone: settings.data_centre.clone(),
             address: settings.peer_address.to_string(),
+            processors_milli: settings.processors_milli(),
             incarnation,
             bounds: settings.bounds.bounds(),
         };
--- a/crates/shallotpost-daemon/src/fleet/settings.rs
+++ b/crates/shallotpost-daemon/src/fleet/settings.rs
@@ -16,8 +16,11 @@
 /// Shortest lease that leaves time for a failover of the owner.
 const HOLD_MIN: Duration = Duration::from_secs(2);
 
+/// Smallest share of a core that is told apart.
+const PROCESSORS_MIN: f64 = 0.001;
+
 /// Everything that an entry host reads from its settings file.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this host.
@@ -36,10 +39,20 @@
     pub platform: Platform,
     /// Bounds that the platform states.
     pub bounds: PlatformBounds,
+    /// Processor of this host in cores; parts of one are usual. The host with the most becomes the owner of the fleet.
+    pub processors: f64,
     /// Most log lines of one event name in a second.
     pub log_lines_per_second: u32,
 }
 
+impl Settings {
+    /// Processor of this host in thousandths of a core.
+    pub fn processors_milli(&self) -> u64 {
+        // The settings were checked: it is positive and finite.
+        (self.processors * 1e3).round() as u64
+    }
+}
+
 /// Addresses of the platform's services.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -132,6 +145,10 @@
             HOLD_MIN.as_millis()
         ));
     }
+    if !(settings.processors.is_finite() && settings.processors >= PROCESSORS_MIN) {
+        faults
+            .push(format!("processors is not {PROCESSORS_MIN} or more. Use the share of a core."));
+    }
     if settings.log_lines_per_second == 0 {
         faults.push("log_lines_per_second is 0. Use 1 or more.".to_owned());
     }
--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -34,6 +34,8 @@
     pub zone: String,
     /// Address for peers.
     pub address: String,
+    /// Processor of this host, in thousandths of a core. Hosts with more of it own the fleet first.
+    pub processors_milli: u64,
     /// Drawn at random when the process starts.
     pub incarnation: u64,
     /// Bounds of the platform.
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -3,6 +3,8 @@
 //! A host that wins the row with a higher epoch is the owner. Workers refuse the orders of lower epochs, so an owner that
 //! has not noticed its loss does no harm at workers that the new one has reached.
 
+use std::cmp::Reverse;
+
 use serde::{Deserialize, Serialize};
 
 use crate::host::Host;
@@ -35,6 +37,10 @@
 /// Interval of reads of the row otherwise.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Silence of a peer after which it is not waited for: beats come every second. Hosts that were cut off with the owner are
+/// silent for longer when its succession is due.
+const PRESENT_MAX: Duration = Duration::from_millis(1250);
+
 /// Time by which each further host claims later, so that mostly one of them tries.
 const RANK_DELAY: Duration = Duration::from_millis(100);
 
@@ -194,10 +200,16 @@
             .is_some_and(|peer| peer.heard.is_some() && peer.beat.incarnation != row.incarnation)
     }
 
-    /// Number of present hosts that claim before this one.
+    /// Number of present hosts that claim before this one: those with more processor, as an owner needs most of it. Shortly
+    /// after the start, hosts that were read from the store and not heard yet count too.
     fn rank(&self) -> u32 {
+        let own = (Reverse(self.settings.processors_milli), &self.settings.host);
+        let present = |peer: &super::Peer| match peer.age(self.now) {
+            Some(age) => age < PRESENT_MAX && !peer.beat.stopping,
+            None => self.now < START_DELAY * 2,
+        };
         let before = |(name, peer): &(&HostName, &super::Peer)| {
-            peer.is_fresh(self.now) && !peer.beat.stopping && **name < self.settings.host
+            present(peer) && (Reverse(peer.processors_milli), *name) < own
         };
         u32::try_from(self.peers.iter().filter(before).count()).unwrap_or(u32::MAX)
     }
--- a/crates/shallotpost-fleet/src/host/peers.rs
+++ b/crates/shallotpost-fleet/src/host/peers.rs
@@ -40,6 +40,7 @@
     address: String,
     zone: String,
     incarnation: u64,
+    processors_milli: u64,
 }
 
 /// A peer as this host knows it.
@@ -50,6 +51,8 @@
     pub(super) heard: Option<Uptime>,
     pub(super) beat: Beat,
     since: Uptime,
+    /// Processor of the host, in thousandths of a core.
+    pub(super) processors_milli: u64,
 }
 
 impl Peer {
@@ -89,6 +92,7 @@
             address: self.settings.address.clone(),
             zone: self.settings.zone.clone(),
             incarnation: self.settings.incarnation,
+            processors_milli: self.settings.processors_milli,
         };
         let writes = match encode(&row) {
             Ok(bytes) => vec![(Table::Hosts, self.settings.host.clone(), bytes)],
@@ -120,21 +124,23 @@
                 && row.key != self.settings.host
             {
                 present.insert(row.key.clone());
-                self.meet(row.key, host.address);
+                self.meet(row.key, host.address, host.processors_milli);
             }
         }
         let now = self.now;
         self.peers.retain(|name, peer| present.contains(name) || peer.is_fresh(now));
     }
 
-    fn meet(&mut self, name: HostName, address: String) {
+    fn meet(&mut self, name: HostName, address: String, processors_milli: u64) {
         let now = self.now;
         let mut new = false;
         let peer = self.peers.entry(name.clone()).or_insert_with(|| {
             new = true;
-            Peer { address: String::new(), heard: None, beat: Beat::default(), since: now }
+            let beat = Beat::default();
+            Peer { address: String::new(), heard: None, beat, since: now, processors_milli }
         });
         peer.address = address;
+        peer.processors_milli = processors_milli;
         if new {
             self.log("peer_known", vec![("peer", name.clone())]);
             let beat = self.beat();
@@ -165,6 +171,7 @@
                 .as_ref()
                 .map_or(Duration::MAX, |owner| self.now.saturating_sub(owner.confirmed)),
             stopping: self.stopping.is_some(),
+            processors_milli: self.settings.processors_milli,
         }
     }
 
@@ -230,7 +237,7 @@
     }
 
     fn beat_received(&mut self, from: HostName, beat: Beat) {
-        self.meet(from.clone(), beat.address.clone());
+        self.meet(from.clone(), beat.address.clone(), beat.processors_milli);
         let Some(peer) = self.peers.get_mut(&from) else { return };
         peer.heard = Some(self.now);
         peer.beat = beat.clone();
--- a/crates/shallotpost-fleet/src/message.rs
+++ b/crates/shallotpost-fleet/src/message.rs
@@ -101,6 +101,8 @@
     pub commit_age: Duration,
     /// Whether it is about to stop.
     pub stopping: bool,
+    /// Processor of the sender, in thousandths of a core.
+    pub processors_milli: u64,
 }
 
 /// A question to the owner.
--- a/crates/shallotpost-fleet/tests/claims.rs
+++ b/crates/shallotpost-fleet/tests/claims.rs
@@ -26,6 +26,7 @@
             host: name.to_owned(),
             zone: "kochi".to_owned(),
             address: format!("{name}:1"),
+            processors_milli: 250,
             incarnation: 1,
             bounds: Bounds {
                 hold_max: Duration::from_secs(6),
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -60,6 +60,8 @@
     pub transaction_delay: Duration,
     /// Number of answers of workers that are lost next.
     pub lost_answers: usize,
+    /// Processors of hosts started from now on, in thousandths of a core; 250 for others.
+    pub processors: BTreeMap<String, u64>,
     /// Workers that approve nothing.
     pub disapproved: BTreeSet<String>,
     /// Approval calls, with the number of workers named.
@@ -88,6 +90,7 @@
             store_delay: Duration::ZERO,
             transaction_delay: Duration::ZERO,
             lost_answers: 0,
+            processors: BTreeMap::new(),
             disapproved: BTreeSet::new(),
             approvals: Vec::new(),
             spent: BTreeMap::new(),
@@ -146,6 +149,7 @@
             host: name.to_owned(),
             zone: "kochi".to_owned(),
             address: format!("{name}:1"),
+            processors_milli: self.processors.get(name).copied().unwrap_or(250),
             incarnation: self.incarnations,
             bounds: Bounds {
                 hold_max: ms(6000),
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -493,3 +493,27 @@
     site.run(ms(500));
     assert_eq!([site.starts_of_job(0x2a00), site.starts_of_job(0x2a01)], [1, 0]);
 }
+
+/// The host with the most processor owns the fleet, at the start and after a take-over, also while hosts that were cut off
+/// with the owner still seem to be present. Guards against an owner on a host that cannot carry it.
+#[test]
+fn strongest_host_owns() {
+    let mut site = Site::new(&[], 4);
+    for (host, processors) in [("a", 120), ("b", 500), ("c", 120), ("d", 500), ("e", 250)] {
+        site.processors.insert(host.to_owned(), processors);
+    }
+    ["a", "c", "e", "d", "b"].into_iter().for_each(|host| site.start_host(host));
+    site.run(ms(3000));
+    assert_eq!(site.owner().as_deref(), Some("b"));
+    // b and d are cut off from the others and from the store.
+    for strong in ["b", "d"] {
+        for other in ["a", "c", "e", "store"] {
+            site.cut(strong, other, true);
+        }
+    }
+    let since = site.now;
+    let owned = |site: &Site| ["a", "c", "e"].iter().any(|name| site.hosts[*name].is_owner());
+    site.run_until(ms(2200), "a take-over", owned);
+    assert!(site.hosts["e"].is_owner(), "a weak host owns the fleet");
+    assert!(site.now - since < ms(2000), "{:?}", site.now - since);
+}
