Write log lines to standard output itself again

Cause: since the change to lines that never wait, lines went to a duplicate of standard output. Change: the descriptor itself is polled and written. Test: fleet_process runs the process, reads its lines, metrics and readiness, and stops it.

--- a/crates/shallotpost-daemon/src/logs.rs
+++ b/crates/shallotpost-daemon/src/logs.rs
@@ -15,7 +15,8 @@
 use serde::{Serialize, Serializer};
 use shallotpost_protocol::port::{Level, Log};
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::{Sink, SinkPropAccess, WriteSink};
+use spdlog::sink::{Sink, SinkPropAccess, StdStreamSink, WriteSink};
+use spdlog::terminal_style::StyleMode;
 use spdlog::{LevelFilter, Logger, Record, StringBuf};
 
 use crate::settings;
@@ -32,8 +33,7 @@
 pub struct Writer {
     logger: Arc<Logger>,
     limiter: Limiter,
-    /// Where the lines go; `None` for sinks that never block.
-    output: Option<File>,
+    output: Target,
     dropped: u64,
 }
 
@@ -44,7 +44,8 @@
     ///
     /// The logger cannot be built.
     pub fn standard_error(settings: &settings::Log) -> eyre::Result<Writer> {
-        Writer::to_file(settings, io::stderr().as_fd().try_clone_to_owned()?)
+        let sink = StdStreamSink::builder().stderr().style_mode(StyleMode::Never).build_arc()?;
+        Ok(Writer { output: Target::StandardError, ..Writer::with_sink(settings, sink)? })
     }
 
     /// A writer to standard output.
@@ -53,7 +54,8 @@
     ///
     /// The logger cannot be built.
     pub fn standard_output(settings: &settings::Log) -> eyre::Result<Writer> {
-        Writer::to_file(settings, io::stdout().as_fd().try_clone_to_owned()?)
+        let sink = StdStreamSink::builder().stdout().style_mode(StyleMode::Never).build_arc()?;
+        Ok(Writer { output: Target::StandardOutput, ..Writer::with_sink(settings, sink)? })
     }
 
     /// A writer to an open file or pipe.
@@ -65,7 +67,7 @@
         let file = file.into();
         let sink = WriteSink::builder().target(file.try_clone()?).build_arc()?;
         let writer = Writer::with_sink(settings, sink)?;
-        Ok(Writer { output: Some(file), ..writer })
+        Ok(Writer { output: Target::File(file), ..writer })
     }
 
     /// A writer to `sink`; replaces the formatter of the sink.
@@ -84,7 +86,7 @@
             .sink(sink)
             .build_arc()?;
         let limiter = Limiter::new(settings.repeat_limit, settings.repeat_interval);
-        Ok(Writer { logger, limiter, output: None, dropped: 0 })
+        Ok(Writer { logger, limiter, output: Target::Unblocking, dropped: 0 })
     }
 
     /// Writes one event, unless its level is filtered or its name repeats too often.
@@ -123,15 +125,32 @@
 
     /// Whether a line of this length can be written without waiting.
     fn has_room(&self, length: usize) -> bool {
-        let Some(output) = &self.output else { return true };
-        let mut entries = [PollFd::new(output, PollFlags::OUT)];
-        let ready = poll(&mut entries, Some(&Timespec::default()));
-        length <= LINE_MAX
-            && ready.is_ok()
-            && entries.iter().all(|entry| entry.revents() == PollFlags::OUT)
+        let ready = match &self.output {
+            Target::StandardOutput => is_writable(io::stdout()),
+            Target::StandardError => is_writable(io::stderr()),
+            Target::File(file) => is_writable(file),
+            Target::Unblocking => return true,
+        };
+        length <= LINE_MAX && ready
     }
 }
 
+/// Where lines go.
+enum Target {
+    StandardOutput,
+    StandardError,
+    File(File),
+    /// A sink that never blocks.
+    Unblocking,
+}
+
+/// Whether a write of up to [`LINE_MAX`] bytes does not wait.
+fn is_writable(target: impl AsFd) -> bool {
+    let mut entries = [PollFd::new(&target, PollFlags::OUT)];
+    let ready = poll(&mut entries, Some(&Timespec::default()));
+    ready.is_ok() && entries.iter().all(|entry| entry.revents() == PollFlags::OUT)
+}
+
 /// Limits how often one event name is written.
 pub struct Limiter {
     limit: u32,
