Give an owner time to renew its row after an outage of the store

Cause: a host counted the silence of the ownership row from its last change, also while the store was away. Change: while the owner's beats arrive, the wait of a claim counts from the last failed call to the store. Test: owner_survives_an_outage_of_the_store fails without the change.

--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -186,7 +186,12 @@
             Some(row) if self.has_restarted(row) => Duration::ZERO,
             Some(_) => CLAIM_AFTER,
         };
-        self.now.saturating_sub(observed) >= wait + RANK_DELAY * rank
+        // An owner that is alive could not renew the row while the store was away.
+        let since = match self.fresh_owner().and(self.store.failed) {
+            Some(failed) => observed.max(failed),
+            None => observed,
+        };
+        self.now.saturating_sub(since) >= wait + RANK_DELAY * rank
     }
 
     /// Whether the process that won the row is known to have ended.
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -29,6 +29,9 @@
 /// Interval of ticks.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time after which a call to a silent store is given up.
+const STORE_PATIENCE: Duration = Duration::from_millis(1200);
+
 /// Start of the virtual time of day.
 const UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -58,6 +61,8 @@
     pub store_delay: Duration,
     /// Time that transactions take beyond that.
     pub transaction_delay: Duration,
+    /// Whether the store takes calls and answers none; it carries out none either.
+    pub store_silent: bool,
     /// Number of answers of workers that are lost next.
     pub lost_answers: usize,
     /// Processors of hosts started from now on, in thousandths of a core; 250 for others.
@@ -89,6 +94,7 @@
             cuts: BTreeSet::new(),
             store_delay: Duration::ZERO,
             transaction_delay: Duration::ZERO,
+            store_silent: false,
             lost_answers: 0,
             processors: BTreeMap::new(),
             disapproved: BTreeSet::new(),
@@ -278,6 +284,10 @@
                 }
             }
             Event::Input(host, input) => self.deliver(&host, input),
+            Event::Store { host, call, .. } if self.store_silent => {
+                let input = Input::Store { call, result: Err(StoreError::Unanswered) };
+                self.push(self.now + STORE_PATIENCE, Event::Input(host, input));
+            }
             Event::Store { host, call, request } => {
                 let result = match self.is_cut(&host, "store") {
                     true => Err(StoreError::NotDone),
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -517,3 +517,22 @@
     assert!(site.hosts["e"].is_owner(), "a weak host owns the fleet");
     assert!(site.now - since < ms(2000), "{:?}", site.now - since);
 }
+
+/// The store is silent for all hosts. When it answers again, the owner goes on: the others give it time to renew its row,
+/// as they see its beats. Guards against a take-over after each outage, by whoever notices the end of it first.
+#[test]
+fn owner_survives_an_outage_of_the_store() {
+    for outage in (2000..4400).step_by(150) {
+        let mut site = Site::new(&["a", "b", "c", "d", "e"], 2);
+        site.run(ms(2500));
+        let owner = site.owner();
+        assert!(owner.is_some());
+        site.store_silent = true;
+        site.run(ms(outage));
+        site.store_silent = false;
+        site.run(ms(3000));
+        assert_eq!(site.owner(), owner, "after {outage} ms");
+        let claims = site.logs.iter().filter(|(_, _, text)| text.starts_with("claiming")).count();
+        assert_eq!(claims, 1, "after {outage} ms");
+    }
+}
