--- a/crates/shallotpost-fleet/tests/placing.rs
+++ b/crates/shallotpost-fleet/tests/placing.rs
@@ -239,6 +239,45 @@
     assert_eq!(site.state("a", "batch", 0x800), Some(State::Running));
 }
 
+/// Tasks that last are not stopped for urgent work. Guards against a service that loses more of its tasks than its budget
+/// for disruptions allows.
+#[test]
+fn lasting_tasks_are_not_preempted() {
+    let mut site = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(60));
+    let lasting = Step { long_running: true, checkpoints: true, ..step(4, 300) };
+    site.submit("a", "batch", 0x810, vec![lasting]);
+    site.run(ms(500));
+    site.submit("a", "urgent", 0x811, vec![step(2, 300)]);
+    site.run(ms(2000));
+    assert_eq!([site.starts_of_job(0x810), site.starts_of_job(0x811)], [4, 0]);
+}
+
+/// A task that uses left-over processor time is slowed down while a task beside it is over its latency target, and sped up
+/// again. Guards against work that harms a service for as long as it runs.
+#[test]
+fn left_over_work_is_paced() {
+    let mut site = settled(1);
+    site.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(60));
+    let serving = Step { long_running: true, latency_target: ms(100), ..step(1, 300) };
+    site.submit("a", "batch", 0x820, vec![serving]);
+    site.submit("a", "batch", 0x821, vec![Step { fills: true, ..step(1, 60_000) }]);
+    site.run(ms(500));
+    let worker = |site: &mut Site, gauge: f64| {
+        let worker = site.workers.get_mut("w0").expect("there is a worker");
+        worker.gauges.insert(0x820, gauge);
+    };
+    worker(&mut site, 150.0);
+    site.run(ms(3000));
+    let lowest = site.workers["w0"].paces.iter().map(|(_, share)| *share).min();
+    assert!(lowest.is_some_and(|share| share <= 25), "{lowest:?}");
+    assert!(site.workers["w0"].paces.iter().all(|(task, _)| task.stage.job == 0x821));
+    worker(&mut site, 20.0);
+    site.run(ms(3000));
+    let last = site.workers["w0"].paces.last().map(|(_, share)| *share);
+    assert!(last > lowest, "{last:?}");
+}
+
 /// A worker that fails everything is avoided after two failures while another one has room. Without it the job below
 /// would use up its attempts there.
 #[test]
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -24,6 +24,10 @@
     pub ending: Ending,
     /// Size of every task.
     pub size: Size,
+    /// Gauges that it reports, by job.
+    pub gauges: BTreeMap<u64, f64>,
+    /// Shares at which tasks were told to work, in the order of the calls.
+    pub paces: Vec<(TaskId, u32)>,
     /// How long a stop takes.
     pub stop_time: Duration,
     /// Whether starts get no answer and are not carried out.
@@ -55,6 +59,8 @@
             duration: Duration::from_millis(300),
             ending: Ending::Done,
             size: Size { processors_milli: 1000, ..Size::ZERO },
+            gauges: BTreeMap::new(),
+            paces: Vec::new(),
             stop_time: Duration::ZERO,
             loses_starts: false,
             replaced: false,
@@ -146,7 +152,7 @@
             number: run.number,
             checkpoint: String::new(),
             percent: 10.0,
-            gauge: None,
+            gauge: self.gauges.get(&task.stage.job).copied(),
         };
         Report {
             clock_ms: self.clock(now),
@@ -211,7 +217,7 @@
                 let seen = self.seen;
                 self.ended.retain(|end| end.sequence > seen);
             }
-            Call::Pace { .. } => {}
+            Call::Pace { task, percent, .. } => self.paces.push((*task, *percent)),
         }
         Ok(plain)
     }
