Pass the worker calls of a large fleet to agents

Cause: the owner made every call to 350 or 540 workers itself.

Change: beyond 64 workers the owner passes calls to at most two hosts in each data centre, several calls in one message. Agents execute each call once. A lost agent ends its calls as unanswered, and its workers get their next calls from another host or from the owner.

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! State machine of an entry host: it serves callers, applies the operator's settings, and schedules the jobs of the
 //! fleet while it is the owner.
 
+mod agents;
 mod gateway;
 mod operator;
 mod owner;
@@ -14,6 +15,7 @@
 use crate::prelude::*;
 use crate::scheduler::{self, Bounds, Scheduler};
 
+use agents::Agents;
 use gateway::Gateway;
 pub use gateway::OPEN_REQUESTS_MAX;
 use operator::Operator;
@@ -51,6 +53,7 @@
     peers: BTreeMap<HostName, Peer>,
     next_heartbeat: Uptime,
     store: StoreClient,
+    agents: Agents,
     gateway: Gateway,
     ownership: Ownership,
     owner: Option<Owner>,
@@ -72,6 +75,7 @@
             peers: BTreeMap::new(),
             next_heartbeat: Uptime::ZERO,
             store: StoreClient::default(),
+            agents: Agents::default(),
             gateway: Gateway::default(),
             ownership: Ownership::default(),
             owner: None,
@@ -92,14 +96,12 @@
             Input::Request { request, body } => self.request(request, body),
             Input::Peer { from, message } => self.peer_message(from, message),
             Input::Store { call, result } => self.store_result(call, result),
-            Input::Worker { call, result } => self.with_scheduler(|scheduler, context| {
-                scheduler.worker_result(call, result, context);
-                scheduler.run_round(context);
-            }),
+            Input::Worker { call, result } => self.worker_result(call, result),
             Input::Approval { call, result } => self.approval_result(call, result),
             Input::Stop => self.stop(),
         }
         self.commit_if_due();
+        self.relay_worker_calls();
         std::mem::take(&mut self.outputs)
     }
 
@@ -112,6 +114,8 @@
         self.retry_requests();
         self.check_ownership();
         self.tick_owner();
+        self.select_agents();
+        self.expire_relayed_calls();
         self.with_scheduler(|scheduler, context| scheduler.tick(context));
         self.update_readiness();
         self.finish_stop();
--- a/crates/shallotpost-fleet/src/host/peers.rs
+++ b/crates/shallotpost-fleet/src/host/peers.rs
@@ -51,6 +51,8 @@
     /// Content of the last heartbeat; the default value if none has arrived yet.
     pub(super) heartbeat: Heartbeat,
     known_since: Uptime,
+    /// Empty until the row of the host has been read.
+    pub(super) data_centre: String,
     /// Processor capacity, in thousandths of a core.
     pub(super) processors_milli: u64,
 }
@@ -129,7 +131,10 @@
                 && row.key != self.settings.host
             {
                 present.insert(row.key.clone());
-                self.upsert_peer(row.key, host.address, host.processors_milli);
+                self.upsert_peer(row.key.clone(), host.address, host.processors_milli);
+                if let Some(peer) = self.peers.get_mut(&row.key) {
+                    peer.data_centre = host.data_centre;
+                }
             }
         }
         let now = self.now;
@@ -148,6 +153,7 @@
                 last_heartbeat: None,
                 heartbeat,
                 known_since: now,
+                data_centre: String::new(),
                 processors_milli,
             }
         });
@@ -233,6 +239,8 @@
                 self.outputs.push(Output::Approval { call: own, request, timeout });
             }
             Message::ApprovalResult { call, result } => self.approval_result(call, result),
+            Message::WorkerCalls(calls) => self.accept_worker_calls(&from, calls),
+            Message::WorkerResults(results) => self.relayed_results(results),
         }
     }
 
--- a/crates/shallotpost-fleet/src/message.rs
+++ b/crates/shallotpost-fleet/src/message.rs
@@ -7,6 +7,7 @@
 };
 use crate::prelude::*;
 use crate::progress::State;
+use crate::worker;
 
 /// A message to another entry host. Any message may be lost, so each sender of a request sets a timeout.
 ///
@@ -49,6 +50,24 @@
     },
     /// Result of a relayed call to the approval service.
     ApprovalResult { call: CallId, result: Result<Vec<Ticket>, ApprovalError> },
+    /// Asks the receiver to call workers on behalf of the sender.
+    WorkerCalls(Vec<WorkerCall>),
+    /// Results of relayed calls to workers.
+    WorkerResults(Vec<(CallId, Result<worker::Report, worker::Error>)>),
+}
+
+/// A call to a worker that another host makes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkerCall {
+    pub call: CallId,
+    pub address: String,
+    /// The worker that must answer; any other one at the address refuses the call.
+    pub worker: WorkerId,
+    /// Fencing token.
+    pub fence: u64,
+    pub request: worker::Call,
+    /// Time after which the call ends as unanswered.
+    pub timeout: Duration,
 }
 
 /// State of an entry host.
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -200,6 +200,15 @@
         self.approvers.set_peers(peers);
     }
 
+    pub fn worker_count(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Returns the data centre of a worker; `None` if the worker is not known.
+    pub fn data_centre_of(&self, worker: &str) -> Option<&str> {
+        self.sessions.get(worker).map(|session| session.registration.data_centre.as_str())
+    }
+
     /// Adds a stored job; a job that is known already is ignored.
     ///
     /// While the takeover is not settled, the tasks of a job that was accepted in an earlier epoch count as uncertain:
--- a/crates/shallotpost-fleet/src/worker.rs
+++ b/crates/shallotpost-fleet/src/worker.rs
@@ -154,7 +154,7 @@
 }
 
 /// Failure of a call to a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum Error {
     /// The worker refused the call and did nothing.
     #[error("the worker refused the call ({0}); place the task again")]
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -72,6 +72,8 @@
     pub unapproved_workers: BTreeSet<String>,
     /// Times of approval calls, and the number of workers that each names.
     pub approvals: Vec<(Duration, usize)>,
+    /// Number of calls to workers that each host has made.
+    pub worker_calls: BTreeMap<String, usize>,
     /// Real time that the state machine of each host has taken.
     pub processor_time: BTreeMap<String, Duration>,
     started_at: BTreeMap<String, Duration>,
@@ -100,6 +102,7 @@
             processors: BTreeMap::new(),
             unapproved_workers: BTreeSet::new(),
             approvals: Vec::new(),
+            worker_calls: BTreeMap::new(),
             processor_time: BTreeMap::new(),
             started_at: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -382,6 +385,7 @@
                 self.push(later, Event::Store { host, call, request });
             }
             Output::Worker { call, worker, fence, request, .. } => {
+                *self.worker_calls.entry(host.clone()).or_default() += 1;
                 self.push(later, Event::Worker { host, call, worker, fence, request });
             }
             Output::Approval { call, request, .. } => {
