Rank only the stages that wait, and find runs by their tasks

Cause: each round visited all unfinished jobs with all their tasks, and the end of each run visited all workers, so the cost of a decision grew with the backlog and the fleet.

Change: stages with waiting tasks are indexed, a backlog is ranked every 300 ms, stages at its end that cannot fit are skipped, and runs are found by an index of tasks.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -205,9 +205,9 @@
             }
             return;
         }
-        let dirty = owner.is_loaded() && owner.scheduler.is_dirty();
         let since = now.saturating_sub(owner.next_commit);
-        let due = owner.next_commit <= now && (dirty || since >= COMMIT_INTERVAL_MAX);
+        let is_dirty = || owner.is_loaded() && owner.scheduler.is_dirty();
+        let due = owner.next_commit <= now && (since >= COMMIT_INTERVAL_MAX || is_dirty());
         if stopping {
             // Starts continue while an earlier commit is in flight, and cease before the last commit is built.
             let since = *owner.releasing_since.get_or_insert(now);
--- a/crates/shallotpost-fleet/src/job.rs
+++ b/crates/shallotpost-fleet/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs, as submitted and stored, and the names of their tasks.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -156,6 +157,11 @@
     pub fn task(self, index: u32) -> TaskId {
         TaskId { stage: self, index }
     }
+
+    /// Returns the range of all possible tasks of the stage.
+    pub fn tasks(self) -> RangeInclusive<TaskId> {
+        self.task(0)..=self.task(u32::MAX)
+    }
 }
 
 impl fmt::Display for StageId {
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 pub use takeover::UnreachableWorker;
 
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
@@ -132,7 +133,15 @@
     unfinished: BTreeSet<JobId>,
     /// Jobs whose progress is not in a batch yet.
     dirty: BTreeSet<JobId>,
+    /// Stages that may have waiting tasks. Rounds remove those that have none.
+    waiting: BTreeSet<StageId>,
+    /// Stages that may have become placeable since the last full round.
+    fresh: BTreeSet<StageId>,
+    /// The stages that the last full round ranked first, if there are too many to rank in every round.
+    ranked: Vec<StageId>,
     sessions: BTreeMap<WorkerKey, Session>,
+    /// Workers on which each task is placed. More than one if an earlier run has not ended yet.
+    workers_of_tasks: BTreeMap<TaskId, Vec<WorkerKey>>,
     /// Calls in flight to workers: the worker, its incarnation and the purpose.
     calls: BTreeMap<CallId, (WorkerKey, u64, Purpose)>,
     /// Recently sent starts, ordered by time.
@@ -174,7 +183,11 @@
             jobs: BTreeMap::new(),
             unfinished: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            fresh: BTreeSet::new(),
+            ranked: Vec::new(),
             sessions: BTreeMap::new(),
+            workers_of_tasks: BTreeMap::new(),
             calls: BTreeMap::new(),
             recent_starts: VecDeque::new(),
             pending_approvals: BTreeMap::new(),
@@ -544,6 +557,11 @@
             for (step, position) in job.steps.iter().zip(0u16..) {
                 let key = (entry.occurrences_begun, position);
                 entry.stages.entry(key).or_insert_with(|| Stage::new(step.tasks, place.clone()));
+                if *place == Place::Waiting {
+                    let stage = StageId { job: id, occurrence: key.0, step: position };
+                    self.waiting.insert(stage);
+                    self.fresh.insert(stage);
+                }
             }
             entry.occurrences_begun += 1;
             self.round_due = true;
@@ -583,6 +601,12 @@
     /// Removes a placement from its worker and from its team's usage.
     fn release(&mut self, worker: &str, task: &TaskId) -> Option<session::Placement> {
         let placement = self.sessions.get_mut(worker)?.release(task)?;
+        if let Some(workers) = self.workers_of_tasks.get_mut(task) {
+            workers.retain(|key| **key != *worker);
+            if workers.is_empty() {
+                self.workers_of_tasks.remove(task);
+            }
+        }
         if let Some(team) = &placement.team
             && let Some(usage) = self.usage.get_mut(team)
         {
@@ -600,9 +624,33 @@
         }
         if let Some(session) = self.sessions.get_mut(worker) {
             session.book(task, placement);
+            let workers = self.workers_of_tasks.entry(task).or_default();
+            if !workers.contains(worker) {
+                workers.push(Rc::clone(worker));
+            }
         }
     }
 
+    /// Returns the placed runs of the tasks in a range, with their workers.
+    fn runs(
+        &self,
+        tasks: RangeInclusive<TaskId>,
+    ) -> impl Iterator<Item = (&WorkerKey, TaskId, &session::Placement)> {
+        self.workers_of_tasks.range(tasks).flat_map(|(task, workers)| {
+            workers.iter().filter_map(|worker| {
+                let run = self.sessions.get(worker)?.placements.get(task)?;
+                Some((worker, *task, run))
+            })
+        })
+    }
+
+    /// Records that tasks of a stage may be placeable.
+    fn set_waiting(&mut self, stage: StageId) {
+        self.waiting.insert(stage);
+        self.fresh.insert(stage);
+        self.round_due = true;
+    }
+
     /// Sets a task that is no longer on the worker back to waiting.
     fn requeue(&mut self, task: TaskId, worker: &WorkerKey) {
         if let Some(stage) = self.stage_mut(task.stage)
@@ -610,6 +658,7 @@
             && state.place == Place::Placed(Rc::clone(worker))
         {
             state.place = Place::Waiting;
+            self.set_waiting(task.stage);
         }
         self.round_due = true;
     }
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -1,8 +1,10 @@
 //! Orders to workers: starts, stops and throttling.
 
+use std::ops::RangeInclusive;
+
 use crate::port::Counter;
 use crate::prelude::*;
-use crate::scheduler::run_lists::new_placement;
+use crate::scheduler::run_lists::{first_task, last_task, new_placement};
 use crate::scheduler::session::{Phase, WorkerKey, milliseconds};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Purpose, Scheduler};
@@ -234,36 +236,25 @@
 
     /// Stops all runs of a job.
     pub(super) fn stop_job(&mut self, id: JobId, context: &mut Context) {
-        let mut runs = Vec::new();
-        for (worker, session) in &self.sessions {
-            for (task, run) in &session.placements {
-                let stops = matches!(run.phase, Phase::Stopping | Phase::StartUnanswered);
-                if task.stage.job == id && !stops {
-                    runs.push((Rc::clone(worker), *task, run.number));
-                }
-            }
-        }
-        for (worker, task, number) in runs {
-            self.send_stop(&worker, task, number, context);
-        }
+        self.stop_runs(first_task(id)..=last_task(id), context);
     }
 
     /// Stops the other members of a gang after one of them has ended or could not start: they cannot work without it.
     pub(super) fn break_gang(&mut self, task: TaskId, context: &mut Context) {
-        if !self.step(task.stage).is_some_and(|step| step.gang) {
-            return;
+        if self.step(task.stage).is_some_and(|step| step.gang) {
+            self.stop_runs(task.stage.tasks(), context);
         }
-        let range = task.stage.task(0)..=task.stage.task(u32::MAX);
-        let mut runs = Vec::new();
-        for (worker, session) in &self.sessions {
-            for (member, run) in session.placements.range(range.clone()) {
-                if !matches!(run.phase, Phase::Stopping | Phase::StartUnanswered) {
-                    runs.push((Rc::clone(worker), *member, run.number));
-                }
-            }
-        }
-        for (worker, member, number) in runs {
-            self.send_stop(&worker, member, number, context);
+    }
+
+    /// Stops the runs of the tasks in a range that are not being stopped yet.
+    fn stop_runs(&mut self, tasks: RangeInclusive<TaskId>, context: &mut Context) {
+        let runs: Vec<(WorkerKey, TaskId, u64)> = self
+            .runs(tasks)
+            .filter(|(_, _, run)| !matches!(run.phase, Phase::Stopping | Phase::StartUnanswered))
+            .map(|(worker, task, run)| (Rc::clone(worker), task, run.number))
+            .collect();
+        for (worker, task, number) in runs {
+            self.send_stop(&worker, task, number, context);
         }
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -33,6 +33,10 @@
 /// Each try takes some microseconds per worker.
 const FAILURES_PER_ROUND: u32 = 24;
 
+/// Number of waiting stages up to which every round ranks all of them. Beyond it, rounds between two full ones consider
+/// as many of the stages that the last full round ranked first, and those that have changed since.
+const RANKED_MAX: usize = 256;
+
 /// Interval between full rounds, which try all stages.
 const FULL_ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -95,7 +99,7 @@
         }
         let mut round = self.begin_round(context);
         let mut tried = 0;
-        for candidate in self.candidates(context) {
+        for candidate in self.candidates(full, context) {
             if self.is_saturated(context.now) {
                 self.round_due = true;
                 break;
@@ -104,22 +108,27 @@
                 continue;
             };
             let pool = &demand.policy.pool;
-            if !full && round.failures(pool) >= FAILURES_PER_ROUND {
+            let backlogged = round.failures(pool) >= FAILURES_PER_ROUND;
+            if backlogged && (!full || round.is_known_to_fail(pool, &demand.step().booking())) {
                 continue;
             }
             tried += 1;
             let mut pool_workers = round.take_workers(pool);
-            if !candidate.early && self.has_capacity(&demand, &pool_workers, context.now) {
+            let has_capacity = self.has_capacity(&demand, &pool_workers, context.now);
+            if !candidate.early && has_capacity {
                 match demand.step().gang {
                     true => self.place_gang(&demand, &mut pool_workers, &round, context),
                     false => self.place_tasks(&demand, &mut pool_workers, &round, context),
                 }
             }
-            self.request_approvals(&demand, candidate.early, &pool_workers, context);
+            // Stages far back in a backlog get neither tickets, which would expire, nor the room of others.
+            if !backlogged || has_capacity {
+                self.request_approvals(&demand, candidate.early, &pool_workers, context);
+            }
             if !candidate.early && self.has_waiting(demand.id) {
-                round.add_failure(pool);
+                round.add_failure(pool, (!has_capacity).then(|| demand.step().booking()));
                 // Expired jobs and jobs beyond their share do not displace others.
-                if candidate.urgency == Urgency::Regular {
+                if candidate.urgency == Urgency::Regular && !backlogged {
                     self.preempt(&demand, &pool_workers, &mut round, context);
                 }
             }
@@ -190,49 +199,64 @@
         pool_workers.filter_map(|worker| Some((worker, self.sessions.get(&worker.key)?)))
     }
 
-    fn candidates(&self, context: &Context) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for id in &self.unfinished {
-            let Some(entry) = self.jobs.get(id) else { continue };
-            let policy = &entry.policy;
-            let completion_target =
-                entry.critical_path.mul_f64(policy.stretch.max(1.0)) + policy.target;
-            let due = entry.admitted + completion_target;
-            let urgency = match () {
-                () if entry.beyond_share => Urgency::BeyondShare,
-                () if entry.job.long_running() => Urgency::Regular,
-                () if context.now > entry.admitted + completion_target * EXPIRY_FACTOR => {
-                    Urgency::Expired
-                }
-                () => Urgency::Regular,
-            };
-            for ((occurrence, step), stage) in &entry.stages {
-                if stage.unfinished == 0
-                    || !stage.tasks.iter().any(|task| task.place == Place::Waiting)
-                {
-                    continue;
-                }
-                let Some(remaining) = self.remaining(entry, *occurrence, *step, context.now) else {
-                    continue;
-                };
-                let call = policy.approval.map_or(Duration::ZERO, |approval| approval.duration(16));
-                if remaining > call + APPROVAL_LEAD_TIME {
-                    continue;
-                }
-                candidates.push(Candidate {
-                    urgency,
-                    priority: policy.priority,
-                    late: due < context.now,
-                    due,
-                    stage: StageId { job: *id, occurrence: *occurrence, step: *step },
-                    early: remaining > Duration::ZERO,
-                });
+    /// Returns the stages to try, in the order in which they are served.
+    fn candidates(&mut self, full: bool, context: &Context) -> Vec<Candidate> {
+        let all = full || self.waiting.len() <= RANKED_MAX;
+        let stages: Vec<StageId> = match all {
+            true => self.waiting.iter().copied().collect(),
+            false => {
+                let ranked: BTreeSet<StageId> = self.ranked.iter().copied().collect();
+                self.fresh.union(&ranked).copied().collect()
+            }
+        };
+        let mut candidates = Vec::with_capacity(stages.len());
+        for stage in stages {
+            if !self.unfinished.contains(&stage.job) || !self.has_waiting(stage) {
+                self.waiting.remove(&stage);
+                self.fresh.remove(&stage);
+            } else if let Some(candidate) = self.candidate(stage, context) {
+                candidates.push(candidate);
             }
         }
         candidates.sort_unstable();
+        if all {
+            self.fresh.clear();
+            let first = candidates.iter().take(RANKED_MAX);
+            self.ranked = first.map(|candidate| candidate.stage).collect();
+        }
         candidates
     }
 
+    /// Returns the rank of a stage with waiting tasks; `None` if it is not its turn yet.
+    fn candidate(&self, stage: StageId, context: &Context) -> Option<Candidate> {
+        let entry = self.jobs.get(&stage.job)?;
+        let policy = &entry.policy;
+        let remaining = self.remaining(entry, stage.occurrence, stage.step, context.now)?;
+        let call = policy.approval.map_or(Duration::ZERO, |approval| approval.duration(16));
+        if remaining > call + APPROVAL_LEAD_TIME {
+            return None;
+        }
+        let completion_target =
+            entry.critical_path.mul_f64(policy.stretch.max(1.0)) + policy.target;
+        let due = entry.admitted + completion_target;
+        let urgency = match () {
+            () if entry.beyond_share => Urgency::BeyondShare,
+            () if entry.job.long_running() => Urgency::Regular,
+            () if context.now > entry.admitted + completion_target * EXPIRY_FACTOR => {
+                Urgency::Expired
+            }
+            () => Urgency::Regular,
+        };
+        Some(Candidate {
+            urgency,
+            priority: policy.priority,
+            late: due < context.now,
+            due,
+            stage,
+            early: remaining > Duration::ZERO,
+        })
+    }
+
     /// Returns the expected time until the preceding steps are done; zero if they are, `None` if any of their tasks is
     /// waiting or uncertain.
     fn remaining(
@@ -306,8 +330,7 @@
         match demand.step().per_worker_max {
             0 => fits,
             limit => {
-                let range = demand.id.task(0)..=demand.id.task(u32::MAX);
-                let present = session.placements.range(range).count();
+                let present = session.placements.range(demand.id.tasks()).count();
                 fits.min(limit.saturating_sub(u32::try_from(present).unwrap_or(u32::MAX)))
             }
         }
@@ -350,9 +373,9 @@
         let mut eligible: Vec<_> = pool_workers
             .iter()
             .enumerate()
-            .filter(|(_, worker)| self.suits(demand, worker))
-            .filter(|(_, worker)| Self::has_ticket(demand, stage, worker, now))
             .filter(|(_, worker)| self.count_fitting_on_worker(demand, worker, now) > 0)
+            .filter(|(_, worker)| Self::has_ticket(demand, stage, worker, now))
+            .filter(|(_, worker)| self.suits(demand, worker))
             .map(|(position, worker)| (position, self.cost(demand, worker, now)))
             .collect();
         for index in stage.waiting() {
@@ -390,11 +413,7 @@
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
         let waiting = stage.waiting();
-        let range = demand.id.task(0)..=demand.id.task(u32::MAX);
-        let remains = self
-            .sessions
-            .values()
-            .any(|session| session.placements.range(range.clone()).next().is_some());
+        let remains = self.workers_of_tasks.range(demand.id.tasks()).next().is_some();
         // All members of the previous run must have ended first.
         if remains || waiting.len() != stage.tasks.len() {
             return;
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -32,8 +32,8 @@
             free: session.free(),
             reserved: session.reservations.iter().any(|kept| kept.until > now),
             avoided: session.avoid_until > now,
-            has_latency_target: session.placements.values().any(|run| run.latency_target.is_some()),
-            has_best_effort: session.placements.values().any(|run| run.best_effort),
+            has_latency_target: session.latency_targets > 0,
+            has_best_effort: session.best_effort > 0,
         }
     }
 
@@ -46,11 +46,19 @@
     }
 }
 
+/// Stages of one pool that were tried without success.
+#[derive(Default)]
+struct Failures {
+    count: u32,
+    /// Bookings for which no worker had capacity, without those that contain another one.
+    bookings: Vec<Size>,
+}
+
 #[derive(Default)]
 pub(super) struct Round {
     workers: BTreeMap<String, Vec<PoolWorker>>,
-    /// Number of stages tried without success, by pool.
-    failures: BTreeMap<String, u32>,
+    /// Stages tried without success, by pool.
+    failures: BTreeMap<String, Failures>,
     pub(super) preemptions: u32,
     /// Resources that each team may use on workers that have not answered since the takeover.
     pub(super) uncertain: BTreeMap<Rc<str>, Size>,
@@ -81,13 +89,29 @@
 
     /// Returns the number of stages of the pool that were tried without success.
     pub(super) fn failures(&self, pool: &str) -> u32 {
-        self.failures.get(pool).copied().unwrap_or_default()
+        self.failures.get(pool).map_or(0, |failures| failures.count)
     }
 
-    pub(super) fn add_failure(&mut self, pool: &str) {
-        match self.failures.get_mut(pool) {
-            Some(failures) => *failures += 1,
-            None => drop(self.failures.insert(pool.to_owned(), 1)),
+    /// Records a stage that was tried without success, and its booking if no worker had capacity for it.
+    pub(super) fn add_failure(&mut self, pool: &str, booking: Option<Size>) {
+        if !self.failures.contains_key(pool) {
+            self.failures.insert(pool.to_owned(), Failures::default());
         }
+        let Some(failures) = self.failures.get_mut(pool) else { return };
+        failures.count += 1;
+        if let Some(booking) = booking
+            && !failures.bookings.iter().any(|failed| failed.fits_in(&booking))
+        {
+            failures.bookings.retain(|failed| !booking.fits_in(failed));
+            failures.bookings.push(booking);
+        }
+    }
+
+    /// Returns whether no worker of the pool had capacity for a booking that is no larger.
+    pub(super) fn is_known_to_fail(&self, pool: &str, booking: &Size) -> bool {
+        let fails = |failures: &Failures| {
+            failures.bookings.iter().any(|failed| failed.fits_in(booking))
+        };
+        self.failures.get(pool).is_some_and(fails)
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -14,12 +14,12 @@
 const UNKNOWN_JOB_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Returns the first task of a job in the order of task identifiers.
-fn first_task(job: JobId) -> TaskId {
+pub(super) fn first_task(job: JobId) -> TaskId {
     StageId { job, occurrence: 0, step: 0 }.task(0)
 }
 
 /// Returns the last possible task of a job in the order of task identifiers.
-fn last_task(job: JobId) -> TaskId {
+pub(super) fn last_task(job: JobId) -> TaskId {
     StageId { job, occurrence: u32::MAX, step: u16::MAX }.task(u32::MAX)
 }
 
@@ -57,14 +57,12 @@
     /// Applies to a newly added job what workers listed of it before.
     pub(super) fn apply_early_reports(&mut self, id: JobId, context: &mut Context) {
         let range = first_task(id)..=last_task(id);
-        let workers: Vec<WorkerKey> = self
+        let workers: BTreeSet<WorkerKey> = self
             .sessions
             .iter()
-            .filter(|(_, session)| {
-                !session.waiting_ends.is_empty()
-                    || session.placements.range(range.clone()).next().is_some()
-            })
+            .filter(|(_, session)| !session.waiting_ends.is_empty())
             .map(|(key, _)| Rc::clone(key))
+            .chain(self.runs(range.clone()).map(|(key, _, _)| Rc::clone(key)))
             .collect();
         for worker in workers {
             let Some(session) = self.sessions.get_mut(&worker) else { continue };
@@ -128,6 +126,9 @@
         for index in members {
             stage.complete(index);
         }
+        if stage.unfinished == 0 {
+            self.mark_successors(task.stage);
+        }
         if !gang {
             self.stop_other_runs(task, context);
         }
@@ -135,15 +136,21 @@
         self.check_completion(task.stage, context);
     }
 
+    /// Records that the stages which wait for a completed one may be placeable.
+    fn mark_successors(&mut self, done: StageId) {
+        let Some(entry) = self.jobs.get(&done.job) else { return };
+        let successors = entry.job.steps.iter().zip(0u16..);
+        for (_, step) in successors.filter(|(step, _)| step.after.contains(&done.step)) {
+            self.fresh.insert(StageId { step, ..done });
+        }
+    }
+
     /// Stops other runs of a completed task.
     fn stop_other_runs(&mut self, task: TaskId, context: &mut Context) {
         let others: Vec<(WorkerKey, u64)> = self
-            .sessions
-            .iter()
-            .filter_map(|(key, session)| {
-                let run = session.placements.get(&task)?;
-                (run.phase != Phase::Stopping).then(|| (Rc::clone(key), run.number))
-            })
+            .runs(task..=task)
+            .filter(|(_, _, run)| run.phase != Phase::Stopping)
+            .map(|(key, _, run)| (Rc::clone(key), run.number))
             .collect();
         for (worker, number) in others {
             self.send_stop(&worker, task, number, context);
@@ -361,11 +368,7 @@
         if !self.step(task.stage).is_some_and(|step| step.gang) {
             return true;
         }
-        let range = task.stage.task(0)..=task.stage.task(u32::MAX);
-        self.sessions
-            .values()
-            .flat_map(|session| session.placements.range(range.clone()))
-            .all(|(_, run)| run.number == number)
+        self.runs(task.stage.tasks()).all(|(_, _, run)| run.number == number)
     }
 }
 
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -120,6 +120,9 @@
     /// When the next lease renewal is due.
     pub next_renewal: Uptime,
     pub placements: BTreeMap<TaskId, Placement>,
+    /// Number of placements with a latency target, and of best-effort ones.
+    pub latency_targets: u32,
+    pub best_effort: u32,
     /// Sum of the resources that the placements book.
     pub used: Size,
     pub reservations: Vec<Reservation>,
@@ -149,6 +152,8 @@
             renewal: None,
             next_renewal: now,
             placements: BTreeMap::new(),
+            latency_targets: 0,
+            best_effort: 0,
             used: Size::ZERO,
             reservations: Vec::new(),
             consecutive_failures: 0,
@@ -220,6 +225,8 @@
 
     pub fn book(&mut self, task: TaskId, placement: Placement) {
         self.used = self.used.plus(&placement.booking);
+        self.latency_targets += u32::from(placement.latency_target.is_some());
+        self.best_effort += u32::from(placement.best_effort);
         self.placements.insert(task, placement);
     }
 
@@ -227,6 +234,8 @@
     pub fn release(&mut self, task: &TaskId) -> Option<Placement> {
         let placement = self.placements.remove(task)?;
         self.used = self.used.minus(&placement.booking);
+        self.latency_targets -= u32::from(placement.latency_target.is_some());
+        self.best_effort -= u32::from(placement.best_effort);
         Some(placement)
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -1,5 +1,7 @@
 //! Stages: the tasks of one step of one occurrence, and the approvals of workers for them.
 
+use std::collections::HashMap;
+
 use crate::prelude::*;
 use crate::progress::StageProgress;
 use crate::scheduler::session::WorkerKey;
@@ -51,7 +53,7 @@
     /// Number of tasks that are not done.
     pub unfinished: u32,
     /// Approvals by worker.
-    pub approvals: BTreeMap<WorkerKey, CachedApproval>,
+    pub approvals: HashMap<WorkerKey, CachedApproval>,
     /// Whether a call to the approval service is in flight for this stage.
     pub approval_pending: bool,
     /// Earliest time of the next call to the approval service for this stage.
@@ -68,7 +70,7 @@
         Stage {
             tasks: (0..tasks).map(|_| Task::new(place.clone())).collect(),
             unfinished: tasks,
-            approvals: BTreeMap::new(),
+            approvals: HashMap::new(),
             approval_pending: false,
             next_approval_call: Uptime::ZERO,
             blocked_since: None,
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -301,7 +301,7 @@
     fn release_job(&mut self, id: JobId, possible_tasks: &BTreeSet<TaskId>, context: &mut Context) {
         self.round_due = true;
         let Some(entry) = self.jobs.get_mut(&id) else { return };
-        let mut broken_gangs = Vec::new();
+        let (mut broken_gangs, mut released) = (Vec::new(), Vec::new());
         for ((occurrence, step), stage) in &mut entry.stages {
             let gang = entry.job.steps.get(usize::from(*step)).is_some_and(|step| step.gang);
             let stage_id = StageId { job: id, occurrence: *occurrence, step: *step };
@@ -313,10 +313,16 @@
                     changed = true;
                 }
             }
+            if changed {
+                released.push(stage_id);
+            }
             if gang && changed {
                 broken_gangs.push(stage_id.task(0));
             }
         }
+        for stage in released {
+            self.set_waiting(stage);
+        }
         for task in broken_gangs {
             self.break_gang(task, context);
         }
