Name as many workers in an approval call as the stage needs

Cause: the first call of a stage named 100 workers of the pool, whether they had room or not.

Change: shallotpost-policy::approval chooses the number from the room of the workers and the learned approval rate. Workers with free room are named first.

--- /dev/null
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -0,0 +1,223 @@
+//! Calls to the approval service: when a stage needs one, and which workers it names.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use shallotpost_policy::approval::{Cost, workers_to_name};
+
+use crate::job::StageId;
+use crate::port::{ApprovalError, ApprovalRequest, Counter, Ticket};
+use crate::prelude::*;
+use crate::scheduler::placement::{Demand, fits};
+use crate::scheduler::round::PoolWorker;
+use crate::scheduler::session::{Session, WorkerKey};
+use crate::scheduler::stage::{CachedApproval, Stage};
+use crate::scheduler::{Context, PendingApproval, Scheduler};
+
+/// Pause after a call to the approval service that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time before its expiry at which a ticket is no longer used: the start takes a few milliseconds to arrive.
+const TICKET_MARGIN: Duration = Duration::from_millis(250);
+
+/// Pause between two checks of the approvals of a stage that needs no call at present. Each check takes some
+/// microseconds per worker.
+const CHECK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Maximum number of workers that one call to the approval service names.
+const WORKERS_MAX: usize = 100;
+
+/// A worker that a call may name.
+struct Nominee {
+    /// What must be done before a task fits: nothing, preemption, or waiting until the worker is empty.
+    room: Room,
+    /// Spreads the stages that ask at the same time over different workers.
+    order: u64,
+    key: WorkerKey,
+    incarnation: u64,
+    /// Number of tasks of the stage that fit.
+    tasks: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Room {
+    Free,
+    Preemptible,
+    Busy,
+}
+
+impl Scheduler {
+    /// Requests the approval of workers for which it is missing or about to expire.
+    pub(super) fn request_approvals(
+        &mut self,
+        demand: &Demand,
+        early: bool,
+        pool_workers: &[PoolWorker],
+        context: &mut Context,
+    ) {
+        let now = context.now;
+        let Some(approval) = demand.policy.approval else { return };
+        let Some(stage) = self.stage(demand.id) else { return };
+        let waiting = stage.waiting().len() as u64;
+        if waiting == 0
+            || stage.approval_pending
+            || stage.next_approval_call > now
+            || !self.approvers.is_available(now)
+        {
+            return;
+        }
+        let first = stage.approvals.is_empty();
+        if early && !first {
+            return self.postpone_approval_check(demand.id, now);
+        }
+        let (mut nominees, usable) = self.nominees(demand, stage, Room::Free, pool_workers, now);
+        let mut needed = waiting.saturating_sub(usable);
+        if needed > 0 && sum(&nominees) < needed {
+            // Preemption requires a ticket beforehand.
+            let (preemptible, usable) =
+                self.nominees(demand, stage, Room::Preemptible, pool_workers, now);
+            needed = waiting.saturating_sub(usable);
+            nominees.extend(preemptible);
+        }
+        if needed > 0 && first && nominees.is_empty() {
+            nominees = self.nominees(demand, stage, Room::Busy, pool_workers, now).0;
+        }
+        if needed == 0 || nominees.is_empty() {
+            return self.postpone_approval_check(demand.id, now);
+        }
+        nominees.sort_by_key(|nominee| (nominee.room, nominee.order));
+        let rate = self.approval_rates.get(demand.queue()).copied().unwrap_or_default();
+        let cost = Cost { per_call: approval.per_call, per_worker: approval.per_worker };
+        let rooms = nominees.iter().map(|nominee| nominee.tasks);
+        nominees.truncate(workers_to_name(needed, rooms, rate, cost).min(WORKERS_MAX));
+        let workers = nominees.iter().map(|nominee| nominee.key.to_string()).collect();
+        let duration = approval.duration(nominees.len());
+        let request = ApprovalRequest { stage: demand.id, workers };
+        let call = context.allocate_call();
+        let sent = self.approvers.send(call, request, duration, now, context.outputs);
+        let Some(expires) = sent else { return };
+        context.outputs.push(Output::Count { counter: Counter::Approvals, amount: 1 });
+        let workers =
+            nominees.into_iter().map(|nominee| (nominee.key, nominee.incarnation)).collect();
+        self.pending_approvals.insert(call, PendingApproval { stage: demand.id, workers, expires });
+        if let Some(stage) = self.stage_mut(demand.id) {
+            stage.approval_pending = true;
+        }
+    }
+
+    /// Returns the workers with this kind of room whose approval is not known, and the number of tasks that fit on the
+    /// workers with valid tickets.
+    fn nominees(
+        &self,
+        demand: &Demand,
+        stage: &Stage,
+        room: Room,
+        pool_workers: &[PoolWorker],
+        now: Uptime,
+    ) -> (Vec<Nominee>, u64) {
+        let mut nominees = Vec::new();
+        let mut usable = 0;
+        for (worker, session) in self.suitable(demand, pool_workers) {
+            let tasks = match room {
+                Room::Free => self.count_fitting_on_worker(demand, worker, now),
+                Room::Preemptible => {
+                    let capacity = Self::capacity_with_preemption(demand, session, now);
+                    Self::count_fitting(demand, session, &capacity)
+                }
+                Room::Busy => fits(&demand.step().booking(), &worker.capacity),
+            };
+            let cached = stage.approvals.get(&worker.key);
+            let known = cached.filter(|cached| cached.incarnation == worker.incarnation);
+            match known {
+                _ if tasks == 0 => {}
+                Some(cached) if cached.ticket.is_none() => {}
+                Some(cached) if cached.expires > now => usable += u64::from(tasks),
+                // Named among the workers with free room already.
+                _ if room == Room::Preemptible && self.has_free_room(demand, worker, now) => {}
+                _ => nominees.push(Nominee {
+                    room,
+                    order: order(demand, session),
+                    key: Rc::clone(&worker.key),
+                    incarnation: worker.incarnation,
+                    tasks: tasks.into(),
+                }),
+            }
+        }
+        (nominees, usable)
+    }
+
+    fn has_free_room(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> bool {
+        self.count_fitting_on_worker(demand, worker, now) > 0
+    }
+
+    /// Delays the next check of the approvals of a stage.
+    fn postpone_approval_check(&mut self, stage: StageId, now: Uptime) {
+        if let Some(stage) = self.stage_mut(stage) {
+            stage.next_approval_call = now + CHECK_PAUSE;
+        }
+    }
+
+    /// Handles the result of a call to the approval service.
+    pub fn approval_result(
+        &mut self,
+        call: CallId,
+        result: Result<Vec<Ticket>, ApprovalError>,
+        context: &mut Context,
+    ) {
+        match &result {
+            Ok(_) => self.approvers.end(call),
+            Err(_) => self.approvers.fail(call, context.now),
+        }
+        let Some(pending) = self.pending_approvals.remove(&call) else { return };
+        let Some(entry) = self.jobs.get(&pending.stage.job) else { return };
+        let validity = entry.policy.approval.map_or(Duration::ZERO, |approval| approval.validity);
+        let queue = entry.job.queue.clone();
+        self.round_due = true;
+        if self.stage(pending.stage).is_some() {
+            self.fresh.insert(pending.stage);
+        }
+        let Some(stage) = self.stage_mut(pending.stage) else { return };
+        stage.approval_pending = false;
+        let Ok(tickets) = result else {
+            stage.next_approval_call = context.now + RETRY_PAUSE;
+            return;
+        };
+        let expires = context.now + validity.saturating_sub(TICKET_MARGIN);
+        let named = pending.workers.len();
+        for (worker, incarnation) in pending.workers {
+            let ticket = tickets.iter().find(|ticket| *ticket.worker == *worker);
+            let ticket = ticket.map(|ticket| ticket.ticket.clone());
+            stage.approvals.insert(worker, CachedApproval { ticket, expires, incarnation });
+        }
+        self.approval_rates.entry(queue).or_default().record(named, tickets.len());
+    }
+
+    /// Ends approval calls that were not answered in time.
+    pub(super) fn expire_pending_approvals(&mut self, context: &Context) {
+        let expired: Vec<CallId> = self
+            .pending_approvals
+            .iter()
+            .filter(|(_, pending)| pending.expires < context.now)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in expired {
+            self.approvers.fail(call, context.now);
+            if let Some(pending) = self.pending_approvals.remove(&call)
+                && let Some(stage) = self.stage_mut(pending.stage)
+            {
+                stage.approval_pending = false;
+            }
+        }
+    }
+}
+
+fn sum(nominees: &[Nominee]) -> u64 {
+    nominees.iter().map(|nominee| nominee.tasks).sum()
+}
+
+/// Returns the position of a worker in the order of a stage. Workers near the data come first.
+fn order(demand: &Demand, session: &Session) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (demand.id, &session.registration.address).hash(&mut hasher);
+    let near = demand.step().data_rack.is_empty() || session.rack() == demand.step().data_rack;
+    hasher.finish() >> 1 | u64::from(!near) << 63
+}
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! before the worker may drop it from its list, so a successor finds everything that happened in the store and in the
 //! workers' lists.
 
+mod approvals;
 mod approvers;
 mod commit;
 mod leases;
@@ -23,9 +24,11 @@
 use std::collections::VecDeque;
 use std::ops::RangeInclusive;
 
+use shallotpost_policy::approval::Rate;
+
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
-use crate::port::{ApprovalError, HostName, Ticket};
+use crate::port::HostName;
 use crate::prelude::*;
 use crate::progress::{Progress, State};
 use crate::worker::{Error, Registration, Report};
@@ -148,6 +151,8 @@
     recent_starts: VecDeque<(Uptime, CallId)>,
     pending_approvals: BTreeMap<CallId, PendingApproval>,
     approvers: Approvers,
+    /// Estimated share of workers that the approval service approves, by queue.
+    approval_rates: BTreeMap<String, Rate>,
     /// Resources of the placements that count against the quota of each team.
     usage: BTreeMap<Rc<str>, Size>,
     shares: shares::Shares,
@@ -192,6 +197,7 @@
             recent_starts: VecDeque::new(),
             pending_approvals: BTreeMap::new(),
             approvers: Approvers::new(own),
+            approval_rates: BTreeMap::new(),
             usage: BTreeMap::new(),
             shares: shares::Shares::default(),
             takeover: takeover::Takeover::new(uncertain_until),
@@ -458,35 +464,6 @@
         }
     }
 
-    /// Handles the result of a call to the approval service.
-    pub fn approval_result(
-        &mut self,
-        call: CallId,
-        result: Result<Vec<Ticket>, ApprovalError>,
-        context: &mut Context,
-    ) {
-        match &result {
-            Ok(_) => self.approvers.end(call),
-            Err(_) => self.approvers.fail(call, context.now),
-        }
-        let Some(pending) = self.pending_approvals.remove(&call) else { return };
-        let Some(policy) = self.policy(pending.stage.job) else { return };
-        let validity = policy.approval.map_or(Duration::ZERO, |approval| approval.validity);
-        self.round_due = true;
-        let Some(stage) = self.stage_mut(pending.stage) else { return };
-        stage.approval_pending = false;
-        let Ok(tickets) = result else {
-            stage.next_approval_call = context.now + placement::APPROVAL_RETRY_PAUSE;
-            return;
-        };
-        let expires = context.now + validity.saturating_sub(placement::TICKET_MARGIN);
-        for (worker, incarnation) in pending.workers {
-            let ticket = tickets.iter().find(|ticket| *ticket.worker == *worker);
-            let ticket = ticket.map(|ticket| ticket.ticket.clone());
-            stage.approvals.insert(worker, stage::CachedApproval { ticket, expires, incarnation });
-        }
-    }
-
     /// Performs periodic work. Called at a short interval.
     pub fn tick(&mut self, context: &mut Context) {
         self.settle_takeover(context);
@@ -518,23 +495,6 @@
         !self.calls.values().any(|(_, _, purpose)| order(purpose))
     }
 
-    fn expire_pending_approvals(&mut self, context: &Context) {
-        let expired: Vec<CallId> = self
-            .pending_approvals
-            .iter()
-            .filter(|(_, pending)| pending.expires < context.now)
-            .map(|(call, _)| *call)
-            .collect();
-        for call in expired {
-            self.approvers.fail(call, context.now);
-            if let Some(pending) = self.pending_approvals.remove(&call)
-                && let Some(stage) = self.stage_mut(pending.stage)
-            {
-                stage.approval_pending = false;
-            }
-        }
-    }
-
     /// Creates the stages of scheduled occurrences that are due.
     fn begin_due_occurrences(&mut self, context: &Context) {
         let scheduled: Vec<JobId> = self
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -2,28 +2,11 @@
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
-use crate::port::{ApprovalRequest, Counter};
 use crate::prelude::*;
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::session::Session;
 use crate::scheduler::stage::{Place, Stage};
-use crate::scheduler::{Context, JobEntry, PendingApproval, Scheduler};
-
-/// Pause after a call to the approval service that failed.
-pub(super) const APPROVAL_RETRY_PAUSE: Duration = Duration::from_millis(150);
-
-/// Time before its expiry at which a ticket is no longer used: the start takes a few milliseconds to arrive.
-pub(super) const TICKET_MARGIN: Duration = Duration::from_millis(250);
-
-/// Pause between two checks of the approvals of a stage that needs no call at present. Each check takes some
-/// microseconds per worker.
-const APPROVAL_CHECK_PAUSE: Duration = Duration::from_millis(50);
-
-/// Maximum number of workers that one call to the approval service names.
-const APPROVAL_WORKERS_MAX: usize = 100;
-
-/// Maximum number of workers whose tickets are renewed with one call. Each worker makes the call longer.
-const TICKET_RENEWALS_MAX: usize = 10;
+use crate::scheduler::{Context, JobEntry, Scheduler};
 
 /// Lead time, in addition to the call's duration, by which approval is requested before the preceding steps are
 /// expected to end.
@@ -81,6 +64,10 @@
 }
 
 impl Demand {
+    pub(super) fn queue(&self) -> &str {
+        &self.job.queue
+    }
+
     pub(super) fn step(&self) -> &Step {
         &self.job.steps[usize::from(self.id.step)]
     }
@@ -151,7 +138,7 @@
     }
 
     /// Returns the capacity of a worker that the stage may use.
-    fn free(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> Size {
+    pub(super) fn free(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> Size {
         let session = if worker.reserved { self.sessions.get(&worker.key) } else { None };
         session.map_or(worker.free, |session| {
             session.free_for(&demand.id, demand.policy.priority, now)
@@ -159,7 +146,12 @@
     }
 
     /// Returns the number of further tasks of the stage that may start on a worker, with respect to reservations.
-    fn count_fitting_on_worker(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> u32 {
+    pub(super) fn count_fitting_on_worker(
+        &self,
+        demand: &Demand,
+        worker: &PoolWorker,
+        now: Uptime,
+    ) -> u32 {
         let free = self.free(demand, worker, now);
         if demand.step().per_worker_max == 0 {
             return fits(&demand.step().booking(), &free);
@@ -470,94 +462,10 @@
             worker.book(demand);
         }
     }
-
-    /// Requests the approval of workers for which it is missing or about to expire.
-    fn request_approvals(
-        &mut self,
-        demand: &Demand,
-        early: bool,
-        pool_workers: &[PoolWorker],
-        context: &mut Context,
-    ) {
-        let now = context.now;
-        let Some(approval) = demand.policy.approval else { return };
-        let Some(stage) = self.stage(demand.id) else { return };
-        let waiting = stage.waiting().len();
-        if waiting == 0
-            || stage.approval_pending
-            || stage.next_approval_call > now
-            || !self.approvers.is_available(now)
-        {
-            return;
-        }
-        let mut unknown = Vec::new();
-        let mut expired = Vec::new();
-        let mut usable = 0u64;
-        for (worker, session) in self.suitable(demand, pool_workers) {
-            // Capacity may also come from preemption, which requires a ticket beforehand.
-            let tasks_max = Self::count_fitting(
-                demand,
-                session,
-                &Self::capacity_with_preemption(demand, session, now),
-            );
-            let named = (Rc::clone(&worker.key), worker.incarnation, tasks_max);
-            match stage
-                .approvals
-                .get(&worker.key)
-                .filter(|cached| cached.incarnation == worker.incarnation)
-            {
-                None => unknown.push(named),
-                Some(cached) if cached.ticket.is_none() => {}
-                Some(cached) if cached.expires > now => usable += u64::from(tasks_max),
-                Some(_) => expired.push(named),
-            }
-        }
-        let first = stage.approvals.is_empty();
-        if !first && (early || usable >= waiting as u64) {
-            self.postpone_approval_check(demand.id, now);
-            return;
-        }
-        expired.retain(|(_, _, tasks_max)| *tasks_max > 0);
-        expired.sort_by_key(|(_, _, tasks_max)| std::cmp::Reverse(*tasks_max));
-        expired.truncate(TICKET_RENEWALS_MAX.min(waiting.max(2) * 2));
-        if !first {
-            unknown.retain(|(_, _, tasks_max)| *tasks_max > 0);
-        }
-        let mut named = expired;
-        named.append(&mut unknown);
-        named.truncate(APPROVAL_WORKERS_MAX);
-        if named.is_empty() {
-            self.postpone_approval_check(demand.id, now);
-            return;
-        }
-        let workers = named.iter().map(|(key, _, _)| key.to_string()).collect();
-        let duration = approval.duration(named.len());
-        let request = ApprovalRequest { stage: demand.id, workers };
-        let call = context.allocate_call();
-        let sent = self.approvers.send(call, request, duration, now, context.outputs);
-        let Some(expires) = sent else { return };
-        context.outputs.push(Output::Count { counter: Counter::Approvals, amount: 1 });
-        let pending = PendingApproval {
-            stage: demand.id,
-            workers: named.into_iter().map(|(key, incarnation, _)| (key, incarnation)).collect(),
-            expires,
-        };
-        self.pending_approvals.insert(call, pending);
-        if let Some(stage) = self.stage_mut(demand.id) {
-            stage.approval_pending = true;
-        }
-    }
-
-    /// Delays the next check of the approvals of a stage.
-    fn postpone_approval_check(&mut self, stage: StageId, now: Uptime) {
-        if let Some(stage) = self.stage_mut(stage) {
-            stage.next_approval_call = now + APPROVAL_CHECK_PAUSE;
-        }
-    }
 }
 
 /// Returns how many times a booking fits into the free capacity.
-fn fits(booking: &Size, free: &Size) -> u32 {
+pub(super) fn fits(booking: &Size, free: &Size) -> u32 {
     let parts = booking.parts().into_iter().zip(free.parts());
     let fits = parts.filter(|(need, _)| *need > 0).map(|(need, have)| have / need).min();
     u32::try_from(fits.unwrap_or(u64::from(u32::MAX))).unwrap_or(u32::MAX)
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -109,9 +109,8 @@
 
     /// Returns whether no worker of the pool had capacity for a booking that is no larger.
     pub(super) fn is_known_to_fail(&self, pool: &str, booking: &Size) -> bool {
-        let fails = |failures: &Failures| {
-            failures.bookings.iter().any(|failed| failed.fits_in(booking))
-        };
+        let fails =
+            |failures: &Failures| failures.bookings.iter().any(|failed| failed.fits_in(booking));
         self.failures.get(pool).is_some_and(fails)
     }
 }
--- a/crates/shallotpost-fleet/tests/golden_files.rs
+++ b/crates/shallotpost-fleet/tests/golden_files.rs
@@ -17,7 +17,9 @@
 };
 use shallotpost_fleet::host::{Host, Settings};
 use shallotpost_fleet::job::{Job, JobId, Schedule, StageId, Step, TaskId};
-use shallotpost_fleet::message::{Heartbeat, Message, Query, QueryAnswer, decode, encode};
+use shallotpost_fleet::message::{
+    Heartbeat, Message, Query, QueryAnswer, WorkerCall, decode, encode,
+};
 use shallotpost_fleet::port::{
     Action, Answer, ApprovalError, ApprovalRequest, Content, Input, Output, Request, Row,
     StoreAnswer, StoreError, StoreRequest, Table, Ticket,
@@ -377,6 +379,29 @@
     check(golden!("message_approval.hex"), &messages);
 }
 
+#[test]
+fn relayed_worker_calls() {
+    let call = WorkerCall {
+        call: 37,
+        address: text("10.1.4.2:8080"),
+        worker: text("w1"),
+        fence: 5121,
+        request: Call::Stop { task: task(17), number: 3 },
+        timeout: ms(700),
+    };
+    let report = Report { clock_ms: 482_113, started_unix_ms: Some(17), lists: None };
+    let results = vec![
+        (38, Ok(report)),
+        (39, Err(Error::Refused(Refusal::Fence))),
+        (40, Err(Error::OtherWorker)),
+        (41, Err(Error::Unhealthy)),
+        (42, Err(Error::Unreachable)),
+        (43, Err(Error::Unanswered)),
+    ];
+    let messages = [Message::WorkerCalls(vec![call]), Message::WorkerResults(results)];
+    check(golden!("message_worker.hex"), &messages);
+}
+
 #[test]
 fn worker_calls() {
     let start = |checkpoint: &str, ticket| Call::Start {
--- a/crates/shallotpost-policy/src/lib.rs
+++ b/crates/shallotpost-policy/src/lib.rs
@@ -26,5 +26,6 @@
 mod sum;
 mod teams;
 
+pub mod approval;
 pub mod first_fit;
 pub mod planner;
