--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -183,6 +183,9 @@
             None => START_DELAY,
             Some(row) if row.released => Duration::ZERO,
             Some(row) if self.owner_process_ended(row) => Duration::ZERO,
+            // An owner that is short of processor time still starts tasks until its lease ends. Its successor would first
+            // have to read all jobs and call all workers, and would be no faster.
+            Some(_) if self.live_owner().is_some() => OWNERSHIP_LEASE,
             Some(_) => CLAIM_TIMEOUT,
         };
         // A live owner cannot renew the row during an outage of the store.
--- a/crates/shallotpost-fleet/src/job.rs
+++ b/crates/shallotpost-fleet/src/job.rs
@@ -137,6 +137,22 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns for each step the length of the longest path from its start to the end of the job, by the estimates.
+    pub fn remaining_paths(&self) -> Vec<Duration> {
+        let mut paths: Vec<Duration> = self.steps.iter().map(|step| step.estimate).collect();
+        for (position, step) in self.steps.iter().enumerate().rev() {
+            let path = paths[position];
+            for before in &step.after {
+                if let Some(earlier) = self.steps.get(usize::from(*before)) {
+                    let through = earlier.estimate + path;
+                    let known = &mut paths[usize::from(*before)];
+                    *known = through.max(*known);
+                }
+            }
+        }
+        paths
+    }
+
     /// Returns whether any step runs until the job is cancelled.
     pub fn long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 use std::ops::RangeInclusive;
 
 use shallotpost_policy::approval::Rate;
+use shallotpost_policy::headroom::Headroom;
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
@@ -51,6 +52,9 @@
 /// Maximum time between two placement rounds while work waits.
 const ROUND_INTERVAL_MAX: Duration = Duration::from_millis(100);
 
+/// Time that an urgent job can wait at most without missing its completion target.
+const URGENT_SLACK: Duration = Duration::from_secs(1);
+
 /// Time limits of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -98,6 +102,8 @@
     /// Current policy of its queue, or the policy at admission if the queue was removed.
     policy: Rc<QueuePolicy>,
     critical_path: Duration,
+    /// Longest path from the start of each step to the end of the job.
+    remaining_paths: Vec<Duration>,
     /// Whether its team had exceeded its share when it submitted the job.
     beyond_share: bool,
     team: Option<Rc<str>>,
@@ -116,6 +122,20 @@
     finished: Option<Uptime>,
 }
 
+impl JobEntry {
+    /// Returns the time after admission by which the job is to be completed.
+    fn completion_target(&self) -> Duration {
+        self.critical_path.mul_f64(self.policy.stretch.max(1.0)) + self.policy.target
+    }
+
+    /// Returns whether the job is of the highest priority and must not wait even for a preemption.
+    fn is_urgent(&self) -> bool {
+        self.policy.priority == 0
+            && !self.beyond_share
+            && self.completion_target().saturating_sub(self.critical_path) < URGENT_SLACK
+    }
+}
+
 /// Purpose of a call to a worker. Starts and stops name the task and the number of the run, and a renewal the time at
 /// which it was sent.
 #[derive(Clone, Copy, Debug)]
@@ -155,6 +175,8 @@
     approval_rates: BTreeMap<String, Rate>,
     /// Resources of the placements that count against the quota of each team.
     usage: BTreeMap<Rc<str>, Size>,
+    /// Recent use by urgent tasks, by pool.
+    headrooms: BTreeMap<String, Headroom>,
     shares: shares::Shares,
     takeover: takeover::Takeover,
     commit: commit::InFlightCommit,
@@ -199,6 +221,7 @@
             approvers: Approvers::new(own),
             approval_rates: BTreeMap::new(),
             usage: BTreeMap::new(),
+            headrooms: BTreeMap::new(),
             shares: shares::Shares::default(),
             takeover: takeover::Takeover::new(uncertain_until),
             commit: commit::InFlightCommit::default(),
@@ -252,6 +275,7 @@
         let entry = JobEntry {
             id,
             critical_path: job.critical_path(),
+            remaining_paths: job.remaining_paths(),
             policy: effective_policy(&job, context.configuration),
             beyond_share,
             job: Rc::new(job),
@@ -560,7 +584,13 @@
 
     /// Removes a placement from its worker and from its team's usage.
     fn release(&mut self, worker: &str, task: &TaskId) -> Option<session::Placement> {
-        let placement = self.sessions.get_mut(worker)?.release(task)?;
+        let session = self.sessions.get_mut(worker)?;
+        let placement = session.release(task)?;
+        if let Some(headroom) = self.headrooms.get_mut(&session.registration.pool)
+            && placement.urgent
+        {
+            headroom.ended(&placement.booking);
+        }
         if let Some(workers) = self.workers_of_tasks.get_mut(task) {
             workers.retain(|key| **key != *worker);
             if workers.is_empty() {
@@ -577,12 +607,22 @@
     }
 
     /// Adds a placement to its worker and to its team's usage.
-    fn book(&mut self, worker: &WorkerKey, task: TaskId, placement: session::Placement) {
+    fn book(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        placement: session::Placement,
+        now: Uptime,
+    ) {
         if let Some(team) = &placement.team {
             let usage = self.usage.entry(Rc::clone(team)).or_insert(Size::ZERO);
             *usage = usage.plus(&placement.size);
         }
         if let Some(session) = self.sessions.get_mut(worker) {
+            if placement.urgent {
+                let pool = &session.registration.pool;
+                self.headrooms.entry(pool.clone()).or_default().placed(&placement.booking, now);
+            }
             session.book(task, placement);
             let workers = self.workers_of_tasks.entry(task).or_default();
             if !workers.contains(worker) {
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -37,6 +37,9 @@
     BeyondShare,
 }
 
+/// Share of the estimated remaining duration that a job certainly takes. Estimates are rough.
+const ESTIMATE_SHARE: f64 = 0.7;
+
 /// Multiple of the completion target after which a job counts as expired; the platform counts nothing that completes
 /// later.
 const EXPIRY_FACTOR: u32 = 3;
@@ -46,7 +49,7 @@
 struct Candidate {
     urgency: Urgency,
     priority: u32,
-    /// Jobs that have missed their completion target come after those that can still meet it.
+    /// Jobs that can no longer meet their completion target come after those that can.
     late: bool,
     due: Uptime,
     stage: StageId,
@@ -61,6 +64,8 @@
     pub(super) policy: Rc<QueuePolicy>,
     pub(super) team: Option<Rc<str>>,
     pub(super) cap: Size,
+    /// Whether others leave room for the job.
+    urgent: bool,
 }
 
 impl Demand {
@@ -102,11 +107,14 @@
             tried += 1;
             let mut pool_workers = round.take_workers(pool);
             let has_capacity = self.has_capacity(&demand, &pool_workers, context.now);
-            if !candidate.early && has_capacity {
-                match demand.step().gang {
-                    true => self.place_gang(&demand, &mut pool_workers, &round, context),
-                    false => self.place_tasks(&demand, &mut pool_workers, &round, context),
-                }
+            let tasks_max = match candidate.early || !has_capacity {
+                true => 0,
+                false => self.tasks_beside_headroom(&demand, &pool_workers, context.now),
+            };
+            match demand.step().gang {
+                _ if tasks_max == 0 => {}
+                true => self.place_gang(&demand, tasks_max, &mut pool_workers, &round, context),
+                false => self.place_tasks(&demand, tasks_max, &mut pool_workers, &round, context),
             }
             // Stages far back in a backlog get neither tickets, which would expire, nor the room of others.
             if !backlogged || has_capacity {
@@ -166,6 +174,26 @@
         pool_workers.iter().any(|worker| booking.fits_in(&self.free(demand, worker, now)))
     }
 
+    /// Returns the number of tasks of the stage that may be placed so that the pool keeps room for urgent tasks.
+    fn tasks_beside_headroom(
+        &self,
+        demand: &Demand,
+        pool_workers: &[PoolWorker],
+        now: Uptime,
+    ) -> u64 {
+        let headroom = self.headrooms.get(&demand.policy.pool).filter(|_| !demand.urgent);
+        let milli = demand.step().booking().processors_milli;
+        let Some(headroom) = headroom.filter(|_| milli > 0) else { return u64::MAX };
+        let capacity = pool_workers.iter().map(|worker| worker.capacity.processors_milli).sum();
+        let kept = headroom.kept_milli(capacity, now);
+        if kept == 0 {
+            return u64::MAX;
+        }
+        let usable = pool_workers.iter().filter(|worker| headroom.is_usable(&worker.free));
+        let free: u64 = usable.map(|worker| worker.free.processors_milli).sum();
+        free.saturating_sub(kept) / milli
+    }
+
     fn has_waiting(&self, id: StageId) -> bool {
         let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
         self.stage(id).is_some_and(waits)
@@ -228,9 +256,9 @@
         if remaining > call + APPROVAL_LEAD_TIME {
             return None;
         }
-        let completion_target =
-            entry.critical_path.mul_f64(policy.stretch.max(1.0)) + policy.target;
+        let completion_target = entry.completion_target();
         let due = entry.admitted + completion_target;
+        let path = entry.remaining_paths.get(usize::from(stage.step)).copied().unwrap_or_default();
         let urgency = match () {
             () if entry.beyond_share => Urgency::BeyondShare,
             () if entry.job.long_running() => Urgency::Regular,
@@ -242,7 +270,7 @@
         Some(Candidate {
             urgency,
             priority: policy.priority,
-            late: due < context.now,
+            late: due < context.now + path.mul_f64(ESTIMATE_SHARE),
             due,
             stage,
             early: remaining > Duration::ZERO,
@@ -287,8 +315,9 @@
         let team = entry.team.clone();
         let cap = team.as_deref().and_then(|team| configuration.team(team));
         let cap = cap.map_or(Size::ZERO, |team| team.cap);
+        let urgent = entry.is_urgent();
         let (job, policy) = (Rc::clone(&entry.job), Rc::clone(&entry.policy));
-        Some(Demand { id, job, policy, team, cap })
+        Some(Demand { id, job, policy, team, cap, urgent })
     }
 
     /// Returns whether the team's quota allows this much more usage.
@@ -352,9 +381,11 @@
         (worker.avoided, conflicts, far, (left * 1e6) as u64)
     }
 
+    /// Places up to `tasks_max` tasks of the stage.
     fn place_tasks(
         &mut self,
         demand: &Demand,
+        tasks_max: u64,
         pool_workers: &mut [PoolWorker],
         round: &Round,
         context: &mut Context,
@@ -370,7 +401,8 @@
             .filter(|(_, worker)| self.suits(demand, worker))
             .map(|(position, worker)| (position, self.cost(demand, worker, now)))
             .collect();
-        for index in stage.waiting() {
+        let tasks_max = usize::try_from(tasks_max).unwrap_or(usize::MAX);
+        for index in stage.waiting().into_iter().take(tasks_max) {
             if eligible.is_empty() || !self.within_cap(demand, &demand.step().size, round) {
                 return;
             }
@@ -394,10 +426,11 @@
         }
     }
 
-    /// Places all members of a gang at the same time, or none of them.
+    /// Places all members of a gang at the same time, or none of them if there are more than `tasks_max`.
     fn place_gang(
         &mut self,
         demand: &Demand,
+        tasks_max: u64,
         pool_workers: &mut [PoolWorker],
         round: &Round,
         context: &mut Context,
@@ -407,7 +440,7 @@
         let waiting = stage.waiting();
         let remains = self.workers_of_tasks.range(demand.id.tasks()).next().is_some();
         // All members of the previous run must have ended first.
-        if remains || waiting.len() != stage.tasks.len() {
+        if remains || waiting.len() != stage.tasks.len() || waiting.len() as u64 > tasks_max {
             return;
         }
         let all = demand.step().size.times(waiting.len() as u64);
