Bound what a team may use out of reach after a takeover, and do not wait for a silent store

When the owner's path to the store became silent, commits and submissions waited 1.2 s for their timeouts.

Changes: the earlier owner kept each team within its cap, so what is out of reach is at most the cap less the runs that are found. After 250 ms without any answer of the store, a commit or submission is also sent through a peer; conditions keep it from taking effect twice. Jobs are read again one partition after the other, and known jobs are not decoded again. One failed run makes other workers preferred for 0.8 s.

The new tests fail without the mechanisms.

--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -44,6 +44,10 @@
         bytes: Vec<u8>,
         unanswered: bool,
         attempts: u32,
+        /// Time of the last attempt.
+        sent: Uptime,
+        /// Whether the last attempt was repeated through a peer.
+        hedged: bool,
     },
     Cancel {
         team: Option<String>,
@@ -184,24 +188,53 @@
                 return self.answer(request, Answer::Malformed(reason));
             }
         };
-        let kind = Kind::Submit { job: Box::new(job), bytes, unanswered: false, attempts: 0 };
+        let kind = Kind::Submit {
+            job: Box::new(job),
+            bytes,
+            unanswered: false,
+            attempts: 0,
+            sent: self.now,
+            hedged: false,
+        };
         self.gateway.pending.insert(request, PendingRequest { deadline, id, kind, retry_at: None });
         self.attempt_submit(request);
     }
 
     fn attempt_submit(&mut self, request: RequestId) {
+        let now = self.now;
         let Some(pending) = self.gateway.pending.get_mut(&request) else { return };
-        let key = job_key(pending.id);
-        let Kind::Submit { bytes, attempts, .. } = &mut pending.kind else { return };
+        let Kind::Submit { bytes, attempts, sent, hedged, .. } = &mut pending.kind else { return };
         *attempts += 1;
-        let store = StoreRequest::Transact {
-            conditions: vec![(Table::Jobs, key.clone(), 0)],
-            writes: vec![(Table::Jobs, key, bytes.clone())],
-            deletes: Vec::new(),
-        };
+        (*sent, *hedged) = (now, false);
+        let store = insertion(pending.id, bytes);
         self.call_store(Purpose::Submit(request), store, Duration::ZERO);
     }
 
+    /// Repeats submissions through a peer if the store no longer answers this host.
+    fn hedge_submissions(&mut self) {
+        let waiting: Vec<(RequestId, Uptime)> = self
+            .gateway
+            .pending
+            .iter()
+            .filter_map(|(request, pending)| match &pending.kind {
+                Kind::Submit { sent, hedged: false, .. } if pending.retry_at.is_none() => {
+                    Some((*request, *sent))
+                }
+                _ => None,
+            })
+            .collect();
+        for (request, sent) in waiting {
+            let Some(relay) = self.hedge_host(sent) else { continue };
+            let Some(pending) = self.gateway.pending.get_mut(&request) else { continue };
+            let Kind::Submit { bytes, unanswered, hedged, .. } = &mut pending.kind else {
+                continue;
+            };
+            (*hedged, *unanswered) = (true, true);
+            let store = insertion(pending.id, bytes);
+            self.call_store_through(Some(relay), Purpose::Submit(request), store, Duration::ZERO);
+        }
+    }
+
     pub(super) fn submit_result(
         &mut self,
         request: RequestId,
@@ -209,14 +242,19 @@
     ) {
         let now = self.now;
         let Some(pending) = self.gateway.pending.get_mut(&request) else { return };
-        let Kind::Submit { unanswered, attempts, .. } = &mut pending.kind else { return };
+        let Kind::Submit { bytes, unanswered, attempts, .. } = &mut pending.kind else { return };
         let late = now + RETRY_DELAY >= pending.deadline;
         let job = job_key(pending.id);
         match result {
             Ok(_) => self.admitted(request, true),
-            // The job was stored by an earlier request to this or another host. The owner knows it or reads it from the
-            // feed.
-            Err(StoreError::Conflict { .. }) => self.admitted(request, false),
+            // The job was stored by an earlier attempt or by an earlier request to this or another host. In the second case
+            // the owner knows it or reads it from the feed.
+            Err(StoreError::Conflict { rows }) => {
+                let stored =
+                    |row: &Row| matches!(&row.content, Content::Bytes(stored) if stored == bytes);
+                let own = *unanswered && rows.iter().any(stored);
+                self.admitted(request, own);
+            }
             Err(StoreError::Unanswered) => {
                 *unanswered = true;
                 if late {
@@ -331,6 +369,7 @@
     /// Retries requests that are due, and ends queries to the owner that have timed out.
     pub(super) fn retry_requests(&mut self) {
         let now = self.now;
+        self.hedge_submissions();
         let due: Vec<(RequestId, JobId)> = self
             .gateway
             .pending
@@ -490,6 +529,15 @@
     }
 }
 
+/// Returns the transaction that stores a new job.
+fn insertion(id: JobId, bytes: &[u8]) -> StoreRequest {
+    StoreRequest::Transact {
+        conditions: vec![(Table::Jobs, job_key(id), 0)],
+        writes: vec![(Table::Jobs, job_key(id), bytes.to_vec())],
+        deletes: Vec::new(),
+    }
+}
+
 /// Returns whether the rows contain the job and it belongs to the queue and is visible to the caller's team.
 fn contains_visible_job(rows: &[Row], id: JobId, team: Option<&str>, queue: &str) -> bool {
     let key = job_key(id);
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -85,6 +85,8 @@
     sent: Uptime,
     /// Time at which it is sent again; `None` while a call is in flight.
     retry_at: Option<Uptime>,
+    /// Whether it was also sent through a peer.
+    hedged: bool,
     row: OwnerRow,
     has_roster: bool,
 }
@@ -203,7 +205,7 @@
                 let sequence = commit.row.sequence;
                 self.call_store(Purpose::Commit { sequence }, request, Duration::ZERO);
             }
-            return;
+            return self.hedge_commit();
         }
         let since = now.saturating_sub(owner.next_commit);
         let is_dirty = || owner.is_loaded() && owner.scheduler.is_dirty();
@@ -253,12 +255,37 @@
             deletes: batch.deletes,
         };
         let sequence = owner.sequence;
-        owner.commit =
-            Some(Commit { request: request.clone(), sent: now, retry_at: None, row, has_roster });
+        owner.commit = Some(Commit {
+            request: request.clone(),
+            sent: now,
+            retry_at: None,
+            hedged: false,
+            row,
+            has_roster,
+        });
         self.outputs.push(Output::Count { counter: Counter::Commits, amount: 1 });
         self.call_store(Purpose::Commit { sequence }, request, Duration::ZERO);
     }
 
+    /// Sends the commit in flight through a peer too if the store no longer answers this host. The condition on the row's
+    /// version keeps it from taking effect twice.
+    fn hedge_commit(&mut self) {
+        let commit = self.owner.as_ref().and_then(|owner| owner.commit.as_ref());
+        let Some((sent, sequence)) =
+            commit.filter(|commit| !commit.hedged).map(|commit| (commit.sent, commit.row.sequence))
+        else {
+            return;
+        };
+        let Some(relay) = self.hedge_host(sent) else { return };
+        let Some(commit) = self.owner.as_mut().and_then(|owner| owner.commit.as_mut()) else {
+            return;
+        };
+        commit.hedged = true;
+        let request = commit.request.clone();
+        let purpose = Purpose::Commit { sequence };
+        self.call_store_through(Some(relay), purpose, request, Duration::ZERO);
+    }
+
     pub(super) fn commit_result(&mut self, sequence: u64, result: Result<StoreAnswer, StoreError>) {
         let now = self.now;
         let Some(owner) = &mut self.owner else { return };
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -23,6 +23,9 @@
 /// Delay before a failed read is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Pause between the reads of two partitions while the jobs are read again.
+const RELOAD_PAUSE: Duration = Duration::from_millis(80);
+
 /// Time after an outage of the store until the registry is complete again, as guaranteed by the platform.
 const REGISTRY_RECOVERY: Duration = Duration::from_millis(2300);
 
@@ -238,10 +241,13 @@
                 owner.jobs_feed_in_flight = true;
                 owner.reloading_jobs = true;
                 owner.jobs_cursor = 0;
+                // One after the other, so that the owner goes on with its other work. Hosts notify it of new jobs.
+                let now = self.now;
+                let parts = JOB_PARTS.chars().zip(0u32..);
+                owner.page_retries.extend(parts.map(|(part, position)| {
+                    (now + RELOAD_PAUSE * position, Table::Jobs, part.to_string())
+                }));
                 self.log("jobs_read_again", Vec::new());
-                for part in JOB_PARTS.chars() {
-                    self.load_page(Table::Jobs, part.to_string());
-                }
             }
             Err(_) => {}
         }
@@ -251,8 +257,17 @@
         let Content::Bytes(bytes) = &row.content else { return };
         if let Some(id) = row.key.strip_suffix(CANCELLATION_SUFFIX).and_then(parse_job_id) {
             self.with_scheduler(|scheduler, context| scheduler.cancel(id, context));
-        } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
-            self.with_scheduler(|scheduler, context| scheduler.add_job(id, job, context));
+            return;
+        }
+        // Most jobs are known from the host that accepted them.
+        let unknown =
+            |id: &JobId| self.owner.as_ref().is_some_and(|owner| !owner.scheduler.knows(*id));
+        let Some(id) = parse_job_id(&row.key).filter(unknown) else { return };
+        match decode::<Job>(bytes) {
+            Ok(job) => {
+                self.with_scheduler(|scheduler, context| scheduler.add_job(id, job, context));
+            }
+            Err(_) => self.log("job_unreadable", vec![("key", row.key)]),
         }
     }
 
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -17,6 +17,10 @@
 /// Maximum age of the store's last direct answer to a peer that can relay calls.
 const PEER_STORE_AGE_MAX: Duration = Duration::from_millis(2500);
 
+/// Time without any direct answer after which a submission or a commit is repeated through a peer. A store that is only
+/// slow still answers other calls.
+const HEDGE_AGE: Duration = Duration::from_millis(250);
+
 /// Additional time for a call that may be relayed.
 const RELAY_SLACK: Duration = Duration::from_millis(100);
 
@@ -73,13 +77,33 @@
     /// Calls the store, through a peer if direct calls fail. The handler for `purpose` gets the result. `wait` is the
     /// time for which the store may delay its answer to a feed.
     pub(super) fn call_store(&mut self, purpose: Purpose, request: StoreRequest, wait: Duration) {
-        let timeout = STORE_TIMEOUT + wait;
-        let call = self.allocate_call();
         let relay = match purpose {
             Purpose::Probe | Purpose::Relay { .. } => None,
             _ if self.store.direct_failures < FAILURES_MAX => None,
             _ => self.relay_host(),
         };
+        self.call_store_through(relay, purpose, request, wait);
+    }
+
+    /// Returns the peer through which a call should be repeated that the store has not answered since `sent`: the direct
+    /// path seems to be broken, and the peer's is not.
+    pub(super) fn hedge_host(&self, sent: Uptime) -> Option<HostName> {
+        let answered = self.store.last_direct_answer.unwrap_or_default();
+        let broken = self.store.direct_failures < FAILURES_MAX
+            && self.now.saturating_sub(answered.max(sent)) >= HEDGE_AGE;
+        self.relay_host().filter(|_| broken)
+    }
+
+    /// Calls the store, through a peer if one is named.
+    pub(super) fn call_store_through(
+        &mut self,
+        relay: Option<HostName>,
+        purpose: Purpose,
+        request: StoreRequest,
+        wait: Duration,
+    ) {
+        let timeout = STORE_TIMEOUT + wait;
+        let call = self.allocate_call();
         let relayed = relay.is_some();
         let deadline = self.now + timeout + RELAY_SLACK;
         self.store.calls.insert(call, PendingCall { purpose, deadline, relayed });
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -242,6 +242,10 @@
         self.approvers.set_peers(peers);
     }
 
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
     pub fn worker_count(&self) -> usize {
         self.sessions.len()
     }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -340,6 +340,7 @@
             phase: Phase::Running,
             ..new_placement(&step, run.number, team, (priority, urgent), context.now)
         };
+        self.record_adopted(placement.team.as_ref(), &placement.size);
         self.book(worker, run.task, placement, context.now);
         if !self.jobs.contains_key(&id.job) {
             // The run keeps its resources booked until its job is known. It is stopped if the job does not become
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -10,12 +10,11 @@
 /// Minimum rate of a worker's clock relative to this host's clock.
 const CLOCK_RATE_MIN: f64 = 0.98;
 
-/// Number of consecutive failed runs after which a worker is avoided. A single failure is mostly caused by the task
-/// itself.
-const CONSECUTIVE_FAILURES_MAX: u32 = 2;
+/// Time for which a worker is avoided after a failed run, which is mostly the fault of the task itself.
+const AVOID_TIME: Duration = Duration::from_millis(800);
 
-/// Time for which a worker is avoided after consecutive failures.
-const AVOID_TIME: Duration = Duration::from_secs(4);
+/// Time for which a worker is avoided after consecutive failed runs.
+const AVOID_TIME_CONSECUTIVE: Duration = Duration::from_secs(4);
 
 /// Phase of a run on a worker, as far as the owner knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -250,9 +249,11 @@
             }
             true => {
                 self.consecutive_failures += 1;
-                if self.consecutive_failures >= CONSECUTIVE_FAILURES_MAX {
-                    self.avoid_until = now + AVOID_TIME;
-                }
+                let time = match self.consecutive_failures {
+                    1 => AVOID_TIME,
+                    _ => AVOID_TIME_CONSECUTIVE,
+                };
+                self.avoid_until = now + time;
             }
         }
     }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -41,6 +41,8 @@
     /// Workers of the roster that is being committed.
     roster_sent: BTreeSet<WorkerKey>,
     settled: bool,
+    /// Resources of the runs that earlier owners started and this one has found on workers, by team.
+    adopted: BTreeMap<Rc<str>, Size>,
     /// Whether ended runs were processed whose progress is not in the commit being built.
     unstored_ends: bool,
 }
@@ -55,6 +57,7 @@
             roster: BTreeSet::new(),
             roster_sent: BTreeSet::new(),
             settled: false,
+            adopted: BTreeMap::new(),
             unstored_ends: false,
         }
     }
@@ -185,7 +188,7 @@
 
     /// Returns the resources that each team may use on workers that have not answered, in addition to placements. They
     /// count against the team's quota until the workers have answered or their leases have expired.
-    pub(super) fn uncertain_usage(&self) -> BTreeMap<Rc<str>, Size> {
+    pub(super) fn uncertain_usage(&self, configuration: &Configuration) -> BTreeMap<Rc<str>, Size> {
         let mut usage = BTreeMap::new();
         if self.takeover.settled && self.takeover.possible_tasks.is_empty() {
             return usage;
@@ -225,9 +228,33 @@
             let sum = usage.entry(team).or_insert(Size::ZERO);
             *sum = sum.plus(&size);
         }
+        // The earlier owner kept each team within its cap, with the runs that were found since. What ended meanwhile was
+        // booked too, until that owner could start nothing any more.
+        for (team, sum) in &mut usage {
+            let cap = configuration.team(team).map_or(Size::ZERO, |team| team.cap);
+            let adopted = self.takeover.adopted.get(team).copied().unwrap_or(Size::ZERO);
+            let limits = cap.parts().into_iter().zip(adopted.parts());
+            let limits = limits.map(|(cap, adopted)| match cap {
+                0 => u64::MAX,
+                cap => cap.saturating_sub(adopted),
+            });
+            let mut parts = sum.parts();
+            parts.iter_mut().zip(limits).for_each(|(part, limit)| *part = limit.min(*part));
+            *sum = Size::from_parts(parts);
+        }
         usage
     }
 
+    /// Records a run of an earlier owner that was found on a worker.
+    pub(super) fn record_adopted(&mut self, team: Option<&Rc<str>>, size: &Size) {
+        if let Some(team) = team
+            && !self.takeover.settled
+        {
+            let sum = self.takeover.adopted.entry(Rc::clone(team)).or_insert(Size::ZERO);
+            *sum = sum.plus(size);
+        }
+    }
+
     /// Marks the leases of a worker whose process has ended as expired. The next tick releases the tasks that it might
     /// have run.
     pub(super) fn expire_possible_tasks(&mut self, key: &WorkerKey) {
--- a/crates/shallotpost-fleet/tests/placing.rs
+++ b/crates/shallotpost-fleet/tests/placing.rs
@@ -342,3 +342,32 @@
     let first = times.iter().filter(|time| **time == times[0]).count();
     assert!(first <= 100, "{first} starts at once");
 }
+
+/// The next owner counted the whole room of the workers out of reach against each team's cap, so that a team with a
+/// backlog could start nothing until the leases had lapsed.
+#[test]
+fn cap_after_takeover() {
+    let mut sim = settled(3);
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(2));
+    let submit = |tasks| Action::Submit(Ok(Box::new(job(vec![step(tasks, 2000)]))));
+    // Two of the three running tasks are on workers that the next owner reaches. The others wait.
+    let spread = Step { per_worker_max: 1, ..step(3, 2000) };
+    let action = Action::Submit(Ok(Box::new(job(vec![spread]))));
+    sim.request("a", "/batch/0000000000000220", Some("key-b"), action);
+    sim.run(ms(100));
+    sim.request("a", "/batch/0000000000000221", Some("key-b"), submit(8));
+    sim.run(ms(200));
+    let owner = sim.owner().expect("there is an owner");
+    let other = if owner == "a" { "b" } else { "a" };
+    sim.set_partitioned(other, "w0", true);
+    sim.kill_host(&owner);
+    sim.run_until(Duration::from_secs(4), "a takeover", |sim| sim.owner().is_some());
+    sim.run(ms(100));
+    sim.request(other, "/batch/0000000000000222", Some("key-b"), submit(2));
+    for _ in 0..150 {
+        sim.run(ms(20));
+        let running: usize = sim.workers.values().map(|worker| worker.running().count()).sum();
+        assert!(running <= 3, "{running} tasks run although the cap allows 3");
+    }
+    assert_eq!(sim.starts_of_job(0x222), 2, "the team could not start anything");
+}
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -64,6 +64,10 @@
     pub transaction_delay: Duration,
     /// Whether the store accepts calls but neither executes nor answers them.
     pub store_silent: bool,
+    /// Time for which the store calls of these hosts wait in the hosts.
+    pub store_lags: BTreeMap<String, Duration>,
+    /// Hosts whose calls to the store get no answer.
+    pub silent_stores: BTreeSet<String>,
     /// Number of the next workers' answers to lose.
     pub lost_answers: usize,
     /// Processor capacity of hosts that are started from now on, in thousandths of a core; 250 for hosts not listed.
@@ -98,6 +102,8 @@
             store_delay: Duration::ZERO,
             transaction_delay: Duration::ZERO,
             store_silent: false,
+            store_lags: BTreeMap::new(),
+            silent_stores: BTreeSet::new(),
             lost_answers: 0,
             processors: BTreeMap::new(),
             unapproved_workers: BTreeSet::new(),
@@ -297,7 +303,9 @@
                 }
             }
             Event::Input(host, input) => self.deliver(&host, input),
-            Event::Store { host, call, .. } if self.store_silent => {
+            Event::Store { host, call, .. }
+                if self.store_silent || self.silent_stores.contains(&host) =>
+            {
                 let input = Input::Store { call, result: Err(StoreError::Unanswered) };
                 self.push(self.now + STORE_TIMEOUT, Event::Input(host, input));
             }
@@ -382,7 +390,8 @@
                 }
             }
             Output::Store { call, request, .. } => {
-                self.push(later, Event::Store { host, call, request });
+                let lag = self.store_lags.get(from).copied().unwrap_or_default();
+                self.push(later + lag, Event::Store { host, call, request });
             }
             Output::Worker { call, worker, fence, request, .. } => {
                 *self.worker_calls.entry(host.clone()).or_default() += 1;
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -540,3 +540,35 @@
         assert_eq!(claims, 1, "after {outage} ms");
     }
 }
+
+/// An owner whose commits take longer than the others wait for the row was replaced in the middle of a burst. The next
+/// one first had to read all jobs, and then fell behind as well.
+#[test]
+fn slow_owner_stays() {
+    let mut sim = Simulation::new(&["a", "b", "c"], 3);
+    sim.run(ms(3000));
+    let owner = sim.owner().expect("there is an owner");
+    sim.store_lags.insert(owner.clone(), ms(1000));
+    sim.run(ms(8000));
+    assert_eq!(sim.owner(), Some(owner.clone()));
+    let claims = sim.logs.iter().filter(|(_, _, text)| text.starts_with("ownership_won")).count();
+    assert_eq!(claims, 1);
+    sim.store_lags.clear();
+    sim.kill_host(&owner);
+    sim.run_until(ms(2500), "a takeover", |sim| sim.owner().is_some());
+}
+
+/// A host whose path to the store has become silent must not make its callers and the fleet wait for timeouts.
+#[test]
+fn silent_path_to_the_store() {
+    let mut sim = Simulation::new(&["a", "b", "c"], 3);
+    sim.run(ms(3000));
+    let owner = sim.owner().expect("there is an owner");
+    sim.silent_stores.insert(owner.clone());
+    let request = sim.submit(&owner, "batch", 0x9a0, vec![step(2, 100)]);
+    sim.run(ms(900));
+    assert_eq!(sim.answers.get(&request), Some(&Answer::Accepted));
+    let ended = |(_, _, text): &(Duration, String, String)| text.starts_with("job_ended");
+    assert!(sim.logs.iter().any(ended), "the job has not ended");
+    assert_eq!(sim.owner(), Some(owner));
+}
