Store jobs in 64 partitions, avoid slow workers, and let useless work yield

Changes: (1) a partition holds the keys of four leading bytes; (2) shallotpost-policy::slowness compares the durations of a worker's runs with its queue's; (3) such jobs start only on a pool that is less than half full or on which nobody waits, and any other job may preempt them. Hosts poll the operator's table and the ownership row less often while heartbeats arrive.

--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -10,8 +10,9 @@
 };
 use crate::prelude::*;
 
-/// Time for which the store waits for a change. A feed on a dead connection is noticed soon after this time.
-const FEED_WAIT: Duration = Duration::from_millis(900);
+/// Time for which the store waits for a change. A feed on a dead connection is noticed soon after this time; meanwhile the
+/// heartbeats of peers tell of changes.
+const FEED_WAIT: Duration = Duration::from_millis(1800);
 
 /// Delay before a failed read is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -1,5 +1,7 @@
 //! State of the owner, its commits, and the deletion of rows that are no longer needed.
 
+use std::collections::VecDeque;
+
 use crate::host::Host;
 use crate::host::ownership::{KEY, OwnerRow, ROSTER_KEY};
 use crate::host::store::Purpose;
@@ -49,6 +51,8 @@
     pub(super) loaded: bool,
     /// Number of page reads in flight while the jobs are loaded.
     pub(super) pages_in_flight: u32,
+    /// Partitions of jobs that are still to be read.
+    pub(super) parts_to_read: VecDeque<String>,
     /// Failed page reads, with the time of the retry, the table and the least key.
     pub(super) page_retries: Vec<(Uptime, Table, String)>,
     /// Whether the jobs are read again because the store no longer holds the changes since `jobs_cursor`.
@@ -101,6 +105,7 @@
             version,
             loaded: false,
             pages_in_flight: 0,
+            parts_to_read: VecDeque::new(),
             page_retries: Vec::new(),
             reloading_jobs: false,
             next_job_deletion: now + JOB_DELETION_INTERVAL,
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -8,7 +8,7 @@
 use crate::message::decode;
 use crate::port::{Content, Row, StoreAnswer, StoreError, StoreRequest, Table};
 use crate::prelude::*;
-use crate::scheduler::JOB_PARTS;
+use crate::scheduler::job_parts;
 
 /// Time for which the store waits for a change of the jobs or the registry.
 const FEED_WAIT: Duration = Duration::from_millis(1500);
@@ -24,7 +24,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Pause between the reads of two partitions while the jobs are read again.
-const RELOAD_PAUSE: Duration = Duration::from_millis(80);
+const RELOAD_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time after an outage of the store until the registry is complete again, as guaranteed by the platform.
 const REGISTRY_RECOVERY: Duration = Duration::from_millis(2300);
@@ -32,19 +32,33 @@
 /// Maximum number of rows that a read returns.
 const PAGE_SIZE: u32 = 400;
 
+/// Maximum number of reads in flight while a new owner loads the jobs.
+const PAGES_IN_FLIGHT_MAX: u32 = 80;
+
 /// Suffix of the keys of cancellation rows.
 const CANCELLATION_SUFFIX: &str = ".cancel";
 
 impl Host {
     /// Starts to read the jobs, their progress and the roster, all partitions in parallel.
     pub(super) fn load_jobs(&mut self) {
-        for part in JOB_PARTS.chars() {
-            self.load_page(Table::Jobs, part.to_string());
+        if let Some(owner) = &mut self.owner {
+            owner.parts_to_read = job_parts().collect();
         }
+        self.read_parts();
         self.load_page(Table::Progress, String::new());
         self.load_page(Table::Ownership, ROSTER_KEY.to_owned());
     }
 
+    /// Reads further partitions of jobs, so that a bounded number of reads is in flight.
+    fn read_parts(&mut self) {
+        while let Some(owner) = &mut self.owner
+            && owner.pages_in_flight < PAGES_IN_FLIGHT_MAX
+            && let Some(part) = owner.parts_to_read.pop_front()
+        {
+            self.load_page(Table::Jobs, part);
+        }
+    }
+
     fn load_page(&mut self, table: Table, from: String) {
         if let Some(owner) = &mut self.owner {
             owner.pages_in_flight += 1;
@@ -76,6 +90,7 @@
         for (_, table, from) in due {
             self.load_page(table, from);
         }
+        self.read_parts();
         let Some(owner) = &mut self.owner else { return };
         if owner.pages_in_flight > 0 || !owner.page_retries.is_empty() {
             return;
@@ -243,10 +258,12 @@
                 owner.jobs_cursor = 0;
                 // One after the other, so that the owner goes on with its other work. Hosts notify it of new jobs.
                 let now = self.now;
-                let parts = JOB_PARTS.chars().zip(0u32..);
-                owner.page_retries.extend(parts.map(|(part, position)| {
-                    (now + RELOAD_PAUSE * position, Table::Jobs, part.to_string())
-                }));
+                let parts = job_parts().zip(0u32..);
+                owner
+                    .page_retries
+                    .extend(parts.map(|(part, position)| {
+                        (now + RELOAD_PAUSE * position, Table::Jobs, part)
+                    }));
                 self.log("jobs_read_again", Vec::new());
             }
             Err(_) => {}
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -34,8 +34,8 @@
 /// Interval of reads of the row while the owner may have failed.
 const SUSPECT_READ_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval of reads of the row while the owner is healthy.
-const READ_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval of reads of the row while the owner is healthy. Heartbeats tell of a new owner.
+const READ_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Maximum age of a peer's last heartbeat at which it may rank before this host. Heartbeats are sent every second.
 /// When a claim is due, hosts that were cut off together with the owner have been silent for longer than this.
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -208,7 +208,7 @@
     Operator,
     /// Registrations, written by the workers.
     Workers,
-    /// Jobs and their cancellations, partitioned by the first digit of the key.
+    /// Jobs and their cancellations, partitioned by the first digits of the key.
     Jobs,
     /// Progress of jobs.
     Progress,
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -31,9 +31,23 @@
     acknowledged: Vec<(WorkerKey, u64, u64)>,
 }
 
-/// First digits of job identifiers. Jobs with the same first digit share a partition of the store. A partition executes
-/// one transaction at a time.
-pub const JOB_PARTS: &str = "0123456789abcdef";
+/// Number of keys' leading bytes that share a partition of the store. A partition executes one transaction at a time, so
+/// a slow store needs many partitions, and a new owner reads all of them at once.
+const BYTES_PER_PART: usize = 4;
+
+/// Returns the names of all partitions of jobs.
+pub fn job_parts() -> impl Iterator<Item = String> {
+    (0..=u8::MAX).step_by(BYTES_PER_PART).map(|byte| format!("{byte:02x}"))
+}
+
+/// Returns the partition of a job's key or of the first digits of one: its first byte, rounded down. Other keys have the
+/// partition without a name.
+pub fn job_part(key: &str) -> String {
+    let byte = key.get(..2).and_then(|digits| u8::from_str_radix(digits, 16).ok());
+    byte.map_or_else(String::new, |byte| {
+        format!("{:02x}", usize::from(byte) / BYTES_PER_PART * BYTES_PER_PART)
+    })
+}
 
 pub fn job_key(id: JobId) -> String {
     format!("{id:016x}")
@@ -104,14 +118,14 @@
     /// one transaction.
     pub fn expired_jobs(&self, now: Uptime) -> Vec<Vec<JobId>> {
         let expired = |finished: Uptime| now.saturating_sub(finished) > self.bounds.retention;
-        let mut parts: BTreeMap<char, Vec<JobId>> = BTreeMap::new();
+        let mut parts: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
         let ended = self
             .jobs
             .iter()
             .filter(|(_, entry)| entry.finished.is_some_and(expired))
             .filter(|(_, entry)| entry.stored_state == entry.state);
         for (id, _) in ended {
-            let part = job_key(*id).chars().next().unwrap_or('0');
+            let part = job_part(&job_key(*id));
             let ids = parts.entry(part).or_default();
             if ids.len() < JOB_DELETIONS_MAX {
                 ids.push(*id);
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 
 use shallotpost_policy::approval::Rate;
 use shallotpost_policy::headroom::Headroom;
+use shallotpost_policy::slowness::QueueSpeed;
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
@@ -35,7 +36,7 @@
 use crate::worker::{Error, Registration, Report};
 
 use approvers::Approvers;
-pub use commit::{Batch, JOB_PARTS, cancellation_key, job_key};
+pub use commit::{Batch, cancellation_key, job_key, job_part, job_parts};
 use session::{Contact, Session, WorkerKey};
 use stage::{Place, Stage};
 
@@ -175,6 +176,8 @@
     approval_rates: BTreeMap<String, Rate>,
     /// Resources of the placements that count against the quota of each team.
     usage: BTreeMap<Rc<str>, Size>,
+    /// Ratios of durations to estimates, by queue.
+    queue_speeds: BTreeMap<String, QueueSpeed>,
     /// Recent use by urgent tasks, by pool.
     headrooms: BTreeMap<String, Headroom>,
     shares: shares::Shares,
@@ -221,6 +224,7 @@
             approvers: Approvers::new(own),
             approval_rates: BTreeMap::new(),
             usage: BTreeMap::new(),
+            queue_speeds: BTreeMap::new(),
             headrooms: BTreeMap::new(),
             shares: shares::Shares::default(),
             takeover: takeover::Takeover::new(uncertain_until),
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -37,6 +37,12 @@
     BeyondShare,
 }
 
+/// Priority of the runs of expired jobs and of jobs beyond their team's share; those of all queues are more urgent.
+const YIELDING_PRIORITY: u32 = u32::MAX;
+
+/// Share of a pool's processors in use above which work of no use yields to other stages that wait.
+const YIELD_ABOVE: f64 = 0.5;
+
 /// Share of the estimated remaining duration that a job certainly takes. Estimates are rough.
 const ESTIMATE_SHARE: f64 = 0.7;
 
@@ -64,6 +70,8 @@
     pub(super) policy: Rc<QueuePolicy>,
     pub(super) team: Option<Rc<str>>,
     pub(super) cap: Size,
+    /// Priority of its runs when others need their room.
+    pub(super) run_priority: u32,
     /// Whether others leave room for the job.
     urgent: bool,
 }
@@ -96,7 +104,7 @@
                 self.round_due = true;
                 break;
             }
-            let Some(demand) = self.demand(candidate.stage, context.configuration) else {
+            let Some(demand) = self.demand(&candidate, context.configuration) else {
                 continue;
             };
             let pool = &demand.policy.pool;
@@ -107,7 +115,11 @@
             tried += 1;
             let mut pool_workers = round.take_workers(pool);
             let has_capacity = self.has_capacity(&demand, &pool_workers, context.now);
-            let tasks_max = match candidate.early || !has_capacity {
+            // Work of no use to its submitter, or beyond its team's share, does not take the room for which others wait.
+            let yields = candidate.urgency != Urgency::Regular
+                && round.failures(pool) > 0
+                && used_share(&pool_workers) > YIELD_ABOVE;
+            let tasks_max = match candidate.early || !has_capacity || yields {
                 true => 0,
                 false => self.tasks_beside_headroom(&demand, &pool_workers, context.now),
             };
@@ -309,7 +321,8 @@
         Some(remaining)
     }
 
-    fn demand(&self, id: StageId, configuration: &Configuration) -> Option<Demand> {
+    fn demand(&self, candidate: &Candidate, configuration: &Configuration) -> Option<Demand> {
+        let id = candidate.stage;
         let entry = self.jobs.get(&id.job)?;
         entry.job.steps.get(usize::from(id.step))?;
         let team = entry.team.clone();
@@ -317,7 +330,11 @@
         let cap = cap.map_or(Size::ZERO, |team| team.cap);
         let urgent = entry.is_urgent();
         let (job, policy) = (Rc::clone(&entry.job), Rc::clone(&entry.policy));
-        Some(Demand { id, job, policy, team, cap, urgent })
+        let run_priority = match candidate.urgency {
+            Urgency::Regular => policy.priority,
+            Urgency::Expired | Urgency::BeyondShare => YIELDING_PRIORITY,
+        };
+        Some(Demand { id, job, policy, team, cap, run_priority, urgent })
     }
 
     /// Returns whether the team's quota allows this much more usage.
@@ -415,7 +432,7 @@
             let Some(at) = best.filter(|_| !self.is_saturated(now)) else { return };
             let worker = &mut pool_workers[eligible[at].0];
             let number = self.allocate_run_number();
-            let priority = demand.policy.priority;
+            let priority = demand.run_priority;
             self.start(&worker.key, demand.id.task(index), number, priority, context);
             worker.book(demand);
             if self.count_fitting_on_worker(demand, worker, now) == 0 {
@@ -489,7 +506,7 @@
         let starts: Vec<(u32, usize)> = waiting.into_iter().zip(places).collect();
         let number = self.allocate_run_number();
         for (index, position) in starts {
-            let priority = demand.policy.priority;
+            let priority = demand.run_priority;
             let worker = &mut pool_workers[position];
             self.start(&worker.key, demand.id.task(index), number, priority, context);
             worker.book(demand);
@@ -497,6 +514,13 @@
     }
 }
 
+/// Returns the share of the pool's processors that are booked.
+fn used_share(pool_workers: &[PoolWorker]) -> f64 {
+    let sum = |size: fn(&PoolWorker) -> u64| pool_workers.iter().map(size).sum::<u64>() as f64;
+    let capacity = sum(|worker| worker.capacity.processors_milli);
+    1.0 - sum(|worker| worker.free.processors_milli) / capacity.max(1.0)
+}
+
 /// Returns how many times a booking fits into the free capacity.
 pub(super) fn fits(booking: &Size, free: &Size) -> u32 {
     let parts = booking.parts().into_iter().zip(free.parts());
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -15,7 +15,7 @@
     pub(super) free: Size,
     /// Whether a reservation for any stage is in force there.
     pub(super) reserved: bool,
-    /// Whether the worker is avoided after consecutive failures.
+    /// Whether the worker is avoided because runs failed there or took too long.
     pub(super) avoided: bool,
     /// Whether any run there has a latency target.
     pub(super) has_latency_target: bool,
@@ -31,7 +31,7 @@
             capacity: session.registration.capacity,
             free: session.free(),
             reserved: session.reservations.iter().any(|kept| kept.until > now),
-            avoided: session.avoid_until > now,
+            avoided: session.avoid_until > now || session.slowness.is_slow(now),
             has_latency_target: session.latency_targets > 0,
             has_best_effort: session.best_effort > 0,
         }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -87,6 +87,7 @@
         let current = self.sessions.get(worker).and_then(|session| session.placements.get(&task));
         let was_current = current.is_some_and(|run| run.number == end.number);
         let stop_requested = current.is_some_and(|run| run.phase == Phase::Stopping);
+        let started = current.map(|run| run.started);
         if was_current {
             self.release(worker, &task);
         }
@@ -103,6 +104,11 @@
         {
             session.record_outcome(end.reason == EndReason::Failed, context.now);
         }
+        if end.reason == EndReason::Done
+            && let Some(started) = started.filter(|_| was_current)
+        {
+            self.record_duration(worker, task, context.now.saturating_sub(started), context.now);
+        }
         let Some(step) = self.step(task.stage) else { return };
         let (gang, long_running) = (step.gang, step.long_running);
         self.dirty.insert(task.stage.job);
@@ -116,6 +122,31 @@
         }
     }
 
+    /// Takes the duration of a completed run into account in the speeds of its queue and its worker. Runs of gangs wait
+    /// for each other, and runs from a checkpoint are shorter.
+    fn record_duration(
+        &mut self,
+        worker: &WorkerKey,
+        task: TaskId,
+        duration: Duration,
+        now: Uptime,
+    ) {
+        let Some(entry) = self.jobs.get(&task.stage.job) else { return };
+        let Some(step) = entry.job.steps.get(usize::from(task.stage.step)) else { return };
+        let resumed = self
+            .stage(task.stage)
+            .and_then(|stage| stage.tasks.get(task.index as usize))
+            .is_none_or(|state| !state.checkpoint.is_empty());
+        if step.gang || step.long_running || resumed {
+            return;
+        }
+        let (estimate, queue) = (step.estimate, entry.job.queue.clone());
+        let difference = self.queue_speeds.entry(queue).or_default().observe(estimate, duration);
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.slowness.record(difference, now);
+        }
+    }
+
     /// Completes a task. One ended run completes all members of a gang.
     fn complete(&mut self, task: TaskId, gang: bool, context: &mut Context) {
         let Some(stage) = self.stage_mut(task.stage) else { return };
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -1,5 +1,7 @@
 //! Sessions with workers: placements, leases and the ended runs that workers report.
 
+use shallotpost_policy::slowness::Slowness;
+
 use crate::job::StageId;
 use crate::prelude::*;
 use crate::worker::{EndedRun, Registration};
@@ -131,6 +133,7 @@
     pub consecutive_failures: u32,
     /// Time until which other workers are preferred.
     pub avoid_until: Uptime,
+    pub slowness: Slowness,
 }
 
 impl Session {
@@ -159,6 +162,7 @@
             reservations: Vec::new(),
             consecutive_failures: 0,
             avoid_until: Uptime::ZERO,
+            slowness: Slowness::default(),
         }
     }
 
--- a/crates/shallotpost-fleet/tests/support/store.rs
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -5,6 +5,7 @@
 use shallotpost_fleet::port::{
     Content, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
 };
+use shallotpost_fleet::scheduler::job_part;
 
 /// Fault injected into transactions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -81,9 +82,9 @@
     }
 
     fn read(&self, table: Table, from: &str, limit: u32) -> StoreAnswer {
-        // Jobs are partitioned by the first digit of the key, and a read covers one partition.
+        // Jobs are partitioned by the first digits of the key, and a read covers one partition.
         let part = |key: &str| match table {
-            Table::Jobs => key.chars().next() == from.chars().next(),
+            Table::Jobs => job_part(key) == job_part(from),
             _ => true,
         };
         let mut rows: Vec<Row> = self
--- a/crates/shallotpost-policy/src/lib.rs
+++ b/crates/shallotpost-policy/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod first_fit;
 pub mod headroom;
 pub mod planner;
+pub mod slowness;
