Take the headroom back, and repeat writes when the store returns

Cause: after an outage without answers, commits and submissions in flight waited up to 1.2 s for their timeouts. Change: the first answer makes them due again, and a lost store is probed every 300 ms.

--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -11,8 +11,8 @@
 /// Number of consecutive failures of direct calls after which calls are relayed.
 const FAILURES_MAX: u32 = 2;
 
-/// Interval of attempts to reach the store directly while calls are relayed.
-const PROBE_INTERVAL: Duration = Duration::from_millis(700);
+/// Interval of attempts to reach the store directly while calls are relayed or fail.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Maximum age of the store's last direct answer to a peer that can relay calls.
 const PEER_STORE_AGE_MAX: Duration = Duration::from_millis(2500);
@@ -172,6 +172,7 @@
             (false, false) => {
                 if self.store.direct_failures >= FAILURES_MAX {
                     self.log("store_regained", Vec::new());
+                    self.repeat_pending_writes();
                 }
                 self.store.direct_failures = 0;
                 self.store.last_direct_answer = Some(self.now);
@@ -179,6 +180,16 @@
         }
     }
 
+    /// Sends the commit and the submissions in flight again, now that the store answers: the calls that it has not answered
+    /// would only time out. Their conditions keep them from taking effect twice.
+    fn repeat_pending_writes(&mut self) {
+        let now = self.now;
+        if let Some(owner) = &mut self.owner {
+            owner.repeat_commit(now);
+        }
+        self.gateway.repeat_submissions(now);
+    }
+
     /// Tries the direct path periodically while calls are relayed or fail.
     pub(super) fn probe_store(&mut self) {
         if self.store.direct_failures >= FAILURES_MAX && self.store.next_probe <= self.now {
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -25,7 +25,6 @@
 use std::ops::RangeInclusive;
 
 use shallotpost_policy::approval::Rate;
-use shallotpost_policy::headroom::Headroom;
 use shallotpost_policy::slowness::QueueSpeed;
 
 use crate::configuration::QueuePolicy;
@@ -53,9 +52,6 @@
 /// Maximum time between two placement rounds while work waits.
 const ROUND_INTERVAL_MAX: Duration = Duration::from_millis(100);
 
-/// Time that an urgent job can wait at most without missing its completion target.
-const URGENT_SLACK: Duration = Duration::from_secs(1);
-
 /// Time limits of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -128,13 +124,6 @@
     fn completion_target(&self) -> Duration {
         self.critical_path.mul_f64(self.policy.stretch.max(1.0)) + self.policy.target
     }
-
-    /// Returns whether the job is of the highest priority and must not wait even for a preemption.
-    fn is_urgent(&self) -> bool {
-        self.policy.priority == 0
-            && !self.beyond_share
-            && self.completion_target().saturating_sub(self.critical_path) < URGENT_SLACK
-    }
 }
 
 /// Purpose of a call to a worker. Starts and stops name the task and the number of the run, and a renewal the time at
@@ -178,8 +167,6 @@
     usage: BTreeMap<Rc<str>, Size>,
     /// Ratios of durations to estimates, by queue.
     queue_speeds: BTreeMap<String, QueueSpeed>,
-    /// Recent use by urgent tasks, by pool.
-    headrooms: BTreeMap<String, Headroom>,
     shares: shares::Shares,
     takeover: takeover::Takeover,
     commit: commit::InFlightCommit,
@@ -225,7 +212,6 @@
             approval_rates: BTreeMap::new(),
             usage: BTreeMap::new(),
             queue_speeds: BTreeMap::new(),
-            headrooms: BTreeMap::new(),
             shares: shares::Shares::default(),
             takeover: takeover::Takeover::new(uncertain_until),
             commit: commit::InFlightCommit::default(),
@@ -592,13 +578,7 @@
 
     /// Removes a placement from its worker and from its team's usage.
     fn release(&mut self, worker: &str, task: &TaskId) -> Option<session::Placement> {
-        let session = self.sessions.get_mut(worker)?;
-        let placement = session.release(task)?;
-        if let Some(headroom) = self.headrooms.get_mut(&session.registration.pool)
-            && placement.urgent
-        {
-            headroom.ended(&placement.booking);
-        }
+        let placement = self.sessions.get_mut(worker)?.release(task)?;
         if let Some(workers) = self.workers_of_tasks.get_mut(task) {
             workers.retain(|key| **key != *worker);
             if workers.is_empty() {
@@ -615,22 +595,12 @@
     }
 
     /// Adds a placement to its worker and to its team's usage.
-    fn book(
-        &mut self,
-        worker: &WorkerKey,
-        task: TaskId,
-        placement: session::Placement,
-        now: Uptime,
-    ) {
+    fn book(&mut self, worker: &WorkerKey, task: TaskId, placement: session::Placement) {
         if let Some(team) = &placement.team {
             let usage = self.usage.entry(Rc::clone(team)).or_insert(Size::ZERO);
             *usage = usage.plus(&placement.size);
         }
         if let Some(session) = self.sessions.get_mut(worker) {
-            if placement.urgent {
-                let pool = &session.registration.pool;
-                self.headrooms.entry(pool.clone()).or_default().placed(&placement.booking, now);
-            }
             session.book(task, placement);
             let workers = self.workers_of_tasks.entry(task).or_default();
             if !workers.contains(worker) {
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -47,9 +47,8 @@
             return;
         };
         let (team, job) = (entry.team.clone(), Rc::clone(&entry.job));
-        let urgency = (priority, entry.is_urgent());
-        let placement = new_placement(&step, number, team, urgency, now);
-        self.book(worker, task, placement, now);
+        let placement = new_placement(&step, number, team, priority, now);
+        self.book(worker, task, placement);
         let Some(stage) = self.stage_mut(task.stage) else { return };
         let ticket = stage.approvals.get(worker).and_then(|cached| cached.ticket.clone());
         let Some(state) = stage.tasks.get_mut(task.index as usize) else { return };
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -72,8 +72,6 @@
     pub(super) cap: Size,
     /// Priority of its runs when others need their room.
     pub(super) run_priority: u32,
-    /// Whether others leave room for the job.
-    urgent: bool,
 }
 
 impl Demand {
@@ -119,14 +117,10 @@
             let yields = candidate.urgency != Urgency::Regular
                 && round.failures(pool) > 0
                 && used_share(&pool_workers) > YIELD_ABOVE;
-            let tasks_max = match candidate.early || !has_capacity || yields {
-                true => 0,
-                false => self.tasks_beside_headroom(&demand, &pool_workers, context.now),
-            };
             match demand.step().gang {
-                _ if tasks_max == 0 => {}
-                true => self.place_gang(&demand, tasks_max, &mut pool_workers, &round, context),
-                false => self.place_tasks(&demand, tasks_max, &mut pool_workers, &round, context),
+                _ if candidate.early || !has_capacity || yields => {}
+                true => self.place_gang(&demand, &mut pool_workers, &round, context),
+                false => self.place_tasks(&demand, &mut pool_workers, &round, context),
             }
             // Stages far back in a backlog get neither tickets, which would expire, nor the room of others.
             if !backlogged || has_capacity {
@@ -186,26 +180,6 @@
         pool_workers.iter().any(|worker| booking.fits_in(&self.free(demand, worker, now)))
     }
 
-    /// Returns the number of tasks of the stage that may be placed so that the pool keeps room for urgent tasks.
-    fn tasks_beside_headroom(
-        &self,
-        demand: &Demand,
-        pool_workers: &[PoolWorker],
-        now: Uptime,
-    ) -> u64 {
-        let headroom = self.headrooms.get(&demand.policy.pool).filter(|_| !demand.urgent);
-        let milli = demand.step().booking().processors_milli;
-        let Some(headroom) = headroom.filter(|_| milli > 0) else { return u64::MAX };
-        let capacity = pool_workers.iter().map(|worker| worker.capacity.processors_milli).sum();
-        let kept = headroom.kept_milli(capacity, now);
-        if kept == 0 {
-            return u64::MAX;
-        }
-        let usable = pool_workers.iter().filter(|worker| headroom.is_usable(&worker.free));
-        let free: u64 = usable.map(|worker| worker.free.processors_milli).sum();
-        free.saturating_sub(kept) / milli
-    }
-
     fn has_waiting(&self, id: StageId) -> bool {
         let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
         self.stage(id).is_some_and(waits)
@@ -328,13 +302,12 @@
         let team = entry.team.clone();
         let cap = team.as_deref().and_then(|team| configuration.team(team));
         let cap = cap.map_or(Size::ZERO, |team| team.cap);
-        let urgent = entry.is_urgent();
         let (job, policy) = (Rc::clone(&entry.job), Rc::clone(&entry.policy));
         let run_priority = match candidate.urgency {
             Urgency::Regular => policy.priority,
             Urgency::Expired | Urgency::BeyondShare => YIELDING_PRIORITY,
         };
-        Some(Demand { id, job, policy, team, cap, run_priority, urgent })
+        Some(Demand { id, job, policy, team, cap, run_priority })
     }
 
     /// Returns whether the team's quota allows this much more usage.
@@ -398,11 +371,9 @@
         (worker.avoided, conflicts, far, (left * 1e6) as u64)
     }
 
-    /// Places up to `tasks_max` tasks of the stage.
     fn place_tasks(
         &mut self,
         demand: &Demand,
-        tasks_max: u64,
         pool_workers: &mut [PoolWorker],
         round: &Round,
         context: &mut Context,
@@ -418,8 +389,7 @@
             .filter(|(_, worker)| self.suits(demand, worker))
             .map(|(position, worker)| (position, self.cost(demand, worker, now)))
             .collect();
-        let tasks_max = usize::try_from(tasks_max).unwrap_or(usize::MAX);
-        for index in stage.waiting().into_iter().take(tasks_max) {
+        for index in stage.waiting() {
             if eligible.is_empty() || !self.within_cap(demand, &demand.step().size, round) {
                 return;
             }
@@ -443,11 +413,10 @@
         }
     }
 
-    /// Places all members of a gang at the same time, or none of them if there are more than `tasks_max`.
+    /// Places all members of a gang at the same time, or none of them.
     fn place_gang(
         &mut self,
         demand: &Demand,
-        tasks_max: u64,
         pool_workers: &mut [PoolWorker],
         round: &Round,
         context: &mut Context,
@@ -457,7 +426,7 @@
         let waiting = stage.waiting();
         let remains = self.workers_of_tasks.range(demand.id.tasks()).next().is_some();
         // All members of the previous run must have ended first.
-        if remains || waiting.len() != stage.tasks.len() || waiting.len() as u64 > tasks_max {
+        if remains || waiting.len() != stage.tasks.len() {
             return;
         }
         let all = demand.step().size.times(waiting.len() as u64);
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -6,7 +6,7 @@
 use crate::progress::State;
 use crate::scheduler::session::{Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
-use crate::scheduler::{Context, JobEntry, Scheduler};
+use crate::scheduler::{Context, Scheduler};
 use crate::worker::{EndReason, EndedRun, Run};
 
 /// Time for which reports of an unknown job are kept: the feed of jobs delivers the job within half a second, and a slow
@@ -362,17 +362,16 @@
                 .is_some_and(|task| matches!(task.place, Place::Waiting | Place::Uncertain))
             && self.matches_gang(run.task, run.number);
         let entry = self.jobs.get(&id.job);
-        let urgent = entry.is_some_and(JobEntry::is_urgent);
         let team = entry.and_then(|entry| entry.team.clone());
         let step = self.step(id).cloned().unwrap_or_default();
         let placement = Placement {
             progress_percent: run.percent,
             gauge: run.gauge,
             phase: Phase::Running,
-            ..new_placement(&step, run.number, team, (priority, urgent), context.now)
+            ..new_placement(&step, run.number, team, priority, context.now)
         };
         self.record_adopted(placement.team.as_ref(), &placement.size);
-        self.book(worker, run.task, placement, context.now);
+        self.book(worker, run.task, placement);
         if !self.jobs.contains_key(&id.job) {
             // The run keeps its resources booked until its job is known. It is stopped if the job does not become
             // known.
@@ -410,7 +409,7 @@
     step: &Step,
     number: u64,
     team: Option<Rc<str>>,
-    (priority, urgent): (u32, bool),
+    priority: u32,
     now: Uptime,
 ) -> Placement {
     Placement {
@@ -419,7 +418,6 @@
         size: step.size,
         team,
         priority,
-        urgent,
         phase: Phase::Starting,
         started: now,
         changed: now,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -44,8 +44,6 @@
     pub team: Option<Rc<str>>,
     /// Priority of its queue; lower numbers are more urgent.
     pub priority: u32,
-    /// Whether its job is urgent and short, so that others leave room for it.
-    pub urgent: bool,
     pub phase: Phase,
     /// When the start was sent, or when the run was first listed.
     pub started: Uptime,
--- a/crates/shallotpost-fleet/tests/placing.rs
+++ b/crates/shallotpost-fleet/tests/placing.rs
@@ -371,3 +371,46 @@
     }
     assert_eq!(sim.starts_of_job(0x222), 2, "the team could not start anything");
 }
+
+/// Burst of a team far beyond its share: the jobs beyond it took the room of the other teams' jobs, which then waited for
+/// long tasks to end.
+#[test]
+fn jobs_beyond_share_yield() {
+    let mut sim = settled(4);
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(3));
+    // The weight of one job a second allows two of them.
+    let long = || vec![Step { checkpoints: true, ..step(4, 3000) }];
+    for id in 0..8 {
+        sim.submit("a", "urgent", 0x300 + id, long());
+    }
+    sim.run(ms(500));
+    let submit = Action::Submit(Ok(Box::new(job(vec![step(3, 3000)]))));
+    sim.request("a", "/batch/0000000000000320", Some("key-b"), submit);
+    sim.run(ms(1000));
+    assert_eq!(sim.starts_of_job(0x320), 3, "the other team waits");
+    sim.run(Duration::from_secs(15));
+    assert_eq!(sim.state("a", "urgent", 0x307), Some(State::Completed));
+}
+
+/// Slow workers: further tasks went there while sound workers had room.
+#[test]
+fn slow_worker_is_avoided() {
+    let mut sim = settled(10);
+    let slow = ["w0", "w1"];
+    for (name, worker) in &mut sim.workers {
+        worker.duration = if slow.contains(&name.as_str()) { ms(1500) } else { ms(300) };
+    }
+    for id in 0..30 {
+        sim.submit("a", "batch", 0x400 + id, vec![step(8, 300)]);
+        sim.run(ms(250));
+    }
+    let of_slow = |sim: &Simulation| -> usize {
+        slow.iter().map(|name| sim.workers[*name].starts.len()).sum()
+    };
+    let before = of_slow(&sim);
+    for id in 0..8 {
+        sim.submit("a", "batch", 0x500 + id, vec![step(8, 300)]);
+        sim.run(ms(400));
+    }
+    assert!(of_slow(&sim) - before <= 8, "{} tasks went to slow workers", of_slow(&sim) - before);
+}
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -572,3 +572,20 @@
     assert!(sim.logs.iter().any(ended), "the job has not ended");
     assert_eq!(sim.owner(), Some(owner));
 }
+
+/// After an outage without answers, a submission and a commit in flight waited for their timeouts, up to 1.2 s, although
+/// the store answered other calls again.
+#[test]
+fn store_returns() {
+    let mut sim = Simulation::new(&["a", "b", "c"], 3);
+    sim.run(ms(3000));
+    let owner = sim.owner().expect("there is an owner");
+    let other = ["a", "b", "c"].into_iter().find(|host| *host != owner).expect("another host");
+    sim.store_silent = true;
+    sim.run(ms(3300));
+    let request = sim.submit(other, "batch", 0x9b0, vec![step(2, 100)]);
+    sim.run(ms(100));
+    sim.store_silent = false;
+    sim.run(ms(500));
+    assert_eq!(sim.answers.get(&request), Some(&Answer::Accepted));
+}
--- a/crates/shallotpost-policy/src/lib.rs
+++ b/crates/shallotpost-policy/src/lib.rs
@@ -28,6 +28,5 @@
 
 pub mod approval;
 pub mod first_fit;
-pub mod headroom;
 pub mod planner;
 pub mod slowness;
