Name workers that are busy too, and repeat writes only after silence

Causes: a call named only workers with free room, so on a full pool each stage had to ask again; a store that was only slow counted as returned and got all writes twice.

--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -21,6 +21,9 @@
 /// slow still answers other calls.
 const HEDGE_AGE: Duration = Duration::from_millis(250);
 
+/// Time without any direct answer after which calls in flight are taken for lost.
+const SILENCE_MIN: Duration = Duration::from_secs(1);
+
 /// Additional time for a call that may be relayed.
 const RELAY_SLACK: Duration = Duration::from_millis(100);
 
@@ -172,7 +175,10 @@
             (false, false) => {
                 if self.store.direct_failures >= FAILURES_MAX {
                     self.log("store_regained", Vec::new());
-                    self.repeat_pending_writes();
+                    // A store that is only slow executes the calls that it has received.
+                    if self.store_age() >= SILENCE_MIN {
+                        self.repeat_pending_writes();
+                    }
                 }
                 self.store.direct_failures = 0;
                 self.store.last_direct_answer = Some(self.now);
--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -78,13 +78,16 @@
             needed = waiting.saturating_sub(usable);
             nominees.extend(preemptible);
         }
-        if needed > 0 && first && nominees.is_empty() {
-            nominees = self.nominees(demand, stage, Room::Busy, pool_workers, now).0;
+        if needed > 0 && first {
+            // Capacity becomes free while the tickets are valid.
+            nominees.extend(self.nominees(demand, stage, Room::Busy, pool_workers, now).0);
         }
         if needed == 0 || nominees.is_empty() {
             return self.postpone_approval_check(demand.id, now);
         }
         nominees.sort_by_key(|nominee| (nominee.room, nominee.order));
+        let mut named = BTreeSet::new();
+        nominees.retain(|nominee| named.insert(Rc::clone(&nominee.key)));
         let rate = self.approval_rates.get(demand.queue()).copied().unwrap_or_default();
         let cost = Cost { per_call: approval.per_call, per_worker: approval.per_worker };
         let rooms = nominees.iter().map(|nominee| nominee.tasks);
@@ -132,7 +135,7 @@
                 Some(cached) if cached.ticket.is_none() => {}
                 Some(cached) if cached.expires > now => usable += u64::from(tasks),
                 // Named among the workers with free room already.
-                _ if room == Room::Preemptible && self.has_free_room(demand, worker, now) => {}
+                _ if room != Room::Free && self.has_free_room(demand, worker, now) => {}
                 _ => nominees.push(Nominee {
                     room,
                     order: order(demand, session),
--- a/crates/shallotpost-policy/src/approval.rs
+++ b/crates/shallotpost-policy/src/approval.rs
@@ -11,7 +11,7 @@
 const CAPACITY_FACTOR: f64 = 1.6;
 
 /// Share of the fixed duration of a call that may be added for workers beyond those that are needed.
-const SPARE_SHARE: f64 = 0.15;
+const SPARE_SHARE: f64 = 0.4;
 
 /// Minimum number of workers that a call names, as far as there are so many.
 const NAMED_MIN: usize = 4;
