--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -1,5 +1,7 @@
 //! State of the owner, its commits, and the deletion of rows that are no longer needed.
 
+use std::collections::VecDeque;
+
 use crate::host::Host;
 use crate::host::ownership::{KEY, OwnerRow, ROSTER_KEY};
 use crate::host::store::Purpose;
@@ -49,6 +51,8 @@
     pub(super) loaded: bool,
     /// Number of page reads in flight while the jobs are loaded.
     pub(super) pages_in_flight: u32,
+    /// Partitions of jobs that are still to be read.
+    pub(super) parts_to_read: VecDeque<String>,
     /// Failed page reads, with the time of the retry, the table and the least key.
     pub(super) page_retries: Vec<(Uptime, Table, String)>,
     /// Whether the jobs are read again because the store no longer holds the changes since `jobs_cursor`.
@@ -85,6 +89,8 @@
     sent: Uptime,
     /// Time at which it is sent again; `None` while a call is in flight.
     retry_at: Option<Uptime>,
+    /// Whether it was also sent through a peer.
+    hedged: bool,
     row: OwnerRow,
     has_roster: bool,
 }
@@ -99,6 +105,7 @@
             version,
             loaded: false,
             pages_in_flight: 0,
+            parts_to_read: VecDeque::new(),
             page_retries: Vec::new(),
             reloading_jobs: false,
             next_job_deletion: now + JOB_DELETION_INTERVAL,
@@ -122,6 +129,13 @@
         }
     }
 
+    /// Makes the commit in flight due again.
+    pub(super) fn repeat_commit(&mut self, now: Uptime) {
+        if let Some(commit) = &mut self.commit {
+            commit.retry_at = Some(now);
+        }
+    }
+
     /// Returns whether the jobs and their progress have been read.
     pub(super) fn is_loaded(&self) -> bool {
         self.loaded
@@ -203,7 +217,7 @@
                 let sequence = commit.row.sequence;
                 self.call_store(Purpose::Commit { sequence }, request, Duration::ZERO);
             }
-            return;
+            return self.hedge_commit();
         }
         let since = now.saturating_sub(owner.next_commit);
         let is_dirty = || owner.is_loaded() && owner.scheduler.is_dirty();
@@ -253,12 +267,37 @@
             deletes: batch.deletes,
         };
         let sequence = owner.sequence;
-        owner.commit =
-            Some(Commit { request: request.clone(), sent: now, retry_at: None, row, has_roster });
+        owner.commit = Some(Commit {
+            request: request.clone(),
+            sent: now,
+            retry_at: None,
+            hedged: false,
+            row,
+            has_roster,
+        });
         self.outputs.push(Output::Count { counter: Counter::Commits, amount: 1 });
         self.call_store(Purpose::Commit { sequence }, request, Duration::ZERO);
     }
 
+    /// Sends the commit in flight through a peer too if the store no longer answers this host. The condition on the row's
+    /// version keeps it from taking effect twice.
+    fn hedge_commit(&mut self) {
+        let commit = self.owner.as_ref().and_then(|owner| owner.commit.as_ref());
+        let Some((sent, sequence)) =
+            commit.filter(|commit| !commit.hedged).map(|commit| (commit.sent, commit.row.sequence))
+        else {
+            return;
+        };
+        let Some(relay) = self.hedge_host(sent) else { return };
+        let Some(commit) = self.owner.as_mut().and_then(|owner| owner.commit.as_mut()) else {
+            return;
+        };
+        commit.hedged = true;
+        let request = commit.request.clone();
+        let purpose = Purpose::Commit { sequence };
+        self.call_store_through(Some(relay), purpose, request, Duration::ZERO);
+    }
+
     pub(super) fn commit_result(&mut self, sequence: u64, result: Result<StoreAnswer, StoreError>) {
         let now = self.now;
         let Some(owner) = &mut self.owner else { return };
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -8,7 +8,7 @@
 use crate::message::decode;
 use crate::port::{Content, Row, StoreAnswer, StoreError, StoreRequest, Table};
 use crate::prelude::*;
-use crate::scheduler::JOB_PARTS;
+use crate::scheduler::job_parts;
 
 /// Time for which the store waits for a change of the jobs or the registry.
 const FEED_WAIT: Duration = Duration::from_millis(1500);
@@ -23,25 +23,42 @@
 /// Delay before a failed read is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Pause between the reads of two partitions while the jobs are read again.
+const RELOAD_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time after an outage of the store until the registry is complete again, as guaranteed by the platform.
 const REGISTRY_RECOVERY: Duration = Duration::from_millis(2300);
 
 /// Maximum number of rows that a read returns.
 const PAGE_SIZE: u32 = 400;
 
+/// Maximum number of reads in flight while a new owner loads the jobs.
+const PAGES_IN_FLIGHT_MAX: u32 = 80;
+
 /// Suffix of the keys of cancellation rows.
 const CANCELLATION_SUFFIX: &str = ".cancel";
 
 impl Host {
     /// Starts to read the jobs, their progress and the roster, all partitions in parallel.
     pub(super) fn load_jobs(&mut self) {
-        for part in JOB_PARTS.chars() {
-            self.load_page(Table::Jobs, part.to_string());
+        if let Some(owner) = &mut self.owner {
+            owner.parts_to_read = job_parts().collect();
         }
+        self.read_parts();
         self.load_page(Table::Progress, String::new());
         self.load_page(Table::Ownership, ROSTER_KEY.to_owned());
     }
 
+    /// Reads further partitions of jobs, so that a bounded number of reads is in flight.
+    fn read_parts(&mut self) {
+        while let Some(owner) = &mut self.owner
+            && owner.pages_in_flight < PAGES_IN_FLIGHT_MAX
+            && let Some(part) = owner.parts_to_read.pop_front()
+        {
+            self.load_page(Table::Jobs, part);
+        }
+    }
+
     fn load_page(&mut self, table: Table, from: String) {
         if let Some(owner) = &mut self.owner {
             owner.pages_in_flight += 1;
@@ -73,6 +90,7 @@
         for (_, table, from) in due {
             self.load_page(table, from);
         }
+        self.read_parts();
         let Some(owner) = &mut self.owner else { return };
         if owner.pages_in_flight > 0 || !owner.page_retries.is_empty() {
             return;
@@ -238,10 +256,15 @@
                 owner.jobs_feed_in_flight = true;
                 owner.reloading_jobs = true;
                 owner.jobs_cursor = 0;
+                // One after the other, so that the owner goes on with its other work. Hosts notify it of new jobs.
+                let now = self.now;
+                let parts = job_parts().zip(0u32..);
+                owner
+                    .page_retries
+                    .extend(parts.map(|(part, position)| {
+                        (now + RELOAD_PAUSE * position, Table::Jobs, part)
+                    }));
                 self.log("jobs_read_again", Vec::new());
-                for part in JOB_PARTS.chars() {
-                    self.load_page(Table::Jobs, part.to_string());
-                }
             }
             Err(_) => {}
         }
@@ -251,8 +274,17 @@
         let Content::Bytes(bytes) = &row.content else { return };
         if let Some(id) = row.key.strip_suffix(CANCELLATION_SUFFIX).and_then(parse_job_id) {
             self.with_scheduler(|scheduler, context| scheduler.cancel(id, context));
-        } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
-            self.with_scheduler(|scheduler, context| scheduler.add_job(id, job, context));
+            return;
+        }
+        // Most jobs are known from the host that accepted them.
+        let unknown =
+            |id: &JobId| self.owner.as_ref().is_some_and(|owner| !owner.scheduler.knows(*id));
+        let Some(id) = parse_job_id(&row.key).filter(unknown) else { return };
+        match decode::<Job>(bytes) {
+            Ok(job) => {
+                self.with_scheduler(|scheduler, context| scheduler.add_job(id, job, context));
+            }
+            Err(_) => self.log("job_unreadable", vec![("key", row.key)]),
         }
     }
 
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -34,8 +34,8 @@
 /// Interval of reads of the row while the owner may have failed.
 const SUSPECT_READ_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval of reads of the row while the owner is healthy.
-const READ_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval of reads of the row while the owner is healthy. Heartbeats tell of a new owner.
+const READ_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Maximum age of a peer's last heartbeat at which it may rank before this host. Heartbeats are sent every second.
 /// When a claim is due, hosts that were cut off together with the owner have been silent for longer than this.
@@ -183,6 +183,9 @@
             None => START_DELAY,
             Some(row) if row.released => Duration::ZERO,
             Some(row) if self.owner_process_ended(row) => Duration::ZERO,
+            // An owner that is short of processor time still starts tasks until its lease ends. Its successor would first
+            // have to read all jobs and call all workers, and would be no faster.
+            Some(_) if self.live_owner().is_some() => OWNERSHIP_LEASE,
             Some(_) => CLAIM_TIMEOUT,
         };
         // A live owner cannot renew the row during an outage of the store.
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 use std::ops::RangeInclusive;
 
 use shallotpost_policy::approval::Rate;
+use shallotpost_policy::slowness::QueueSpeed;
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
@@ -34,7 +35,7 @@
 use crate::worker::{Error, Registration, Report};
 
 use approvers::Approvers;
-pub use commit::{Batch, JOB_PARTS, cancellation_key, job_key};
+pub use commit::{Batch, cancellation_key, job_key, job_part, job_parts};
 use session::{Contact, Session, WorkerKey};
 use stage::{Place, Stage};
 
@@ -98,6 +99,8 @@
     /// Current policy of its queue, or the policy at admission if the queue was removed.
     policy: Rc<QueuePolicy>,
     critical_path: Duration,
+    /// Longest path from the start of each step to the end of the job.
+    remaining_paths: Vec<Duration>,
     /// Whether its team had exceeded its share when it submitted the job.
     beyond_share: bool,
     team: Option<Rc<str>>,
@@ -116,6 +119,13 @@
     finished: Option<Uptime>,
 }
 
+impl JobEntry {
+    /// Returns the time after admission by which the job is to be completed.
+    fn completion_target(&self) -> Duration {
+        self.critical_path.mul_f64(self.policy.stretch.max(1.0)) + self.policy.target
+    }
+}
+
 /// Purpose of a call to a worker. Starts and stops name the task and the number of the run, and a renewal the time at
 /// which it was sent.
 #[derive(Clone, Copy, Debug)]
@@ -155,6 +165,8 @@
     approval_rates: BTreeMap<String, Rate>,
     /// Resources of the placements that count against the quota of each team.
     usage: BTreeMap<Rc<str>, Size>,
+    /// Ratios of durations to estimates, by queue.
+    queue_speeds: BTreeMap<String, QueueSpeed>,
     shares: shares::Shares,
     takeover: takeover::Takeover,
     commit: commit::InFlightCommit,
@@ -199,6 +211,7 @@
             approvers: Approvers::new(own),
             approval_rates: BTreeMap::new(),
             usage: BTreeMap::new(),
+            queue_speeds: BTreeMap::new(),
             shares: shares::Shares::default(),
             takeover: takeover::Takeover::new(uncertain_until),
             commit: commit::InFlightCommit::default(),
@@ -219,6 +232,10 @@
         self.approvers.set_peers(peers);
     }
 
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
     pub fn worker_count(&self) -> usize {
         self.sessions.len()
     }
@@ -252,6 +269,7 @@
         let entry = JobEntry {
             id,
             critical_path: job.critical_path(),
+            remaining_paths: job.remaining_paths(),
             policy: effective_policy(&job, context.configuration),
             beyond_share,
             job: Rc::new(job),
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -37,6 +37,15 @@
     BeyondShare,
 }
 
+/// Priority of the runs of expired jobs and of jobs beyond their team's share; those of all queues are more urgent.
+const YIELDING_PRIORITY: u32 = u32::MAX;
+
+/// Share of a pool's processors in use above which work of no use yields to other stages that wait.
+const YIELD_ABOVE: f64 = 0.5;
+
+/// Share of the estimated remaining duration that a job certainly takes. Estimates are rough.
+const ESTIMATE_SHARE: f64 = 0.7;
+
 /// Multiple of the completion target after which a job counts as expired; the platform counts nothing that completes
 /// later.
 const EXPIRY_FACTOR: u32 = 3;
@@ -46,7 +55,7 @@
 struct Candidate {
     urgency: Urgency,
     priority: u32,
-    /// Jobs that have missed their completion target come after those that can still meet it.
+    /// Jobs that can no longer meet their completion target come after those that can.
     late: bool,
     due: Uptime,
     stage: StageId,
@@ -61,6 +70,8 @@
     pub(super) policy: Rc<QueuePolicy>,
     pub(super) team: Option<Rc<str>>,
     pub(super) cap: Size,
+    /// Priority of its runs when others need their room.
+    pub(super) run_priority: u32,
 }
 
 impl Demand {
@@ -91,7 +102,7 @@
                 self.round_due = true;
                 break;
             }
-            let Some(demand) = self.demand(candidate.stage, context.configuration) else {
+            let Some(demand) = self.demand(&candidate, context.configuration) else {
                 continue;
             };
             let pool = &demand.policy.pool;
@@ -102,11 +113,14 @@
             tried += 1;
             let mut pool_workers = round.take_workers(pool);
             let has_capacity = self.has_capacity(&demand, &pool_workers, context.now);
-            if !candidate.early && has_capacity {
-                match demand.step().gang {
-                    true => self.place_gang(&demand, &mut pool_workers, &round, context),
-                    false => self.place_tasks(&demand, &mut pool_workers, &round, context),
-                }
+            // Work of no use to its submitter, or beyond its team's share, does not take the room for which others wait.
+            let yields = candidate.urgency != Urgency::Regular
+                && round.failures(pool) > 0
+                && used_share(&pool_workers) > YIELD_ABOVE;
+            match demand.step().gang {
+                _ if candidate.early || !has_capacity || yields => {}
+                true => self.place_gang(&demand, &mut pool_workers, &round, context),
+                false => self.place_tasks(&demand, &mut pool_workers, &round, context),
             }
             // Stages far back in a backlog get neither tickets, which would expire, nor the room of others.
             if !backlogged || has_capacity {
@@ -125,7 +139,7 @@
     }
 
     fn begin_round(&self, context: &Context) -> Round {
-        let mut round = Round::new(self.uncertain_usage());
+        let mut round = Round::new(self.uncertain_usage(context.configuration));
         for (key, session) in &self.sessions {
             let usable = session.accepts_tasks()
                 && !self.is_recorded_unreachable(key)
@@ -228,9 +242,9 @@
         if remaining > call + APPROVAL_LEAD_TIME {
             return None;
         }
-        let completion_target =
-            entry.critical_path.mul_f64(policy.stretch.max(1.0)) + policy.target;
+        let completion_target = entry.completion_target();
         let due = entry.admitted + completion_target;
+        let path = entry.remaining_paths.get(usize::from(stage.step)).copied().unwrap_or_default();
         let urgency = match () {
             () if entry.beyond_share => Urgency::BeyondShare,
             () if entry.job.long_running() => Urgency::Regular,
@@ -242,7 +256,7 @@
         Some(Candidate {
             urgency,
             priority: policy.priority,
-            late: due < context.now,
+            late: due < context.now + path.mul_f64(ESTIMATE_SHARE),
             due,
             stage,
             early: remaining > Duration::ZERO,
@@ -281,14 +295,19 @@
         Some(remaining)
     }
 
-    fn demand(&self, id: StageId, configuration: &Configuration) -> Option<Demand> {
+    fn demand(&self, candidate: &Candidate, configuration: &Configuration) -> Option<Demand> {
+        let id = candidate.stage;
         let entry = self.jobs.get(&id.job)?;
         entry.job.steps.get(usize::from(id.step))?;
         let team = entry.team.clone();
         let cap = team.as_deref().and_then(|team| configuration.team(team));
         let cap = cap.map_or(Size::ZERO, |team| team.cap);
         let (job, policy) = (Rc::clone(&entry.job), Rc::clone(&entry.policy));
-        Some(Demand { id, job, policy, team, cap })
+        let run_priority = match candidate.urgency {
+            Urgency::Regular => policy.priority,
+            Urgency::Expired | Urgency::BeyondShare => YIELDING_PRIORITY,
+        };
+        Some(Demand { id, job, policy, team, cap, run_priority })
     }
 
     /// Returns whether the team's quota allows this much more usage.
@@ -383,7 +402,7 @@
             let Some(at) = best.filter(|_| !self.is_saturated(now)) else { return };
             let worker = &mut pool_workers[eligible[at].0];
             let number = self.allocate_run_number();
-            let priority = demand.policy.priority;
+            let priority = demand.run_priority;
             self.start(&worker.key, demand.id.task(index), number, priority, context);
             worker.book(demand);
             if self.count_fitting_on_worker(demand, worker, now) == 0 {
@@ -456,7 +475,7 @@
         let starts: Vec<(u32, usize)> = waiting.into_iter().zip(places).collect();
         let number = self.allocate_run_number();
         for (index, position) in starts {
-            let priority = demand.policy.priority;
+            let priority = demand.run_priority;
             let worker = &mut pool_workers[position];
             self.start(&worker.key, demand.id.task(index), number, priority, context);
             worker.book(demand);
@@ -464,6 +483,13 @@
     }
 }
 
+/// Returns the share of the pool's processors that are booked.
+fn used_share(pool_workers: &[PoolWorker]) -> f64 {
+    let sum = |size: fn(&PoolWorker) -> u64| pool_workers.iter().map(size).sum::<u64>() as f64;
+    let capacity = sum(|worker| worker.capacity.processors_milli);
+    1.0 - sum(|worker| worker.free.processors_milli) / capacity.max(1.0)
+}
+
 /// Returns how many times a booking fits into the free capacity.
 pub(super) fn fits(booking: &Size, free: &Size) -> u32 {
     let parts = booking.parts().into_iter().zip(free.parts());
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -1,5 +1,7 @@
 //! Sessions with workers: placements, leases and the ended runs that workers report.
 
+use shallotpost_policy::slowness::Slowness;
+
 use crate::job::StageId;
 use crate::prelude::*;
 use crate::worker::{EndedRun, Registration};
@@ -10,12 +12,11 @@
 /// Minimum rate of a worker's clock relative to this host's clock.
 const CLOCK_RATE_MIN: f64 = 0.98;
 
-/// Number of consecutive failed runs after which a worker is avoided. A single failure is mostly caused by the task
-/// itself.
-const CONSECUTIVE_FAILURES_MAX: u32 = 2;
+/// Time for which a worker is avoided after a failed run, which is mostly the fault of the task itself.
+const AVOID_TIME: Duration = Duration::from_millis(800);
 
-/// Time for which a worker is avoided after consecutive failures.
-const AVOID_TIME: Duration = Duration::from_secs(4);
+/// Time for which a worker is avoided after consecutive failed runs.
+const AVOID_TIME_CONSECUTIVE: Duration = Duration::from_secs(4);
 
 /// Phase of a run on a worker, as far as the owner knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -130,6 +131,7 @@
     pub consecutive_failures: u32,
     /// Time until which other workers are preferred.
     pub avoid_until: Uptime,
+    pub slowness: Slowness,
 }
 
 impl Session {
@@ -158,6 +160,7 @@
             reservations: Vec::new(),
             consecutive_failures: 0,
             avoid_until: Uptime::ZERO,
+            slowness: Slowness::default(),
         }
     }
 
@@ -248,9 +251,11 @@
             }
             true => {
                 self.consecutive_failures += 1;
-                if self.consecutive_failures >= CONSECUTIVE_FAILURES_MAX {
-                    self.avoid_until = now + AVOID_TIME;
-                }
+                let time = match self.consecutive_failures {
+                    1 => AVOID_TIME,
+                    _ => AVOID_TIME_CONSECUTIVE,
+                };
+                self.avoid_until = now + time;
             }
         }
     }
--- a/crates/shallotpost-policy/src/lib.rs
+++ b/crates/shallotpost-policy/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod approval;
 pub mod first_fit;
 pub mod planner;
+pub mod slowness;
