--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -110,6 +110,8 @@
     Ends,
     /// Runs stopped in favour of tasks of higher priority.
     Preemptions,
+    /// Runs lost because their worker's process ended or its lease expired.
+    RunsLost,
     /// Calls to the approval service.
     Approvals,
     /// Transactions of the owner; repetitions of one transaction count once.
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
-use crate::port::HostName;
+use crate::port::{Counter, HostName};
 use crate::prelude::*;
 use crate::progress::{Progress, State};
 use crate::worker::{Error, Registration, Report};
@@ -431,6 +431,11 @@
         if session.incarnation != incarnation {
             return;
         }
+        match result {
+            Ok(_) => session.broken = None,
+            Err(Error::Refused(_) | Error::Unhealthy) => {}
+            Err(_) => session.broken = session.broken.or(Some(context.now)),
+        }
         if result == Err(Error::OtherWorker) {
             self.worker_gone(&worker, context);
             return;
@@ -654,13 +659,33 @@
             ];
             context.log("runs_lost", fields);
         }
+        let broken = session.broken.unwrap_or(context.now);
         for task in tasks {
-            self.release(worker, &task);
+            let Some(run) = self.release(worker, &task) else { continue };
+            let failures = self.counted_failures(task);
+            let fields = vec![
+                ("task", task.to_string()),
+                ("run", run.number.to_string()),
+                ("worker", worker.to_string()),
+                ("cause", cause.to_owned()),
+                ("age_ms", broken.saturating_sub(run.started).as_millis().to_string()),
+                ("failures", failures.to_string()),
+            ];
+            context.log("run_lost", fields);
+            context.outputs.push(Output::Count { counter: Counter::RunsLost, amount: 1 });
             self.requeue(task, worker);
             self.break_gang(task, context);
         }
     }
 
+    /// Returns the number of failed runs that count against the task, or against the gang to which it belongs.
+    fn counted_failures(&self, task: TaskId) -> usize {
+        let gang = self.step(task.stage).is_some_and(|step| step.gang);
+        let index = if gang { 0 } else { task.index as usize };
+        let counted = self.stage(task.stage).and_then(|stage| stage.tasks.get(index));
+        counted.map_or(0, |task| task.failed_runs.len())
+    }
+
     /// Removes the sessions of unregistered workers on which nothing can run.
     fn prune_sessions(&mut self) {
         let mut sessions = std::mem::take(&mut self.sessions);
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -116,6 +116,8 @@
     pub processed: u64,
     /// Number of consecutive lease renewals without an answer.
     pub unanswered: u32,
+    /// When the first of the calls failed that the worker has not answered since its last answer.
+    pub broken: Option<Uptime>,
     /// The lease renewal in flight, and when it was sent.
     pub renewal: Option<(CallId, Uptime)>,
     /// When the next lease renewal is due.
@@ -151,6 +153,7 @@
             acknowledged: 0,
             processed: 0,
             unanswered: 0,
+            broken: None,
             renewal: None,
             next_renewal: now,
             placements: BTreeMap::new(),
