--- /dev/null
+++ b/crates/shallotpost-fleet/tests/deadly_tasks.rs
@@ -0,0 +1,120 @@
+//! Tasks that crash each worker that starts them. Guards against a task that takes down one worker after the other, and
+//! against sound jobs that fail because their tasks shared a crashed worker.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::job::Step;
+use shallotpost_fleet::progress::State;
+use support::{Simulation, ms, step, task};
+
+const DEADLY: u64 = 0x77;
+
+/// Starts of a deadly task that the platform allows: three that crash a worker, and two more.
+const STARTS_MAX: usize = 5;
+
+fn settled(workers: usize) -> Simulation {
+    let mut sim = Simulation::new(&["a", "b", "c"], workers);
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    sim
+}
+
+/// Submits sound jobs at a steady rate for the given time, and returns their identifiers.
+fn submit_sound_jobs(sim: &mut Simulation, first: u64, time: Duration) -> Vec<u64> {
+    let end = sim.now + time;
+    let mut ids = Vec::new();
+    while sim.now < end {
+        let id = first + ids.len() as u64;
+        let host = sim.hosts.keys().next().expect("a host").clone();
+        sim.submit(&host, "batch", id, vec![step(3, 300)]);
+        ids.push(id);
+        sim.run(ms(150));
+    }
+    ids
+}
+
+fn assert_all_completed(sim: &mut Simulation, ids: &[u64]) {
+    let host = sim.owner().expect("there is an owner");
+    for id in ids {
+        assert_eq!(sim.state(&host, "batch", *id), Some(State::Completed), "job {id:x}");
+    }
+}
+
+/// A task that crashes its workers was started again without end, because a lost run counted nowhere.
+#[test]
+fn starts_are_bounded() {
+    let mut sim = settled(6);
+    sim.deadly_tasks.insert(task(DEADLY, 0, 0));
+    sim.submit("a", "batch", DEADLY, vec![step(2, 300)]);
+    let sound = submit_sound_jobs(&mut sim, 0x1000, Duration::from_secs(45));
+    assert!(sim.starts(task(DEADLY, 0, 0)) <= STARTS_MAX);
+    assert_eq!(sim.state("a", "batch", DEADLY), Some(State::Failed));
+    assert_all_completed(&mut sim, &sound);
+    sim.check_invariants();
+}
+
+/// Crashes that an owner has seen count under its successors too.
+#[test]
+fn bounded_across_takeovers() {
+    let mut sim = settled(6);
+    sim.deadly_tasks.insert(task(DEADLY, 0, 0));
+    sim.submit("a", "batch", DEADLY, vec![step(1, 300)]);
+    for id in [0x2000, 0x3000] {
+        submit_sound_jobs(&mut sim, id, ms(4500));
+        let owner = sim.owner().expect("there is an owner");
+        sim.kill_host(&owner);
+        sim.run_until(Duration::from_secs(6), "a takeover", |sim| sim.owner().is_some());
+        sim.start_host(&owner);
+    }
+    let sound = submit_sound_jobs(&mut sim, 0x4000, Duration::from_secs(40));
+    assert!(sim.starts(task(DEADLY, 0, 0)) <= STARTS_MAX);
+    assert_eq!(sim.state("a", "batch", DEADLY), Some(State::Failed));
+    assert_all_completed(&mut sim, &sound);
+}
+
+/// Members of a gang crash their workers too, and the gang is started again as a whole.
+#[test]
+fn gang_starts_are_bounded() {
+    let mut sim = settled(6);
+    sim.deadly_tasks.insert(task(DEADLY, 0, 1));
+    sim.submit("a", "batch", DEADLY, vec![Step { gang: true, ..step(6, 300) }]);
+    let sound = submit_sound_jobs(&mut sim, 0x1000, Duration::from_secs(45));
+    assert!(sim.starts(task(DEADLY, 0, 1)) <= STARTS_MAX);
+    assert_eq!(sim.state("a", "batch", DEADLY), Some(State::Failed));
+    assert_all_completed(&mut sim, &sound);
+}
+
+/// Several deadly tasks at a time crash many workers, so sound tasks share a crashed worker again and again. Their jobs
+/// must not be given up.
+#[test]
+fn sound_tasks_complete() {
+    let mut sim = settled(8);
+    for job in 0..6 {
+        sim.deadly_tasks.insert(task(DEADLY + job, 0, 0));
+        sim.submit("a", "batch", DEADLY + job, vec![step(2, 300)]);
+    }
+    let sound = submit_sound_jobs(&mut sim, 0x1000, Duration::from_secs(60));
+    for job in 0..6 {
+        assert!(sim.starts(task(DEADLY + job, 0, 0)) <= STARTS_MAX);
+        assert_eq!(sim.state("a", "batch", DEADLY + job), Some(State::Failed));
+    }
+    assert_all_completed(&mut sim, &sound);
+    sim.check_invariants();
+}
+
+/// Workers that crash for reasons of their own, also right after a start, must not fail any job.
+#[test]
+fn crashes_of_workers_fail_no_job() {
+    let mut sim = settled(6);
+    let mut sound = Vec::new();
+    for round in 0..12 {
+        sound.extend(submit_sound_jobs(&mut sim, 0x1000 * (round + 1), ms(900)));
+        sim.crash(&format!("w{}", round % 6));
+        sim.run(ms(35));
+        sim.crash(&format!("w{}", (round + 3) % 6));
+    }
+    sim.run(Duration::from_secs(8));
+    assert_all_completed(&mut sim, &sound);
+}
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -26,6 +26,9 @@
 /// Network latency between any two processes, one way.
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
 
+/// Time for which a crashed worker is away.
+const CRASH_TIME: Duration = Duration::from_secs(3);
+
 /// Interval of ticks.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -45,6 +48,8 @@
     Store { host: String, call: u64, request: shallotpost_fleet::port::StoreRequest },
     Worker { host: String, call: u64, worker: String, fence: u64, request: Call },
     WorkerWait { host: String, call: u64, worker: String, until: Duration },
+    Crash(String),
+    Restart(String),
 }
 
 /// A simulated fleet. Time passes only in [`Simulation::run`] and [`Simulation::run_until`].
@@ -72,6 +77,10 @@
     pub lost_answers: usize,
     /// Processor capacity of hosts that are started from now on, in thousandths of a core; 250 for hosts not listed.
     pub processors: BTreeMap<String, u64>,
+    /// Tasks that crash each worker shortly after it has started them.
+    pub deadly_tasks: BTreeSet<TaskId>,
+    /// Time from the start of a deadly task to the crash.
+    pub crash_delay: Duration,
     /// Workers that are never approved.
     pub unapproved_workers: BTreeSet<String>,
     /// Times of approval calls, and the number of workers that each names.
@@ -106,6 +115,8 @@
             silent_stores: BTreeSet::new(),
             lost_answers: 0,
             processors: BTreeMap::new(),
+            deadly_tasks: BTreeSet::new(),
+            crash_delay: ms(10),
             unapproved_workers: BTreeSet::new(),
             approvals: Vec::new(),
             worker_calls: BTreeMap::new(),
@@ -324,17 +335,26 @@
             Event::Worker { host, call, worker, fence, request } => {
                 self.call_worker(host, call, worker, fence, &request);
             }
+            Event::Crash(name) => self.crash(&name),
+            Event::Restart(name) => {
+                let now = self.now;
+                if let Some(worker) = self.workers.get_mut(&name) {
+                    worker.restart(now);
+                    self.register(&name, false);
+                }
+            }
             Event::WorkerWait { host, call, worker, until } => {
                 let Some(state) = self.workers.get(&worker) else {
                     let input = Input::Worker { call, result: Err(Error::Unreachable) };
                     return self.push(self.now + NETWORK_DELAY, Event::Input(host, input));
                 };
-                if !state.has_ended_runs() && self.now < until {
+                if !state.crashed && !state.has_ended_runs() && self.now < until {
                     let next = self.now + ms(5);
                     return self.push(next, Event::WorkerWait { host, call, worker, until });
                 }
                 let lost = self.lost_answers > 0;
-                let result = match self.is_partitioned(&host, &worker) || lost {
+                let silent = lost || state.crashed;
+                let result = match self.is_partitioned(&host, &worker) || silent {
                     true => Err(Error::Unanswered),
                     false => Ok(state.report(self.now)),
                 };
@@ -347,6 +367,16 @@
         }
     }
 
+    /// Crashes a worker's process. It starts again after three seconds, with the same identifier.
+    pub fn crash(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name)
+            && !worker.crashed
+        {
+            worker.crash();
+            self.push(self.now + CRASH_TIME, Event::Restart(name.to_owned()));
+        }
+    }
+
     fn call_worker(&mut self, host: String, call: u64, worker: String, fence: u64, request: &Call) {
         let partitioned = self.is_partitioned(&host, &worker);
         let now = self.now;
@@ -355,6 +385,11 @@
             Some(_) if partitioned => Err(Error::Unanswered),
             Some(state) => state.call(now, fence, request),
         };
+        if let (Ok(_), Call::Start { task, .. }) = (&result, request)
+            && self.deadly_tasks.contains(task)
+        {
+            self.push(now + self.crash_delay, Event::Crash(worker.clone()));
+        }
         if let (Ok(_), Call::RenewLease { wait, .. }) = (&result, request) {
             let until = now + *wait;
             return self.push(now, Event::WorkerWait { host, call, worker, until });
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -32,6 +32,8 @@
     pub loses_starts: bool,
     /// Whether another worker listens at its address.
     pub replaced: bool,
+    /// Whether its process has crashed and has not been started again.
+    pub crashed: bool,
     start: Duration,
     now: Duration,
     fence: u64,
@@ -63,6 +65,7 @@
             stop_time: Duration::ZERO,
             loses_starts: false,
             replaced: false,
+            crashed: false,
             start: now,
             now,
             fence: 0,
@@ -112,6 +115,13 @@
         };
     }
 
+    /// Ends the process without a trace of its runs. [`Worker::restart`] starts it again.
+    pub fn crash(&mut self) {
+        self.crashed = true;
+        self.active.clear();
+        self.ended.clear();
+    }
+
     pub fn advance(&mut self, now: Duration) {
         self.now = now;
         let ended_now: Vec<(TaskId, EndReason)> = self
@@ -181,6 +191,9 @@
         if self.replaced {
             return Err(Error::OtherWorker);
         }
+        if self.crashed {
+            return Err(Error::Unreachable);
+        }
         if fence < self.fence {
             return Err(Error::Refused(Refusal::Fence));
         }
