Count lost runs, isolate suspects, and give deadly tasks up

Cause: the only evidence against a task were ends that workers list, and a worker that crashes lists none. A lost run was put back to waiting without a trace.

Now a run that is lost shortly after its start, and the second lost run of any age, makes its task a suspect. Suspects start one a worker, on workers whose runs have survived their start, and nothing else starts there until the worker has answered again. Two crashes in isolation give the task up. A run that outlives the age of a loss clears its task. Losses are recorded when a worker falls silent and stored with the progress (behind the fields of earlier versions), so that a successor knows them; suspects wait until theirs are stored.

--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -8,6 +8,7 @@
 use crate::message::decode;
 use crate::port::{Content, Row, StoreAnswer, StoreError, StoreRequest, Table};
 use crate::prelude::*;
+use crate::progress::Progress;
 use crate::scheduler::job_parts;
 
 /// Time for which the store waits for a change of the jobs or the registry.
@@ -140,15 +141,22 @@
         owner.pages_in_flight = owner.pages_in_flight.saturating_sub(1);
         let Ok(answer) = result else { return self.retry_page(Table::Progress, from) };
         let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let mut unreadable = Vec::new();
         for row in answer.rows {
             let Content::Bytes(bytes) = &row.content else { continue };
-            if let (Some(id), Ok(progress)) = (parse_job_id(&row.key), decode(bytes)) {
-                owner.progress.insert(id, progress);
+            match (parse_job_id(&row.key), Progress::from_bytes(bytes)) {
+                (Some(id), Ok(progress)) => drop(owner.progress.insert(id, progress)),
+                (_, result) => unreadable.push((row.key, result.err())),
             }
         }
         if let Some(from) = last.filter(|_| answer.more) {
             self.load_page(Table::Progress, from);
         }
+        for (key, error) in unreadable {
+            let error =
+                error.map_or_else(|| "not a job's key".to_owned(), |error| error.to_string());
+            self.log("progress_unreadable", vec![("key", key), ("error", error)]);
+        }
         self.advance_loading();
     }
 
--- a/crates/shallotpost-fleet/src/message.rs
+++ b/crates/shallotpost-fleet/src/message.rs
@@ -137,11 +137,23 @@
     Ok(bincode::serde::encode_to_vec(value, bincode::config::standard())?)
 }
 
+/// Decodes a value at the start of the bytes, and returns the bytes behind it too.
+///
+/// # Errors
+///
+/// Returns [`CodecError::Decode`] if the bytes do not begin with a value of this type.
+pub fn decode_prefix<T: serde::de::DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), CodecError> {
+    let (value, length) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())?;
+    Ok((value, bytes.get(length..).unwrap_or_default()))
+}
+
 /// Decodes a message or a row. Trailing bytes are ignored.
 ///
 /// # Errors
 ///
 /// Returns [`CodecError::Decode`] if the bytes do not hold a value of this type.
 pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
-    Ok(bincode::serde::decode_from_slice(bytes, bincode::config::standard())?.0)
+    Ok(decode_prefix(bytes)?.0)
 }
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -112,6 +112,10 @@
     Preemptions,
     /// Runs lost because their worker's process ended or its lease expired.
     RunsLost,
+    /// Starts of tasks on workers that were set aside because the task may crash them.
+    IsolatedStarts,
+    /// Jobs that failed because a task crashes its workers.
+    JobsGivenUp,
     /// Calls to the approval service.
     Approvals,
     /// Transactions of the owner; repetitions of one transaction count once.
--- a/crates/shallotpost-fleet/src/progress.rs
+++ b/crates/shallotpost-fleet/src/progress.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
+use crate::message::{CodecError, decode_prefix, encode};
+
 /// State of a job as its submitter sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
@@ -33,6 +35,61 @@
     pub occurrences_done: u32,
     /// Stages with completed tasks, failures or checkpoints; the others are left out.
     pub stages: Vec<StageProgress>,
+    /// Losses of runs with their worker. They are encoded behind the other fields, and only if there are any: rows of
+    /// earlier versions do not have them, and earlier versions skip them.
+    #[serde(skip)]
+    pub crashes: Vec<TaskCrashes>,
+}
+
+impl Progress {
+    /// Encodes the row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::Encode`] if a field cannot be serialized.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, CodecError> {
+        let mut bytes = encode(self)?;
+        if !self.crashes.is_empty() {
+            bytes.extend(encode(&self.crashes)?);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::Decode`] if the bytes do not hold progress.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Progress, CodecError> {
+        let (progress, rest): (Progress, _) = decode_prefix(bytes)?;
+        let crashes = match rest {
+            [] => Vec::new(),
+            rest => decode_prefix(rest)?.0,
+        };
+        Ok(Progress { crashes, ..progress })
+    }
+}
+
+/// Losses of the runs of one task with their workers. For a gang, the first task stands for all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    pub occurrence: u32,
+    /// Position of the step in the job.
+    pub step: u16,
+    /// Position of the task in the step.
+    pub index: u32,
+    pub crashes: Vec<StoredCrash>,
+}
+
+/// Loss of a run with its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredCrash {
+    /// Number of the run.
+    pub run: u64,
+    /// Age of the run when its worker stopped answering, in milliseconds.
+    pub age_ms: u32,
+    /// Whether no other run on the worker can have been the cause.
+    pub isolated: bool,
 }
 
 /// Progress of the tasks of a stage. Tasks are named by their position in the step.
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -1,6 +1,5 @@
 //! Commits of the owner, which store the progress of many jobs in one transaction.
 
-use crate::message::encode;
 use crate::port::{Table, Timing};
 use crate::prelude::*;
 use crate::progress::{Progress, State};
@@ -31,6 +30,13 @@
     acknowledged: Vec<(WorkerKey, u64, u64)>,
 }
 
+impl InFlightCommit {
+    /// Returns whether the transaction stores progress of the job.
+    pub(super) fn holds(&self, job: JobId) -> bool {
+        self.jobs.iter().any(|(id, _)| *id == job)
+    }
+}
+
 /// Number of keys' leading bytes that share a partition of the store. A partition executes one transaction at a time, so
 /// a slow store needs many partitions, and a new owner reads all of them at once.
 const BYTES_PER_PART: usize = 4;
@@ -87,10 +93,20 @@
                     .filter_map(|((occurrence, step), stage)| stage.progress(*occurrence, *step))
                     .collect(),
             };
-            let progress =
-                Progress { state: entry.state, occurrences_done: entry.occurrences_done, stages };
-            self.commit.jobs.push((id, entry.state));
-            if let Ok(bytes) = encode(&progress) {
+            let crashes = match entry.state.is_final() {
+                true => Vec::new(),
+                false => entry
+                    .stages
+                    .iter()
+                    .flat_map(|((occurrence, step), stage)| {
+                        stage.stored_crashes(*occurrence, *step)
+                    })
+                    .collect(),
+            };
+            let (state, occurrences_done) = (entry.state, entry.occurrences_done);
+            let progress = Progress { state, occurrences_done, stages, crashes };
+            self.commit.jobs.push((id, state));
+            if let Ok(bytes) = progress.to_bytes() {
                 batch.writes.push((Table::Progress, job_key(id), bytes));
             }
         }
--- /dev/null
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -0,0 +1,451 @@
+//! Tasks that crash their workers: losses are recorded, suspects start in isolation, and deadly tasks are given up.
+
+use shallotpost_policy::crash::{
+    Crash, SETTLE_TIME, Verdict, is_common_cause, isolated_workers_max,
+};
+
+use crate::job::StageId;
+use crate::port::Counter;
+use crate::prelude::*;
+use crate::progress::State;
+use crate::scheduler::placement::Demand;
+use crate::scheduler::round::{PoolWorker, Round};
+use crate::scheduler::session::{Isolation, Phase, Placement, Session, WorkerKey};
+use crate::scheduler::stage::{Place, Stage};
+use crate::scheduler::{Context, Purpose, Scheduler};
+use crate::worker::Call;
+
+/// Time within which workers count as having stopped answering together.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which it is remembered that a worker stopped answering. A lost run is recorded after its lease at the latest.
+const BREAK_MEMORY: Duration = Duration::from_secs(10);
+
+/// Maximum time for which a worker is kept free of starts until the runs there have survived their own.
+const HOLD_TIME: Duration = Duration::from_millis(600);
+
+/// Time after its first contact for which a worker is not preferred for isolated tasks: workers that go down and up by
+/// turns would crash under them by themselves.
+const PROVEN_AFTER: Duration = Duration::from_secs(5);
+
+/// Pause between two calls that ask whether a worker has survived an isolated run.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Timeout of such a call.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// How a worker's runs were lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+pub(super) enum Loss {
+    /// It has stopped answering, and its runs may be lost.
+    Silent,
+    /// The worker's process has been replaced by another one with the same identifier.
+    #[strum(serialize = "reborn")]
+    Restarted,
+    /// Another worker listens at its address.
+    #[strum(serialize = "address taken over")]
+    Replaced,
+    /// It did not answer until its leases had expired. It may be cut off, with its process alive until then.
+    #[strum(serialize = "lease_lapsed")]
+    LeaseExpired,
+}
+
+impl Scheduler {
+    /// Remembers that a worker has stopped answering.
+    pub(super) fn record_break(&mut self, now: Uptime) {
+        while self.breaks.front().is_some_and(|at| now.saturating_sub(*at) > BREAK_MEMORY) {
+            self.breaks.pop_front();
+        }
+        self.breaks.push_back(now);
+    }
+
+    /// Records that a worker has stopped answering against the tasks that may be the cause. A run that turns out to be
+    /// alive clears its task, and an owner that takes over before the worker is back knows of the crash.
+    pub(super) fn record_silence(&mut self, worker: &WorkerKey, context: &mut Context) {
+        let Some(session) = self.sessions.get(worker) else { return };
+        let runs = session.placements.iter();
+        let runs: Vec<(TaskId, Placement)> = runs.map(|(task, run)| (*task, run.clone())).collect();
+        self.record_losses(worker, Loss::Silent, &runs, context);
+    }
+
+    /// Records the loss of a worker's runs against their tasks.
+    pub(super) fn record_losses(
+        &mut self,
+        worker: &WorkerKey,
+        loss: Loss,
+        lost: &[(TaskId, Placement)],
+        context: &mut Context,
+    ) {
+        let Some(session) = self.sessions.get(worker) else { return };
+        if session.registration.draining || lost.is_empty() {
+            return;
+        }
+        let broken = session.broken.unwrap_or(context.now);
+        let isolation = session.isolation.clone();
+        let age = |run: &Placement| broken.saturating_sub(run.started);
+        let on_trial =
+            |task: &TaskId| isolation.as_ref().is_some_and(|isolation| isolation.runs(task));
+        let neighbour_started =
+            lost.iter().any(|(task, run)| !on_trial(task) && age(run) < SETTLE_TIME);
+        let together = self.breaks.iter().filter(|at| at.abs_diff(broken) <= COMMON_CAUSE_TIME);
+        let common_cause = is_common_cause(together.count(), self.sessions.len());
+        let fields = vec![
+            ("worker", worker.to_string()),
+            ("cause", <&str>::from(loss).to_owned()),
+            ("runs", lost.len().to_string()),
+            ("isolated", isolation.is_some().to_string()),
+            ("common_cause", common_cause.to_string()),
+        ];
+        if loss != Loss::Silent {
+            context.log("worker_lost", fields);
+        }
+        for (task, run) in lost {
+            let isolated = on_trial(task);
+            let counts = match loss {
+                // Several deadly tasks that start together look like a common cause too.
+                _ if isolated || age(run) < SETTLE_TIME => true,
+                Loss::Restarted | Loss::Replaced => !common_cause,
+                Loss::Silent | Loss::LeaseExpired => false,
+            };
+            if counts {
+                let isolated = isolated && !neighbour_started;
+                let crash = Crash { run: run.number, age: age(run), isolated };
+                self.record_crash(*task, crash, context);
+            }
+            if loss != Loss::Silent {
+                self.give_up_if_deadly(*task, context);
+            }
+        }
+    }
+
+    /// Drops the loss of a run through which its worker did not crash.
+    pub(super) fn acquit(&mut self, task: TaskId, run: u64) {
+        let index = self.evidence_index(task);
+        if let Some(stage) = self.stage_mut(task.stage)
+            && let Some(state) = stage.tasks.get_mut(index)
+            && state.crashes.acquit(run)
+        {
+            self.dirty.insert(task.stage.job);
+        }
+    }
+
+    fn record_crash(&mut self, task: TaskId, crash: Crash, context: &mut Context) {
+        let index = self.evidence_index(task);
+        let Some(stage) = self.stage_mut(task.stage) else { return };
+        let Some(state) = stage.tasks.get_mut(index).filter(|state| state.place != Place::Done)
+        else {
+            return;
+        };
+        state.crashes.record(crash);
+        let (verdict, crashes) = (state.crashes.verdict(), state.crashes.crashes().len());
+        self.dirty.insert(task.stage.job);
+        if verdict != Verdict::Sound {
+            let fields = vec![
+                ("task", task.to_string()),
+                ("run", crash.run.to_string()),
+                ("age_ms", crash.age.as_millis().to_string()),
+                ("isolated", crash.isolated.to_string()),
+                ("crashes", crashes.to_string()),
+            ];
+            context.log("task_suspected", fields);
+        }
+    }
+
+    /// Fails the job of a task that crashes its workers. Returns whether it does.
+    fn give_up_if_deadly(&mut self, task: TaskId, context: &mut Context) -> bool {
+        let index = self.evidence_index(task);
+        let state = self.stage(task.stage).and_then(|stage| stage.tasks.get(index));
+        let Some(state) = state.filter(|state| state.crashes.verdict() == Verdict::Deadly) else {
+            return false;
+        };
+        let crashes = state.crashes.crashes().len();
+        let Some(entry) = self.jobs.get_mut(&task.stage.job) else { return true };
+        if entry.state.is_final() {
+            return true;
+        }
+        entry.state = State::Failed;
+        entry.finished = Some(context.now);
+        self.unfinished.remove(&task.stage.job);
+        let fields = vec![("task", task.to_string()), ("crashes", crashes.to_string())];
+        context.log("job_given_up", fields);
+        context.outputs.push(Output::Count { counter: Counter::JobsGivenUp, amount: 1 });
+        self.dirty.insert(task.stage.job);
+        self.stop_job(task.stage.job, context);
+        true
+    }
+
+    /// Returns the position of the task with which losses of a task are recorded. A gang runs as a whole, so its first
+    /// task holds them.
+    fn evidence_index(&self, task: TaskId) -> usize {
+        match self.step(task.stage).is_some_and(|step| step.gang) {
+            true => 0,
+            false => task.index as usize,
+        }
+    }
+
+    /// Records that a run was alive at an age.
+    pub(super) fn record_survival(&mut self, task: TaskId, age: Duration) {
+        let index = self.evidence_index(task);
+        let Some(stage) = self.stage_mut(task.stage) else { return };
+        if let Some(state) = stage.tasks.get_mut(index)
+            && !state.crashes.is_empty()
+            && state.crashes.survive(age)
+        {
+            self.dirty.insert(task.stage.job);
+            self.set_waiting(task.stage);
+        }
+    }
+
+    /// Returns whether losses of the job are not stored yet. Its suspects wait, so that a successor knows of every crash.
+    fn has_unstored_progress(&self, job: JobId) -> bool {
+        self.dirty.contains(&job) || self.commit.holds(job)
+    }
+
+    /// Starts suspect tasks of a stage in isolation, as far as workers can be set aside for them.
+    pub(super) fn place_suspects(
+        &mut self,
+        demand: &Demand,
+        suspects: Vec<u32>,
+        pool_workers: &mut [PoolWorker],
+        round: &Round,
+        context: &mut Context,
+    ) {
+        let now = context.now;
+        if suspects.is_empty() || self.has_unstored_progress(demand.id.job) {
+            return;
+        }
+        // An earlier owner may have seen the crashes, and this one that the runs are lost.
+        if suspects.iter().any(|index| self.give_up_if_deadly(demand.id.task(*index), context)) {
+            return;
+        }
+        let Some(stage) = self.stage(demand.id) else { return };
+        let mut choices: Vec<_> = pool_workers
+            .iter()
+            .enumerate()
+            .filter(|(_, worker)| self.count_fitting_on_worker(demand, worker, now) > 0)
+            .filter(|(_, worker)| Self::has_ticket(demand, stage, worker, now))
+            .filter(|(_, worker)| self.suits(demand, worker))
+            .filter_map(|(position, worker)| self.isolation_choice(demand, position, worker, now))
+            .collect();
+        choices.sort_unstable();
+        let mut available = self.available_isolations(pool_workers);
+        let mut waiting = suspects.into_iter().peekable();
+        for choice in choices {
+            let Some(index) = waiting.peek().copied() else { return };
+            if !self.within_cap(demand, &demand.step().size, round) || self.is_saturated(now) {
+                return;
+            }
+            if !choice.held && available == 0 {
+                continue;
+            }
+            available -= usize::from(!choice.held);
+            let worker = &mut pool_workers[choice.position];
+            if choice.busy {
+                // The start follows when the runs there have survived theirs.
+                self.hold(demand.id, worker, now);
+                return;
+            }
+            waiting.next();
+            let number = self.allocate_run_number();
+            let task = demand.id.task(index);
+            self.isolate(demand.id, worker, context);
+            self.start(&worker.key, task, number, demand.run_priority, context);
+            worker.book(demand);
+        }
+    }
+
+    /// Returns whether the members of a gang may start on these workers. Those that cannot isolate a suspect gang yet are
+    /// held for it.
+    pub(super) fn prepare_gang(
+        &mut self,
+        demand: &Demand,
+        positions: &BTreeSet<usize>,
+        pool_workers: &mut [PoolWorker],
+        context: &mut Context,
+    ) -> bool {
+        let suspect = |stage: &Stage| {
+            stage.tasks.first().is_some_and(|task| task.crashes.verdict() != Verdict::Sound)
+        };
+        if !self.stage(demand.id).is_some_and(suspect) {
+            return true;
+        }
+        let now = context.now;
+        if self.has_unstored_progress(demand.id.job)
+            || self.give_up_if_deadly(demand.id.task(0), context)
+        {
+            return false;
+        }
+        let quiet = |worker: &PoolWorker| {
+            self.sessions.get(&worker.key).is_some_and(|session| session.is_quiet(now, SETTLE_TIME))
+        };
+        if positions.iter().all(|position| quiet(&pool_workers[*position])) {
+            for position in positions {
+                self.isolate(demand.id, &mut pool_workers[*position], context);
+            }
+            return true;
+        }
+        for position in positions {
+            self.hold(demand.id, &mut pool_workers[*position], now);
+        }
+        false
+    }
+
+    /// Returns how many further workers of the pool may be set aside.
+    fn available_isolations(&self, pool_workers: &[PoolWorker]) -> usize {
+        let set_aside =
+            pool_workers.iter().filter(|worker| worker.isolated || worker.held_for.is_some());
+        isolated_workers_max(pool_workers.len()).saturating_sub(set_aside.count())
+    }
+
+    fn isolation_choice(
+        &self,
+        demand: &Demand,
+        position: usize,
+        worker: &PoolWorker,
+        now: Uptime,
+    ) -> Option<Choice> {
+        let session = self.sessions.get(&worker.key)?;
+        Some(Choice {
+            busy: !session.is_quiet(now, SETTLE_TIME),
+            unproven: now.saturating_sub(session.opened) < PROVEN_AFTER,
+            held: worker.held_for == Some(demand.id),
+            cost: self.cost(demand, worker, now),
+            position,
+        })
+    }
+
+    /// Keeps a worker free of other starts for some time.
+    fn hold(&mut self, stage: StageId, worker: &mut PoolWorker, now: Uptime) {
+        worker.held_for = Some(stage);
+        if let Some(session) = self.sessions.get_mut(&worker.key)
+            && session.isolation.is_none()
+        {
+            session.isolation = Some(Isolation::Held { stage, until: now + HOLD_TIME });
+        }
+    }
+
+    /// Sets a worker aside for the runs of a stage that start next.
+    fn isolate(&mut self, stage: StageId, worker: &mut PoolWorker, context: &mut Context) {
+        worker.isolated = true;
+        let now = context.now;
+        if let Some(session) = self.sessions.get_mut(&worker.key) {
+            session.isolation = Some(Isolation::Running { stage, next_probe: now });
+        }
+        let fields = vec![("stage", stage.to_string()), ("worker", worker.key.to_string())];
+        context.log("isolated_start", fields);
+        context.outputs.push(Output::Count { counter: Counter::IsolatedStarts, amount: 1 });
+    }
+
+    /// Ends isolations whose runs have ended or survived, and asks workers whether they have.
+    pub(super) fn check_isolations(&mut self, context: &mut Context) {
+        let isolated: Vec<(WorkerKey, Isolation)> = self
+            .sessions
+            .iter()
+            .filter_map(|(key, session)| Some((Rc::clone(key), session.isolation.clone()?)))
+            .collect();
+        for (worker, isolation) in isolated {
+            match isolation {
+                Isolation::Held { until, .. } if until > context.now => {}
+                Isolation::Held { .. } => self.end_isolation(&worker),
+                Isolation::Running { stage, next_probe } => {
+                    self.check_isolation(&worker, stage, next_probe, context);
+                }
+            }
+        }
+    }
+
+    fn check_isolation(
+        &mut self,
+        worker: &WorkerKey,
+        stage: StageId,
+        next_probe: Uptime,
+        context: &mut Context,
+    ) {
+        let now = context.now;
+        let Some(session) = self.sessions.get(worker) else { return };
+        let answered = session.answered;
+        let run = session.placements.range(stage.tasks()).next();
+        let Some((task, started)) = run.map(|(task, run)| (*task, run.started)) else {
+            return self.end_isolation(worker);
+        };
+        let index = self.evidence_index(task);
+        let state = self.stage(stage).and_then(|stage| stage.tasks.get(index));
+        let Some(time) = state.map(|state| state.crashes.isolation_time()) else {
+            return self.end_isolation(worker);
+        };
+        match () {
+            () if answered >= started + time => {
+                self.end_isolation(worker);
+                // Another member of a gang may still crash its worker.
+                if !self.is_isolated(stage) {
+                    self.record_survival(task, answered.saturating_sub(started));
+                }
+            }
+            () if now >= (started + time).max(next_probe) => self.probe(worker, stage, context),
+            () => {}
+        }
+    }
+
+    /// Returns whether any worker is set aside for runs of the stage.
+    fn is_isolated(&self, stage: StageId) -> bool {
+        let of_stage = |session: &Session| matches!(&session.isolation, Some(Isolation::Running { stage: other, .. }) if *other == stage);
+        self.sessions.values().any(of_stage)
+    }
+
+    fn end_isolation(&mut self, worker: &WorkerKey) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.isolation = None;
+            self.round_due = true;
+        }
+    }
+
+    /// Asks a worker for an answer: the long poll in flight may take longer than the isolation needs.
+    fn probe(&mut self, worker: &WorkerKey, stage: StageId, context: &mut Context) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let next_probe = context.now + PROBE_PAUSE;
+        session.isolation = Some(Isolation::Running { stage, next_probe });
+        let (incarnation, acknowledged) = (session.incarnation, session.acknowledged);
+        let call = context.allocate_call();
+        context.outputs.push(Output::Worker {
+            call,
+            address: session.registration.address.clone(),
+            worker: worker.to_string(),
+            fence: session.fence,
+            request: Call::RenewLease { until_ms: None, acknowledged, wait: Duration::ZERO },
+            timeout: PROBE_TIMEOUT,
+        });
+        let purpose = Purpose::Probe(context.now);
+        self.calls.insert(call, (Rc::clone(worker), incarnation, purpose));
+    }
+}
+
+/// A worker on which a suspect may start, in the order of preference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Choice {
+    /// Whether runs there have not survived their start yet.
+    busy: bool,
+    /// Whether the worker has not been in contact for long.
+    unproven: bool,
+    cost: (bool, bool, bool, u64),
+    position: usize,
+    /// Whether it is held for the stage already.
+    held: bool,
+}
+
+impl Isolation {
+    /// Returns whether a run of the task is the one for which the worker is set aside.
+    fn runs(&self, task: &TaskId) -> bool {
+        matches!(self, Isolation::Running { stage, .. } if *stage == task.stage)
+    }
+}
+
+impl Session {
+    /// Returns whether all runs on the worker have survived their start, as far as is known.
+    fn is_quiet(&self, now: Uptime, settle_time: Duration) -> bool {
+        let settled = |run: &Placement| {
+            matches!(run.phase, Phase::Running | Phase::Stopping)
+                && now.saturating_sub(run.started) >= settle_time
+        };
+        self.broken.is_none() && self.placements.values().all(settled)
+    }
+}
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -1,6 +1,7 @@
 //! Leases of workers and the long-poll calls that renew them.
 
 use crate::prelude::*;
+use crate::scheduler::crashes::Loss;
 use crate::scheduler::session::{Contact, Phase, WorkerKey, milliseconds};
 use crate::scheduler::{Context, Purpose, Scheduler};
 use crate::worker::{Call, Error, Refusal, Report};
@@ -140,6 +141,7 @@
             session.contact = Contact::Silent;
             let fields = vec![("worker", worker.to_string()), ("error", error.to_string())];
             context.log("worker_silent", fields);
+            self.record_silence(worker, context);
         }
         if error == Error::Refused(Refusal::Fence) {
             context.log("fenced", vec![("worker", worker.to_string())]);
@@ -157,7 +159,7 @@
             .map(|(key, _)| Rc::clone(key))
             .collect();
         for worker in expired {
-            self.forget_runs(&worker, "lease_lapsed", context);
+            self.forget_runs(&worker, Loss::LeaseExpired, context);
         }
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod approvals;
 mod approvers;
 mod commit;
+mod crashes;
 mod leases;
 mod orders;
 mod placement;
@@ -36,6 +37,7 @@
 
 use approvers::Approvers;
 pub use commit::{Batch, cancellation_key, job_key, job_part, job_parts};
+use crashes::Loss;
 use session::{Contact, Session, WorkerKey};
 use stage::{Place, Stage};
 
@@ -133,6 +135,8 @@
     Start(TaskId, u64),
     Stop(TaskId, u64),
     RenewLease(Uptime),
+    /// A call that only shows that the worker was alive after this time.
+    Probe(Uptime),
     Throttle,
 }
 
@@ -157,6 +161,8 @@
     workers_of_tasks: BTreeMap<TaskId, Vec<WorkerKey>>,
     /// Calls in flight to workers: the worker, its incarnation and the purpose.
     calls: BTreeMap<CallId, (WorkerKey, u64, Purpose)>,
+    /// When workers stopped answering, in the order of time.
+    breaks: VecDeque<Uptime>,
     /// Recently sent starts, ordered by time.
     recent_starts: VecDeque<(Uptime, CallId)>,
     pending_approvals: BTreeMap<CallId, PendingApproval>,
@@ -206,6 +212,7 @@
             sessions: BTreeMap::new(),
             workers_of_tasks: BTreeMap::new(),
             calls: BTreeMap::new(),
+            breaks: VecDeque::new(),
             recent_starts: VecDeque::new(),
             pending_approvals: BTreeMap::new(),
             approvers: Approvers::new(own),
@@ -309,6 +316,16 @@
                 entry.occurrences_begun = entry.occurrences_begun.max(stage.occurrence + 1);
             }
         }
+        for crashes in &progress.crashes {
+            let key = (crashes.occurrence, crashes.step);
+            let tasks = entry.job.steps.get(usize::from(crashes.step)).map(|step| step.tasks);
+            if let Some(tasks) = tasks.filter(|_| crashes.occurrence >= done) {
+                let state = entry.stages.entry(key);
+                let stage = state.or_insert_with(|| Stage::new(tasks, Place::Uncertain));
+                stage.restore_crashes(crashes);
+                entry.occurrences_begun = entry.occurrences_begun.max(crashes.occurrence + 1);
+            }
+        }
         if progress.state.is_final() {
             entry.finished = Some(now);
             self.unfinished.remove(&id);
@@ -372,7 +389,7 @@
                 let incarnation = session.incarnation + 1;
                 if registration.started_unix_ms > session.registration.started_unix_ms {
                     let key = WorkerKey::from(worker);
-                    self.forget_runs(&key, "reborn", context);
+                    self.forget_runs(&key, Loss::Restarted, context);
                     self.open_session(key, registration, incarnation, context);
                 }
             }
@@ -431,11 +448,6 @@
         if session.incarnation != incarnation {
             return;
         }
-        match result {
-            Ok(_) => session.broken = None,
-            Err(Error::Refused(_) | Error::Unhealthy) => {}
-            Err(_) => session.broken = session.broken.or(Some(context.now)),
-        }
         if result == Err(Error::OtherWorker) {
             self.worker_gone(&worker, context);
             return;
@@ -448,13 +460,26 @@
             self.worker_restarted(&worker, report.started_unix_ms.unwrap_or_default(), context);
             return;
         }
+        match (&result, purpose) {
+            (Ok(_), Purpose::RenewLease(sent) | Purpose::Probe(sent)) => {
+                session.answered = session.answered.max(sent);
+                session.broken = None;
+            }
+            (Ok(_), _) => session.broken = None,
+            (Err(Error::Refused(_) | Error::Unhealthy), _) => {}
+            (Err(_), _) if session.broken.is_some() => {}
+            (Err(_), _) => {
+                session.broken = Some(context.now);
+                self.record_break(context.now);
+            }
+        }
         match purpose {
             Purpose::Start(task, number) => {
                 self.start_result(&worker, task, number, result, context)
             }
             Purpose::Stop(task, number) => self.stop_result(&worker, task, number, result, context),
             Purpose::RenewLease(sent) => self.renewal_result(&worker, sent, result, context),
-            Purpose::Throttle => {}
+            Purpose::Probe(_) | Purpose::Throttle => {}
         }
     }
 
@@ -462,7 +487,7 @@
     /// more.
     fn worker_gone(&mut self, worker: &WorkerKey, context: &mut Context) {
         context.log("worker_gone", vec![("worker", worker.to_string())]);
-        self.forget_runs(worker, "address taken over", context);
+        self.forget_runs(worker, Loss::Replaced, context);
         self.sessions.remove(worker);
         self.expire_possible_tasks(worker);
         self.round_due = true;
@@ -480,7 +505,7 @@
         let mut registration = session.registration.clone();
         registration.started_unix_ms = started_unix_ms;
         let (incarnation, registered) = (session.incarnation + 1, session.registered);
-        self.forget_runs(worker, "reborn", context);
+        self.forget_runs(worker, Loss::Restarted, context);
         self.open_session(Rc::clone(worker), registration, incarnation, context);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.registered = registered;
@@ -492,6 +517,7 @@
         self.settle_takeover(context);
         self.expire_pending_approvals(context);
         self.check_leases(context);
+        self.check_isolations(context);
         self.send_renewals(context);
         self.repeat_stops(context);
         self.begin_due_occurrences(context);
@@ -648,7 +674,8 @@
 
     /// Releases all placements of a worker's incarnation, none of whose runs can exist any more, and requeues their
     /// tasks.
-    fn forget_runs(&mut self, worker: &WorkerKey, cause: &'static str, context: &mut Context) {
+    fn forget_runs(&mut self, worker: &WorkerKey, loss: Loss, context: &mut Context) {
+        let cause = <&str>::from(loss);
         let Some(session) = self.sessions.get(worker) else { return };
         let tasks: Vec<TaskId> = session.placements.keys().copied().collect();
         if !tasks.is_empty() {
@@ -660,6 +687,7 @@
             context.log("runs_lost", fields);
         }
         let broken = session.broken.unwrap_or(context.now);
+        let mut lost = Vec::with_capacity(tasks.len());
         for task in tasks {
             let Some(run) = self.release(worker, &task) else { continue };
             let failures = self.counted_failures(task);
@@ -673,6 +701,10 @@
             ];
             context.log("run_lost", fields);
             context.outputs.push(Output::Count { counter: Counter::RunsLost, amount: 1 });
+            lost.push((task, run));
+        }
+        self.record_losses(worker, loss, &lost, context);
+        for (task, _) in lost {
             self.requeue(task, worker);
             self.break_gang(task, context);
         }
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -126,7 +126,10 @@
             if !backlogged || has_capacity {
                 self.request_approvals(&demand, candidate.early, &pool_workers, context);
             }
-            if !candidate.early && self.has_waiting(demand.id) {
+            // Suspects wait for a worker that can be set aside, not for capacity that others must give up.
+            let waits = self.has_waiting(demand.id)
+                && !(has_capacity && self.only_suspects_wait(demand.id));
+            if !candidate.early && waits {
                 round.add_failure(pool, (!has_capacity).then(|| demand.step().booking()));
                 // Expired jobs and jobs beyond their share do not displace others.
                 if candidate.urgency == Urgency::Regular && !backlogged {
@@ -153,6 +156,9 @@
 
     /// Returns the capacity of a worker that the stage may use.
     pub(super) fn free(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> Size {
+        if !worker.is_open_to(demand.id) {
+            return Size::ZERO;
+        }
         let session = if worker.reserved { self.sessions.get(&worker.key) } else { None };
         session.map_or(worker.free, |session| {
             session.free_for(&demand.id, demand.policy.priority, now)
@@ -185,14 +191,21 @@
         self.stage(id).is_some_and(waits)
     }
 
+    fn only_suspects_wait(&self, id: StageId) -> bool {
+        self.stage(id)
+            .is_some_and(|stage| stage.waiting().into_iter().all(|index| stage.is_suspect(index)))
+    }
+
     /// Returns whether a worker suits a stage, regardless of approval and free capacity.
-    fn suits(&self, demand: &Demand, worker: &PoolWorker) -> bool {
+    pub(super) fn suits(&self, demand: &Demand, worker: &PoolWorker) -> bool {
         let label = &demand.step().label;
         let labelled = || {
             let session = self.sessions.get(&worker.key);
             session.is_some_and(|session| session.registration.labels.contains(label))
         };
-        demand.step().booking().fits_in(&worker.capacity) && (label.is_empty() || labelled())
+        worker.is_open_to(demand.id)
+            && demand.step().booking().fits_in(&worker.capacity)
+            && (label.is_empty() || labelled())
     }
 
     /// Returns the workers that suit a stage, regardless of approval and free capacity.
@@ -351,7 +364,12 @@
     /// come last, then workers on which best-effort tasks and tasks with a latency target would meet, then workers far
     /// from the data. Among the others, the worker with the least capacity left wins, or for a best-effort step the
     /// one with the most free capacity.
-    fn cost(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> (bool, bool, bool, u64) {
+    pub(super) fn cost(
+        &self,
+        demand: &Demand,
+        worker: &PoolWorker,
+        now: Uptime,
+    ) -> (bool, bool, bool, u64) {
         let step = demand.step();
         let conflicts = match step.best_effort {
             true => worker.has_latency_target,
@@ -380,18 +398,22 @@
     ) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
+        let waiting = stage.waiting().into_iter();
+        let (suspects, others): (Vec<u32>, Vec<u32>) =
+            waiting.partition(|index| stage.is_suspect(*index));
         // Workers with their costs. Only the cost of the chosen worker changes.
         let mut eligible: Vec<_> = pool_workers
             .iter()
             .enumerate()
+            .filter(|(_, worker)| worker.held_for.is_none())
             .filter(|(_, worker)| self.count_fitting_on_worker(demand, worker, now) > 0)
             .filter(|(_, worker)| Self::has_ticket(demand, stage, worker, now))
             .filter(|(_, worker)| self.suits(demand, worker))
             .map(|(position, worker)| (position, self.cost(demand, worker, now)))
             .collect();
-        for index in stage.waiting() {
+        for index in others {
             if eligible.is_empty() || !self.within_cap(demand, &demand.step().size, round) {
-                return;
+                break;
             }
             let task = self.stage(demand.id).and_then(|stage| stage.tasks.get(index as usize));
             let failed_on = task.and_then(|task| task.failed_on.clone());
@@ -411,6 +433,7 @@
                 eligible[at].1 = self.cost(demand, worker, now);
             }
         }
+        self.place_suspects(demand, suspects, pool_workers, round, context);
     }
 
     /// Places all members of a gang at the same time, or none of them.
@@ -473,6 +496,10 @@
             std::iter::repeat_n(position, usize::try_from(tasks_max).unwrap_or(usize::MAX))
         });
         let starts: Vec<(u32, usize)> = waiting.into_iter().zip(places).collect();
+        let positions = starts.iter().map(|(_, position)| *position).collect();
+        if !self.prepare_gang(demand, &positions, pool_workers, context) {
+            return;
+        }
         let number = self.allocate_run_number();
         for (index, position) in starts {
             let priority = demand.run_priority;
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -2,9 +2,10 @@
 //!
 //! A round examines every worker for each task, so this data is kept in one list instead of being looked up by name.
 
+use crate::job::StageId;
 use crate::prelude::*;
 use crate::scheduler::placement::Demand;
-use crate::scheduler::session::{Session, WorkerKey};
+use crate::scheduler::session::{Isolation, Session, WorkerKey};
 
 /// A worker that accepts tasks, in its state at this point of the round.
 pub(super) struct PoolWorker {
@@ -15,6 +16,10 @@
     pub(super) free: Size,
     /// Whether a reservation for any stage is in force there.
     pub(super) reserved: bool,
+    /// Whether a suspect task runs there in isolation.
+    pub(super) isolated: bool,
+    /// The stage with a suspect task for which the worker is held.
+    pub(super) held_for: Option<StageId>,
     /// Whether the worker is avoided because runs failed there or took too long.
     pub(super) avoided: bool,
     /// Whether any run there has a latency target.
@@ -31,12 +36,22 @@
             capacity: session.registration.capacity,
             free: session.free(),
             reserved: session.reservations.iter().any(|kept| kept.until > now),
+            isolated: matches!(session.isolation, Some(Isolation::Running { .. })),
+            held_for: match session.isolation {
+                Some(Isolation::Held { stage, .. }) => Some(stage),
+                Some(Isolation::Running { .. }) | None => None,
+            },
             avoided: session.avoid_until > now || session.slowness.is_slow(now),
             has_latency_target: session.latency_targets > 0,
             has_best_effort: session.best_effort > 0,
         }
     }
 
+    /// Returns whether tasks of the stage may start on the worker, as far as isolation is concerned.
+    pub(super) fn is_open_to(&self, stage: StageId) -> bool {
+        !self.isolated && self.held_for.is_none_or(|held_for| held_for == stage)
+    }
+
     /// Records that a task of the stage was placed on the worker.
     pub(super) fn book(&mut self, demand: &Demand) {
         let step = demand.step();
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -112,6 +112,10 @@
         let Some(step) = self.step(task.stage) else { return };
         let (gang, long_running) = (step.gang, step.long_running);
         self.dirty.insert(task.stage.job);
+        if !gang {
+            // The end of one member says nothing of the workers of the others.
+            self.acquit(task, end.number);
+        }
         match end.reason {
             EndReason::Done if !long_running => self.complete(task, gang, context),
             EndReason::Failed if !long_running => {
@@ -281,7 +285,7 @@
     ) {
         let present: BTreeSet<TaskId> = running.iter().map(|run| run.task).collect();
         for run in running {
-            self.process_run(worker, run, context);
+            self.process_run(worker, as_of, run, context);
         }
         let Some(session) = self.sessions.get(worker) else { return };
         let missing: Vec<TaskId> = session
@@ -303,7 +307,7 @@
         }
     }
 
-    fn process_run(&mut self, worker: &WorkerKey, run: Run, context: &mut Context) {
+    fn process_run(&mut self, worker: &WorkerKey, as_of: Uptime, run: Run, context: &mut Context) {
         let now = context.now;
         let known = self.jobs.contains_key(&run.task.stage.job);
         let Some(session) = self.sessions.get_mut(worker) else { return };
@@ -329,8 +333,14 @@
             placement.phase = Phase::Running;
             placement.changed = now;
         }
+        let age = as_of.saturating_sub(placement.started);
         placement.progress_percent = run.percent;
         placement.gauge = run.gauge;
+        let isolated = session.isolation.is_some();
+        // A gang survives only if all of its members do.
+        if !isolated && !self.step(run.task.stage).is_some_and(|step| step.gang) {
+            self.record_survival(run.task, age);
+        }
         self.mark_started(run.task.stage.job, context);
         if let Some(stage) = self.stage_mut(run.task.stage)
             && let Some(task) = stage.tasks.get_mut(run.task.index as usize)
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -89,6 +89,23 @@
     pub until: Uptime,
 }
 
+/// A worker that is set aside for tasks that may crash it. Nothing else is started there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Isolation {
+    /// Other runs there have not survived their start yet.
+    Held {
+        stage: StageId,
+        /// When the worker is given back if the task has not started.
+        until: Uptime,
+    },
+    /// Runs of the stage have started.
+    Running {
+        stage: StageId,
+        /// Earliest time of the next call that asks whether the worker is alive.
+        next_probe: Uptime,
+    },
+}
+
 /// Session with one incarnation of a worker, that is, with one process.
 #[derive(Clone, Debug)]
 pub struct Session {
@@ -116,6 +133,12 @@
     pub processed: u64,
     /// Number of consecutive lease renewals without an answer.
     pub unanswered: u32,
+    /// When the latest of the answered renewals and probes was sent: the worker's process was alive after that.
+    pub answered: Uptime,
+    /// When the session was opened.
+    pub opened: Uptime,
+    /// Whether the worker is set aside for a suspect task.
+    pub isolation: Option<Isolation>,
     /// When the first of the calls failed that the worker has not answered since its last answer.
     pub broken: Option<Uptime>,
     /// The lease renewal in flight, and when it was sent.
@@ -153,6 +176,9 @@
             acknowledged: 0,
             processed: 0,
             unanswered: 0,
+            answered: Uptime::ZERO,
+            opened: now,
+            isolation: None,
             broken: None,
             renewal: None,
             next_renewal: now,
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashMap;
 
+use shallotpost_policy::crash::{Crash, History, Verdict};
+
 use crate::prelude::*;
-use crate::progress::StageProgress;
+use crate::progress::{StageProgress, StoredCrash, TaskCrashes};
 use crate::scheduler::session::WorkerKey;
 
 /// Where a task is.
@@ -23,6 +25,8 @@
     pub place: Place,
     /// Numbers of the failed runs. For a gang, they are kept with the first task.
     pub failed_runs: Vec<u64>,
+    /// Losses of runs with their worker. For a gang, they are kept with the first task.
+    pub crashes: History,
     /// Newest checkpoint of the task; empty for none.
     pub checkpoint: String,
     /// Worker on which the last failed run was; other workers are preferred.
@@ -31,7 +35,13 @@
 
 impl Task {
     fn new(place: Place) -> Task {
-        Task { place, failed_runs: Vec::new(), checkpoint: String::new(), failed_on: None }
+        Task {
+            place,
+            failed_runs: Vec::new(),
+            crashes: History::default(),
+            checkpoint: String::new(),
+            failed_on: None,
+        }
     }
 }
 
@@ -101,6 +111,40 @@
         self.unfinished = self.count_unfinished();
     }
 
+    /// Applies stored losses of runs.
+    pub fn restore_crashes(&mut self, stored: &TaskCrashes) {
+        let crash = |crash: &StoredCrash| Crash {
+            run: crash.run,
+            age: Duration::from_millis(crash.age_ms.into()),
+            isolated: crash.isolated,
+        };
+        if let Some(task) = self.tasks.get_mut(stored.index as usize) {
+            task.crashes = History::new(stored.crashes.iter().map(crash).collect());
+        }
+    }
+
+    /// Returns the losses of runs to store.
+    pub fn stored_crashes(&self, occurrence: u32, step: u16) -> impl Iterator<Item = TaskCrashes> {
+        let crash = |crash: &Crash| StoredCrash {
+            run: crash.run,
+            age_ms: u32::try_from(crash.age.as_millis()).unwrap_or(u32::MAX),
+            isolated: crash.isolated,
+        };
+        let suspects = self.tasks.iter().zip(0u32..).filter(|(task, _)| !task.crashes.is_empty());
+        suspects.map(move |(task, index)| TaskCrashes {
+            occurrence,
+            step,
+            index,
+            crashes: task.crashes.crashes().iter().map(crash).collect(),
+        })
+    }
+
+    /// Returns whether a task may start in isolation only.
+    pub fn is_suspect(&self, index: u32) -> bool {
+        let task = self.tasks.get(index as usize);
+        task.is_some_and(|task| task.crashes.verdict() != Verdict::Sound)
+    }
+
     /// Returns the progress to store; `None` if there is nothing to store.
     pub fn progress(&self, occurrence: u32, step: u16) -> Option<StageProgress> {
         let complete = self.unfinished == 0;
@@ -139,6 +183,7 @@
             Some(task) if task.place != Place::Done => {
                 task.place = Place::Done;
                 task.checkpoint.clear();
+                task.crashes = History::default();
                 self.unfinished = self.unfinished.saturating_sub(1);
                 true
             }
--- a/crates/shallotpost-fleet/tests/deadly_tasks.rs
+++ b/crates/shallotpost-fleet/tests/deadly_tasks.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use shallotpost_fleet::job::Step;
+use shallotpost_fleet::port::{Action, Answer};
 use shallotpost_fleet::progress::State;
 use support::{Simulation, ms, step, task};
 
@@ -37,8 +38,14 @@
 
 fn assert_all_completed(sim: &mut Simulation, ids: &[u64]) {
     let host = sim.owner().expect("there is an owner");
-    for id in ids {
-        assert_eq!(sim.state(&host, "batch", *id), Some(State::Completed), "job {id:x}");
+    let path = |id: &u64| format!("/batch/{id:016x}");
+    let requests: Vec<_> = ids
+        .iter()
+        .map(|id| (*id, sim.request(&host, &path(id), Some("key-a"), Action::Read)))
+        .collect();
+    sim.run(ms(1500));
+    for (id, request) in requests {
+        assert_eq!(sim.answers[&request], Answer::State(State::Completed), "job {id:x}");
     }
 }
 
@@ -79,6 +86,9 @@
 fn gang_starts_are_bounded() {
     let mut sim = settled(6);
     sim.deadly_tasks.insert(task(DEADLY, 0, 1));
+    for worker in sim.workers.values_mut() {
+        worker.job_durations.insert(DEADLY, Duration::from_secs(8));
+    }
     sim.submit("a", "batch", DEADLY, vec![Step { gang: true, ..step(6, 300) }]);
     let sound = submit_sound_jobs(&mut sim, 0x1000, Duration::from_secs(45));
     assert!(sim.starts(task(DEADLY, 0, 1)) <= STARTS_MAX);
--- a/crates/shallotpost-fleet/tests/golden_files.rs
+++ b/crates/shallotpost-fleet/tests/golden_files.rs
@@ -24,7 +24,7 @@
     Action, Answer, ApprovalError, ApprovalRequest, Content, Input, Output, Request, Row,
     StoreAnswer, StoreError, StoreRequest, Table, Ticket,
 };
-use shallotpost_fleet::progress::{Progress, StageProgress, State};
+use shallotpost_fleet::progress::{Progress, StageProgress, State, StoredCrash, TaskCrashes};
 use shallotpost_fleet::scheduler::{Bounds, UnreachableWorker};
 use shallotpost_fleet::worker::{
     Call, EndReason, EndedRun, Error, Refusal, Registration, Report, Run, RunLists,
@@ -176,9 +176,19 @@
             },
             StageProgress { occurrence: 4, step: 0, complete: true, ..StageProgress::default() },
         ],
+        crashes: Vec::new(),
     }
 }
 
+fn progress_with_crashes() -> Progress {
+    let crash = |run, isolated| StoredCrash { run, age_ms: 10, isolated };
+    let crashes = vec![
+        TaskCrashes { occurrence: 3, step: 1, index: 5, crashes: vec![crash(13, false)] },
+        TaskCrashes { occurrence: 4, step: 2, index: 300, crashes: vec![crash(7, true)] },
+    ];
+    Progress { crashes, ..progress(State::Running) }
+}
+
 fn registration() -> Registration {
     Registration {
         pool: text("intake"),
@@ -271,6 +281,19 @@
     check(golden!("state.hex"), &STATES);
 }
 
+/// Crashes stand behind the fields of earlier versions, which skip them, and rows without them are read too.
+#[test]
+fn progress_with_crashes_of_workers() {
+    let written = progress_with_crashes().to_bytes().expect("a row");
+    check_bytes(golden!("progress_with_crashes.hex"), std::slice::from_ref(&written));
+    assert_eq!(Progress::from_bytes(&written).expect("a row"), progress_with_crashes());
+    let earlier: Progress = decode(&written).expect("a row that earlier versions read");
+    assert_eq!(earlier, progress(State::Running));
+    for (state, bytes) in STATES.into_iter().zip(values(golden!("progress.hex"))) {
+        assert_eq!(Progress::from_bytes(&bytes).expect("a row"), progress(state));
+    }
+}
+
 #[test]
 fn configurations() {
     check(golden!("configuration.hex"), &[configuration(), Configuration::default()]);
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -18,6 +18,8 @@
     pub started_unix_ms: u64,
     /// Duration of runs that are started from now on.
     pub duration: Duration,
+    /// Duration of the runs of single jobs, in place of `duration`.
+    pub job_durations: BTreeMap<u64, Duration>,
     /// End reason of runs that are started from now on.
     pub end_reason: EndReason,
     /// Size of every task.
@@ -58,6 +60,7 @@
             capacity: Size { processors_milli, memory_mib: 1 << 16, accelerators: 8, slots: 0 },
             started_unix_ms: 1 + u64::try_from(now.as_millis()).expect("time fits"),
             duration: Duration::from_millis(300),
+            job_durations: BTreeMap::new(),
             end_reason: EndReason::Done,
             size: Size { processors_milli: 1000, ..Size::ZERO },
             gauges: BTreeMap::new(),
@@ -107,8 +110,10 @@
     pub fn restart(&mut self, now: Duration) {
         let (duration, end_reason) = (self.duration, self.end_reason);
         let starts = std::mem::take(&mut self.starts);
+        let job_durations = std::mem::take(&mut self.job_durations);
         *self = Worker {
             duration,
+            job_durations,
             end_reason,
             starts,
             ..Worker::new(now, self.capacity.processors_milli)
@@ -214,9 +219,10 @@
                 if self.closed_runs.get(task).is_some_and(|closed| closed >= number) {
                     return Err(Error::Refused(Refusal::StaleRun));
                 }
+                let duration = self.job_durations.get(&task.stage.job).unwrap_or(&self.duration);
                 let run = ActiveRun {
                     number: *number,
-                    ends_at: now + self.duration,
+                    ends_at: now + *duration,
                     end_reason: self.end_reason,
                 };
                 self.active.insert(*task, run);
--- a/crates/shallotpost-policy/src/lib.rs
+++ b/crates/shallotpost-policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod teams;
 
 pub mod approval;
+pub mod crash;
 pub mod first_fit;
 pub mod planner;
 pub mod slowness;
