Count the missing room of a shrunk worker in preemptions

A worker whose capacity has shrunk below its bookings counted as having no room, instead of less than none. A preemption there stopped runs whose room was not free afterwards, and chose such workers as readily as others. preemption_counts_missing_room failed before: a run of the shrunk worker was stopped, and the urgent task did not start there. Starts themselves kept the capacity before too (shrunk_worker_fills_no_gap, shrunk_worker_after_takeover passed).

--- a/crates/shallotpost-fleet/src/scheduler/preemption.rs
+++ b/crates/shallotpost-fleet/src/scheduler/preemption.rs
@@ -107,9 +107,9 @@
         session: &Session,
         now: Uptime,
     ) -> Size {
-        let capacity = session.free().plus(&session.freeing());
         let runs = Self::preemptible(demand, session, now);
-        runs.iter().fold(capacity, |capacity, (_, run)| capacity.plus(&run.booking))
+        let freed = runs.iter().fold(session.freeing(), |sum, (_, run)| sum.plus(&run.booking));
+        session.free_after(&freed)
     }
 
     /// Plans which runs to stop so that up to `waiting` tasks fit; for a gang, so that all of them fit.
@@ -126,17 +126,22 @@
         let booking = demand.step().booking();
         let mut missing = waiting;
         let mut suitable_workers: Vec<_> = self.suitable(demand, pool_workers).collect();
-        // Fewer runs have to be stopped on workers with more free capacity.
+        // Fewer runs have to be stopped on workers with more free capacity, and most on those whose capacity has shrunk.
         suitable_workers.sort_by_cached_key(|(_, session)| {
-            let free = session.free().plus(&session.freeing());
-            std::cmp::Reverse((free.dominant_share(&session.registration.capacity) * 1e6) as u64)
+            let capacity = &session.registration.capacity;
+            let booked = session.used.minus(&session.freeing());
+            let share = |size: Size| (size.dominant_share(capacity) * 1e6) as u64;
+            let (excess, free) = (booked.minus(capacity), capacity.minus(&booked));
+            (share(excess), std::cmp::Reverse(share(free)))
         });
         for (worker, session) in suitable_workers {
             // The stopped runs take some time to end, and the ticket must still be valid then.
             if !Self::has_ticket(demand, stage, worker, now + PREEMPT_PAUSE) {
                 continue;
             }
-            let mut free = session.free().plus(&session.freeing());
+            let mut freed = session.freeing();
+            let mut placed = Size::ZERO;
+            let mut free = session.free_after(&freed);
             let mut runs = Self::preemptible(demand, session, now);
             let mut tasks_max = Self::count_fitting(demand, session, &free);
             let mut fitted = 0;
@@ -144,14 +149,16 @@
                 let fitting = usize::try_from(tasks_max).unwrap_or(usize::MAX).min(missing);
                 missing -= fitting;
                 fitted += fitting as u64;
-                free = free.minus(&booking.times(fitting as u64));
+                placed = placed.plus(&booking.times(fitting as u64));
+                free = session.free_after(&freed).minus(&placed);
                 if missing == 0 {
                     break;
                 }
                 let mut chosen = Vec::new();
                 while Self::count_fitting(demand, session, &free) == 0 {
                     let Some((task, run)) = runs.pop() else { break };
-                    free = free.plus(&run.booking);
+                    freed = freed.plus(&run.booking);
+                    free = session.free_after(&freed).minus(&placed);
                     chosen.push((Rc::clone(&worker.key), *task, run.number));
                 }
                 tasks_max = Self::count_fitting(demand, session, &free);
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -203,6 +203,12 @@
         self.registration.capacity.minus(&self.used)
     }
 
+    /// Returns the capacity that will not be booked once these resources are free. A worker whose capacity has shrunk
+    /// below its bookings must free the difference first.
+    pub fn free_after(&self, freed: &Size) -> Size {
+        self.registration.capacity.minus(&self.used.minus(freed))
+    }
+
     /// Returns the capacity that a stage of this priority may use: what is neither booked nor reserved for stages of
     /// more urgent priority.
     pub fn free_for(&self, stage: &StageId, priority: u32, now: Uptime) -> Size {
