Hold one worker a suspect, and release it when it is not needed

A suspect that found only busy workers held another one in every round until all workers that may be set aside were taken, and a hold outlived the start for which it was made. No test of virtual time reproduces it yet: two attempts passed without the change too, and were left out.

--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -230,20 +230,24 @@
         choices.sort_unstable();
         let mut available = self.available_isolations(pool_workers);
         let mut waiting = suspects.into_iter().peekable();
+        let held_for = Some(demand.id);
+        let mut holds = pool_workers.iter().filter(|worker| worker.held_for == held_for).count();
         for choice in choices {
             let Some(index) = waiting.peek().copied() else { return };
             if !self.within_cap(demand, &demand.step().size, round) || self.is_saturated(now) {
                 return;
             }
-            if !choice.held && available == 0 {
+            let waits_already = choice.busy && (choice.held || holds >= waiting.len());
+            if waits_already || !choice.held && available == 0 {
                 continue;
             }
             available -= usize::from(!choice.held);
             let worker = &mut pool_workers[choice.position];
             if choice.busy {
                 // The start follows when the runs there have survived theirs.
-                self.hold(demand.id, worker, now);
-                return;
+                holds += 1;
+                self.hold(demand.id, worker, context);
+                continue;
             }
             waiting.next();
             let number = self.allocate_run_number();
@@ -285,7 +289,7 @@
             return true;
         }
         for position in positions {
-            self.hold(demand.id, &mut pool_workers[*position], now);
+            self.hold(demand.id, &mut pool_workers[*position], context);
         }
         false
     }
@@ -315,12 +319,14 @@
     }
 
     /// Keeps a worker free of other starts for some time.
-    fn hold(&mut self, stage: StageId, worker: &mut PoolWorker, now: Uptime) {
+    fn hold(&mut self, stage: StageId, worker: &mut PoolWorker, context: &mut Context) {
         worker.held_for = Some(stage);
         if let Some(session) = self.sessions.get_mut(&worker.key)
             && session.isolation.is_none()
         {
-            session.isolation = Some(Isolation::Held { stage, until: now + HOLD_TIME });
+            session.isolation = Some(Isolation::Held { stage, until: context.now + HOLD_TIME });
+            let fields = vec![("stage", stage.to_string()), ("worker", worker.key.to_string())];
+            context.log("worker_held", fields);
         }
     }
 
@@ -345,7 +351,8 @@
             .collect();
         for (worker, isolation) in isolated {
             match isolation {
-                Isolation::Held { until, .. } if until > context.now => {}
+                Isolation::Held { stage, until }
+                    if until > context.now && self.has_waiting_suspect(stage) => {}
                 Isolation::Held { .. } => self.end_isolation(&worker),
                 Isolation::Running { stage, next_probe } => {
                     self.check_isolation(&worker, stage, next_probe, context);
@@ -354,6 +361,15 @@
         }
     }
 
+    fn has_waiting_suspect(&self, id: StageId) -> bool {
+        self.stage(id).is_some_and(|stage| {
+            let waiting = stage.waiting().into_iter();
+            waiting.map(|index| self.evidence_index(id.task(index))).any(|index| {
+                stage.tasks.get(index).is_some_and(|task| task.crashes.verdict() != Verdict::Sound)
+            })
+        })
+    }
+
     fn check_isolation(
         &mut self,
         worker: &WorkerKey,
