--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -8,7 +8,7 @@
     Action, Answer, Content, Counter, Request, Row, StoreAnswer, StoreError, StoreRequest, Table,
 };
 use crate::prelude::*;
-use crate::progress::{Progress, State};
+use crate::progress::{Failure, Progress, State};
 use crate::scheduler::{cancellation_key, job_key};
 
 /// Timeout of queries to the owner, after which the store is read instead.
@@ -437,10 +437,17 @@
     }
 
     /// Returns the answer to a query; [`QueryAnswer::NotOwner`] unless this host is the owner and has loaded the jobs.
-    pub(super) fn answer_query(&self, query: &Query) -> QueryAnswer {
+    pub(super) fn answer_query(&mut self, query: &Query) -> QueryAnswer {
         let Some(owner) = self.owner.as_ref().filter(|owner| owner.is_loaded()) else {
             return QueryAnswer::NotOwner;
         };
+        if let Query::State { id } = query
+            && let Some((State::Failed, ..)) = owner.scheduler.state(*id)
+        {
+            let failure = owner.scheduler.failure(*id).cloned();
+            self.log_failure(*id, failure.as_ref(), "owner");
+        }
+        let Some(owner) = &self.owner else { return QueryAnswer::NotOwner };
         match query {
             Query::State { id } => match owner.scheduler.state(*id) {
                 Some((state, team, queue)) => QueryAnswer::State {
@@ -516,9 +523,14 @@
         let key = job_key(id);
         let stored =
             answer.rows.iter().find(|row| row.key == key).and_then(|row| match &row.content {
-                Content::Bytes(bytes) => decode::<Progress>(bytes).ok(),
+                Content::Bytes(bytes) => Progress::from_bytes(bytes).ok(),
                 _ => None,
             });
+        if let Some(progress) = &stored
+            && progress.state == State::Failed
+        {
+            self.log_failure(id, progress.failure.as_ref(), "store");
+        }
         let state = match stored.map(|progress| progress.state) {
             Some(state) if state.is_final() => state,
             _ if cancelled => State::Cancelled,
@@ -529,6 +541,22 @@
     }
 }
 
+impl Host {
+    /// Logs why a job is shown as failed. The lines of the failure itself may be long gone by then.
+    fn log_failure(&mut self, id: JobId, failure: Option<&Failure>, source: &'static str) {
+        let mut fields = vec![("job", job_key(id)), ("source", source.to_owned())];
+        match failure {
+            Some(failure) => fields.extend([
+                ("cause", failure.cause.to_string()),
+                ("task", failure.task.to_string()),
+                ("runs", format!("{:?}", failure.runs)),
+            ]),
+            None => fields.push(("cause", "unknown".to_owned())),
+        }
+        self.log("failure_shown", fields);
+    }
+}
+
 /// Returns the transaction that stores a new job.
 fn insertion(id: JobId, bytes: &[u8]) -> StoreRequest {
     StoreRequest::Transact {
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -116,6 +116,8 @@
     IsolatedStarts,
     /// Jobs that failed because a task crashes its workers.
     JobsGivenUp,
+    /// Jobs that failed because a task has used up its attempts.
+    JobsFailed,
     /// Calls to the approval service.
     Approvals,
     /// Transactions of the owner; repetitions of one transaction count once.
--- a/crates/shallotpost-fleet/src/progress.rs
+++ b/crates/shallotpost-fleet/src/progress.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
+use crate::job::TaskId;
 use crate::message::{CodecError, decode_prefix, encode};
 
 /// State of a job as its submitter sees it.
@@ -39,6 +40,9 @@
     /// earlier versions do not have them, and earlier versions skip them.
     #[serde(skip)]
     pub crashes: Vec<TaskCrashes>,
+    /// Why the job failed; `None` if it did not, or if an earlier version stored that it did. Encoded behind `crashes`.
+    #[serde(skip)]
+    pub failure: Option<Failure>,
 }
 
 impl Progress {
@@ -49,9 +53,12 @@
     /// Returns [`CodecError::Encode`] if a field cannot be serialized.
     pub fn to_bytes(&self) -> Result<Vec<u8>, CodecError> {
         let mut bytes = encode(self)?;
-        if !self.crashes.is_empty() {
+        if !self.crashes.is_empty() || self.failure.is_some() {
             bytes.extend(encode(&self.crashes)?);
         }
+        if let Some(failure) = &self.failure {
+            bytes.extend(encode(failure)?);
+        }
         Ok(bytes)
     }
 
@@ -62,14 +69,38 @@
     /// Returns [`CodecError::Decode`] if the bytes do not hold progress.
     pub fn from_bytes(bytes: &[u8]) -> Result<Progress, CodecError> {
         let (progress, rest): (Progress, _) = decode_prefix(bytes)?;
-        let crashes = match rest {
-            [] => Vec::new(),
-            rest => decode_prefix(rest)?.0,
+        let (crashes, rest) = match rest {
+            [] => (Vec::new(), rest),
+            rest => decode_prefix(rest)?,
         };
-        Ok(Progress { crashes, ..progress })
+        let failure = match rest {
+            [] => None,
+            rest => Some(decode_prefix(rest)?.0),
+        };
+        Ok(Progress { crashes, failure, ..progress })
     }
 }
 
+/// Why a job failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    pub cause: Cause,
+    /// The task that failed. A gang fails as a whole; the task is then one of its members.
+    pub task: TaskId,
+    /// Numbers of the runs that count.
+    pub runs: Vec<u64>,
+}
+
+/// What the runs of a failed task have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// Workers listed them as failed.
+    FailedRuns,
+    /// Their workers crashed.
+    Crashes,
+}
+
 /// Losses of the runs of one task with their workers. For a gang, the first task stands for all.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskCrashes {
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -104,7 +104,8 @@
                     .collect(),
             };
             let (state, occurrences_done) = (entry.state, entry.occurrences_done);
-            let progress = Progress { state, occurrences_done, stages, crashes };
+            let failure = entry.failure.clone();
+            let progress = Progress { state, occurrences_done, stages, crashes, failure };
             self.commit.jobs.push((id, state));
             if let Ok(bytes) = progress.to_bytes() {
                 batch.writes.push((Table::Progress, job_key(id), bytes));
--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -7,7 +7,7 @@
 use crate::job::StageId;
 use crate::port::Counter;
 use crate::prelude::*;
-use crate::progress::State;
+use crate::progress::{Cause, Failure};
 use crate::scheduler::placement::Demand;
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::session::{Isolation, Phase, Placement, Session, WorkerKey};
@@ -159,17 +159,14 @@
             return false;
         };
         let crashes = state.crashes.crashes().len();
-        let Some(entry) = self.jobs.get_mut(&task.stage.job) else { return true };
-        if entry.state.is_final() {
+        let runs = state.crashes.crashes().iter().map(|crash| crash.run).collect();
+        if self.jobs.get(&task.stage.job).is_none_or(|entry| entry.state.is_final()) {
             return true;
         }
-        entry.state = State::Failed;
-        entry.finished = Some(context.now);
-        self.unfinished.remove(&task.stage.job);
+        self.fail_job(Failure { cause: Cause::Crashes, task, runs }, context.now);
         let fields = vec![("task", task.to_string()), ("crashes", crashes.to_string())];
         context.log("job_given_up", fields);
         context.outputs.push(Output::Count { counter: Counter::JobsGivenUp, amount: 1 });
-        self.dirty.insert(task.stage.job);
         self.stop_job(task.stage.job, context);
         true
     }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -32,7 +32,7 @@
 use crate::job::StageId;
 use crate::port::{Counter, HostName};
 use crate::prelude::*;
-use crate::progress::{Progress, State};
+use crate::progress::{Failure, Progress, State};
 use crate::worker::{Error, Registration, Report};
 
 use approvers::Approvers;
@@ -119,6 +119,8 @@
     stages: BTreeMap<(u32, u16), Stage>,
     /// When the job reached a final state; `None` before.
     finished: Option<Uptime>,
+    /// Why the job failed; `None` if it did not, or if that is not known.
+    failure: Option<Failure>,
 }
 
 impl JobEntry {
@@ -289,6 +291,7 @@
             occurrences_begun: 0,
             stages: BTreeMap::new(),
             finished: None,
+            failure: None,
         };
         self.jobs.insert(id, entry);
         self.unfinished.insert(id);
@@ -327,6 +330,7 @@
             }
         }
         if progress.state.is_final() {
+            entry.failure.clone_from(&progress.failure);
             entry.finished = Some(now);
             self.unfinished.remove(&id);
         }
@@ -360,6 +364,23 @@
         Some((state, entry.team.as_deref(), &entry.job.queue))
     }
 
+    /// Returns why a job failed; `None` if it did not, or if that is not known.
+    pub fn failure(&self, id: JobId) -> Option<&Failure> {
+        self.jobs.get(&id)?.failure.as_ref()
+    }
+
+    /// Fails a job. The caller stops its runs.
+    fn fail_job(&mut self, failure: Failure, now: Uptime) {
+        let id = failure.task.stage.job;
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.state = State::Failed;
+            entry.finished = Some(now);
+            entry.failure = Some(failure);
+            self.unfinished.remove(&id);
+            self.dirty.insert(id);
+        }
+    }
+
     /// Returns the number of jobs of a queue of which no task has started.
     pub fn waiting(&self, queue: &str) -> usize {
         let entries = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -3,7 +3,7 @@
 use crate::job::StageId;
 use crate::port::{Counter, Timing};
 use crate::prelude::*;
-use crate::progress::State;
+use crate::progress::{Cause, Failure, State};
 use crate::scheduler::session::{Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Scheduler};
@@ -236,11 +236,11 @@
         if failures < attempts_max.unwrap_or(1).max(1) {
             return;
         }
-        let Some(entry) = self.jobs.get_mut(&id.job) else { return };
+        let runs = task.failed_runs.clone();
+        let Some(entry) = self.jobs.get(&id.job) else { return };
         if !entry.state.is_final() {
-            entry.state = State::Failed;
-            entry.finished = Some(context.now);
-            self.unfinished.remove(&id.job);
+            self.fail_job(Failure { cause: Cause::FailedRuns, task: end.task, runs }, context.now);
+            context.outputs.push(Output::Count { counter: Counter::JobsFailed, amount: 1 });
             let fields = vec![("task", end.task.to_string()), ("failures", failures.to_string())];
             context.log("job_failed", fields);
             self.stop_job(id.job, context);
--- a/crates/shallotpost-fleet/tests/golden_files.rs
+++ b/crates/shallotpost-fleet/tests/golden_files.rs
@@ -24,7 +24,9 @@
     Action, Answer, ApprovalError, ApprovalRequest, Content, Input, Output, Request, Row,
     StoreAnswer, StoreError, StoreRequest, Table, Ticket,
 };
-use shallotpost_fleet::progress::{Progress, StageProgress, State, StoredCrash, TaskCrashes};
+use shallotpost_fleet::progress::{
+    Cause, Failure, Progress, StageProgress, State, StoredCrash, TaskCrashes,
+};
 use shallotpost_fleet::scheduler::{Bounds, UnreachableWorker};
 use shallotpost_fleet::worker::{
     Call, EndReason, EndedRun, Error, Refusal, Registration, Report, Run, RunLists,
@@ -177,6 +179,7 @@
             StageProgress { occurrence: 4, step: 0, complete: true, ..StageProgress::default() },
         ],
         crashes: Vec::new(),
+        failure: None,
     }
 }
 
@@ -189,6 +192,12 @@
     Progress { crashes, ..progress(State::Running) }
 }
 
+fn progress_of_failed_job() -> Progress {
+    let task = TaskId { stage: StageId { job: 0xbba6, occurrence: 4, step: 2 }, index: 300 };
+    let failure = Failure { cause: Cause::Crashes, task, runs: vec![7, 33_554_433] };
+    Progress { failure: Some(failure), ..progress(State::Failed) }
+}
+
 fn registration() -> Registration {
     Registration {
         pool: text("intake"),
@@ -294,6 +303,18 @@
     }
 }
 
+/// The cause of a failure stands behind the crashes, and earlier versions skip it.
+#[test]
+fn progress_with_failure() {
+    let causes = [Cause::FailedRuns, Cause::Crashes];
+    check(golden!("cause.hex"), &causes);
+    let written = progress_of_failed_job().to_bytes().expect("a row");
+    check_bytes(golden!("progress_with_failure.hex"), std::slice::from_ref(&written));
+    assert_eq!(Progress::from_bytes(&written).expect("a row"), progress_of_failed_job());
+    let earlier: Progress = decode(&written).expect("a row that earlier versions read");
+    assert_eq!(earlier, progress(State::Failed));
+}
+
 #[test]
 fn configurations() {
     check(golden!("configuration.hex"), &[configuration(), Configuration::default()]);
