--- a/crates/shallotpost-fleet/tests/deadly_tasks.rs
+++ b/crates/shallotpost-fleet/tests/deadly_tasks.rs
@@ -81,6 +81,62 @@
     assert_all_completed(&mut sim, &sound);
 }
 
+/// A task may crash its worker before the worker has answered the start.
+#[test]
+fn bounded_without_answers() {
+    let mut sim = settled(6);
+    sim.crashes_before_answer = true;
+    sim.deadly_tasks.insert(task(DEADLY, 0, 0));
+    sim.submit("a", "batch", DEADLY, vec![step(2, 300)]);
+    let sound = submit_sound_jobs(&mut sim, 0x1000, Duration::from_secs(45));
+    assert!(sim.starts(task(DEADLY, 0, 0)) <= STARTS_MAX);
+    assert_eq!(sim.state("a", "batch", DEADLY), Some(State::Failed));
+    assert_all_completed(&mut sim, &sound);
+}
+
+/// An owner that dies before a crashed worker is back leaves a loss of which it is not certain that it was a crash.
+#[test]
+fn bounded_by_uncertain_crashes() {
+    let mut sim = settled(6);
+    sim.deadly_tasks.insert(task(DEADLY, 0, 0));
+    sim.submit("a", "batch", DEADLY, vec![step(1, 300)]);
+    for starts in 1..=3 {
+        sim.run_until(Duration::from_secs(20), "a start", |sim| {
+            sim.starts(task(DEADLY, 0, 0)) >= starts
+        });
+        sim.run(ms(300));
+        let owner = sim.owner().expect("there is an owner");
+        sim.kill_host(&owner);
+        sim.run_until(Duration::from_secs(6), "a takeover", |sim| sim.owner().is_some());
+        sim.start_host(&owner);
+    }
+    sim.run(ms(1500));
+    let sound = submit_sound_jobs(&mut sim, 0x4000, Duration::from_secs(60));
+    assert!(sim.starts(task(DEADLY, 0, 0)) <= STARTS_MAX);
+    let host = sim.owner().expect("there is an owner");
+    assert_eq!(sim.state(&host, "batch", DEADLY), Some(State::Failed));
+    assert_all_completed(&mut sim, &sound);
+}
+
+/// The cause of a failure was in the lines of the owner that decided it, which were gone when users asked.
+#[test]
+fn cause_outlives_the_owner() {
+    let mut sim = settled(6);
+    sim.deadly_tasks.insert(task(DEADLY, 0, 0));
+    sim.submit("a", "batch", DEADLY, vec![step(1, 300)]);
+    sim.run(Duration::from_secs(25));
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    sim.run_until(Duration::from_secs(6), "a takeover", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    sim.logs.clear();
+    let host = sim.owner().expect("there is an owner");
+    assert_eq!(sim.state(&host, "batch", DEADLY), Some(State::Failed));
+    let shown = |(_, _, line): &&(Duration, String, String)| line.starts_with("failure_shown");
+    let line = sim.logs.iter().find(shown).map(|(_, _, line)| line.clone()).expect("a line");
+    assert!(line.contains("cause=crashes"), "{line}");
+}
+
 /// Members of a gang crash their workers too, and the gang is started again as a whole.
 #[test]
 fn gang_starts_are_bounded() {
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -81,6 +81,8 @@
     pub deadly_tasks: BTreeSet<TaskId>,
     /// Time from the start of a deadly task to the crash.
     pub crash_delay: Duration,
+    /// Whether deadly tasks crash their worker before it answers the start.
+    pub crashes_before_answer: bool,
     /// Workers that are never approved.
     pub unapproved_workers: BTreeSet<String>,
     /// Times of approval calls, and the number of workers that each names.
@@ -117,6 +119,7 @@
             processors: BTreeMap::new(),
             deadly_tasks: BTreeSet::new(),
             crash_delay: ms(10),
+            crashes_before_answer: false,
             unapproved_workers: BTreeSet::new(),
             approvals: Vec::new(),
             worker_calls: BTreeMap::new(),
@@ -380,7 +383,7 @@
     fn call_worker(&mut self, host: String, call: u64, worker: String, fence: u64, request: &Call) {
         let partitioned = self.is_partitioned(&host, &worker);
         let now = self.now;
-        let result = match self.workers.get_mut(&worker) {
+        let mut result = match self.workers.get_mut(&worker) {
             None => Err(Error::Unreachable),
             Some(_) if partitioned => Err(Error::Unanswered),
             Some(state) => state.call(now, fence, request),
@@ -388,7 +391,12 @@
         if let (Ok(_), Call::Start { task, .. }) = (&result, request)
             && self.deadly_tasks.contains(task)
         {
-            self.push(now + self.crash_delay, Event::Crash(worker.clone()));
+            if self.crashes_before_answer {
+                result = Err(Error::Unanswered);
+                self.crash(&worker);
+            } else {
+                self.push(now + self.crash_delay, Event::Crash(worker.clone()));
+            }
         }
         if let (Ok(_), Call::RenewLease { wait, .. }) = (&result, request) {
             let until = now + *wait;
