Count a lost run as a crash only if it ran and its worker's process has ended

Callers saw a job as failed although none of its tasks had failed (LOST). The evidence that a task crashes its workers was recorded when a worker stopped answering. So two starts in isolation condemned a sound task that no worker ever got, because the workers had gone dark before and not been noticed yet (an idle worker looks like the best one), and so did two workers that were cut off until their leases lapsed and ran on. Losses of different members of a gang added up.

A loss is now certain only when another process answers in the worker's place, and only certain ones condemn after two; a run that the worker did not confirm counts only if the worker answered shortly before and its process has ended since. A worker proves that it is alive before a suspect starts there. A worker that comes back with the run clears it. Losses count for the member of a gang. As a bound for workers that never come back, four losses in isolation condemn too.

Evidence: starts_without_a_run, cut_off_workers and members_of_a_gang failed before ('job 55 is shown as failed') and pass.

--- a/crates/shallotpost-fleet/src/progress.rs
+++ b/crates/shallotpost-fleet/src/progress.rs
@@ -40,7 +40,8 @@
     /// earlier versions do not have them, and earlier versions skip them.
     #[serde(skip)]
     pub crashes: Vec<TaskCrashes>,
-    /// Why the job failed; `None` if it did not, or if an earlier version stored that it did. Encoded behind `crashes`.
+    /// Why the job failed; `None` if it did not, or if an earlier version stored that it did. Encoded behind `crashes`; jobs
+    /// that have not failed have the certainty of their losses in its place.
     #[serde(skip)]
     pub failure: Option<Failure>,
 }
@@ -56,8 +57,12 @@
         if !self.crashes.is_empty() || self.failure.is_some() {
             bytes.extend(encode(&self.crashes)?);
         }
-        if let Some(failure) = &self.failure {
-            bytes.extend(encode(failure)?);
+        let certain: Vec<bool> =
+            self.crashes.iter().flat_map(|task| &task.crashes).map(|crash| crash.certain).collect();
+        match &self.failure {
+            Some(failure) => bytes.extend(encode(failure)?),
+            None if certain.contains(&true) => bytes.extend(encode(&certain)?),
+            None => {}
         }
         Ok(bytes)
     }
@@ -69,14 +74,20 @@
     /// Returns [`CodecError::Decode`] if the bytes do not hold progress.
     pub fn from_bytes(bytes: &[u8]) -> Result<Progress, CodecError> {
         let (progress, rest): (Progress, _) = decode_prefix(bytes)?;
-        let (crashes, rest) = match rest {
+        let (mut crashes, rest): (Vec<TaskCrashes>, _) = match rest {
             [] => (Vec::new(), rest),
             rest => decode_prefix(rest)?,
         };
-        let failure = match rest {
-            [] => None,
-            rest => Some(decode_prefix(rest)?.0),
-        };
+        let mut failure = None;
+        match rest {
+            [] => {}
+            rest if progress.state == State::Failed => failure = Some(decode_prefix(rest)?.0),
+            rest => {
+                let certain: Vec<bool> = decode_prefix(rest)?.0;
+                let losses = crashes.iter_mut().flat_map(|task| &mut task.crashes);
+                losses.zip(certain).for_each(|(crash, certain)| crash.certain = certain);
+            }
+        }
         Ok(Progress { crashes, failure, ..progress })
     }
 }
@@ -101,7 +112,7 @@
     Crashes,
 }
 
-/// Losses of the runs of one task with their workers. For a gang, the first task stands for all.
+/// Losses of the runs of one task with their workers. Earlier versions stored those of a gang with its first task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskCrashes {
     pub occurrence: u32,
@@ -121,6 +132,9 @@
     pub age_ms: u32,
     /// Whether no other run on the worker can have been the cause.
     pub isolated: bool,
+    /// Whether the worker's process has certainly ended; `false` in rows of earlier versions.
+    #[serde(skip)]
+    pub certain: bool,
 }
 
 /// Progress of the tasks of a stage. Tasks are named by their position in the step.
--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -11,7 +11,7 @@
 use crate::scheduler::placement::Demand;
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::session::{Isolation, Phase, Placement, Session, WorkerKey};
-use crate::scheduler::stage::{Place, Stage};
+use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Purpose, Scheduler};
 use crate::worker::Call;
 
@@ -28,7 +28,11 @@
 /// turns would crash under them by themselves.
 const PROVEN_AFTER: Duration = Duration::from_secs(5);
 
-/// Pause between two calls that ask whether a worker has survived an isolated run.
+/// Age up to which an answer proves that a worker is alive when an isolated run starts. Calls that wait for an end are
+/// answered after up to 1.4 s, and a worker that went down meanwhile looks idle.
+const PROOF_AGE_MAX: Duration = Duration::from_millis(300);
+
+/// Pause between two calls that ask whether a worker is alive.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Timeout of such a call.
@@ -50,6 +54,16 @@
     LeaseExpired,
 }
 
+impl Loss {
+    /// Returns whether the worker's process has certainly ended.
+    fn is_certain(self) -> bool {
+        match self {
+            Loss::Restarted | Loss::Replaced => true,
+            Loss::Silent | Loss::LeaseExpired => false,
+        }
+    }
+}
+
 impl Scheduler {
     /// Remembers that a worker has stopped answering.
     pub(super) fn record_break(&mut self, now: Uptime) {
@@ -60,7 +74,7 @@
     }
 
     /// Records that a worker has stopped answering against the tasks that may be the cause. A run that turns out to be
-    /// alive clears its task, and an owner that takes over before the worker is back knows of the crash.
+    /// alive clears its task, and an owner that takes over before the worker is back knows of the loss.
     pub(super) fn record_silence(&mut self, worker: &WorkerKey, context: &mut Context) {
         let Some(session) = self.sessions.get(worker) else { return };
         let runs = session.placements.iter();
@@ -99,17 +113,22 @@
         if loss != Loss::Silent {
             context.log("worker_lost", fields);
         }
-        for (task, run) in lost {
+        let answered = session.answered;
+        let certain = loss.is_certain();
+        // The worker may have been down before a start that it did not confirm.
+        let may_have_started = |run: &Placement| match run.phase {
+            Phase::Running | Phase::Stopping => true,
+            Phase::Starting | Phase::StartUnanswered => {
+                certain && run.started.saturating_sub(answered) < PROOF_AGE_MAX
+            }
+        };
+        for (task, run) in lost.iter().filter(|(_, run)| may_have_started(run)) {
             let isolated = on_trial(task);
-            let counts = match loss {
-                // Several deadly tasks that start together look like a common cause too.
-                _ if isolated || age(run) < SETTLE_TIME => true,
-                Loss::Restarted | Loss::Replaced => !common_cause,
-                Loss::Silent | Loss::LeaseExpired => false,
-            };
+            // Several deadly tasks that start together look like a common cause too.
+            let counts = isolated || age(run) < SETTLE_TIME || certain && !common_cause;
             if counts {
                 let isolated = isolated && !neighbour_started;
-                let crash = Crash { run: run.number, age: age(run), isolated };
+                let crash = Crash { run: run.number, age: age(run), isolated, certain };
                 self.record_crash(*task, crash, context);
             }
             if loss != Loss::Silent {
@@ -120,9 +139,8 @@
 
     /// Drops the loss of a run through which its worker did not crash.
     pub(super) fn acquit(&mut self, task: TaskId, run: u64) {
-        let index = self.evidence_index(task);
         if let Some(stage) = self.stage_mut(task.stage)
-            && let Some(state) = stage.tasks.get_mut(index)
+            && let Some(state) = stage.tasks.get_mut(task.index as usize)
             && state.crashes.acquit(run)
         {
             self.dirty.insert(task.stage.job);
@@ -130,12 +148,9 @@
     }
 
     fn record_crash(&mut self, task: TaskId, crash: Crash, context: &mut Context) {
-        let index = self.evidence_index(task);
         let Some(stage) = self.stage_mut(task.stage) else { return };
-        let Some(state) = stage.tasks.get_mut(index).filter(|state| state.place != Place::Done)
-        else {
-            return;
-        };
+        let state = stage.tasks.get_mut(task.index as usize);
+        let Some(state) = state.filter(|state| state.place != Place::Done) else { return };
         state.crashes.record(crash);
         let (verdict, crashes) = (state.crashes.verdict(), state.crashes.crashes().len());
         self.dirty.insert(task.stage.job);
@@ -145,6 +160,7 @@
                 ("run", crash.run.to_string()),
                 ("age_ms", crash.age.as_millis().to_string()),
                 ("isolated", crash.isolated.to_string()),
+                ("certain", crash.certain.to_string()),
                 ("crashes", crashes.to_string()),
             ];
             context.log("task_suspected", fields);
@@ -153,8 +169,8 @@
 
     /// Fails the job of a task that crashes its workers. Returns whether it does.
     fn give_up_if_deadly(&mut self, task: TaskId, context: &mut Context) -> bool {
-        let index = self.evidence_index(task);
-        let state = self.stage(task.stage).and_then(|stage| stage.tasks.get(index));
+        let stage = self.stage(task.stage);
+        let state = stage.and_then(|stage| stage.tasks.get(task.index as usize));
         let Some(state) = state.filter(|state| state.crashes.verdict() == Verdict::Deadly) else {
             return false;
         };
@@ -171,20 +187,10 @@
         true
     }
 
-    /// Returns the position of the task with which losses of a task are recorded. A gang runs as a whole, so its first
-    /// task holds them.
-    fn evidence_index(&self, task: TaskId) -> usize {
-        match self.step(task.stage).is_some_and(|step| step.gang) {
-            true => 0,
-            false => task.index as usize,
-        }
-    }
-
     /// Records that a run was alive at an age.
     pub(super) fn record_survival(&mut self, task: TaskId, age: Duration) {
-        let index = self.evidence_index(task);
         let Some(stage) = self.stage_mut(task.stage) else { return };
-        if let Some(state) = stage.tasks.get_mut(index)
+        if let Some(state) = stage.tasks.get_mut(task.index as usize)
             && !state.crashes.is_empty()
             && state.crashes.survive(age)
         {
@@ -264,22 +270,22 @@
         pool_workers: &mut [PoolWorker],
         context: &mut Context,
     ) -> bool {
-        let suspect = |stage: &Stage| {
-            stage.tasks.first().is_some_and(|task| task.crashes.verdict() != Verdict::Sound)
-        };
-        if !self.stage(demand.id).is_some_and(suspect) {
+        let Some(stage) = self.stage(demand.id) else { return true };
+        let members = 0..u32::try_from(stage.tasks.len()).unwrap_or(u32::MAX);
+        let suspects: Vec<u32> = members.filter(|index| stage.is_suspect(*index)).collect();
+        if suspects.is_empty() {
             return true;
         }
         let now = context.now;
         if self.has_unstored_progress(demand.id.job)
-            || self.give_up_if_deadly(demand.id.task(0), context)
+            || suspects.iter().any(|index| self.give_up_if_deadly(demand.id.task(*index), context))
         {
             return false;
         }
-        let quiet = |worker: &PoolWorker| {
-            self.sessions.get(&worker.key).is_some_and(|session| session.is_quiet(now, SETTLE_TIME))
+        let ready = |worker: &PoolWorker| {
+            self.sessions.get(&worker.key).is_some_and(|session| session.can_isolate(now))
         };
-        if positions.iter().all(|position| quiet(&pool_workers[*position])) {
+        if positions.iter().all(|position| ready(&pool_workers[*position])) {
             for position in positions {
                 self.isolate(demand.id, &mut pool_workers[*position], context);
             }
@@ -307,7 +313,7 @@
     ) -> Option<Choice> {
         let session = self.sessions.get(&worker.key)?;
         Some(Choice {
-            busy: !session.is_quiet(now, SETTLE_TIME),
+            busy: !session.can_isolate(now),
             unproven: now.saturating_sub(session.opened) < PROVEN_AFTER,
             held: worker.held_for == Some(demand.id),
             cost: self.cost(demand, worker, now),
@@ -325,14 +331,24 @@
             let fields = vec![("stage", stage.to_string()), ("worker", worker.key.to_string())];
             context.log("worker_held", fields);
         }
+        self.prove_alive(&worker.key, context);
+    }
+
+    /// Asks a worker for an answer if it has not given one recently.
+    fn prove_alive(&mut self, worker: &WorkerKey, context: &mut Context) {
+        let now = context.now;
+        let asks =
+            |session: &&Session| !session.has_answered_recently(now) && session.next_probe <= now;
+        if self.sessions.get(worker).as_ref().is_some_and(asks) {
+            self.probe(worker, context);
+        }
     }
 
     /// Sets a worker aside for the runs of a stage that start next.
     fn isolate(&mut self, stage: StageId, worker: &mut PoolWorker, context: &mut Context) {
         worker.isolated = true;
-        let now = context.now;
         if let Some(session) = self.sessions.get_mut(&worker.key) {
-            session.isolation = Some(Isolation::Running { stage, next_probe: now });
+            session.isolation = Some(Isolation::Running { stage });
         }
         let fields = vec![("stage", stage.to_string()), ("worker", worker.key.to_string())];
         context.log("isolated_start", fields);
@@ -349,59 +365,59 @@
         for (worker, isolation) in isolated {
             match isolation {
                 Isolation::Held { stage, until }
-                    if until > context.now && self.has_waiting_suspect(stage) => {}
-                Isolation::Held { .. } => self.end_isolation(&worker),
-                Isolation::Running { stage, next_probe } => {
-                    self.check_isolation(&worker, stage, next_probe, context);
+                    if until > context.now && self.has_waiting_suspect(stage) =>
+                {
+                    self.prove_alive(&worker, context);
                 }
+                Isolation::Held { .. } => self.end_isolation(&worker),
+                Isolation::Running { stage } => self.check_isolation(&worker, stage, context),
             }
         }
     }
 
     fn has_waiting_suspect(&self, id: StageId) -> bool {
-        self.stage(id).is_some_and(|stage| {
-            let waiting = stage.waiting().into_iter();
-            waiting.map(|index| self.evidence_index(id.task(index))).any(|index| {
-                stage.tasks.get(index).is_some_and(|task| task.crashes.verdict() != Verdict::Sound)
-            })
-        })
+        self.stage(id)
+            .is_some_and(|stage| stage.waiting().into_iter().any(|index| stage.is_suspect(index)))
     }
 
-    fn check_isolation(
-        &mut self,
-        worker: &WorkerKey,
-        stage: StageId,
-        next_probe: Uptime,
-        context: &mut Context,
-    ) {
+    fn check_isolation(&mut self, worker: &WorkerKey, stage: StageId, context: &mut Context) {
         let now = context.now;
         let Some(session) = self.sessions.get(worker) else { return };
-        let answered = session.answered;
+        let (answered, next_probe) = (session.answered, session.next_probe);
         let run = session.placements.range(stage.tasks()).next();
         let Some((task, started)) = run.map(|(task, run)| (*task, run.started)) else {
             return self.end_isolation(worker);
         };
-        let index = self.evidence_index(task);
-        let state = self.stage(stage).and_then(|stage| stage.tasks.get(index));
+        let state = self.stage(stage).and_then(|stage| stage.tasks.get(task.index as usize));
         let Some(time) = state.map(|state| state.crashes.isolation_time()) else {
             return self.end_isolation(worker);
         };
         match () {
             () if answered >= started + time => {
                 self.end_isolation(worker);
-                // Another member of a gang may still crash its worker.
-                if !self.is_isolated(stage) {
-                    self.record_survival(task, answered.saturating_sub(started));
+                let age = answered.saturating_sub(started);
+                match self.step(stage).is_some_and(|step| step.gang) {
+                    false => self.record_survival(task, age),
+                    // Another member of the gang may still crash its worker.
+                    true if self.is_isolated(stage) => {}
+                    true => self.record_survival_of_gang(stage, age),
                 }
             }
-            () if now >= (started + time).max(next_probe) => self.probe(worker, stage, context),
+            () if now >= (started + time).max(next_probe) => self.probe(worker, context),
             () => {}
         }
     }
 
+    fn record_survival_of_gang(&mut self, stage: StageId, age: Duration) {
+        let members = self.stage(stage).map_or(0, |stage| stage.tasks.len());
+        for index in 0..u32::try_from(members).unwrap_or(u32::MAX) {
+            self.record_survival(stage.task(index), age);
+        }
+    }
+
     /// Returns whether any worker is set aside for runs of the stage.
     fn is_isolated(&self, stage: StageId) -> bool {
-        let of_stage = |session: &Session| matches!(&session.isolation, Some(Isolation::Running { stage: other, .. }) if *other == stage);
+        let of_stage = |session: &Session| session.isolation == Some(Isolation::Running { stage });
         self.sessions.values().any(of_stage)
     }
 
@@ -413,10 +429,9 @@
     }
 
     /// Asks a worker for an answer: the long poll in flight may take longer than the isolation needs.
-    fn probe(&mut self, worker: &WorkerKey, stage: StageId, context: &mut Context) {
+    fn probe(&mut self, worker: &WorkerKey, context: &mut Context) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
-        let next_probe = context.now + PROBE_PAUSE;
-        session.isolation = Some(Isolation::Running { stage, next_probe });
+        session.next_probe = context.now + PROBE_PAUSE;
         let (incarnation, acknowledged) = (session.incarnation, session.acknowledged);
         let call = context.allocate_call();
         context.outputs.push(Output::Worker {
@@ -448,17 +463,24 @@
 impl Isolation {
     /// Returns whether a run of the task is the one for which the worker is set aside.
     fn runs(&self, task: &TaskId) -> bool {
-        matches!(self, Isolation::Running { stage, .. } if *stage == task.stage)
+        matches!(self, Isolation::Running { stage } if *stage == task.stage)
     }
 }
 
 impl Session {
-    /// Returns whether all runs on the worker have survived their start, as far as is known.
-    fn is_quiet(&self, now: Uptime, settle_time: Duration) -> bool {
+    /// Returns whether a suspect may start on the worker: all runs there have survived their start, as far as is known, and
+    /// the worker is known to be alive.
+    fn can_isolate(&self, now: Uptime) -> bool {
         let settled = |run: &Placement| {
             matches!(run.phase, Phase::Running | Phase::Stopping)
-                && now.saturating_sub(run.started) >= settle_time
+                && now.saturating_sub(run.started) >= SETTLE_TIME
         };
-        self.broken.is_none() && self.placements.values().all(settled)
+        self.broken.is_none()
+            && self.has_answered_recently(now)
+            && self.placements.values().all(settled)
+    }
+
+    fn has_answered_recently(&self, now: Uptime) -> bool {
+        now.saturating_sub(self.answered) < PROOF_AGE_MAX
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -485,6 +485,8 @@
             (Ok(_), Purpose::RenewLease(sent) | Purpose::Probe(sent)) => {
                 session.answered = session.answered.max(sent);
                 session.broken = None;
+                self.round_due |=
+                    matches!(session.isolation, Some(session::Isolation::Held { .. }));
             }
             (Ok(_), _) => session.broken = None,
             (Err(Error::Refused(_) | Error::Unhealthy), _) => {}
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -112,10 +112,7 @@
         let Some(step) = self.step(task.stage) else { return };
         let (gang, long_running) = (step.gang, step.long_running);
         self.dirty.insert(task.stage.job);
-        if !gang {
-            // The end of one member says nothing of the workers of the others.
-            self.acquit(task, end.number);
-        }
+        self.acquit(task, end.number);
         match end.reason {
             EndReason::Done if !long_running => self.complete(task, gang, context),
             EndReason::Failed if !long_running => {
@@ -337,6 +334,7 @@
         placement.progress_percent = run.percent;
         placement.gauge = run.gauge;
         let isolated = session.isolation.is_some();
+        self.acquit(run.task, run.number);
         // A gang survives only if all of its members do.
         if !isolated && !self.step(run.task.stage).is_some_and(|step| step.gang) {
             self.record_survival(run.task, age);
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -99,11 +99,7 @@
         until: Uptime,
     },
     /// Runs of the stage have started.
-    Running {
-        stage: StageId,
-        /// Earliest time of the next call that asks whether the worker is alive.
-        next_probe: Uptime,
-    },
+    Running { stage: StageId },
 }
 
 /// Session with one incarnation of a worker, that is, with one process.
@@ -139,6 +135,8 @@
     pub opened: Uptime,
     /// Whether the worker is set aside for a suspect task.
     pub isolation: Option<Isolation>,
+    /// Earliest time of the next call that asks whether the worker is alive.
+    pub next_probe: Uptime,
     /// When the first of the calls failed that the worker has not answered since its last answer.
     pub broken: Option<Uptime>,
     /// The lease renewal in flight, and when it was sent.
@@ -179,6 +177,7 @@
             answered: Uptime::ZERO,
             opened: now,
             isolation: None,
+            next_probe: Uptime::ZERO,
             broken: None,
             renewal: None,
             next_renewal: now,
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -25,7 +25,7 @@
     pub place: Place,
     /// Numbers of the failed runs. For a gang, they are kept with the first task.
     pub failed_runs: Vec<u64>,
-    /// Losses of runs with their worker. For a gang, they are kept with the first task.
+    /// Losses of runs with their worker.
     pub crashes: History,
     /// Newest checkpoint of the task; empty for none.
     pub checkpoint: String,
@@ -117,6 +117,7 @@
             run: crash.run,
             age: Duration::from_millis(crash.age_ms.into()),
             isolated: crash.isolated,
+            certain: crash.certain,
         };
         if let Some(task) = self.tasks.get_mut(stored.index as usize) {
             task.crashes = History::new(stored.crashes.iter().map(crash).collect());
@@ -129,6 +130,7 @@
             run: crash.run,
             age_ms: u32::try_from(crash.age.as_millis()).unwrap_or(u32::MAX),
             isolated: crash.isolated,
+            certain: crash.certain,
         };
         let suspects = self.tasks.iter().zip(0u32..).filter(|(task, _)| !task.crashes.is_empty());
         suspects.map(move |(task, index)| TaskCrashes {
--- a/crates/shallotpost-policy/src/crash.rs
+++ b/crates/shallotpost-policy/src/crash.rs
@@ -5,15 +5,22 @@
 //! run shortly after its start, or lost several runs, is therefore started in isolation: on a worker where all other runs
 //! have survived their start and nothing else starts meanwhile. A crash of that worker is evidence against the task; a
 //! run that outlives the age of an earlier loss clears the task of it.
+//!
+//! A worker that stops answering may be cut off and run on. Such a loss makes a task a suspect, but it takes a process that
+//! has certainly ended, or many losses, to condemn it.
 
 use std::time::Duration;
 
 /// Time after which a run has survived its start, if its worker still answers.
 pub const SETTLE_TIME: Duration = Duration::from_millis(150);
 
-/// Crashes in isolation after which a task is given up. One may be a coincidence.
+/// Certain crashes in isolation after which a task is given up. One may be a coincidence.
 const ISOLATED_CRASHES_MAX: usize = 2;
 
+/// Losses in isolation after which a task is given up although its workers may have been cut off. A task that takes its
+/// worker away for good leaves no certain crash, and its starts must be bounded too.
+const ISOLATED_LOSSES_MAX: usize = 4;
+
 /// Losses after which a task is isolated, whatever the age of its runs was.
 const LOSSES_MAX: usize = 2;
 
@@ -26,7 +33,7 @@
 /// Share of a pool's workers that may be set aside for isolated tasks at the same time. Their other runs continue.
 const ISOLATION_SHARE: f64 = 0.25;
 
-/// Loss of a run because its worker crashed.
+/// Loss of a run with its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// Number of the run.
@@ -35,6 +42,8 @@
     pub age: Duration,
     /// Whether no other run on the worker can have been the cause.
     pub isolated: bool,
+    /// Whether the worker's process has certainly ended.
+    pub certain: bool,
 }
 
 /// What is to be done with a task after the losses of its runs.
@@ -67,14 +76,15 @@
         self.crashes.is_empty()
     }
 
-    /// Records a loss. Each run counts once.
+    /// Records a loss. Each run counts once, and becomes certain when a later report says so.
     pub fn record(&mut self, crash: Crash) {
-        if !self.crashes.iter().any(|known| known.run == crash.run) {
-            self.crashes.push(crash);
+        match self.crashes.iter_mut().find(|known| known.run == crash.run) {
+            Some(known) => known.certain |= crash.certain,
+            None => self.crashes.push(crash),
         }
     }
 
-    /// Drops the loss of a run whose worker turns out to be alive: it listed the end of the run. Returns whether there was
+    /// Drops the loss of a run whose worker turns out to be alive: it lists the run or its end. Returns whether there was
     /// one.
     pub fn acquit(&mut self, run: u64) -> bool {
         let before = self.crashes.len();
@@ -91,9 +101,11 @@
 
     pub fn verdict(&self) -> Verdict {
         let isolated = self.crashes.iter().filter(|crash| crash.isolated).count();
+        let certain = self.crashes.iter().filter(|crash| crash.isolated && crash.certain).count();
         let early = self.crashes.iter().any(|crash| crash.age < SETTLE_TIME);
         match () {
-            () if isolated >= ISOLATED_CRASHES_MAX => Verdict::Deadly,
+            () if certain >= ISOLATED_CRASHES_MAX => Verdict::Deadly,
+            () if isolated >= ISOLATED_LOSSES_MAX => Verdict::Deadly,
             () if early || self.crashes.len() >= LOSSES_MAX => Verdict::Suspect,
             () => Verdict::Sound,
         }
