Condemn a task only by crashes at the same age

A task that lost long runs because its workers crashed by themselves was started in isolation for as long as those runs had lasted. A task that crashes its workers does it at about the same age each time, so only certain losses within 150 ms of each other condemn now. ages_must_agree failed before: Deadly instead of Suspect after the second loss. The bound of four losses in isolation stays.

--- a/crates/shallotpost-policy/src/crash.rs
+++ b/crates/shallotpost-policy/src/crash.rs
@@ -7,16 +7,20 @@
 //! run that outlives the age of an earlier loss clears the task of it.
 //!
 //! A worker that stops answering may be cut off and run on. Such a loss makes a task a suspect, but it takes a process that
-//! has certainly ended, or many losses, to condemn it.
+//! has certainly ended, or many losses, to condemn it. A task that crashes its workers does so at about the same age, while
+//! workers that crash by themselves lose a long run each time at another age.
 
 use std::time::Duration;
 
 /// Time after which a run has survived its start, if its worker still answers.
 pub const SETTLE_TIME: Duration = Duration::from_millis(150);
 
-/// Certain crashes in isolation after which a task is given up. One may be a coincidence.
+/// Certain crashes in isolation, at the same age, after which a task is given up. One may be a coincidence.
 const ISOLATED_CRASHES_MAX: usize = 2;
 
+/// Difference up to which two losses are of the same age.
+const SAME_AGE: Duration = SETTLE_TIME;
+
 /// Losses in isolation after which a task is given up although its workers may have been cut off. A task that takes its
 /// worker away for good leaves no certain crash, and its starts must be bounded too.
 const ISOLATED_LOSSES_MAX: usize = 4;
@@ -101,10 +105,15 @@
 
     pub fn verdict(&self) -> Verdict {
         let isolated = self.crashes.iter().filter(|crash| crash.isolated).count();
-        let certain = self.crashes.iter().filter(|crash| crash.isolated && crash.certain).count();
+        let condemning: Vec<&Crash> =
+            self.crashes.iter().filter(|crash| crash.isolated && crash.certain).collect();
+        let of_same_age = |crash: &&Crash| {
+            condemning.iter().filter(|other| other.age.abs_diff(crash.age) <= SAME_AGE).count()
+        };
+        let most_of_same_age = condemning.iter().map(of_same_age).max().unwrap_or_default();
         let early = self.crashes.iter().any(|crash| crash.age < SETTLE_TIME);
         match () {
-            () if certain >= ISOLATED_CRASHES_MAX => Verdict::Deadly,
+            () if most_of_same_age >= ISOLATED_CRASHES_MAX => Verdict::Deadly,
             () if isolated >= ISOLATED_LOSSES_MAX => Verdict::Deadly,
             () if early || self.crashes.len() >= LOSSES_MAX => Verdict::Suspect,
             () => Verdict::Sound,
--- a/crates/shallotpost-policy/tests/crash_evidence.rs
+++ b/crates/shallotpost-policy/tests/crash_evidence.rs
@@ -52,6 +52,21 @@
     assert_eq!(history.verdict(), Verdict::Deadly);
 }
 
+/// Workers that crash by themselves lose a long run several times, also in isolation, and its job was given up.
+#[test]
+fn ages_must_agree() {
+    let mut history = History::default();
+    for (run, age) in [(1, 3791), (2, 1237)] {
+        history.record(crash(run, ms(age), false));
+    }
+    for (run, age) in [(3, 1222), (4, 1444), (5, 3190)] {
+        history.record(crash(run, ms(age), true));
+        assert_eq!(history.verdict(), Verdict::Suspect);
+    }
+    history.record(crash(6, ms(1500), true));
+    assert_eq!(history.verdict(), Verdict::Deadly);
+}
+
 /// A task may take its workers away for good, so that no crash is ever certain. It would be started without end.
 #[test]
 fn silence_is_bounded() {
