Close a worker to other tasks only until a suspect has survived its start

A suspect kept its worker closed until its run was older than all of its lost runs had been: 12 s and more for a long task that had lost its run to a crash of the worker's own. At most a quarter of a pool may be set aside, so a few such tasks took all of it.

Trials are of runs, not of stages, so an older run of the same stage does not end one.

--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -97,10 +97,11 @@
         let broken = session.broken.unwrap_or(context.now);
         let isolation = session.isolation.clone();
         let age = |run: &Placement| broken.saturating_sub(run.started);
-        let on_trial =
-            |task: &TaskId| isolation.as_ref().is_some_and(|isolation| isolation.runs(task));
+        let on_trial = |task: &TaskId, run: &Placement| {
+            isolation.as_ref().is_some_and(|isolation| isolation.tries(task, run))
+        };
         let neighbour_started =
-            lost.iter().any(|(task, run)| !on_trial(task) && age(run) < SETTLE_TIME);
+            lost.iter().any(|(task, run)| !on_trial(task, run) && age(run) < SETTLE_TIME);
         let together = self.breaks.iter().filter(|at| at.abs_diff(broken) <= COMMON_CAUSE_TIME);
         let common_cause = is_common_cause(together.count(), self.sessions.len());
         let fields = vec![
@@ -123,7 +124,7 @@
             }
         };
         for (task, run) in lost.iter().filter(|(_, run)| may_have_started(run)) {
-            let isolated = on_trial(task);
+            let isolated = on_trial(task, run);
             // Several deadly tasks that start together look like a common cause too.
             let counts = isolated || age(run) < SETTLE_TIME || certain && !common_cause;
             if counts {
@@ -227,7 +228,7 @@
             .enumerate()
             .filter(|(_, worker)| self.count_fitting_on_worker(demand, worker, now) > 0)
             .filter(|(_, worker)| Self::has_ticket(demand, stage, worker, now))
-            .filter(|(_, worker)| self.suits(demand, worker))
+            .filter(|(_, worker)| !worker.on_trial && self.suits(demand, worker))
             .filter_map(|(position, worker)| self.isolation_choice(demand, position, worker, now))
             .collect();
         choices.sort_unstable();
@@ -255,17 +256,18 @@
             waiting.next();
             let number = self.allocate_run_number();
             let task = demand.id.task(index);
-            self.isolate(demand.id, worker, context);
+            self.isolate(demand.id, number, worker, context);
             self.start(&worker.key, task, number, demand.run_priority, context);
             worker.book(demand);
         }
     }
 
-    /// Returns whether the members of a gang may start on these workers. Those that cannot isolate a suspect gang yet are
+    /// Returns whether the members of a gang may start on these workers under this run number. Those that cannot isolate a suspect gang yet are
     /// held for it.
     pub(super) fn prepare_gang(
         &mut self,
         demand: &Demand,
+        number: u64,
         positions: &BTreeSet<usize>,
         pool_workers: &mut [PoolWorker],
         context: &mut Context,
@@ -283,11 +285,12 @@
             return false;
         }
         let ready = |worker: &PoolWorker| {
-            self.sessions.get(&worker.key).is_some_and(|session| session.can_isolate(now))
+            let session = self.sessions.get(&worker.key);
+            !worker.on_trial && session.is_some_and(|session| session.can_isolate(now))
         };
         if positions.iter().all(|position| ready(&pool_workers[*position])) {
             for position in positions {
-                self.isolate(demand.id, &mut pool_workers[*position], context);
+                self.isolate(demand.id, number, &mut pool_workers[*position], context);
             }
             return true;
         }
@@ -299,9 +302,7 @@
 
     /// Returns how many further workers of the pool may be set aside.
     fn available_isolations(&self, pool_workers: &[PoolWorker]) -> usize {
-        let set_aside =
-            pool_workers.iter().filter(|worker| worker.isolated || worker.held_for.is_some());
-        isolated_workers_max(pool_workers.len()).saturating_sub(set_aside.count())
+        isolated_workers_max(pool_workers.len()).saturating_sub(count_set_aside(pool_workers))
     }
 
     fn isolation_choice(
@@ -345,10 +346,16 @@
     }
 
     /// Sets a worker aside for the runs of a stage that start next.
-    fn isolate(&mut self, stage: StageId, worker: &mut PoolWorker, context: &mut Context) {
-        worker.isolated = true;
+    fn isolate(
+        &mut self,
+        stage: StageId,
+        run: u64,
+        worker: &mut PoolWorker,
+        context: &mut Context,
+    ) {
+        (worker.on_trial, worker.isolated) = (true, true);
         if let Some(session) = self.sessions.get_mut(&worker.key) {
-            session.isolation = Some(Isolation::Running { stage });
+            session.isolation = Some(Isolation::Closed { stage, run });
         }
         let fields = vec![("stage", stage.to_string()), ("worker", worker.key.to_string())];
         context.log("isolated_start", fields);
@@ -370,7 +377,9 @@
                     self.prove_alive(&worker, context);
                 }
                 Isolation::Held { .. } => self.end_isolation(&worker),
-                Isolation::Running { stage } => self.check_isolation(&worker, stage, context),
+                Isolation::Closed { stage, run } | Isolation::Observed { stage, run } => {
+                    self.check_trial(&worker, stage, run, context);
+                }
             }
         }
     }
@@ -380,30 +389,43 @@
             .is_some_and(|stage| stage.waiting().into_iter().any(|index| stage.is_suspect(index)))
     }
 
-    fn check_isolation(&mut self, worker: &WorkerKey, stage: StageId, context: &mut Context) {
+    /// Opens a worker to other tasks when the suspects there have survived their start, and clears them when they have
+    /// survived the age of earlier losses.
+    fn check_trial(&mut self, worker: &WorkerKey, stage: StageId, run: u64, context: &mut Context) {
         let now = context.now;
         let Some(session) = self.sessions.get(worker) else { return };
-        let (answered, next_probe) = (session.answered, session.next_probe);
-        let run = session.placements.range(stage.tasks()).next();
-        let Some((task, started)) = run.map(|(task, run)| (*task, run.started)) else {
-            return self.end_isolation(worker);
-        };
-        let state = self.stage(stage).and_then(|stage| stage.tasks.get(task.index as usize));
-        let Some(time) = state.map(|state| state.crashes.isolation_time()) else {
+        let tried =
+            session.placements.range(stage.tasks()).filter(|(_, other)| other.number == run);
+        let tried: Vec<(TaskId, Uptime)> = tried.map(|(task, run)| (*task, run.started)).collect();
+        let times = tried.iter().filter_map(|(task, _)| {
+            let state = self.stage(stage)?.tasks.get(task.index as usize)?;
+            Some(state.crashes.isolation_time())
+        });
+        let Some((time, started)) = times.max().zip(tried.iter().map(|(_, at)| *at).max()) else {
             return self.end_isolation(worker);
         };
+        let closed = matches!(session.isolation, Some(Isolation::Closed { .. }));
+        let (answered, next_probe) = (session.answered, session.next_probe);
         match () {
             () if answered >= started + time => {
                 self.end_isolation(worker);
                 let age = answered.saturating_sub(started);
                 match self.step(stage).is_some_and(|step| step.gang) {
-                    false => self.record_survival(task, age),
+                    false => tried.iter().for_each(|(task, _)| self.record_survival(*task, age)),
                     // Another member of the gang may still crash its worker.
-                    true if self.is_isolated(stage) => {}
+                    true if self.is_on_trial(stage) => {}
                     true => self.record_survival_of_gang(stage, age),
                 }
             }
-            () if now >= (started + time).max(next_probe) => self.probe(worker, context),
+            () if closed && answered >= started + SETTLE_TIME => {
+                if let Some(session) = self.sessions.get_mut(worker) {
+                    session.isolation = Some(Isolation::Observed { stage, run });
+                    self.round_due = true;
+                }
+            }
+            () if closed && now >= (started + SETTLE_TIME).max(next_probe) => {
+                self.probe(worker, context);
+            }
             () => {}
         }
     }
@@ -415,10 +437,14 @@
         }
     }
 
-    /// Returns whether any worker is set aside for runs of the stage.
-    fn is_isolated(&self, stage: StageId) -> bool {
-        let of_stage = |session: &Session| session.isolation == Some(Isolation::Running { stage });
-        self.sessions.values().any(of_stage)
+    /// Returns whether suspect runs of the stage are on trial on any worker.
+    fn is_on_trial(&self, stage: StageId) -> bool {
+        self.sessions.values().any(|session| match &session.isolation {
+            Some(
+                Isolation::Closed { stage: tried, .. } | Isolation::Observed { stage: tried, .. },
+            ) => *tried == stage,
+            Some(Isolation::Held { .. }) | None => false,
+        })
     }
 
     fn end_isolation(&mut self, worker: &WorkerKey) {
@@ -447,6 +473,10 @@
     }
 }
 
+fn count_set_aside(pool_workers: &[PoolWorker]) -> usize {
+    pool_workers.iter().filter(|worker| worker.isolated || worker.held_for.is_some()).count()
+}
+
 /// A worker on which a suspect may start, in the order of preference.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Choice {
@@ -461,9 +491,14 @@
 }
 
 impl Isolation {
-    /// Returns whether a run of the task is the one for which the worker is set aside.
-    fn runs(&self, task: &TaskId) -> bool {
-        matches!(self, Isolation::Running { stage } if *stage == task.stage)
+    /// Returns whether a run is one of those on trial.
+    fn tries(&self, task: &TaskId, placement: &Placement) -> bool {
+        match self {
+            Isolation::Closed { stage, run } | Isolation::Observed { stage, run } => {
+                *stage == task.stage && *run == placement.number
+            }
+            Isolation::Held { .. } => false,
+        }
     }
 }
 
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -497,10 +497,10 @@
         });
         let starts: Vec<(u32, usize)> = waiting.into_iter().zip(places).collect();
         let positions = starts.iter().map(|(_, position)| *position).collect();
-        if !self.prepare_gang(demand, &positions, pool_workers, context) {
+        let number = self.allocate_run_number();
+        if !self.prepare_gang(demand, number, &positions, pool_workers, context) {
             return;
         }
-        let number = self.allocate_run_number();
         for (index, position) in starts {
             let priority = demand.run_priority;
             let worker = &mut pool_workers[position];
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -16,7 +16,9 @@
     pub(super) free: Size,
     /// Whether a reservation for any stage is in force there.
     pub(super) reserved: bool,
-    /// Whether a suspect task runs there in isolation.
+    /// Whether suspect tasks run there.
+    pub(super) on_trial: bool,
+    /// Whether a suspect task has started there and nothing else may.
     pub(super) isolated: bool,
     /// The stage with a suspect task for which the worker is held.
     pub(super) held_for: Option<StageId>,
@@ -36,10 +38,14 @@
             capacity: session.registration.capacity,
             free: session.free(),
             reserved: session.reservations.iter().any(|kept| kept.until > now),
-            isolated: matches!(session.isolation, Some(Isolation::Running { .. })),
+            on_trial: matches!(
+                session.isolation,
+                Some(Isolation::Closed { .. } | Isolation::Observed { .. })
+            ),
+            isolated: matches!(session.isolation, Some(Isolation::Closed { .. })),
             held_for: match session.isolation {
                 Some(Isolation::Held { stage, .. }) => Some(stage),
-                Some(Isolation::Running { .. }) | None => None,
+                Some(Isolation::Closed { .. } | Isolation::Observed { .. }) | None => None,
             },
             avoided: session.avoid_until > now || session.slowness.is_slow(now),
             has_latency_target: session.latency_targets > 0,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -89,17 +89,19 @@
     pub until: Uptime,
 }
 
-/// A worker that is set aside for tasks that may crash it. Nothing else is started there.
+/// Use of a worker for tasks that may crash it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Isolation {
-    /// Other runs there have not survived their start yet.
+    /// Other runs there have not survived their start yet, or the worker has not answered recently. Nothing else starts.
     Held {
         stage: StageId,
         /// When the worker is given back if the task has not started.
         until: Uptime,
     },
-    /// Runs of the stage have started.
-    Running { stage: StageId },
+    /// Suspect runs have started, and nothing else starts.
+    Closed { stage: StageId, run: u64 },
+    /// The suspect runs have survived their start, but not the age of all earlier losses. Other tasks may start.
+    Observed { stage: StageId, run: u64 },
 }
 
 /// Session with one incarnation of a worker, that is, with one process.
