Let suspects of expired jobs start while others wait

Suspects of expired jobs, and of jobs beyond their team's share, gave way whenever any stage of the pool waited and more than half of it was in use, though they need a worker that may be set aside and hardly any room. Rounds between two full ones skipped them as well.

They now use up to a quarter of the workers that may be set aside while others wait, and all of them otherwise. Stages of suspects alone are skipped by what they need: such a worker. expired_suspects failed before ('an isolated start did not happen within 3s').

--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -2,6 +2,7 @@
 
 use shallotpost_policy::crash::{
     Crash, SETTLE_TIME, Verdict, is_common_cause, isolated_workers_max,
+    yielding_isolated_workers_max,
 };
 
 use crate::job::StageId;
@@ -300,6 +301,22 @@
         false
     }
 
+    /// Returns whether a worker may be set aside for suspects of the stage, or is held for it. Suspects whose jobs yield to
+    /// others share a part of the workers that may be set aside.
+    pub(super) fn may_isolate(
+        &self,
+        stage: StageId,
+        yields: bool,
+        pool_workers: &[PoolWorker],
+    ) -> bool {
+        let set_aside = count_set_aside(pool_workers);
+        let workers_max = match yields {
+            true => yielding_isolated_workers_max(pool_workers.len()),
+            false => isolated_workers_max(pool_workers.len()),
+        };
+        set_aside < workers_max || pool_workers.iter().any(|worker| worker.held_for == Some(stage))
+    }
+
     /// Returns how many further workers of the pool may be set aside.
     fn available_isolations(&self, pool_workers: &[PoolWorker]) -> usize {
         isolated_workers_max(pool_workers.len()).saturating_sub(count_set_aside(pool_workers))
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -107,18 +107,27 @@
             };
             let pool = &demand.policy.pool;
             let backlogged = round.failures(pool) >= FAILURES_PER_ROUND;
-            if backlogged && (!full || round.is_known_to_fail(pool, &demand.step().booking())) {
+            let only_suspects = self.only_suspects_wait(demand.id);
+            // Work of no use to its submitter, or beyond its team's share, does not take the room for which others wait.
+            let yields = candidate.urgency != Urgency::Regular
+                && round.failures(pool) > 0
+                && used_share(round.workers(pool)) > YIELD_ABOVE;
+            let known_to_fail =
+                backlogged && round.is_known_to_fail(pool, &demand.step().booking());
+            let hopeless = match only_suspects {
+                _ if known_to_fail => true,
+                // Workers that may be set aside are scarce, not capacity.
+                true => !self.may_isolate(demand.id, yields, round.workers(pool)),
+                false => backlogged && !full,
+            };
+            if hopeless {
                 continue;
             }
             tried += 1;
             let mut pool_workers = round.take_workers(pool);
             let has_capacity = self.has_capacity(&demand, &pool_workers, context.now);
-            // Work of no use to its submitter, or beyond its team's share, does not take the room for which others wait.
-            let yields = candidate.urgency != Urgency::Regular
-                && round.failures(pool) > 0
-                && used_share(&pool_workers) > YIELD_ABOVE;
             match demand.step().gang {
-                _ if candidate.early || !has_capacity || yields => {}
+                _ if candidate.early || !has_capacity || yields && !only_suspects => {}
                 true => self.place_gang(&demand, &mut pool_workers, &round, context),
                 false => self.place_tasks(&demand, &mut pool_workers, &round, context),
             }
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -97,6 +97,10 @@
         }
     }
 
+    pub(super) fn workers(&self, pool: &str) -> &[PoolWorker] {
+        self.workers.get(pool).map(Vec::as_slice).unwrap_or_default()
+    }
+
     /// Removes the workers of a pool from the round while one stage is placed; `put_workers` puts them back.
     pub(super) fn take_workers(&mut self, pool: &str) -> Vec<PoolWorker> {
         self.workers.get_mut(pool).map(std::mem::take).unwrap_or_default()
--- a/crates/shallotpost-fleet/tests/false_failures.rs
+++ b/crates/shallotpost-fleet/tests/false_failures.rs
@@ -173,3 +173,20 @@
     sim.run(ms(3100));
     sim.run_until(IDLE_MAX, "an isolated start", |sim| sim.starts(task(JOB, 0, 0)) == 2);
 }
+
+/// Suspects of expired jobs gave way to every other stage that waited. They started after the traffic had ended, all at once,
+/// and many were left when the users looked at their jobs.
+#[test]
+fn expired_suspects() {
+    let mut sim = settled(8);
+    submit(&mut sim, JOB, vec![step(1, 300)], ms(300));
+    crash_after_start(&mut sim, JOB, 1);
+    sim.run(ms(100));
+    crash_after_start(&mut sim, JOB, 1);
+    submit(&mut sim, 0x100, vec![step(20, 60_000)], ms(60_000));
+    let never_placed = Step { label: "absent".to_owned(), ..step(1, 60_000) };
+    submit(&mut sim, 0x200, vec![never_placed], ms(60_000));
+    // The run counts as lost when the worker is back. By then, the job has expired.
+    sim.run(ms(3100));
+    sim.run_until(IDLE_MAX, "an isolated start", |sim| sim.starts(task(JOB, 0, 0)) == 3);
+}
--- a/crates/shallotpost-policy/src/crash.rs
+++ b/crates/shallotpost-policy/src/crash.rs
@@ -37,6 +37,9 @@
 /// Share of a pool's workers that may be set aside for isolated tasks at the same time. Their other runs continue.
 const ISOLATION_SHARE: f64 = 0.25;
 
+/// Part of these workers that suspects of expired jobs, and of jobs beyond their team's share, may use.
+const YIELDING_ISOLATION_SHARE: f64 = 0.25;
+
 /// Loss of a run with its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -133,6 +136,12 @@
     lost_together >= COMMON_CAUSE_MIN && lost_together as f64 >= workers as f64 * COMMON_CAUSE_SHARE
 }
 
+/// Returns how many workers of a pool may be set aside while suspects start whose jobs are of little use by now. They start
+/// nevertheless: each takes a worker for a short time only, and the ones that wait crash many workers at once later.
+pub fn yielding_isolated_workers_max(workers: usize) -> usize {
+    ((isolated_workers_max(workers) as f64 * YIELDING_ISOLATION_SHARE) as usize).max(1)
+}
+
 /// Returns how many workers of a pool may be set aside for isolated tasks at the same time.
 pub fn isolated_workers_max(workers: usize) -> usize {
     ((workers as f64 * ISOLATION_SHARE) as usize).max(1)
--- a/crates/shallotpost-policy/tests/crash_evidence.rs
+++ b/crates/shallotpost-policy/tests/crash_evidence.rs
@@ -5,6 +5,7 @@
 
 use shallotpost_policy::crash::{
     Crash, History, SETTLE_TIME, Verdict, is_common_cause, isolated_workers_max,
+    yielding_isolated_workers_max,
 };
 
 fn ms(milliseconds: u64) -> Duration {
@@ -130,4 +131,6 @@
     assert_eq!(isolated_workers_max(0), 1);
     assert_eq!(isolated_workers_max(3), 1);
     assert_eq!(isolated_workers_max(540), 135);
+    assert_eq!(yielding_isolated_workers_max(3), 1);
+    assert_eq!(yielding_isolated_workers_max(540), 33);
 }
