Keep the owner alive with impossible capacities and clocks

Two workers with a capacity of u64::MAX ended the owner as soon as a job waited that was beyond its team's share: the sum over the pool overflowed. A worker whose clock was about to overflow ended it at the next renewal. Release builds do not check for overflow and went on with a wrong share in use and a wrong end of the lease.

Times of a worker's clock now saturate, and the sums over a pool are taken as floating-point numbers, which the share needs anyway. The adapter rejects such values; the state machine no longer relies on it.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -61,7 +61,7 @@
             .filter(|_| lease >= LEASE_MIN)
             // An unanswered call may still renew the lease, so the leases of an unreachable worker would never expire.
             .filter(|_| session.contact != Contact::Silent)
-            .map(|clock| clock + milliseconds(lease));
+            .map(|clock| clock.saturating_add(milliseconds(lease)));
         session.lease_until_ms = session.lease_until_ms.max(until_ms.unwrap_or_default());
         let latency_tracked = session.placements.values().any(|run| run.latency_target.is_some());
         let stopping = session.placements.values().any(|run| run.stop_confirmed);
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -56,7 +56,8 @@
         let checkpoint = state.checkpoint.clone();
         let lease = context.latest_lease_end.saturating_sub(now).min(self.bounds.lease_max);
         let Some(session) = self.sessions.get_mut(worker) else { return };
-        let until_ms = session.clock_now(now).unwrap_or_default() + milliseconds(lease);
+        let clock = session.clock_now(now).unwrap_or_default();
+        let until_ms = clock.saturating_add(milliseconds(lease));
         session.lease_until_ms = session.lease_until_ms.max(until_ms);
         let request = Call::Start {
             task,
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -512,7 +512,9 @@
 
 /// Returns the share of the pool's processors that are booked.
 fn used_share(pool_workers: &[PoolWorker]) -> f64 {
-    let sum = |size: fn(&PoolWorker) -> u64| pool_workers.iter().map(size).sum::<u64>() as f64;
+    let sum = |size: fn(&PoolWorker) -> u64| {
+        pool_workers.iter().map(|worker| size(worker) as f64).sum::<f64>()
+    };
     let capacity = sum(|worker| worker.capacity.processors_milli);
     1.0 - sum(|worker| worker.free.processors_milli) / capacity.max(1.0)
 }
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -235,21 +235,22 @@
     /// Returns the estimated current time of the worker's clock, in milliseconds; `None` until the worker has answered.
     pub fn clock_now(&self, now: Uptime) -> Option<u64> {
         let (clock, read) = self.clock?;
-        Some(clock + milliseconds(now.saturating_sub(read)))
+        Some(clock.saturating_add(milliseconds(now.saturating_sub(read))))
     }
 
     /// Returns whether every lease that was sent has certainly expired, even if the worker's clock is slow.
     pub fn leases_expired(&self, now: Uptime) -> bool {
         let Some((clock, read)) = self.clock else { return false };
         let least = now.saturating_sub(read).mul_f64(CLOCK_RATE_MIN);
-        clock + milliseconds(least) > self.lease_until_ms
+        clock.saturating_add(milliseconds(least)) > self.lease_until_ms
     }
 
     /// Returns the maximum time until every lease that was sent has certainly expired; zero if the worker has not
     /// answered yet.
     pub fn leases_expire_in(&self, now: Uptime) -> Duration {
         let Some((clock, read)) = self.clock else { return Duration::ZERO };
-        let left = Duration::from_millis(self.lease_until_ms.saturating_sub(clock) + 1);
+        let left = self.lease_until_ms.saturating_sub(clock).saturating_add(1);
+        let left = Duration::from_millis(left);
         left.div_f64(CLOCK_RATE_MIN).saturating_sub(now.saturating_sub(read))
     }
 
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -30,6 +30,8 @@
     pub throttles: Vec<(TaskId, u32)>,
     /// Time that a stopped run takes to end.
     pub stop_time: Duration,
+    /// Clock to report in place of its own, in milliseconds.
+    pub false_clock_ms: Option<u64>,
     /// Whether start calls are neither executed nor answered.
     pub loses_starts: bool,
     /// Whether another worker listens at its address.
@@ -66,6 +68,7 @@
             gauges: BTreeMap::new(),
             throttles: Vec::new(),
             stop_time: Duration::ZERO,
+            false_clock_ms: None,
             loses_starts: false,
             replaced: false,
             crashed: false,
@@ -175,7 +178,7 @@
             gauge: self.gauges.get(&task.stage.job).copied(),
         };
         Report {
-            clock_ms: self.clock(now),
+            clock_ms: self.false_clock_ms.unwrap_or_else(|| self.clock(now)),
             started_unix_ms: Some(self.started_unix_ms),
             lists: Some(RunLists {
                 running: self.active.iter().map(run).collect(),
@@ -189,7 +192,8 @@
     }
 
     fn extend_lease(&mut self, until_ms: u64) {
-        self.lease_end = self.lease_end.max(self.start + Duration::from_millis(until_ms));
+        let until = self.start.saturating_add(Duration::from_millis(until_ms));
+        self.lease_end = self.lease_end.max(until);
     }
 
     pub fn call(&mut self, now: Duration, fence: u64, request: &Call) -> Result<Report, Error> {
@@ -204,14 +208,14 @@
         }
         self.fence = fence;
         let plain = Report {
-            clock_ms: self.clock(now),
+            clock_ms: self.false_clock_ms.unwrap_or_else(|| self.clock(now)),
             started_unix_ms: Some(self.started_unix_ms),
             lists: None,
         };
         match request {
             Call::Start { .. } if self.loses_starts => return Err(Error::Unanswered),
             Call::Start { task, number, until_ms, ticket, .. } => {
-                let late = self.start + Duration::from_millis(*until_ms) < now;
+                let late = self.start.saturating_add(Duration::from_millis(*until_ms)) < now;
                 if late {
                     return Err(Error::Refused(Refusal::LeaseExpired));
                 }
