Read every row between two pages of a table

A worker with the key "w0" was never used when a page of the table of workers ended at an entry "w" (of another writer, say), and a new owner ran a cancelled job when a page of jobs ended at the job's row.

--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -112,14 +112,14 @@
             0 => answer.version,
             after => after.min(answer.version),
         };
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let next = next_page(&answer);
         for row in answer.rows {
             match self.owner.as_ref().is_some_and(Owner::is_loaded) {
                 true => self.apply_job_row(row),
                 false => self.load_job_row(row),
             }
         }
-        if let Some(from) = last.filter(|_| answer.more) {
+        if let Some(from) = next {
             self.load_page(Table::Jobs, from);
         }
         self.advance_loading();
@@ -140,7 +140,7 @@
         let Some(owner) = &mut self.owner else { return };
         owner.pages_in_flight = owner.pages_in_flight.saturating_sub(1);
         let Ok(answer) = result else { return self.retry_page(Table::Progress, from) };
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let next = next_page(&answer);
         let mut unreadable = Vec::new();
         for row in answer.rows {
             let Content::Bytes(bytes) = &row.content else { continue };
@@ -149,7 +149,7 @@
                 (_, result) => unreadable.push((row.key, result.err())),
             }
         }
-        if let Some(from) = last.filter(|_| answer.more) {
+        if let Some(from) = next {
             self.load_page(Table::Progress, from);
         }
         for (key, error) in unreadable {
@@ -308,13 +308,12 @@
             // The feed returns changes that are made while the following pages are read.
             owner.registry_cursor = Some(answer.version);
         }
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let next = next_page(&answer);
         owner.registry_keys.extend(answer.rows.iter().map(|row| row.key.clone()));
-        let more = answer.more;
         for row in answer.rows {
             self.apply_registration(row);
         }
-        match last.filter(|_| more) {
+        match next {
             Some(from) => self.read_registry(from),
             None => self.registry_complete(),
         }
@@ -378,3 +377,9 @@
         }
     }
 }
+
+/// Returns the key from which the next page is read; `None` after the last one. The last row of a page is read again: no
+/// text that is added to its key sorts before every longer key that begins with it.
+fn next_page(answer: &StoreAnswer) -> Option<String> {
+    answer.rows.last().filter(|_| answer.more).map(|row| row.key.clone())
+}
