Give a worker with an unusable entry no further tasks

When the entry of a known worker could not be read, or named an unknown pool, the owner went on with the entry before it and gave the worker further tasks, although such an entry names no worker to use. Each change of an odd entry and each read of the table was logged again.

Cause: such entries were logged and otherwise ignored.

An unusable entry now counts like a removed one: no task is started there, the runs and their leases go on, and the worker is used again when its entry is back. It is logged once until it is usable or gone.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -73,6 +73,8 @@
     pub(super) next_registry_call: Uptime,
     /// Workers found so far by the current read of the whole registry.
     pub(super) registry_keys: BTreeSet<String>,
+    /// Entries of the registry that name no worker to use; each was reported once.
+    pub(super) unusable_entries: BTreeSet<String>,
     /// Workers that the previous owner could not reach. Emptied when the jobs are loaded.
     pub(super) unreachable_workers: Vec<UnreachableWorker>,
     /// Time at which this host first saw the previous owner's last commit.
@@ -120,6 +122,7 @@
             registry_call_in_flight: false,
             next_registry_call: now,
             registry_keys: BTreeSet::new(),
+            unusable_entries: BTreeSet::new(),
             unreachable_workers: Vec::new(),
             previous_commit_observed: now,
             commit: None,
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -324,6 +324,7 @@
         owner.registry_call_in_flight = false;
         owner.next_registry_call = self.now;
         let present = std::mem::take(&mut owner.registry_keys);
+        owner.unusable_entries.retain(|key| present.contains(key));
         // Registrations of live workers may still be missing after an outage of the store.
         let from = match self.store.last_failure {
             Some(failed) => (failed + REGISTRY_RECOVERY).max(self.now),
@@ -355,26 +356,29 @@
     }
 
     fn apply_registration(&mut self, row: Row) {
-        let key = row.key;
-        match row.content {
-            Content::Worker(registration) => {
-                let pools = self.operator.configuration.as_ref().map(|current| &current.pools);
-                let known = |pool: &str| {
-                    pools.is_some_and(|pools| pools.iter().any(|known| known.name == pool))
-                };
-                if known(&registration.pool) {
-                    self.with_scheduler(|scheduler, context| {
-                        scheduler.set_registration(&key, Some(*registration), context);
-                    });
-                } else {
-                    self.log("registration_unknown_pool", vec![("worker", key)]);
-                }
+        let pools = self.operator.configuration.as_ref().map(|current| &current.pools);
+        let known =
+            |pool: &str| pools.is_some_and(|pools| pools.iter().any(|known| known.name == pool));
+        let (registration, fault) = match row.content {
+            Content::Worker(registration) if known(&registration.pool) => {
+                (Some(*registration), None)
+            }
+            Content::Worker(_) => (None, Some("registration_unknown_pool")),
+            Content::Deleted => (None, None),
+            _ => (None, Some("registration_unreadable")),
+        };
+        let Some(owner) = &mut self.owner else { return };
+        match fault {
+            None => drop(owner.unusable_entries.remove(&row.key)),
+            Some(event) if owner.unusable_entries.insert(row.key.clone()) => {
+                self.log(event, vec![("worker", row.key.clone())]);
             }
-            Content::Deleted => self.with_scheduler(|scheduler, context| {
-                scheduler.set_registration(&key, None, context);
-            }),
-            _ => self.log("registration_unreadable", vec![("worker", key)]),
+            Some(_) => {}
         }
+        // An entry that cannot be used gives the worker no further tasks. Its runs go on.
+        self.with_scheduler(|scheduler, context| {
+            scheduler.set_registration(&row.key, registration, context);
+        });
     }
 }
 
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -366,7 +366,7 @@
         entries.filter(|entry| entry.state == State::Queued && entry.job.queue == queue).count()
     }
 
-    /// Applies a change of a worker's registration; `None` if it was removed.
+    /// Applies a change of a worker's registration; `None` if it was removed or names no worker to use.
     pub fn set_registration(
         &mut self,
         worker: &str,
@@ -375,7 +375,7 @@
     ) {
         self.round_due = true;
         let Some(registration) = registration else {
-            if let Some(session) = self.sessions.get_mut(worker) {
+            if let Some(session) = self.sessions.get_mut(worker).filter(|known| known.registered) {
                 session.registered = false;
                 context.log("worker_unregistered", vec![("worker", worker.to_owned())]);
             }
--- a/crates/shallotpost-fleet/tests/odd_workers.rs
+++ b/crates/shallotpost-fleet/tests/odd_workers.rs
@@ -1,10 +1,12 @@
-//! Workers with impossible values. Guards against an owner that ends because of one of them.
+//! Odd entries among those of the workers, and workers with impossible values. Guards against an owner that ends, that no
+//! longer follows the other workers, or that loses runs because of one of them.
 
 mod support;
 
 use std::time::Duration;
 
 use shallotpost_fleet::job::Step;
+use shallotpost_fleet::port::{Content, Table};
 use shallotpost_fleet::progress::State;
 use shallotpost_protocol::size::Size;
 use support::{Simulation, ms, step};
@@ -19,6 +21,10 @@
     sim
 }
 
+fn count(sim: &Simulation, event: &str) -> usize {
+    sim.logs.iter().filter(|(_, _, text)| text.starts_with(event)).count()
+}
+
 /// The sum of the capacities of a pool overflowed, and with it the share of the pool in use, as soon as a job waited that
 /// was beyond its team's share.
 #[test]
@@ -59,3 +65,67 @@
         assert_eq!(sim.state("a", "batch", NEXT), Some(State::Completed), "{clock_ms}");
     }
 }
+
+/// A known worker whose entry cannot be read for a while: it was given further tasks, although the entry names no worker
+/// to use. Its runs go on, and it is used again once its entry is back.
+#[test]
+fn unreadable_for_a_while() {
+    let mut sim = settled(2);
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(8));
+    sim.submit("a", "batch", JOB, vec![Step { per_worker_max: 2, ..step(4, 8000) }]);
+    sim.run(ms(300));
+    let before = sim.workers["w0"].starts.len();
+    assert_eq!(before, 2);
+    sim.store.put(Table::Workers, "w0", Content::Unreadable);
+    sim.run(ms(600));
+    sim.submit("a", "batch", NEXT, vec![step(6, 300)]);
+    sim.workers.values_mut().for_each(|worker| worker.duration = ms(300));
+    sim.run(Duration::from_secs(3));
+    assert_eq!(sim.workers["w0"].starts.len(), before, "tasks were started on w0");
+    assert_eq!(sim.state("a", "batch", NEXT), Some(State::Completed));
+    assert_eq!(sim.workers["w0"].running().count(), before, "runs were lost");
+    sim.register("w0", false);
+    sim.run(Duration::from_secs(4));
+    assert_eq!(sim.state("a", "batch", JOB), Some(State::Completed));
+    assert_eq!(sim.starts_of_job(JOB), 4, "a run was repeated");
+    sim.submit("a", "batch", JOB + 5, vec![step(8, 300)]);
+    sim.run(ms(300));
+    assert!(sim.workers["w0"].starts.len() > before, "w0 is not used again");
+    assert_eq!(count(&sim, "runs_lost"), 0);
+}
+
+/// The same over a takeover: the successor reads the table while the entry is unreadable and finds the runs of the worker
+/// through the roster.
+#[test]
+fn unreadable_at_takeover() {
+    let mut sim = settled(2);
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(6));
+    sim.submit("a", "batch", JOB, vec![step(8, 6000)]);
+    sim.run(ms(300));
+    sim.store.put(Table::Workers, "w0", Content::Unreadable);
+    sim.store.put(Table::Workers, "odd", Content::Unreadable);
+    sim.run(ms(300));
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    let other = if owner == "a" { "b" } else { "a" };
+    sim.run(Duration::from_secs(9));
+    assert_eq!(sim.state(other, "batch", JOB), Some(State::Completed));
+    assert_eq!(sim.starts_of_job(JOB), 8, "a run was repeated");
+}
+
+/// An odd entry was reported with each of its changes and each read of the table, and flooded the log.
+#[test]
+fn reported_once() {
+    let mut sim = settled(2);
+    for _ in 0..20 {
+        sim.store.put(Table::Workers, "odd", Content::Unreadable);
+        sim.run(ms(300));
+        sim.store.compact();
+    }
+    assert_eq!(count(&sim, "registration_unreadable worker=odd"), 1);
+    sim.store.delete(Table::Workers, "odd");
+    sim.run(ms(600));
+    sim.store.put(Table::Workers, "odd", Content::Unreadable);
+    sim.run(ms(600));
+    assert_eq!(count(&sim, "registration_unreadable worker=odd"), 2);
+}
