Use a worker whose pool is named by a later configuration

A worker that registered before the owner had read the configuration with its pool was never used: its entry was skipped and not looked at again until it changed.

odd_workers::pool_named_later failed before: the worker is not used.

A new configuration now has the table of workers read again if any of its entries was unusable.

--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -150,6 +150,9 @@
             ];
             self.log("configuration", fields);
             self.operator.configuration = Some(configuration);
+            if let Some(owner) = &mut self.owner {
+                owner.registry_stale |= !owner.unusable_entries.is_empty();
+            }
         }
     }
 
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -69,6 +69,8 @@
     pub(super) next_jobs_feed: Uptime,
     /// Version after which the feed of registrations continues; `None` if the registry must be read as a whole.
     pub(super) registry_cursor: Option<RowVersion>,
+    /// Whether the registry must be read again because a new configuration may name the pools of unusable entries.
+    pub(super) registry_stale: bool,
     pub(super) registry_call_in_flight: bool,
     pub(super) next_registry_call: Uptime,
     /// Workers found so far by the current read of the whole registry.
@@ -119,6 +121,7 @@
             jobs_feed_in_flight: false,
             next_jobs_feed: now,
             registry_cursor: None,
+            registry_stale: false,
             registry_call_in_flight: false,
             next_registry_call: now,
             registry_keys: BTreeSet::new(),
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -224,6 +224,9 @@
         let registry = !owner.registry_call_in_flight && owner.next_registry_call <= self.now;
         owner.jobs_feed_in_flight |= jobs;
         owner.registry_call_in_flight |= registry;
+        if registry && std::mem::take(&mut owner.registry_stale) {
+            owner.registry_cursor = None;
+        }
         let (jobs_cursor, registry_cursor) = (owner.jobs_cursor, owner.registry_cursor);
         if jobs {
             let request =
--- a/crates/shallotpost-fleet/tests/odd_workers.rs
+++ b/crates/shallotpost-fleet/tests/odd_workers.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use shallotpost_fleet::configuration::Configuration;
 use shallotpost_fleet::job::Step;
 use shallotpost_fleet::port::{Content, Table};
 use shallotpost_fleet::progress::State;
@@ -129,3 +130,23 @@
     sim.run(ms(600));
     assert_eq!(count(&sim, "registration_unreadable worker=odd"), 2);
 }
+
+/// The entry of a worker arrived before the configuration that names its pool, and the worker was never used, because its
+/// entry did not change again.
+#[test]
+fn pool_named_later() {
+    let mut sim = settled(1);
+    let mut configuration = support::configuration();
+    configuration.pools.clear();
+    configuration.version = 2;
+    sim.configure(configuration);
+    sim.run(ms(500));
+    sim.add_worker("new", 8000);
+    sim.run(ms(1500));
+    assert_eq!(count(&sim, "registration_unknown_pool worker=new"), 1);
+    sim.configure(Configuration { version: 3, ..support::configuration() });
+    sim.run(ms(1500));
+    sim.submit("a", "batch", JOB, vec![step(10, 300)]);
+    sim.run(ms(200));
+    assert!(!sim.workers["new"].starts.is_empty(), "the worker is not used");
+}
