Keep the owner alive with durations that no task takes

A job of two steps, one after the other, with estimated_ms 1e22 ended the owner, and then each of its successors, because the job was stored before: the estimates along the path were added up beyond the largest duration. The same happened with a queue's stretch, target or advice durations of that size.

Cause: std::time::Duration ends the process when an addition overflows, in release builds as well, and the adapter passed on any duration that fits.

The state machine adds and multiplies them with saturation, so that a job that is stored already does no harm either.

--- a/crates/shallotpost-fleet/src/configuration.rs
+++ b/crates/shallotpost-fleet/src/configuration.rs
@@ -59,7 +59,8 @@
 impl Approval {
     /// Returns the expected duration of a call that names `workers` workers.
     pub fn duration(&self, workers: usize) -> Duration {
-        self.per_call + self.per_worker * u32::try_from(workers).unwrap_or(u32::MAX)
+        let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+        self.per_call.saturating_add(self.per_worker.saturating_mul(workers))
     }
 }
 
--- a/crates/shallotpost-fleet/src/job.rs
+++ b/crates/shallotpost-fleet/src/job.rs
@@ -132,7 +132,7 @@
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let before = step.after.iter().filter_map(|step| ends.get(usize::from(*step))).max();
-            ends.push(before.copied().unwrap_or_default() + step.estimate);
+            ends.push(before.copied().unwrap_or_default().saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or_default()
     }
@@ -144,7 +144,7 @@
             let path = paths[position];
             for before in &step.after {
                 if let Some(earlier) = self.steps.get(usize::from(*before)) {
-                    let through = earlier.estimate + path;
+                    let through = earlier.estimate.saturating_add(path);
                     let known = &mut paths[usize::from(*before)];
                     *known = through.max(*known);
                 }
--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -184,7 +184,7 @@
             stage.next_approval_call = context.now + RETRY_PAUSE;
             return;
         };
-        let expires = context.now + validity.saturating_sub(TICKET_MARGIN);
+        let expires = context.now.saturating_add(validity.saturating_sub(TICKET_MARGIN));
         let named = pending.workers.len();
         for (worker, incarnation) in pending.workers {
             let ticket = tickets.iter().find(|ticket| *ticket.worker == *worker);
--- a/crates/shallotpost-fleet/src/scheduler/approvers.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvers.rs
@@ -35,7 +35,7 @@
     }
 
     fn load(&self) -> Duration {
-        self.calls.values().sum()
+        self.calls.values().fold(Duration::ZERO, |sum, call| sum.saturating_add(*call))
     }
 }
 
@@ -79,7 +79,8 @@
     ) -> Option<Uptime> {
         let free = self.hosts.iter_mut().filter(|(_, host)| host.is_free(now));
         let (name, host) = free.min_by_key(|(_, host)| (host.load(), host.calls.len()))?;
-        let timeout = host.load() + duration * 2 + TIMEOUT_MARGIN;
+        let timeout = host.load().saturating_add(duration.saturating_mul(2));
+        let timeout = timeout.saturating_add(TIMEOUT_MARGIN);
         host.calls.insert(call, duration);
         outputs.push(match *name == self.own {
             true => Output::Approval { call, request, timeout },
@@ -89,7 +90,7 @@
                 message: Message::ApprovalCall { call, request, timeout },
             },
         });
-        Some(now + timeout + RELAY_DELAY)
+        Some(now.saturating_add(timeout).saturating_add(RELAY_DELAY))
     }
 
     /// Removes a call that has returned a result.
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -124,7 +124,9 @@
 impl JobEntry {
     /// Returns the time after admission by which the job is to be completed.
     fn completion_target(&self) -> Duration {
-        self.critical_path.mul_f64(self.policy.stretch.max(1.0)) + self.policy.target
+        let stretched = self.critical_path.as_secs_f64() * self.policy.stretch.max(1.0);
+        let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
+        stretched.saturating_add(self.policy.target)
     }
 }
 
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -252,24 +252,23 @@
         let policy = &entry.policy;
         let remaining = self.remaining(entry, stage.occurrence, stage.step, context.now)?;
         let call = policy.approval.map_or(Duration::ZERO, |approval| approval.duration(16));
-        if remaining > call + APPROVAL_LEAD_TIME {
+        if remaining > call.saturating_add(APPROVAL_LEAD_TIME) {
             return None;
         }
         let completion_target = entry.completion_target();
-        let due = entry.admitted + completion_target;
+        let due = entry.admitted.saturating_add(completion_target);
+        let expiry = entry.admitted.saturating_add(completion_target.saturating_mul(EXPIRY_FACTOR));
         let path = entry.remaining_paths.get(usize::from(stage.step)).copied().unwrap_or_default();
         let urgency = match () {
             () if entry.beyond_share => Urgency::BeyondShare,
             () if entry.job.long_running() => Urgency::Regular,
-            () if context.now > entry.admitted + completion_target * EXPIRY_FACTOR => {
-                Urgency::Expired
-            }
+            () if context.now > expiry => Urgency::Expired,
             () => Urgency::Regular,
         };
         Some(Candidate {
             urgency,
             priority: policy.priority,
-            late: due < context.now + path.mul_f64(ESTIMATE_SHARE),
+            late: due < context.now.saturating_add(path.mul_f64(ESTIMATE_SHARE)),
             due,
             stage,
             early: remaining > Duration::ZERO,
