Keep the worker list when one entry cannot be read

In the product's own deployment, one entry of the worker list that could not be read hid the whole list: every read failed, and the host went on with the last one, or without any after a start.

Cause: the list was decoded as a whole, and the values were not checked.

list_reads::odd_entries failed before for all of its 36 entries, for example: "null: Err(Ambiguous)", "{"memory_mib":1e300 ...}: Err(Ambiguous)", "{"address":"127.0.0.1:0" ...}: Ok(3)" in place of two workers

--- a/crates/shallotpost-edge/src/calls.rs
+++ b/crates/shallotpost-edge/src/calls.rs
@@ -152,11 +152,11 @@
     ) -> Result<Vec<worker_list::Worker>, Failure> {
         let cached = self.lock().clone();
         let tag = cached.as_ref().map(|(tag, _)| tag.as_str());
-        match client.get::<Vec<worker_list::Worker>>(url, url, tag, deadline)? {
+        match client.get::<worker_list::List>(url, url, tag, deadline)? {
             ConditionalResponse::NotModified => {
                 Ok(cached.map(|(_, workers)| workers).unwrap_or_default())
             }
-            ConditionalResponse::Modified(workers, tag) => {
+            ConditionalResponse::Modified(worker_list::List(workers), tag) => {
                 *self.lock() = tag.map(|tag| (tag, workers.clone()));
                 Ok(workers)
             }
--- a/crates/shallotpost-edge/tests/list_reads.rs
+++ b/crates/shallotpost-edge/tests/list_reads.rs
@@ -128,3 +128,72 @@
         }
     }
 }
+
+/// One entry that cannot be read, or that names no worker to use, hid the whole list.
+#[test]
+fn odd_entries() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let fixture =
+        Fixture::with_settings(|settings| settings.list_url = format!("http://{address}/list"));
+    let good = |name: &str| serde_json::to_string(&worker(name, "kochi")).unwrap();
+    let entry = |part: &str, replacement: &str| {
+        let entry = good("odd");
+        assert!(entry.contains(part), "{part} in {entry}");
+        entry.replace(part, replacement)
+    };
+    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let long = "x".repeat(50_000);
+    let mut odd: Vec<String> = [
+        "null",
+        "7",
+        "\"w\"",
+        "[]",
+        "{}",
+        "1e999",
+        "[\"odd\",\"127.0.0.1:1\",\"kochi\",\"r\",{},false]",
+    ]
+    .map(str::to_owned)
+    .to_vec();
+    for address in
+        ["", ":1", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:-1", "w1.example:1", "0.0.0.0:1"]
+    {
+        odd.push(entry("127.0.0.1:1", address));
+    }
+    for number in ["18446744073709551615", "18446744073709551616", "1e300", "1e999", "-1", "0.5"] {
+        odd.push(entry("\"memory_mib\":2", &format!("\"memory_mib\":{number}")));
+        odd.push(entry("\"slots\":4", &format!("\"slots\":{number}")));
+    }
+    for depth in [200, 100_000] {
+        odd.push(nested(depth));
+        odd.push(entry("\"r\"", &nested(depth)));
+        odd.push(entry("\"leaving\":false", &format!("\"leaving\":{}", nested(depth))));
+    }
+    odd.push(entry("\"leaving\":false", &format!("\"leaving\":false,\"x\":{}", nested(100_000))));
+    odd.push(entry("\"odd\"", "\"\""));
+    odd.push(entry("\"odd\"", &format!("\"{long}\"")));
+    odd.push(entry("\"r\"", &format!("\"{long}\"")));
+    let mut hidden = Vec::new();
+    for odd in odd {
+        let body = format!("[{},{odd},{}]", good("a"), good("b"));
+        let result = thread::scope(|scope| {
+            let server = scope.spawn(|| {
+                let (mut stream, _) = listener.accept().unwrap();
+                head(&mut stream);
+                let length = body.len();
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+                );
+                stream.write_all(answer.as_bytes()).unwrap();
+            });
+            let result = read(&fixture);
+            server.join().unwrap();
+            result
+        });
+        if result != Ok(vec![worker("a", "kochi"), worker("b", "kochi")]) {
+            let odd: String = odd.chars().take(200).collect();
+            hidden.push(format!("{odd}: {:?}", result.map(|workers| workers.len())));
+        }
+    }
+    assert!(hidden.is_empty(), "{hidden:#?}");
+}
--- a/crates/shallotpost-protocol/tests/golden_files.rs
+++ b/crates/shallotpost-protocol/tests/golden_files.rs
@@ -607,6 +607,9 @@
         leaving,
     };
     check_json(golden!("worker_list.json"), &[worker(false), worker(true)]);
+    let (_, text) = golden!("worker_list.json");
+    let read: worker_list::List = serde_json::from_str(text).expect("a list");
+    assert_eq!(read.0, [worker(false), worker(true)]);
 }
 
 #[test]
