Keep the runs of a worker whose entry starts in the future

An entry of a known worker with a start years ahead (of another writer) took its runs for lost: they were started a second time while they ran.

odd_workers::start_in_the_future failed before: one line runs_lost, none expected.

The worker's own answers still tell of a new process.

--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -36,6 +36,9 @@
 /// Maximum number of reads in flight while a new owner loads the jobs.
 const PAGES_IN_FLIGHT_MAX: u32 = 80;
 
+/// Maximum time by which a worker's start may lie ahead of this host's clock, in milliseconds: a day, for wrong clocks.
+const START_AHEAD_MAX_MS: u64 = 24 * 3_600 * 1_000;
+
 /// Suffix of the keys of cancellation rows.
 const CANCELLATION_SUFFIX: &str = ".cancel";
 
@@ -362,7 +365,12 @@
         let pools = self.operator.configuration.as_ref().map(|current| &current.pools);
         let known =
             |pool: &str| pools.is_some_and(|pools| pools.iter().any(|known| known.name == pool));
+        // A later start than the known one ends all runs of the worker.
+        let latest_start = self.unix_ms.saturating_add(START_AHEAD_MAX_MS);
         let (registration, fault) = match row.content {
+            Content::Worker(registration) if registration.started_unix_ms > latest_start => {
+                (None, Some("registration_unreadable"))
+            }
             Content::Worker(registration) if known(&registration.pool) => {
                 (Some(*registration), None)
             }
--- a/crates/shallotpost-fleet/tests/odd_workers.rs
+++ b/crates/shallotpost-fleet/tests/odd_workers.rs
@@ -150,3 +150,22 @@
     sim.run(ms(200));
     assert!(!sim.workers["new"].starts.is_empty(), "the worker is not used");
 }
+
+/// An entry of a known worker with a start in the future took its runs for lost, and they were started a second time.
+#[test]
+fn start_in_the_future() {
+    let mut sim = settled(2);
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(3));
+    sim.submit("a", "batch", JOB, vec![Step { per_worker_max: 2, ..step(4, 3000) }]);
+    sim.run(ms(300));
+    let real = sim.workers["w0"].started_unix_ms;
+    sim.workers.get_mut("w0").expect("a worker").started_unix_ms = 4_000_000_000_000;
+    sim.register("w0", false);
+    sim.workers.get_mut("w0").expect("a worker").started_unix_ms = real;
+    sim.run(ms(600));
+    assert_eq!(count(&sim, "runs_lost"), 0);
+    assert_eq!(count(&sim, "registration_unreadable worker=w0"), 1);
+    sim.run(Duration::from_secs(4));
+    assert_eq!(sim.state("a", "batch", JOB), Some(State::Completed));
+    assert_eq!(sim.starts_of_job(JOB), 4, "a run was repeated");
+}
