--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -36,6 +36,9 @@
 /// Maximum number of reads in flight while a new owner loads the jobs.
 const PAGES_IN_FLIGHT_MAX: u32 = 80;
 
+/// Maximum time by which a worker's start may lie ahead of this host's clock, in milliseconds: a day, for wrong clocks.
+const START_AHEAD_MAX_MS: u64 = 24 * 3_600 * 1_000;
+
 /// Suffix of the keys of cancellation rows.
 const CANCELLATION_SUFFIX: &str = ".cancel";
 
@@ -112,14 +115,14 @@
             0 => answer.version,
             after => after.min(answer.version),
         };
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let next = next_page(&answer);
         for row in answer.rows {
             match self.owner.as_ref().is_some_and(Owner::is_loaded) {
                 true => self.apply_job_row(row),
                 false => self.load_job_row(row),
             }
         }
-        if let Some(from) = last.filter(|_| answer.more) {
+        if let Some(from) = next {
             self.load_page(Table::Jobs, from);
         }
         self.advance_loading();
@@ -140,7 +143,7 @@
         let Some(owner) = &mut self.owner else { return };
         owner.pages_in_flight = owner.pages_in_flight.saturating_sub(1);
         let Ok(answer) = result else { return self.retry_page(Table::Progress, from) };
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let next = next_page(&answer);
         let mut unreadable = Vec::new();
         for row in answer.rows {
             let Content::Bytes(bytes) = &row.content else { continue };
@@ -149,7 +152,7 @@
                 (_, result) => unreadable.push((row.key, result.err())),
             }
         }
-        if let Some(from) = last.filter(|_| answer.more) {
+        if let Some(from) = next {
             self.load_page(Table::Progress, from);
         }
         for (key, error) in unreadable {
@@ -224,6 +227,9 @@
         let registry = !owner.registry_call_in_flight && owner.next_registry_call <= self.now;
         owner.jobs_feed_in_flight |= jobs;
         owner.registry_call_in_flight |= registry;
+        if registry && std::mem::take(&mut owner.registry_stale) {
+            owner.registry_cursor = None;
+        }
         let (jobs_cursor, registry_cursor) = (owner.jobs_cursor, owner.registry_cursor);
         if jobs {
             let request =
@@ -308,13 +314,12 @@
             // The feed returns changes that are made while the following pages are read.
             owner.registry_cursor = Some(answer.version);
         }
-        let last = answer.rows.last().map(|row| format!("{}~", row.key));
+        let next = next_page(&answer);
         owner.registry_keys.extend(answer.rows.iter().map(|row| row.key.clone()));
-        let more = answer.more;
         for row in answer.rows {
             self.apply_registration(row);
         }
-        match last.filter(|_| more) {
+        match next {
             Some(from) => self.read_registry(from),
             None => self.registry_complete(),
         }
@@ -325,6 +330,7 @@
         owner.registry_call_in_flight = false;
         owner.next_registry_call = self.now;
         let present = std::mem::take(&mut owner.registry_keys);
+        owner.unusable_entries.retain(|key| present.contains(key));
         // Registrations of live workers may still be missing after an outage of the store.
         let from = match self.store.last_failure {
             Some(failed) => (failed + REGISTRY_RECOVERY).max(self.now),
@@ -356,25 +362,39 @@
     }
 
     fn apply_registration(&mut self, row: Row) {
-        let key = row.key;
-        match row.content {
-            Content::Worker(registration) => {
-                let pools = self.operator.configuration.as_ref().map(|current| &current.pools);
-                let known = |pool: &str| {
-                    pools.is_some_and(|pools| pools.iter().any(|known| known.name == pool))
-                };
-                if known(&registration.pool) {
-                    self.with_scheduler(|scheduler, context| {
-                        scheduler.set_registration(&key, Some(*registration), context);
-                    });
-                } else {
-                    self.log("registration_unknown_pool", vec![("worker", key)]);
-                }
+        let pools = self.operator.configuration.as_ref().map(|current| &current.pools);
+        let known =
+            |pool: &str| pools.is_some_and(|pools| pools.iter().any(|known| known.name == pool));
+        // A later start than the known one ends all runs of the worker.
+        let latest_start = self.unix_ms.saturating_add(START_AHEAD_MAX_MS);
+        let (registration, fault) = match row.content {
+            Content::Worker(registration) if registration.started_unix_ms > latest_start => {
+                (None, Some("registration_unreadable"))
             }
-            Content::Deleted => self.with_scheduler(|scheduler, context| {
-                scheduler.set_registration(&key, None, context);
-            }),
-            _ => self.log("registration_unreadable", vec![("worker", key)]),
+            Content::Worker(registration) if known(&registration.pool) => {
+                (Some(*registration), None)
+            }
+            Content::Worker(_) => (None, Some("registration_unknown_pool")),
+            Content::Deleted => (None, None),
+            _ => (None, Some("registration_unreadable")),
+        };
+        let Some(owner) = &mut self.owner else { return };
+        match fault {
+            None => drop(owner.unusable_entries.remove(&row.key)),
+            Some(event) if owner.unusable_entries.insert(row.key.clone()) => {
+                self.log(event, vec![("worker", row.key.clone())]);
+            }
+            Some(_) => {}
         }
+        // An entry that cannot be used gives the worker no further tasks. Its runs go on.
+        self.with_scheduler(|scheduler, context| {
+            scheduler.set_registration(&row.key, registration, context);
+        });
     }
 }
+
+/// Returns the key from which the next page is read; `None` after the last one. The last row of a page is read again: no
+/// text that is added to its key sorts before every longer key that begins with it.
+fn next_page(answer: &StoreAnswer) -> Option<String> {
+    answer.rows.last().filter(|_| answer.more).map(|row| row.key.clone())
+}
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -126,7 +126,9 @@
 impl JobEntry {
     /// Returns the time after admission by which the job is to be completed.
     fn completion_target(&self) -> Duration {
-        self.critical_path.mul_f64(self.policy.stretch.max(1.0)) + self.policy.target
+        let stretched = self.critical_path.as_secs_f64() * self.policy.stretch.max(1.0);
+        let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
+        stretched.saturating_add(self.policy.target)
     }
 }
 
@@ -387,7 +389,7 @@
         entries.filter(|entry| entry.state == State::Queued && entry.job.queue == queue).count()
     }
 
-    /// Applies a change of a worker's registration; `None` if it was removed.
+    /// Applies a change of a worker's registration; `None` if it was removed or names no worker to use.
     pub fn set_registration(
         &mut self,
         worker: &str,
@@ -396,7 +398,7 @@
     ) {
         self.round_due = true;
         let Some(registration) = registration else {
-            if let Some(session) = self.sessions.get_mut(worker) {
+            if let Some(session) = self.sessions.get_mut(worker).filter(|known| known.registered) {
                 session.registered = false;
                 context.log("worker_unregistered", vec![("worker", worker.to_owned())]);
             }
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -261,24 +261,23 @@
         let policy = &entry.policy;
         let remaining = self.remaining(entry, stage.occurrence, stage.step, context.now)?;
         let call = policy.approval.map_or(Duration::ZERO, |approval| approval.duration(16));
-        if remaining > call + APPROVAL_LEAD_TIME {
+        if remaining > call.saturating_add(APPROVAL_LEAD_TIME) {
             return None;
         }
         let completion_target = entry.completion_target();
-        let due = entry.admitted + completion_target;
+        let due = entry.admitted.saturating_add(completion_target);
+        let expiry = entry.admitted.saturating_add(completion_target.saturating_mul(EXPIRY_FACTOR));
         let path = entry.remaining_paths.get(usize::from(stage.step)).copied().unwrap_or_default();
         let urgency = match () {
             () if entry.beyond_share => Urgency::BeyondShare,
             () if entry.job.long_running() => Urgency::Regular,
-            () if context.now > entry.admitted + completion_target * EXPIRY_FACTOR => {
-                Urgency::Expired
-            }
+            () if context.now > expiry => Urgency::Expired,
             () => Urgency::Regular,
         };
         Some(Candidate {
             urgency,
             priority: policy.priority,
-            late: due < context.now + path.mul_f64(ESTIMATE_SHARE),
+            late: due < context.now.saturating_add(path.mul_f64(ESTIMATE_SHARE)),
             due,
             stage,
             early: remaining > Duration::ZERO,
@@ -521,7 +520,9 @@
 
 /// Returns the share of the pool's processors that are booked.
 fn used_share(pool_workers: &[PoolWorker]) -> f64 {
-    let sum = |size: fn(&PoolWorker) -> u64| pool_workers.iter().map(size).sum::<u64>() as f64;
+    let sum = |size: fn(&PoolWorker) -> u64| {
+        pool_workers.iter().map(|worker| size(worker) as f64).sum::<f64>()
+    };
     let capacity = sum(|worker| worker.capacity.processors_milli);
     1.0 - sum(|worker| worker.free.processors_milli) / capacity.max(1.0)
 }
