Bound the starts of deadly tasks on every path, and let suspects use observed workers

A review of the change found paths on which a task that crashes its workers was started without end or six times: starts that idle workers never answered (29 starts in 90 s), workers that never come back (14), crashes at varying ages, a late crash beside the start of another task (6 each). Suspects also waited for workers whose trial goes on: a gang (6.2 s with 8 of 10 workers idle), and every suspect of a small pool. A start that was not confirmed now makes its task a suspect, and condemns it only if the worker answered less than 300 ms before it; three certain losses on trial condemn at any age; a late loss beside a young run counts if it is of the same age as an earlier one. Whether a run is on trial is kept with the run, so another suspect may start on the worker once the first has survived its start; such workers come last. The proof of life counts from the arrival of the answer, as a round trip of 300 ms never proved anything. Workers that have stopped answering are not held. A run that a new owner finds is no young run. A start that another worker refused is no loss. A failed job without a stored cause can be read again (it ended in UnexpectedEnd).

--- a/crates/shallotpost-fleet/src/progress.rs
+++ b/crates/shallotpost-fleet/src/progress.rs
@@ -61,7 +61,9 @@
             self.crashes.iter().flat_map(|task| &task.crashes).map(|crash| crash.certain).collect();
         match &self.failure {
             Some(failure) => bytes.extend(encode(failure)?),
-            None if certain.contains(&true) => bytes.extend(encode(&certain)?),
+            None if self.state != State::Failed && certain.contains(&true) => {
+                bytes.extend(encode(&certain)?)
+            }
             None => {}
         }
         Ok(bytes)
--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -97,12 +97,20 @@
         }
         let broken = session.broken.unwrap_or(context.now);
         let isolation = session.isolation.clone();
-        let age = |run: &Placement| broken.saturating_sub(run.started);
-        let on_trial = |task: &TaskId, run: &Placement| {
-            isolation.as_ref().is_some_and(|isolation| isolation.tries(task, run))
+        let confirmed = |run: &Placement| matches!(run.phase, Phase::Running | Phase::Stopping);
+        let age = |run: &Placement| match broken.saturating_sub(run.started) {
+            // It had survived its start before it was found.
+            age if run.adopted => age + SETTLE_TIME,
+            age if confirmed(run) => age,
+            // The worker may have crashed before it answered the start.
+            _ => Duration::ZERO,
+        };
+        let neighbour_started = |task: &TaskId, run: &Placement| {
+            lost.iter().any(|(other, started)| {
+                let member = other.stage == task.stage && started.number == run.number;
+                !member && age(started) < SETTLE_TIME
+            })
         };
-        let neighbour_started =
-            lost.iter().any(|(task, run)| !on_trial(task, run) && age(run) < SETTLE_TIME);
         let together = self.breaks.iter().filter(|at| at.abs_diff(broken) <= COMMON_CAUSE_TIME);
         let common_cause = is_common_cause(together.count(), self.sessions.len());
         let fields = vec![
@@ -115,22 +123,21 @@
         if loss != Loss::Silent {
             context.log("worker_lost", fields);
         }
-        let answered = session.answered;
+        let heard = session.heard;
         let certain = loss.is_certain();
         // The worker may have been down before a start that it did not confirm.
-        let may_have_started = |run: &Placement| match run.phase {
-            Phase::Running | Phase::Stopping => true,
-            Phase::Starting | Phase::StartUnanswered => {
-                certain && run.started.saturating_sub(answered) < PROOF_AGE_MAX
-            }
-        };
-        for (task, run) in lost.iter().filter(|(_, run)| may_have_started(run)) {
-            let isolated = on_trial(task, run);
+        let proven =
+            |run: &Placement| confirmed(run) || run.started.saturating_sub(heard) < PROOF_AGE_MAX;
+        let may_have_run = |run: &Placement| confirmed(run) || loss != Loss::Silent;
+        for (task, run) in lost.iter().filter(|(_, run)| may_have_run(run)) {
+            let age = age(run);
             // Several deadly tasks that start together look like a common cause too.
-            let counts = isolated || age(run) < SETTLE_TIME || certain && !common_cause;
+            let counts = run.on_trial || age < SETTLE_TIME || certain && !common_cause;
             if counts {
-                let isolated = isolated && !neighbour_started;
-                let crash = Crash { run: run.number, age: age(run), isolated, certain };
+                let only_cause =
+                    !neighbour_started(task, run) || self.has_lost_at(*task, run.number, age);
+                let isolated = run.on_trial && proven(run) && only_cause;
+                let crash = Crash { run: run.number, age, isolated, certain };
                 self.record_crash(*task, crash, context);
             }
             if loss != Loss::Silent {
@@ -149,7 +156,15 @@
         }
     }
 
+    fn has_lost_at(&self, task: TaskId, run: u64, age: Duration) -> bool {
+        let state = self.stage(task.stage).and_then(|stage| stage.tasks.get(task.index as usize));
+        state.is_some_and(|state| state.crashes.has_lost_at(run, age))
+    }
+
     fn record_crash(&mut self, task: TaskId, crash: Crash, context: &mut Context) {
+        if !self.unfinished.contains(&task.stage.job) {
+            return;
+        }
         let Some(stage) = self.stage_mut(task.stage) else { return };
         let state = stage.tasks.get_mut(task.index as usize);
         let Some(state) = state.filter(|state| state.place != Place::Done) else { return };
@@ -229,7 +244,7 @@
             .enumerate()
             .filter(|(_, worker)| self.count_fitting_on_worker(demand, worker, now) > 0)
             .filter(|(_, worker)| Self::has_ticket(demand, stage, worker, now))
-            .filter(|(_, worker)| !worker.on_trial && self.suits(demand, worker))
+            .filter(|(_, worker)| self.suits(demand, worker))
             .filter_map(|(position, worker)| self.isolation_choice(demand, position, worker, now))
             .collect();
         choices.sort_unstable();
@@ -259,10 +274,19 @@
             let task = demand.id.task(index);
             self.isolate(demand.id, number, worker, context);
             self.start(&worker.key, task, number, demand.run_priority, context);
+            self.put_on_trial(&worker.key, task);
             worker.book(demand);
         }
     }
 
+    /// Records that a run was started in isolation. It stays so when other suspects start on the worker later.
+    pub(super) fn put_on_trial(&mut self, worker: &WorkerKey, task: TaskId) {
+        let session = self.sessions.get_mut(worker);
+        if let Some(run) = session.and_then(|session| session.placements.get_mut(&task)) {
+            run.on_trial = true;
+        }
+    }
+
     /// Returns whether the members of a gang may start on these workers under this run number. Those that cannot isolate a suspect gang yet are
     /// held for it.
     pub(super) fn prepare_gang(
@@ -287,7 +311,7 @@
         }
         let ready = |worker: &PoolWorker| {
             let session = self.sessions.get(&worker.key);
-            !worker.on_trial && session.is_some_and(|session| session.can_isolate(now))
+            session.is_some_and(|session| session.can_isolate(now))
         };
         if positions.iter().all(|position| ready(&pool_workers[*position])) {
             for position in positions {
@@ -330,7 +354,11 @@
         now: Uptime,
     ) -> Option<Choice> {
         let session = self.sessions.get(&worker.key)?;
+        if session.broken.is_some() {
+            return None;
+        }
         Some(Choice {
+            on_trial: worker.on_trial,
             busy: !session.can_isolate(now),
             unproven: now.saturating_sub(session.opened) < PROVEN_AFTER,
             held: worker.held_for == Some(demand.id),
@@ -497,6 +525,8 @@
 /// A worker on which a suspect may start, in the order of preference.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Choice {
+    /// Whether other suspects are on trial there.
+    on_trial: bool,
     /// Whether runs there have not survived their start yet.
     busy: bool,
     /// Whether the worker has not been in contact for long.
@@ -507,18 +537,6 @@
     held: bool,
 }
 
-impl Isolation {
-    /// Returns whether a run is one of those on trial.
-    fn tries(&self, task: &TaskId, placement: &Placement) -> bool {
-        match self {
-            Isolation::Closed { stage, run } | Isolation::Observed { stage, run } => {
-                *stage == task.stage && *run == placement.number
-            }
-            Isolation::Held { .. } => false,
-        }
-    }
-}
-
 impl Session {
     /// Returns whether a suspect may start on the worker: all runs there have survived their start, as far as is known, and
     /// the worker is known to be alive.
@@ -533,6 +551,6 @@
     }
 
     fn has_answered_recently(&self, now: Uptime) -> bool {
-        now.saturating_sub(self.answered) < PROOF_AGE_MAX
+        now.saturating_sub(self.heard) < PROOF_AGE_MAX
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -472,6 +472,9 @@
             return;
         }
         if result == Err(Error::OtherWorker) {
+            if let Purpose::Start(task, number) = purpose {
+                self.drop_start(&worker, task, number, context);
+            }
             self.worker_gone(&worker, context);
             return;
         }
@@ -483,6 +486,9 @@
             self.worker_restarted(&worker, report.started_unix_ms.unwrap_or_default(), context);
             return;
         }
+        if result.is_ok() {
+            session.heard = context.now;
+        }
         match (&result, purpose) {
             (Ok(_), Purpose::RenewLease(sent) | Purpose::Probe(sent)) => {
                 session.answered = session.answered.max(sent);
@@ -508,6 +514,16 @@
         }
     }
 
+    /// Requeues a task whose start reached no worker that could run it.
+    fn drop_start(&mut self, worker: &WorkerKey, task: TaskId, number: u64, context: &mut Context) {
+        let Some(session) = self.sessions.get(worker) else { return };
+        if session.placements.get(&task).is_some_and(|run| run.number == number) {
+            self.release(worker, &task);
+            self.requeue(task, worker);
+            self.break_gang(task, context);
+        }
+    }
+
     /// Drops a worker at whose address another worker listens: its process has ended, so none of its runs exist any
     /// more.
     fn worker_gone(&mut self, worker: &WorkerKey, context: &mut Context) {
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -112,8 +112,10 @@
             let yields = candidate.urgency != Urgency::Regular
                 && round.failures(pool) > 0
                 && used_share(round.workers(pool)) > YIELD_ABOVE;
+            // Others have failed because the worker is held for this stage.
+            let held = round.workers(pool).iter().any(|worker| worker.held_for == Some(demand.id));
             let known_to_fail =
-                backlogged && round.is_known_to_fail(pool, &demand.step().booking());
+                backlogged && !held && round.is_known_to_fail(pool, &demand.step().booking());
             let hopeless = match only_suspects {
                 _ if known_to_fail => true,
                 // Workers that may be set aside are scarce, not capacity.
@@ -464,6 +466,7 @@
         if !self.within_cap(demand, &all, round) {
             return;
         }
+        let suspect = waiting.iter().any(|index| stage.is_suspect(*index));
         let mut eligible: Vec<(usize, &Session, u32)> = Vec::new();
         for (position, worker) in pool_workers.iter().enumerate() {
             let tasks_max = self.count_fitting_on_worker(demand, worker, now);
@@ -471,12 +474,15 @@
                 && self.suits(demand, worker)
                 && Self::has_ticket(demand, stage, worker, now)
                 && let Some(session) = self.sessions.get(&worker.key)
+                && !(suspect && session.broken.is_some())
             {
                 eligible.push((position, session, tasks_max));
             }
         }
-        eligible
-            .sort_by_cached_key(|(position, ..)| self.cost(demand, &pool_workers[*position], now));
+        eligible.sort_by_cached_key(|(position, ..)| {
+            let worker = &pool_workers[*position];
+            (suspect && worker.on_trial, self.cost(demand, worker, now))
+        });
         let fits_all = |eligible: &[(usize, &Session, u32)]| {
             let tasks_max: u64 =
                 eligible.iter().map(|(_, _, tasks_max)| u64::from(*tasks_max)).sum();
@@ -513,6 +519,9 @@
             let priority = demand.run_priority;
             let worker = &mut pool_workers[position];
             self.start(&worker.key, demand.id.task(index), number, priority, context);
+            if suspect {
+                self.put_on_trial(&worker.key, demand.id.task(index));
+            }
             worker.book(demand);
         }
     }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -333,10 +333,9 @@
         let age = as_of.saturating_sub(placement.started);
         placement.progress_percent = run.percent;
         placement.gauge = run.gauge;
-        let isolated = session.isolation.is_some();
         self.acquit(run.task, run.number);
         // A gang survives only if all of its members do.
-        if !isolated && !self.step(run.task.stage).is_some_and(|step| step.gang) {
+        if !self.step(run.task.stage).is_some_and(|step| step.gang) {
             self.record_survival(run.task, age);
         }
         self.mark_started(run.task.stage.job, context);
@@ -376,6 +375,7 @@
             progress_percent: run.percent,
             gauge: run.gauge,
             phase: Phase::Running,
+            adopted: true,
             ..new_placement(&step, run.number, team, priority, context.now)
         };
         self.record_adopted(placement.team.as_ref(), &placement.size);
@@ -430,6 +430,8 @@
         started: now,
         changed: now,
         stop_confirmed: false,
+        adopted: false,
+        on_trial: false,
         progress_percent: 0.0,
         checkpoints: step.checkpoints,
         preemptible: !step.gang && !step.long_running,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -50,6 +50,10 @@
     /// When the phase last changed, or when the last stop was sent or confirmed.
     pub changed: Uptime,
     pub stop_confirmed: bool,
+    /// Whether an earlier owner started the run, at an unknown time.
+    pub adopted: bool,
+    /// Whether the run was started in isolation.
+    pub on_trial: bool,
     /// Last reported progress, in percent.
     pub progress_percent: f64,
     /// Whether the task writes checkpoints, so that a stop loses little work.
@@ -133,6 +137,8 @@
     pub unanswered: u32,
     /// When the latest of the answered renewals and probes was sent: the worker's process was alive after that.
     pub answered: Uptime,
+    /// When the worker's latest answer arrived.
+    pub heard: Uptime,
     /// When the session was opened.
     pub opened: Uptime,
     /// Whether the worker is set aside for a suspect task.
@@ -177,6 +183,7 @@
             processed: 0,
             unanswered: 0,
             answered: Uptime::ZERO,
+            heard: Uptime::ZERO,
             opened: now,
             isolation: None,
             next_probe: Uptime::ZERO,
--- a/crates/shallotpost-policy/src/crash.rs
+++ b/crates/shallotpost-policy/src/crash.rs
@@ -21,6 +21,9 @@
 /// Difference up to which two losses are of the same age.
 const SAME_AGE: Duration = SETTLE_TIME;
 
+/// Certain crashes in isolation, at any age, after which a task is given up. The age at which a task crashes may vary.
+const ISOLATED_CRASHES_OF_ANY_AGE_MAX: usize = 3;
+
 /// Losses in isolation after which a task is given up although its workers may have been cut off. A task that takes its
 /// worker away for good leaves no certain crash, and its starts must be bounded too.
 const ISOLATED_LOSSES_MAX: usize = 4;
@@ -91,6 +94,12 @@
         }
     }
 
+    /// Returns whether the task has lost another run at the same age.
+    pub fn has_lost_at(&self, run: u64, age: Duration) -> bool {
+        let mut others = self.crashes.iter().filter(|crash| crash.run != run);
+        others.any(|crash| crash.age.abs_diff(age) <= SAME_AGE)
+    }
+
     /// Drops the loss of a run whose worker turns out to be alive: it lists the run or its end. Returns whether there was
     /// one.
     pub fn acquit(&mut self, run: u64) -> bool {
@@ -117,6 +126,7 @@
         let early = self.crashes.iter().any(|crash| crash.age < SETTLE_TIME);
         match () {
             () if most_of_same_age >= ISOLATED_CRASHES_MAX => Verdict::Deadly,
+            () if condemning.len() >= ISOLATED_CRASHES_OF_ANY_AGE_MAX => Verdict::Deadly,
             () if isolated >= ISOLATED_LOSSES_MAX => Verdict::Deadly,
             () if early || self.crashes.len() >= LOSSES_MAX => Verdict::Suspect,
             () => Verdict::Sound,
--- a/crates/shallotpost-policy/tests/crash_evidence.rs
+++ b/crates/shallotpost-policy/tests/crash_evidence.rs
@@ -60,11 +60,15 @@
     for (run, age) in [(1, 3791), (2, 1237)] {
         history.record(crash(run, ms(age), false));
     }
-    for (run, age) in [(3, 1222), (4, 1444), (5, 3190)] {
+    for (run, age) in [(3, 1222), (4, 1444)] {
         history.record(crash(run, ms(age), true));
         assert_eq!(history.verdict(), Verdict::Suspect);
     }
-    history.record(crash(6, ms(1500), true));
+    let mut at_same_age = history.clone();
+    at_same_age.record(crash(5, ms(1500), true));
+    assert_eq!(at_same_age.verdict(), Verdict::Deadly);
+    // Starts of a task that crashes its workers at any age are bounded too.
+    history.record(crash(5, ms(3190), true));
     assert_eq!(history.verdict(), Verdict::Deadly);
 }
 
