Admit jobs by slots in place of idle threads

Callers saw: a read of the worker list, or another outgoing call, ended with NotSent although nothing was in progress. It was taken for a connection that could not be opened; no connection was tried. Cause: the pool rejected the job. A thread counted as idle only some time after its job had sent its event, and a started thread only after its first wait. The kernel makes its next call as soon as it has the event, so with both threads of the list between these points the third read found no thread and no room in the queue. Change: the pool counts admitted jobs. A job holds a slot and drops it before it reports, so that the next job is admitted and waits at most for the thread to return. The limits stay: threads plus queue.

--- a/crates/shallotpost-edge/src/calls.rs
+++ b/crates/shallotpost-edge/src/calls.rs
@@ -10,7 +10,7 @@
 use shallotpost_protocol::{table, worker, worker_list};
 
 use crate::client::{Client, ConditionalResponse};
-use crate::pool::{Limits, ThreadPool};
+use crate::pool::{Limits, Slot, ThreadPool};
 use crate::settings::Settings;
 
 /// Stack size of a calling thread.
@@ -43,6 +43,8 @@
     kind: CallKind,
     call: CallId,
     failure: Option<Failure>,
+    /// Released before the event is sent, because the kernel may make the next call as soon as it has the event.
+    slot: Option<Slot>,
 }
 
 impl CallExecutor {
@@ -69,8 +71,8 @@
         let (client, url) = (Arc::clone(&self.client), self.table_url.clone());
         let deadline = Instant::now() + timeout;
         let guard = self.guard(CallKind::Table, call);
-        self.table.execute(Box::new(move || {
-            let guard = guard.mark_started();
+        self.table.execute(Box::new(move |slot| {
+            let guard = guard.mark_started(slot);
             let result = client.post(&url, &url, &request, deadline);
             guard.complete(Event::Table { call, result });
         }));
@@ -88,8 +90,8 @@
         let deadline = Instant::now() + timeout;
         let guard = self.guard(CallKind::Worker, call);
         let Some(permit) = WorkerCallLimiter::acquire(&self.limiter, &address) else { return };
-        self.workers.execute(Box::new(move || {
-            let guard = guard.mark_started();
+        self.workers.execute(Box::new(move |slot| {
+            let guard = guard.mark_started(slot);
             let url = format!("http://{address}/");
             let result = match request {
                 worker::Request::Start { .. } => {
@@ -108,8 +110,8 @@
         let list_cache = Arc::clone(&self.list_cache);
         let deadline = Instant::now() + timeout;
         let guard = self.guard(CallKind::List, call);
-        self.list.execute(Box::new(move || {
-            let guard = guard.mark_started();
+        self.list.execute(Box::new(move |slot| {
+            let guard = guard.mark_started(slot);
             let result = list_cache.read(&client, &url, deadline);
             guard.complete(Event::WorkerList { call, result });
         }));
@@ -127,7 +129,7 @@
 
     fn guard(&self, kind: CallKind, call: CallId) -> CallGuard {
         let events = self.events.clone();
-        CallGuard { events, kind, call, failure: Some(Failure::NotSent) }
+        CallGuard { events, kind, call, failure: Some(Failure::NotSent), slot: None }
     }
 }
 
@@ -208,13 +210,15 @@
 
 impl CallGuard {
     /// Marks that bytes may be sent from here on, so that a failure counts as ambiguous.
-    fn mark_started(mut self) -> CallGuard {
+    fn mark_started(mut self, slot: Slot) -> CallGuard {
         self.failure = Some(Failure::Ambiguous);
+        self.slot = Some(slot);
         self
     }
 
     fn complete(mut self, event: Event) {
         self.failure = None;
+        self.slot = None;
         let _ = self.events.send(event);
     }
 }
@@ -222,6 +226,7 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         let Some(failure) = self.failure.take() else { return };
+        self.slot = None;
         let (call, failed) = (self.call, failure);
         let _ = self.events.send(match self.kind {
             CallKind::Table => Event::Table { call, result: Err(failed) },
--- a/crates/shallotpost-edge/src/http/mod.rs
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -286,7 +286,7 @@
     ) {
         let body = serde_json::to_vec(&problem).unwrap_or_default();
         let timer = self.start_body_timer(connection);
-        let rejected = self.rejections.execute(Box::new(move || {
+        let rejected = self.rejections.execute(Box::new(move |_slot| {
             let _timer = timer;
             let headers = &[("Content-Type", "application/json")];
             let response = BufferedResponse { status: problem.kind.status(), headers, body: &body };
@@ -304,18 +304,18 @@
     fn deliver(self: &Arc<Shared>, pending: Pending, result: Result<Reply, Problem>) {
         match (pending, &result) {
             (Pending::Single(exchange, ReplyAction::Upload(name)), Ok(Reply::Allowed)) => {
-                self.streams.execute(Box::new(move || objects::upload(exchange, &name)));
+                self.streams.execute(Box::new(move |_slot| objects::upload(exchange, &name)));
             }
             (Pending::Single(exchange, ReplyAction::Download(name)), Ok(Reply::Allowed)) => {
-                self.streams.execute(Box::new(move || objects::download(exchange, &name)));
+                self.streams.execute(Box::new(move |_slot| objects::download(exchange, &name)));
             }
             (Pending::Single(exchange, action), _) => {
                 let dry_run = action == ReplyAction::DryRun;
-                self.writers.execute(Box::new(move || exchange.answer(&result, dry_run)));
+                self.writers.execute(Box::new(move |_slot| exchange.answer(&result, dry_run)));
             }
             (Pending::Watch(watcher, key), _) => {
                 let shared = Arc::clone(self);
-                self.streams.execute(Box::new(move || {
+                self.streams.execute(Box::new(move |_slot| {
                     if let Some((watcher, from)) = watcher.write(&result) {
                         shared.request_changes(watcher, key, from);
                     }
@@ -429,7 +429,7 @@
             Admission::Admitted => {
                 let exchange = Exchange::new(request, connection, Arc::clone(shared));
                 let handler = Arc::clone(shared);
-                shared.readers.execute(Box::new(move || handler.handle(exchange)));
+                shared.readers.execute(Box::new(move |_slot| handler.handle(exchange)));
             }
             Admission::Full => {
                 let exchange = Exchange::new(request, connection, Arc::clone(shared));
@@ -507,7 +507,7 @@
         if let Some((request, pending)) = pending {
             let _ = shared.events.send(Event::Abandoned { request });
             // The destructor writes to the closed connection; it must not block the I/O thread.
-            shared.rejections.execute(Box::new(move || drop(pending)));
+            shared.rejections.execute(Box::new(move |_slot| drop(pending)));
         }
     }
 }
--- a/crates/shallotpost-edge/src/pool.rs
+++ b/crates/shallotpost-edge/src/pool.rs
@@ -10,7 +10,13 @@
 const THREAD_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Unit of work. A job that the pool rejects is dropped without being called.
-pub type Job = Box<dyn FnOnce() + Send>;
+///
+/// A job that reports its result to someone who may then submit the next job drops the [`Slot`] before the report, and
+/// does not block after that. Otherwise the next job can be rejected while the thread is on its way back to the pool.
+pub type Job = Box<dyn FnOnce(Slot) + Send>;
+
+/// Place of an admitted job in the pool's limits; released when dropped.
+pub struct Slot(Arc<Shared>);
 
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -38,7 +44,9 @@
 struct State {
     queue: VecDeque<Job>,
     threads: usize,
-    idle: usize,
+    /// Jobs that are queued or hold their [`Slot`]. Idle threads are not counted instead, because a thread is not idle
+    /// until some time after its job has reported, and until some time after it is started.
+    admitted: usize,
     closed: bool,
 }
 
@@ -78,23 +86,16 @@
         let mut state = self.shared.lock();
         let limits = self.shared.limits;
         match () {
-            _ if state.closed => Some(job),
-            _ if state.idle > state.queue.len() => {
-                state.queue.push_back(job);
-                self.shared.job_available.notify_one();
-                None
-            }
-            _ if state.threads < limits.max_threads && self.shared.spawn() => {
-                state.threads += 1;
-                state.queue.push_back(job);
-                None
-            }
-            _ if state.threads > 0 && state.queue.len() < state.idle + limits.max_queued => {
-                state.queue.push_back(job);
-                None
-            }
-            _ => Some(job),
+            _ if state.closed => return Some(job),
+            _ if state.admitted < state.threads => {}
+            _ if state.threads < limits.max_threads && self.shared.spawn() => state.threads += 1,
+            _ if state.threads > 0 && state.admitted < state.threads + limits.max_queued => {}
+            _ => return Some(job),
         }
+        state.admitted += 1;
+        state.queue.push_back(job);
+        self.shared.job_available.notify_one();
+        None
     }
 }
 
@@ -115,26 +116,21 @@
         builder.stack_size(self.limits.stack_bytes).spawn(move || shared.run_jobs()).is_ok()
     }
 
-    fn run_jobs(&self) {
+    fn run_jobs(self: &Arc<Shared>) {
         while let Some(job) = self.next_job() {
+            let slot = Slot(Arc::clone(self));
             // A panic in one job must not end a thread of the pool; the job reports the failure itself when it is
             // dropped.
-            let _ = catch_unwind(AssertUnwindSafe(job));
+            let _ = catch_unwind(AssertUnwindSafe(|| job(slot)));
         }
     }
 
     fn next_job(&self) -> Option<Job> {
-        let mut state = self.lock();
-        if let Some(job) = state.queue.pop_front() {
-            return Some(job);
-        }
-        state.idle += 1;
         let waits = |state: &mut State| state.queue.is_empty() && !state.closed;
         let (mut state, _) = self
             .job_available
-            .wait_timeout_while(state, THREAD_IDLE_TIMEOUT, waits)
+            .wait_timeout_while(self.lock(), THREAD_IDLE_TIMEOUT, waits)
             .unwrap_or_else(PoisonError::into_inner);
-        state.idle -= 1;
         let job = state.queue.pop_front();
         if job.is_none() {
             state.threads -= 1;
@@ -143,3 +139,9 @@
         job
     }
 }
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.lock().admitted -= 1;
+    }
+}
--- a/crates/shallotpost-edge/tests/list_reads.rs
+++ b/crates/shallotpost-edge/tests/list_reads.rs
@@ -61,6 +61,17 @@
     assert_eq!(changed[1..], near[1..]);
 }
 
+/// Guards against a read that is not sent because the thread of the read before has not yet returned to the pool.
+#[test]
+fn reads_in_turn_are_sent() {
+    for list_threads in [1, 2] {
+        let fixture = Fixture::with_settings(|settings| settings.list_threads = list_threads);
+        for round in 0..1000 {
+            assert_eq!(read(&fixture), Ok(Vec::new()), "{list_threads} threads, read {round}");
+        }
+    }
+}
+
 /// Guards against wrong lists from servers without entity tags, with changing ones, or with unexpected responses.
 #[test]
 fn lists_of_other_servers_are_read() {
--- a/crates/shallotpost-standin/src/hub.rs
+++ b/crates/shallotpost-standin/src/hub.rs
@@ -266,7 +266,7 @@
         let endpoint =
             connection.and_then(|connection| connections.lock().get(&connection).cloned());
         if let (Some(endpoint), Some(connection)) = (endpoint, connection) {
-            pool.execute(Box::new(move || endpoint.serve(connection, request)));
+            pool.execute(Box::new(move |_slot| endpoint.serve(connection, request)));
         }
     }
 }
