Bound the transfer of an object by progress

Callers saw: an upload was answered with 504 and the problem `unknown` while the object store was busy with the object. Cause: the edge waited 10 s for the store's response, whatever the length of the object. By then all bytes are in buffers or at the store (30 MiB were taken in 0.05 s without load, 0.37 s with it), and the store shows nothing before its response. The stand-in computes the digest in that time: 3.7 s without load in a debug build. Beside 24 busy processes the upload ended after 10.38 s with Timeout(PerRead). A caller with a slow or busy store met the same. The transfer also had a total of 600 s, which a slow client with a large object exceeds, and the proxy closed the client's connection after 90 s of such a wait. Change: there is no total any more. The next 64 KiB must pass within 90 s in either direction, the store must accept or send the next bytes within 10 s as before, and the wait for its response grows by the rate at which it must process what it got, 512 KiB/s. So a silent store holds an upload for 10 s and 2 s per MiB, at most 522 s in place of 600 s. The idle timeout of the client's connection is suspended meanwhile. The removal of the total of 600 s has no test of that length.

--- a/crates/shallotpost-edge/src/client.rs
+++ b/crates/shallotpost-edge/src/client.rs
@@ -30,6 +30,10 @@
 /// Maximum length of a response, in bytes; a scan of 1,000 rows with the largest records stays below it.
 pub const RESPONSE_BYTES_MAX: u64 = 16 << 20;
 
+/// Rate at which a server must process a request that it has received. Bytes that were sent wait in buffers and then for
+/// the server, which shows nothing of that before its response. A timeout per read grows by this much.
+pub const PROCESSED_BYTES_PER_SECOND_MIN: u32 = 512 << 10;
+
 /// Maximum number of idle connections per address.
 const IDLE_CONNECTIONS_MAX: usize = 8;
 
@@ -218,6 +222,11 @@
     parse(response).map(|value| ConditionalResponse::Modified(value, tag))
 }
 
+/// Time after which a server must have processed a request of this length.
+fn processing_time(bytes: u64) -> Duration {
+    Duration::from_secs(bytes) / PROCESSED_BYTES_PER_SECOND_MIN
+}
+
 fn new_agent(buffer_bytes: usize, idle_connections: usize) -> Agent {
     let config = Config::builder()
         .http_status_as_error(false)
@@ -261,6 +270,7 @@
                     transport: transport.boxed(),
                     opened,
                     unsent: Vec::new(),
+                    sent_bytes: 0,
                 }))
             }
             Err(error) => Err(Error::Other(Box::new(ConnectFailed(error.to_string())))),
@@ -274,6 +284,8 @@
     opened: Instant,
     /// Start of a request, sent with its next part or before its response is awaited.
     unsent: Vec<u8>,
+    /// Bytes sent since the last input.
+    sent_bytes: u64,
 }
 
 impl PooledTransport {
@@ -303,13 +315,18 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        self.sent_bytes += amount as u64;
         self.unsent.extend_from_slice(&self.transport.buffers().output()[..amount]);
         if self.unsent.len() <= WRITE_COALESCE_BYTES { Ok(()) } else { self.send_unsent(timeout) }
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         self.send_unsent(timeout)?;
-        self.transport.await_input(timeout)
+        let processing = processing_time(self.sent_bytes);
+        let per_read = timeout.per_read.map(|limit| limit.saturating_add(processing).into());
+        let received = self.transport.await_input(NextTimeout { per_read, ..timeout })?;
+        self.sent_bytes = 0;
+        Ok(received)
     }
 
     fn is_open(&mut self) -> bool {
--- a/crates/shallotpost-edge/src/http/mod.rs
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -25,7 +25,7 @@
 use crate::http::watch::Watcher;
 use crate::pool::{Limits, ThreadPool};
 use crate::proxy::{ConnectionId, Limits as ProxyLimits, Mode, Observer, TcpProxy};
-use crate::settings::Settings;
+use crate::settings::{Settings, Transfer};
 
 mod exchange;
 mod objects;
@@ -72,6 +72,7 @@
     objects: ObjectStore,
     max_open_requests: usize,
     body_timeout: Duration,
+    transfer: Transfer,
     next_request: AtomicU64,
     runtime: Handle,
     state: Mutex<State>,
@@ -134,6 +135,7 @@
             objects,
             max_open_requests: settings.open_requests,
             body_timeout: settings.body_timeout,
+            transfer: settings.transfer,
             next_request: AtomicU64::new(1),
             runtime: runtime.clone(),
             state: Mutex::default(),
@@ -242,6 +244,11 @@
         CloseTimer(self.close_after(self.body_timeout, connection))
     }
 
+    /// Closes the connection unless the returned timer is dropped before the next chunk of an object is due.
+    fn start_chunk_timer(self: &Arc<Shared>, connection: ConnectionId) -> CloseTimer {
+        CloseTimer(self.close_after(self.transfer.chunk_timeout, connection))
+    }
+
     /// Closes the connection after [`LINGER_TIMEOUT`].
     fn close_after_linger(self: &Arc<Shared>, connection: ConnectionId) {
         drop(self.close_after(LINGER_TIMEOUT, connection));
@@ -261,6 +268,12 @@
         })
     }
 
+    fn suspend_idle_timeout(&self, connection: ConnectionId, suspended: bool) {
+        if let Some(proxy) = self.proxy.get() {
+            proxy.suspend_idle_timeout(connection, suspended);
+        }
+    }
+
     fn is_open(&self, connection: ConnectionId) -> bool {
         self.proxy.get().is_some_and(|proxy| proxy.is_open(connection))
     }
--- a/crates/shallotpost-edge/src/http/objects.rs
+++ b/crates/shallotpost-edge/src/http/objects.rs
@@ -2,7 +2,6 @@
 
 use std::io::{self, Read};
 use std::sync::Arc;
-use std::time::Duration;
 
 use shallotpost_protocol::port::Failure;
 use shallotpost_protocol::problem::{Kind, Problem};
@@ -12,22 +11,18 @@
 
 use crate::client::classify;
 use crate::http::exchange::Exchange;
-use crate::http::{CHUNK_BYTES, OBJECT_BYTES_MAX};
+use crate::http::{CHUNK_BYTES, CloseTimer, OBJECT_BYTES_MAX, Shared};
+use crate::proxy::ConnectionId;
 
 /// Header with the hexadecimal SHA-256 digest of an object.
 pub const DIGEST_HEADER: &str = "x-content-sha256";
 
-/// The object store must accept or send the next bytes within this time.
-const PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Timeout for the transfer of one object.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(600);
-
 /// Maximum length of the object store's response to an upload.
 const UPLOAD_RESPONSE_BYTES_MAX: u64 = 4096;
 
 /// Stores the request body as an object.
 pub fn upload(mut exchange: Exchange, name: &str) {
+    let _suspension = IdleSuspension::start(&exchange);
     match store(&mut exchange, name) {
         Ok(object) => exchange.json(200, &object),
         Err(problem) => exchange.problem(&problem),
@@ -35,6 +30,7 @@
 }
 
 pub fn download(exchange: Exchange, name: &str) {
+    let _suspension = IdleSuspension::start(&exchange);
     match fetch(&exchange, name) {
         Ok(response) => {
             // A failed write means that the client disconnected; dropping the stream closes the connection.
@@ -45,33 +41,41 @@
 }
 
 fn store(exchange: &mut Exchange, name: &str) -> Result<Object, Problem> {
-    let objects = &exchange.shared().objects;
+    let Shared { objects, transfer, .. } = &**exchange.shared();
     let url = format!("{}/{name}", objects.url);
     let request = objects.client.agent(&objects.url).put(url);
     let request = request
         .config()
-        .timeout_global(Some(TRANSFER_TIMEOUT))
-        .timeout_per_write(Some(PROGRESS_TIMEOUT))
-        .timeout_per_read(Some(PROGRESS_TIMEOUT))
+        .timeout_per_write(Some(transfer.store_timeout))
+        .timeout_per_read(Some(transfer.store_timeout))
         .build();
     let request = match exchange.header(DIGEST_HEADER) {
         Some(digest) => request.header(DIGEST_HEADER, digest),
         None => request,
     };
     let (shared, connection) = (Arc::clone(exchange.shared()), exchange.connection());
+    let progress = Progress::start(&shared, connection);
     let is_connected = move || shared.is_open(connection);
     let Some(http_request) = exchange.request() else { return Err(incomplete_body()) };
-    let length = http_request.body_length().map(|length| length as u64);
     let chunked =
         http_request.headers().iter().any(|header| header.field.equiv("Transfer-Encoding"));
+    let length = match http_request.body_length() {
+        Some(length) => Some(length as u64),
+        None if chunked => None,
+        None => Some(0),
+    };
     let request = match length {
         Some(length) => request.header("content-length", length.to_string()),
-        None if chunked => request,
-        None => request.header("content-length", "0"),
+        None => request,
+    };
+    let mut body = UploadBody {
+        source: http_request.as_reader(),
+        is_connected: &is_connected,
+        length,
+        transferred: 0,
+        progress: (length != Some(0)).then_some(progress),
+        problem: None,
     };
-    let source = http_request.as_reader();
-    let mut body =
-        UploadBody { source, is_connected: &is_connected, transferred: 0, problem: None };
     let result = request.send(SendBody::from_reader(&mut body));
     match (body.problem, result) {
         (Some(problem), _) => Err(problem),
@@ -99,13 +103,9 @@
 }
 
 fn fetch(exchange: &Exchange, name: &str) -> Result<Response<Body>, Problem> {
-    let objects = &exchange.shared().objects;
+    let Shared { objects, transfer, .. } = &**exchange.shared();
     let request = objects.client.agent(&objects.url).get(format!("{}/{name}", objects.url));
-    let request = request
-        .config()
-        .timeout_global(Some(TRANSFER_TIMEOUT))
-        .timeout_per_read(Some(PROGRESS_TIMEOUT))
-        .build();
+    let request = request.config().timeout_per_read(Some(transfer.store_timeout)).build();
     let response = request.call().map_err(|error| store_problem(&error))?;
     match response.status().as_u16() {
         200 => Ok(response),
@@ -126,6 +126,7 @@
         None => "Transfer-Encoding: chunked\r\n".to_owned(),
     };
     let headers = format!("Content-Type: application/octet-stream\r\n{framing}{digest}");
+    let mut progress = Progress::start(exchange.shared(), exchange.connection());
     let mut stream = exchange.stream(&headers)?;
     let mut body = response.into_body().into_with_config().limit(u64::MAX).reader();
     let mut chunk = vec![0; CHUNK_BYTES];
@@ -133,6 +134,7 @@
     loop {
         let count = body.read(&mut chunk)?;
         transferred += count as u64;
+        progress.record(count);
         match (count, length) {
             (0, Some(length)) if transferred != length => {
                 return Err(io::ErrorKind::UnexpectedEof.into());
@@ -145,12 +147,60 @@
     }
 }
 
+/// Closes the client's connection when the next [`CHUNK_BYTES`] do not pass in time.
+struct Progress {
+    shared: Arc<Shared>,
+    connection: ConnectionId,
+    passed_bytes: usize,
+    timer: CloseTimer,
+}
+
+impl Progress {
+    fn start(shared: &Arc<Shared>, connection: ConnectionId) -> Progress {
+        let timer = shared.start_chunk_timer(connection);
+        Progress { shared: Arc::clone(shared), connection, passed_bytes: 0, timer }
+    }
+
+    fn record(&mut self, bytes: usize) {
+        self.passed_bytes += bytes;
+        if self.passed_bytes >= CHUNK_BYTES {
+            self.passed_bytes = 0;
+            self.timer = self.shared.start_chunk_timer(self.connection);
+        }
+    }
+}
+
+/// Suspends the idle timeout of the client's connection until it is dropped: no byte passes there while the object store
+/// processes an upload. [`Progress`] limits the time of the client instead.
+struct IdleSuspension {
+    shared: Arc<Shared>,
+    connection: ConnectionId,
+}
+
+impl IdleSuspension {
+    fn start(exchange: &Exchange) -> IdleSuspension {
+        let (shared, connection) = (Arc::clone(exchange.shared()), exchange.connection());
+        shared.suspend_idle_timeout(connection, true);
+        IdleSuspension { shared, connection }
+    }
+}
+
+impl Drop for IdleSuspension {
+    fn drop(&mut self) {
+        self.shared.suspend_idle_timeout(self.connection, false);
+    }
+}
+
 /// Request body of an upload. A body that is too long or ends early, which shows only in the closed connection, is an
 /// error that also breaks the stream to the store.
 struct UploadBody<'a> {
     source: &'a mut dyn Read,
     is_connected: &'a dyn Fn() -> bool,
+    /// `None` for a chunked body.
+    length: Option<u64>,
     transferred: u64,
+    /// `None` once the body is complete.
+    progress: Option<Progress>,
     problem: Option<Problem>,
 }
 
@@ -158,6 +208,12 @@
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let result = self.source.read(buffer);
         self.transferred += result.as_ref().map_or(0, |count| *count as u64);
+        match (&result, &mut self.progress) {
+            (Ok(0), progress) => *progress = None,
+            (Ok(_), progress) if Some(self.transferred) == self.length => *progress = None,
+            (Ok(count), Some(progress)) => progress.record(*count),
+            _ => {}
+        }
         match result {
             Ok(0) if !(self.is_connected)() => self.fail(incomplete_body()),
             Ok(_) if self.transferred > OBJECT_BYTES_MAX => self.fail(object_too_large()),
--- a/crates/shallotpost-edge/src/proxy.rs
+++ b/crates/shallotpost-edge/src/proxy.rs
@@ -10,6 +10,7 @@
 use std::future::pending;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, mpsc};
 use std::time::Duration;
 
@@ -99,11 +100,16 @@
 
 #[derive(Default)]
 struct Connections {
-    open: HashMap<ConnectionId, watch::Sender<Mode>>,
+    open: HashMap<ConnectionId, Entry>,
     /// Connections that were accepted and are not connected to the upstream server yet.
     connecting: usize,
 }
 
+struct Entry {
+    mode: watch::Sender<Mode>,
+    activity: Arc<Activity>,
+}
+
 impl Connections {
     fn is_empty(&self) -> bool {
         self.open.is_empty() && self.connecting == 0
@@ -162,8 +168,8 @@
 
     /// Changes the mode of a connection; does nothing if it is closed.
     pub fn set_mode(&self, connection: ConnectionId, mode: Mode) {
-        if let Some(sender) = self.shared.lock().open.get(&connection) {
-            sender.send_replace(mode);
+        if let Some(entry) = self.shared.lock().open.get(&connection) {
+            entry.mode.send_replace(mode);
         }
     }
 
@@ -172,11 +178,18 @@
         let connections = self.shared.lock();
         let affected =
             connections.open.iter().filter(|(connection, _)| Some(**connection) != except);
-        affected.for_each(|(_, sender)| {
-            sender.send_replace(mode);
+        affected.for_each(|(_, entry)| {
+            entry.mode.send_replace(mode);
         });
     }
 
+    /// Suspends the idle timeout of a connection whose progress the handler watches itself, or starts it again.
+    pub fn suspend_idle_timeout(&self, connection: ConnectionId, suspended: bool) {
+        if let Some(entry) = self.shared.lock().open.get(&connection) {
+            entry.activity.suspend(suspended);
+        }
+    }
+
     /// Stops listening and closes all connections.
     pub fn stop(&self) {
         self.phase.send_replace(Phase::Stopped);
@@ -257,11 +270,11 @@
 /// Relays one connection from its acceptance to its end.
 async fn serve(mut client: TcpStream, shared: Arc<Shared>, phase_changes: watch::Receiver<Phase>) {
     let connected = connect(&shared, &phase_changes).await;
-    let Some((mut upstream, connection, mode)) = connected else { return };
+    let Some((mut upstream, connection, mode, activity)) = connected else { return };
     let _ = client.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
     shared.observer.opened(connection);
-    relay(&mut client, &mut upstream, mode, shared.limits.idle_timeout).await;
+    relay(&mut client, &mut upstream, mode, &activity, shared.limits.idle_timeout).await;
     {
         let mut connections = shared.lock();
         connections.open.remove(&connection);
@@ -277,7 +290,7 @@
 async fn connect(
     shared: &Shared,
     phase_changes: &watch::Receiver<Phase>,
-) -> Option<(TcpStream, ConnectionId, watch::Receiver<Mode>)> {
+) -> Option<(TcpStream, ConnectionId, watch::Receiver<Mode>, Arc<Activity>)> {
     let upstream = TcpStream::connect(shared.target).await;
     tokio::spawn(wake_upstream(shared.target));
     let mut connections = shared.lock();
@@ -290,8 +303,10 @@
     let identified = upstream.and_then(|upstream| Ok((upstream.local_addr()?, upstream))).ok();
     if let (Some(mode), Some((connection, upstream))) = (mode, identified) {
         let (sender, mode) = watch::channel(mode);
-        connections.open.insert(connection, sender);
-        return Some((upstream, connection, mode));
+        let activity = Arc::<Activity>::default();
+        let entry = Entry { mode: sender, activity: Arc::clone(&activity) };
+        connections.open.insert(connection, entry);
+        return Some((upstream, connection, mode, activity));
     }
     if connections.is_empty() {
         shared.all_closed.notify_all();
@@ -316,17 +331,17 @@
     client: &mut TcpStream,
     upstream: &mut TcpStream,
     mode: watch::Receiver<Mode>,
+    activity: &Activity,
     idle_timeout: Duration,
 ) {
     let (client_read, client_write) = client.split();
     let (upstream_read, upstream_write) = upstream.split();
-    let activity = Activity::default();
     let mut closing = mode.clone();
     tokio::select! {
-        () = copy_direction(client_read, upstream_write, mode.clone(), false, &activity) => {}
-        () = copy_direction(upstream_read, client_write, mode.clone(), true, &activity) => {}
+        () = copy_direction(client_read, upstream_write, mode.clone(), false, activity) => {}
+        () = copy_direction(upstream_read, client_write, mode.clone(), true, activity) => {}
         _ = closing.wait_for(|mode| *mode == Mode::Closed) => {}
-        () = wait_until_idle(&activity, idle_timeout) => {}
+        () = wait_until_idle(activity, idle_timeout) => {}
     }
 }
 
@@ -418,21 +433,26 @@
     }
 }
 
-/// Returns once no byte has passed for `idle_timeout`.
+/// Returns once no byte has passed for `idle_timeout`, not counting the time in which the timeout is suspended.
 async fn wait_until_idle(activity: &Activity, idle_timeout: Duration) {
-    while activity.last().elapsed() < idle_timeout {
-        sleep_until(activity.last() + idle_timeout).await;
+    loop {
+        let last = activity.last();
+        if last.elapsed() >= idle_timeout {
+            return;
+        }
+        sleep_until(last + idle_timeout).await;
     }
 }
 
 /// Time at which a byte last passed, in either direction.
 struct Activity {
     last: Mutex<Instant>,
+    suspended: AtomicBool,
 }
 
 impl Default for Activity {
     fn default() -> Activity {
-        Activity { last: Mutex::new(Instant::now()) }
+        Activity { last: Mutex::new(Instant::now()), suspended: AtomicBool::new(false) }
     }
 }
 
@@ -441,7 +461,15 @@
         *self.last.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
     }
 
+    fn suspend(&self, suspended: bool) {
+        self.record();
+        self.suspended.store(suspended, Ordering::Relaxed);
+    }
+
     fn last(&self) -> Instant {
+        if self.suspended.load(Ordering::Relaxed) {
+            return Instant::now();
+        }
         *self.last.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/shallotpost-edge/src/settings.rs
+++ b/crates/shallotpost-edge/src/settings.rs
@@ -7,6 +7,8 @@
 use shallotpost_protocol::identity::{DataCentreId, HostId};
 use shallotpost_protocol::millis;
 
+use crate::http::CONNECTION_IDLE_MAX;
+
 /// Addresses, identity and pool sizes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -56,6 +58,24 @@
     /// Maximum number of client connections; further ones are closed immediately.
     #[serde(default = "connections")]
     pub connections: usize,
+    /// Not read from settings files.
+    #[serde(skip)]
+    pub transfer: Transfer,
+}
+
+/// Limits on the progress of an object that is being streamed. Its total time is not limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// Timeout for the next [`CHUNK_BYTES`](crate::http::CHUNK_BYTES) of the object.
+    pub chunk_timeout: Duration,
+    /// Timeout for the next bytes that the object store accepts or sends.
+    pub store_timeout: Duration,
+}
+
+impl Default for Transfer {
+    fn default() -> Transfer {
+        Transfer { chunk_timeout: CONNECTION_IDLE_MAX, store_timeout: Duration::from_secs(10) }
+    }
 }
 
 fn table_threads() -> usize {
@@ -119,6 +139,7 @@
             open_requests: open_requests(),
             body_timeout: body_timeout(),
             connections: connections(),
+            transfer: Transfer::default(),
         }
     }
 }
--- a/crates/shallotpost-edge/tests/proxy_limits.rs
+++ b/crates/shallotpost-edge/tests/proxy_limits.rs
@@ -85,6 +85,22 @@
     setup.connect();
 }
 
+/// Guards against a connection that is closed while the server works on a request, and against one that stays open after
+/// that.
+#[test]
+fn suspended_timeouts_start_again() {
+    let idle_timeout = Duration::from_millis(200);
+    let setup = Setup::start(1, idle_timeout);
+    let (mut client, _server, connection) = setup.connect();
+    setup.proxy.suspend_idle_timeout(connection, true);
+    std::thread::sleep(4 * idle_timeout);
+    assert!(setup.proxy.is_open(connection));
+    setup.proxy.suspend_idle_timeout(connection, false);
+    let started = Instant::now();
+    assert!(rest(&mut client).is_empty());
+    assert!(started.elapsed() >= idle_timeout / 2 && started.elapsed() < TEST_TIMEOUT / 2);
+}
+
 /// Guards against modes that pass too much or too little of a response.
 #[test]
 fn modes_decide_what_passes() {
