Let the command line wait for the processing of an upload

Callers saw: `object put` reported an ambiguous upload after 10 s without bytes, while the entry host still waited for the object store. The entry host's own bound now grows with the length of the object, so its answer would not arrive. Cause: the read timeout of a stream also covered the response to an upload, whose delay depends on the length. Change: that response has 20 s, which is more than the entry host waits for the store, and the processing time by length. The rate moves to the protocol crate, which both sides use. Downloads keep 10 s per read. Test: upload_waits_for_a_busy_store (4 MiB, a server that is silent for 12 s) failed before with Err(Ambiguous { attempts: ["...: timeout: per read"] }) after 10.8 s and passes now.

--- a/crates/shallotpost-cli/src/client.rs
+++ b/crates/shallotpost-cli/src/client.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 use serde_json::Value;
-use shallotpost_protocol::interface::Reply;
+use shallotpost_protocol::interface::{Reply, processing_time};
 use shallotpost_protocol::problem::{Kind, Problem};
 use ureq::http::{Method, Request, Response, StatusCode};
 use ureq::{Agent, AsSendBody, Body, SendBody, Timeout};
@@ -21,6 +21,10 @@
 /// Timeout of each read or write of an object stream.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Timeout for the response to an upload, without the time to process the object. Longer than the one of the entry host for
+/// the response of the object store, so that its answer arrives.
+const UPLOAD_RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Maximum size of a reply, well above that of a page of 500 entries.
 const MAX_REPLY_BYTES: u64 = 32 << 20;
 
@@ -158,7 +162,8 @@
                 .header("content-length", length)
                 .body(SendBody::from_owned_reader(reader))
                 .map_err(|error| AttemptError::NotSent(error.to_string()))?;
-            let response = self.run_stream(request)?;
+            let read_timeout = UPLOAD_RESPONSE_TIMEOUT + processing_time(length);
+            let response = self.run_stream(request, read_timeout)?;
             error_for_status(response).map(|_| ())
         };
         self.try_servers(Effect::Idempotent, check, attempt)
@@ -175,7 +180,7 @@
                 .request(Method::GET, server, path, &[])
                 .body(())
                 .map_err(|error| AttemptError::NotSent(error.to_string()))?;
-            let body = error_for_status(self.run_stream(request)?)?.into_body();
+            let body = error_for_status(self.run_stream(request, STREAM_TIMEOUT)?)?.into_body();
             let reader: Box<dyn io::Read> =
                 Box::new(body.into_with_config().limit(u64::MAX).reader());
             Ok(reader)
@@ -329,11 +334,12 @@
     fn run_stream<B: AsSendBody>(
         &self,
         request: Request<B>,
+        read_timeout: Duration,
     ) -> Result<Response<Body>, AttemptError> {
         let request = self
             .agent
             .configure_request(request)
-            .timeout_per_read(Some(STREAM_TIMEOUT))
+            .timeout_per_read(Some(read_timeout))
             .timeout_per_write(Some(STREAM_TIMEOUT))
             .build();
         self.agent.run(request).map_err(classify)
--- a/crates/shallotpost-cli/tests/object_transfer.rs
+++ b/crates/shallotpost-cli/tests/object_transfer.rs
@@ -3,7 +3,11 @@
 
 mod fake;
 
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::TcpListener;
 use std::path::Path;
+use std::thread;
+use std::time::Duration;
 
 use fake::{Answer, CLOSED, Directory, Fake, code, run};
 use serde_json::json;
@@ -55,6 +59,28 @@
     assert_eq!(code(&result), EXIT_GENERAL);
 }
 
+/// Guards against an upload that is reported as unknown because the object store takes long to process the object.
+#[test]
+fn upload_waits_for_a_busy_store() {
+    let directory = Directory::new("busy-store");
+    let length = 4 << 20;
+    let file = directory.file("day.csv", &vec![b'x'; length]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let mut stream = BufReader::new(listener.accept().unwrap().0);
+        let lines = stream.by_ref().lines().map(|line| line.unwrap());
+        assert!(lines.take_while(|line| !line.is_empty()).count() > 1);
+        io::copy(&mut stream.by_ref().take(length as u64), &mut io::sink()).unwrap();
+        thread::sleep(Duration::from_secs(12));
+        stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+    });
+    let line = format!("object put intake/day.csv {file}");
+    let (result, _) = run(&[&format!("http://{address}")], &line);
+    assert_eq!(code(&result), 0, "{result:?}");
+    server.join().unwrap();
+}
+
 #[test]
 fn download_writes_the_whole_object_and_checks_its_digest() {
     let directory = Directory::new("download");
--- a/crates/shallotpost-edge/src/client.rs
+++ b/crates/shallotpost-edge/src/client.rs
@@ -8,6 +8,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use shallotpost_protocol::interface::processing_time;
 use shallotpost_protocol::port::Failure;
 use ureq::config::{AutoHeaderValue, Config};
 use ureq::http::header::{ETAG, IF_NONE_MATCH};
@@ -30,10 +31,6 @@
 /// Maximum length of a response, in bytes; a scan of 1,000 rows with the largest records stays below it.
 pub const RESPONSE_BYTES_MAX: u64 = 16 << 20;
 
-/// Rate at which a server must process a request that it has received. Bytes that were sent wait in buffers and then for
-/// the server, which shows nothing of that before its response. A timeout per read grows by this much.
-pub const PROCESSED_BYTES_PER_SECOND_MIN: u32 = 512 << 10;
-
 /// Maximum number of idle connections per address.
 const IDLE_CONNECTIONS_MAX: usize = 8;
 
@@ -222,11 +219,6 @@
     parse(response).map(|value| ConditionalResponse::Modified(value, tag))
 }
 
-/// Time after which a server must have processed a request of this length.
-fn processing_time(bytes: u64) -> Duration {
-    Duration::from_secs(bytes) / PROCESSED_BYTES_PER_SECOND_MIN
-}
-
 fn new_agent(buffer_bytes: usize, idle_connections: usize) -> Agent {
     let config = Config::builder()
         .http_status_as_error(false)
--- a/crates/shallotpost-protocol/src/interface.rs
+++ b/crates/shallotpost-protocol/src/interface.rs
@@ -16,6 +16,16 @@
 /// Maximum wait of one request.
 pub const WAIT_MAX: Duration = Duration::from_secs(60);
 
+/// Rate at which a server must process a request that it has received. Bytes that were sent wait in buffers and then for
+/// the server, which shows nothing of that before its response.
+pub const PROCESSED_BYTES_PER_SECOND_MIN: u32 = 512 << 10;
+
+/// Returns the time that a server may take to process a request of this length. The timeout for its response is longer by
+/// this time.
+pub fn processing_time(bytes: u64) -> Duration {
+    Duration::from_secs(bytes) / PROCESSED_BYTES_PER_SECOND_MIN
+}
+
 /// A request and the key that it presents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Call {
