--- a/crates/shallotpost-edge/src/client.rs
+++ b/crates/shallotpost-edge/src/client.rs
@@ -8,6 +8,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use shallotpost_protocol::interface::processing_time;
 use shallotpost_protocol::port::Failure;
 use ureq::config::{AutoHeaderValue, Config};
 use ureq::http::header::{ETAG, IF_NONE_MATCH};
@@ -261,6 +262,7 @@
                     transport: transport.boxed(),
                     opened,
                     unsent: Vec::new(),
+                    sent_bytes: 0,
                 }))
             }
             Err(error) => Err(Error::Other(Box::new(ConnectFailed(error.to_string())))),
@@ -274,6 +276,8 @@
     opened: Instant,
     /// Start of a request, sent with its next part or before its response is awaited.
     unsent: Vec<u8>,
+    /// Bytes sent since the last input.
+    sent_bytes: u64,
 }
 
 impl PooledTransport {
@@ -303,13 +307,18 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        self.sent_bytes += amount as u64;
         self.unsent.extend_from_slice(&self.transport.buffers().output()[..amount]);
         if self.unsent.len() <= WRITE_COALESCE_BYTES { Ok(()) } else { self.send_unsent(timeout) }
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         self.send_unsent(timeout)?;
-        self.transport.await_input(timeout)
+        let processing = processing_time(self.sent_bytes);
+        let per_read = timeout.per_read.map(|limit| limit.saturating_add(processing).into());
+        let received = self.transport.await_input(NextTimeout { per_read, ..timeout })?;
+        self.sent_bytes = 0;
+        Ok(received)
     }
 
     fn is_open(&mut self) -> bool {
--- a/crates/shallotpost-edge/src/http/mod.rs
+++ b/crates/shallotpost-edge/src/http/mod.rs
@@ -25,7 +25,7 @@
 use crate::http::watch::Watcher;
 use crate::pool::{Limits, ThreadPool};
 use crate::proxy::{ConnectionId, Limits as ProxyLimits, Mode, Observer, TcpProxy};
-use crate::settings::Settings;
+use crate::settings::{Settings, Transfer};
 
 mod exchange;
 mod objects;
@@ -72,6 +72,7 @@
     objects: ObjectStore,
     max_open_requests: usize,
     body_timeout: Duration,
+    transfer: Transfer,
     next_request: AtomicU64,
     runtime: Handle,
     state: Mutex<State>,
@@ -134,6 +135,7 @@
             objects,
             max_open_requests: settings.open_requests,
             body_timeout: settings.body_timeout,
+            transfer: settings.transfer,
             next_request: AtomicU64::new(1),
             runtime: runtime.clone(),
             state: Mutex::default(),
@@ -242,6 +244,11 @@
         CloseTimer(self.close_after(self.body_timeout, connection))
     }
 
+    /// Closes the connection unless the returned timer is dropped before the next chunk of an object is due.
+    fn start_chunk_timer(self: &Arc<Shared>, connection: ConnectionId) -> CloseTimer {
+        CloseTimer(self.close_after(self.transfer.chunk_timeout, connection))
+    }
+
     /// Closes the connection after [`LINGER_TIMEOUT`].
     fn close_after_linger(self: &Arc<Shared>, connection: ConnectionId) {
         drop(self.close_after(LINGER_TIMEOUT, connection));
@@ -261,6 +268,12 @@
         })
     }
 
+    fn suspend_idle_timeout(&self, connection: ConnectionId, suspended: bool) {
+        if let Some(proxy) = self.proxy.get() {
+            proxy.suspend_idle_timeout(connection, suspended);
+        }
+    }
+
     fn is_open(&self, connection: ConnectionId) -> bool {
         self.proxy.get().is_some_and(|proxy| proxy.is_open(connection))
     }
@@ -286,7 +299,7 @@
     ) {
         let body = serde_json::to_vec(&problem).unwrap_or_default();
         let timer = self.start_body_timer(connection);
-        let rejected = self.rejections.execute(Box::new(move || {
+        let rejected = self.rejections.execute(Box::new(move |_slot| {
             let _timer = timer;
             let headers = &[("Content-Type", "application/json")];
             let response = BufferedResponse { status: problem.kind.status(), headers, body: &body };
@@ -304,18 +317,18 @@
     fn deliver(self: &Arc<Shared>, pending: Pending, result: Result<Reply, Problem>) {
         match (pending, &result) {
             (Pending::Single(exchange, ReplyAction::Upload(name)), Ok(Reply::Allowed)) => {
-                self.streams.execute(Box::new(move || objects::upload(exchange, &name)));
+                self.streams.execute(Box::new(move |_slot| objects::upload(exchange, &name)));
             }
             (Pending::Single(exchange, ReplyAction::Download(name)), Ok(Reply::Allowed)) => {
-                self.streams.execute(Box::new(move || objects::download(exchange, &name)));
+                self.streams.execute(Box::new(move |_slot| objects::download(exchange, &name)));
             }
             (Pending::Single(exchange, action), _) => {
                 let dry_run = action == ReplyAction::DryRun;
-                self.writers.execute(Box::new(move || exchange.answer(&result, dry_run)));
+                self.writers.execute(Box::new(move |_slot| exchange.answer(&result, dry_run)));
             }
             (Pending::Watch(watcher, key), _) => {
                 let shared = Arc::clone(self);
-                self.streams.execute(Box::new(move || {
+                self.streams.execute(Box::new(move |_slot| {
                     if let Some((watcher, from)) = watcher.write(&result) {
                         shared.request_changes(watcher, key, from);
                     }
@@ -429,7 +442,7 @@
             Admission::Admitted => {
                 let exchange = Exchange::new(request, connection, Arc::clone(shared));
                 let handler = Arc::clone(shared);
-                shared.readers.execute(Box::new(move || handler.handle(exchange)));
+                shared.readers.execute(Box::new(move |_slot| handler.handle(exchange)));
             }
             Admission::Full => {
                 let exchange = Exchange::new(request, connection, Arc::clone(shared));
@@ -507,7 +520,7 @@
         if let Some((request, pending)) = pending {
             let _ = shared.events.send(Event::Abandoned { request });
             // The destructor writes to the closed connection; it must not block the I/O thread.
-            shared.rejections.execute(Box::new(move || drop(pending)));
+            shared.rejections.execute(Box::new(move |_slot| drop(pending)));
         }
     }
 }
