Let the planner isolate tasks that may crash their workers

The planner now takes a mark for suspect tasks. They start only on a worker that runs nothing else and whose process has run for a while; nothing else starts there until the caller ends the isolation or the task is released. A gang with a suspect part starts apart as a whole. Reservations and preemptions skip workers that are set aside, and drop suspects.

Losses are an optional field of the work record; the stored samples stay as they are, and the new type has one of its own (`records_losses.json`).

The planner's callers do not use this yet.

--- a/crates/shallotpost-control/src/admission/mod.rs
+++ b/crates/shallotpost-control/src/admission/mod.rs
@@ -143,6 +143,7 @@
             admitted_unix_ms,
             attempt: 0,
             moved_unix_ms: 0,
+            losses: Vec::new(),
         })
     }
 
--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -38,6 +38,7 @@
         admitted_unix_ms: UNIX_MS,
         attempt: 0,
         moved_unix_ms: 0,
+        losses: Vec::new(),
         submitter: "rice-key".to_owned(),
     };
     let writes = vec![
@@ -334,6 +335,7 @@
             admitted_unix_ms: UNIX_MS,
             attempt: 0,
             moved_unix_ms: 0,
+            losses: Vec::new(),
             submitter: String::new(),
         };
         Write { key, value: serde_json::to_string(&record).ok() }
--- a/crates/shallotpost-control/tests/support/scheduler_harness.rs
+++ b/crates/shallotpost-control/tests/support/scheduler_harness.rs
@@ -374,6 +374,7 @@
             admitted_unix_ms: 0,
             attempt: 0,
             moved_unix_ms: 0,
+            losses: Vec::new(),
             submitter: String::new(),
         };
         let value = Some(serde_json::to_string(&record).unwrap());
--- a/crates/shallotpost-policy/src/engine.rs
+++ b/crates/shallotpost-policy/src/engine.rs
@@ -6,6 +6,7 @@
 use shallotpost_protocol::work::Class;
 
 use crate::fleet::Fleet;
+use crate::isolation::Isolation;
 use crate::jobs::{JobRecord, Jobs, TaskState};
 use crate::planner::{Infeasible, Job, ReleaseCause, Team, Worker};
 use crate::predict::Predictor;
@@ -25,6 +26,7 @@
     /// Pending preemptions, the oldest first.
     pub(crate) preemptions: Vec<Preemption>,
     pub(crate) reservations: Vec<Reservation>,
+    pub(crate) isolation: Isolation,
     /// Earliest time of the next attempt to make a reservation.
     pub(crate) reservation_attempt_at: Option<Instant>,
     /// Offset of the worker at which the next attempt to make a reservation starts; taken modulo the number of workers.
@@ -43,6 +45,7 @@
             predictor: Predictor::default(),
             preemptions: Vec::new(),
             reservations: Vec::new(),
+            isolation: Isolation::default(),
             reservation_attempt_at: None,
             reserve_start: 0,
             starts_enabled: true,
@@ -71,6 +74,11 @@
         lost
     }
 
+    pub(crate) fn note_process(&mut self, now: Instant, worker: &WorkerId) {
+        let host = self.fleet.slot_or_insert(worker);
+        self.fleet.note_process(now, host);
+    }
+
     pub(crate) fn set_team(&mut self, team: Team) {
         let slot = self.teams.slot_or_insert(&team.id);
         let account = &mut self.teams.accounts[slot];
@@ -135,6 +143,7 @@
         }
         let host = self.fleet.slot_or_insert(worker);
         self.book(now, (slot, task.index), host);
+        self.adopt_isolated((slot, task.index), host);
     }
 
     pub(crate) fn release(&mut self, now: Instant, task: &Task, cause: ReleaseCause) {
@@ -156,6 +165,7 @@
     }
 
     pub(crate) fn finish(&mut self, work: &WorkId) {
+        self.isolation.forget(work);
         let Some(slot) = self.jobs.slot(work) else { return };
         let tasks = self.jobs.get(slot).map_or(0, |record| record.tasks.len());
         (0..tasks).for_each(|index| self.dequeue((slot, index as u32)));
@@ -218,8 +228,11 @@
         self.jobs.get(slot)?.tasks.get(index as usize).copied()
     }
 
+    /// Returns whether the task waits and may start beside others.
     pub(crate) fn is_waiting(&self, key: TaskKey) -> bool {
-        matches!(self.state(key), Some(TaskState::Queued { .. } | TaskState::QueuedPart))
+        let waits =
+            matches!(self.state(key), Some(TaskState::Queued { .. } | TaskState::QueuedPart));
+        waits && !self.is_suspect(key)
     }
 
     /// Removes a task from its queue and books it on a worker.
@@ -292,7 +305,8 @@
         }
     }
 
-    fn enqueue(&mut self, now: Instant, key: TaskKey) {
+    pub(crate) fn enqueue(&mut self, now: Instant, key: TaskKey) {
+        let suspect = self.is_suspect(key);
         let Some(record) = self.jobs.get_mut(key.0).filter(|record| !record.finished) else {
             return;
         };
@@ -307,12 +321,21 @@
         if record.is_gang() {
             record.tasks[key.1 as usize] = TaskState::QueuedPart;
             record.tried_version = 0;
-            if record.waiting as usize == record.tasks.len() {
-                account.gangs.insert((record.sequence, key.0), record.job.size);
-                account.gangs_changed = true;
+            match record.waiting as usize == record.tasks.len() {
+                true if suspect => self.isolation.push(key),
+                true => {
+                    account.gangs.insert((record.sequence, key.0), record.job.size);
+                    account.gangs_changed = true;
+                }
+                false => {}
             }
             return;
         }
+        if suspect {
+            record.tasks[key.1 as usize] = TaskState::Isolated;
+            self.isolation.push(key);
+            return;
+        }
         let moved = account.lanes[lane].push(key, record.job.size);
         for ((slot, index), position) in moved {
             if let Some(record) = self.jobs.get_mut(slot) {
@@ -322,7 +345,7 @@
     }
 
     /// Removes a waiting task from its queue and leaves it idle.
-    fn dequeue(&mut self, key: TaskKey) {
+    pub(crate) fn dequeue(&mut self, key: TaskKey) {
         let Some(record) = self.jobs.get_mut(key.0) else { return };
         let Some(state) = record.tasks.get_mut(key.1 as usize) else { return };
         let account = &mut self.teams.accounts[record.team];
@@ -330,7 +353,9 @@
             TaskState::Queued { lane, position } => account.lanes[lane].remove(position),
             TaskState::QueuedPart => {
                 account.gangs.remove(&(record.sequence, key.0));
+                self.isolation.remove_job(key.0);
             }
+            TaskState::Isolated => self.isolation.remove(key),
             TaskState::Booked { .. } | TaskState::Idle(_) => return,
         }
         *state = TaskState::Idle(None);
--- a/crates/shallotpost-policy/src/explain.rs
+++ b/crates/shallotpost-policy/src/explain.rs
@@ -120,6 +120,13 @@
                 format!("wait until running tasks end, or add a worker with more free {resource}"),
             );
         }
+        let suspects = self.suspects(&record.job.work);
+        if suspects > 0 {
+            findings.add(
+                format!("{suspects} of its tasks lost several runs with their workers, and start only on a worker that runs nothing else"),
+                "check whether the work crashes its workers; otherwise wait until a worker is empty",
+            );
+        }
         if quarantined > 0 {
             findings.add(
                 format!("{quarantined} of {} workers are quarantined", self.fleet.known_workers),
--- a/crates/shallotpost-policy/src/fleet.rs
+++ b/crates/shallotpost-policy/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use crate::health::{Health, HealthState};
 use crate::index::{ABSENT, Amounts, Index};
+use crate::losses::steady_time;
 use crate::planner::Worker;
 use crate::queue::TaskKey;
 use crate::sum::Sum;
@@ -35,6 +36,10 @@
     pub(crate) stopping: Sum,
     pub(crate) tasks: BTreeSet<TaskKey>,
     pub(crate) health: Health,
+    /// Whether the worker is set aside for suspect tasks.
+    pub(crate) set_aside: bool,
+    /// When the process of the worker started or was first seen; `None` before the worker was added.
+    running_since: Option<Instant>,
     /// When the limit on the start rate ends.
     rate_limited_until: Option<Instant>,
     /// When the limited start rate allows the next start.
@@ -59,11 +64,22 @@
 
     /// Returns whether the worker may get a task now.
     pub(crate) fn is_usable(&self) -> bool {
+        self.is_ready() && !self.set_aside
+    }
+
+    /// Returns whether the worker may get a task now, at least one for which it is set aside.
+    pub(crate) fn is_ready(&self) -> bool {
         let healthy =
             matches!(self.health.state, HealthState::Healthy | HealthState::Probing { task: None });
         self.known && self.schedulable && healthy && self.next_start_at.is_none()
     }
 
+    /// Returns whether the process of the worker has run for so long that its crash counts against a suspect task.
+    /// `crashed` tells whether it crashed with the task before.
+    pub(crate) fn is_steady(&self, now: Instant, crashed: bool) -> bool {
+        self.running_since.is_some_and(|since| since + steady_time(crashed) <= now)
+    }
+
     /// Returns whether the limited start rate prevents a start now.
     pub(crate) fn is_rate_limited(&self) -> bool {
         self.known && self.schedulable && self.next_start_at.is_some()
@@ -150,6 +166,8 @@
             stopping: Sum::default(),
             tasks: BTreeSet::new(),
             health: Health::default(),
+            set_aside: false,
+            running_since: None,
             rate_limited_until: None,
             next_start_at: None,
             grown_version: 0,
@@ -173,6 +191,7 @@
         self.remove_from_index(slot);
         let host = &mut self.hosts[slot];
         host.known = true;
+        host.running_since.get_or_insert(now);
         host.schedulable = worker.schedulable;
         host.capacity = worker.capacity;
         host.rack = rack;
@@ -265,6 +284,17 @@
         self.refresh(slot);
     }
 
+    /// Records that the process of the worker started, or was first seen, at this time.
+    pub(crate) fn note_process(&mut self, now: Instant, slot: usize) {
+        self.hosts[slot].running_since = Some(now);
+    }
+
+    /// Sets a worker aside for suspect tasks, or returns it to all work.
+    pub(crate) fn set_aside(&mut self, slot: usize, aside: bool) {
+        self.hosts[slot].set_aside = aside;
+        self.refresh(slot);
+    }
+
     pub(crate) fn hold(&mut self, slot: usize, size: &Size) {
         self.hosts[slot].held.add(size);
         self.refresh(slot);
--- a/crates/shallotpost-policy/src/jobs.rs
+++ b/crates/shallotpost-policy/src/jobs.rs
@@ -16,6 +16,8 @@
     },
     /// Waits together with the other parts of its gang.
     QueuedPart,
+    /// Is suspect and waits for a worker that runs nothing else.
+    Isolated,
     Booked {
         host: usize,
         started: Instant,
--- a/crates/shallotpost-policy/src/planner.rs
+++ b/crates/shallotpost-policy/src/planner.rs
@@ -147,6 +147,29 @@
         self.engine.finish(work);
     }
 
+    /// Marks a task as suspect of crashing its workers. It starts only on a worker that runs nothing else, and nothing else
+    /// starts there until [`end_isolation`](Planner::end_isolation), or until the task is released. `crashed` are the
+    /// workers that crashed while they ran nothing else than the task. The mark lasts until `clear_suspect` or `finish`, and
+    /// the job may be submitted after it.
+    pub fn set_suspect(&mut self, now: Instant, task: &Task, crashed: &[WorkerId]) {
+        self.engine.set_suspect(now, task, crashed);
+    }
+
+    pub fn clear_suspect(&mut self, now: Instant, task: &Task) {
+        self.engine.clear_suspect(now, task);
+    }
+
+    /// Returns the worker of a suspect task that has outlived its losses to all work.
+    pub fn end_isolation(&mut self, task: &Task) {
+        self.engine.end_isolation(task);
+    }
+
+    /// Records that the process of a worker has restarted or was first seen. Suspect tasks do not start there for
+    /// [`steady_time`](crate::losses::steady_time).
+    pub fn note_process(&mut self, now: Instant, worker: &WorkerId) {
+        self.engine.note_process(now, worker);
+    }
+
     /// Records the measured resource usage of a task, which lags by some seconds. Bookings stay at the declared size;
     /// `explain` reports work that declares much more than it uses.
     pub fn record_usage(&mut self, _now: Instant, task: &Task, usage: &Size) {
--- a/crates/shallotpost-policy/src/reservation.rs
+++ b/crates/shallotpost-policy/src/reservation.rs
@@ -275,7 +275,7 @@
     }
 
     /// Returns whether the round may still start `parts` tasks. They may exceed its limit only as the first start.
-    fn fits_round_limit(&self, round: &Round, parts: u64) -> bool {
+    pub(crate) fn fits_round_limit(&self, round: &Round, parts: u64) -> bool {
         round.actions.is_empty() || parts <= round.remaining() as u64
     }
 
@@ -342,7 +342,8 @@
         let hosts = (self.reserve_start % self.fleet.hosts.len()..).zip(after);
         for (slot, host) in hosts.chain(before.iter().enumerate()) {
             let fits = size.fits_in(&host.capacity);
-            let open = host.known && host.schedulable && !host.health.is_restricted();
+            let open =
+                host.known && host.schedulable && !host.set_aside && !host.health.is_restricted();
             if !fits || !open || !self.may_place((job, 0), slot) {
                 continue;
             }
--- a/crates/shallotpost-policy/src/round.rs
+++ b/crates/shallotpost-policy/src/round.rs
@@ -52,6 +52,7 @@
         };
         self.advance_preemptions(&mut round);
         self.advance_reservations(&mut round);
+        self.advance_isolation(&mut round);
         while round.remaining() > 0 && round.misses < MISSES_MAX && self.start_next(&mut round) {}
         self.reserve(&mut round);
         self.preempt_for_waiting(&mut round);
--- a/crates/shallotpost-protocol/src/work.rs
+++ b/crates/shallotpost-protocol/src/work.rs
@@ -144,7 +144,7 @@
 pub enum Ending {
     /// Every task succeeded.
     Succeeded,
-    /// A task failed on its last attempt.
+    /// A task failed on its last attempt, or crashed its workers.
     Failed,
     /// A caller or operator cancelled it.
     Cancelled,
@@ -187,6 +187,24 @@
     Ended(Outcome),
 }
 
+/// Loss of a run of a task with its worker: a crash of the worker, or its silence until the task lease had certainly lapsed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// Index of the task among those of the work.
+    pub index: u32,
+    pub attempt: Attempt,
+    pub worker: WorkerId,
+    /// Incarnation of the worker that ran the task.
+    pub incarnation: u64,
+    /// Longest time for which the run can have lasted.
+    #[serde(rename = "age_ms", with = "millis")]
+    pub age: Duration,
+    /// Whether the worker ran no other work, had run for a while before the start, and no other cause is likely.
+    pub alone: bool,
+    /// Whether the process of the worker was certainly replaced.
+    pub certain: bool,
+}
+
 /// Value of the row `work/<shard>/<team>/<id>`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -205,6 +223,9 @@
     /// Time of the last change of the home shard, in milliseconds since the Unix epoch; 0 before the first change.
     #[serde(default)]
     pub moved_unix_ms: u64,
+    /// Lost runs of which the tasks have not been cleared.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub losses: Vec<Loss>,
 }
 
 /// Value of the row `ids/<team>/<id>`.
--- a/crates/shallotpost-protocol/tests/golden_files.rs
+++ b/crates/shallotpost-protocol/tests/golden_files.rs
@@ -22,8 +22,8 @@
 use shallotpost_protocol::size::Size;
 use shallotpost_protocol::wire::{Load, Pong};
 use shallotpost_protocol::work::{
-    self, Class, Ending, Explanation, Object, Outcome, Phase, Record, Registration, Specification,
-    State, Status, TaskStatus,
+    self, Class, Ending, Explanation, Loss, Object, Outcome, Phase, Record, Registration,
+    Specification, State, Status, TaskStatus,
 };
 use shallotpost_protocol::{table, worker, worker_list};
 
@@ -193,6 +193,7 @@
         submitter: "mango-ci".to_owned(),
         attempt: 4,
         moved_unix_ms: 1_700_000_000_002,
+        losses: Vec::new(),
     };
     let mut samples: Vec<_> = states().into_iter().map(record).collect();
     samples.push(plain_record());
@@ -208,9 +209,33 @@
         submitter: String::new(),
         attempt: 0,
         moved_unix_ms: 0,
+        losses: Vec::new(),
     }
 }
 
+/// A record with a loss of each kind.
+fn record_with_losses() -> Record {
+    let crash = Loss {
+        index: 0,
+        attempt: 2,
+        worker: "w1".to_owned(),
+        incarnation: 70,
+        age: Duration::from_millis(1500),
+        alone: true,
+        certain: true,
+    };
+    let silence = Loss {
+        index: 300,
+        attempt: 1,
+        worker: "w2".to_owned(),
+        incarnation: u64::MAX,
+        age: Duration::ZERO,
+        alone: false,
+        certain: false,
+    };
+    Record { losses: vec![crash, silence], ..plain_record() }
+}
+
 fn statuses() -> Vec<Status> {
     let place = |phase| TaskStatus {
         task: task(),
@@ -496,6 +521,7 @@
 fn work_rows() {
     check_json(golden!("specifications.json"), &specifications());
     check_json(golden!("records.json"), &records());
+    check_json(golden!("records_losses.json"), &[record_with_losses()]);
     check_json(golden!("outcomes.json"), &outcomes());
     let registration = Registration { shard: shard(), digest: "0a1b".to_owned() };
     check_json(golden!("registrations.json"), &[registration]);
