Give up work that crashes its workers

Callers saw tasks that crash each worker which starts them run again without limit, and the work beside them lost each time.

Cause: the only count of a task was that of its reported failures. A worker that crashes reports nothing; the owner released the run as `ReleaseCause::Lost` and queued the task at once. No count changed, and nothing of it was stored.

A lost run now leaves a loss in the work record. It is certain once the worker reports another incarnation; silence leaves an uncertain one, which is dropped if the same process answers again. Two losses isolate the task, with a growing delay; three certain crashes, two of them alone, end the work with a message that names the workers and the remedy. Crashes beside other work, soon after a start of the worker, of a leaving worker, or together with many others do not count as alone, so sound work that shares a worker with a deadly task, or runs on workers that are cut off, restarted or faulty, goes on. The losses are written with the record's state, so a takeover keeps what an owner has seen.

--- a/crates/shallotpost-control/src/scheduler/ends.rs
+++ b/crates/shallotpost-control/src/scheduler/ends.rs
@@ -1,5 +1,6 @@
 //! Handles ended tasks: releases bookings, restarts tasks and ends work.
 
+use shallotpost_policy::losses;
 use shallotpost_policy::planner::ReleaseCause;
 use shallotpost_protocol::work::{Class, Ending, State};
 use shallotpost_protocol::worker::{AttemptOutcome, StopMode};
@@ -142,18 +143,21 @@
 
     /// Restarts the task or ends its work after the task was lost with its worker.
     pub fn after_loss(&mut self, context: &mut Context, task: &Task) {
-        let Some(entry) = self.works.get_mut(&task.work) else { return };
+        let Some(entry) = self.works.get(&task.work) else { return };
+        let gang = entry.is_gang();
+        let delay = losses::restart_delay(&entry.losses, task.index);
         match () {
             _ if entry.closing.is_some() => self.close(context, &task.work),
             _ if !entry.is_idempotent() => {
                 let detail = "it was started, and its worker lost it";
                 self.end(context, &task.work, Ending::Unknown, detail);
             }
-            _ if entry.is_gang() => {
-                entry.closing = Some(Closing::Retry);
+            _ if self.give_up_deadly(context, &task.work) => {}
+            _ if gang => {
+                self.set_closing(&task.work, Closing::Retry);
                 self.close(context, &task.work);
             }
-            _ => self.queue_later(context, task, Duration::ZERO),
+            _ => self.queue_later(context, task, delay),
         }
     }
 
@@ -199,7 +203,13 @@
     fn retry(&mut self, context: &mut Context, work: &WorkId) {
         let Some(entry) = self.works.get_mut(work) else { return };
         entry.closing = None;
-        let delay = OwnedShard::restart_delay(entry.failures);
+        if self.give_up_deadly(context, work) {
+            return;
+        }
+        let Some(entry) = self.works.get_mut(work) else { return };
+        let tasks = 0..entry.tasks.len() as u32;
+        let after_losses = tasks.map(|index| losses::restart_delay(&entry.losses, index)).max();
+        let delay = OwnedShard::restart_delay(entry.failures).max(after_losses.unwrap_or_default());
         entry.deferred_acknowledgements.clear();
         let count = entry.tasks.len() as u32;
         for index in 0..count {
@@ -207,6 +217,12 @@
         }
     }
 
+    fn set_closing(&mut self, work: &WorkId, closing: Closing) {
+        if let Some(entry) = self.works.get_mut(work) {
+            entry.closing = Some(closing);
+        }
+    }
+
     /// Acknowledges an ended attempt with the next `sync`, after which the worker forgets it.
     pub fn acknowledge(&mut self, worker: &WorkerId, key: (Task, Attempt)) {
         if let Some(session) = self.sessions.get_mut(worker) {
--- a/crates/shallotpost-control/src/scheduler/entry.rs
+++ b/crates/shallotpost-control/src/scheduler/entry.rs
@@ -2,7 +2,7 @@
 
 use shallotpost_protocol::table::Version;
 use shallotpost_protocol::work::{
-    self, Class, Ending, Object, Outcome, Record, State, Status, TaskStatus,
+    self, Class, Ending, Loss, Object, Outcome, Record, State, Status, TaskStatus,
 };
 use shallotpost_protocol::worker::StopMode;
 
@@ -71,6 +71,10 @@
     pub started: bool,
     /// Incarnation of the worker before the start was sent; `None` if workers do not reject late starts (no fencing).
     pub incarnation: Option<u64>,
+    /// When the present attempt was sent, or found on its worker.
+    pub started_at: Option<Instant>,
+    /// Incarnation of the worker at that time.
+    pub ran_in: Option<u64>,
 }
 
 impl TaskEntry {
@@ -110,6 +114,8 @@
     pub may_have_run: bool,
     /// Number of failed attempts.
     pub failures: Attempt,
+    /// Lost runs of which the tasks have not been cleared. Newer than those in `record`.
+    pub losses: Vec<Loss>,
     /// Whether the planner holds the job.
     pub submitted: bool,
     /// State to write next.
@@ -140,6 +146,8 @@
             deferred_stop: None,
             started: false,
             incarnation: None,
+            started_at: None,
+            ran_in: None,
         };
         let ran_before = record.attempt > 0;
         let count = record.specification.class.tasks() as usize;
@@ -150,6 +158,7 @@
             closing: None,
             may_have_run: ran_before,
             failures: 0,
+            losses: Vec::new(),
             submitted: false,
             pending_state: None,
             writing: None,
--- a/crates/shallotpost-control/src/scheduler/mod.rs
+++ b/crates/shallotpost-control/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 pub mod environment;
 pub mod grants;
+mod losses;
 pub mod moves;
 mod recovery;
 mod requests;
--- a/crates/shallotpost-control/src/scheduler/moves.rs
+++ b/crates/shallotpost-control/src/scheduler/moves.rs
@@ -316,6 +316,7 @@
             shard: to.clone(),
             attempt: attempts.max(Attempt::from(entry.may_have_run)),
             moved_unix_ms: context.unix_ms,
+            losses: entry.losses.clone(),
             ..entry.record.clone()
         };
         let digest = record.specification.digest();
--- a/crates/shallotpost-control/src/scheduler/recovery.rs
+++ b/crates/shallotpost-control/src/scheduler/recovery.rs
@@ -171,6 +171,9 @@
         let Some(heartbeat) = session.heartbeat.take_if(|open| open.call == call) else { return };
         match result {
             Ok(Reply::State(snapshot)) => {
+                self.note_process(context, worker, snapshot.incarnation);
+                let Some(session) = self.sessions.get_mut(worker) else { return };
+                session.silence = None;
                 session.claimed = true;
                 session.answering = session.listed;
                 session.silent = false;
@@ -182,7 +185,6 @@
                 heartbeat.acknowledged.iter().for_each(|key| {
                     session.to_acknowledge.remove(key);
                 });
-                self.note_incarnation(context, worker, snapshot.incarnation);
                 match self.rows.loaded {
                     true => self.reconcile(context, worker, heartbeat.sequence, snapshot),
                     false => self.defer_snapshot(worker, heartbeat.sequence, snapshot),
@@ -198,6 +200,8 @@
                 self.note_refusal(context, worker, &result);
             }
             Ok(Reply::Done) | Err(_) => {
+                self.note_silence(now, worker);
+                let Some(session) = self.sessions.get_mut(worker) else { return };
                 let sent = !matches!(result, Err(Failure::NotSent | Failure::Rejected));
                 if sent && heartbeat.full_lease {
                     session.renewed = now;
@@ -211,17 +215,6 @@
         }
     }
 
-    fn note_incarnation(&mut self, context: &mut Context, worker: &WorkerId, incarnation: u64) {
-        let Some(session) = self.sessions.get_mut(worker) else { return };
-        let before = session.incarnation.replace(incarnation);
-        if before.is_some_and(|before| before != incarnation) {
-            // The new incarnation has no earlier attempts. They are missing from its snapshot, which releases their
-            // bookings.
-            session.to_acknowledge.clear();
-            context.log(Level::Info, "worker restarted", vec![("worker", worker.clone())]);
-        }
-    }
-
     fn defer_snapshot(&mut self, worker: &WorkerId, sequence: Sequence, snapshot: Snapshot) {
         if let Some(session) = self.sessions.get_mut(worker) {
             session.deferred_snapshot = Some((sequence, snapshot));
@@ -254,6 +247,7 @@
         session.reconciled = session.answering;
         let mut missing = session.tasks.clone();
         self.publish_worker(context, worker);
+        self.resolve_losses(context, worker);
         for report in snapshot.tasks {
             let booked = self.is_booked_as(&report.task, report.attempt, worker);
             if booked {
@@ -353,6 +347,7 @@
 
     /// Adopts a running task that an earlier owner started.
     fn adopt(&mut self, context: &mut Context, worker: &WorkerId, task: Task, attempt: Attempt) {
+        let incarnation = self.sessions.get(worker).and_then(|session| session.incarnation);
         let Some(entry) = self.works.get_mut(&task.work) else { return };
         entry.may_have_run = true;
         let state = &mut entry.tasks[task.index as usize];
@@ -360,6 +355,8 @@
         state.started = true;
         state.attempt = attempt;
         state.worker = Some(worker.clone());
+        state.started_at = Some(context.now);
+        state.ran_in = incarnation;
         let gang = entry.is_gang();
         if let Some(session) = self.sessions.get_mut(worker) {
             session.tasks.insert(task.clone());
@@ -376,6 +373,7 @@
 
     /// Books an adopted task in the planner.
     fn book_adopted(&mut self, context: &mut Context, task: &Task, worker: &WorkerId) {
+        self.mark_suspects(context, &task.work);
         let Some(entry) = self.works.get(&task.work) else { return };
         let job = self.job(context, entry);
         self.planner.adopt(context.now, &job, task.clone(), worker);
@@ -473,7 +471,12 @@
                 self.requeue_unstarted(context, task)
             }
             Phase::StartRevoked | Phase::Running | Phase::Stopping(_, None) => {
+                let ended = self.sessions.get(worker).and_then(|session| session.ended.as_ref());
+                let loss = ended.and_then(|process| self.loss(task, process, true));
                 self.release_booking(context, task, Some(ReleaseCause::Lost));
+                if let Some(loss) = loss {
+                    self.record_loss(context, &task.work, loss);
+                }
                 self.after_loss(context, task);
             }
             // An open start or stop may take effect after the snapshot was taken.
@@ -483,6 +486,7 @@
 
     /// Releases the tasks of a worker whose task lease has certainly lapsed, and restarts them or ends their work.
     fn mark_worker_lost(&mut self, context: &mut Context, worker: &WorkerId) {
+        let process = self.process(context.now, worker);
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.lapsed = true;
         session.reconciled = false;
@@ -496,9 +500,15 @@
         self.planner.remove_worker(context.now, worker);
         for task in tasks {
             let started = self.task_mut(&task).is_some_and(|state| state.phase.is_sent());
+            let loss = process.as_ref().and_then(|process| self.loss(&task, process, false));
             self.release_booking(context, &task, None);
             match started {
-                true => self.after_loss(context, &task),
+                true => {
+                    if let Some(loss) = loss {
+                        self.record_loss(context, &task.work, loss);
+                    }
+                    self.after_loss(context, &task)
+                }
                 false => self.requeue_unstarted(context, &task),
             }
         }
--- a/crates/shallotpost-control/src/scheduler/rows.rs
+++ b/crates/shallotpost-control/src/scheduler/rows.rs
@@ -371,7 +371,9 @@
             entry.closing = Some(Closing::End(entry.outcome(Ending::Cancelled, "cancelled")));
         }
         let ended = entry.has_ended();
+        let record = entry.record.clone();
         self.works.insert(work.clone(), entry);
+        self.add_losses(context, &record);
         match () {
             _ if ended => self.retained.push_back((context.now, work)),
             _ if unlocated => {
@@ -421,7 +423,8 @@
             State::Starting { .. } => Some(context.now + INTENT_WAIT_MAX),
             _ => None,
         };
-        let record = Record { state: state.clone(), ..entry.record.clone() };
+        let losses = entry.losses.clone();
+        let record = Record { state: state.clone(), losses, ..entry.record.clone() };
         let key = work::row_key(&self.id, work);
         let tag = environment.next_tag();
         let checks = self.checks(key.clone(), Some(entry.version));
@@ -510,7 +513,9 @@
             }
             State::Cancelling => answer_cancels(context, std::mem::take(&mut entry.cancels)),
             State::Starting { .. } => self.on_intent_durable(work),
-            State::Admitted if entry.closing.is_none() && !entry.is_ending() => {
+            State::Admitted
+                if !entry.is_idempotent() && entry.closing.is_none() && !entry.is_ending() =>
+            {
                 self.withdraw_intent(context, work, false)
             }
             State::Admitted => {}
@@ -560,7 +565,9 @@
         let Some(entry) = self.works.get_mut(work) else { return };
         let interrupted = entry.writing.take().map(|(_, state)| state);
         entry.version = version;
-        entry.record = record;
+        entry.record = record.clone();
+        self.add_losses(context, &record);
+        let Some(entry) = self.works.get_mut(work) else { return };
         match entry.record.state.clone() {
             State::Ended(outcome) => {
                 entry.pending_state = None;
--- a/crates/shallotpost-control/src/scheduler/session.rs
+++ b/crates/shallotpost-control/src/scheduler/session.rs
@@ -30,6 +30,30 @@
     Stop(Task, Attempt, StopMode),
 }
 
+/// Process of a worker that has ended, or may have.
+#[derive(Clone, Debug)]
+pub struct Process {
+    pub incarnation: u64,
+    /// When it was first seen.
+    pub since: Instant,
+    /// When it stopped answering.
+    pub ended_at: Instant,
+    /// Whether all tasks that it may have run belong to one job.
+    pub single_work: bool,
+    /// Whether a cause other than the tasks is known or likely: the worker was about to leave, or
+    /// stopped answering together with many others.
+    pub other_cause: bool,
+}
+
+/// Time without an answer from a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    /// When the first call failed.
+    pub since: Instant,
+    /// Whether the worker ran a suspect task.
+    pub ran_suspect: bool,
+}
+
 /// An open `claim` or `sync`.
 #[derive(Clone, Debug)]
 pub struct Heartbeat {
@@ -61,6 +85,12 @@
     pub leaving: bool,
     /// Incarnation in the last snapshot; it changes when the worker restarts.
     pub incarnation: Option<u64>,
+    /// When this incarnation was first seen.
+    pub since: Option<Instant>,
+    /// The incarnation before it, if it ended during the session.
+    pub ended: Option<Process>,
+    /// Set from the first failed call to the next answer.
+    pub silence: Option<Silence>,
     /// Sequence number of the last `claim` or `sync` whose snapshot was compared.
     pub answered: Sequence,
     pub heartbeat: Option<Heartbeat>,
@@ -95,6 +125,9 @@
             lapsed: false,
             leaving: false,
             incarnation: None,
+            since: None,
+            ended: None,
+            silence: None,
             answered: 0,
             heartbeat: None,
             next_heartbeat: now,
--- a/crates/shallotpost-control/src/scheduler/shard.rs
+++ b/crates/shallotpost-control/src/scheduler/shard.rs
@@ -69,6 +69,12 @@
     pub caps: Caps,
     /// Work with tasks in [`Phase::Unlocated`].
     pub unlocated: BTreeSet<WorkId>,
+    /// Work with losses of which its tasks have not been cleared.
+    pub with_losses: BTreeSet<WorkId>,
+    /// Work with uncertain losses, by worker.
+    pub uncertain: BTreeMap<WorkerId, BTreeSet<WorkId>>,
+    /// Time of the next check of running tasks with losses.
+    pub next_survivors: Instant,
     /// Tasks in [`Phase::Backoff`], by the time at which they are queued again.
     pub backoffs: BTreeSet<(Instant, Task)>,
     /// Work that the planner rejected because it fits no known worker.
@@ -109,6 +115,9 @@
             rows: Rows::new(context.now),
             caps: Caps::new(context.now),
             unlocated: BTreeSet::new(),
+            with_losses: BTreeSet::new(),
+            uncertain: BTreeMap::new(),
+            next_survivors: context.now,
             backoffs: BTreeSet::new(),
             infeasible: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -141,6 +150,7 @@
         self.scan_rows(context, environment);
         self.maintain_sessions(context, environment);
         self.resolve_unlocated(context, environment);
+        self.check_survivors(context);
         self.expire(context);
         self.requeue_due(context, environment);
         self.retry_infeasible(context, environment);
@@ -212,6 +222,10 @@
     /// Submits work to the planner. Work that can run nowhere ends with [`Ending::NeverRunnable`]; work that fits no known
     /// worker is retried.
     pub fn submit(&mut self, context: &mut Context, environment: &Environment, work: &WorkId) {
+        if self.give_up_deadly(context, work) {
+            return;
+        }
+        self.mark_suspects(context, work);
         let Some(entry) = self.works.get(work) else { return };
         let job = self.job(context, entry);
         match self.planner.submit(context.now, job) {
--- a/crates/shallotpost-control/src/scheduler/starts.rs
+++ b/crates/shallotpost-control/src/scheduler/starts.rs
@@ -152,6 +152,8 @@
                 entry.may_have_run = true;
                 let state = &mut entry.tasks[task.index as usize];
                 state.phase = Phase::Starting(call);
+                state.started_at = Some(context.now);
+                state.ran_in = incarnation;
                 state.incarnation = match environment.settings.fencing {
                     Fencing::Epoch => incarnation,
                     Fencing::None => None,
