End searches for a preemption that cannot give a result

Cause: only the larger fleet has rounds that start nothing (2,064 of 6,000 against none; the queue is as long and has been sifted by four times as many starts), and only such a round goes on to preemption. There 124 looks at lanes took 5.0 us of the mean decision, and the searches of 51 rounds 10.1 us: up to 16,384 victims and 1,024 workers in a round, 4.3 ms. Ruled out as main causes: the search for a worker (fewer racks and workers visited), workers that grew (47 against 53 a decision), gangs and reservations. Change: a search ends when its 64 workers have been checked; it went on through up to 1,024 victims without checking any. A lane that is empty, or whose team is not below its share and may not preempt otherwise, is left before its tasks are looked at. No decision changes: the running tasks after 6,000 decisions have the same hash before and after, at 1,200 and at 4,800 workers. The tests of the crate pass.

--- a/crates/shallotpost-policy/src/preemption.rs
+++ b/crates/shallotpost-policy/src/preemption.rs
@@ -197,6 +197,9 @@
         rule: &PreemptionRule,
     ) -> Option<(TaskKey, f64)> {
         let account = &self.teams.accounts[team];
+        if account.lanes[lane].is_empty() {
+            return None;
+        }
         let mut preempting = BTreeSet::new();
         let mut booked = account.booked;
         for preemption in &self.preemptions {
@@ -211,6 +214,9 @@
         let grant = account.grant?;
         let room = Sum::from(&grant).minus(&booked).size().min(&self.fleet.largest());
         let below = rule.weighted_share(account, &booked) < rule.fair_weighted_share();
+        if !below && !matches!(lane, URGENT | REPLACEMENT) {
+            return None;
+        }
         let mut from = 0;
         while let Some((position, key, size)) = account.lanes[lane].first(from, &room) {
             from = position + 1;
@@ -219,8 +225,7 @@
             }
             let mut after = booked;
             after.add(&size);
-            let may_preempt = below || matches!(lane, URGENT | REPLACEMENT);
-            return may_preempt.then(|| (key, rule.weighted_share(account, &after)));
+            return Some((key, rule.weighted_share(account, &after)));
         }
         None
     }
@@ -273,9 +278,12 @@
         }
         let victims = over_share.iter().flat_map(|(_, team)| &self.teams.accounts[*team].victims);
         for (_, _, victim) in victims.take(CANDIDATE_VICTIMS_MAX) {
+            if checked.len() >= CANDIDATE_HOSTS_MAX {
+                break;
+            }
             let Some(TaskState::Booked { host, .. }) = self.state(*victim) else { continue };
             let fits = size.fits_in(&self.fleet.hosts[host].capacity);
-            if !fits || checked.len() >= CANDIDATE_HOSTS_MAX || !checked.insert(host) {
+            if !fits || !checked.insert(host) {
                 continue;
             }
             let Some(found) = self.victims_on(host, size, rule) else { continue };
