--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -287,8 +287,8 @@
         }
     }
 
-    /// Returns whether the members of a gang may start on these workers under this run number. Those that cannot isolate a suspect gang yet are
-    /// held for it.
+    /// Returns whether the members of a gang may start on these workers under this run number. The workers that cannot
+    /// isolate a suspect gang yet are held for it.
     pub(super) fn prepare_gang(
         &mut self,
         demand: &Demand,
