--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -140,6 +140,46 @@
         sim
     }
 
+    /// Starts a fleet of three hosts, and lets time pass until the owner knows its workers.
+    pub fn settled(workers: usize) -> Simulation {
+        let mut sim = Simulation::new(&["a", "b", "c"], workers);
+        sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+        sim.run(ms(1500));
+        sim
+    }
+
+    /// Submits a job whose tasks take the given time on every present worker.
+    pub fn submit_lasting(&mut self, queue: &str, id: JobId, steps: Vec<Step>, time: Duration) {
+        for worker in self.workers.values_mut() {
+            worker.job_durations.insert(id, time);
+        }
+        self.submit("a", queue, id, steps);
+    }
+
+    /// Returns the workers on which tasks of a job run.
+    pub fn workers_of(&self, id: JobId) -> BTreeSet<String> {
+        let runs = |worker: &Worker| worker.running().any(|task| task.stage.job == id);
+        let workers = self.workers.iter().filter(|(_, worker)| runs(worker));
+        workers.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Lets time pass until this number of a job's tasks runs and the owner knows it.
+    pub fn wait_for_start(&mut self, id: JobId, tasks: usize) {
+        self.run_until(Duration::from_secs(20), "a start", |sim| {
+            let running = sim.workers.values().flat_map(|worker| worker.running());
+            running.filter(|task| task.stage.job == id).count() == tasks
+        });
+        self.run(ms(5));
+    }
+
+    /// Makes a job's tasks suspects: their workers crash by themselves right after the start.
+    pub fn crash_after_start(&mut self, id: JobId, tasks: usize) {
+        self.wait_for_start(id, tasks);
+        for worker in self.workers_of(id) {
+            self.crash(&worker);
+        }
+    }
+
     pub fn configure(&mut self, configuration: Configuration) {
         let content = Content::Configuration(Box::new(configuration));
         self.store.put(Table::Operator, "config", content);
