Review cases 3 and 4: a zone and a worker that are never used again

Causes: Host::replace_operator_rows keeps a removed evacuation after the store has forgotten its history, if no row is newer than the evacuation was. Scheduler::prune_sessions forgets the incarnation of a worker, so that a worker that has started again under its identifier gets a lower fencing token after a cut.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -17,8 +17,9 @@
 KEY=3hh2b9wu3fexd9dnn2ct
 
 finish() {
-  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2> /dev/null; done
-  wait 2> /dev/null
+  exec 2> /dev/null
+  for pid in "${PIDS[@]}"; do kill -KILL "$pid"; done
+  wait
   rm -rf "$WORK"
 }
 trap finish EXIT
@@ -29,7 +30,7 @@
 give_up() { note "not run: $*"; echo "not run: $*"; exit 2; }
 
 [ -x "$DAEMON" ] && [ -x "$STANDIN" ] || give_up "build the deploy file and review/build.sh first"
-read -r -a PORTS <<< "$("$STANDIN" ports 24)" || give_up "no free ports"
+read -r -a PORTS <<< "$("$STANDIN" ports 28)" || give_up "no free ports"
 STORE=127.0.0.1:${PORTS[0]}
 FRONTS=()
 for host in 0 1 2; do FRONTS+=("127.0.0.1:${PORTS[$((1 + host * 4))]}"); done
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -65,7 +65,10 @@
     true
 }
 
-fn serve_connection(stream: TcpStream, handler: &(impl Fn(Request) -> Response + ?Sized)) -> Option<()> {
+fn serve_connection(
+    stream: TcpStream,
+    handler: &(impl Fn(Request) -> Response + ?Sized),
+) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -65,7 +65,8 @@
 }
 
 fn print_ports(count: usize) -> bool {
-    let listeners: Vec<_> = (0..count).filter_map(|_| TcpListener::bind("127.0.0.1:0").ok()).collect();
+    let listeners: Vec<_> =
+        (0..count).filter_map(|_| TcpListener::bind("127.0.0.1:0").ok()).collect();
     let ports = listeners.iter().filter_map(|listener| listener.local_addr().ok());
     let ports: Vec<String> = ports.map(|address| address.port().to_string()).collect();
     println!("{}", ports.join(" "));
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -8,7 +8,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, Response, serve};
+use crate::http::{serve, Request, Response};
 use crate::json::Value;
 use crate::record;
 
@@ -87,8 +87,7 @@
 }
 
 pub fn run(address: &str) -> bool {
-    let platform =
-        Arc::new(Platform { store: Mutex::default(), changed: Condvar::new() });
+    let platform = Arc::new(Platform { store: Mutex::default(), changed: Condvar::new() });
     let reaper = Arc::clone(&platform);
     spawn(move || loop {
         sleep(Duration::from_millis(200));
@@ -113,7 +112,9 @@
     fn handle(&self, request: &Request) -> Response {
         let down = self.store.lock().expect("store").down_until;
         match request.path() {
-            path if !path.starts_with("/control/") && down.is_some_and(|until| until > Instant::now()) => {
+            path if !path.starts_with("/control/")
+                && down.is_some_and(|until| until > Instant::now()) =>
+            {
                 Response::Answer(503, "{}".to_owned())
             }
             "/v1/rows-tx" => self.transact(request),
@@ -147,9 +148,13 @@
             return Response::Answer(400, "{}".to_owned());
         };
         let mut store = self.store.lock().expect("store");
-        let current = |store: &Store, entry: &Value| store.rows.get(&key(entry)).map_or(0, |row| row.0);
+        let current =
+            |store: &Store, entry: &Value| store.rows.get(&key(entry)).map_or(0, |row| row.0);
         let conditions = body.list("precondition");
-        if conditions.iter().any(|entry| current(&store, entry) != entry.u64("row_version").unwrap_or(0)) {
+        if conditions
+            .iter()
+            .any(|entry| current(&store, entry) != entry.u64("row_version").unwrap_or(0))
+        {
             let rows = conditions.iter().filter_map(|entry| {
                 let (version, value) = store.rows.get(&key(entry))?;
                 Some(row(&key(entry), *version, Some(value)))
@@ -159,7 +164,10 @@
             };
             return Response::Answer(412, body);
         }
-        let writes = body.list("writes").iter().map(|entry| (key(entry), Some(entry.str("value").to_owned())));
+        let writes = body
+            .list("writes")
+            .iter()
+            .map(|entry| (key(entry), Some(entry.str("value").to_owned())));
         let deletes = body.list("deletes").iter().map(|entry| (key(entry), None));
         let changes = writes.chain(deletes).collect();
         store.apply(changes);
@@ -169,14 +177,18 @@
 
     fn read(&self, request: &Request) -> Response {
         sleep(READ);
-        let (table, part, from) = (request.query("table"), request.query("part"), request.query("from"));
+        let (table, part, from) =
+            (request.query("table"), request.query("part"), request.query("from"));
         let to = request.query("to");
         let limit = request.query("limit").parse().unwrap_or(500).min(500);
         let store = self.store.lock().expect("store");
         let mut found = store.rows.iter().filter(|((known, of, name), _)| {
             *known == table && *of == part && *name >= from && (to.is_empty() || *name < to)
         });
-        let rows = found.by_ref().take(limit).map(|(key, (version, value))| row(key, *version, Some(value)));
+        let rows = found
+            .by_ref()
+            .take(limit)
+            .map(|(key, (version, value))| row(key, *version, Some(value)));
         let rows = rows.collect();
         store.answer(rows, found.next().is_some())
     }
@@ -196,7 +208,10 @@
             if store.cuts != cuts {
                 return Response::Close;
             }
-            let changes = store.history.iter().filter(|(version, (known, ..), _)| *version > after && *known == table);
+            let changes = store
+                .history
+                .iter()
+                .filter(|(version, (known, ..), _)| *version > after && *known == table);
             let rows: Vec<Value> =
                 changes.map(|(version, key, value)| row(key, *version, value.as_ref())).collect();
             let left = end.saturating_duration_since(Instant::now());
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -2,16 +2,15 @@
 //!
 //! Specifications: `run MS` ends as done, `fail MS` ends as failed, `serve` runs until it is stopped. `POST
 //! /control/cut?for_ms=N` cuts the worker off: for that time it answers nothing, does nothing that it is told and writes
-//! nothing to the store, but its runs go on. `POST /control/restart` ends the process's life and begins another one under
-//! the same identifier: nothing runs there, no fencing token was seen, and all counts start anew. `POST
-//! /control/crash?for_ms=N` does so after the worker was down for that time.
+//! nothing to the store, but its runs go on. `POST /control/crash?for_ms=N` ends the worker's life and begins another one
+//! under the same identifier after that time: nothing runs there, no fencing token was seen, and all counts start anew.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, Response, serve};
+use crate::http::{serve, Request, Response};
 use crate::json::Value;
 use crate::{record, unix_ms, write_row};
 
@@ -63,7 +62,10 @@
     fn end(&mut self, worker: &str, task: &str, how: &'static str) {
         let Some(run) = self.runs.remove(task) else { return };
         self.last_end += 1;
-        record(&format!("worker {worker} ends {task} run {} {how} (end {})", run.number, self.last_end));
+        record(&format!(
+            "worker {worker} ends {task} run {} {how} (end {})",
+            run.number, self.last_end
+        ));
         self.ends.push((self.last_end, task.to_owned(), run.number, how));
         let ended = self.ended.entry(task.to_owned()).or_default();
         *ended = run.number.max(*ended);
@@ -75,7 +77,10 @@
         let over = self.runs.iter().filter(|(_, run)| run.ends.is_some_and(|ends| ends <= now));
         let over: Vec<(String, &'static str)> = over
             .map(|(task, run)| {
-                (task.clone(), if run.specification.starts_with("fail") { "failed" } else { "done" })
+                (
+                    task.clone(),
+                    if run.specification.starts_with("fail") { "failed" } else { "done" },
+                )
             })
             .collect();
         over.iter().for_each(|(task, how)| self.end(worker, task, how));
@@ -191,9 +196,16 @@
         }
         let born = self.life.lock().expect("life").born;
         let response = self.execute(request);
-        // What a call to an earlier life waited for is not answered by a later one.
-        let same = self.life.lock().expect("life").born == born && self.cut_time_left().is_zero();
-        if same { response } else { Response::Close }
+        // A later life does not answer the calls to an earlier one, and nothing leaves a worker that is cut off.
+        if self.life.lock().expect("life").born != born {
+            return Response::Close;
+        }
+        let left = self.cut_time_left();
+        if left.is_zero() {
+            return response;
+        }
+        sleep(left);
+        Response::Close
     }
 
     fn execute(&self, request: &Request) -> Response {
@@ -208,7 +220,12 @@
         let mut life = self.life.lock().expect("life");
         life.advance(&self.id);
         if fence < life.fence {
-            record(&format!("worker {} refuses {} with fence {fence} (has {})", self.id, request.path(), life.fence));
+            record(&format!(
+                "worker {} refuses {} with fence {fence} (has {})",
+                self.id,
+                request.path(),
+                life.fence
+            ));
             return life.answer(409, "fence");
         }
         life.fence = fence;
