--- a/review/lib.sh
+++ b/review/lib.sh
@@ -7,7 +7,7 @@
 ROOT=$(cd "$CASE/../.." && pwd)
 TROUBLE=${TROUBLE:-1}
 DAEMON=$ROOT/target/release/shallotpostd
-STANDIN=$ROOT/target/review/standin
+STANDIN=${STANDIN:-$ROOT/target/review/standin}
 export RECORD=$CASE/record.txt
 : > "$RECORD"
 WORK=$(mktemp -d)
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -4,6 +4,7 @@
 //! /control/cut?for_ms=N` cuts the worker off: for that time it answers nothing, does nothing that it is told and writes
 //! nothing to the store, but its runs go on. `POST /control/crash?for_ms=N` ends the worker's life and begins another one
 //! under the same identifier after that time: nothing runs there, no fencing token was seen, and all counts start anew.
+//! `POST /control/power?for_ms=N` does so without a reset of the open connections, as a loss of power.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex};
@@ -17,6 +18,9 @@
 /// Interval at which the worker writes its entry (`heartbeat_ms`).
 const PING_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// Time for which a caller waits on a connection to a machine that has lost power, unless it gives up before.
+const DEAD_CONNECTION: Duration = Duration::from_secs(60);
+
 /// Maximum number of ends in one list.
 const ENDS_MAX: usize = 500;
 
@@ -39,6 +43,8 @@
     ended: BTreeMap<String, u64>,
     ends: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
+    /// Whether the life before ended without a reset of its connections.
+    silent_start: bool,
 }
 
 impl Life {
@@ -52,6 +58,7 @@
             ended: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
+            silent_start: false,
         }
     }
 
@@ -180,11 +187,17 @@
                 *self.cut_until.lock().expect("cut") = Some(Instant::now() + time);
                 return Response::Answer(200, "{}".to_owned());
             }
-            "/control/crash" => {
+            "/control/crash" | "/control/power" => {
                 *self.cut_until.lock().expect("cut") = Some(Instant::now() + time);
                 let mut life = self.life.lock().expect("life");
-                record(&format!("worker {} crashes with {} runs", self.id, life.runs.len()));
+                let what = request.path().trim_start_matches("/control/");
+                record(&format!(
+                    "worker {} {what} for {time:?} with {} runs",
+                    self.id,
+                    life.runs.len()
+                ));
                 *life = Life::new();
+                life.silent_start = what == "power";
                 return Response::Answer(200, "{}".to_owned());
             }
             _ => {}
@@ -194,10 +207,23 @@
             sleep(left);
             return Response::Close;
         }
-        let born = self.life.lock().expect("life").born;
+        let born = {
+            let life = self.life.lock().expect("life");
+            // The machine knows nothing of connections from before it lost power, and resets them.
+            if life.silent_start && request.opened < life.start {
+                return Response::Close;
+            }
+            life.born
+        };
         let response = self.execute(request);
         // A later life does not answer the calls to an earlier one, and nothing leaves a worker that is cut off.
-        if self.life.lock().expect("life").born != born {
+        let (now, silent) = {
+            let life = self.life.lock().expect("life");
+            (life.born, life.silent_start)
+        };
+        if now != born {
+            // After a loss of power, the caller is told nothing: it waits for an answer on a dead connection.
+            sleep(if silent { DEAD_CONNECTION } else { Duration::ZERO });
             return Response::Close;
         }
         let left = self.cut_time_left();
