--- a/review/lib.sh
+++ b/review/lib.sh
@@ -102,5 +102,10 @@
 # Keeps the logs of the hosts when asked to.
 keep_logs() { [ -z "${LOGS:-}" ] || cp "$WORK"/host-*.log "$LOGS"; }
 
-held() { note "held: $*"; echo "held: $*"; keep_logs; exit 0; }
-broken() { note "broken: $*"; echo "broken: $*"; keep_logs; exit 1; }
+# A verdict needs all processes: one that could not bind its address, for example, has ended.
+all_alive() {
+  for pid in "${PIDS[@]}"; do kill -0 "$pid" 2> /dev/null || give_up "a process ended early"; done
+}
+
+held() { all_alive; note "held: $*"; echo "held: $*"; keep_logs; exit 0; }
+broken() { all_alive; note "broken: $*"; echo "broken: $*"; keep_logs; exit 1; }
