Keep the incarnation of a worker for the whole epoch

Callers: a worker restarted under its identifier, and some seconds later its data centre was cut off until its entry in the registry was removed.

Cause: the fencing token of a call holds the worker's incarnation, which was counted in the session. The session of a worker without an entry and without runs is dropped, as is that of a worker whose address answers for another one, and the next session began at 0. The worker does nothing for a token below the highest one that it has seen.

Change: the scheduler keeps the last incarnation of each worker apart from the sessions, so each session of an epoch has a higher one.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -137,6 +137,7 @@
         context
             .outputs
             .push(Output::Count { counter: crate::port::Counter::WorkerFailures, amount: 1 });
+        let fence = session.fence;
         if session.contact == Contact::Live {
             session.contact = Contact::Silent;
             let fields = vec![("worker", worker.to_string()), ("error", error.to_string())];
@@ -144,7 +145,8 @@
             self.record_silence(worker, context);
         }
         if error == Error::Refused(Refusal::Fence) {
-            context.log("fenced", vec![("worker", worker.to_string())]);
+            let fields = vec![("worker", worker.to_string()), ("fence", fence.to_string())];
+            context.log("fenced", fields);
         }
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -161,6 +161,9 @@
     /// The stages that the last full round ranked first, if there are too many to rank in every round.
     ranked: Vec<StageId>,
     sessions: BTreeMap<WorkerKey, Session>,
+    /// Incarnation of the last session with each worker in this epoch. It outlives the session, as the worker keeps the
+    /// fencing token, and calls and commits in flight name the incarnation.
+    incarnations: BTreeMap<WorkerKey, u64>,
     /// Workers on which each task is placed. More than one if an earlier run has not ended yet.
     workers_of_tasks: BTreeMap<TaskId, Vec<WorkerKey>>,
     /// Calls in flight to workers: the worker, its incarnation and the purpose.
@@ -214,6 +217,7 @@
             fresh: BTreeSet::new(),
             ranked: Vec::new(),
             sessions: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
             workers_of_tasks: BTreeMap::new(),
             calls: BTreeMap::new(),
             breaks: VecDeque::new(),
@@ -405,15 +409,14 @@
             return;
         };
         match self.sessions.get_mut(worker) {
-            None => self.open_session(worker.into(), registration, 0, context),
+            None => self.open_session(worker.into(), registration, context),
             Some(session)
                 if session.registration.started_unix_ms != registration.started_unix_ms =>
             {
-                let incarnation = session.incarnation + 1;
                 if registration.started_unix_ms > session.registration.started_unix_ms {
                     let key = WorkerKey::from(worker);
                     self.forget_runs(&key, Loss::Restarted, context);
-                    self.open_session(key, registration, incarnation, context);
+                    self.open_session(key, registration, context);
                 }
             }
             Some(session) => {
@@ -426,13 +429,16 @@
         }
     }
 
+    /// Opens a session with a worker in place of an earlier one. Each session with the same worker has a higher
+    /// incarnation, and so a fencing token that is not lower.
     fn open_session(
         &mut self,
         worker: WorkerKey,
         registration: Registration,
-        incarnation: u64,
         context: &mut Context,
     ) {
+        let incarnation = self.incarnations.get(&worker).map_or(0, |last| last + 1);
+        self.incarnations.insert(Rc::clone(&worker), incarnation);
         let fields = vec![
             ("worker", worker.to_string()),
             ("pool", registration.pool.clone()),
@@ -545,9 +551,9 @@
         let Some(session) = self.sessions.get(worker) else { return };
         let mut registration = session.registration.clone();
         registration.started_unix_ms = started_unix_ms;
-        let (incarnation, registered) = (session.incarnation + 1, session.registered);
+        let registered = session.registered;
         self.forget_runs(worker, Loss::Restarted, context);
-        self.open_session(Rc::clone(worker), registration, incarnation, context);
+        self.open_session(Rc::clone(worker), registration, context);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.registered = registered;
         }
