Look up in the stored roster whether it names a reopened worker

Jobs would stay `queued` while a worker that could run them is registered and idle.

Cause: nothing is started on a worker before the stored roster names it. This was noted in the session only. A session that was dropped and opened again between two rosters waited for a new one, and none is written while the set of workers is the same.

Evidence: named_by_the_roster fails before the change with the job `Queued` after 3 s; its log shows the worker joined and in contact, and a commit after the other without progress.

Change: a new session takes its state from the roster that is stored and from the one that is being committed.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -448,7 +448,8 @@
         context.log("worker_joined", fields);
         let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
         let mut session = Session::new(registration, incarnation, fence, context.now);
-        session.in_roster = self.sessions.get(&worker).is_some_and(|earlier| earlier.in_roster);
+        session.in_roster = self.takeover.roster_names(&worker)
+            || self.sessions.get(&worker).is_some_and(|earlier| earlier.in_roster);
         self.sessions.insert(worker, session);
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -37,9 +37,10 @@
     possible_tasks: BTreeMap<WorkerKey, (BTreeSet<TaskId>, Uptime)>,
     /// Workers that a stored or in-flight commit names as unreachable; nothing is started on them.
     recorded_unreachable: BTreeSet<WorkerKey>,
+    /// Workers that the stored roster names.
     roster: BTreeSet<WorkerKey>,
-    /// Workers of the roster that is being committed.
-    roster_sent: BTreeSet<WorkerKey>,
+    /// Workers of the roster that is being committed; `None` if none is.
+    roster_sent: Option<BTreeSet<WorkerKey>>,
     settled: bool,
     /// Resources of the runs that earlier owners started and this one has found on workers, by team.
     adopted: BTreeMap<Rc<str>, Size>,
@@ -55,13 +56,18 @@
             possible_tasks: BTreeMap::new(),
             recorded_unreachable: BTreeSet::new(),
             roster: BTreeSet::new(),
-            roster_sent: BTreeSet::new(),
+            roster_sent: None,
             settled: false,
             adopted: BTreeMap::new(),
             unstored_ends: false,
         }
     }
 
+    /// Returns whether the roster names the worker, the stored one as well as one that is being committed.
+    pub(super) fn roster_names(&self, key: &WorkerKey) -> bool {
+        self.roster.contains(key) && self.roster_sent.as_ref().is_none_or(|sent| sent.contains(key))
+    }
+
     pub(super) fn set_unstored_ends(&mut self, unstored_ends: bool) {
         self.unstored_ends = unstored_ends;
     }
@@ -94,7 +100,7 @@
         if present == self.takeover.roster {
             return None;
         }
-        self.takeover.roster_sent = present;
+        self.takeover.roster_sent = Some(present);
         let entry = |(key, session): (&WorkerKey, &Session)| {
             (key.to_string(), session.registration.clone())
         };
@@ -103,7 +109,7 @@
 
     /// Records that the commit with the changed roster has taken effect.
     pub fn roster_committed(&mut self) {
-        self.takeover.roster = std::mem::take(&mut self.takeover.roster_sent);
+        self.takeover.roster = self.takeover.roster_sent.take().unwrap_or_default();
         for key in &self.takeover.roster {
             if let Some(session) = self.sessions.get_mut(key) {
                 session.in_roster = true;
--- a/crates/shallotpost-fleet/tests/worker_lives.rs
+++ b/crates/shallotpost-fleet/tests/worker_lives.rs
@@ -96,3 +96,14 @@
     let sim = replaced_during_a_commit();
     assert_eq!(sim.workers[WORKER].acknowledged(), 0);
 }
+
+/// The stored roster still named the worker, but the new session did not know, and nothing was started on it until another
+/// worker joined or left.
+#[test]
+fn named_by_the_roster() {
+    let mut sim = replaced_during_a_commit();
+    sim.transaction_delay = Duration::ZERO;
+    sim.run(Duration::from_secs(1));
+    run_job(&mut sim, 3);
+    assert_eq!(sim.starts_of_job(3), 2);
+}
