Read a page of the registry again if it could not be read

Callers: none has reported it; the review names it as seen in the code. With more than 400 workers, accepted jobs of an earlier owner would never be started again, and removed workers would stay in use.

Cause: the position of the feed, set by the first page, also stood for a complete read. A failed second page left it set: the owner went on with the feed, and never compared the entries nor recorded the registry as complete.

Evidence: refused_page fails before the change as the removed worker is still used, refused_page_at_a_takeover as the takeover is not settled within 5 s.

Change: the key of the next page is kept apart from the position of the feed. A page is repeated until it is read, and the feed begins after the last one.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -67,8 +67,10 @@
     pub(super) jobs_cursor: RowVersion,
     pub(super) jobs_feed_in_flight: bool,
     pub(super) next_jobs_feed: Uptime,
-    /// Version after which the feed of registrations continues; `None` if the registry must be read as a whole.
-    pub(super) registry_cursor: Option<RowVersion>,
+    /// Version after which the feed of registrations continues.
+    pub(super) registry_cursor: RowVersion,
+    /// Key from which the next page of the registry is read; `None` if the whole registry has been read.
+    pub(super) registry_page: Option<String>,
     /// Whether the registry must be read again because a new configuration may name the pools of unusable entries.
     pub(super) registry_stale: bool,
     pub(super) registry_call_in_flight: bool,
@@ -120,7 +122,8 @@
             jobs_cursor: 0,
             jobs_feed_in_flight: false,
             next_jobs_feed: now,
-            registry_cursor: None,
+            registry_cursor: 0,
+            registry_page: Some(String::new()),
             registry_stale: false,
             registry_call_in_flight: false,
             next_registry_call: now,
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -228,18 +228,20 @@
         owner.jobs_feed_in_flight |= jobs;
         owner.registry_call_in_flight |= registry;
         if registry && std::mem::take(&mut owner.registry_stale) {
-            owner.registry_cursor = None;
+            owner.registry_page = Some(String::new());
         }
         let (jobs_cursor, registry_cursor) = (owner.jobs_cursor, owner.registry_cursor);
+        let registry_page = owner.registry_page.clone();
         if jobs {
             let request =
                 StoreRequest::Feed { table: Table::Jobs, after: jobs_cursor, wait: FEED_WAIT };
             self.call_store(Purpose::JobsFeed, request, FEED_WAIT);
         }
-        match registry_cursor {
+        match registry_page {
             _ if !registry => {}
-            None => self.read_registry(String::new()),
-            Some(after) => {
+            Some(from) => self.read_registry(from),
+            None => {
+                let after = registry_cursor;
                 let request = StoreRequest::Feed { table: Table::Workers, after, wait: FEED_WAIT };
                 self.call_store(Purpose::RegistryFeed, request, FEED_WAIT);
             }
@@ -250,9 +252,9 @@
     }
 
     fn read_registry(&mut self, from: String) {
-        let first = from.is_empty();
-        let request = StoreRequest::Read { table: Table::Workers, from, limit: PAGE_SIZE };
-        self.call_store(Purpose::RegistryRead { first }, request, Duration::ZERO);
+        let request =
+            StoreRequest::Read { table: Table::Workers, from: from.clone(), limit: PAGE_SIZE };
+        self.call_store(Purpose::RegistryRead { from }, request, Duration::ZERO);
     }
 
     pub(super) fn jobs_feed(&mut self, result: Result<StoreAnswer, StoreError>) {
@@ -302,19 +304,21 @@
         }
     }
 
-    pub(super) fn registry_read(&mut self, first: bool, result: Result<StoreAnswer, StoreError>) {
+    /// Handles a page of the registry. A page that could not be read is read again.
+    pub(super) fn registry_read(&mut self, from: String, result: Result<StoreAnswer, StoreError>) {
         let Some(owner) = &mut self.owner else { return };
         let Ok(answer) = result else {
             owner.registry_call_in_flight = false;
             owner.next_registry_call = self.now + RETRY_DELAY;
             return;
         };
-        if first {
+        if from.is_empty() {
             owner.registry_keys.clear();
             // The feed returns changes that are made while the following pages are read.
-            owner.registry_cursor = Some(answer.version);
+            owner.registry_cursor = answer.version;
         }
         let next = next_page(&answer);
+        owner.registry_page.clone_from(&next);
         owner.registry_keys.extend(answer.rows.iter().map(|row| row.key.clone()));
         for row in answer.rows {
             self.apply_registration(row);
@@ -348,13 +352,13 @@
         owner.next_registry_call = self.now + REGISTRY_FEED_PAUSE;
         match result {
             Ok(answer) => {
-                owner.registry_cursor = owner.registry_cursor.max(Some(answer.version));
+                owner.registry_cursor = owner.registry_cursor.max(answer.version);
                 for row in answer.rows {
                     self.apply_registration(row);
                 }
             }
             Err(StoreError::HistoryLost) => {
-                owner.registry_cursor = None;
+                owner.registry_page = Some(String::new());
                 owner.next_registry_call = self.now;
             }
             Err(_) => {}
--- a/crates/shallotpost-fleet/tests/store_pages.rs
+++ b/crates/shallotpost-fleet/tests/store_pages.rs
@@ -1,4 +1,4 @@
-//! Pages of the store's tables. Guards against rows that are skipped between two pages.
+//! Pages of the store's tables. Guards against rows that are skipped between two pages, and against reads that end half-way.
 
 mod support;
 
@@ -56,3 +56,41 @@
     assert_eq!(sim.state(other, "batch", cancelled), Some(State::Cancelled));
     assert_eq!(sim.starts(task(cancelled, 0, 0)), 0);
 }
+
+/// The second page of the registry could not be read, and the owner went on as if it had read the whole table: it kept
+/// workers whose entries were removed while the history was lost.
+#[test]
+fn refused_page() {
+    let mut sim = Simulation::settled(2);
+    for number in 0..420 {
+        sim.store.put(Table::Workers, &format!("k{number:03}"), Content::Unreadable);
+    }
+    sim.run(ms(600));
+    sim.unregister("w1");
+    sim.store.compact();
+    sim.store.refused_pages = 2;
+    sim.run(Duration::from_secs(2));
+    let unregistered = |name: &str| {
+        let text = format!("worker_unregistered worker={name}");
+        sim.logs.iter().any(|(_, _, line)| *line == text)
+    };
+    assert!(unregistered("w1"), "w1 is still used");
+    assert!(!unregistered("w0"));
+}
+
+/// The same at a takeover, which was never settled, so that every task stayed uncertain until all leases had expired.
+#[test]
+fn refused_page_at_a_takeover() {
+    let mut sim = Simulation::settled(2);
+    for number in 0..420 {
+        sim.store.put(Table::Workers, &format!("k{number:03}"), Content::Unreadable);
+    }
+    let owner = sim.owner().expect("there is an owner");
+    sim.store.refused_pages = 1;
+    sim.kill_host(&owner);
+    sim.run(Duration::from_secs(5));
+    let settled = |(_, host, line): &&(Duration, String, String)| {
+        *host != owner && line.starts_with("takeover_settled")
+    };
+    assert_eq!(sim.logs.iter().filter(settled).count(), 1);
+}
--- a/crates/shallotpost-fleet/tests/support/store.rs
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -28,6 +28,8 @@
     pub down: bool,
     /// Version before which feeds fail because the change history is lost.
     pub forgotten: RowVersion,
+    /// Number of reads to refuse among those of the pages of the workers' table after the first one.
+    pub refused_pages: usize,
     /// Number of transactions that took effect.
     pub transactions: usize,
 }
@@ -69,6 +71,12 @@
             StoreRequest::Transact { conditions, writes, deletes } => {
                 self.transact(conditions, writes, deletes)
             }
+            StoreRequest::Read { table: Table::Workers, from, .. }
+                if !from.is_empty() && self.refused_pages > 0 =>
+            {
+                self.refused_pages -= 1;
+                Err(StoreError::NotExecuted)
+            }
             StoreRequest::Read { table, from, limit } => Ok(self.read(*table, from, *limit)),
             StoreRequest::Feed { after, .. } if *after < self.forgotten => {
                 Err(StoreError::HistoryLost)
