Drop the open calls of an ownership when it ends

Callers: none has reported it; the review names it as seen in the code. Tasks could run twice, and ends of runs be dropped that are not stored.

Cause: results were matched by the number of the commit, which begins at 1 with each ownership, and pages were only counted. A host that lost the ownership and won it again took late results of the first one for those of the second.

Change: when an ownership ends, its reads, feeds and commits are dropped from the open calls, so late results find none.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -356,6 +356,7 @@
         }
         if released {
             self.owner = None;
+            self.drop_owner_calls();
             self.log("ownership_released", Vec::new());
             self.next_heartbeat = now;
             self.send_heartbeats();
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -355,6 +355,7 @@
     /// Stops acting as the owner at once, without a release, because another host has claimed the ownership.
     pub(super) fn lose_ownership(&mut self, cause: &'static str) {
         if self.owner.take().is_some() {
+            self.drop_owner_calls();
             self.log("ownership_lost", vec![("cause", cause.to_owned())]);
             self.ownership.last_read = None;
             self.ownership.next_read = self.now;
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -53,6 +53,35 @@
     Relay { from: HostName, call: CallId },
 }
 
+impl Purpose {
+    /// Returns whether the call belongs to an ownership, and its result is of no use when the ownership has ended.
+    fn is_of_owner(&self) -> bool {
+        match self {
+            Purpose::Commit { .. }
+            | Purpose::JobsRead { .. }
+            | Purpose::ProgressRead { .. }
+            | Purpose::RosterRead
+            | Purpose::JobsDeleted(_)
+            | Purpose::JobsFeed
+            | Purpose::RegistryRead { .. }
+            | Purpose::RegistryFeed => true,
+            Purpose::Probe
+            | Purpose::OperatorRead
+            | Purpose::OperatorFeed
+            | Purpose::HostsRead
+            | Purpose::HostsWrite
+            | Purpose::OwnershipRead
+            | Purpose::Claim { .. }
+            | Purpose::Submit(_)
+            | Purpose::CancelRead(_)
+            | Purpose::CancelWrite(_)
+            | Purpose::StateRead(_)
+            | Purpose::JobProgressRead(_)
+            | Purpose::Relay { .. } => false,
+        }
+    }
+}
+
 struct PendingCall {
     purpose: Purpose,
     deadline: Uptime,
@@ -150,6 +179,12 @@
         self.dispatch(pending.purpose, result);
     }
 
+    /// Drops the calls of an ownership that has ended. The next ownership of this process makes the same calls again, and
+    /// would take late results for its own.
+    pub(super) fn drop_owner_calls(&mut self) {
+        self.store.calls.retain(|_, pending| !pending.purpose.is_of_owner());
+    }
+
     /// Updates the health of the paths by the result of a call. Only direct calls tell about the direct path.
     fn record_result(&mut self, relayed: bool, result: &Result<StoreAnswer, StoreError>) {
         let failed = matches!(result, Err(StoreError::NotExecuted | StoreError::Unanswered));
