Give the calls of each process numbers of their own

Cause: a process numbered its calls from 1. A peer that relays calls to the store, to workers or to the approval service sends the result to the host by name, and it may reach the next process, which has a call of the same number in flight.

Evidence: before the change calls_of_an_earlier_process fails, as the new process applies an evacuation that was the answer to its predecessor.

Change: the numbers of a process begin at a place that its random incarnation determines.

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -28,6 +28,16 @@
 /// restarts tasks of workers that do not answer. Shorter outages of the store do not interrupt scheduling.
 pub const OWNERSHIP_LEASE: Duration = Duration::from_secs(4);
 
+/// Bits of a call's number below those that come from the incarnation of the process.
+const CALL_NUMBER_BITS: u32 = 23;
+
+/// Returns the number before the first one of a process's calls. Results of the calls that an earlier process of the same
+/// host relayed through peers may still arrive, and must not match a call of this one.
+fn call_before_first(incarnation: u64) -> CallId {
+    // The highest bit stays free for the calls themselves.
+    (incarnation << (CALL_NUMBER_BITS + 1)) >> 1
+}
+
 /// Identity of an entry host and limits of its platform.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -66,10 +76,10 @@
     /// Returns a host that has just started: it knows no configuration, peers or owner.
     pub fn new(settings: Settings) -> Host {
         Host {
-            settings,
             now: Uptime::ZERO,
             unix_ms: 0,
-            last_call: 0,
+            last_call: call_before_first(settings.incarnation),
+            settings,
             outputs: Vec::new(),
             operator: Operator::default(),
             peers: BTreeMap::new(),
--- a/crates/shallotpost-fleet/tests/late_answers.rs
+++ b/crates/shallotpost-fleet/tests/late_answers.rs
@@ -166,3 +166,22 @@
     }
     assert!(host.take(Kind::Renewal).is_empty(), "another commit follows one that is not answered");
 }
+
+/// A peer relayed the result of a call that the former process of the host had made. The new process took it for the result
+/// of its own call with the same number.
+#[test]
+fn calls_of_an_earlier_process() {
+    let mut former = TestHost::new(1);
+    former.tick();
+    let mut host = TestHost::new(2);
+    host.tick();
+    let content = Content::Evacuation { data_centre: "kochi".to_owned() };
+    let key = "evacuate/kochi".to_owned();
+    let rows = vec![Row { table: Table::Operator, key, version: 1, content }];
+    let answer = StoreAnswer { rows, more: false, version: 1 };
+    for (call, _) in former.open {
+        let message = Message::StoreResult { call, result: Ok(answer.clone()) };
+        host.deliver(Input::Peer { from: "z".to_owned(), message });
+    }
+    assert_eq!(host.count("evacuation"), 0, "the answer to another process is applied");
+}
