Keep what a new owner has read until a configuration is known

Callers: all processes were killed during an outage of the store and started again before it was back.

Cause: the owner marked itself as loaded and passed what it had read to the scheduler by a function that does nothing while no configuration is known. The configuration is read by a call of its own and may come last.

Evidence: in virtual time one refused read of the operator's table is enough.

Change: an ownership is either loading, with the rows that it has read, or scheduling. The step between the two needs a configuration.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -40,29 +40,44 @@
 /// busy host.
 const APPROVER_HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(1500);
 
+/// What a new owner has read so far, before anything of it is passed to the scheduler.
+#[derive(Default)]
+pub(super) struct Loading {
+    /// Partitions of jobs that are still to be read.
+    pub(super) parts_to_read: VecDeque<String>,
+    pub(super) jobs: BTreeMap<JobId, Job>,
+    pub(super) cancelled: BTreeSet<JobId>,
+    pub(super) progress: BTreeMap<JobId, Progress>,
+    pub(super) roster: Vec<(WorkerId, Registration)>,
+    /// Workers that the previous owner could not reach.
+    pub(super) unreachable_workers: Vec<UnreachableWorker>,
+}
+
+/// Phase of an ownership.
+pub(super) enum Phase {
+    /// The stored rows are being read, or no configuration is known yet. The scheduler knows nothing, and nothing is
+    /// decided.
+    Loading(Loading),
+    /// The scheduler has everything that was read. A configuration is known, and remains so.
+    Scheduling,
+}
+
 /// State that a host has only while it is the owner.
 pub(super) struct Owner {
+    pub(super) phase: Phase,
     pub(super) scheduler: Scheduler,
     /// Time at which the last successful commit was sent.
     pub(super) last_commit_sent: Uptime,
     epoch: u64,
     sequence: u64,
     version: RowVersion,
-    pub(super) loaded: bool,
-    /// Number of page reads in flight while the jobs are loaded.
+    /// Number of page reads in flight while the jobs are loaded or read again.
     pub(super) pages_in_flight: u32,
-    /// Partitions of jobs that are still to be read.
-    pub(super) parts_to_read: VecDeque<String>,
     /// Failed page reads, with the time of the retry, the table and the least key.
     pub(super) page_retries: Vec<(Uptime, Table, String)>,
     /// Whether the jobs are read again because the store no longer holds the changes since `jobs_cursor`.
     pub(super) reloading_jobs: bool,
     next_job_deletion: Uptime,
-    /// Jobs that were read but not yet passed to the scheduler; the same applies to the next three fields.
-    pub(super) jobs: BTreeMap<JobId, Job>,
-    pub(super) cancelled: BTreeSet<JobId>,
-    pub(super) progress: BTreeMap<JobId, Progress>,
-    pub(super) roster: Vec<(WorkerId, Registration)>,
     /// Version after which the feed of jobs continues.
     pub(super) jobs_cursor: RowVersion,
     pub(super) jobs_feed_in_flight: bool,
@@ -79,8 +94,6 @@
     pub(super) registry_keys: BTreeSet<String>,
     /// Entries of the registry that name no worker to use; each was reported once.
     pub(super) unusable_entries: BTreeSet<String>,
-    /// Workers that the previous owner could not reach. Emptied when the jobs are loaded.
-    pub(super) unreachable_workers: Vec<UnreachableWorker>,
     /// Time at which this host first saw the previous owner's last commit.
     pub(super) previous_commit_observed: Uptime,
     commit: Option<Commit>,
@@ -104,21 +117,16 @@
 impl Owner {
     pub(super) fn new(scheduler: Scheduler, epoch: u64, version: RowVersion, now: Uptime) -> Owner {
         Owner {
+            phase: Phase::Loading(Loading::default()),
             scheduler,
             last_commit_sent: now,
             epoch,
             sequence: 0,
             version,
-            loaded: false,
             pages_in_flight: 0,
-            parts_to_read: VecDeque::new(),
             page_retries: Vec::new(),
             reloading_jobs: false,
             next_job_deletion: now + JOB_DELETION_INTERVAL,
-            jobs: BTreeMap::new(),
-            cancelled: BTreeSet::new(),
-            progress: BTreeMap::new(),
-            roster: Vec::new(),
             jobs_cursor: 0,
             jobs_feed_in_flight: false,
             next_jobs_feed: now,
@@ -129,7 +137,6 @@
             next_registry_call: now,
             registry_keys: BTreeSet::new(),
             unusable_entries: BTreeSet::new(),
-            unreachable_workers: Vec::new(),
             previous_commit_observed: now,
             commit: None,
             next_commit: now,
@@ -138,9 +145,17 @@
         }
     }
 
-    /// Returns whether the jobs and their progress have been read.
+    /// Returns whether the scheduler has everything that the owner had to read.
     pub(super) fn is_loaded(&self) -> bool {
-        self.loaded
+        matches!(self.phase, Phase::Scheduling)
+    }
+
+    /// Returns what has been read so far; `None` once the scheduler has it.
+    pub(super) fn loading(&mut self) -> Option<&mut Loading> {
+        match &mut self.phase {
+            Phase::Loading(loading) => Some(loading),
+            Phase::Scheduling => None,
+        }
     }
 }
 
@@ -246,18 +261,18 @@
             sequence: owner.sequence,
             // The ownership is not released before all ended runs are stored. Workers list runs that end later to the
             // successor.
-            released: stopping && (!owner.loaded || owner.scheduler.is_batch_complete()),
-            unreachable_workers: match owner.is_loaded() {
-                true => owner.scheduler.unreachable_workers(now),
-                false => owner.unreachable_workers.clone(),
+            released: stopping && (!owner.is_loaded() || owner.scheduler.is_batch_complete()),
+            unreachable_workers: match &owner.phase {
+                Phase::Loading(loading) => loading.unreachable_workers.clone(),
+                Phase::Scheduling => owner.scheduler.unreachable_workers(now),
             },
         };
-        if owner.loaded {
+        if owner.is_loaded() {
             owner.scheduler.unreachable_commit_sent(&row.unreachable_workers);
         }
         let Ok(bytes) = encode(&row) else { return };
         let mut writes = batch.writes;
-        let roster = if owner.loaded { owner.scheduler.changed_roster() } else { None };
+        let roster = if owner.is_loaded() { owner.scheduler.changed_roster() } else { None };
         let has_roster = roster.is_some();
         if let Some(Ok(bytes)) = roster.map(|roster| encode(&roster)) {
             writes.push((Table::Ownership, ROSTER_KEY.to_owned(), bytes));
@@ -339,7 +354,7 @@
         let slow = (duration >= SLOW_COMMIT).then(|| commit.request.size());
         owner.next_commit = now + COMMIT_INTERVAL_MIN;
         let released = commit.row.released;
-        if owner.loaded {
+        if owner.is_loaded() {
             owner.scheduler.unreachable_committed(&commit.row.unreachable_workers);
         }
         if commit.has_roster {
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -1,7 +1,7 @@
 //! Reads of the owner: jobs, progress and roster after a takeover, then the feeds of jobs and registrations.
 
 use crate::host::Host;
-use crate::host::owner::Owner;
+use crate::host::owner::{Loading, Owner, Phase};
 use crate::host::ownership::ROSTER_KEY;
 use crate::host::store::Purpose;
 use crate::job::parse_job_id;
@@ -45,8 +45,8 @@
 impl Host {
     /// Starts to read the jobs, their progress and the roster, all partitions in parallel.
     pub(super) fn load_jobs(&mut self) {
-        if let Some(owner) = &mut self.owner {
-            owner.parts_to_read = job_parts().collect();
+        if let Some(loading) = self.owner.as_mut().and_then(Owner::loading) {
+            loading.parts_to_read = job_parts().collect();
         }
         self.read_parts();
         self.load_page(Table::Progress, String::new());
@@ -57,7 +57,8 @@
     fn read_parts(&mut self) {
         while let Some(owner) = &mut self.owner
             && owner.pages_in_flight < PAGES_IN_FLIGHT_MAX
-            && let Some(part) = owner.parts_to_read.pop_front()
+            && let Some(part) =
+                owner.loading().and_then(|loading| loading.parts_to_read.pop_front())
         {
             self.load_page(Table::Jobs, part);
         }
@@ -101,9 +102,7 @@
         }
         owner.jobs_feed_in_flight &= !owner.reloading_jobs;
         owner.reloading_jobs = false;
-        if !owner.loaded {
-            self.finish_loading();
-        }
+        self.finish_loading();
     }
 
     pub(super) fn jobs_read(&mut self, from: String, result: Result<StoreAnswer, StoreError>) {
@@ -129,11 +128,12 @@
     }
 
     fn load_job_row(&mut self, row: Row) {
-        let (Some(owner), Content::Bytes(bytes)) = (&mut self.owner, &row.content) else { return };
+        let loading = self.owner.as_mut().and_then(Owner::loading);
+        let (Some(loading), Content::Bytes(bytes)) = (loading, &row.content) else { return };
         if let Some(id) = row.key.strip_suffix(CANCELLATION_SUFFIX).and_then(parse_job_id) {
-            owner.cancelled.insert(id);
+            loading.cancelled.insert(id);
         } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
-            owner.jobs.insert(id, job);
+            loading.jobs.insert(id, job);
         } else {
             self.log("job_unreadable", vec![("key", row.key)]);
         }
@@ -145,10 +145,11 @@
         let Ok(answer) = result else { return self.retry_page(Table::Progress, from) };
         let next = next_page(&answer);
         let mut unreadable = Vec::new();
+        let Some(loading) = owner.loading() else { return };
         for row in answer.rows {
             let Content::Bytes(bytes) = &row.content else { continue };
             match (parse_job_id(&row.key), Progress::from_bytes(bytes)) {
-                (Some(id), Ok(progress)) => drop(owner.progress.insert(id, progress)),
+                (Some(id), Ok(progress)) => drop(loading.progress.insert(id, progress)),
                 (_, result) => unreadable.push((row.key, result.err())),
             }
         }
@@ -171,26 +172,31 @@
         };
         let row = answer.rows.into_iter().find(|row| row.key == ROSTER_KEY);
         if let Some(Content::Bytes(bytes)) = row.map(|row| row.content) {
-            match decode(&bytes) {
-                Ok(roster) => owner.roster = roster,
-                Err(error) => self.log("roster_unreadable", vec![("error", error.to_string())]),
+            match (decode(&bytes), owner.loading()) {
+                (Ok(roster), Some(loading)) => loading.roster = roster,
+                (Ok(_), None) => {}
+                (Err(error), _) => {
+                    self.log("roster_unreadable", vec![("error", error.to_string())])
+                }
             }
         }
         self.advance_loading();
     }
 
-    /// Passes everything that was loaded to the scheduler.
+    /// Passes everything that was read to the scheduler, once a configuration is known too. Until then the rows are kept:
+    /// after an outage of the store, the configuration may be read last.
     fn finish_loading(&mut self) {
+        if self.operator.configuration.is_none() {
+            return;
+        }
         let Some(owner) = &mut self.owner else { return };
-        owner.loaded = true;
+        let Phase::Loading(loading) = std::mem::replace(&mut owner.phase, Phase::Scheduling) else {
+            return;
+        };
+        let Loading { jobs, progress, cancelled, roster, unreachable_workers, .. } = loading;
         owner.jobs_feed_in_flight = false;
         owner.next_registry_call = self.now;
-        let jobs = std::mem::take(&mut owner.jobs);
-        let progress = std::mem::take(&mut owner.progress);
-        let cancelled = std::mem::take(&mut owner.cancelled);
-        let (unreachable, since) =
-            (std::mem::take(&mut owner.unreachable_workers), owner.previous_commit_observed);
-        let roster = std::mem::take(&mut owner.roster);
+        let since = owner.previous_commit_observed;
         let count = jobs.len();
         let now = self.now;
         self.with_scheduler(|scheduler, context| {
@@ -206,7 +212,7 @@
             for (worker, registration) in roster {
                 scheduler.add_roster_worker(&worker, registration, context);
             }
-            for worker in unreachable {
+            for worker in unreachable_workers {
                 scheduler.add_unreachable_worker(worker, since);
             }
         });
@@ -216,13 +222,10 @@
     /// Does the owner's periodic work: loading, the feeds of jobs and registrations, and deletions.
     pub(super) fn tick_owner(&mut self) {
         let Some(owner) = &mut self.owner else { return };
-        if !owner.loaded || owner.reloading_jobs {
+        if !owner.is_loaded() || owner.reloading_jobs {
             self.advance_loading();
         }
-        let Some(owner) = self.owner.as_mut().filter(|owner| owner.loaded) else { return };
-        if self.operator.configuration.is_none() {
-            return;
-        }
+        let Some(owner) = self.owner.as_mut().filter(|owner| owner.is_loaded()) else { return };
         let jobs = !owner.jobs_feed_in_flight && owner.next_jobs_feed <= self.now;
         let registry = !owner.registry_call_in_flight && owner.next_registry_call <= self.now;
         owner.jobs_feed_in_flight |= jobs;
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -322,7 +322,9 @@
             uncertain_until,
         );
         let mut owner = Owner::new(scheduler, row.epoch, self.ownership.version, self.now);
-        owner.unreachable_workers = row.unreachable_workers;
+        if let Some(loading) = owner.loading() {
+            loading.unreachable_workers = row.unreachable_workers;
+        }
         owner.previous_commit_observed = observed;
         self.owner = Some(owner);
         self.next_heartbeat = self.now;
--- a/crates/shallotpost-fleet/tests/late_answers.rs
+++ b/crates/shallotpost-fleet/tests/late_answers.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     OwnerRow,
+    /// The operator's rows.
+    Operator,
     /// A claim or a commit.
     Renewal,
     /// A page of what a new owner loads.
@@ -36,6 +38,7 @@
         StoreRequest::Read { table: Table::Ownership, from, .. } if from == "owner" => {
             Kind::OwnerRow
         }
+        StoreRequest::Read { table: Table::Operator, .. } => Kind::Operator,
         StoreRequest::Read { table: Table::Jobs | Table::Progress | Table::Ownership, .. } => {
             Kind::Page
         }
@@ -91,6 +94,15 @@
         }
     }
 
+    /// Answers the read of the operator's rows with a configuration, without which nothing counts as loaded.
+    fn configure(&mut self) {
+        let content = Content::Configuration(Box::default());
+        let key = "config".to_owned();
+        let reads = self.take(Kind::Operator);
+        self.answer(reads, 1, &[Row { table: Table::Operator, key, version: 1, content }]);
+        assert_eq!(self.count("configuration"), 1);
+    }
+
     /// Lets the host find `row` as the ownership row, claim it and win. Returns the row that it wrote.
     fn win(&mut self, row: &[Row]) -> Row {
         let version = row.first().map_or(0, |row| row.version) + 1;
@@ -132,6 +144,7 @@
 fn pages_of_an_earlier_ownership() {
     let mut host = TestHost::new(1);
     let row = host.win(&[]);
+    host.configure();
     let late = host.take(Kind::Page);
     host.lose();
     host.win(&[row]);
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -12,8 +12,8 @@
 use shallotpost_fleet::job::{Job, JobId, Step, TaskId};
 use shallotpost_fleet::message::Message;
 use shallotpost_fleet::port::{
-    Action, Answer, ApprovalError, Content, Input, Output, Request, RequestId, StoreError, Table,
-    Ticket,
+    Action, Answer, ApprovalError, Content, Input, Output, Request, RequestId, StoreError,
+    StoreRequest, Table, Ticket,
 };
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::scheduler::Bounds;
@@ -45,7 +45,7 @@
 enum Event {
     Tick(String),
     Input(String, Input),
-    Store { host: String, call: u64, request: shallotpost_fleet::port::StoreRequest },
+    Store { host: String, call: u64, request: StoreRequest },
     Worker { host: String, call: u64, worker: String, fence: u64, request: Call },
     WorkerWait { host: String, call: u64, worker: String, until: Duration },
     Crash(String),
@@ -67,6 +67,8 @@
     pub store_delay: Duration,
     /// Additional time for transactions, beyond `store_delay`.
     pub transaction_delay: Duration,
+    /// Additional time for reads of single tables, beyond `store_delay`.
+    pub read_delays: BTreeMap<Table, Duration>,
     /// Whether the store accepts calls but neither executes nor answers them.
     pub store_silent: bool,
     /// Additional time after which these hosts handle the store's answers, direct or relayed.
@@ -112,6 +114,7 @@
             partitions: BTreeSet::new(),
             store_delay: Duration::ZERO,
             transaction_delay: Duration::ZERO,
+            read_delays: BTreeMap::new(),
             store_silent: false,
             store_lags: BTreeMap::new(),
             silent_stores: BTreeSet::new(),
@@ -368,9 +371,13 @@
                     true => Err(StoreError::NotExecuted),
                     false => self.store.call(&request),
                 };
-                let transacts =
-                    matches!(request, shallotpost_fleet::port::StoreRequest::Transact { .. });
-                let extra = if transacts { self.transaction_delay } else { Duration::ZERO };
+                let extra = match &request {
+                    StoreRequest::Transact { .. } => self.transaction_delay,
+                    StoreRequest::Read { table, .. } => {
+                        self.read_delays.get(table).copied().unwrap_or_default()
+                    }
+                    StoreRequest::Feed { .. } => Duration::ZERO,
+                };
                 let lag = self.store_lags.get(&host).copied().unwrap_or_default();
                 let answered = self.now + NETWORK_DELAY + self.store_delay + extra + lag;
                 self.push(answered, Event::Input(host, Input::Store { call, result }));
--- a/crates/shallotpost-fleet/tests/support/store.rs
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -28,6 +28,8 @@
     pub down: bool,
     /// Version before which feeds fail because the change history is lost.
     pub forgotten: RowVersion,
+    /// Number of the next reads of single tables to refuse.
+    pub refused_reads: BTreeMap<Table, usize>,
     /// Number of reads to refuse among those of the pages of the workers' table after the first one.
     pub refused_pages: usize,
     /// Number of transactions that took effect.
@@ -67,6 +69,12 @@
         if self.down {
             return Err(StoreError::NotExecuted);
         }
+        if let StoreRequest::Read { table, .. } = request
+            && let Some(refused) = self.refused_reads.get_mut(table).filter(|left| **left > 0)
+        {
+            *refused -= 1;
+            return Err(StoreError::NotExecuted);
+        }
         match request {
             StoreRequest::Transact { conditions, writes, deletes } => {
                 self.transact(conditions, writes, deletes)
