Take no run for lost while a list of ends is incomplete

Cause: a worker lists at most 500 ended runs, and the same ones until they are stored and acknowledged. A run whose end is behind them is missing from both lists and counted as lost. So did runs whose ends wait behind one of an unknown job, and a new owner took the first list for all that a worker has to tell.

Change: the length at which a list may be incomplete is part of the port (ENDED_RUNS_MAX).

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -771,7 +771,7 @@
         let mut sessions = std::mem::take(&mut self.sessions);
         sessions.retain(|key, session| {
             session.registered
-                || (session.clock.is_none() && self.may_run_earlier_tasks(key))
+                || (!session.has_listed_all() && self.may_run_earlier_tasks(key))
                 || !session.placements.is_empty()
                 || session.contact == Contact::Live
                 || session.processed > session.acknowledged
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::session::{Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Scheduler};
-use crate::worker::{EndReason, EndedRun, Run};
+use crate::worker::{ENDED_RUNS_MAX, EndReason, EndedRun, Run};
 
 /// Time for which reports of an unknown job are kept: the feed of jobs delivers the job within half a second, and a slow
 /// store within a few seconds.
@@ -33,6 +33,7 @@
     ) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.waiting_ends.clear();
+        session.ends_missing = ended.len() >= ENDED_RUNS_MAX;
         for (position, end) in ended.iter().enumerate() {
             let known = self.jobs.contains_key(&end.task.stage.job);
             let Some(session) = self.sessions.get_mut(worker) else { return };
@@ -45,6 +46,7 @@
                 let since = *session.waiting_since.get_or_insert(context.now);
                 if context.now.saturating_sub(since) < UNKNOWN_JOB_TIMEOUT {
                     session.waiting_ends = ended[position..].to_vec();
+                    session.ends_missing = true;
                     return;
                 }
             }
@@ -271,8 +273,8 @@
         }
     }
 
-    /// Reconciles the placements of a worker with the runs that it lists. Placements that changed after `as_of` are
-    /// left alone.
+    /// Reconciles the placements of a worker with the runs that it lists, once its ended runs are processed. Placements
+    /// that changed after `as_of` are left alone.
     pub(super) fn process_runs(
         &mut self,
         worker: &WorkerKey,
@@ -284,7 +286,11 @@
         for run in running {
             self.process_run(worker, as_of, run, context);
         }
-        let Some(session) = self.sessions.get(worker) else { return };
+        // The end of a run that is missing may not have been listed yet.
+        let Some(session) = self.sessions.get(worker).filter(|session| !session.ends_missing)
+        else {
+            return;
+        };
         let missing: Vec<TaskId> = session
             .placements
             .iter()
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -127,6 +127,9 @@
     pub lease_until_ms: u64,
     /// Ended runs whose processing is deferred because the first of them belongs to a job that is not known yet.
     pub waiting_ends: Vec<EndedRun>,
+    /// Whether the worker's last list left out ended runs, or some of them wait for their job. A run that is missing from
+    /// the list may then have ended.
+    pub ends_missing: bool,
     /// When the processing of ended runs was first deferred.
     pub waiting_since: Option<Uptime>,
     /// Sequence number up to which ended runs are stored. It is sent to the worker, which may then drop them.
@@ -178,6 +181,7 @@
             clock: None,
             lease_until_ms: 0,
             waiting_ends: Vec::new(),
+            ends_missing: false,
             waiting_since: None,
             acknowledged: 0,
             processed: 0,
@@ -262,6 +266,16 @@
         left.div_f64(CLOCK_RATE_MIN).saturating_sub(now.saturating_sub(read))
     }
 
+    /// Returns whether the worker has told in this epoch how all its runs have ended.
+    pub fn has_listed_all(&self) -> bool {
+        self.clock.is_some() && !self.ends_missing
+    }
+
+    /// Returns whether the worker answers, and is still to list how further runs have ended.
+    pub fn is_listing(&self) -> bool {
+        self.contact == Contact::Live && self.ends_missing
+    }
+
     /// Returns whether new tasks may start on the worker.
     pub fn accepts_tasks(&self) -> bool {
         self.contact == Contact::Live
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -165,7 +165,7 @@
             Some((possible_tasks, _)) => {
                 Some(possible_tasks.iter().copied().chain(placed).collect())
             }
-            None if session.clock.is_some() || self.takeover.settled => Some(placed.collect()),
+            None if session.has_listed_all() || self.takeover.settled => Some(placed.collect()),
             None => None,
         }
     }
@@ -200,7 +200,7 @@
             return usage;
         }
         let not_contacted = self.sessions.iter().filter(|(key, session)| {
-            session.clock.is_none() && !self.takeover.possible_tasks.contains_key(*key)
+            !session.has_listed_all() && !self.takeover.possible_tasks.contains_key(*key)
         });
         let capacity = not_contacted
             .fold(Size::ZERO, |sum, (_, session)| sum.plus(&session.registration.capacity));
@@ -275,8 +275,10 @@
         let count_before = self.takeover.possible_tasks.len();
         let sessions = &self.sessions;
         self.takeover.possible_tasks.retain(|key, (_, expires)| {
-            let contacted = sessions.get(key).is_some_and(|session| session.clock.is_some());
-            !contacted && *expires > context.now
+            let session = sessions.get(key);
+            let contacted = session.is_some_and(Session::has_listed_all);
+            let listing = session.is_some_and(Session::is_listing);
+            !contacted && (listing || *expires > context.now)
         });
         let released = self.takeover.possible_tasks.len() < count_before;
         if self.takeover.settled && !released {
@@ -295,16 +297,29 @@
             .sessions
             .iter()
             .filter(|(key, session)| {
-                session.clock.is_none() && !self.takeover.possible_tasks.contains_key(*key)
+                !session.has_listed_all() && !self.takeover.possible_tasks.contains_key(*key)
             })
             .map(|(_, session)| session.registration.pool.as_str())
             .collect();
+        // Ends that a worker has still to list do not depend on its leases.
+        let pools_listing: BTreeSet<&str> = self
+            .sessions
+            .values()
+            .filter(|session| session.is_listing())
+            .map(|session| session.registration.pool.as_str())
+            .collect();
         let possible_tasks: BTreeSet<TaskId> = self
             .takeover
             .possible_tasks
             .values()
             .flat_map(|(tasks, _)| tasks.iter().copied())
             .collect();
+        let awaited = match () {
+            // Only the tasks of recorded workers were left uncertain.
+            () if self.takeover.settled => BTreeSet::new(),
+            () if expired => pools_listing,
+            () => pools_not_contacted.clone(),
+        };
         let mut pending = false;
         let mut released = Vec::new();
         for id in &self.unfinished {
@@ -315,13 +330,13 @@
             let current = context.configuration.queue(&entry.job.queue);
             let pool = current.map_or(&entry.job.policy.pool, |queue| &queue.policy.pool);
             let pools = [pool, &entry.job.policy.pool];
-            if !expired && pools.iter().any(|pool| pools_not_contacted.contains(pool.as_str())) {
+            if pools.iter().any(|pool| awaited.contains(pool.as_str())) {
                 pending = true;
             } else {
                 released.push(*id);
             }
         }
-        let settled = expired || !pending && pools_not_contacted.is_empty();
+        let settled = !pending && (expired || pools_not_contacted.is_empty());
         if settled && !self.takeover.settled {
             context.log("takeover_settled", vec![("lapsed", expired.to_string())]);
         }
--- a/crates/shallotpost-fleet/src/worker.rs
+++ b/crates/shallotpost-fleet/src/worker.rs
@@ -126,11 +126,15 @@
     pub lists: Option<RunLists>,
 }
 
+/// Maximum number of ended runs that a worker lists at once. Further ones are listed once these are acknowledged, so a list
+/// of this length may be incomplete.
+pub const ENDED_RUNS_MAX: usize = 500;
+
 /// Present and ended runs of a worker.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunLists {
     pub running: Vec<Run>,
-    /// Ended runs that are not acknowledged yet, in the order of their sequence numbers.
+    /// Ended runs that are not acknowledged yet, in the order of their sequence numbers; at most [`ENDED_RUNS_MAX`].
     pub ended: Vec<EndedRun>,
 }
 
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use shallotpost_fleet::job::TaskId;
-use shallotpost_fleet::worker::{Call, EndReason, EndedRun, Error, Refusal, Report, Run, RunLists};
+use shallotpost_fleet::worker::{
+    Call, ENDED_RUNS_MAX, EndReason, EndedRun, Error, Refusal, Report, Run, RunLists,
+};
 use shallotpost_protocol::size::Size;
 
 struct ActiveRun {
@@ -165,6 +167,13 @@
         }
     }
 
+    /// Lists the end of a run that no host of the fleet has started.
+    pub fn list_foreign_end(&mut self, task: TaskId) {
+        self.active
+            .insert(task, ActiveRun { number: 1, ends_at: self.now, end_reason: EndReason::Done });
+        self.end(task, EndReason::Done);
+    }
+
     pub fn has_ended_runs(&self) -> bool {
         !self.ended.is_empty()
     }
@@ -182,7 +191,7 @@
             started_unix_ms: Some(self.started_unix_ms),
             lists: Some(RunLists {
                 running: self.active.iter().map(run).collect(),
-                ended: self.ended.clone(),
+                ended: self.ended.iter().take(ENDED_RUNS_MAX).cloned().collect(),
             }),
         }
     }
