Let late work yield only to stages that wait for room

Cause: expired jobs and jobs beyond their team's share stopped at half of a pool while any other stage had been tried without success: one that no worker suits, that waits for a ticket, or one of their own kind. They asked for tickets nevertheless, which expired.

Change: a pool counts as claimed while a stage that does not yield waits for room, for a whole gang, or for room that its quota lets it use. Only then does other work yield, and it asks for no tickets meanwhile.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -110,7 +110,7 @@
             let only_suspects = self.only_suspects_wait(demand.id);
             // Work of no use to its submitter, or beyond its team's share, does not take the room for which others wait.
             let yields = candidate.urgency != Urgency::Regular
-                && round.failures(pool) > 0
+                && round.is_claimed(pool)
                 && used_share(round.workers(pool)) > YIELD_ABOVE;
             // Others have failed because the worker is held for this stage.
             let held = round.workers(pool).iter().any(|worker| worker.held_for == Some(demand.id));
@@ -133,8 +133,9 @@
                 true => self.place_gang(&demand, &mut pool_workers, &round, context),
                 false => self.place_tasks(&demand, &mut pool_workers, &round, context),
             }
-            // Stages far back in a backlog get neither tickets, which would expire, nor the room of others.
-            if !backlogged || has_capacity {
+            // Stages that yield or are far back in a backlog get neither tickets, which would expire, nor the room of
+            // others.
+            if !yields && (!backlogged || has_capacity) {
                 self.request_approvals(&demand, candidate.early, &pool_workers, context);
             }
             // Suspects wait for a worker that can be set aside, not for capacity that others must give up.
@@ -142,6 +143,14 @@
                 && !(has_capacity && self.only_suspects_wait(demand.id));
             if !candidate.early && waits {
                 round.add_failure(pool, (!has_capacity).then(|| demand.step().booking()));
+                // A gang waits for room for all of its members.
+                let lacks_room = !has_capacity || demand.step().gang;
+                if candidate.urgency == Urgency::Regular
+                    && lacks_room
+                    && self.within_cap(&demand, &demand.step().size, &round)
+                {
+                    round.claim(pool);
+                }
                 // Expired jobs and jobs beyond their share do not displace others.
                 if candidate.urgency == Urgency::Regular && !backlogged {
                     self.preempt(&demand, &pool_workers, &mut round, context);
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -80,6 +80,8 @@
     workers: BTreeMap<String, Vec<PoolWorker>>,
     /// Stages tried without success, by pool.
     failures: BTreeMap<String, Failures>,
+    /// Pools in which a stage waits for room that it may use, apart from stages that yield.
+    claimed: BTreeSet<String>,
     pub(super) preemptions: u32,
     /// Resources that each team may use on workers that have not answered since the takeover.
     pub(super) uncertain: BTreeMap<Rc<str>, Size>,
@@ -117,6 +119,16 @@
         self.failures.get(pool).map_or(0, |failures| failures.count)
     }
 
+    /// Returns whether a stage that does not yield waits for room in the pool.
+    pub(super) fn is_claimed(&self, pool: &str) -> bool {
+        self.claimed.contains(pool)
+    }
+
+    /// Records that a stage that does not yield waits for room in the pool.
+    pub(super) fn claim(&mut self, pool: &str) {
+        self.claimed.insert(pool.to_owned());
+    }
+
     /// Records a stage that was tried without success, and its booking if no worker had capacity for it.
     pub(super) fn add_failure(&mut self, pool: &str, booking: Option<Size>) {
         if !self.failures.contains_key(pool) {
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/overload.rs
@@ -0,0 +1,55 @@
+//! Teams far beyond their share or at their quota, with long backlogs. Guards against room that stays free while accepted
+//! jobs wait, and against other teams that wait because of them.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::job::{JobId, Step};
+use shallotpost_fleet::port::Action;
+use support::{Simulation, job, ms, step};
+
+const BACKLOG: JobId = 0x1000;
+const OTHER: JobId = 0x20;
+
+/// Workers of four cores each, and so four of the tasks that the tests submit.
+const WORKERS: usize = 4;
+
+fn settled() -> Simulation {
+    let mut sim = Simulation::new(&["a", "b"], WORKERS);
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    sim
+}
+
+fn submit(sim: &mut Simulation, key: &str, queue: &str, id: JobId, steps: Vec<Step>) {
+    let path = format!("/{queue}/{id:016x}");
+    let action = Action::Submit(Ok(Box::new(job(steps))));
+    sim.request("a", &path, Some(key), action);
+}
+
+fn starts_since(sim: &Simulation, since: Duration) -> usize {
+    let starts = sim.workers.values().flat_map(|worker| &worker.starts);
+    starts.filter(|(at, ..)| *at >= since).count()
+}
+
+/// Jobs beyond their team's share started only on half of the room while any stage waited, even one that no worker suits
+/// or another one of their own kind. After the burst, the backlog must run at the rate of the whole room.
+#[test]
+fn backlog_beyond_share() {
+    let mut sim = settled();
+    // No worker has this label, so its stage waits for good, but not for room.
+    let unsuited = Step { label: "none".to_owned(), ..step(1, 300) };
+    submit(&mut sim, "key-a", "urgent", OTHER, vec![unsuited]);
+    for id in 0..100 {
+        submit(&mut sim, "key-a", "batch", BACKLOG + id, vec![step(3, 300)]);
+        sim.run(ms(5));
+    }
+    let begin = sim.now;
+    let time = Duration::from_secs(3);
+    sim.run(time);
+    let rate = WORKERS as f64 * 4.0 / 0.3;
+    let starts = starts_since(&sim, begin) as f64 / time.as_secs_f64();
+    assert!(starts > 0.8 * rate, "{starts:.0} starts per second, room for {rate:.0}");
+    sim.check_invariants();
+}
