Ask for no tickets for stages that their team's quota holds back

Cause: stages of a team at its quota asked for tickets again whenever theirs expired, every 1.3 s. The approval service handles one call at a time for each host, so the stages of other teams, later in the order, got none.

Change: a round tries at most ten stages of a team whose quota allows no further task.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -16,6 +16,10 @@
 /// Each try takes some microseconds per worker.
 const FAILURES_PER_ROUND: u32 = 24;
 
+/// Maximum number of stages of one team that a round tries while the team's quota allows no further task. They get tickets,
+/// so that what becomes free is used at once.
+const CAPPED_STAGES_MAX: u32 = 10;
+
 /// Number of waiting stages up to which every round ranks all of them. Beyond it, rounds between two full ones consider
 /// as many of the stages that the last full round ranked first, and those that have changed since.
 const RANKED_MAX: usize = 256;
@@ -105,6 +109,9 @@
             let Some(demand) = self.demand(&candidate, context.configuration) else {
                 continue;
             };
+            if self.waits_behind_cap(&demand, &mut round) {
+                continue;
+            }
             let pool = &demand.policy.pool;
             let backlogged = round.failures(pool) >= FAILURES_PER_ROUND;
             let only_suspects = self.only_suspects_wait(demand.id);
@@ -206,6 +213,14 @@
         pool_workers.iter().any(|worker| booking.fits_in(&self.free(demand, worker, now)))
     }
 
+    /// Returns whether the quota of the stage's team allows no further task, and enough stages of the team are ready to
+    /// use what becomes free. A stage that cannot start must not keep the approval service busy.
+    fn waits_behind_cap(&self, demand: &Demand, round: &mut Round) -> bool {
+        let Some(team) = &demand.team else { return false };
+        !self.within_cap(demand, &demand.step().size, round)
+            && round.add_capped(team) > CAPPED_STAGES_MAX
+    }
+
     fn has_waiting(&self, id: StageId) -> bool {
         let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
         self.stage(id).is_some_and(waits)
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -82,6 +82,8 @@
     failures: BTreeMap<String, Failures>,
     /// Pools in which a stage waits for room that it may use, apart from stages that yield.
     claimed: BTreeSet<String>,
+    /// Number of stages of each team whose quota allows no further task.
+    capped: BTreeMap<Rc<str>, u32>,
     pub(super) preemptions: u32,
     /// Resources that each team may use on workers that have not answered since the takeover.
     pub(super) uncertain: BTreeMap<Rc<str>, Size>,
@@ -129,6 +131,13 @@
         self.claimed.insert(pool.to_owned());
     }
 
+    /// Counts a stage of a team whose quota allows no further task. Returns their number.
+    pub(super) fn add_capped(&mut self, team: &Rc<str>) -> u32 {
+        let capped = self.capped.entry(Rc::clone(team)).or_default();
+        *capped += 1;
+        *capped
+    }
+
     /// Records a stage that was tried without success, and its booking if no worker had capacity for it.
     pub(super) fn add_failure(&mut self, pool: &str, booking: Option<Size>) {
         if !self.failures.contains_key(pool) {
--- a/crates/shallotpost-fleet/tests/overload.rs
+++ b/crates/shallotpost-fleet/tests/overload.rs
@@ -53,3 +53,24 @@
     assert!(starts > 0.8 * rate, "{starts:.0} starts per second, room for {rate:.0}");
     sim.check_invariants();
 }
+
+/// Stages of a team at its quota renewed their tickets again and again, and no calls were left for another team, whose jobs
+/// waited with most of the room free.
+#[test]
+fn backlog_at_the_quota() {
+    let mut sim = settled();
+    sim.approves_in_turn = true;
+    sim.workers.values_mut().for_each(|worker| worker.duration = ms(3000));
+    for id in 0..600 {
+        submit(&mut sim, "key-b", "approved", BACKLOG + id, vec![step(4, 3000)]);
+        sim.run(ms(2));
+    }
+    sim.run(Duration::from_secs(2));
+    // The other team is beyond its share too, so its jobs come after those that have waited for longer.
+    for id in 0..6 {
+        submit(&mut sim, "key-a", "approved", OTHER + id, vec![step(2, 3000)]);
+    }
+    sim.run(ms(500));
+    let started = (0..6).filter(|id| sim.starts_of_job(OTHER + id) == 2).count();
+    assert_eq!(started, 6, "jobs of the other team have started");
+}
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -87,6 +87,10 @@
     pub crashes_before_answer: bool,
     /// Workers that are never approved.
     pub unapproved_workers: BTreeSet<String>,
+    /// Whether the approval service handles the calls of a host one after another.
+    pub approves_in_turn: bool,
+    /// Time at which the approval service has handled the calls of a host.
+    approver_busy_until: BTreeMap<String, Duration>,
     /// Times of approval calls, and the number of workers that each names.
     pub approvals: Vec<(Duration, usize)>,
     /// Number of calls to workers that each host has made.
@@ -124,6 +128,8 @@
             crash_delay: ms(10),
             crashes_before_answer: false,
             unapproved_workers: BTreeSet::new(),
+            approves_in_turn: false,
+            approver_busy_until: BTreeMap::new(),
             approvals: Vec::new(),
             worker_calls: BTreeMap::new(),
             processor_time: BTreeMap::new(),
@@ -505,7 +511,12 @@
                     .map(|worker| Ticket { ticket: format!("t-{worker}"), worker })
                     .collect();
                 let input = Input::Approval { call, result: Ok(tickets) };
-                self.push(self.now + ms(20), Event::Input(host, input));
+                let begins = match self.approver_busy_until.get(&host) {
+                    Some(busy_until) if self.approves_in_turn => self.now.max(*busy_until),
+                    _ => self.now,
+                };
+                self.approver_busy_until.insert(host.clone(), begins + ms(20));
+                self.push(begins + ms(20), Event::Input(host, input));
             }
             Output::Log(log) => {
                 let fields: Vec<String> =
