End the wait for unlisted ends only by a list

Cause: the state was set wherever ends are processed, also when a job becomes known and the deferred ends of its workers are processed. There are few or none of them then, so the last list counted as complete.

Change: only the answer that holds a list sets the state, from its length and from the ends that still wait.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -4,7 +4,7 @@
 use crate::scheduler::crashes::Loss;
 use crate::scheduler::session::{Contact, Phase, WorkerKey, milliseconds};
 use crate::scheduler::{Context, Purpose, Scheduler};
-use crate::worker::{Call, Error, Refusal, Report};
+use crate::worker::{Call, ENDED_RUNS_MAX, Error, Refusal, Report};
 
 /// Maximum time for which a worker delays its answer to a renewal while no run ends. Four answers fit into the shortest
 /// lease of the platform.
@@ -120,7 +120,12 @@
             self.round_due = true;
         }
         if let Some(lists) = report.lists {
+            let full = lists.ended.len() >= ENDED_RUNS_MAX;
             self.process_ends(worker, lists.ended, context);
+            // Only a list can end this state: ends that were deferred may be followed by others that are not listed yet.
+            if let Some(session) = self.sessions.get_mut(worker) {
+                session.ends_missing = full || !session.waiting_ends.is_empty();
+            }
             self.process_runs(worker, sent.saturating_sub(LIST_AGE_MAX), lists.running, context);
         }
         if let Some(session) = self.sessions.get_mut(worker)
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::session::{Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Scheduler};
-use crate::worker::{ENDED_RUNS_MAX, EndReason, EndedRun, Run};
+use crate::worker::{EndReason, EndedRun, Run};
 
 /// Time for which reports of an unknown job are kept: the feed of jobs delivers the job within half a second, and a slow
 /// store within a few seconds.
@@ -33,7 +33,6 @@
     ) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.waiting_ends.clear();
-        session.ends_missing = ended.len() >= ENDED_RUNS_MAX;
         for (position, end) in ended.iter().enumerate() {
             let known = self.jobs.contains_key(&end.task.stage.job);
             let Some(session) = self.sessions.get_mut(worker) else { return };
@@ -46,7 +45,6 @@
                 let since = *session.waiting_since.get_or_insert(context.now);
                 if context.now.saturating_sub(since) < UNKNOWN_JOB_TIMEOUT {
                     session.waiting_ends = ended[position..].to_vec();
-                    session.ends_missing = true;
                     return;
                 }
             }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -314,11 +314,12 @@
             .values()
             .flat_map(|(tasks, _)| tasks.iter().copied())
             .collect();
+        let all_contacted = pools_not_contacted.is_empty();
         let awaited = match () {
             // Only the tasks of recorded workers were left uncertain.
             () if self.takeover.settled => BTreeSet::new(),
             () if expired => pools_listing,
-            () => pools_not_contacted.clone(),
+            () => pools_not_contacted,
         };
         let mut pending = false;
         let mut released = Vec::new();
@@ -336,7 +337,7 @@
                 released.push(*id);
             }
         }
-        let settled = !pending && (expired || pools_not_contacted.is_empty());
+        let settled = !pending && (expired || all_contacted);
         if settled && !self.takeover.settled {
             context.log("takeover_settled", vec![("lapsed", expired.to_string())]);
         }
--- a/crates/shallotpost-fleet/tests/end_lists.rs
+++ b/crates/shallotpost-fleet/tests/end_lists.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use shallotpost_fleet::job::JobId;
+use shallotpost_fleet::message::Message;
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::worker::ENDED_RUNS_MAX;
-use support::{Simulation, ms, step, task};
+use support::{Simulation, job, ms, step, task};
 
 const JOB: JobId = 0x61;
 const NEXT: JobId = 0x62;
@@ -71,6 +72,31 @@
     }
 }
 
+/// A job of a listed run became known between two lists, and the worker counted as heard before it had listed the rest.
+#[test]
+fn job_known_between_two_lists() {
+    let count = 1200;
+    let mut sim = busy_worker(count);
+    sim.run(ms(2000));
+    sim.store.down = true;
+    sim.run(OUTAGE);
+    ["a", "b", "c"].iter().for_each(|host| sim.kill_host(host));
+    let foreign = task(FOREIGN, 0, 0);
+    sim.workers.get_mut(WORKER).expect("a worker").run_foreign(foreign, Duration::from_secs(60));
+    sim.store.down = false;
+    sim.transaction_delay = ms(800);
+    ["a", "b", "c"].iter().for_each(|host| sim.start_host(host));
+    let heard = |sim: &Simulation| {
+        sim.logs.iter().filter(|(_, _, text)| text.starts_with("run_of_unknown_job")).count()
+    };
+    sim.run_until(Duration::from_secs(10), "the first list", |sim| heard(sim) == 1);
+    let owner = sim.owner().expect("there is an owner");
+    let unknown = Box::new(job(vec![step(1, 300)]));
+    sim.send_message(&owner, "z", Message::Submitted { id: FOREIGN, job: unknown });
+    sim.run(Duration::from_secs(20));
+    check(&mut sim, count, "a job known between two lists");
+}
+
 /// Ends wait behind one of a job that is not known. Their runs counted as lost.
 #[test]
 fn unknown_job() {
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Runs a task that no host of the fleet has started.
+    pub fn run_foreign(&mut self, task: TaskId, time: Duration) {
+        let ends_at = self.now + time;
+        self.active.insert(task, ActiveRun { number: 1, ends_at, end_reason: EndReason::Done });
+    }
+
     /// Lists the end of a run that no host of the fleet has started.
     pub fn list_foreign_end(&mut self, task: TaskId) {
         self.active
