Use late answers of the approval service, and wait at its pace

What callers saw: with approvals that were slower than announced, or handled for all hosts in one queue, all starts ceased, also after the traffic, with the room empty, and accepted jobs were never started.

Cause: a call was given up after the announced length of the calls before it at its host, twice its own and 400 ms. The service goes on with such a call, its answer counted for nothing, and the stage asked again. Beyond some load every answer came too late, and the calls that nobody waited for kept it so.

Change: the ratio of actual to announced durations is measured for each host; stages wait for as long as it suggests before they ask again, and the answer to an overdue call is still used. A host whose answers are late has one call in flight instead of two, and none for 0.8 s or until the late answer. Jobs beyond what the service can handle still wait.

--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -120,6 +120,12 @@
     JobsFailed,
     /// Calls to the approval service.
     Approvals,
+    /// Calls to the approval service that took longer than expected. Late answers are used all the same.
+    ApprovalsLate,
+    /// Calls to the approval service that it refused because too many of the host's calls were waiting.
+    ApprovalsRefused,
+    /// Calls to the approval service that failed or were never answered.
+    ApprovalsUnanswered,
     /// Transactions of the owner; repetitions of one transaction count once.
     Commits,
     /// Calls to the store that failed or were not answered.
--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -97,11 +97,12 @@
         let request = ApprovalRequest { stage: demand.id, workers };
         let call = context.allocate_call();
         let sent = self.approvers.send(call, request, duration, now, context.outputs);
-        let Some(expires) = sent else { return };
+        let Some(ends) = sent else { return };
         context.outputs.push(Output::Count { counter: Counter::Approvals, amount: 1 });
         let workers =
             nominees.into_iter().map(|nominee| (nominee.key, nominee.incarnation)).collect();
-        self.pending_approvals.insert(call, PendingApproval { stage: demand.id, workers, expires });
+        let pending = PendingApproval { stage: demand.id, workers, ends, late: false };
+        self.pending_approvals.insert(call, pending);
         if let Some(stage) = self.stage_mut(demand.id) {
             stage.approval_pending = true;
         }
@@ -167,9 +168,17 @@
         context: &mut Context,
     ) {
         match &result {
-            Ok(_) => self.approvers.end(call),
+            Ok(_) => self.approvers.end(call, context.now),
             Err(_) => self.approvers.fail(call, context.now),
         }
+        let counter = match &result {
+            Ok(_) => None,
+            Err(ApprovalError::Busy) => Some(Counter::ApprovalsRefused),
+            Err(ApprovalError::Unanswered) => Some(Counter::ApprovalsUnanswered),
+        };
+        if let Some(counter) = counter {
+            context.outputs.push(Output::Count { counter, amount: 1 });
+        }
         let Some(pending) = self.pending_approvals.remove(&call) else { return };
         let Some(entry) = self.jobs.get(&pending.stage.job) else { return };
         let validity = entry.policy.approval.map_or(Duration::ZERO, |approval| approval.validity);
@@ -179,7 +188,8 @@
             self.fresh.insert(pending.stage);
         }
         let Some(stage) = self.stage_mut(pending.stage) else { return };
-        stage.approval_pending = false;
+        // After a late answer, another call for the stage may be in flight.
+        stage.approval_pending &= pending.late;
         let Ok(tickets) = result else {
             stage.next_approval_call = context.now + RETRY_PAUSE;
             return;
@@ -194,19 +204,35 @@
         self.approval_rates.entry(queue).or_default().record(named, tickets.len());
     }
 
-    /// Ends approval calls that were not answered in time.
-    pub(super) fn expire_pending_approvals(&mut self, context: &Context) {
-        let expired: Vec<CallId> = self
+    /// Lets stages ask again whose approval calls take longer than expected, and ends calls that can no longer be
+    /// answered. Answers that arrive in between are used.
+    pub(super) fn expire_pending_approvals(&mut self, context: &mut Context) {
+        let late = self.approvers.expire(context.now);
+        let amount = late.len() as u64;
+        if amount > 0 {
+            context.outputs.push(Output::Count { counter: Counter::ApprovalsLate, amount });
+        }
+        self.mark_approvals_late(late);
+        let ended: Vec<CallId> = self
             .pending_approvals
             .iter()
-            .filter(|(_, pending)| pending.expires < context.now)
+            .filter(|(_, pending)| pending.ends < context.now)
             .map(|(call, _)| *call)
             .collect();
-        for call in expired {
+        self.mark_approvals_late(ended.iter().copied());
+        for call in ended {
             self.approvers.fail(call, context.now);
-            if let Some(pending) = self.pending_approvals.remove(&call)
-                && let Some(stage) = self.stage_mut(pending.stage)
-            {
+            self.pending_approvals.remove(&call);
+        }
+    }
+
+    /// Lets the stages of these calls ask again.
+    pub(super) fn mark_approvals_late(&mut self, calls: impl IntoIterator<Item = CallId>) {
+        for call in calls {
+            let Some(pending) = self.pending_approvals.get_mut(&call) else { continue };
+            let was_late = std::mem::replace(&mut pending.late, true);
+            let stage = pending.stage;
+            if !was_late && let Some(stage) = self.stage_mut(stage) {
                 stage.approval_pending = false;
             }
         }
--- a/crates/shallotpost-fleet/src/scheduler/approvers.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvers.rs
@@ -1,6 +1,10 @@
 //! Distribution of approval calls over the entry hosts.
 //!
-//! The approval service handles one call at a time for each calling machine, so the calls are spread over all of them.
+//! The approval service handles one call at a time for each calling machine, so the calls are spread over all of them. It
+//! also handles calls that their caller no longer waits for, so late answers are accepted, and hosts whose answers are
+//! late get fewer calls.
+
+use shallotpost_policy::approval_pace::Pace;
 
 use crate::message::Message;
 use crate::port::{ApprovalRequest, HostName};
@@ -9,33 +13,59 @@
 /// Maximum number of calls in flight at one host. The second one fills the gap between two calls.
 const CALLS_MAX: usize = 2;
 
-/// Margin of a call's timeout beyond twice its expected duration, for delays of the network and of busy hosts.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
+/// Ratio of actual to announced durations from which a host has one call in flight only. The gap between two calls is
+/// short then, and a second call would only wait.
+const SLOW_FACTOR: f64 = 2.0;
+
+/// Margin of a call's expected time beyond twice its expected duration, for delays of the network and of busy hosts.
+const MARGIN: Duration = Duration::from_millis(400);
 
 /// Time by which the result of a relayed call may arrive after the call's timeout.
 const RELAY_DELAY: Duration = Duration::from_millis(100);
 
-/// Pause for a host after a call that failed or timed out. Calls through a host that is cut off fail at once, so it has
-/// the least load and would get most calls without the pause. Heartbeats show within this time that a peer is
-/// unreachable.
+/// Time for which the answer to an overdue call is still accepted.
+const LATE_ANSWER_MAX: Duration = Duration::from_secs(3);
+
+/// Pause for a host after a call that failed or is overdue; an answer ends it. Calls through a host that is cut off fail
+/// at once, so it has the least load and would get most calls without the pause. Heartbeats show within this time that a
+/// peer is unreachable.
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
 
+/// A call in flight.
+#[derive(Debug)]
+struct Call {
+    announced: Duration,
+    sent: Uptime,
+    /// Announced duration of the calls before it at the host, and twice its own.
+    allowance: Duration,
+    /// Whether the answer is late. The stage may ask again then.
+    overdue: bool,
+}
+
 /// A host that can call the approval service.
 #[derive(Debug, Default)]
 struct Approver {
     address: String,
-    calls: BTreeMap<CallId, Duration>,
+    calls: BTreeMap<CallId, Call>,
+    pace: Pace,
+    last_answer: Uptime,
     /// Earliest time of the next call.
     paused_until: Uptime,
 }
 
 impl Approver {
     fn is_free(&self, now: Uptime) -> bool {
-        self.calls.len() < CALLS_MAX && self.paused_until <= now
+        let calls_max = if self.pace.factor() < SLOW_FACTOR { CALLS_MAX } else { 1 };
+        self.calls_in_time().count() < calls_max && self.paused_until <= now
     }
 
+    fn calls_in_time(&self) -> impl Iterator<Item = &Call> {
+        self.calls.values().filter(|call| !call.overdue)
+    }
+
+    /// Returns the announced duration of the calls in flight.
     fn load(&self) -> Duration {
-        self.calls.values().fold(Duration::ZERO, |sum, call| sum.saturating_add(*call))
+        self.calls_in_time().fold(Duration::ZERO, |sum, call| sum.saturating_add(call.announced))
     }
 }
 
@@ -53,13 +83,17 @@
         Approvers { own, hosts }
     }
 
-    /// Replaces the other hosts. Known hosts keep their calls.
-    pub fn set_peers(&mut self, peers: &[(HostName, String)]) {
-        self.hosts
-            .retain(|name, _| *name == self.own || peers.iter().any(|(peer, _)| peer == name));
+    /// Replaces the other hosts. Known hosts keep their calls. Returns the calls of the hosts that are gone.
+    pub fn set_peers(&mut self, peers: &[(HostName, String)]) -> Vec<CallId> {
+        let gone =
+            |name: &HostName| *name != self.own && !peers.iter().any(|(peer, _)| peer == name);
+        let gone: Vec<HostName> = self.hosts.keys().filter(|name| gone(name)).cloned().collect();
+        let gone = gone.iter().filter_map(|name| self.hosts.remove(name));
+        let calls = gone.flat_map(|host| host.calls.into_keys()).collect();
         for (name, address) in peers {
             self.hosts.entry(name.clone()).or_default().address.clone_from(address);
         }
+        calls
     }
 
     /// Returns whether any host can make a call now.
@@ -67,8 +101,8 @@
         self.hosts.values().any(|host| host.is_free(now))
     }
 
-    /// Sends a call through the available host with the least load. Returns the time at which the caller gives the call
-    /// up, or `None` if no host is available.
+    /// Sends a call through the available host with the least load. Returns the time after which no answer can arrive any
+    /// more, or `None` if no host is available.
     pub fn send(
         &mut self,
         call: CallId,
@@ -78,10 +112,14 @@
         outputs: &mut Vec<Output>,
     ) -> Option<Uptime> {
         let free = self.hosts.iter_mut().filter(|(_, host)| host.is_free(now));
-        let (name, host) = free.min_by_key(|(_, host)| (host.load(), host.calls.len()))?;
-        let timeout = host.load().saturating_add(duration.saturating_mul(2));
-        let timeout = timeout.saturating_add(TIMEOUT_MARGIN);
-        host.calls.insert(call, duration);
+        let (name, host) = free.min_by_key(|(_, host)| {
+            (host.pace.expected(host.load().saturating_add(duration)), host.calls.len())
+        })?;
+        let allowance = host.load().saturating_add(duration.saturating_mul(2));
+        let expected = host.pace.expected(allowance).saturating_add(MARGIN);
+        let timeout = expected.saturating_add(LATE_ANSWER_MAX);
+        let open = Call { announced: duration, sent: now, allowance, overdue: false };
+        host.calls.insert(call, open);
         outputs.push(match *name == self.own {
             true => Output::Approval { call, request, timeout },
             false => Output::Peer {
@@ -94,18 +132,43 @@
     }
 
     /// Removes a call that has returned a result.
-    pub fn end(&mut self, call: CallId) {
+    pub fn end(&mut self, call: CallId, now: Uptime) {
+        let ended =
+            self.hosts.values_mut().find_map(|host| Some((host.calls.remove(&call)?, host)));
+        let Some((ended, host)) = ended else { return };
+        // The service handles the calls of a host in turn.
+        let begun = ended.sent.max(host.last_answer);
+        host.pace.record(ended.announced, now.saturating_sub(begun));
+        host.last_answer = now;
+        host.paused_until = now;
+    }
+
+    /// Removes a call that has failed, and pauses its host.
+    pub fn fail(&mut self, call: CallId, now: Uptime) {
         for host in self.hosts.values_mut() {
-            host.calls.remove(&call);
+            let Some(failed) = host.calls.remove(&call) else { continue };
+            host.paused_until = now + FAILURE_PAUSE;
+            if failed.overdue && host.last_answer < failed.sent {
+                host.pace.record_silence();
+            }
         }
     }
 
-    /// Removes a call that has failed or timed out, and pauses its host.
-    pub fn fail(&mut self, call: CallId, now: Uptime) {
+    /// Marks the calls whose answers are late, pauses their hosts, and returns these calls.
+    pub fn expire(&mut self, now: Uptime) -> Vec<CallId> {
+        let mut expired = Vec::new();
         for host in self.hosts.values_mut() {
-            if host.calls.remove(&call).is_some() {
+            let pace = host.pace;
+            let is_late = |call: &Call| {
+                let expected = pace.expected(call.allowance).saturating_add(MARGIN + RELAY_DELAY);
+                !call.overdue && call.sent.saturating_add(expected) < now
+            };
+            for (id, call) in host.calls.iter_mut().filter(|(_, call)| is_late(call)) {
+                call.overdue = true;
                 host.paused_until = now + FAILURE_PAUSE;
+                expired.push(*id);
             }
         }
+        expired
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -198,8 +198,10 @@
     stage: StageId,
     /// Workers to approve, with their incarnations.
     workers: Vec<(WorkerKey, u64)>,
-    /// Time at which the call counts as failed.
-    expires: Uptime,
+    /// Time after which no answer can arrive any more.
+    ends: Uptime,
+    /// Whether the answer takes longer than expected. The stage may ask again then.
+    late: bool,
 }
 
 impl Scheduler {
@@ -244,7 +246,8 @@
 
     /// Replaces the other hosts that can call the approval service, with their addresses.
     pub fn set_peers(&mut self, peers: &[(HostName, String)]) {
-        self.approvers.set_peers(peers);
+        let dropped = self.approvers.set_peers(peers);
+        self.mark_approvals_late(dropped);
     }
 
     pub fn knows(&self, id: JobId) -> bool {
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -89,6 +89,10 @@
     pub unapproved_workers: BTreeSet<String>,
     /// Whether the approval service handles the calls of a host one after another.
     pub approves_in_turn: bool,
+    /// Whether the approval service handles the calls of all hosts one after another. Requires `approves_in_turn`.
+    pub shared_approver: bool,
+    /// Time that the approval service takes for a call.
+    pub approval_time: Duration,
     /// Time at which the approval service has handled the calls of a host.
     approver_busy_until: BTreeMap<String, Duration>,
     /// Times of approval calls, and the number of workers that each names.
@@ -129,6 +133,8 @@
             crashes_before_answer: false,
             unapproved_workers: BTreeSet::new(),
             approves_in_turn: false,
+            shared_approver: false,
+            approval_time: ms(20),
             approver_busy_until: BTreeMap::new(),
             approvals: Vec::new(),
             worker_calls: BTreeMap::new(),
@@ -498,7 +504,7 @@
                 *self.worker_calls.entry(host.clone()).or_default() += 1;
                 self.push(later, Event::Worker { host, call, worker, fence, request });
             }
-            Output::Approval { call, request, .. } => {
+            Output::Approval { call, request, timeout } => {
                 self.approvals.push((self.now, request.workers.len()));
                 if self.is_partitioned(from, "approver") {
                     let input = Input::Approval { call, result: Err(ApprovalError::Unanswered) };
@@ -510,13 +516,19 @@
                     .filter(|worker| !self.unapproved_workers.contains(worker))
                     .map(|worker| Ticket { ticket: format!("t-{worker}"), worker })
                     .collect();
-                let input = Input::Approval { call, result: Ok(tickets) };
-                let begins = match self.approver_busy_until.get(&host) {
+                let caller = if self.shared_approver { String::new() } else { host.clone() };
+                let begins = match self.approver_busy_until.get(&caller) {
                     Some(busy_until) if self.approves_in_turn => self.now.max(*busy_until),
                     _ => self.now,
                 };
-                self.approver_busy_until.insert(host.clone(), begins + ms(20));
-                self.push(begins + ms(20), Event::Input(host, input));
+                // The service also handles calls whose caller has given up.
+                let answered = begins + self.approval_time;
+                self.approver_busy_until.insert(caller, answered);
+                let (at, result) = match answered > self.now + timeout {
+                    true => (self.now + timeout, Err(ApprovalError::Unanswered)),
+                    false => (answered, Ok(tickets)),
+                };
+                self.push(at, Event::Input(host, Input::Approval { call, result }));
             }
             Output::Log(log) => {
                 let fields: Vec<String> =
--- a/crates/shallotpost-policy/src/lib.rs
+++ b/crates/shallotpost-policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod teams;
 
 pub mod approval;
+pub mod approval_pace;
 pub mod crash;
 pub mod first_fit;
 pub mod losses;
