Log once a second which check holds the waiting stages

The logs told that jobs waited, not why: quota, approval, yielding, room, rank and the owner's processor could not be told apart. The owner's line `held` gives the number of stages for each check, the first ones by name, the calls for approval in flight, and how much slower than announced the service is. At most one line a second, from a full round.

--- a/crates/shallotpost-fleet/src/scheduler/approvers.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvers.rs
@@ -101,6 +101,11 @@
         self.hosts.values().any(|host| host.is_free(now))
     }
 
+    /// Returns the highest ratio of actual to announced durations among the hosts.
+    pub fn slowest_pace(&self) -> f64 {
+        self.hosts.values().map(|host| host.pace.factor()).fold(1.0, f64::max)
+    }
+
     /// Sends a call through the available host with the least load. Returns the time after which no answer can arrive any
     /// more, or `None` if no host is available.
     pub fn send(
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod approvers;
 mod commit;
 mod crashes;
+mod holds;
 mod leases;
 mod orders;
 mod placement;
@@ -186,6 +187,7 @@
     round_due: bool,
     last_round: Uptime,
     last_full_round: Uptime,
+    last_holds_log: Uptime,
     /// Time that is added to the interval before the next round, in proportion to the stages that the last round tried.
     round_pause: Duration,
     /// Version of the configuration from which the policies of the jobs were taken.
@@ -235,6 +237,7 @@
             round_due: true,
             last_round: Uptime::ZERO,
             last_full_round: Uptime::ZERO,
+            last_holds_log: Uptime::ZERO,
             round_pause: Duration::ZERO,
             policies_version: 0,
         }
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -3,6 +3,7 @@
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
 use crate::prelude::*;
+use crate::scheduler::holds::{Hold, Holds};
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::session::Session;
 use crate::scheduler::stage::{Place, Stage};
@@ -101,15 +102,23 @@
         }
         let mut round = self.begin_round(context);
         let mut tried = 0;
+        // Only a full round knows all stages.
+        let logs_holds = full && self.is_holds_log_due(context.now);
+        let mut holds = Holds::default();
         for candidate in self.candidates(full, context) {
             if self.is_saturated(context.now) {
                 self.round_due = true;
-                break;
+                if !logs_holds {
+                    break;
+                }
+                holds.record(Hold::Processor, candidate.stage);
+                continue;
             }
             let Some(demand) = self.demand(&candidate, context.configuration) else {
                 continue;
             };
             if self.waits_behind_cap(&demand, &mut round) {
+                holds.record(Hold::Quota, demand.id);
                 continue;
             }
             let pool = &demand.policy.pool;
@@ -130,6 +139,7 @@
                 false => backlogged && !full,
             };
             if hopeless {
+                holds.record(if known_to_fail { Hold::Room } else { Hold::Rank }, demand.id);
                 continue;
             }
             tried += 1;
@@ -145,6 +155,15 @@
             if !yields && (!backlogged || has_capacity) {
                 self.request_approvals(&demand, candidate.early, &pool_workers, context);
             }
+            match candidate.early {
+                _ if !logs_holds || !self.has_waiting(demand.id) => {}
+                true => holds.record(Hold::Turn, demand.id),
+                false if yields && has_capacity => holds.record(Hold::Yielding, demand.id),
+                false => {
+                    let hold = self.hold_of(&demand, &pool_workers, &round, context.now);
+                    holds.record(hold, demand.id);
+                }
+            }
             // Suspects wait for a worker that can be set aside, not for capacity that others must give up.
             let waits = self.has_waiting(demand.id)
                 && !(has_capacity && self.only_suspects_wait(demand.id));
@@ -166,6 +185,9 @@
             round.put_workers(pool, pool_workers);
         }
         self.round_pause = PAUSE_PER_STAGE * tried;
+        if logs_holds {
+            self.log_holds(&holds, context);
+        }
     }
 
     fn begin_round(&self, context: &Context) -> Round {
@@ -226,7 +248,7 @@
         self.stage(id).is_some_and(waits)
     }
 
-    fn only_suspects_wait(&self, id: StageId) -> bool {
+    pub(super) fn only_suspects_wait(&self, id: StageId) -> bool {
         self.stage(id)
             .is_some_and(|stage| stage.waiting().into_iter().all(|index| stage.is_suspect(index)))
     }
