Ask for tickets only as far as the team's quota allows starts

What callers saw: after an overload accepted jobs waited for tickets with most of the room free.

Cause: up to ten stages of a team at its quota renewed their tickets all the time, and stages whose team had a little of its quota left asked without regard to those before them. The service handles one call at a time for each host and was fully used.

Change: a stage asks if its tasks, those of the stages before it that can start, and what runs fit into the quota and what of it is expected to become free while the tickets are valid. A gang counts with all members.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -152,7 +152,10 @@
             }
             // Stages that yield or are far back in a backlog get neither tickets, which would expire, nor the room of
             // others.
-            if !yields && (!backlogged || has_capacity) {
+            if !yields
+                && (!backlogged || has_capacity)
+                && self.may_use_tickets(&demand, has_capacity, &mut round)
+            {
                 self.request_approvals(&demand, candidate.early, &pool_workers, context);
             }
             match candidate.early {
@@ -243,6 +246,31 @@
             && round.add_capped(team) > CAPPED_STAGES_MAX
     }
 
+    /// Returns whether the quota of the stage's team may allow its tasks while their tickets are valid, apart from what
+    /// stages before it take and with what ends in that time. A stage that cannot start must not keep the approval
+    /// service busy.
+    fn may_use_tickets(&self, demand: &Demand, has_capacity: bool, round: &mut Round) -> bool {
+        let (Some(team), Some(approval)) = (&demand.team, demand.policy.approval) else {
+            return true;
+        };
+        let step = demand.step();
+        let waiting = self.stage(demand.id).map_or(0, |stage| stage.waiting().len());
+        let all = step.size.times(waiting as u64);
+        let least = if step.gang { all } else { step.size };
+        let taken = self.usage.get(team).copied().unwrap_or(Size::ZERO);
+        let uncertain = round.uncertain.get(team).copied().unwrap_or(Size::ZERO);
+        let needed = taken.plus(&uncertain).plus(&round.expected(team)).plus(&least);
+        let estimate = step.estimate.as_secs_f64().max(1e-3);
+        let ending = (approval.validity.as_secs_f64() / estimate).min(1.0);
+        let exceeds =
+            |(needed, cap): (u64, u64)| cap > 0 && needed as f64 > cap as f64 * (1.0 + ending);
+        let may_start = !needed.parts().into_iter().zip(demand.cap.parts()).any(exceeds);
+        if may_start && has_capacity {
+            round.expect(team, &all);
+        }
+        may_start
+    }
+
     fn has_waiting(&self, id: StageId) -> bool {
         let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
         self.stage(id).is_some_and(waits)
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -84,6 +84,8 @@
     claimed: BTreeSet<String>,
     /// Number of stages of each team whose quota allows no further task.
     capped: BTreeMap<Rc<str>, u32>,
+    /// Resources for which stages of each team have tickets or ask for them.
+    expected: BTreeMap<Rc<str>, Size>,
     pub(super) preemptions: u32,
     /// Resources that each team may use on workers that have not answered since the takeover.
     pub(super) uncertain: BTreeMap<Rc<str>, Size>,
@@ -138,6 +140,17 @@
         *capped
     }
 
+    /// Records that a stage of the team is expected to start tasks of this size soon.
+    pub(super) fn expect(&mut self, team: &Rc<str>, size: &Size) {
+        let expected = self.expected.entry(Rc::clone(team)).or_insert(Size::ZERO);
+        *expected = expected.plus(size);
+    }
+
+    /// Returns the resources that stages of the team are expected to take soon.
+    pub(super) fn expected(&self, team: &Rc<str>) -> Size {
+        self.expected.get(team).copied().unwrap_or(Size::ZERO)
+    }
+
     /// Records a stage that was tried without success, and its booking if no worker had capacity for it.
     pub(super) fn add_failure(&mut self, pool: &str, booking: Option<Size>) {
         if !self.failures.contains_key(pool) {
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -0,0 +1,45 @@
+//! Calls to the approval service by stages that cannot use the tickets, or that ask for one worker after another. Guards
+//! against a service that is kept busy by them while stages that could start get no tickets.
+//!
+//! Tickets are valid for 2 s and used up to 0.25 s before, so a stage that renews them all the time makes 6 calls in 10 s.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::job::JobId;
+use shallotpost_fleet::port::Action;
+use support::{Simulation, job, ms, step};
+
+const FIRST: JobId = 0x1000;
+const LONG: Duration = Duration::from_secs(20);
+
+fn settled(workers: usize) -> Simulation {
+    let mut sim = Simulation::new(&["a", "b"], workers);
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    sim.workers.values_mut().for_each(|worker| worker.duration = LONG);
+    sim
+}
+
+/// Returns the number of calls in the next 10 s.
+fn calls_in_10_s(sim: &mut Simulation) -> usize {
+    let before = sim.approvals.len();
+    sim.run(Duration::from_secs(10));
+    sim.approvals.len() - before
+}
+
+/// Ten stages of a team at its quota renewed their tickets, although little of the quota became free in that time. What
+/// ends within the validity of a ticket is a tenth of the quota here, which is less than one task.
+#[test]
+fn quota() {
+    let mut sim = settled(8);
+    for id in FIRST..FIRST + 20 {
+        let action = Action::Submit(Ok(Box::new(job(vec![step(4, 20_000)]))));
+        sim.request("a", &format!("/approved/{id:016x}"), Some("key-b"), action);
+        sim.run(ms(20));
+    }
+    sim.run(Duration::from_secs(3));
+    let calls = calls_in_10_s(&mut sim);
+    assert!(calls <= 6, "{calls} calls");
+}
