Name approved workers first, and busy ones in renewals too

Cause: a renewal named only the workers that had room at that moment, so a stage asked again for each worker on which room became free, at the fixed price of a call. It treated workers that the service had approved before like unknown ones.

Test that failed before: approval_calls room_by_room (4 calls, at most 2 needed).

Change: every call may name busy workers, as far as the fixed duration allows for it, and workers that were approved before come first and count in full: the decision for a step does not change, only the ticket expires.

--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use shallotpost_policy::approval::{Cost, workers_to_name};
+use shallotpost_policy::approval::{Candidate, Cost, workers_to_name};
 
 use crate::job::StageId;
 use crate::port::{ApprovalError, ApprovalRequest, Counter, Ticket};
@@ -30,6 +30,8 @@
 struct Nominee {
     /// What must be done before a task fits: nothing, preemption, or waiting until the worker is empty.
     room: Room,
+    /// Whether the service has not approved it for the stage before.
+    unknown: bool,
     /// Spreads the stages that ask at the same time over different workers.
     order: u64,
     key: WorkerKey,
@@ -78,20 +80,24 @@
             needed = waiting.saturating_sub(usable);
             nominees.extend(preemptible);
         }
-        if needed > 0 && first {
-            // Capacity becomes free while the tickets are valid.
-            nominees.extend(self.nominees(demand, stage, Room::Busy, pool_workers, now).0);
+        let useless = nominees.is_empty() && !first;
+        if needed == 0 || useless {
+            return self.postpone_approval_check(demand.id, now);
         }
-        if needed == 0 || nominees.is_empty() {
+        // Capacity becomes free while the tickets are valid, and another call for it takes as long again.
+        nominees.extend(self.nominees(demand, stage, Room::Busy, pool_workers, now).0);
+        if nominees.is_empty() {
             return self.postpone_approval_check(demand.id, now);
         }
-        nominees.sort_by_key(|nominee| (nominee.room, nominee.order));
+        nominees.sort_by_key(|nominee| (nominee.room, nominee.unknown, nominee.order));
         let mut named = BTreeSet::new();
         nominees.retain(|nominee| named.insert(Rc::clone(&nominee.key)));
         let rate = self.approval_rates.get(demand.queue()).copied().unwrap_or_default();
         let cost = Cost { per_call: approval.per_call, per_worker: approval.per_worker };
-        let rooms = nominees.iter().map(|nominee| nominee.tasks);
-        nominees.truncate(workers_to_name(needed, rooms, rate, cost).min(WORKERS_MAX));
+        let candidates = nominees
+            .iter()
+            .map(|nominee| Candidate { tasks: nominee.tasks, approved: !nominee.unknown });
+        nominees.truncate(workers_to_name(needed, candidates, rate, cost).min(WORKERS_MAX));
         let workers = nominees.iter().map(|nominee| nominee.key.to_string()).collect();
         let duration = approval.duration(nominees.len());
         let request = ApprovalRequest { stage: demand.id, workers };
@@ -139,6 +145,7 @@
                 _ if room != Room::Free && self.has_free_room(demand, worker, now) => {}
                 _ => nominees.push(Nominee {
                     room,
+                    unknown: known.is_none(),
                     order: order(demand, session),
                     key: Rc::clone(&worker.key),
                     incarnation: worker.incarnation,
--- a/crates/shallotpost-fleet/tests/approval_calls.rs
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -43,3 +43,22 @@
     let calls = calls_in_10_s(&mut sim);
     assert!(calls <= 6, "{calls} calls");
 }
+
+/// A stage asked for each worker on which room became free, one after another.
+#[test]
+fn room_by_room() {
+    let mut sim = settled(16);
+    // The workers become free one by one, every 100 ms.
+    for (number, worker) in (0u64..).zip(sim.workers.values_mut()) {
+        worker.job_durations.insert(FIRST, ms(1000 + 100 * number));
+    }
+    sim.submit("a", "urgent", FIRST, vec![step(64, 20_000)]);
+    sim.run(ms(500));
+    let before = sim.approvals.len();
+    sim.submit("a", "approved", FIRST + 1, vec![step(64, 20_000)]);
+    sim.run(ms(2300));
+    let calls = sim.approvals.len() - before;
+    assert_eq!(sim.starts_of_job(FIRST + 1), 64, "tasks started");
+    // One call at the beginning, and one after the tickets have expired.
+    assert!(calls <= 2, "{calls} calls");
+}
--- a/crates/shallotpost-policy/src/approval.rs
+++ b/crates/shallotpost-policy/src/approval.rs
@@ -55,15 +55,24 @@
     pub per_worker: Duration,
 }
 
-/// Returns how many of the workers to name so that the approved ones are likely to have room for `tasks` tasks. `rooms`
-/// holds the number of tasks that fit on each worker, in the order in which the workers are named.
+/// A worker that a call may name.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Number of tasks that fit.
+    pub tasks: u64,
+    /// Whether the service has approved it for the stage before. Its decision does not change; only the ticket expires.
+    pub approved: bool,
+}
+
+/// Returns how many of the workers to name so that the approved ones are likely to have room for `tasks` tasks, in the
+/// order in which the workers are named.
 pub fn workers_to_name(
     tasks: u64,
-    rooms: impl Iterator<Item = u64>,
+    candidates: impl Iterator<Item = Candidate>,
     rate: Rate,
     cost: Cost,
 ) -> usize {
-    let needed = tasks as f64 * CAPACITY_FACTOR / rate.share();
+    let needed = tasks as f64 * CAPACITY_FACTOR;
     let spare = match cost.per_worker.is_zero() {
         true => usize::MAX,
         false => {
@@ -71,11 +80,11 @@
         }
     };
     let (mut named, mut room) = (0, 0.0);
-    for fitting in rooms {
+    for candidate in candidates {
         if room >= needed && named >= spare.max(NAMED_MIN) {
             break;
         }
-        room += fitting as f64;
+        room += candidate.tasks as f64 * if candidate.approved { 1.0 } else { rate.share() };
         named += 1;
     }
     named
--- a/crates/shallotpost-policy/tests/approval_names.rs
+++ b/crates/shallotpost-policy/tests/approval_names.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use shallotpost_policy::approval::{Cost, Rate, workers_to_name};
+use shallotpost_policy::approval::{Candidate, Cost, Rate, workers_to_name};
 
 const COST: Cost =
     Cost { per_call: Duration::from_millis(80), per_worker: Duration::from_micros(1_100) };
@@ -15,6 +15,11 @@
 
 const POOL: usize = 350;
 
+/// Returns workers for which the service has not decided yet.
+fn unknown(rooms: impl Iterator<Item = u64>) -> impl Iterator<Item = Candidate> {
+    rooms.map(|tasks| Candidate { tasks, approved: false })
+}
+
 /// Outcome of a burst in which one host calls the service.
 struct Outcome {
     /// Longest time from a stage's arrival to its tickets.
@@ -48,7 +53,8 @@
 fn service_keeps_up() {
     let all = play(|_| 100);
     assert!(all.longest_wait > Duration::from_secs(2), "the burst does not show the failure");
-    let chosen = play(|rate| workers_to_name(25, std::iter::repeat_n(3, POOL), rate, COST));
+    let chosen =
+        play(|rate| workers_to_name(25, unknown(std::iter::repeat_n(3, POOL)), rate, COST));
     assert!(chosen.longest_wait < Duration::from_millis(500), "{:?}", chosen.longest_wait);
     assert!(chosen.sufficient > 0.9, "{}", chosen.sufficient);
 }
@@ -57,9 +63,9 @@
 #[test]
 fn rooms_count() {
     let rooms = (0..POOL as u64).map(|number| u64::from(number % 10 == 0));
-    let named = workers_to_name(4, rooms, Rate::default(), COST);
+    let named = workers_to_name(4, unknown(rooms), Rate::default(), COST);
     assert!((100..200).contains(&named), "{named}");
-    assert_eq!(workers_to_name(4, [9, 9].into_iter(), Rate::default(), COST), 2);
+    assert_eq!(workers_to_name(4, unknown([9, 9].into_iter()), Rate::default(), COST), 2);
 }
 
 /// Workers that the platform allows for in a job's objective: one call that names so many for each step.
@@ -72,6 +78,14 @@
     for _ in 0..50 {
         rate.record(20, 0);
     }
-    let named = workers_to_name(2, std::iter::repeat_n(3, POOL), rate, COST);
+    let named = workers_to_name(2, unknown(std::iter::repeat_n(3, POOL)), rate, COST);
     assert!(named <= NAMED_IN_OBJECTIVE, "{named}");
 }
+
+/// A renewal that names more workers than it needs keeps the service busy for others' calls.
+#[test]
+fn approved_before() {
+    let cost = Cost { per_call: Duration::from_millis(10), per_worker: Duration::from_millis(1) };
+    let known = std::iter::repeat_n(Candidate { tasks: 3, approved: true }, POOL);
+    assert_eq!(workers_to_name(9, known, Rate::default(), cost), 5);
+}
