Let gangs ask for tickets only when all members can have room

Cause: a gang asked again whenever its tickets had expired, as long as any worker had room for one member.

Evidence: test that failed before: approval_calls gang_without_room (5 calls in 10 s for a gang that could not have room).

Change: a gang asks once all members would fit on workers that the service has not refused, also by preemption.

--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -80,7 +80,8 @@
             needed = waiting.saturating_sub(usable);
             nominees.extend(preemptible);
         }
-        let useless = nominees.is_empty() && !first;
+        let useless = nominees.is_empty() && !first
+            || demand.step().gang && !self.may_fit_gang(demand, stage, waiting, pool_workers, now);
         if needed == 0 || useless {
             return self.postpone_approval_check(demand.id, now);
         }
@@ -156,6 +157,30 @@
         (nominees, usable)
     }
 
+    /// Returns whether all members of a gang can have room, with preemption, on workers that the service has not refused.
+    /// Tickets for a part of them would expire unused.
+    fn may_fit_gang(
+        &self,
+        demand: &Demand,
+        stage: &Stage,
+        members: u64,
+        pool_workers: &[PoolWorker],
+        now: Uptime,
+    ) -> bool {
+        let refused = |worker: &PoolWorker| {
+            stage.approvals.get(&worker.key).is_some_and(|cached| {
+                cached.ticket.is_none() && cached.incarnation == worker.incarnation
+            })
+        };
+        let suitable = self.suitable(demand, pool_workers).filter(|(worker, _)| !refused(worker));
+        let room = suitable.map(|(worker, session)| {
+            let preemptible = Self::capacity_with_preemption(demand, session, now);
+            let with_preemption = Self::count_fitting(demand, session, &preemptible);
+            u64::from(with_preemption.max(self.count_fitting_on_worker(demand, worker, now)))
+        });
+        room.sum::<u64>() >= members
+    }
+
     fn has_free_room(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> bool {
         self.count_fitting_on_worker(demand, worker, now) > 0
     }
--- a/crates/shallotpost-fleet/tests/approval_calls.rs
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use shallotpost_fleet::job::JobId;
+use shallotpost_fleet::job::{JobId, Step};
 use shallotpost_fleet::port::Action;
 use support::{Simulation, job, ms, step};
 
@@ -44,6 +44,21 @@
     assert!(calls <= 6, "{calls} calls");
 }
 
+/// A gang asked again and again, although too little room could become free for all of its members.
+#[test]
+fn gang_without_room() {
+    let mut sim = settled(4);
+    sim.submit("a", "urgent", FIRST, vec![step(12, 20_000)]);
+    sim.run(ms(500));
+    sim.submit("a", "approved", FIRST + 1, vec![Step { gang: true, ..step(6, 20_000) }]);
+    sim.run(ms(500));
+    let calls = calls_in_10_s(&mut sim);
+    assert_eq!(calls, 0, "calls");
+    // The urgent tasks end after 20 s, and the gang starts then.
+    sim.run(Duration::from_secs(12));
+    assert_eq!(sim.starts_of_job(FIRST + 1), 6);
+}
+
 /// A stage asked for each worker on which room became free, one after another.
 #[test]
 fn room_by_room() {
