--- a/crates/shallotpost-fleet/tests/approval_calls.rs
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -77,3 +77,19 @@
     // One call at the beginning, and one after the tickets have expired.
     assert!(calls <= 2, "{calls} calls");
 }
+
+/// Jobs beyond their team's share asked for tickets while they leave the room to others, and the tickets expired unused.
+#[test]
+fn yielding() {
+    let mut sim = settled(4);
+    // The team's share is one job per second, with a burst of two.
+    sim.submit("a", "urgent", FIRST, vec![step(12, 20_000)]);
+    sim.submit("a", "batch", FIRST + 1, vec![Step { gang: true, ..step(6, 20_000) }]);
+    sim.run(ms(500));
+    for id in FIRST + 2..FIRST + 12 {
+        sim.submit("a", "approved", id, vec![step(2, 20_000)]);
+        sim.run(ms(20));
+    }
+    let calls = calls_in_10_s(&mut sim);
+    assert_eq!(calls, 0, "calls");
+}
