Limit the expected time of a call without an overflow

A policy may announce any duration. The product with the measured ratio overflowed, which would have ended the owner and each successor. For all other durations the result is the same.

--- a/crates/shallotpost-policy/src/approval_pace.rs
+++ b/crates/shallotpost-policy/src/approval_pace.rs
@@ -40,7 +40,8 @@
 
     /// Returns the time that a call with an announced duration is expected to take, at most 10 s.
     pub fn expected(self, announced: Duration) -> Duration {
-        announced.mul_f64(self.0).min(EXPECTED_MAX)
+        let seconds = announced.as_secs_f64() * self.0;
+        Duration::try_from_secs_f64(seconds).unwrap_or(EXPECTED_MAX).min(EXPECTED_MAX)
     }
 
     /// Takes the answer to a call into account. `taken` begins when the service could begin with the call.
--- a/crates/shallotpost-policy/tests/approval_pace.rs
+++ b/crates/shallotpost-policy/tests/approval_pace.rs
@@ -36,3 +36,11 @@
     (0..20).for_each(|_| pace.record(announced, announced * 3));
     assert!(pace.factor() < 1.1, "{}", pace.factor());
 }
+
+/// A policy may announce any duration. An overflow would end the owner.
+#[test]
+fn huge_duration() {
+    let mut pace = Pace::default();
+    pace.record(Duration::MAX, Duration::MAX);
+    assert!(pace.expected(Duration::MAX) < Duration::from_secs(60));
+}
