Log the stages that wait for a takeover, and the workers they wait for

Stages whose tasks an earlier owner may have left on workers that do not answer were in no line of the log: `held` counted only stages with waiting tasks. They are counted as `takeover` now, and `workers_awaited` names the workers, so that a wait for a takeover is told apart from waits for approval, isolation or quota. No change of logic.

--- a/crates/shallotpost-fleet/src/scheduler/holds.rs
+++ b/crates/shallotpost-fleet/src/scheduler/holds.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Hold {
+    /// An earlier owner may have left its tasks on workers that have not answered yet.
+    Takeover,
     /// Preceding steps are still running.
     Turn,
     /// Stages before it have failed in this round, so it was not tried.
@@ -79,6 +81,7 @@
     pub(super) fn log_holds(&mut self, holds: &Holds, context: &mut Context) {
         if !holds.stages.is_empty() {
             self.last_holds_log = context.now;
+            self.log_awaited_workers(context);
             let mut fields = vec![("stages", self.waiting.len().to_string())];
             fields.extend(holds.fields());
             fields.push(("approval_calls", self.pending_approvals.len().to_string()));
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -189,6 +189,9 @@
         }
         self.round_pause = PAUSE_PER_STAGE * tried;
         if logs_holds {
+            for stage in self.uncertain_stages() {
+                holds.record(Hold::Takeover, stage);
+            }
             self.log_holds(&holds, context);
         }
     }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -15,6 +15,9 @@
 use crate::scheduler::{Context, Scheduler};
 use crate::worker::Registration;
 
+/// Maximum number of awaited workers that a log line names.
+const NAMED_MAX: usize = 5;
+
 /// A worker that the owner cannot reach, as stored for a successor.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UnreachableWorker {
@@ -251,6 +254,45 @@
         usage
     }
 
+    /// Returns the stages with tasks that an earlier owner may have left on workers that have not answered.
+    pub(super) fn uncertain_stages(&self) -> Vec<StageId> {
+        if self.takeover.settled && self.takeover.possible_tasks.is_empty() {
+            return Vec::new();
+        }
+        let entries = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
+        let stages = entries.flat_map(|entry| {
+            let uncertain = entry.stages.iter().filter(|(_, stage)| stage.is_uncertain());
+            uncertain.map(|((occurrence, step), _)| StageId {
+                job: entry.id,
+                occurrence: *occurrence,
+                step: *step,
+            })
+        });
+        stages.collect()
+    }
+
+    /// Logs the workers that keep tasks of earlier owners uncertain, if there are any.
+    pub(super) fn log_awaited_workers(&self, context: &mut Context) {
+        let awaited: Vec<&WorkerKey> = self
+            .sessions
+            .iter()
+            .filter(|(key, session)| !session.has_listed_all() && self.may_run_earlier_tasks(key))
+            .map(|(key, _)| key)
+            .collect();
+        if awaited.is_empty() {
+            return;
+        }
+        let named: Vec<&str> = awaited.iter().take(NAMED_MAX).map(|key| &***key).collect();
+        let left = self.takeover.uncertain_until.saturating_sub(context.now);
+        let fields = vec![
+            ("workers", awaited.len().to_string()),
+            ("first", named.join(",")),
+            ("settled", self.takeover.settled.to_string()),
+            ("lapse_ms", left.as_millis().to_string()),
+        ];
+        context.log("workers_awaited", fields);
+    }
+
     /// Records a run of an earlier owner that was found on a worker.
     pub(super) fn record_adopted(&mut self, team: Option<&Rc<str>>, size: &Size) {
         if let Some(team) = team
--- a/crates/shallotpost-fleet/tests/held_stages.rs
+++ b/crates/shallotpost-fleet/tests/held_stages.rs
@@ -53,3 +53,23 @@
     });
     assert!(line.contains("stages=6 checks=approval_service:6 "), "{line}");
 }
+
+/// Stages of an earlier owner that wait for a silent worker are held too, and the worker is named.
+#[test]
+fn takeover() {
+    let mut sim = Simulation::settled(2);
+    let owner = sim.owner().expect("there is an owner");
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(3));
+    sim.submit(&owner, "batch", FIRST, vec![step(12, 3000)]);
+    sim.run(ms(300));
+    for host in ["a", "b", "c"] {
+        sim.set_partitioned(host, "w0", true);
+    }
+    sim.kill_host(&owner);
+    sim.run(Duration::from_secs(5));
+    let has_line = |start: &str, part: &str| {
+        sim.logs.iter().any(|(_, _, text)| text.starts_with(start) && text.contains(part))
+    };
+    assert!(has_line("held ", "takeover:1"), "{:#?}", sim.logs);
+    assert!(has_line("workers_awaited ", "workers=1 first=w0 settled=false"), "{:#?}", sim.logs);
+}
