Do not wait for workers whose recorded leases have expired at a takeover

Callers saw accepted jobs stand for up to 9 s after each change of owner, with workers that had room.

A commit names the workers that the owner cannot reach, with the tasks that each may run and the end of its leases. A successor dropped such an entry once the leases had ended. From then on the worker counted like one of which nothing was recorded, and left every inherited task of its pool uncertain until no lease at all could be valid, 8.9 s after the claim. So one worker that has been dead or cut off for a while, and is still in the registry or the roster, was enough; nothing had to fail together with the owner.

The ends of recorded leases are kept, and a worker past its end is not waited for.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -197,7 +197,7 @@
     }
 
     fn begin_round(&self, context: &Context) -> Round {
-        let mut round = Round::new(self.uncertain_usage(context.configuration));
+        let mut round = Round::new(self.uncertain_usage(context.configuration, context.now));
         for (key, session) in &self.sessions {
             let usable = session.accepts_tasks()
                 && !self.is_recorded_unreachable(key)
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -38,6 +38,9 @@
     /// Workers that an earlier owner recorded as unreachable: the tasks that each may run, and the time at which its
     /// leases have expired.
     possible_tasks: BTreeMap<WorkerKey, (BTreeSet<TaskId>, Uptime)>,
+    /// Workers that an earlier owner recorded as unreachable: the time at which their leases have expired. No owner has
+    /// started anything there since.
+    recorded_leases: BTreeMap<WorkerKey, Uptime>,
     /// Workers that a stored or in-flight commit names as unreachable; nothing is started on them.
     recorded_unreachable: BTreeSet<WorkerKey>,
     /// Workers that the stored roster names.
@@ -57,6 +60,7 @@
             uncertain_until,
             registry_complete: None,
             possible_tasks: BTreeMap::new(),
+            recorded_leases: BTreeMap::new(),
             recorded_unreachable: BTreeSet::new(),
             roster: BTreeSet::new(),
             roster_sent: None,
@@ -125,11 +129,11 @@
     /// seen.
     pub fn add_unreachable_worker(&mut self, unreachable: UnreachableWorker, since: Uptime) {
         let key = WorkerKey::from(unreachable.worker.as_str());
+        let expires = since.saturating_add(unreachable.lease_expires_in);
         if let Some(tasks) = unreachable.tasks {
             let tasks = tasks.into_iter().collect();
-            self.takeover
-                .possible_tasks
-                .insert(Rc::clone(&key), (tasks, since + unreachable.lease_expires_in));
+            self.takeover.recorded_leases.insert(Rc::clone(&key), expires);
+            self.takeover.possible_tasks.insert(Rc::clone(&key), (tasks, expires));
         }
         self.takeover.recorded_unreachable.insert(key);
     }
@@ -157,6 +161,22 @@
         self.takeover.recorded_unreachable.extend(keys);
     }
 
+    /// Returns the time after which no lease of an earlier owner can be valid on a worker that has not answered yet.
+    fn earlier_leases_expire(&self, key: &WorkerKey) -> Uptime {
+        let recorded = self.takeover.recorded_leases.get(key).copied();
+        recorded.map_or(self.takeover.uncertain_until, |expires| {
+            expires.min(self.takeover.uncertain_until)
+        })
+    }
+
+    /// Returns whether the worker may run any task of its pool, as it has not answered yet and no owner has recorded which
+    /// tasks it may run.
+    fn may_run_any_task(&self, key: &WorkerKey, session: &Session, now: Uptime) -> bool {
+        !session.has_listed_all()
+            && !self.takeover.possible_tasks.contains_key(key)
+            && (session.is_listing() || now < self.earlier_leases_expire(key))
+    }
+
     /// Returns the tasks that an unreachable worker may run; `None` if they are not known.
     fn possible_tasks_of(&self, key: &WorkerKey, session: &Session) -> Option<Vec<TaskId>> {
         // A processed end that is not stored leaves no placement, but its run must not be repeated.
@@ -197,14 +217,17 @@
 
     /// Returns the resources that each team may use on workers that have not answered, in addition to placements. They
     /// count against the team's quota until the workers have answered or their leases have expired.
-    pub(super) fn uncertain_usage(&self, configuration: &Configuration) -> BTreeMap<Rc<str>, Size> {
+    pub(super) fn uncertain_usage(
+        &self,
+        configuration: &Configuration,
+        now: Uptime,
+    ) -> BTreeMap<Rc<str>, Size> {
         let mut usage = BTreeMap::new();
         if self.takeover.settled && self.takeover.possible_tasks.is_empty() {
             return usage;
         }
-        let not_contacted = self.sessions.iter().filter(|(key, session)| {
-            !session.has_listed_all() && !self.takeover.possible_tasks.contains_key(*key)
-        });
+        let not_contacted =
+            self.sessions.iter().filter(|(key, session)| self.may_run_any_task(key, session, now));
         let capacity = not_contacted
             .fold(Size::ZERO, |sum, (_, session)| sum.plus(&session.registration.capacity));
         let possible_tasks: BTreeSet<TaskId> = self
@@ -338,9 +361,7 @@
         let pools_not_contacted: BTreeSet<&str> = self
             .sessions
             .iter()
-            .filter(|(key, session)| {
-                !session.has_listed_all() && !self.takeover.possible_tasks.contains_key(*key)
-            })
+            .filter(|(key, session)| self.may_run_any_task(key, session, context.now))
             .map(|(_, session)| session.registration.pool.as_str())
             .collect();
         // Ends that a worker has still to list do not depend on its leases.
@@ -381,7 +402,10 @@
         }
         let settled = !pending && (expired || all_contacted);
         if settled && !self.takeover.settled {
-            context.log("takeover_settled", vec![("lapsed", expired.to_string())]);
+            let lapsed = self.sessions.iter().any(|(key, session)| {
+                !session.has_listed_all() && !self.takeover.possible_tasks.contains_key(key)
+            });
+            context.log("takeover_settled", vec![("lapsed", lapsed.to_string())]);
         }
         self.takeover.settled |= settled;
         for id in released {
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -0,0 +1,50 @@
+//! Several changes of owner in a row. Guards against jobs that wait for workers longer than their leases can last.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::job::JobId;
+use support::{Simulation, ms, step};
+
+const HOSTS: [&str; 4] = ["a", "b", "c", "d"];
+const RUNNING: JobId = 0x1000;
+const WAITING: JobId = 0x2000;
+
+/// Returns a fleet of two workers, with an owner that knows them.
+fn fleet() -> Simulation {
+    let mut sim = Simulation::new(&HOSTS, 2);
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    sim
+}
+
+/// Fills workers with tasks of 2 s, and submits a job that waits for them.
+fn fill(sim: &mut Simulation, workers: u32) {
+    sim.submit_lasting("batch", RUNNING, vec![step(4 * workers, 2000)], ms(2000));
+    sim.run(ms(300));
+    sim.submit("a", "batch", WAITING, vec![step(1, 300)]);
+    sim.run(ms(100));
+    assert_eq!(sim.starts_of_job(WAITING), 0, "the workers are full");
+}
+
+fn silence(sim: &mut Simulation, worker: &str) {
+    for host in HOSTS {
+        sim.set_partitioned(host, worker, true);
+    }
+}
+
+/// A worker that was recorded as unreachable, and whose leases have expired since, holds up nothing at a change of owner.
+/// Guards against a takeover that counts it among the workers that may run any task of their pool.
+#[test]
+fn expired_leases() {
+    let mut sim = fleet();
+    silence(&mut sim, "w0");
+    sim.run(Duration::from_secs(12));
+    fill(&mut sim, 1);
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    sim.run_until(Duration::from_secs(4), "the start of the waiting job", |sim| {
+        sim.starts_of_job(WAITING) > 0
+    });
+}
