Let later owners inherit the wait for an unreachable worker

Each change of owner began the wait for a silent worker anew, up to 8.9 s for the whole pool, although no owner since the first had reached the worker: with three changes, a waiting job started 17.4 s after the first owner's end.

An owner that cannot reach a worker and does not know its tasks recorded when the leases of earlier owners end, but its successor ignored that. It uses it now, as nothing starts on a recorded worker.

owner_series wait_is_inherited failed before with 17.36 s, against the bound of 13.18 s: the ownership lease, a worker's lease, and a second for each change until the last commit has been read.

--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -130,9 +130,9 @@
     pub fn add_unreachable_worker(&mut self, unreachable: UnreachableWorker, since: Uptime) {
         let key = WorkerKey::from(unreachable.worker.as_str());
         let expires = since.saturating_add(unreachable.lease_expires_in);
+        self.takeover.recorded_leases.insert(Rc::clone(&key), expires);
         if let Some(tasks) = unreachable.tasks {
             let tasks = tasks.into_iter().collect();
-            self.takeover.recorded_leases.insert(Rc::clone(&key), expires);
             self.takeover.possible_tasks.insert(Rc::clone(&key), (tasks, expires));
         }
         self.takeover.recorded_unreachable.insert(key);
@@ -149,7 +149,7 @@
                 lease_expires_in: match self.takeover.possible_tasks.get(key) {
                     Some((_, expires)) => expires.saturating_sub(now),
                     None if session.clock.is_some() => session.leases_expire_in(now),
-                    None => self.takeover.uncertain_until.saturating_sub(now),
+                    None => self.earlier_leases_expire(key).saturating_sub(now),
                 },
             })
             .collect()
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -11,6 +11,13 @@
 const RUNNING: JobId = 0x1000;
 const WAITING: JobId = 0x2000;
 
+/// Longest time from the end of an owner to the end of the last lease that it can have granted: the ownership lease, and the
+/// lease of a worker whose clock is 3 % slow.
+const LEASES_END: Duration = Duration::from_millis(4000 + 6180);
+
+/// Time from the last commit of an owner until other hosts, which miss its heartbeats, have read it.
+const COMMIT_READ: Duration = Duration::from_millis(1000);
+
 /// Returns a fleet of two workers, with an owner that knows them.
 fn fleet() -> Simulation {
     let mut sim = Simulation::new(&HOSTS, 2);
@@ -48,3 +55,33 @@
         sim.starts_of_job(WAITING) > 0
     });
 }
+
+/// Kills the owner, and two successors after they have taken over.
+fn kill_three_owners(sim: &mut Simulation) {
+    for _ in 0..3 {
+        let owner = sim.owner().expect("there is an owner");
+        sim.kill_host(&owner);
+        sim.run_until(Duration::from_secs(4), "a takeover", |sim| sim.owner().is_some());
+        sim.run(ms(1500));
+    }
+}
+
+/// Waiting tasks of a pool with a silent worker start once the leases of the first owner have ended. Guards against a
+/// wait that each further change of owner begins anew, although later owners reach the worker as little.
+#[test]
+fn wait_is_inherited() {
+    let mut sim = fleet();
+    fill(&mut sim, 2);
+    silence(&mut sim, "w0");
+    let first = sim.now;
+    kill_three_owners(&mut sim);
+    sim.run_until(Duration::from_secs(30), "the start of the waiting job", |sim| {
+        sim.starts_of_job(WAITING) > 0
+    });
+    let waited = sim.now - first;
+    assert!(
+        waited < LEASES_END + 3 * COMMIT_READ,
+        "the job started {waited:?} after the first owner ended"
+    );
+    sim.check_invariants();
+}
