Grant a recorded worker no lease beyond the recorded end

A commit names a worker as unreachable, with the end of its leases. When the worker answered again, the owner renewed its lease at once, also if the next commit could not be stored. If the owner then ended and the worker was cut off again, the successor took the lease for expired and started tasks that were still running.

Leases of a recorded worker end at the recorded time at the latest, until a commit without the worker has taken effect; that commit is due at once.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -268,7 +268,7 @@
             },
         };
         if owner.is_loaded() {
-            owner.scheduler.unreachable_commit_sent(&row.unreachable_workers);
+            owner.scheduler.unreachable_commit_sent(&row.unreachable_workers, now);
         }
         let Ok(bytes) = encode(&row) else { return };
         let mut writes = batch.writes;
@@ -355,7 +355,7 @@
         owner.next_commit = now + COMMIT_INTERVAL_MIN;
         let released = commit.row.released;
         if owner.is_loaded() {
-            owner.scheduler.unreachable_committed(&commit.row.unreachable_workers);
+            owner.scheduler.unreachable_committed(&commit.row.unreachable_workers, commit.sent);
         }
         if commit.has_roster {
             owner.scheduler.roster_committed();
--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -70,6 +70,7 @@
         !self.dirty.is_empty()
             || self.sessions.values().any(|session| !session.in_roster)
             || self.sessions.values().any(|session| session.processed > session.acknowledged)
+            || self.has_recovered_worker()
     }
 
     /// Returns whether the last batch from [`Scheduler::take_batch`] holds all progress.
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -16,6 +16,9 @@
 /// The same delay for a worker with confirmed stops: the next list shows whether their resources are free.
 const POLL_WAIT_STOPPING: Duration = Duration::from_millis(100);
 
+/// The same delay for a worker that a commit still names as unreachable: its leases are short until the next one.
+const POLL_WAIT_RECORDED: Duration = Duration::from_millis(100);
+
 /// Timeout of a call, in addition to the delay of its answer. Answers take a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -53,6 +56,7 @@
     fn send_renewal(&mut self, worker: &WorkerKey, context: &mut Context) {
         let now = context.now;
         let lease_max = self.bounds.lease_max;
+        let recorded = self.recorded_lease_end(worker);
         let Some(session) = self.sessions.get_mut(worker) else { return };
         // The first call of a session reads the clock and the lists; a lease can only be granted after that.
         let lease = context.latest_lease_end.saturating_sub(now).min(lease_max);
@@ -61,11 +65,19 @@
             .filter(|_| lease >= LEASE_MIN)
             // An unanswered call may still renew the lease, so the leases of an unreachable worker would never expire.
             .filter(|_| session.contact != Contact::Silent)
-            .map(|clock| clock.saturating_add(milliseconds(lease)));
+            .map(|clock| clock.saturating_add(milliseconds(lease)))
+            // A successor relies on the end that the last commit recorded.
+            .map(|until_ms| match recorded.and_then(|end| session.least_clock_at(end)) {
+                Some(end_ms) => until_ms.min(end_ms),
+                None => until_ms,
+            });
         session.lease_until_ms = session.lease_until_ms.max(until_ms.unwrap_or_default());
         let latency_tracked = session.placements.values().any(|run| run.latency_target.is_some());
         let stopping = session.placements.values().any(|run| run.stop_confirmed);
         let wait = match session.contact {
+            Contact::Live if recorded.is_some() && !session.placements.is_empty() => {
+                POLL_WAIT_RECORDED
+            }
             Contact::Live if until_ms.is_none() => Duration::ZERO,
             Contact::Live if session.unanswered > 0 => Duration::ZERO,
             Contact::Live if stopping => POLL_WAIT_STOPPING,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -250,11 +250,17 @@
         Some(clock.saturating_add(milliseconds(now.saturating_sub(read))))
     }
 
+    /// Returns the time that the worker's clock has certainly reached at `at`, in milliseconds; `None` until the worker has
+    /// answered.
+    pub fn least_clock_at(&self, at: Uptime) -> Option<u64> {
+        let (clock, read) = self.clock?;
+        let least = at.saturating_sub(read).mul_f64(CLOCK_RATE_MIN);
+        Some(clock.saturating_add(milliseconds(least)))
+    }
+
     /// Returns whether every lease that was sent has certainly expired, even if the worker's clock is slow.
     pub fn leases_expired(&self, now: Uptime) -> bool {
-        let Some((clock, read)) = self.clock else { return false };
-        let least = now.saturating_sub(read).mul_f64(CLOCK_RATE_MIN);
-        clock.saturating_add(milliseconds(least)) > self.lease_until_ms
+        self.least_clock_at(now).is_some_and(|clock| clock > self.lease_until_ms)
     }
 
     /// Returns the maximum time until every lease that was sent has certainly expired; zero if the worker has not
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -41,8 +41,9 @@
     /// Workers that an earlier owner recorded as unreachable: the time at which their leases have expired. No owner has
     /// started anything there since.
     recorded_leases: BTreeMap<WorkerKey, Uptime>,
-    /// Workers that a stored or in-flight commit names as unreachable; nothing is started on them.
-    recorded_unreachable: BTreeSet<WorkerKey>,
+    /// Workers that a stored or in-flight commit names as unreachable, and the time at which a successor takes their leases
+    /// for expired. Nothing is started on them, and no lease ends later.
+    recorded_unreachable: BTreeMap<WorkerKey, Uptime>,
     /// Workers that the stored roster names.
     roster: BTreeSet<WorkerKey>,
     /// Workers of the roster that is being committed; `None` if none is.
@@ -61,7 +62,7 @@
             registry_complete: None,
             possible_tasks: BTreeMap::new(),
             recorded_leases: BTreeMap::new(),
-            recorded_unreachable: BTreeSet::new(),
+            recorded_unreachable: BTreeMap::new(),
             roster: BTreeSet::new(),
             roster_sent: None,
             settled: false,
@@ -135,7 +136,7 @@
             let tasks = tasks.into_iter().collect();
             self.takeover.possible_tasks.insert(Rc::clone(&key), (tasks, expires));
         }
-        self.takeover.recorded_unreachable.insert(key);
+        self.takeover.recorded_unreachable.insert(key, expires);
     }
 
     /// Returns the unreachable workers for the next commit.
@@ -155,10 +156,12 @@
             .collect()
     }
 
-    /// Records that a commit with this list of unreachable workers was sent.
-    pub fn unreachable_commit_sent(&mut self, unreachable: &[UnreachableWorker]) {
-        let keys = unreachable.iter().map(|worker| WorkerKey::from(worker.worker.as_str()));
-        self.takeover.recorded_unreachable.extend(keys);
+    /// Records that a commit with this list of unreachable workers was sent at `sent`.
+    pub fn unreachable_commit_sent(&mut self, unreachable: &[UnreachableWorker], sent: Uptime) {
+        for (key, end) in recorded_lease_ends(unreachable, sent) {
+            let recorded = self.takeover.recorded_unreachable.entry(key).or_insert(end);
+            *recorded = end.min(*recorded);
+        }
     }
 
     /// Returns the time after which no lease of an earlier owner can be valid on a worker that has not answered yet.
@@ -193,16 +196,28 @@
         }
     }
 
-    /// Records that a commit with this list of unreachable workers has taken effect.
-    pub fn unreachable_committed(&mut self, unreachable: &[UnreachableWorker]) {
-        self.takeover.recorded_unreachable =
-            unreachable.iter().map(|worker| WorkerKey::from(worker.worker.as_str())).collect();
+    /// Records that a commit with this list of unreachable workers, which was sent at `sent`, has taken effect.
+    pub fn unreachable_committed(&mut self, unreachable: &[UnreachableWorker], sent: Uptime) {
+        self.takeover.recorded_unreachable = recorded_lease_ends(unreachable, sent).collect();
         self.round_due = true;
     }
 
     /// Returns whether a successor may treat the worker as unreachable.
     pub(super) fn is_recorded_unreachable(&self, key: &WorkerKey) -> bool {
-        self.takeover.recorded_unreachable.contains(key)
+        self.takeover.recorded_unreachable.contains_key(key)
+    }
+
+    /// Returns when a successor takes the leases of the worker for expired; `None` if it does not count it as unreachable.
+    pub(super) fn recorded_lease_end(&self, key: &WorkerKey) -> Option<Uptime> {
+        self.takeover.recorded_unreachable.get(key).copied()
+    }
+
+    /// Returns whether a worker answers that the last commit names as unreachable. Nothing starts there before
+    /// another commit.
+    pub(super) fn has_recovered_worker(&self) -> bool {
+        let recorded = self.takeover.recorded_unreachable.keys();
+        let mut sessions = recorded.filter_map(|key| self.sessions.get(key));
+        sessions.any(|session| session.contact == Contact::Live)
     }
 
     /// Returns whether workers that may run tasks of an earlier owner have not answered yet.
@@ -443,3 +458,14 @@
         }
     }
 }
+
+/// Returns the workers that a commit names as unreachable, with the earliest time at which a successor that reads it takes
+/// their leases for expired.
+fn recorded_lease_ends(
+    unreachable: &[UnreachableWorker],
+    sent: Uptime,
+) -> impl Iterator<Item = (WorkerKey, Uptime)> {
+    unreachable.iter().map(move |worker| {
+        (worker.worker.as_str().into(), sent.saturating_add(worker.lease_expires_in))
+    })
+}
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -85,3 +85,32 @@
     );
     sim.check_invariants();
 }
+
+/// A worker that answers again gets no lease that a successor does not know of. Guards against tasks that run twice, as
+/// the successor takes the leases of the worker for expired.
+#[test]
+fn renewed_lease() {
+    let mut sim = fleet();
+    sim.submit_lasting("batch", RUNNING, vec![step(4, 30_000)], Duration::from_secs(30));
+    sim.wait_for_start(RUNNING, 4);
+    let busy = sim.workers_of(RUNNING);
+    for (host, worker) in HOSTS.iter().flat_map(|host| busy.iter().map(move |name| (*host, name))) {
+        sim.set_partitioned(host, worker, true);
+    }
+    sim.run(ms(4500));
+    let owner = sim.owner().expect("there is an owner");
+    sim.silent_stores.insert(owner.clone());
+    for worker in &busy {
+        sim.set_partitioned(&owner, worker, false);
+    }
+    sim.run(ms(1200));
+    for worker in &busy {
+        sim.set_partitioned(&owner, worker, true);
+    }
+    sim.kill_host(&owner);
+    for _ in 0..140 {
+        sim.run(ms(100));
+        sim.check_invariants();
+    }
+    assert!(sim.starts_of_job(RUNNING) >= 8, "the tasks were not started again");
+}
