Grant no lease that ends later than one lease after the worker's last answer

A renewal that follows an unanswered one granted a new lease, and so did each start until the worker counted as silent. The owner then waited for leases that it had granted after the worker was dead.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -59,7 +59,7 @@
         let recorded = self.recorded_lease_end(worker);
         let Some(session) = self.sessions.get_mut(worker) else { return };
         // The first call of a session reads the clock and the lists; a lease can only be granted after that.
-        let lease = context.latest_lease_end.saturating_sub(now).min(lease_max);
+        let lease = context.latest_lease_end.min(session.heard + lease_max).saturating_sub(now);
         let until_ms = session
             .clock_now(now)
             .filter(|_| lease >= LEASE_MIN)
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -54,8 +54,10 @@
         let Some(state) = stage.tasks.get_mut(task.index as usize) else { return };
         state.place = Place::Placed(Rc::clone(worker));
         let checkpoint = state.checkpoint.clone();
-        let lease = context.latest_lease_end.saturating_sub(now).min(self.bounds.lease_max);
+        let lease_max = self.bounds.lease_max;
         let Some(session) = self.sessions.get_mut(worker) else { return };
+        // A worker that died after its last answer must not hold its runs for longer than one lease from then on.
+        let lease = context.latest_lease_end.min(session.heard + lease_max).saturating_sub(now);
         let clock = session.clock_now(now).unwrap_or_default();
         let until_ms = clock.saturating_add(milliseconds(lease));
         session.lease_until_ms = session.lease_until_ms.max(until_ms);
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -38,7 +38,7 @@
 /// Virtual time of day at the start, in milliseconds since the Unix epoch.
 const UNIX_MS: u64 = 1_700_000_000_000;
 
-pub fn ms(milliseconds: u64) -> Duration {
+pub const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
 
