Start nothing on a worker after a call that it did not answer

A worker counts as silent after two unanswered renewals, up to 2.8 s after its death. Until then it got further starts, also after the first one had failed. Each of these tasks then waited for the end of the worker's lease.

A worker with an unanswered call gets no start before its next answer.

dead_worker starts_after_failed_call failed before: 11 starts after the first failed one.

--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -285,6 +285,7 @@
     /// Returns whether new tasks may start on the worker.
     pub fn accepts_tasks(&self) -> bool {
         self.contact == Contact::Live
+            && self.broken.is_none()
             && self.in_roster
             && self.registered
             && !self.registration.draining
--- a/crates/shallotpost-fleet/tests/dead_worker.rs
+++ b/crates/shallotpost-fleet/tests/dead_worker.rs
@@ -65,3 +65,22 @@
         sim.check_invariants();
     }
 }
+
+/// Nothing is sent to a worker once a call to it has failed. Guards against starts that wait for the end of its lease.
+#[test]
+fn starts_after_failed_call() {
+    for death in DEATHS {
+        let (mut sim, name) = dead_worker(death);
+        let died = sim.now;
+        submit_short_jobs(&mut sim, SHORT, ms(4000));
+        let failed = format!("worker={name} error=the worker did not answer");
+        let is_failure =
+            |line: &str| line.starts_with("start_failed") && line.contains(failed.as_str());
+        let first = sim.logs.iter().find(|(at, _, line)| *at > died && is_failure(line));
+        let first = first.map(|(at, _, _)| *at).expect("a start fails");
+        let worker = format!("worker={name} ");
+        let sent = |line: &str| line.starts_with("run_started") && line.contains(&worker);
+        let later = sim.logs.iter().filter(|(at, _, line)| *at > first && sent(line)).count();
+        assert_eq!(later, 0, "starts on the worker after the first one has failed");
+    }
+}
