Count against a team's quota only what its stages can start with tickets

Found in plays with real processes: without any disturbance, and longer after changes of owner, jobs of a team stood for 3.5 to 11 s in calm while nothing or little of the team ran and approved workers had room. The log showed them as held by `approval`, with few or no calls in flight.

A stage asks for tickets only if the team's quota allows its tasks beside those that earlier stages are expected to start. A waiting gang counted there with all its members if any worker had room for one of them, also when too few workers were approved for it, and every resource was compared, also those that the stage does not need. So a gang that could not start kept steps without accelerators from asking. A new owner takes inherited gangs for new, so each change of owner prolonged this.

Expected are now the tasks for which workers have room that the service has not refused; of a gang all members or none. Only resources that the stage needs are compared.

approval_calls beside_unapproved_gang and unneeded_resource failed before (0 starts).

--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -167,12 +167,8 @@
         pool_workers: &[PoolWorker],
         now: Uptime,
     ) -> bool {
-        let refused = |worker: &PoolWorker| {
-            stage.approvals.get(&worker.key).is_some_and(|cached| {
-                cached.ticket.is_none() && cached.incarnation == worker.incarnation
-            })
-        };
-        let suitable = self.suitable(demand, pool_workers).filter(|(worker, _)| !refused(worker));
+        let suitable = self.suitable(demand, pool_workers);
+        let suitable = suitable.filter(|(worker, _)| !stage.refuses(worker));
         let room = suitable.map(|(worker, session)| {
             let preemptible = Self::capacity_with_preemption(demand, session, now);
             let with_preemption = Self::count_fitting(demand, session, &preemptible);
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -154,7 +154,7 @@
             // others.
             if !yields
                 && (!backlogged || has_capacity)
-                && self.may_use_tickets(&demand, has_capacity, &mut round)
+                && self.may_use_tickets(&demand, &pool_workers, &mut round, context.now)
             {
                 self.request_approvals(&demand, candidate.early, &pool_workers, context);
             }
@@ -252,28 +252,49 @@
     /// Returns whether the quota of the stage's team may allow its tasks while their tickets are valid, apart from what
     /// stages before it take and with what ends in that time. A stage that cannot start must not keep the approval
     /// service busy.
-    fn may_use_tickets(&self, demand: &Demand, has_capacity: bool, round: &mut Round) -> bool {
+    fn may_use_tickets(
+        &self,
+        demand: &Demand,
+        pool_workers: &[PoolWorker],
+        round: &mut Round,
+        now: Uptime,
+    ) -> bool {
         let (Some(team), Some(approval)) = (&demand.team, demand.policy.approval) else {
             return true;
         };
         let step = demand.step();
-        let waiting = self.stage(demand.id).map_or(0, |stage| stage.waiting().len());
-        let all = step.size.times(waiting as u64);
-        let least = if step.gang { all } else { step.size };
+        let waiting = self.stage(demand.id).map_or(0, |stage| stage.waiting().len()) as u64;
+        let least = if step.gang { step.size.times(waiting) } else { step.size };
         let taken = self.usage.get(team).copied().unwrap_or(Size::ZERO);
         let uncertain = round.uncertain.get(team).copied().unwrap_or(Size::ZERO);
         let needed = taken.plus(&uncertain).plus(&round.expected(team)).plus(&least);
         let estimate = step.estimate.as_secs_f64().max(1e-3);
         let ending = (approval.validity.as_secs_f64() / estimate).min(1.0);
-        let exceeds =
-            |(needed, cap): (u64, u64)| cap > 0 && needed as f64 > cap as f64 * (1.0 + ending);
-        let may_start = !needed.parts().into_iter().zip(demand.cap.parts()).any(exceeds);
-        if may_start && has_capacity {
-            round.expect(team, &all);
+        let parts = needed.parts().into_iter().zip(least.parts()).zip(demand.cap.parts());
+        let exceeds = |((needed, least), cap): ((u64, u64), u64)| {
+            least > 0 && cap > 0 && needed as f64 > cap as f64 * (1.0 + ending)
+        };
+        let may_start = !parts.into_iter().any(exceeds);
+        if may_start {
+            let places = self.count_open_places(demand, pool_workers, now);
+            let expected = match step.gang {
+                true if places < waiting => 0,
+                true => waiting,
+                false => places.min(waiting),
+            };
+            round.expect(team, &step.size.times(expected));
         }
         may_start
     }
 
+    /// Returns the number of tasks of the stage that fit into the free capacity of workers that the approval service has not
+    /// refused.
+    fn count_open_places(&self, demand: &Demand, pool_workers: &[PoolWorker], now: Uptime) -> u64 {
+        let Some(stage) = self.stage(demand.id) else { return 0 };
+        let open = self.suitable(demand, pool_workers).filter(|(worker, _)| !stage.refuses(worker));
+        open.map(|(worker, _)| u64::from(self.count_fitting_on_worker(demand, worker, now))).sum()
+    }
+
     fn has_waiting(&self, id: StageId) -> bool {
         let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
         self.stage(id).is_some_and(waits)
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -6,6 +6,7 @@
 
 use crate::prelude::*;
 use crate::progress::{StageProgress, StoredCrash, TaskCrashes};
+use crate::scheduler::round::PoolWorker;
 use crate::scheduler::session::WorkerKey;
 
 /// Where a task is.
@@ -199,6 +200,13 @@
         self.tasks.iter().zip(0u32..).filter(waits).map(|(_, index)| index).collect()
     }
 
+    /// Returns whether the approval service has refused the worker for the stage, which it does for good.
+    pub(super) fn refuses(&self, worker: &PoolWorker) -> bool {
+        self.approvals.get(&worker.key).is_some_and(|cached| {
+            cached.ticket.is_none() && cached.incarnation == worker.incarnation
+        })
+    }
+
     pub fn is_uncertain(&self) -> bool {
         self.tasks.iter().any(|task| task.place == Place::Uncertain)
     }
--- a/crates/shallotpost-fleet/tests/approval_calls.rs
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -9,6 +9,7 @@
 
 use shallotpost_fleet::job::{JobId, Step};
 use shallotpost_fleet::port::Action;
+use shallotpost_protocol::size::Size;
 use support::{Simulation, job, ms, step};
 
 const FIRST: JobId = 0x1000;
@@ -93,3 +94,42 @@
     let calls = calls_in_10_s(&mut sim);
     assert_eq!(calls, 0, "calls");
 }
+
+fn submit_as_b(sim: &mut Simulation, id: JobId, steps: Vec<Step>) {
+    let action = Action::Submit(Ok(Box::new(job(steps))));
+    sim.request("a", &format!("/approved/{id:016x}"), Some("key-b"), action);
+}
+
+/// A gang for which too few workers are approved counted against the quota of its team. Its other jobs got no tickets,
+/// although nothing of the team ran.
+#[test]
+fn beside_unapproved_gang() {
+    let mut sim = settled(4);
+    sim.unapproved_workers = sim.workers.keys().skip(1).cloned().collect();
+    let gang = Step { gang: true, per_worker_max: 2, ..step(3, 20_000) };
+    submit_as_b(&mut sim, FIRST, vec![gang]);
+    sim.run(Duration::from_secs(2));
+    submit_as_b(&mut sim, FIRST + 1, vec![step(1, 20_000)]);
+    sim.run(Duration::from_secs(3));
+    assert_eq!(sim.starts_of_job(FIRST), 0, "members started");
+    assert_eq!(sim.starts_of_job(FIRST + 1), 1, "tasks started");
+}
+
+/// A stage without tickets waits for accelerators of its team's quota that it does not need.
+#[test]
+fn unneeded_resource() {
+    let mut sim = settled(4);
+    let mut changed = support::configuration();
+    changed.version = 2;
+    changed.teams[1].cap = Size { processors_milli: 8000, accelerators: 2, ..Size::ZERO };
+    sim.configure(changed);
+    sim.run(ms(500));
+    let size = Size { processors_milli: 1000, accelerators: 2, ..Size::ZERO };
+    // The second stage may follow the first one while its tickets are valid, and gets them.
+    submit_as_b(&mut sim, FIRST, vec![Step { size, ..step(1, 1500) }]);
+    submit_as_b(&mut sim, FIRST + 1, vec![Step { size, ..step(1, 1500) }]);
+    sim.run(ms(500));
+    submit_as_b(&mut sim, FIRST + 2, vec![step(1, 20_000)]);
+    sim.run(ms(1500));
+    assert_eq!(sim.starts_of_job(FIRST + 2), 1, "tasks started");
+}
