--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -1,15 +1,17 @@
 //! Simulation of a fleet in virtual time: entry hosts, workers, a store, and faults between them.
 #![allow(dead_code)]
 
+pub mod day;
 pub mod store;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use shallotpost_fleet::configuration::{Approval, Configuration, Pool, Queue, QueuePolicy, Team};
 use shallotpost_fleet::host::{Host, Settings};
-use shallotpost_fleet::job::{Job, JobId, Step, TaskId};
+use shallotpost_fleet::job::{Job, JobId, StageId, Step, TaskId};
 use shallotpost_fleet::message::Message;
 use shallotpost_fleet::port::{
     Action, Answer, ApprovalError, Content, Input, Output, Request, RequestId, StoreError,
@@ -35,6 +37,9 @@
 /// Time after which a call to a store that does not answer times out.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Time after which a call to a worker that does not answer times out.
+const UNANSWERED_AFTER: Duration = Duration::from_millis(700);
+
 /// Virtual time of day at the start, in milliseconds since the Unix epoch.
 const UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -45,13 +50,47 @@
 enum Event {
     Tick(String),
     Input(String, Input),
-    Store { host: String, call: u64, request: StoreRequest },
-    Worker { host: String, call: u64, worker: String, fence: u64, request: Call },
-    WorkerWait { host: String, call: u64, worker: String, until: Duration },
+    Store {
+        host: String,
+        call: u64,
+        request: StoreRequest,
+    },
+    Worker {
+        host: String,
+        call: u64,
+        worker: String,
+        fence: u64,
+        request: Call,
+    },
+    WorkerWait {
+        host: String,
+        call: u64,
+        worker: String,
+        until: Duration,
+    },
+    /// A call that has reached a worker which hangs, and whether its caller has given up.
+    HeldCall(HeldCall),
+    /// A feed that waits for a change.
+    FeedWait {
+        host: String,
+        call: u64,
+        request: StoreRequest,
+        until: Duration,
+    },
     Crash(String),
     Restart(String),
 }
 
+struct HeldCall {
+    host: String,
+    call: u64,
+    worker: String,
+    fence: u64,
+    request: Call,
+    deadline: Duration,
+    given_up: bool,
+}
+
 /// A simulated fleet. Time passes only in [`Simulation::run`] and [`Simulation::run_until`].
 pub struct Simulation {
     pub now: Duration,
@@ -75,6 +114,20 @@
     pub store_lags: BTreeMap<String, Duration>,
     /// Hosts whose calls to the store get no answer.
     pub silent_stores: BTreeSet<String>,
+    /// Whether feeds wait for a change, as the request allows, instead of returning at once.
+    pub feeds_wait: bool,
+    /// Paused hosts, with the inputs that wait for them.
+    pub paused_hosts: BTreeMap<String, Vec<Input>>,
+    /// Workers that execute and answer their calls only when they resume.
+    pub hanging_workers: BTreeSet<String>,
+    /// Workers that are gone and whose callers get no answer.
+    pub dead_workers: BTreeSet<String>,
+    /// Pools and data centres of workers, if they are not `intake` and `kochi`.
+    pub sites: BTreeMap<String, (String, String)>,
+    /// Number in 100 of the pairs of a stage and a worker that are approved.
+    pub approval_percent: u64,
+    /// Times at which calls of hosts end as unanswered.
+    deadlines: BTreeMap<(String, u64), Duration>,
     /// Number of the next workers' answers to lose.
     pub lost_answers: usize,
     /// Processor capacity of hosts that are started from now on, in thousandths of a core; 250 for hosts not listed.
@@ -126,6 +179,13 @@
             store_silent: false,
             store_lags: BTreeMap::new(),
             silent_stores: BTreeSet::new(),
+            feeds_wait: false,
+            paused_hosts: BTreeMap::new(),
+            hanging_workers: BTreeSet::new(),
+            dead_workers: BTreeSet::new(),
+            sites: BTreeMap::new(),
+            approval_percent: 100,
+            deadlines: BTreeMap::new(),
             lost_answers: 0,
             processors: BTreeMap::new(),
             deadly_tasks: BTreeSet::new(),
@@ -209,10 +269,12 @@
     /// Writes a worker's registration to the store.
     pub fn register(&mut self, name: &str, draining: bool) {
         let worker = &self.workers[name];
+        let site = self.sites.get(name).cloned();
+        let (pool, data_centre) = site.unwrap_or(("intake".to_owned(), "kochi".to_owned()));
         let registration = Registration {
-            pool: "intake".to_owned(),
+            pool,
             address: format!("{name}:1"),
-            data_centre: "kochi".to_owned(),
+            data_centre,
             draining,
             capacity: worker.capacity,
             labels: vec!["a".to_owned(), "r1".to_owned()],
@@ -251,6 +313,49 @@
     pub fn kill_host(&mut self, name: &str) {
         self.hosts.remove(name);
         self.started_at.remove(name);
+        self.paused_hosts.remove(name);
+    }
+
+    /// Pauses the process of a host. Its inputs wait in order.
+    pub fn pause_host(&mut self, name: &str) {
+        if self.hosts.contains_key(name) {
+            self.paused_hosts.entry(name.to_owned()).or_default();
+        }
+    }
+
+    /// Resumes the process of a host. `tick_first` tells whether it handles its timer before its waiting inputs, and
+    /// `expire_calls` whether calls that have timed out meanwhile end as unanswered although their answers have arrived.
+    pub fn resume_host(&mut self, name: &str, tick_first: bool, expire_calls: bool) {
+        let Some(inputs) = self.paused_hosts.remove(name) else { return };
+        if tick_first {
+            self.deliver(name, Input::Tick);
+        }
+        for input in inputs {
+            let expired = |call: &u64| {
+                let deadline = self.deadlines.get(&(name.to_owned(), *call));
+                expire_calls && deadline.is_some_and(|deadline| *deadline < self.now)
+            };
+            let input = match input {
+                Input::Worker { call, .. } if expired(&call) => {
+                    Input::Worker { call, result: Err(Error::Unanswered) }
+                }
+                Input::Store { call, .. } if expired(&call) => {
+                    Input::Store { call, result: Err(StoreError::Unanswered) }
+                }
+                input => input,
+            };
+            self.deliver(name, input);
+        }
+    }
+
+    /// Ends a worker's process for good. Calls to it are refused, or get no answer if `silent` is set.
+    pub fn kill_worker(&mut self, name: &str, silent: bool) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.crash();
+        }
+        if silent {
+            self.dead_workers.insert(name.to_owned());
+        }
     }
 
     /// Breaks or restores the path between two parties, named as in `partitions`.
@@ -378,6 +483,35 @@
                 let input = Input::Store { call, result: Err(StoreError::Unanswered) };
                 self.push(self.now + STORE_TIMEOUT, Event::Input(host, input));
             }
+            Event::Store { host, call, request: request @ StoreRequest::Feed { wait, .. } }
+                if self.feeds_wait =>
+            {
+                let until = self.now + wait;
+                self.push(self.now, Event::FeedWait { host, call, request, until });
+            }
+            Event::FeedWait { host, call, request, until } => {
+                let result = match self.is_partitioned(&host, "store") {
+                    true => Err(StoreError::NotExecuted),
+                    false => self.store.call(&request),
+                };
+                let unchanged = result.as_ref().is_ok_and(|answer| answer.rows.is_empty());
+                let silent = self.store_silent || self.silent_stores.contains(&host);
+                match () {
+                    () if silent => {
+                        let input = Input::Store { call, result: Err(StoreError::Unanswered) };
+                        self.push(until + STORE_TIMEOUT, Event::Input(host, input));
+                    }
+                    () if unchanged && self.now < until => {
+                        let next = self.now + ms(5);
+                        self.push(next, Event::FeedWait { host, call, request, until });
+                    }
+                    () => {
+                        let answered = self.now + NETWORK_DELAY + self.store_delay;
+                        self.push(answered, Event::Input(host, Input::Store { call, result }));
+                    }
+                }
+            }
+            Event::HeldCall(held) => self.hold_call(held),
             Event::Store { host, call, request } => {
                 let result = match self.is_partitioned(&host, "store") {
                     true => Err(StoreError::NotExecuted),
@@ -410,12 +544,20 @@
                     let input = Input::Worker { call, result: Err(Error::Unreachable) };
                     return self.push(self.now + NETWORK_DELAY, Event::Input(host, input));
                 };
+                let answer_timeout = until + UNANSWERED_AFTER;
+                let stuck =
+                    self.hanging_workers.contains(&worker) || self.dead_workers.contains(&worker);
+                if stuck && self.now < answer_timeout {
+                    let next = self.now + ms(5);
+                    return self.push(next, Event::WorkerWait { host, call, worker, until });
+                }
                 if !state.crashed && !state.has_ended_runs() && self.now < until {
                     let next = self.now + ms(5);
                     return self.push(next, Event::WorkerWait { host, call, worker, until });
                 }
                 let lost = self.lost_answers > 0;
-                let silent = lost || state.crashed;
+                let hangs = self.hanging_workers.contains(&worker);
+                let silent = lost || state.crashed || hangs;
                 let result = match self.is_partitioned(&host, &worker) || silent {
                     true => Err(Error::Unanswered),
                     false => Ok(state.report(self.now)),
@@ -439,9 +581,31 @@
         }
     }
 
+    /// Keeps a call until its worker resumes. The caller gives up after a while, but the worker executes the call.
+    fn hold_call(&mut self, mut held: HeldCall) {
+        if !self.hanging_workers.contains(&held.worker) {
+            let HeldCall { host, call, worker, fence, request, given_up, .. } = held;
+            // The caller expects no answer under this number any more.
+            let call = if given_up { 0 } else { call };
+            return self.call_worker(host, call, worker, fence, &request);
+        }
+        if !held.given_up && self.now >= held.deadline {
+            held.given_up = true;
+            let input = Input::Worker { call: held.call, result: Err(Error::Unanswered) };
+            self.push(self.now, Event::Input(held.host.clone(), input));
+        }
+        self.push(self.now + ms(5), Event::HeldCall(held));
+    }
+
     fn call_worker(&mut self, host: String, call: u64, worker: String, fence: u64, request: &Call) {
-        let partitioned = self.is_partitioned(&host, &worker);
+        let partitioned =
+            self.is_partitioned(&host, &worker) || self.dead_workers.contains(&worker);
         let now = self.now;
+        if self.hanging_workers.contains(&worker) && !partitioned {
+            let (request, deadline) = (request.clone(), now + UNANSWERED_AFTER);
+            let held = HeldCall { host, call, worker, fence, request, deadline, given_up: false };
+            return self.push(now, Event::HeldCall(held));
+        }
         let mut result = match self.workers.get_mut(&worker) {
             None => Err(Error::Unreachable),
             Some(_) if partitioned => Err(Error::Unanswered),
@@ -463,13 +627,20 @@
         }
         let answered = match result {
             // An unanswered call takes as long as its timeout.
-            Err(Error::Unanswered) => now + ms(700),
+            Err(Error::Unanswered) => now + UNANSWERED_AFTER,
             _ => now + NETWORK_DELAY,
         };
         self.push(answered, Event::Input(host, Input::Worker { call, result }));
     }
 
     fn deliver(&mut self, name: &str, input: Input) {
+        if let Some(inputs) = self.paused_hosts.get_mut(name) {
+            // Ticks do not accumulate.
+            if !matches!(input, Input::Tick) {
+                inputs.push(input);
+            }
+            return;
+        }
         let Some(host) = self.hosts.get_mut(name) else { return };
         let uptime = self.now - self.started_at[name];
         let unix_ms = UNIX_MS + u64::try_from(self.now.as_millis()).expect("time fits");
@@ -497,10 +668,12 @@
                     self.push(later, Event::Input(to, Input::Peer { from: host, message }));
                 }
             }
-            Output::Store { call, request, .. } => {
+            Output::Store { call, request, timeout } => {
+                self.deadlines.insert((host.clone(), call), self.now + timeout);
                 self.push(later, Event::Store { host, call, request });
             }
-            Output::Worker { call, worker, fence, request, .. } => {
+            Output::Worker { call, worker, fence, request, timeout, .. } => {
+                self.deadlines.insert((host.clone(), call), self.now + timeout);
                 *self.worker_calls.entry(host.clone()).or_default() += 1;
                 self.push(later, Event::Worker { host, call, worker, fence, request });
             }
@@ -513,7 +686,7 @@
                 let tickets = request
                     .workers
                     .into_iter()
-                    .filter(|worker| !self.unapproved_workers.contains(worker))
+                    .filter(|worker| self.is_approved(request.stage, worker))
                     .map(|worker| Ticket { ticket: format!("t-{worker}"), worker })
                     .collect();
                 let caller = if self.shared_approver { String::new() } else { host.clone() };
@@ -544,6 +717,13 @@
         }
     }
 
+    /// Returns whether the approval service approves a worker for a stage.
+    pub fn is_approved(&self, stage: StageId, worker: &str) -> bool {
+        let mut hasher = DefaultHasher::new();
+        (stage, worker).hash(&mut hasher);
+        hasher.finish() % 100 < self.approval_percent && !self.unapproved_workers.contains(worker)
+    }
+
     /// Returns how often a task was started, on all workers together.
     pub fn starts(&self, task: TaskId) -> usize {
         self.workers.values().map(|worker| worker.starts_of(task)).sum()
@@ -647,5 +827,5 @@
 
 /// Returns the task at a position of the first occurrence of a job.
 pub fn task(job: JobId, step: u16, index: u32) -> TaskId {
-    shallotpost_fleet::job::StageId { job, occurrence: 0, step }.task(index)
+    StageId { job, occurrence: 0, step }.task(index)
 }
--- a/crates/shallotpost-fleet/tests/support/store.rs
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use shallotpost_fleet::job::JobId;
 use shallotpost_fleet::port::{
     Content, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
 };
-use shallotpost_fleet::scheduler::job_part;
+use shallotpost_fleet::progress::Progress;
+use shallotpost_fleet::scheduler::{job_key, job_part};
 
 /// Fault injected into transactions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -59,6 +61,14 @@
         self.rows.contains_key(&(table, key.to_owned()))
     }
 
+    /// Returns the stored progress of a job.
+    pub fn progress(&self, id: JobId) -> Option<Progress> {
+        match &self.rows.get(&(Table::Progress, job_key(id)))?.content {
+            Content::Bytes(bytes) => Progress::from_bytes(bytes).ok(),
+            _ => None,
+        }
+    }
+
     fn set(&mut self, table: Table, key: &str, content: Content) {
         let row = Row { table, key: key.to_owned(), version: self.version, content };
         self.changes.push(row.clone());
@@ -90,8 +100,9 @@
                 Err(StoreError::HistoryLost)
             }
             StoreRequest::Feed { table, after, .. } => {
-                let new = |row: &&Row| row.table == *table && row.version > *after;
-                let rows = self.changes.iter().filter(new).cloned().collect();
+                let first = self.changes.partition_point(|row| row.version <= *after);
+                let new = self.changes[first..].iter().filter(|row| row.table == *table);
+                let rows = new.cloned().collect();
                 Ok(StoreAnswer { rows, more: false, version: self.version })
             }
         }
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -1,6 +1,6 @@
 //! Simulated worker that enforces fencing tokens and leases and lists its ended runs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use shallotpost_fleet::job::TaskId;
@@ -24,6 +24,10 @@
     pub job_durations: BTreeMap<u64, Duration>,
     /// End reason of runs that are started from now on.
     pub end_reason: EndReason,
+    /// Jobs whose runs fail.
+    pub failing_jobs: BTreeSet<u64>,
+    /// Number in 100 of the runs that fail.
+    pub failure_percent: u64,
     /// Size of every task.
     pub size: Size,
     /// Gauges to report, by job.
@@ -54,6 +58,8 @@
     pub starts: Vec<(Duration, TaskId, u64)>,
     /// Completed tasks.
     pub done: Vec<TaskId>,
+    /// Tasks of the runs that failed.
+    pub failed: Vec<TaskId>,
     /// Tickets of the executed starts.
     pub tickets: Vec<Option<String>>,
 }
@@ -66,6 +72,8 @@
             duration: Duration::from_millis(300),
             job_durations: BTreeMap::new(),
             end_reason: EndReason::Done,
+            failing_jobs: BTreeSet::new(),
+            failure_percent: 0,
             size: Size { processors_milli: 1000, ..Size::ZERO },
             gauges: BTreeMap::new(),
             throttles: Vec::new(),
@@ -85,6 +93,7 @@
             closed_runs: BTreeMap::new(),
             starts: Vec::new(),
             done: Vec::new(),
+            failed: Vec::new(),
             tickets: Vec::new(),
         }
     }
@@ -116,7 +125,11 @@
         let (duration, end_reason) = (self.duration, self.end_reason);
         let starts = std::mem::take(&mut self.starts);
         let job_durations = std::mem::take(&mut self.job_durations);
+        let (failing_jobs, failure_percent) =
+            (std::mem::take(&mut self.failing_jobs), self.failure_percent);
         *self = Worker {
+            failing_jobs,
+            failure_percent,
             duration,
             job_durations,
             end_reason,
@@ -125,6 +138,12 @@
         };
     }
 
+    /// Returns the completed tasks whose end is not acknowledged.
+    pub fn unacknowledged_done(&self) -> impl Iterator<Item = TaskId> {
+        let done = self.ended.iter().filter(|end| end.reason == EndReason::Done);
+        done.map(|end| end.task)
+    }
+
     /// Ends the process without a trace of its runs. [`Worker::restart`] starts it again.
     pub fn crash(&mut self) {
         self.crashed = true;
@@ -156,6 +175,9 @@
             if reason == EndReason::Done {
                 self.done.push(task);
             }
+            if reason == EndReason::Failed {
+                self.failed.push(task);
+            }
             self.closed_runs.insert(task, run.number);
             self.ended.push(EndedRun {
                 sequence: self.last_sequence,
@@ -242,7 +264,12 @@
                 let run = ActiveRun {
                     number: *number,
                     ends_at: now + *duration,
-                    end_reason: self.end_reason,
+                    end_reason: match self.failing_jobs.contains(&task.stage.job)
+                        || number % 100 < self.failure_percent
+                    {
+                        true => EndReason::Failed,
+                        false => self.end_reason,
+                    },
                 };
                 self.active.insert(*task, run);
                 self.starts.push((now, *task, *number));
