Allow for the leases of the owner before the previous one after a short epoch

A host that takes over from an owner which has released the ownership, or whose process has ended, waits for the leases that this owner may have granted until now. An owner before it may have granted later ones: cut off from the other hosts, it renews leases for 4 s after its last commit. If the epoch between was short, its worker was taken for free, and the tasks ran twice.

The wait lasts until the leases of the owners before the previous epoch have ended too, counted from the time at which this host first saw that epoch.

owner_series short_epoch failed before: a task runs in two places.

--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -74,6 +74,8 @@
     version: RowVersion,
     /// Time at which this version of the row was first seen.
     observed_at: Option<Uptime>,
+    /// Time at which the epoch of the row was first seen.
+    epoch_observed_at: Uptime,
     last_read: Option<Uptime>,
     read_in_flight: bool,
     claim_in_flight: bool,
@@ -150,10 +152,14 @@
         if self.ownership.observed_at.is_none() || version > self.ownership.version {
             self.ownership.observed_at = Some(self.now);
             self.ownership.version = version;
+            let earlier_epoch = self.ownership.epoch();
             self.ownership.row = row.and_then(|row| match row.content {
                 Content::Bytes(bytes) => decode(&bytes).ok(),
                 _ => None,
             });
+            if self.ownership.epoch() != earlier_epoch {
+                self.ownership.epoch_observed_at = self.now;
+            }
         }
         let claimed = self.ownership.unanswered_claim.take();
         let won = self.ownership.row.as_ref().is_some_and(|row| {
@@ -244,12 +250,18 @@
         self.settings.bounds.lease_max.mul_f64(CLOCK_DRIFT_FACTOR)
     }
 
-    /// Returns the time from which no lease granted by the previous owner can be valid.
+    /// Returns the time from which no lease can be valid that was granted before the epoch of the row.
+    fn earlier_leases_end(&self) -> Uptime {
+        self.ownership.epoch_observed_at + OWNERSHIP_LEASE + self.worker_lease_max()
+    }
+
+    /// Returns the time from which no lease granted by earlier owners can be valid.
     fn uncertain_until(&self, previous: Option<&OwnerRow>) -> Uptime {
         match previous {
             None => self.now,
             Some(previous) if previous.released || self.owner_process_ended(previous) => {
-                self.now + self.worker_lease_max()
+                let granted_by_previous = self.now + self.worker_lease_max();
+                granted_by_previous.max(self.earlier_leases_end())
             }
             Some(_) => {
                 let observed = self.ownership.observed_at.unwrap_or(self.now);
@@ -281,6 +293,7 @@
                 let previous = self.ownership.row.replace(row);
                 self.ownership.version = answer.version;
                 let uncertain_until = self.uncertain_until(previous.as_ref());
+                self.ownership.epoch_observed_at = self.now;
                 self.start_owner(previous.map(|row| row.host), uncertain_until);
             }
             Err(StoreError::Conflict { rows }) => {
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -11,8 +11,8 @@
 const RUNNING: JobId = 0x1000;
 const WAITING: JobId = 0x2000;
 
-/// Longest time from the end of an owner to the end of the last lease that it can have granted: the ownership lease, and the
-/// lease of a worker whose clock is 3 % slow.
+/// Longest time from the end of an owner to the end of the last lease that it can have granted: the ownership lease, and
+/// then the lease of a worker.
 const LEASES_END: Duration = Duration::from_millis(4000 + 6180);
 
 /// Time from the last commit of an owner until other hosts, which miss its heartbeats, have read it.
@@ -86,6 +86,32 @@
     sim.check_invariants();
 }
 
+/// An owner that ends soon after its own takeover does not shorten the wait for the leases of the owner before it. Guards
+/// against tasks that run twice.
+#[test]
+fn short_epoch() {
+    let mut sim = fleet();
+    sim.submit_lasting("batch", RUNNING, vec![step(4, 30_000)], Duration::from_secs(30));
+    sim.wait_for_start(RUNNING, 4);
+    let busy = sim.workers_of(RUNNING).pop_first().expect("the tasks run");
+    let first = sim.owner().expect("there is an owner");
+    // The first owner reaches the worker alone, and nothing else.
+    let others: Vec<&str> = HOSTS.into_iter().filter(|host| *host != first).collect();
+    for host in &others {
+        sim.set_partitioned(host, &busy, true);
+        sim.set_partitioned(host, &first, true);
+    }
+    sim.silent_stores.insert(first.clone());
+    let is_other = |sim: &Simulation| others.iter().any(|host| sim.owns(host));
+    sim.run_until(Duration::from_secs(6), "a takeover", is_other);
+    let second = others.iter().find(|host| sim.owns(host)).expect("a second owner");
+    sim.stop_host(second);
+    for _ in 0..140 {
+        sim.run(ms(100));
+        sim.check_invariants();
+    }
+}
+
 /// A worker that answers again gets no lease that a successor does not know of. Guards against tasks that run twice, as
 /// the successor takes the leases of the worker for expired.
 #[test]
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -379,6 +379,11 @@
         owners.next().map(|(name, _)| name.clone())
     }
 
+    /// Returns whether a host takes itself for the owner.
+    pub fn owns(&self, name: &str) -> bool {
+        self.hosts.get(name).is_some_and(Host::is_owner)
+    }
+
     /// Sends a request to a host and returns its number, under which the answer appears in `answers`.
     pub fn request(
         &mut self,
