Shorten the wait for leases once the previous owner is known to have ended

After a takeover with a silent worker, the tasks of its pool waited until 4 s of the ownership lease and 6 s of the worker's lease had passed since the previous owner's last commit, also when that owner had come back long before and owned nothing.

A heartbeat of its host with the previous epoch or a later one, and without the ownership, or of another process, shows that it grants nothing any more. From then on one lease of a worker is left.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::host::Host;
-use crate::host::ownership::{KEY, OwnerRow, ROSTER_KEY};
+use crate::host::ownership::{KEY, OwnerRow, Predecessor, ROSTER_KEY};
 use crate::host::store::Purpose;
 use crate::message::{decode, encode};
 use crate::port::{
@@ -96,6 +96,8 @@
     pub(super) unusable_entries: BTreeSet<String>,
     /// Time at which this host first saw the previous owner's last commit.
     pub(super) previous_commit_observed: Uptime,
+    /// The previous owner, until it is known to have ended; `None` if it is not known.
+    pub(super) predecessor: Option<Predecessor>,
     commit: Option<Commit>,
     next_commit: Uptime,
     next_host_deletion: Uptime,
@@ -138,6 +140,7 @@
             registry_keys: BTreeSet::new(),
             unusable_entries: BTreeSet::new(),
             previous_commit_observed: now,
+            predecessor: None,
             commit: None,
             next_commit: now,
             next_host_deletion: now + HOST_DELETION_INTERVAL,
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -63,6 +63,15 @@
     pub(super) unreachable_workers: Vec<UnreachableWorker>,
 }
 
+/// The owner before this one.
+pub(super) struct Predecessor {
+    host: HostName,
+    incarnation: u64,
+    epoch: u64,
+    /// Time from which no lease of the owners before it can be valid.
+    earlier_leases_end: Uptime,
+}
+
 /// State of the election on this host.
 #[derive(Default)]
 pub(super) struct Ownership {
@@ -290,11 +299,18 @@
             Ok(_) if self.owner.is_some() || self.ownership.started_epoch >= epoch => {}
             Ok(answer) => {
                 let row = self.new_owner_row(epoch);
+                let earlier_leases_end = self.earlier_leases_end();
                 let previous = self.ownership.row.replace(row);
                 self.ownership.version = answer.version;
                 let uncertain_until = self.uncertain_until(previous.as_ref());
+                let predecessor = previous.map(|row| Predecessor {
+                    host: row.host,
+                    incarnation: row.incarnation,
+                    epoch: row.epoch,
+                    earlier_leases_end,
+                });
                 self.ownership.epoch_observed_at = self.now;
-                self.start_owner(previous.map(|row| row.host), uncertain_until);
+                self.start_owner(predecessor, uncertain_until);
             }
             Err(StoreError::Conflict { rows }) => {
                 let row = rows.into_iter().find(|row| row.key == KEY);
@@ -316,14 +332,14 @@
         self.start_owner(None, uncertain_until);
     }
 
-    fn start_owner(&mut self, previous: Option<HostName>, uncertain_until: Uptime) {
+    fn start_owner(&mut self, predecessor: Option<Predecessor>, uncertain_until: Uptime) {
         let Some(row) = self.ownership.row.clone() else { return };
         self.ownership.started_epoch = row.epoch;
         let observed = self.ownership.observed_at.unwrap_or(self.now);
         self.ownership.observed_at = Some(self.now);
         let fields = vec![
             ("epoch", row.epoch.to_string()),
-            ("previous", previous.unwrap_or_default()),
+            ("previous", predecessor.as_ref().map(|row| row.host.clone()).unwrap_or_default()),
             ("uncertain_ms", uncertain_until.saturating_sub(self.now).as_millis().to_string()),
         ];
         self.log("ownership_won", fields);
@@ -339,6 +355,7 @@
             loading.unreachable_workers = row.unreachable_workers;
         }
         owner.previous_commit_observed = observed;
+        owner.predecessor = predecessor;
         self.owner = Some(owner);
         self.next_heartbeat = self.now;
         self.load_jobs();
@@ -359,6 +376,7 @@
                 self.lose_ownership("a peer knows a higher epoch");
             }
         }
+        self.observe_predecessor(from, heartbeat);
         let known = self.ownership.row.as_ref().map(|row| (row.host.clone(), row.incarnation));
         if known.is_some_and(|(host, incarnation)| {
             host == *from && (incarnation != heartbeat.incarnation || heartbeat.stopping)
@@ -367,6 +385,27 @@
         }
     }
 
+    /// Shortens the wait for leases of the previous owner once its host shows that it does not own the fleet any more, or
+    /// that its process has ended.
+    fn observe_predecessor(&mut self, from: &HostName, heartbeat: &Heartbeat) {
+        let lease_max = self.worker_lease_max();
+        let Some(owner) = &mut self.owner else { return };
+        let ended = |predecessor: &Predecessor| {
+            let is_new_process = heartbeat.incarnation != predecessor.incarnation;
+            let has_lost = heartbeat.epoch >= predecessor.epoch && !heartbeat.owner;
+            predecessor.host == *from && (is_new_process || has_lost)
+        };
+        if let Some(predecessor) = owner.predecessor.take_if(|predecessor| ended(predecessor)) {
+            let granted_by_predecessor = self.now + lease_max;
+            let until = granted_by_predecessor.max(predecessor.earlier_leases_end);
+            owner.scheduler.limit_uncertainty(until);
+            let left = until.saturating_sub(self.now);
+            let fields =
+                vec![("host", predecessor.host), ("uncertain_ms", left.as_millis().to_string())];
+            self.log("predecessor_ended", fields);
+        }
+    }
+
     /// Stops acting as the owner at once, without a release, because another host has claimed the ownership.
     pub(super) fn lose_ownership(&mut self, cause: &'static str) {
         if self.owner.take().is_some() {
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Records that no lease of an earlier owner can be valid from `until` on.
+    pub fn limit_uncertainty(&mut self, until: Uptime) {
+        self.takeover.uncertain_until = self.takeover.uncertain_until.min(until);
+    }
+
     /// Returns the time after which no lease of an earlier owner can be valid on a worker that has not answered yet.
     fn earlier_leases_expire(&self, key: &WorkerKey) -> Uptime {
         let recorded = self.takeover.recorded_leases.get(key).copied();
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -11,10 +11,16 @@
 const RUNNING: JobId = 0x1000;
 const WAITING: JobId = 0x2000;
 
+/// Maximum length of the lease of a worker whose clock is 3 % slow.
+const WORKER_LEASE: Duration = Duration::from_millis(6180);
+
 /// Longest time from the end of an owner to the end of the last lease that it can have granted: the ownership lease, and
 /// then the lease of a worker.
 const LEASES_END: Duration = Duration::from_millis(4000 + 6180);
 
+/// Time from the end of an owner to the claim of the next one.
+const TAKEOVER: Duration = Duration::from_millis(1800);
+
 /// Time from the last commit of an owner until other hosts, which miss its heartbeats, have read it.
 const COMMIT_READ: Duration = Duration::from_millis(1000);
 
@@ -86,6 +92,27 @@
     sim.check_invariants();
 }
 
+/// Once the previous owner is back and shows that it owns nothing, its leases last for one lease of a worker at most.
+/// Guards against a successor that allows it the rest of its ownership lease all the same.
+#[test]
+fn returned_owner() {
+    let mut sim = fleet();
+    sim.run(Duration::from_secs(12));
+    fill(&mut sim, 2);
+    silence(&mut sim, "w0");
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    let killed = sim.now;
+    sim.run_until(Duration::from_secs(4), "a takeover", |sim| sim.owner().is_some());
+    sim.start_host(&owner);
+    let starts = |sim: &Simulation| {
+        sim.workers.values().flat_map(|worker| &worker.starts).any(|(at, ..)| *at > killed)
+    };
+    sim.run_until(Duration::from_secs(30), "a start", starts);
+    let waited = sim.now - killed;
+    assert!(waited < TAKEOVER + WORKER_LEASE, "nothing started for {waited:?}");
+}
+
 /// An owner that ends soon after its own takeover does not shorten the wait for the leases of the owner before it. Guards
 /// against tasks that run twice.
 #[test]
