Let only stages claim room that can get it

A stage that no worker can hold, or a gang for which too few workers are approved, waits for room without end, and so they did too.

A stage claims room only if its task, or all members of its gang, fit on empty workers that the approval service has not refused.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -177,6 +177,7 @@
                 if candidate.urgency == Urgency::Regular
                     && lacks_room
                     && self.within_cap(&demand, &demand.step().size, &round)
+                    && self.can_ever_fit(&demand, &pool_workers)
                 {
                     round.claim(pool);
                 }
@@ -287,6 +288,21 @@
         may_start
     }
 
+    /// Returns whether the tasks of the stage that must start together fit on workers that the approval service has not
+    /// refused, once these are empty.
+    fn can_ever_fit(&self, demand: &Demand, pool_workers: &[PoolWorker]) -> bool {
+        let Some(stage) = self.stage(demand.id) else { return false };
+        let step = demand.step();
+        let needed = if step.gang { stage.tasks.len() as u64 } else { 1 };
+        let open = self.suitable(demand, pool_workers).filter(|(worker, _)| !stage.refuses(worker));
+        let places =
+            open.map(|(worker, _)| match (fits(&step.booking(), &worker.capacity), step) {
+                (places, Step { per_worker_max: 0, .. }) => u64::from(places),
+                (places, step) => u64::from(places.min(step.per_worker_max)),
+            });
+        places.sum::<u64>() >= needed
+    }
+
     /// Returns the number of tasks of the stage that fit into the free capacity of workers that the approval service has not
     /// refused.
     fn count_open_places(&self, demand: &Demand, pool_workers: &[PoolWorker], now: Uptime) -> u64 {
--- a/crates/shallotpost-fleet/tests/overload.rs
+++ b/crates/shallotpost-fleet/tests/overload.rs
@@ -7,6 +7,7 @@
 
 use shallotpost_fleet::job::{JobId, Step};
 use shallotpost_fleet::port::Action;
+use shallotpost_protocol::size::Size;
 use support::{Simulation, job, ms, step};
 
 const BACKLOG: JobId = 0x1000;
@@ -74,3 +75,21 @@
     let started = (0..6).filter(|id| sim.starts_of_job(OTHER + id) == 2).count();
     assert_eq!(started, 6, "jobs of the other team have started");
 }
+
+/// A stage that no worker can ever hold claimed the room of its pool for good, and jobs beyond their team's share waited
+/// for it.
+#[test]
+fn impossible_claim() {
+    let mut sim = settled();
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(20));
+    submit(&mut sim, "key-a", "urgent", OTHER, vec![step(12, 20_000)]);
+    let huge = Size { processors_milli: 5000, ..Size::ZERO };
+    submit(&mut sim, "key-a", "batch", OTHER + 1, vec![Step { size: huge, ..step(1, 300) }]);
+    sim.run(ms(500));
+    for id in 0..3 {
+        submit(&mut sim, "key-a", "batch", BACKLOG + id, vec![step(1, 300)]);
+    }
+    sim.run(ms(1000));
+    let started = (0..3).filter(|id| sim.starts_of_job(BACKLOG + id) > 0).count();
+    assert_eq!(started, 3, "jobs started");
+}
