Let a job that yields for long start one task

As long as a regular stage waited for room, expired jobs and jobs beyond their team's share started nothing on a pool that was more than half full, also with room that was too small for that stage.

A job of which nothing runs, and which has yielded for 2 s, gets tickets and starts one task or gang, if there is room for it twice over and its team uses less than half of its quota. One stage of a pool is served so in a round. Then the job yields again.

overload starving_job failed before: none of its tasks had started after 3 s.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -5,6 +5,7 @@
 use crate::prelude::*;
 use crate::scheduler::holds::{Hold, Holds};
 use crate::scheduler::round::{PoolWorker, Round};
+use crate::scheduler::run_lists::{first_task, last_task};
 use crate::scheduler::session::Session;
 use crate::scheduler::stage::{Place, Stage};
 use crate::scheduler::{Context, JobEntry, Scheduler};
@@ -48,6 +49,9 @@
 /// Share of a pool's processors in use above which work of no use yields to other stages that wait.
 const YIELD_ABOVE: f64 = 0.5;
 
+/// Time after which a job that yields, and has nothing running, may start one task or gang all the same.
+const YIELD_MAX: Duration = Duration::from_secs(2);
+
 /// Share of the estimated remaining duration that a job certainly takes. Estimates are rough.
 const ESTIMATE_SHARE: f64 = 0.7;
 
@@ -125,9 +129,14 @@
             let backlogged = round.failures(pool) >= FAILURES_PER_ROUND;
             let only_suspects = self.only_suspects_wait(demand.id);
             // Work of no use to its submitter, or beyond its team's share, does not take the room for which others wait.
-            let yields = candidate.urgency != Urgency::Regular
+            let late = candidate.urgency != Urgency::Regular
                 && round.is_claimed(pool)
                 && used_share(round.workers(pool)) > YIELD_ABOVE;
+            let starves = late
+                && !candidate.early
+                && self.starves(&demand, &round, context.now)
+                && round.serve_starving(pool);
+            let yields = late && !starves;
             // Others have failed because the worker is held for this stage.
             let held = round.workers(pool).iter().any(|worker| worker.held_for == Some(demand.id));
             let known_to_fail =
@@ -148,11 +157,16 @@
             match demand.step().gang {
                 _ if candidate.early || !has_capacity || yields && !only_suspects => {}
                 true => self.place_gang(&demand, &mut pool_workers, &round, context),
-                false => self.place_tasks(&demand, &mut pool_workers, &round, context),
+                false => {
+                    let tasks_max = if starves { 1 } else { usize::MAX };
+                    self.place_tasks(&demand, tasks_max, &mut pool_workers, &round, context);
+                }
             }
             // Stages that yield or are far back in a backlog get neither tickets, which would expire, nor the room of
             // others.
+            let served = starves && self.has_runs(demand.id.job);
             if !yields
+                && !served
                 && (!backlogged || has_capacity)
                 && self.may_use_tickets(&demand, &pool_workers, &mut round, context.now)
             {
@@ -303,6 +317,29 @@
         places.sum::<u64>() >= needed
     }
 
+    fn has_runs(&self, job: JobId) -> bool {
+        self.runs(first_task(job)..=last_task(job)).next().is_some()
+    }
+
+    /// Returns whether the stage has yielded for long while nothing of its job ran, its team used less than half of its quota
+    /// and there was room for it twice over. Such a job makes some progress also beside others that wait for room.
+    fn starves(&mut self, demand: &Demand, round: &Round, now: Uptime) -> bool {
+        let runs = self.has_runs(demand.id.job);
+        let used = demand.team.as_ref().and_then(|team| self.usage.get(team));
+        let used = used.copied().unwrap_or(Size::ZERO).parts().into_iter();
+        let above_half =
+            used.zip(demand.cap.parts()).any(|(used, cap)| cap > 0 && used.saturating_mul(2) > cap);
+        let Some(stage) = self.stage_mut(demand.id) else { return false };
+        if runs || above_half {
+            stage.yielding_since = None;
+            return false;
+        }
+        let since = *stage.yielding_since.get_or_insert(now);
+        let needed = if demand.step().gang { stage.tasks.len() as u64 } else { 1 };
+        now.saturating_sub(since) >= YIELD_MAX
+            && self.count_open_places(demand, round.workers(&demand.policy.pool), now) >= 2 * needed
+    }
+
     /// Returns the number of tasks of the stage that fit into the free capacity of workers that the approval service has not
     /// refused.
     fn count_open_places(&self, demand: &Demand, pool_workers: &[PoolWorker], now: Uptime) -> u64 {
@@ -516,6 +553,7 @@
     fn place_tasks(
         &mut self,
         demand: &Demand,
+        tasks_max: usize,
         pool_workers: &mut [PoolWorker],
         round: &Round,
         context: &mut Context,
@@ -535,7 +573,7 @@
             .filter(|(_, worker)| self.suits(demand, worker))
             .map(|(position, worker)| (position, self.cost(demand, worker, now)))
             .collect();
-        for index in others {
+        for index in others.into_iter().take(tasks_max) {
             if eligible.is_empty() || !self.within_cap(demand, &demand.step().size, round) {
                 break;
             }
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -87,6 +87,8 @@
     /// Resources for which stages of each team have tickets or ask for them.
     expected: BTreeMap<Rc<str>, Size>,
     pub(super) preemptions: u32,
+    /// Pools in which a stage is served although it yields.
+    starving: BTreeSet<String>,
     /// Resources that each team may use on workers that have not answered since the takeover.
     pub(super) uncertain: BTreeMap<Rc<str>, Size>,
 }
@@ -140,6 +142,12 @@
         *capped
     }
 
+    /// Returns whether a stage of the pool may be served although it yields. One in each round may, so that these stages do
+    /// not keep the approval service busy.
+    pub(super) fn serve_starving(&mut self, pool: &str) -> bool {
+        self.starving.insert(pool.to_owned())
+    }
+
     /// Records that a stage of the team is expected to start tasks of this size soon.
     pub(super) fn expect(&mut self, team: &Rc<str>, size: &Size) {
         let expected = self.expected.entry(Rc::clone(team)).or_insert(Size::ZERO);
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -73,6 +73,8 @@
     pub blocked_since: Option<Uptime>,
     /// Earliest time of the next preemption in favour of this stage.
     pub next_preemption: Uptime,
+    /// Time since which the stage yields while nothing of its job runs.
+    pub yielding_since: Option<Uptime>,
 }
 
 impl Stage {
@@ -86,6 +88,7 @@
             next_approval_call: Uptime::ZERO,
             blocked_since: None,
             next_preemption: Uptime::ZERO,
+            yielding_since: None,
         }
     }
 
--- a/crates/shallotpost-fleet/tests/overload.rs
+++ b/crates/shallotpost-fleet/tests/overload.rs
@@ -93,3 +93,20 @@
     let started = (0..3).filter(|id| sim.starts_of_job(BACKLOG + id) > 0).count();
     assert_eq!(started, 3, "jobs started");
 }
+
+/// Jobs beyond their team's share stood without end, although there was room for them, while a larger task waited.
+#[test]
+fn starving_job() {
+    let mut sim = settled();
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(20));
+    submit(&mut sim, "key-a", "urgent", OTHER, vec![step(14, 20_000)]);
+    sim.run(ms(500));
+    let whole = Size { processors_milli: 4000, ..Size::ZERO };
+    submit(&mut sim, "key-a", "batch", OTHER + 1, vec![Step { size: whole, ..step(1, 300) }]);
+    sim.run(ms(200));
+    submit(&mut sim, "key-a", "batch", BACKLOG, vec![step(2, 20_000)]);
+    sim.run(ms(1000));
+    assert_eq!(sim.starts_of_job(BACKLOG), 0, "the job yields at first");
+    sim.run(ms(2000));
+    assert_eq!(sim.starts_of_job(BACKLOG), 1, "one of its tasks runs");
+}
