Begin the occurrences that an earlier owner began, whatever the time of day

After a change of owner, the second step of a recurring job never started. In other cases the running tasks of its first step were stopped, or had ended, and were started again a minute later.

The successor created the steps of an occurrence by its own time of day. If that was behind, it created of an occurrence only the steps with stored progress, counted the occurrence as begun, and so never created the others. It acknowledged and dropped ends in an occurrence that it had not begun, and stopped runs in it.

All steps are now created for every occurrence up to the latest one that stored progress or a worker's list names, as uncertain, so they are released under the same conditions as other tasks of earlier owners.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -131,6 +131,29 @@
         let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
         stretched.saturating_add(self.policy.target)
     }
+
+    /// Creates the stages of the next occurrence.
+    fn begin_occurrence(&mut self, place: &Place) {
+        let occurrence = self.occurrences_begun;
+        for (step, position) in self.job.steps.iter().zip(0u16..) {
+            self.stages
+                .entry((occurrence, position))
+                .or_insert_with(|| Stage::new(step.tasks, place.clone()));
+        }
+        self.occurrences_begun += 1;
+    }
+
+    /// Creates the missing stages of all occurrences up to one that an earlier owner has begun. Their tasks are uncertain.
+    /// Returns whether any were missing.
+    fn begin_through(&mut self, occurrence: u32) -> bool {
+        let begun = self.occurrences_begun;
+        while self.occurrences_begun <= occurrence
+            && self.occurrences_begun < self.job.occurrences()
+        {
+            self.begin_occurrence(&Place::Uncertain);
+        }
+        self.occurrences_begun > begun
+    }
 }
 
 /// Purpose of a call to a worker. Starts and stops name the task and the number of the run, and a renewal the time at
@@ -322,23 +345,20 @@
         let done = progress.occurrences_done;
         entry.occurrences_begun = entry.occurrences_begun.max(done);
         entry.stages.retain(|(occurrence, _), _| *occurrence >= done);
+        // The owner that stored the progress may have begun occurrences that are not due by the time of day of this host.
+        let stages = progress.stages.iter().map(|stage| stage.occurrence);
+        let crashes = progress.crashes.iter().map(|crashes| crashes.occurrence);
+        if let Some(latest) = stages.chain(crashes).max() {
+            entry.begin_through(latest);
+        }
         for stage in &progress.stages {
-            let key = (stage.occurrence, stage.step);
-            let tasks = entry.job.steps.get(usize::from(stage.step)).map(|step| step.tasks);
-            if let Some(tasks) = tasks {
-                let state = entry.stages.entry(key);
-                state.or_insert_with(|| Stage::new(tasks, Place::Uncertain)).restore(stage);
-                entry.occurrences_begun = entry.occurrences_begun.max(stage.occurrence + 1);
+            if let Some(state) = entry.stages.get_mut(&(stage.occurrence, stage.step)) {
+                state.restore(stage);
             }
         }
         for crashes in &progress.crashes {
-            let key = (crashes.occurrence, crashes.step);
-            let tasks = entry.job.steps.get(usize::from(crashes.step)).map(|step| step.tasks);
-            if let Some(tasks) = tasks.filter(|_| crashes.occurrence >= done) {
-                let state = entry.stages.entry(key);
-                let stage = state.or_insert_with(|| Stage::new(tasks, Place::Uncertain));
-                stage.restore_crashes(crashes);
-                entry.occurrences_begun = entry.occurrences_begun.max(crashes.occurrence + 1);
+            if let Some(state) = entry.stages.get_mut(&(crashes.occurrence, crashes.step)) {
+                state.restore_crashes(crashes);
             }
         }
         if progress.state.is_final() {
@@ -617,20 +637,30 @@
         while entry.occurrences_begun < job.occurrences()
             && job.schedule.is_none_or(|due| due.due_unix_ms(entry.occurrences_begun) <= unix_ms)
         {
-            for (step, position) in job.steps.iter().zip(0u16..) {
-                let key = (entry.occurrences_begun, position);
-                entry.stages.entry(key).or_insert_with(|| Stage::new(step.tasks, place.clone()));
-                if *place == Place::Waiting {
-                    let stage = StageId { job: id, occurrence: key.0, step: position };
+            let occurrence = entry.occurrences_begun;
+            entry.begin_occurrence(place);
+            if *place == Place::Waiting {
+                for (_, step) in job.steps.iter().zip(0u16..) {
+                    let stage = StageId { job: id, occurrence, step };
                     self.waiting.insert(stage);
                     self.fresh.insert(stage);
                 }
             }
-            entry.occurrences_begun += 1;
             self.round_due = true;
         }
     }
 
+    /// Creates the stages of an occurrence of which a worker lists a run or an end. It may not be due by the time of day
+    /// of this host.
+    fn begin_listed_occurrence(&mut self, stage: StageId, context: &mut Context) {
+        let unfinished = self.unfinished.contains(&stage.job);
+        let Some(entry) = self.jobs.get_mut(&stage.job).filter(|_| unfinished) else { return };
+        // Before the takeover is settled, the tasks are released with all others.
+        if entry.begin_through(stage.occurrence) && !self.is_unsettled() {
+            self.release_uncertain(context);
+        }
+    }
+
     /// Returns the current policy of the job's queue, or the policy at admission if the queue was removed.
     fn policy(&self, id: JobId) -> Option<Rc<QueuePolicy>> {
         Some(Rc::clone(&self.jobs.get(&id)?.policy))
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -112,6 +112,7 @@
         let Some(step) = self.step(task.stage) else { return };
         let (gang, long_running) = (step.gang, step.long_running);
         self.dirty.insert(task.stage.job);
+        self.begin_listed_occurrence(task.stage, context);
         self.acquit(task, end.number);
         match end.reason {
             EndReason::Done if !long_running => self.complete(task, gang, context),
@@ -365,6 +366,7 @@
     /// Places a run that a worker lists and this owner did not start, or stops it if it is not needed.
     fn adopt(&mut self, worker: &WorkerKey, run: Run, context: &mut Context) {
         let id = run.task.stage;
+        self.begin_listed_occurrence(id, context);
         let priority = self.policy(id.job).map_or(0, |policy| policy.priority);
         let wanted = self.unfinished.contains(&id.job)
             && self
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -375,7 +375,7 @@
         }
     }
 
-    fn release_uncertain(&mut self, context: &mut Context) {
+    pub(super) fn release_uncertain(&mut self, context: &mut Context) {
         // Once the takeover is settled, workers that have not answered yet are new and run nothing.
         let expired = self.takeover.settled || context.now >= self.takeover.uncertain_until;
         let pools_not_contacted: BTreeSet<&str> = self
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -41,7 +41,7 @@
 const UNANSWERED_AFTER: Duration = Duration::from_millis(700);
 
 /// Virtual time of day at the start, in milliseconds since the Unix epoch.
-const UNIX_MS: u64 = 1_700_000_000_000;
+pub const UNIX_MS: u64 = 1_700_000_000_000;
 
 pub const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -130,6 +130,8 @@
     deadlines: BTreeMap<(String, u64), Duration>,
     /// Number of the next workers' answers to lose.
     pub lost_answers: usize,
+    /// Difference of the hosts' time of day from the true one, in milliseconds.
+    pub clock_offsets: BTreeMap<String, i64>,
     /// Processor capacity of hosts that are started from now on, in thousandths of a core; 250 for hosts not listed.
     pub processors: BTreeMap<String, u64>,
     /// Tasks that crash each worker shortly after it has started them.
@@ -187,6 +189,7 @@
             approval_percent: 100,
             deadlines: BTreeMap::new(),
             lost_answers: 0,
+            clock_offsets: BTreeMap::new(),
             processors: BTreeMap::new(),
             deadly_tasks: BTreeSet::new(),
             crash_delay: ms(10),
@@ -648,7 +651,9 @@
         }
         let Some(host) = self.hosts.get_mut(name) else { return };
         let uptime = self.now - self.started_at[name];
+        let offset = self.clock_offsets.get(name).copied().unwrap_or_default();
         let unix_ms = UNIX_MS + u64::try_from(self.now.as_millis()).expect("time fits");
+        let unix_ms = unix_ms.saturating_add_signed(offset);
         let begun = std::time::Instant::now();
         let outputs = host.handle(uptime, unix_ms, input);
         *self.processor_time.entry(name.to_owned()).or_default() += begun.elapsed();
@@ -729,6 +734,12 @@
         hasher.finish() % 100 < self.approval_percent && !self.unapproved_workers.contains(worker)
     }
 
+    /// Returns whether a job is stored and has not ended, as far as is stored.
+    pub fn is_open(&self, job: JobId) -> bool {
+        let ended = self.store.progress(job).is_some_and(|progress| progress.state.is_final());
+        self.store.has(Table::Jobs, &format!("{job:016x}")) && !ended
+    }
+
     /// Returns how often a task was started, on all workers together.
     pub fn starts(&self, task: TaskId) -> usize {
         self.workers.values().map(|worker| worker.starts_of(task)).sum()
