Wait for several unknown jobs at the same time

Jobs stood although the tasks of their preceding steps had ended.

A worker's ends are processed in order, and the end of a job that is not known holds up those behind it for 4 s, in case the job is still being read. The wait began anew with each such end: five ends of jobs that had been removed held up the ends behind them for 20 s, while their tasks counted as running and their room as booked.

The time of the first listing is now kept for each end of an unknown job, so that all waits run at the same time, and no end waits for longer than 4 s after its own listing. None is acknowledged before its job is known or its own wait is over.

--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -33,6 +33,12 @@
     ) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.waiting_ends.clear();
+        // The waits run at the same time, so that no end waits for more than one of them.
+        for end in ended.iter().filter(|end| end.sequence > session.processed) {
+            if !self.jobs.contains_key(&end.task.stage.job) {
+                session.unknown_since.entry(end.sequence).or_insert(context.now);
+            }
+        }
         for (position, end) in ended.iter().enumerate() {
             let known = self.jobs.contains_key(&end.task.stage.job);
             let Some(session) = self.sessions.get_mut(worker) else { return };
@@ -42,13 +48,14 @@
             if !known {
                 // An earlier owner may have started a job that this one has not read yet. Its end must not be
                 // acknowledged before the job is known.
-                let since = *session.waiting_since.get_or_insert(context.now);
+                let since =
+                    session.unknown_since.get(&end.sequence).copied().unwrap_or(context.now);
                 if context.now.saturating_sub(since) < UNKNOWN_JOB_TIMEOUT {
                     session.waiting_ends = ended[position..].to_vec();
                     return;
                 }
             }
-            session.waiting_since = None;
+            session.unknown_since.remove(&end.sequence);
             session.processed = end.sequence;
             self.process_end(worker, end, context);
         }
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -130,8 +130,8 @@
     /// Whether the worker's last list left out ended runs, or some of them wait for their job. A run that is missing from
     /// the list may then have ended.
     pub ends_missing: bool,
-    /// When the processing of ended runs was first deferred.
-    pub waiting_since: Option<Uptime>,
+    /// When ends of unknown jobs that are not processed were first listed, by their sequence numbers.
+    pub unknown_since: BTreeMap<u64, Uptime>,
     /// Sequence number up to which ended runs are stored. It is sent to the worker, which may then drop them.
     pub acknowledged: u64,
     /// Sequence number up to which ended runs are processed.
@@ -182,7 +182,7 @@
             lease_until_ms: 0,
             waiting_ends: Vec::new(),
             ends_missing: false,
-            waiting_since: None,
+            unknown_since: BTreeMap::new(),
             acknowledged: 0,
             processed: 0,
             unanswered: 0,
--- a/crates/shallotpost-fleet/tests/stale_beliefs.rs
+++ b/crates/shallotpost-fleet/tests/stale_beliefs.rs
@@ -72,3 +72,34 @@
     sim.kill_host(&owner);
     check_second_step(&mut sim);
 }
+
+/// Ends of several unknown jobs each held up the ends behind them for the whole time that an unknown job is waited for.
+#[test]
+fn unknown_ends() {
+    let mut sim = Simulation::settled(2);
+    sim.submit_lasting("batch", 0x21, vec![step(4, 1000)], ms(1000));
+    sim.wait_for_start(0x21, 4);
+    let worker = sim.workers_of(0x21).into_iter().next().expect("it runs");
+    for unknown in 0x901..0x906 {
+        sim.workers.get_mut(&worker).expect("present").list_foreign_end(task(unknown, 0, 0));
+    }
+    let begun = sim.now;
+    sim.run_until(Duration::from_secs(40), "the end", |sim| !sim.is_open(0x21));
+    let taken = sim.now - begun;
+    assert!(taken < ms(6500), "the ends of the job were noticed after {taken:?}");
+}
+
+/// Each end of an unknown job is waited for, also behind one that was listed earlier. Guards against an acknowledgement
+/// before the wait is over: if the job is read after that, its task runs again.
+#[test]
+fn unknown_end_behind_another() {
+    let mut sim = Simulation::settled(2);
+    let worker = sim.workers.keys().next().cloned().expect("present");
+    sim.workers.get_mut(&worker).expect("present").list_foreign_end(task(0x901, 0, 0));
+    sim.run(ms(3500));
+    sim.workers.get_mut(&worker).expect("present").list_foreign_end(task(0x902, 0, 0));
+    sim.run(ms(3500));
+    assert_eq!(sim.workers[&worker].acknowledged(), 1, "3.5 s after the second end");
+    sim.run(ms(1500));
+    assert_eq!(sim.workers[&worker].acknowledged(), 2, "5 s after the second end");
+}
