Leave a worker out for a stage for which it had no room

A job stood for 5 s and more while empty workers had room.

A worker may have less room than the owner believes: its registration or the end of a run may be late. The task went back to waiting after each refusal, and the next round chose the same worker again, as the one with the least capacity left: 50 refused starts a second.

The stage leaves such a worker out for 250 ms, so that the next round takes another one. Other stages may still use it. If no other worker has room, the start is tried four times a second.

stale_beliefs refused_room and refused_room_only_worker failed before: 250 refusals and no start in 5 s with two empty workers, and 175 refusals in 3.5 s on the only worker, against the bound of 16.

--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -16,6 +16,10 @@
 /// Time for which an unhealthy worker is avoided.
 const UNHEALTHY_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which a worker that had no room for a task is left out for the stage. Its registration, or the end of a run
+/// there, may be late. Without the pause, the start is repeated in every round, also if other workers have room.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(250);
+
 /// Maximum number of starts in flight. Answers take a few milliseconds, so only a host that is short of processor time
 /// reaches this limit. Without the limit, its calls delay each other until they time out, and the retries add to the
 /// load.
@@ -169,6 +173,11 @@
                     stage.approvals.remove(worker);
                 }
             }
+            Error::Refused(Refusal::NoCapacity) => {
+                if let Some(stage) = self.stage_mut(task.stage) {
+                    stage.leave_out(worker, now + NO_ROOM_PAUSE, now);
+                }
+            }
             Error::Unhealthy => session.avoid_until = now + UNHEALTHY_PAUSE,
             Error::Unreachable | Error::OtherWorker => self.lose_contact(worker, error, context),
             Error::Refused(_) => {}
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -6,7 +6,7 @@
 use crate::scheduler::holds::{Hold, Holds};
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::run_lists::{first_task, last_task};
-use crate::scheduler::session::Session;
+use crate::scheduler::session::{Session, WorkerKey};
 use crate::scheduler::stage::{Place, Stage};
 use crate::scheduler::{Context, JobEntry, Scheduler};
 
@@ -81,6 +81,8 @@
     pub(super) cap: Size,
     /// Priority of its runs when others need their room.
     pub(super) run_priority: u32,
+    /// Workers that have just refused a task of the stage for want of room.
+    left_out: Vec<WorkerKey>,
 }
 
 impl Demand {
@@ -118,7 +120,7 @@
                 holds.record(Hold::Processor, candidate.stage);
                 continue;
             }
-            let Some(demand) = self.demand(&candidate, context.configuration) else {
+            let Some(demand) = self.demand(&candidate, context) else {
                 continue;
             };
             if self.waits_behind_cap(&demand, &mut round) {
@@ -185,7 +187,9 @@
             let waits = self.has_waiting(demand.id)
                 && !(has_capacity && self.only_suspects_wait(demand.id));
             if !candidate.early && waits {
-                round.add_failure(pool, (!has_capacity).then(|| demand.step().booking()));
+                // Other stages may fit on the workers that are left out for this one.
+                let no_room = !has_capacity && demand.left_out.is_empty();
+                round.add_failure(pool, no_room.then(|| demand.step().booking()));
                 // A gang waits for room for all of its members.
                 let lacks_room = !has_capacity || demand.step().gang;
                 if candidate.urgency == Urgency::Regular
@@ -226,7 +230,7 @@
 
     /// Returns the capacity of a worker that the stage may use.
     pub(super) fn free(&self, demand: &Demand, worker: &PoolWorker, now: Uptime) -> Size {
-        if !worker.is_open_to(demand.id) {
+        if !worker.is_open_to(demand.id) || demand.left_out.contains(&worker.key) {
             return Size::ZERO;
         }
         let session = if worker.reserved { self.sessions.get(&worker.key) } else { None };
@@ -469,19 +473,23 @@
         Some(remaining)
     }
 
-    fn demand(&self, candidate: &Candidate, configuration: &Configuration) -> Option<Demand> {
+    fn demand(&self, candidate: &Candidate, context: &Context) -> Option<Demand> {
         let id = candidate.stage;
         let entry = self.jobs.get(&id.job)?;
         entry.job.steps.get(usize::from(id.step))?;
         let team = entry.team.clone();
-        let cap = team.as_deref().and_then(|team| configuration.team(team));
+        let cap = team.as_deref().and_then(|team| context.configuration.team(team));
         let cap = cap.map_or(Size::ZERO, |team| team.cap);
         let (job, policy) = (Rc::clone(&entry.job), Rc::clone(&entry.policy));
         let run_priority = match candidate.urgency {
             Urgency::Regular => policy.priority,
             Urgency::Expired | Urgency::BeyondShare => YIELDING_PRIORITY,
         };
-        Some(Demand { id, job, policy, team, cap, run_priority })
+        let refusals = entry.stages.get(&(id.occurrence, id.step)).map(|stage| &stage.refusals);
+        let left_out = refusals.into_iter().flatten();
+        let left_out = left_out.filter(|(_, until)| *until > context.now);
+        let left_out = left_out.map(|(worker, _)| Rc::clone(worker)).collect();
+        Some(Demand { id, job, policy, team, cap, run_priority, left_out })
     }
 
     /// Returns whether the team's quota allows this much more usage.
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -65,6 +65,8 @@
     pub unfinished: u32,
     /// Approvals by worker.
     pub approvals: HashMap<WorkerKey, CachedApproval>,
+    /// Workers that had no room for a task, and the time until which each is left out.
+    pub refusals: Vec<(WorkerKey, Uptime)>,
     /// Whether a call to the approval service is in flight for this stage.
     pub approval_pending: bool,
     /// Earliest time of the next call to the approval service for this stage.
@@ -84,6 +86,7 @@
             tasks: (0..tasks).map(|_| Task::new(place.clone())).collect(),
             unfinished: tasks,
             approvals: HashMap::new(),
+            refusals: Vec::new(),
             approval_pending: false,
             next_approval_call: Uptime::ZERO,
             blocked_since: None,
@@ -183,6 +186,12 @@
         (!empty).then_some(progress)
     }
 
+    /// Leaves a worker out for this stage until the given time.
+    pub fn leave_out(&mut self, worker: &WorkerKey, until: Uptime, now: Uptime) {
+        self.refusals.retain(|(key, until)| key != worker && *until > now);
+        self.refusals.push((Rc::clone(worker), until));
+    }
+
     /// Marks a task as done. Returns `false` if it already was, or if there is no such task.
     pub fn complete(&mut self, index: u32) -> bool {
         match self.tasks.get_mut(index as usize) {
--- a/crates/shallotpost-fleet/tests/stale_beliefs.rs
+++ b/crates/shallotpost-fleet/tests/stale_beliefs.rs
@@ -103,3 +103,36 @@
     sim.run(ms(1500));
     assert_eq!(sim.workers[&worker].acknowledged(), 2, "5 s after the second end");
 }
+
+/// A worker with less room than the owner believes was chosen again after each refusal, while others were empty.
+#[test]
+fn refused_room() {
+    let mut sim = Simulation::settled(3);
+    let worker = "w0";
+    sim.workers.get_mut(worker).expect("present").guards_capacity = true;
+    // The process is of a smaller kind now, and its registration is late.
+    let capacity = &mut sim.workers.get_mut(worker).expect("present").capacity;
+    capacity.processors_milli = 1000;
+    sim.submit_lasting("batch", 0x31, vec![step(1, 9000)], Duration::from_secs(9));
+    sim.run(ms(500));
+    let on = sim.workers_of(0x31);
+    sim.submit_lasting("batch", 0x32, vec![step(1, 500)], ms(500));
+    sim.run(Duration::from_secs(5));
+    let refused = sim.logs.iter().filter(|(_, _, text)| text.starts_with("start_failed")).count();
+    assert_eq!(sim.starts_of_job(0x32), 1, "refused {refused} times; the first job is on {on:?}");
+}
+
+/// A start for which the only worker had no room was repeated in every round. The job starts once there is room.
+#[test]
+fn refused_room_only_worker() {
+    let mut sim = Simulation::settled(1);
+    let worker = sim.workers.get_mut("w0").expect("present");
+    worker.guards_capacity = true;
+    worker.capacity.processors_milli = 1000;
+    sim.submit_lasting("batch", 0x31, vec![step(1, 4000)], ms(4000));
+    sim.run(ms(500));
+    sim.submit_lasting("batch", 0x32, vec![step(1, 500)], ms(500));
+    sim.run_until(ms(4500), "the start", |sim| sim.starts_of_job(0x32) == 1);
+    let refused = sim.logs.iter().filter(|(_, _, text)| text.starts_with("start_failed")).count();
+    assert!(refused <= 16, "refused {refused} times");
+}
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -40,6 +40,8 @@
     pub false_clock_ms: Option<u64>,
     /// Whether start calls are neither executed nor answered.
     pub loses_starts: bool,
+    /// Whether it refuses starts for which it has no room.
+    pub guards_capacity: bool,
     /// Whether another worker listens at its address.
     pub replaced: bool,
     /// Whether its process has crashed and has not been started again.
@@ -80,6 +82,7 @@
             stop_time: Duration::ZERO,
             false_clock_ms: None,
             loses_starts: false,
+            guards_capacity: false,
             replaced: false,
             crashed: false,
             start: now,
@@ -260,6 +263,10 @@
                 if self.closed_runs.get(task).is_some_and(|closed| closed >= number) {
                     return Err(Error::Refused(Refusal::StaleRun));
                 }
+                let used = self.used().plus(&self.size);
+                if self.guards_capacity && !used.fits_in(&self.capacity) {
+                    return Err(Error::Refused(Refusal::NoCapacity));
+                }
                 let duration = self.job_durations.get(&task.stage.job).unwrap_or(&self.duration);
                 let run = ActiveRun {
                     number: *number,
