Record the leases that an owner has granted to a worker that has still to list ends

A worker that an earlier owner had recorded answered the new one, which granted it full leases. Until it had listed all its ends, a commit that named it as silent again still gave the end of the former leases, and the next owner started tasks that were running.

The later of the two ends is recorded.

owner_series listing_worker failed before: a task runs in two places.

--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -148,7 +148,10 @@
                 worker: key.to_string(),
                 tasks: self.possible_tasks_of(key, session),
                 lease_expires_in: match self.takeover.possible_tasks.get(key) {
-                    Some((_, expires)) => expires.saturating_sub(now),
+                    // The worker may have answered this owner, and got leases from it, without having listed all.
+                    Some((_, expires)) => {
+                        expires.saturating_sub(now).max(session.leases_expire_in(now))
+                    }
                     None if session.clock.is_some() => session.leases_expire_in(now),
                     None => self.earlier_leases_expire(key).saturating_sub(now),
                 },
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use shallotpost_fleet::job::JobId;
-use support::{Simulation, ms, step};
+use support::{Simulation, ms, step, task};
 
 const HOSTS: [&str; 4] = ["a", "b", "c", "d"];
 const RUNNING: JobId = 0x1000;
@@ -167,3 +167,51 @@
     }
     assert!(sim.starts_of_job(RUNNING) >= 8, "the tasks were not started again");
 }
+
+/// Returns a fleet of two workers, the first of which runs four long tasks.
+fn one_busy_worker() -> Simulation {
+    let mut sim = Simulation::new(&HOSTS, 1);
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    sim.submit_lasting("batch", RUNNING, vec![step(4, 60_000)], Duration::from_secs(60));
+    sim.wait_for_start(RUNNING, 4);
+    sim.add_worker("w1", 4000);
+    sim.run(ms(2000));
+    sim
+}
+
+fn check_for_15_s(sim: &mut Simulation) {
+    for _ in 0..300 {
+        sim.run(ms(50));
+        sim.check_invariants();
+    }
+}
+
+/// A recorded worker answers a new owner, which grants it full leases, but has still to list ends when it falls silent again.
+/// Guards against a commit that names the end of its former leases.
+#[test]
+fn listing_worker() {
+    let mut sim = one_busy_worker();
+    let from = sim.now;
+    let busy = sim.workers.remove("w0").expect("there is a worker");
+    sim.run(ms(600));
+    let first = sim.owner().expect("there is an owner");
+    sim.kill_host(&first);
+    sim.run(ms(600));
+    sim.workers.insert("w0".to_owned(), busy);
+    let unknown = task(0x9999, 0, 0);
+    sim.workers.get_mut("w0").expect("there is a worker").list_foreign_end(unknown);
+    let has_answered = |sim: &Simulation| {
+        let mut later = sim.logs.iter().filter(|(at, ..)| *at > from);
+        later.any(|(_, _, text)| text.starts_with("worker_contact worker=w0"))
+    };
+    sim.run_until(Duration::from_secs(4), "an answer", has_answered);
+    sim.run(ms(1500));
+    let busy = sim.workers.remove("w0").expect("there is a worker");
+    sim.run(ms(600));
+    let second = sim.owner().expect("there is an owner");
+    sim.kill_host(&second);
+    sim.workers.insert("w0".to_owned(), busy);
+    silence(&mut sim, "w0");
+    check_for_15_s(&mut sim);
+}
