Grant no leases once the release of the ownership is sent

If the answer to the commit that releases the ownership was late, the stopping owner went on renewing leases for 4 s. The successor counts the leases from the release, so it started tasks that were running.

Renewals carry no lease while that commit is in flight.

owner_series late_release failed before: a task runs in two places.

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -136,6 +136,11 @@
         let Some(owner) = self.owner.as_mut().filter(|owner| owner.is_loaded()) else { return };
         let Some(configuration) = self.operator.configuration.as_ref() else { return };
         let deadline = owner.last_commit_sent + OWNERSHIP_LEASE;
+        // The successor counts from the release, which may have taken effect.
+        let latest_lease_end = match owner.is_release_sent() {
+            true => self.now,
+            false => deadline + self.settings.bounds.lease_max,
+        };
         let mut context = scheduler::Context {
             now: self.now,
             unix_ms: self.unix_ms,
@@ -144,7 +149,7 @@
             last_call: &mut self.last_call,
             outputs: &mut self.outputs,
             may_start: self.now < deadline && owner.releasing_since.is_none(),
-            latest_lease_end: deadline + self.settings.bounds.lease_max,
+            latest_lease_end,
         };
         run(&mut owner.scheduler, &mut context);
     }
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -153,6 +153,11 @@
         matches!(self.phase, Phase::Scheduling)
     }
 
+    /// Returns whether the commit in flight releases the ownership.
+    pub(super) fn is_release_sent(&self) -> bool {
+        self.commit.as_ref().is_some_and(|commit| commit.row.released)
+    }
+
     /// Returns what has been read so far; `None` once the scheduler has it.
     pub(super) fn loading(&mut self) -> Option<&mut Loading> {
         match &mut self.phase {
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -215,3 +215,18 @@
     silence(&mut sim, "w0");
     check_for_15_s(&mut sim);
 }
+
+/// The answer to the commit that releases the ownership is late. Guards against leases that the stopping owner grants after
+/// its release, from which the successor counts.
+#[test]
+fn late_release() {
+    let mut sim = one_busy_worker();
+    let first = sim.owner().expect("there is an owner");
+    sim.store_lags.insert(first.clone(), Duration::from_secs(8));
+    for host in HOSTS.iter().filter(|host| **host != first) {
+        sim.set_partitioned(host, &first, true);
+        sim.set_partitioned(host, "w0", true);
+    }
+    sim.stop_host(&first);
+    check_for_15_s(&mut sim);
+}
