Pass on how much of the wait for leases is left while an owner loads

An owner that is still loading stored the ends of recorded leases as it had read them, so the wait of its successor began anew by as long as it had owned the fleet. A slow store and owners that end in series prolong the wait without bound.

Its commits subtract the time since the last commit of the previous owner was seen. The claim itself still passes the ends on unchanged: an owner that ends before its first commit adds the time of one takeover.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -271,7 +271,10 @@
             // successor.
             released: stopping && (!owner.is_loaded() || owner.scheduler.is_batch_complete()),
             unreachable_workers: match &owner.phase {
-                Phase::Loading(loading) => loading.unreachable_workers.clone(),
+                Phase::Loading(loading) => {
+                    let age = now.saturating_sub(owner.previous_commit_observed);
+                    loading.unreachable_workers.iter().map(|worker| worker.aged(age)).collect()
+                }
                 Phase::Scheduling => owner.scheduler.unreachable_workers(now),
             },
         };
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -28,6 +28,14 @@
     pub lease_expires_in: Duration,
 }
 
+impl UnreachableWorker {
+    /// Returns the worker as it is to be stored after the given time.
+    pub fn aged(&self, time: Duration) -> UnreachableWorker {
+        let lease_expires_in = self.lease_expires_in.saturating_sub(time);
+        UnreachableWorker { lease_expires_in, ..self.clone() }
+    }
+}
+
 /// Tracks which tasks earlier owners may have left on workers, and the roster that a successor needs.
 #[derive(Debug)]
 pub(super) struct Takeover {
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use shallotpost_fleet::job::JobId;
+use shallotpost_fleet::port::Table;
 use support::{Simulation, ms, step, task};
 
 const HOSTS: [&str; 4] = ["a", "b", "c", "d"];
@@ -230,3 +231,29 @@
     sim.stop_host(&first);
     check_for_15_s(&mut sim);
 }
+
+/// Owners that end while they still load pass on how much of the wait is left. Guards against a wait that begins anew with
+/// each of them.
+#[test]
+fn loading_owners() {
+    let mut sim = fleet();
+    fill(&mut sim, 2);
+    silence(&mut sim, "w0");
+    let first = sim.now;
+    let kill_owner = |sim: &mut Simulation| {
+        let owner = sim.owner().expect("there is an owner");
+        sim.kill_host(&owner);
+        sim.run_until(Duration::from_secs(4), "a takeover", |sim| sim.owner().is_some());
+        sim.run(ms(1500));
+    };
+    kill_owner(&mut sim);
+    sim.read_delays.insert(Table::Jobs, ms(3000));
+    kill_owner(&mut sim);
+    sim.read_delays.clear();
+    kill_owner(&mut sim);
+    sim.run_until(Duration::from_secs(30), "the start of the waiting job", |sim| {
+        sim.starts_of_job(WAITING) > 0
+    });
+    let waited = sim.now - first;
+    assert!(waited < LEASES_END + 3 * COMMIT_READ, "the job started after {waited:?}");
+}
