--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -257,3 +257,21 @@
     let waited = sim.now - first;
     assert!(waited < LEASES_END + 3 * COMMIT_READ, "the job started after {waited:?}");
 }
+
+/// A worker whose process has been replaced runs nothing of an earlier owner, also if it cannot be reached. Guards against
+/// tasks that wait for the leases of its former process.
+#[test]
+fn restarted_worker() {
+    let mut sim = fleet();
+    fill(&mut sim, 2);
+    silence(&mut sim, "w0");
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    sim.run_until(Duration::from_secs(4), "a takeover", |sim| sim.owner().is_some());
+    let now = sim.now;
+    sim.workers.get_mut("w0").expect("there is a worker").restart(now);
+    sim.register("w0", false);
+    sim.run_until(Duration::from_secs(4), "the start of the waiting job", |sim| {
+        sim.starts_of_job(WAITING) > 0
+    });
+}
