Commit at once when a worker falls silent

A worker that falls silent was recorded with the next regular commit, up to 400 ms later. If the owner ended before, its successor knew nothing of the worker and waited for its whole pool.

owner_series silence_is_recorded failed before: the waiting job had not started 4 s after the owner's end.

--- a/crates/shallotpost-fleet/src/scheduler/commit.rs
+++ b/crates/shallotpost-fleet/src/scheduler/commit.rs
@@ -70,7 +70,7 @@
         !self.dirty.is_empty()
             || self.sessions.values().any(|session| !session.in_roster)
             || self.sessions.values().any(|session| session.processed > session.acknowledged)
-            || self.has_recovered_worker()
+            || self.has_contact_to_record()
     }
 
     /// Returns whether the last batch from [`Scheduler::take_batch`] holds all progress.
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -228,12 +228,14 @@
         self.takeover.recorded_unreachable.get(key).copied()
     }
 
-    /// Returns whether a worker answers that the last commit names as unreachable. Nothing starts there before
-    /// another commit.
-    pub(super) fn has_recovered_worker(&self) -> bool {
-        let recorded = self.takeover.recorded_unreachable.keys();
-        let mut sessions = recorded.filter_map(|key| self.sessions.get(key));
-        sessions.any(|session| session.contact == Contact::Live)
+    /// Returns whether a worker answers that the last commit names as unreachable, so that nothing starts there before
+    /// another commit, or one is silent that it does not name, which a successor would have to wait for.
+    pub(super) fn has_contact_to_record(&self) -> bool {
+        self.sessions.iter().any(|(key, session)| match session.contact {
+            Contact::Live => self.is_recorded_unreachable(key),
+            Contact::Silent => !self.is_recorded_unreachable(key),
+            Contact::Joining => false,
+        })
     }
 
     /// Returns whether workers that may run tasks of an earlier owner have not answered yet.
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -35,7 +35,12 @@
 
 /// Fills workers with tasks of 2 s, and submits a job that waits for them.
 fn fill(sim: &mut Simulation, workers: u32) {
-    sim.submit_lasting("batch", RUNNING, vec![step(4 * workers, 2000)], ms(2000));
+    fill_for(sim, workers, 2000);
+}
+
+/// Fills workers with tasks of this length in milliseconds, and submits a job that waits for them.
+fn fill_for(sim: &mut Simulation, workers: u32, length: u64) {
+    sim.submit_lasting("batch", RUNNING, vec![step(4 * workers, length)], ms(length));
     sim.run(ms(300));
     sim.submit("a", "batch", WAITING, vec![step(1, 300)]);
     sim.run(ms(100));
@@ -275,3 +280,24 @@
         sim.starts_of_job(WAITING) > 0
     });
 }
+
+/// A worker that has just fallen silent is recorded before the next regular commit. Guards against a successor that waits for
+/// its whole pool, as it knows nothing of the worker.
+#[test]
+fn silence_is_recorded() {
+    let mut sim = fleet();
+    fill_for(&mut sim, 2, 4000);
+    let from = sim.now;
+    silence(&mut sim, "w0");
+    let is_silent = |sim: &Simulation| {
+        let mut later = sim.logs.iter().filter(|(at, ..)| *at > from);
+        later.any(|(_, _, text)| text.starts_with("worker_silent worker=w0"))
+    };
+    sim.run_until(Duration::from_secs(4), "the silence", is_silent);
+    sim.run(ms(50));
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    sim.run_until(Duration::from_secs(4), "the start of the waiting job", |sim| {
+        sim.starts_of_job(WAITING) > 0
+    });
+}
