Test the wait for leases after claims that are answered late

A host whose own claimed row it read before the claim was answered, or which claimed over its own row after an unanswered claim, took itself for the previous owner that had ended, and waited 2.6 s too briefly for the leases of the owner before.

--- a/crates/shallotpost-fleet/tests/claims.rs
+++ b/crates/shallotpost-fleet/tests/claims.rs
@@ -20,6 +20,8 @@
     reads: Vec<CallId>,
     claims: Vec<(CallId, Vec<u8>)>,
     won: usize,
+    /// Longest time for which leases of earlier owners may last, as logged with the last ownership that was won.
+    uncertain: Duration,
 }
 
 impl TestHost {
@@ -37,7 +39,15 @@
             },
         };
         let host = Host::new(settings);
-        TestHost { host, now: Duration::ZERO, row, reads: Vec::new(), claims: Vec::new(), won: 0 }
+        TestHost {
+            host,
+            now: Duration::ZERO,
+            row,
+            reads: Vec::new(),
+            claims: Vec::new(),
+            won: 0,
+            uncertain: Duration::ZERO,
+        }
     }
 
     fn tick(&mut self) {
@@ -48,7 +58,12 @@
     fn deliver(&mut self, input: Input) {
         for output in self.host.handle(self.now, 1_700_000_000_000, input) {
             match output {
-                Output::Log(log) => self.won += usize::from(log.event == "ownership_won"),
+                Output::Log(log) if log.event == "ownership_won" => {
+                    self.won += 1;
+                    let field = log.fields.iter().find(|(name, _)| *name == "uncertain_ms");
+                    let milliseconds = field.and_then(|(_, value)| value.parse().ok());
+                    self.uncertain = Duration::from_millis(milliseconds.expect("a number"));
+                }
                 Output::Store { call, request, .. } => self.store(call, request),
                 _ => {}
             }
@@ -137,3 +152,83 @@
         assert_eq!(test_host.won, 1, "answers {lag} ticks late");
     }
 }
+
+/// Time from the previous owner's last commit to the end of its last lease.
+const LEASES_END: Duration = Duration::from_millis(4000 + 6180);
+
+/// Starts a host that sees the row of another owner, and returns it with the time at which it has seen the row.
+fn observer() -> (TestHost, Duration) {
+    let mut test_host = TestHost::new("a", Some(row_of_another()));
+    test_host.tick();
+    test_host.tick();
+    test_host.answer_reads();
+    let observed = test_host.now;
+    (test_host, observed)
+}
+
+/// Answers reads until the host claims the ownership, and returns the claim.
+fn next_claim(test_host: &mut TestHost) -> (CallId, Vec<u8>) {
+    for _ in 0..400 {
+        test_host.tick();
+        if !test_host.claims.is_empty() {
+            return test_host.claims.remove(0);
+        }
+        test_host.answer_reads();
+    }
+    panic!("the host does not claim the ownership");
+}
+
+fn accept(test_host: &mut TestHost, call: CallId) {
+    let version = test_host.row.as_ref().map_or(0, |row| row.version);
+    let answer = StoreAnswer { rows: Vec::new(), more: false, version };
+    test_host.deliver(Input::Store { call, result: Ok(answer) });
+}
+
+fn assert_waits_for_leases(test_host: &TestHost, observed: Duration) {
+    let until = test_host.now + test_host.uncertain;
+    assert!(until + TICK * 2 >= observed + LEASES_END, "waits until {until:?} only");
+}
+
+/// A read that is in flight when a claim is sent returns the claimed row before the claim is answered. Guards against a host
+/// that takes its own row for that of an ended owner, and waits too briefly for the leases of the owner before.
+#[test]
+fn read_before_answer() {
+    let (mut test_host, observed) = observer();
+    // Reads are answered late, so that one is in flight when the claim is sent.
+    let mut waited = 0;
+    while test_host.claims.is_empty() {
+        test_host.tick();
+        waited += usize::from(!test_host.reads.is_empty());
+        if waited > 7 && test_host.claims.is_empty() {
+            test_host.answer_reads();
+            waited = 0;
+        }
+    }
+    assert!(!test_host.reads.is_empty(), "a read is in flight");
+    let (call, bytes) = test_host.claims.remove(0);
+    test_host.perform(&bytes);
+    test_host.answer_reads();
+    test_host.tick();
+    accept(&mut test_host, call);
+    assert_waits_for_leases(&test_host, observed);
+}
+
+/// A claim without an answer takes effect after the read that followed it, and the host claims again over its own row. Guards
+/// against a wait that ignores the owner before.
+#[test]
+fn late_claim() {
+    let (mut test_host, observed) = observer();
+    let (call, late) = next_claim(&mut test_host);
+    test_host.deliver(Input::Store { call, result: Err(StoreError::Unanswered) });
+    test_host.tick();
+    test_host.tick();
+    test_host.answer_reads();
+    test_host.perform(&late);
+    let (call, _) = next_claim(&mut test_host);
+    let rows = test_host.row.clone().into_iter().collect();
+    test_host.deliver(Input::Store { call, result: Err(StoreError::Conflict { rows }) });
+    let (call, bytes) = next_claim(&mut test_host);
+    test_host.perform(&bytes);
+    accept(&mut test_host, call);
+    assert_waits_for_leases(&test_host, observed);
+}
