Let the task of a starving job run at the priority of its queue

The task runs at the priority of its queue, so only more urgent queues stop it. Such a job yields for 1.5 s, as the approval and the start take their time within the 3 s.

overload starving_job failed before: the task was stopped.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -50,7 +50,7 @@
 const YIELD_ABOVE: f64 = 0.5;
 
 /// Time after which a job that yields, and has nothing running, may start one task or gang all the same.
-const YIELD_MAX: Duration = Duration::from_secs(2);
+const YIELD_MAX: Duration = Duration::from_millis(1500);
 
 /// Share of the estimated remaining duration that a job certainly takes. Estimates are rough.
 const ESTIMATE_SHARE: f64 = 0.7;
@@ -120,7 +120,7 @@
                 holds.record(Hold::Processor, candidate.stage);
                 continue;
             }
-            let Some(demand) = self.demand(&candidate, context) else {
+            let Some(mut demand) = self.demand(&candidate, context) else {
                 continue;
             };
             if self.waits_behind_cap(&demand, &mut round) {
@@ -139,6 +139,10 @@
                 && self.starves(&demand, &round, context.now)
                 && round.serve_starving(pool);
             let yields = late && !starves;
+            if starves {
+                // Otherwise the next regular stage would stop what starts now.
+                demand.run_priority = demand.policy.priority;
+            }
             // Others have failed because the worker is held for this stage.
             let held = round.workers(pool).iter().any(|worker| worker.held_for == Some(demand.id));
             let known_to_fail =
--- a/crates/shallotpost-fleet/tests/overload.rs
+++ b/crates/shallotpost-fleet/tests/overload.rs
@@ -107,6 +107,12 @@
     submit(&mut sim, "key-a", "batch", BACKLOG, vec![step(2, 20_000)]);
     sim.run(ms(1000));
     assert_eq!(sim.starts_of_job(BACKLOG), 0, "the job yields at first");
-    sim.run(ms(2000));
+    sim.run_until(ms(2000), "a start of the job", |sim| sim.starts_of_job(BACKLOG) > 0);
     assert_eq!(sim.starts_of_job(BACKLOG), 1, "one of its tasks runs");
+    // A job of the same queue that would have room without that task must not stop it.
+    let half = Size { processors_milli: 2000, ..Size::ZERO };
+    submit(&mut sim, "key-b", "batch", OTHER + 2, vec![Step { size: half, ..step(1, 300) }]);
+    sim.run(ms(2000));
+    let stopped = sim.logs.iter().any(|(_, _, line)| line.starts_with("preempted"));
+    assert!(!stopped, "the task was stopped");
 }
