Take back: Expire the leases of a worker whose process was replaced

The stored roster keeps the start of a worker's former process until the set of names changes. A successor that read the later start in the registry took the process which ran the tasks for a new one, and started them again while it was cut off.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -442,7 +442,6 @@
                 if registration.started_unix_ms > session.registration.started_unix_ms {
                     let key = WorkerKey::from(worker);
                     self.forget_runs(&key, Loss::Restarted, context);
-                    self.expire_possible_tasks(&key);
                     self.open_session(key, registration, context);
                 }
             }
@@ -581,7 +580,6 @@
         registration.started_unix_ms = started_unix_ms;
         let registered = session.registered;
         self.forget_runs(worker, Loss::Restarted, context);
-        self.expire_possible_tasks(worker);
         self.open_session(Rc::clone(worker), registration, context);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.registered = registered;
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -362,7 +362,6 @@
     /// Marks the leases of a worker whose process has ended as expired. The next tick releases the tasks that it might
     /// have run.
     pub(super) fn expire_possible_tasks(&mut self, key: &WorkerKey) {
-        self.takeover.recorded_leases.insert(Rc::clone(key), Uptime::ZERO);
         if let Some((_, expires)) = self.takeover.possible_tasks.get_mut(key) {
             *expires = Uptime::ZERO;
         }
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -263,22 +263,40 @@
     assert!(waited < LEASES_END + 3 * COMMIT_READ, "the job started after {waited:?}");
 }
 
-/// A worker whose process has been replaced runs nothing of an earlier owner, also if it cannot be reached. Guards against
-/// tasks that wait for the leases of its former process.
-#[test]
-fn restarted_worker() {
+/// Returns a fleet whose worker `w0` was restarted under its owner and runs tasks. The stored roster gives the start of the
+/// former process.
+fn restarted_worker() -> Simulation {
     let mut sim = fleet();
-    fill(&mut sim, 2);
-    silence(&mut sim, "w0");
-    let owner = sim.owner().expect("there is an owner");
-    sim.kill_host(&owner);
-    sim.run_until(Duration::from_secs(4), "a takeover", |sim| sim.owner().is_some());
     let now = sim.now;
     sim.workers.get_mut("w0").expect("there is a worker").restart(now);
     sim.register("w0", false);
-    sim.run_until(Duration::from_secs(4), "the start of the waiting job", |sim| {
-        sim.starts_of_job(WAITING) > 0
-    });
+    sim.run(ms(2000));
+    sim.submit_lasting("batch", RUNNING, vec![step(4, 60_000)], Duration::from_secs(60));
+    sim.wait_for_start(RUNNING, 4);
+    assert!(sim.workers["w0"].running().count() > 0, "the new process runs tasks");
+    sim.run(ms(1000));
+    sim
+}
+
+/// Guards against a successor that takes the later start in the registry for a sign that nothing runs on the worker.
+#[test]
+fn restarted_before() {
+    let mut sim = restarted_worker();
+    let owner = sim.owner().expect("there is an owner");
+    silence(&mut sim, "w0");
+    sim.kill_host(&owner);
+    check_for_15_s(&mut sim);
+}
+
+/// The same for a worker that the owner has recorded as unreachable.
+#[test]
+fn restarted_and_recorded() {
+    let mut sim = restarted_worker();
+    silence(&mut sim, "w0");
+    sim.run(ms(2600));
+    let owner = sim.owner().expect("there is an owner");
+    sim.kill_host(&owner);
+    check_for_15_s(&mut sim);
 }
 
 /// A worker that has just fallen silent is recorded before the next regular commit. Guards against a successor that waits for
