Keep a team's quota for a gang that only lacks room for the moment

Later jobs of its team got tickets and took the quota, as long as they arrived: the gang did not start within 60 s.

A gang counts unless its members do not fit on empty workers that the service has not refused.

approval_calls gang_behind_stream failed before: no member started in 12 s; beside_unapproved_gang still passes.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -299,11 +299,10 @@
         };
         let may_start = !parts.into_iter().any(exceeds);
         if may_start {
-            let places = self.count_open_places(demand, pool_workers, now);
             let expected = match step.gang {
-                true if places < waiting => 0,
+                true if !self.can_ever_fit(demand, pool_workers) => 0,
                 true => waiting,
-                false => places.min(waiting),
+                false => self.count_open_places(demand, pool_workers, now).min(waiting),
             };
             round.expect(team, &step.size.times(expected));
         }
--- a/crates/shallotpost-fleet/tests/approval_calls.rs
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -138,3 +138,21 @@
     sim.run(ms(1500));
     assert_eq!(sim.starts_of_job(FIRST + 2), 1, "tasks started");
 }
+
+/// A gang that lacks room for the moment counted nothing against its team's quota, and lost it to later jobs of the team as
+/// long as they arrived.
+#[test]
+fn gang_behind_stream() {
+    let mut sim = Simulation::settled(3);
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(8));
+    sim.submit_lasting("urgent", FIRST, vec![step(4, 4000)], ms(4000));
+    sim.run(ms(200));
+    let gang = Step { gang: true, per_worker_max: 1, ..step(3, 8000) };
+    submit_as_b(&mut sim, FIRST + 1, vec![gang]);
+    sim.run(ms(300));
+    for id in FIRST + 2..FIRST + 8 {
+        submit_as_b(&mut sim, id, vec![step(1, 8000)]);
+        sim.run(ms(2000));
+    }
+    assert_eq!(sim.starts_of_job(FIRST + 1), 3, "members started");
+}
