Pause between renewals that carry no lease

Renewals without a lease were answered and repeated at once: while a stopping owner waits for the answer to its release, or after 10 s without a commit. It made 100 calls a second to two workers.

Workers delay the answer by 100 ms, as for other limited leases.

owner_series calls_during_release failed before: 216 calls in 3 s, against the bound of 60.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -16,8 +16,9 @@
 /// The same delay for a worker with confirmed stops: the next list shows whether their resources are free.
 const POLL_WAIT_STOPPING: Duration = Duration::from_millis(100);
 
-/// The same delay for a worker that a commit still names as unreachable: its leases are short until the next one.
-const POLL_WAIT_RECORDED: Duration = Duration::from_millis(100);
+/// The same delay for a worker whose lease cannot be extended in full at present, because a commit still names it as
+/// unreachable, or because the ownership is being released or has not been renewed.
+const POLL_WAIT_LIMITED: Duration = Duration::from_millis(100);
 
 /// Timeout of a call, in addition to the delay of its answer. Answers take a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -76,9 +77,9 @@
         let stopping = session.placements.values().any(|run| run.stop_confirmed);
         let wait = match session.contact {
             Contact::Live if recorded.is_some() && !session.placements.is_empty() => {
-                POLL_WAIT_RECORDED
+                POLL_WAIT_LIMITED
             }
-            Contact::Live if until_ms.is_none() => Duration::ZERO,
+            Contact::Live if until_ms.is_none() => POLL_WAIT_LIMITED,
             Contact::Live if session.unanswered > 0 => Duration::ZERO,
             Contact::Live if stopping => POLL_WAIT_STOPPING,
             Contact::Live if latency_tracked => POLL_WAIT_LATENCY,
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -237,6 +237,24 @@
     check_for_15_s(&mut sim);
 }
 
+/// The store does not answer while the owner stops. Guards against renewals without a lease that are repeated at once.
+#[test]
+fn calls_during_release() {
+    let mut sim = one_busy_worker();
+    let first = sim.owner().expect("there is an owner");
+    sim.store_silent = true;
+    for host in HOSTS.iter().filter(|host| **host != first) {
+        sim.set_partitioned(host, &first, true);
+    }
+    sim.stop_host(&first);
+    let calls = |sim: &Simulation| sim.worker_calls.get(&first).copied().unwrap_or_default();
+    let before = calls(&sim);
+    sim.run(Duration::from_secs(3));
+    let calls = calls(&sim) - before;
+    // Ten calls a second to each of two workers.
+    assert!(calls <= 60, "{calls} calls in 3 s");
+}
+
 /// Owners that end while they still load pass on how much of the wait is left. Guards against a wait that begins anew with
 /// each of them.
 #[test]
