Count an ownership from the time at which its claim was sent

A new owner counted its 4 s from the answer to its claim, while other hosts count from the row. If the answer was late, and the owner was then cut off with a worker, it granted leases for longer than its successor waited.

owner_series late_claim_answer failed before: a task runs in two places.

--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -88,6 +88,8 @@
     last_read: Option<Uptime>,
     read_in_flight: bool,
     claim_in_flight: bool,
+    /// When the last claim was sent.
+    claim_sent: Uptime,
     /// Highest epoch that this process has started as the owner.
     started_epoch: u64,
     /// Epoch of a claim whose outcome is unknown.
@@ -283,6 +285,7 @@
         let epoch = self.ownership.epoch() + 1;
         let Ok(bytes) = encode(&self.new_owner_row(epoch)) else { return };
         self.ownership.claim_in_flight = true;
+        self.ownership.claim_sent = self.now;
         let request = StoreRequest::Transact {
             conditions: vec![(Table::Ownership, KEY.to_owned(), self.ownership.version)],
             writes: vec![(Table::Ownership, KEY.to_owned(), bytes)],
@@ -351,6 +354,8 @@
             uncertain_until,
         );
         let mut owner = Owner::new(scheduler, row.epoch, self.ownership.version, self.now);
+        // Other hosts may have seen the claim long before its answer arrived.
+        owner.last_commit_sent = self.ownership.claim_sent;
         if let Some(loading) = owner.loading() {
             loading.unreachable_workers = row.unreachable_workers;
         }
--- a/crates/shallotpost-fleet/tests/owner_series.rs
+++ b/crates/shallotpost-fleet/tests/owner_series.rs
@@ -337,3 +337,39 @@
         sim.starts_of_job(WAITING) > 0
     });
 }
+
+/// The answer to a claim is late, and the new owner reaches its worker alone after it has loaded. Guards against an owner that
+/// counts its ownership lease from the answer, while its successor counts from the row.
+#[test]
+fn late_claim_answer() {
+    let mut sim = fleet();
+    sim.submit_lasting("batch", RUNNING, vec![step(4, 60_000)], Duration::from_secs(60));
+    sim.wait_for_start(RUNNING, 4);
+    sim.run(ms(1000));
+    let from = sim.now;
+    let zero = sim.owner().expect("there is an owner");
+    let first = HOSTS.into_iter().find(|host| *host != zero).expect("there are others");
+    let others: Vec<&str> = HOSTS.into_iter().filter(|host| *host != first).collect();
+    let successors = || others.iter().filter(|host| **host != zero);
+    let has_line = |sim: &Simulation, start: &str| {
+        let mut later = sim.logs.iter().filter(|(at, ..)| *at > from);
+        later.any(|(_, host, text)| host == first && text.starts_with(start))
+    };
+    sim.kill_host(&zero);
+    successors().for_each(|host| sim.pause_host(host));
+    sim.store_lags.insert(first.to_owned(), ms(900));
+    sim.run_until(Duration::from_secs(8), "a claim", |sim| has_line(sim, "claiming"));
+    for host in &others {
+        sim.set_partitioned(host, first, true);
+        sim.set_partitioned(host, "w0", true);
+    }
+    sim.run(ms(20));
+    successors().for_each(|host| sim.resume_host(host, true, false));
+    sim.run_until(Duration::from_secs(4), "a late answer", |sim| sim.owns(first));
+    // Its reads are executed, and no commit is.
+    sim.run(ms(60));
+    sim.silent_stores.insert(first.to_owned());
+    let contact = "worker_contact worker=w0";
+    sim.run_until(Duration::from_secs(5), "contact", |sim| has_line(sim, contact));
+    check_for_15_s(&mut sim);
+}
