Serve no starving job that its team's quota does not allow

One starving stage of a pool is served in a round. A stage whose team's quota never allows its task took that place in every round, and the jobs behind it went on starving.

overload starving_beside_quota failed before: no task started in 3 s.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -344,6 +344,7 @@
         let since = *stage.yielding_since.get_or_insert(now);
         let needed = if demand.step().gang { stage.tasks.len() as u64 } else { 1 };
         now.saturating_sub(since) >= YIELD_MAX
+            && self.within_cap(demand, &demand.step().size.times(needed), round)
             && self.count_open_places(demand, round.workers(&demand.policy.pool), now) >= 2 * needed
     }
 
--- a/crates/shallotpost-fleet/tests/overload.rs
+++ b/crates/shallotpost-fleet/tests/overload.rs
@@ -116,3 +116,26 @@
     let stopped = sim.logs.iter().any(|(_, _, line)| line.starts_with("preempted"));
     assert!(!stopped, "the task was stopped");
 }
+
+/// A yielding job that its team's quota never allows was the starving one of every round, and the jobs behind it starved on.
+#[test]
+fn starving_beside_quota() {
+    let mut sim = settled();
+    let mut changed = support::configuration();
+    changed.version = 2;
+    changed.teams[0].cap = Size { processors_milli: 100_000, accelerators: 1, ..Size::ZERO };
+    sim.configure(changed);
+    sim.run(ms(300));
+    sim.workers.values_mut().for_each(|worker| worker.duration = Duration::from_secs(20));
+    submit(&mut sim, "key-a", "urgent", OTHER, vec![step(14, 20_000)]);
+    sim.run(ms(500));
+    let whole = Size { processors_milli: 4000, ..Size::ZERO };
+    submit(&mut sim, "key-a", "batch", OTHER + 1, vec![Step { size: whole, ..step(1, 20_000) }]);
+    sim.run(ms(200));
+    let beyond_cap = Size { processors_milli: 1000, accelerators: 2, ..Size::ZERO };
+    submit(&mut sim, "key-a", "batch", BACKLOG, vec![Step { size: beyond_cap, ..step(1, 20_000) }]);
+    sim.run(ms(100));
+    submit(&mut sim, "key-a", "batch", BACKLOG + 1, vec![step(2, 20_000)]);
+    sim.run(ms(3000));
+    assert_eq!(sim.starts_of_job(BACKLOG + 1), 1, "one of its tasks runs");
+}
