Bound the work of a round for claims and starving jobs

Each tried stage counted the places on all workers, each stage without room checked whether it can ever fit, and each stage that yields looked up the runs of its job. Plain stages count against the quota as before; only gangs are checked. A pool that is claimed needs no further check. Stages that yield are looked at in full rounds, or once they have yielded for long and no other one is served in the round.

--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -136,7 +136,7 @@
                 && used_share(round.workers(pool)) > YIELD_ABOVE;
             let starves = late
                 && !candidate.early
-                && self.starves(&demand, &round, context.now)
+                && self.starves(&demand, full, &round, context.now)
                 && round.serve_starving(pool);
             let yields = late && !starves;
             if starves {
@@ -174,7 +174,7 @@
             if !yields
                 && !served
                 && (!backlogged || has_capacity)
-                && self.may_use_tickets(&demand, &pool_workers, &mut round, context.now)
+                && self.may_use_tickets(&demand, has_capacity, &pool_workers, &mut round)
             {
                 self.request_approvals(&demand, candidate.early, &pool_workers, context);
             }
@@ -199,6 +199,7 @@
                 if candidate.urgency == Urgency::Regular
                     && lacks_room
                     && self.within_cap(&demand, &demand.step().size, &round)
+                    && !round.is_claimed(pool)
                     && self.can_ever_fit(&demand, &pool_workers)
                 {
                     round.claim(pool);
@@ -278,9 +279,9 @@
     fn may_use_tickets(
         &self,
         demand: &Demand,
+        has_capacity: bool,
         pool_workers: &[PoolWorker],
         round: &mut Round,
-        now: Uptime,
     ) -> bool {
         let (Some(team), Some(approval)) = (&demand.team, demand.policy.approval) else {
             return true;
@@ -299,12 +300,10 @@
         };
         let may_start = !parts.into_iter().any(exceeds);
         if may_start {
-            let expected = match step.gang {
-                true if !self.can_ever_fit(demand, pool_workers) => 0,
-                true => waiting,
-                false => self.count_open_places(demand, pool_workers, now).min(waiting),
-            };
-            round.expect(team, &step.size.times(expected));
+            // Only gangs wait for so many workers at once that these may never be approved.
+            if has_capacity && (!step.gang || self.can_ever_fit(demand, pool_workers)) {
+                round.expect(team, &step.size.times(waiting));
+            }
         }
         may_start
     }
@@ -330,7 +329,15 @@
 
     /// Returns whether the stage has yielded for long while nothing of its job ran, its team used less than half of its quota
     /// and there was room for it twice over. Such a job makes some progress also beside others that wait for room.
-    fn starves(&mut self, demand: &Demand, round: &Round, now: Uptime) -> bool {
+    fn starves(&mut self, demand: &Demand, full: bool, round: &Round, now: Uptime) -> bool {
+        let pool = &demand.policy.pool;
+        let since = self.stage(demand.id).and_then(|stage| stage.yielding_since);
+        let may_starve = since.is_some_and(|since| now.saturating_sub(since) >= YIELD_MAX)
+            && round.may_serve_starving(pool);
+        // Full rounds keep the times of all stages. In between, a backlog of late stages costs nothing.
+        if !full && !may_starve {
+            return false;
+        }
         let runs = self.has_runs(demand.id.job);
         let used = demand.team.as_ref().and_then(|team| self.usage.get(team));
         let used = used.copied().unwrap_or(Size::ZERO).parts().into_iter();
@@ -341,11 +348,11 @@
             stage.yielding_since = None;
             return false;
         }
-        let since = *stage.yielding_since.get_or_insert(now);
+        stage.yielding_since.get_or_insert(now);
         let needed = if demand.step().gang { stage.tasks.len() as u64 } else { 1 };
-        now.saturating_sub(since) >= YIELD_MAX
+        may_starve
             && self.within_cap(demand, &demand.step().size.times(needed), round)
-            && self.count_open_places(demand, round.workers(&demand.policy.pool), now) >= 2 * needed
+            && self.count_open_places(demand, round.workers(pool), now) >= 2 * needed
     }
 
     /// Returns the number of tasks of the stage that fit into the free capacity of workers that the approval service has not
--- a/crates/shallotpost-fleet/src/scheduler/round.rs
+++ b/crates/shallotpost-fleet/src/scheduler/round.rs
@@ -142,8 +142,13 @@
         *capped
     }
 
-    /// Returns whether a stage of the pool may be served although it yields. One in each round may, so that these stages do
-    /// not keep the approval service busy.
+    /// Returns whether no stage of the pool has been served although it yields. One in each round may, so that these stages
+    /// do not keep the approval service busy.
+    pub(super) fn may_serve_starving(&self, pool: &str) -> bool {
+        !self.starving.contains(pool)
+    }
+
+    /// Records that a stage of the pool is served although it yields. Returns `false` if another one was.
     pub(super) fn serve_starving(&mut self, pool: &str) -> bool {
         self.starving.insert(pool.to_owned())
     }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -231,8 +231,9 @@
     /// Returns whether a worker answers that the last commit names as unreachable, so that nothing starts there before
     /// another commit, or one is silent that it does not name, which a successor would have to wait for.
     pub(super) fn has_contact_to_record(&self) -> bool {
+        let none_recorded = self.takeover.recorded_unreachable.is_empty();
         self.sessions.iter().any(|(key, session)| match session.contact {
-            Contact::Live => self.is_recorded_unreachable(key),
+            Contact::Live => !none_recorded && self.is_recorded_unreachable(key),
             Contact::Silent => !self.is_recorded_unreachable(key),
             Contact::Joining => false,
         })
