Log the age of the operator's rows

The logs could not tell a host that refuses a request by an old copy of the configuration from one that has lost a newer copy, nor which calls for the operator's rows failed.

--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -131,6 +131,7 @@
             ("path", path.to_owned()),
             ("answer", format!("{answer:?}")),
             ("configuration", version.to_string()),
+            ("settings_age_ms", self.operator.age(self.now).as_millis().to_string()),
         ];
         self.log("rejected", fields);
         self.answer(request, answer);
--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -35,10 +35,20 @@
     /// Version after which the feed continues; `None` if the table must be read as a whole.
     cursor: Option<RowVersion>,
     call_in_flight: bool,
+    call_sent: Uptime,
+    /// Time up to which the rows certainly contain every change of the store; `None` before the first read.
+    current_at: Option<Uptime>,
     next_call: Uptime,
     next_peer_request: Uptime,
 }
 
+impl Operator {
+    /// Returns the age of the rows, or the time since the start if the store was never read.
+    pub(super) fn age(&self, now: Uptime) -> Duration {
+        now.saturating_sub(self.current_at.unwrap_or_default())
+    }
+}
+
 impl Host {
     /// Keeps one read or feed of the operator's rows in flight.
     pub(super) fn poll_operator_rows(&mut self) {
@@ -46,6 +56,7 @@
             return;
         }
         self.operator.call_in_flight = true;
+        self.operator.call_sent = self.now;
         match self.operator.cursor {
             None => {
                 let request = StoreRequest::Read {
@@ -67,10 +78,11 @@
         match result {
             Ok(answer) => {
                 self.operator.cursor = Some(answer.version);
+                self.operator.current_at = Some(self.operator.call_sent);
                 self.replace_operator_rows("store", answer.version, answer.rows);
                 self.poll_operator_rows();
             }
-            Err(_) => self.operator.next_call = self.now + RETRY_DELAY,
+            Err(error) => self.operator_call_failed(&error),
         }
     }
 
@@ -80,6 +92,10 @@
             Ok(answer) => {
                 self.operator.cursor = self.operator.cursor.max(Some(answer.version));
                 let changed = !answer.rows.is_empty();
+                // A feed without changes is answered at the end of its wait.
+                let waited = self.now.saturating_sub(self.operator.call_sent).min(FEED_WAIT);
+                let waited = if changed { Duration::ZERO } else { waited };
+                self.operator.current_at = Some(self.operator.call_sent + waited);
                 self.log_unreadable_rows(&answer.rows);
                 self.operator.replica.apply(answer.version, answer.rows);
                 if changed {
@@ -92,10 +108,21 @@
                 self.operator.cursor = None;
                 self.poll_operator_rows();
             }
-            Err(_) => self.operator.next_call = self.now + RETRY_DELAY,
+            Err(error) => self.operator_call_failed(&error),
         }
     }
 
+    fn operator_call_failed(&mut self, error: &StoreError) {
+        self.operator.next_call = self.now + RETRY_DELAY;
+        let taken = self.now.saturating_sub(self.operator.call_sent);
+        let fields = vec![
+            ("error", error.to_string()),
+            ("taken_ms", taken.as_millis().to_string()),
+            ("settings_age_ms", self.operator.age(self.now).as_millis().to_string()),
+        ];
+        self.log("operator_call_failed", fields);
+    }
+
     /// Applies a copy of the whole table as of `version`, from the store or from the peer that `source` names.
     fn replace_operator_rows(&mut self, source: &str, version: RowVersion, rows: Vec<Row>) {
         let fields = vec![
@@ -140,6 +167,7 @@
             self.outputs.push(Output::Limits(configuration.limits));
             let fields = vec![
                 ("version", configuration.version.to_string()),
+                ("replaces", current.to_string()),
                 ("queues", configuration.queues.len().to_string()),
                 ("teams", configuration.teams.len().to_string()),
             ];
