Call the store again on another path when a feed of the settings is late

Callers saw a confirmed key or queue rejected (401, 404) for up to 3 s after its confirmation, over the bound of 2 s: when all existing connections to the store went silent, each host waited for its feed's wait of 1.8 s and the timeout of 1.2 s, and then for a retry. The bound held for one host or one data centre only because a peer's heartbeat told of the change.

A watch now keeps the feed's wait (1.2 s with a bound of 2 s) and the age of what is known. A call that is 0.3 s late is followed by others, in turn on a new connection and through a peer, and the first answer replaces them. An answer on a new connection closes older idle ones. The bounds come from the settings file (freshness), so a deployment with a longer bound keeps the longer wait.

Tests on the code before: stale_settings silent_connections and silent_connections_of_one fail (rejections up to 3 s after the confirmation); silent_store and unreadable_configuration pass and guard against the change itself; watch is new with its module.

--- a/crates/shallotpost-daemon/src/fleet/mod.rs
+++ b/crates/shallotpost-daemon/src/fleet/mod.rs
@@ -120,6 +120,7 @@
             processors_milli: settings.processors_milli(),
             incarnation,
             bounds: settings.bounds.bounds(),
+            freshness: settings.freshness.freshness(),
         };
         let start = Instant::now();
         Ok(Runtime {
@@ -204,13 +205,13 @@
                     self.peers.send(to, address, Frame::Fleet(bytes));
                 }
             }
-            Output::Store { call, request, timeout } => {
+            Output::Store { call, request, connection, timeout } => {
                 let (client, inputs) = (Rc::clone(&self.client), self.inputs.clone());
                 let metrics = Rc::clone(&self.metrics);
                 let address = self.settings.platform.store;
                 spawn_local(async move {
                     let sent = Instant::now();
-                    let result = store::call(&client, address, &request, timeout).await;
+                    let result = store::call(&client, address, &request, connection, timeout).await;
                     if !matches!(request, StoreRequest::Feed { .. }) {
                         metrics.record(Timing::StoreCall, sent.elapsed());
                     }
--- a/crates/shallotpost-daemon/src/fleet/settings.rs
+++ b/crates/shallotpost-daemon/src/fleet/settings.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use shallotpost_fleet::host::Freshness;
 use shallotpost_fleet::scheduler::Bounds;
 use shallotpost_protocol::millis;
 
@@ -16,6 +17,9 @@
 /// Minimum lease: a shorter one leaves no time for a failover of the owner.
 const LEASE_MIN: Duration = Duration::from_secs(2);
 
+/// Minimum bound on the age of what a host knows: a shorter one leaves no time for a call on another path to the store.
+const FRESHNESS_MIN: Duration = Duration::from_secs(1);
+
 /// Minimum processor capacity, in cores: the resolution is a thousandth of a core.
 const PROCESSORS_MIN: f64 = 0.001;
 
@@ -36,6 +40,8 @@
     pub platform: Platform,
     /// Bounds that the platform guarantees or imposes.
     pub bounds: PlatformBounds,
+    #[serde(default)]
+    pub freshness: FreshnessBounds,
     /// Processor capacity of this host in cores, usually less than one. The host with the highest capacity becomes the
     /// owner of the fleet.
     pub processors: f64,
@@ -90,6 +96,36 @@
     }
 }
 
+/// Times within which changes must be in force. Each has a default.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FreshnessBounds {
+    /// Bound for the operator's configuration and evacuations.
+    #[serde(rename = "settings_ms", with = "millis")]
+    pub settings: Duration,
+    /// Bound for a worker's announcement that it drains.
+    #[serde(rename = "drains_ms", with = "millis")]
+    pub drains: Duration,
+    /// Bound for the cancellation of a job.
+    #[serde(rename = "cancellations_ms", with = "millis")]
+    pub cancellations: Duration,
+}
+
+impl Default for FreshnessBounds {
+    fn default() -> FreshnessBounds {
+        let Freshness { settings, drains, cancellations } = Freshness::default();
+        FreshnessBounds { settings, drains, cancellations }
+    }
+}
+
+impl FreshnessBounds {
+    /// Returns the bounds that the host uses.
+    pub fn freshness(&self) -> Freshness {
+        let FreshnessBounds { settings, drains, cancellations } = *self;
+        Freshness { settings, drains, cancellations }
+    }
+}
+
 /// Faults of a settings file. The display format has one line per fault.
 #[derive(Debug, thiserror::Error)]
 pub struct Faults(Vec<String>);
@@ -141,6 +177,19 @@
             LEASE_MIN.as_millis()
         ));
     }
+    let freshness = settings.freshness;
+    for (name, bound) in [
+        ("settings_ms", freshness.settings),
+        ("drains_ms", freshness.drains),
+        ("cancellations_ms", freshness.cancellations),
+    ] {
+        if bound < FRESHNESS_MIN {
+            faults.push(format!(
+                "freshness.{name} is below {} ms. Use the platform's figure.",
+                FRESHNESS_MIN.as_millis()
+            ));
+        }
+    }
     if !(settings.processors.is_finite() && settings.processors >= PROCESSORS_MIN) {
         faults.push(format!("processors is below {PROCESSORS_MIN}. Use the share of a core."));
     }
--- a/crates/shallotpost-daemon/tests/golden_files.rs
+++ b/crates/shallotpost-daemon/tests/golden_files.rs
@@ -138,6 +138,7 @@
             retention_seconds: 120,
             grace_seconds: 6,
         },
+        freshness: fleet::FreshnessBounds::default(),
         processors: 0.25,
         log_lines_per_second: 200,
     };
--- a/crates/shallotpost-daemon/tests/golden_fleet_settings.rs
+++ b/crates/shallotpost-daemon/tests/golden_fleet_settings.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use shallotpost_daemon::fleet::settings::{Platform, PlatformBounds, Settings, parse};
+use shallotpost_daemon::fleet::settings::{
+    FreshnessBounds, Platform, PlatformBounds, Settings, parse,
+};
 
 fn address(text: &str) -> SocketAddr {
     text.parse().expect("an address")
@@ -25,6 +27,7 @@
             retention_seconds: 120,
             grace_seconds: 6,
         },
+        freshness: FreshnessBounds::default(),
         processors: 0.25,
         log_lines_per_second: 200,
     }
--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -1,7 +1,7 @@
 //! Requests of callers: admission, cancellation and queries.
 
 use crate::host::Host;
-use crate::host::store::Purpose;
+use crate::host::store::{Path, Purpose};
 use crate::job::parse_job_id;
 use crate::message::{Message, Query, QueryAnswer, decode, encode};
 use crate::port::{
@@ -131,7 +131,7 @@
             ("path", path.to_owned()),
             ("answer", format!("{answer:?}")),
             ("configuration", version.to_string()),
-            ("settings_age_ms", self.operator.age(self.now).as_millis().to_string()),
+            ("settings_age_ms", self.operator.watch.age(self.now).as_millis().to_string()),
         ];
         self.log("rejected", fields);
         self.answer(request, answer);
@@ -232,7 +232,8 @@
             };
             (*hedged, *unanswered) = (true, true);
             let store = insertion(pending.id, bytes);
-            self.call_store_through(Some(relay), Purpose::Submit(request), store, Duration::ZERO);
+            let path = Path::Relayed(relay);
+            self.call_store_on(path, Purpose::Submit(request), store, Duration::ZERO);
         }
     }
 
--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -2,6 +2,7 @@
 //! fleet while it is the owner.
 
 mod agents;
+mod freshness;
 mod gateway;
 mod operator;
 mod owner;
@@ -16,6 +17,7 @@
 use crate::scheduler::{self, Bounds, Scheduler};
 
 use agents::Agents;
+pub use freshness::Freshness;
 use gateway::Gateway;
 pub use gateway::OPEN_REQUESTS_MAX;
 use operator::Operator;
@@ -50,6 +52,7 @@
     /// Random number that identifies this process among those with the same host name.
     pub incarnation: u64,
     pub bounds: Bounds,
+    pub freshness: Freshness,
 }
 
 /// Entry host. It does no I/O: [`Host::handle`] turns each input into outputs for the caller to carry out.
@@ -79,9 +82,9 @@
             now: Uptime::ZERO,
             unix_ms: 0,
             last_call: call_before_first(settings.incarnation),
+            operator: Operator::new(&settings.freshness),
             settings,
             outputs: Vec::new(),
-            operator: Operator::default(),
             peers: BTreeMap::new(),
             next_heartbeat: Uptime::ZERO,
             store: StoreClient::default(),
--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -1,8 +1,10 @@
 //! The operator's settings: the configuration and the evacuated data centres.
 //!
-//! Hosts read them from the store. A host that cannot reach the store gets them from its peers.
+//! Hosts read them from the store, directly or through a peer, and know how old they may be. Rows that a peer passes on reach a host
+//! sooner than its own calls if these are lost.
 
 use crate::host::Host;
+use crate::host::freshness::{Freshness, feed_wait};
 use crate::host::store::Purpose;
 use crate::message::Message;
 use crate::port::{
@@ -10,13 +12,10 @@
 };
 use crate::prelude::*;
 use crate::replica::Replica;
+use crate::watch::{Poll, Watch};
 
-/// Time for which the store waits for a change. A feed on a dead connection is noticed soon after this time; meanwhile the
-/// heartbeats of peers tell of changes.
-const FEED_WAIT: Duration = Duration::from_millis(1800);
-
-/// Delay before a failed read is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Maximum time for which the store waits for a change.
+const FEED_WAIT_MAX: Duration = Duration::from_millis(1800);
 
 /// Minimum time between two requests to peers for the operator's rows.
 const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
@@ -25,77 +24,70 @@
 const PAGE_SIZE: u32 = 500;
 
 /// The operator's settings as this host applies them.
-#[derive(Default)]
 pub(super) struct Operator {
     /// The configuration with the highest version.
     pub(super) configuration: Option<Configuration>,
     /// Data centres in which no worker may be used.
     pub(super) evacuated: BTreeSet<String>,
     pub(super) replica: Replica,
-    /// Version after which the feed continues; `None` if the table must be read as a whole.
-    cursor: Option<RowVersion>,
-    call_in_flight: bool,
-    call_sent: Uptime,
-    /// Time up to which the rows certainly contain every change of the store; `None` before the first read.
-    current_at: Option<Uptime>,
-    next_call: Uptime,
+    /// Rows of peers do not make the settings current, as a peer's copy may be old.
+    pub(super) watch: Watch,
     next_peer_request: Uptime,
 }
 
 impl Operator {
-    /// Returns the age of the rows, or the time since the start if the store was never read.
-    pub(super) fn age(&self, now: Uptime) -> Duration {
-        now.saturating_sub(self.current_at.unwrap_or_default())
+    /// Returns the state of a host that has just started.
+    pub(super) fn new(freshness: &Freshness) -> Operator {
+        let wait = feed_wait(freshness.settings_age_max(), Duration::ZERO, FEED_WAIT_MAX);
+        Operator {
+            configuration: None,
+            evacuated: BTreeSet::new(),
+            replica: Replica::default(),
+            watch: Watch::new(wait, Duration::ZERO),
+            next_peer_request: Uptime::ZERO,
+        }
     }
 }
 
 impl Host {
-    /// Keeps one read or feed of the operator's rows in flight.
+    /// Sends the call for the operator's rows that is due.
     pub(super) fn poll_operator_rows(&mut self) {
-        if self.operator.call_in_flight || self.operator.next_call > self.now {
-            return;
-        }
-        self.operator.call_in_flight = true;
-        self.operator.call_sent = self.now;
-        match self.operator.cursor {
+        let Some(poll) = self.operator.watch.poll(self.now) else { return };
+        let (purpose, request) = match poll.after {
             None => {
-                let request = StoreRequest::Read {
-                    table: Table::Operator,
-                    from: String::new(),
-                    limit: PAGE_SIZE,
-                };
-                self.call_store(Purpose::OperatorRead, request, Duration::ZERO);
+                let table = Table::Operator;
+                let request = StoreRequest::Read { table, from: String::new(), limit: PAGE_SIZE };
+                (Purpose::OperatorRead(poll), request)
             }
             Some(after) => {
-                let request = StoreRequest::Feed { table: Table::Operator, after, wait: FEED_WAIT };
-                self.call_store(Purpose::OperatorFeed, request, FEED_WAIT);
+                let request = StoreRequest::Feed { table: Table::Operator, after, wait: poll.wait };
+                (Purpose::OperatorFeed(poll), request)
             }
-        }
+        };
+        self.call_store_again(poll, purpose, request);
     }
 
-    pub(super) fn operator_read(&mut self, result: Result<StoreAnswer, StoreError>) {
-        self.operator.call_in_flight = false;
+    pub(super) fn operator_read(&mut self, poll: Poll, result: Result<StoreAnswer, StoreError>) {
         match result {
             Ok(answer) => {
-                self.operator.cursor = Some(answer.version);
-                self.operator.current_at = Some(self.operator.call_sent);
+                if self.operator.watch.answered(poll, self.now, answer.version, true).is_none() {
+                    return;
+                }
                 self.replace_operator_rows("store", answer.version, answer.rows);
                 self.poll_operator_rows();
             }
-            Err(error) => self.operator_call_failed(&error),
+            Err(error) => self.operator_call_failed(poll, &error),
         }
     }
 
-    pub(super) fn operator_feed(&mut self, result: Result<StoreAnswer, StoreError>) {
-        self.operator.call_in_flight = false;
+    pub(super) fn operator_feed(&mut self, poll: Poll, result: Result<StoreAnswer, StoreError>) {
         match result {
             Ok(answer) => {
-                self.operator.cursor = self.operator.cursor.max(Some(answer.version));
                 let changed = !answer.rows.is_empty();
-                // A feed without changes is answered at the end of its wait.
-                let waited = self.now.saturating_sub(self.operator.call_sent).min(FEED_WAIT);
-                let waited = if changed { Duration::ZERO } else { waited };
-                self.operator.current_at = Some(self.operator.call_sent + waited);
+                let watch = &mut self.operator.watch;
+                if watch.answered(poll, self.now, answer.version, changed).is_none() {
+                    return;
+                }
                 self.log_unreadable_rows(&answer.rows);
                 self.operator.replica.apply(answer.version, answer.rows);
                 if changed {
@@ -105,20 +97,23 @@
                 self.poll_operator_rows();
             }
             Err(StoreError::HistoryLost) => {
-                self.operator.cursor = None;
+                self.operator.watch.history_lost(poll, self.now);
                 self.poll_operator_rows();
             }
-            Err(error) => self.operator_call_failed(&error),
+            Err(error) => self.operator_call_failed(poll, &error),
         }
     }
 
-    fn operator_call_failed(&mut self, error: &StoreError) {
-        self.operator.next_call = self.now + RETRY_DELAY;
-        let taken = self.now.saturating_sub(self.operator.call_sent);
+    fn operator_call_failed(&mut self, poll: Poll, error: &StoreError) {
+        let refused = *error == StoreError::NotExecuted;
+        if !self.operator.watch.failed(poll, self.now, refused) {
+            return;
+        }
         let fields = vec![
             ("error", error.to_string()),
-            ("taken_ms", taken.as_millis().to_string()),
-            ("settings_age_ms", self.operator.age(self.now).as_millis().to_string()),
+            ("attempt", poll.attempt.to_string()),
+            ("taken_ms", self.now.saturating_sub(poll.sent).as_millis().to_string()),
+            ("settings_age_ms", self.operator.watch.age(self.now).as_millis().to_string()),
         ];
         self.log("operator_call_failed", fields);
     }
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -4,7 +4,7 @@
 
 use crate::host::Host;
 use crate::host::ownership::{KEY, OwnerRow, Predecessor, ROSTER_KEY};
-use crate::host::store::Purpose;
+use crate::host::store::{Path, Purpose};
 use crate::message::{decode, encode};
 use crate::port::{
     Content, Counter, HostName, RowVersion, StoreAnswer, StoreError, StoreRequest, Table, Timing,
@@ -323,7 +323,7 @@
         commit.hedged = true;
         let request = commit.request.clone();
         let purpose = Purpose::Commit { sequence };
-        self.call_store_through(Some(relay), purpose, request, Duration::ZERO);
+        self.call_store_on(Path::Relayed(relay), purpose, request, Duration::ZERO);
     }
 
     pub(super) fn commit_result(&mut self, sequence: u64, result: Result<StoreAnswer, StoreError>) {
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -2,8 +2,9 @@
 
 use crate::host::Host;
 use crate::message::Message;
-use crate::port::{Counter, HostName, StoreAnswer, StoreError, StoreRequest, Table};
+use crate::port::{Connection, Counter, HostName, StoreAnswer, StoreError, StoreRequest, Table};
 use crate::prelude::*;
+use crate::watch::Poll;
 
 /// Timeout of calls to the store. A slow store may take fifty times the usual 4 to 10 ms.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -31,8 +32,8 @@
 #[derive(Clone, Debug)]
 pub(super) enum Purpose {
     Probe,
-    OperatorRead,
-    OperatorFeed,
+    OperatorRead(Poll),
+    OperatorFeed(Poll),
     HostsRead,
     HostsWrite,
     OwnershipRead,
@@ -66,8 +67,8 @@
             | Purpose::RegistryRead { .. }
             | Purpose::RegistryFeed => true,
             Purpose::Probe
-            | Purpose::OperatorRead
-            | Purpose::OperatorFeed
+            | Purpose::OperatorRead(_)
+            | Purpose::OperatorFeed(_)
             | Purpose::HostsRead
             | Purpose::HostsWrite
             | Purpose::OwnershipRead
@@ -82,6 +83,14 @@
     }
 }
 
+/// Way to the store.
+#[derive(Clone, Debug)]
+pub(super) enum Path {
+    Direct(Connection),
+    /// Through a peer.
+    Relayed(HostName),
+}
+
 struct PendingCall {
     purpose: Purpose,
     deadline: Uptime,
@@ -111,7 +120,20 @@
             _ if self.store.direct_failures < FAILURES_MAX => None,
             _ => self.relay_host(),
         };
-        self.call_store_through(relay, purpose, request, wait);
+        let path = relay.map_or(Path::Direct(Connection::Pooled), Path::Relayed);
+        self.call_store_on(path, purpose, request, wait);
+    }
+
+    /// Sends a call of a watch. Each attempt takes another path than the one before, so that an attempt does not depend on
+    /// whatever keeps the earlier ones from being answered.
+    pub(super) fn call_store_again(&mut self, poll: Poll, purpose: Purpose, request: StoreRequest) {
+        let relay = match poll.attempt {
+            0 => return self.call_store(purpose, request, poll.wait),
+            attempt if attempt % 2 == 0 => self.relay_host(),
+            _ => None,
+        };
+        let path = relay.map_or(Path::Direct(Connection::New), Path::Relayed);
+        self.call_store_on(path, purpose, request, poll.wait);
     }
 
     /// Returns the peer through which a call should be repeated that the store has not answered since `sent`: the direct
@@ -123,22 +145,24 @@
         self.relay_host().filter(|_| broken)
     }
 
-    /// Calls the store, through a peer if one is named.
-    pub(super) fn call_store_through(
+    /// Calls the store on a path.
+    pub(super) fn call_store_on(
         &mut self,
-        relay: Option<HostName>,
+        path: Path,
         purpose: Purpose,
         request: StoreRequest,
         wait: Duration,
     ) {
         let timeout = STORE_TIMEOUT + wait;
         let call = self.allocate_call();
-        let relayed = relay.is_some();
+        let relayed = matches!(path, Path::Relayed(_));
         let deadline = self.now + timeout + RELAY_SLACK;
         self.store.calls.insert(call, PendingCall { purpose, deadline, relayed });
-        match relay {
-            Some(host) => self.send(&host, Message::StoreCall { call, request, timeout }),
-            None => self.outputs.push(Output::Store { call, request, timeout }),
+        match path {
+            Path::Relayed(host) => self.send(&host, Message::StoreCall { call, request, timeout }),
+            Path::Direct(connection) => {
+                self.outputs.push(Output::Store { call, request, connection, timeout });
+            }
         }
     }
 
@@ -241,8 +265,8 @@
     fn dispatch(&mut self, purpose: Purpose, result: Result<StoreAnswer, StoreError>) {
         match purpose {
             Purpose::Probe => {}
-            Purpose::OperatorRead => self.operator_read(result),
-            Purpose::OperatorFeed => self.operator_feed(result),
+            Purpose::OperatorRead(poll) => self.operator_read(poll, result),
+            Purpose::OperatorFeed(poll) => self.operator_feed(poll, result),
             Purpose::HostsRead => self.hosts_read(result),
             Purpose::HostsWrite => self.hosts_written(result),
             Purpose::OwnershipRead => self.ownership_read(result),
--- a/crates/shallotpost-fleet/src/lib.rs
+++ b/crates/shallotpost-fleet/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod progress;
 pub mod replica;
 pub mod scheduler;
+pub mod watch;
 pub mod worker;
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -60,6 +60,7 @@
     Store {
         call: CallId,
         request: StoreRequest,
+        connection: Connection,
         /// Time after which the call ends as unanswered.
         timeout: Duration,
     },
@@ -96,6 +97,15 @@
     Stopped,
 }
 
+/// Connection on which a call is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// An idle connection if there is one.
+    Pooled,
+    /// A new connection, as existing ones may have gone silent.
+    New,
+}
+
 /// Counters on the metrics page.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/shallotpost-fleet/tests/claims.rs
+++ b/crates/shallotpost-fleet/tests/claims.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use shallotpost_fleet::host::{Host, Settings};
+use shallotpost_fleet::host::{Freshness, Host, Settings};
 use shallotpost_fleet::port::{
     CallId, Content, Input, Output, Row, StoreAnswer, StoreError, StoreRequest, Table,
 };
@@ -37,6 +37,7 @@
                 stop_timeout: Duration::from_millis(200),
                 retention: Duration::from_secs(120),
             },
+            freshness: Freshness::default(),
         };
         let host = Host::new(settings);
         TestHost {
--- a/crates/shallotpost-fleet/tests/golden_files.rs
+++ b/crates/shallotpost-fleet/tests/golden_files.rs
@@ -15,7 +15,7 @@
 use shallotpost_fleet::configuration::{
     Approval, Configuration, Limits, Pool, Queue, QueuePolicy, Team,
 };
-use shallotpost_fleet::host::{Host, Settings};
+use shallotpost_fleet::host::{Freshness, Host, Settings};
 use shallotpost_fleet::job::{Job, JobId, Schedule, StageId, Step, TaskId};
 use shallotpost_fleet::message::{
     Heartbeat, Message, Query, QueryAnswer, WorkerCall, decode, encode,
@@ -544,6 +544,7 @@
                 stop_timeout: ms(200),
                 retention: Duration::from_secs(120),
             },
+            freshness: Freshness::default(),
         });
         let mut store = Store::default();
         let content = Content::Configuration(Box::new(configuration()));
--- a/crates/shallotpost-fleet/tests/late_answers.rs
+++ b/crates/shallotpost-fleet/tests/late_answers.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use shallotpost_fleet::host::{Host, Settings};
+use shallotpost_fleet::host::{Freshness, Host, Settings};
 use shallotpost_fleet::message::{Heartbeat, Message};
 use shallotpost_fleet::port::{
     CallId, Content, Input, Output, Row, RowVersion, StoreAnswer, StoreRequest, Table,
@@ -60,6 +60,7 @@
                 stop_timeout: Duration::from_millis(200),
                 retention: Duration::from_secs(120),
             },
+            freshness: Freshness::default(),
         };
         let host = Host::new(settings);
         TestHost { host, now: Duration::ZERO, open: Vec::new(), events: Vec::new() }
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -10,12 +10,12 @@
 use std::time::Duration;
 
 use shallotpost_fleet::configuration::{Approval, Configuration, Pool, Queue, QueuePolicy, Team};
-use shallotpost_fleet::host::{Host, Settings};
+use shallotpost_fleet::host::{Freshness, Host, Settings};
 use shallotpost_fleet::job::{Job, JobId, StageId, Step, TaskId};
 use shallotpost_fleet::message::Message;
 use shallotpost_fleet::port::{
-    Action, Answer, ApprovalError, Content, Input, Output, Request, RequestId, StoreError,
-    StoreRequest, Table, Ticket,
+    Action, Answer, ApprovalError, Connection, Content, Input, Output, Request, RequestId,
+    StoreError, StoreRequest, Table, Ticket,
 };
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::scheduler::Bounds;
@@ -54,7 +54,10 @@
         host: String,
         call: u64,
         request: StoreRequest,
+        connection: Connection,
     },
+    /// A host closes its idle connections to the store, as a call on one of them was not answered.
+    ClosePool(String),
     Worker {
         host: String,
         call: u64,
@@ -114,6 +117,8 @@
     pub store_lags: BTreeMap<String, Duration>,
     /// Hosts whose calls to the store get no answer.
     pub silent_stores: BTreeSet<String>,
+    /// Hosts whose idle connections to the store are silent for good, until they are closed.
+    silent_pools: BTreeSet<String>,
     /// Whether feeds wait for a change, as the request allows, instead of returning at once.
     pub feeds_wait: bool,
     /// Paused hosts, with the inputs that wait for them.
@@ -181,6 +186,7 @@
             store_silent: false,
             store_lags: BTreeMap::new(),
             silent_stores: BTreeSet::new(),
+            silent_pools: BTreeSet::new(),
             feeds_wait: false,
             paused_hosts: BTreeMap::new(),
             hanging_workers: BTreeSet::new(),
@@ -306,6 +312,7 @@
                 stop_timeout: ms(200),
                 retention: Duration::from_secs(120),
             },
+            freshness: Freshness::default(),
         };
         self.hosts.insert(name.to_owned(), Host::new(settings));
         self.started_at.insert(name.to_owned(), self.now);
@@ -361,6 +368,34 @@
         }
     }
 
+    /// Makes the existing connections of a host to the store silent for good: calls in flight are lost, and so are those on the
+    /// idle connections until the host closes them.
+    pub fn silence_connections(&mut self, name: &str) {
+        let of_host = |event: &Event| match event {
+            Event::Store { host, call, .. } | Event::FeedWait { host, call, .. }
+                if host == name =>
+            {
+                Some(*call)
+            }
+            _ => None,
+        };
+        let lost: Vec<_> =
+            self.events.iter().filter_map(|(key, event)| Some((*key, of_host(event)?))).collect();
+        for (key, call) in lost {
+            self.events.remove(&key);
+            self.lose_store_call(name.to_owned(), call);
+        }
+        self.silent_pools.insert(name.to_owned());
+    }
+
+    /// Ends a call to the store as unanswered when its caller gives up.
+    fn lose_store_call(&mut self, host: String, call: u64) {
+        let deadline = self.deadlines.get(&(host.clone(), call)).copied().unwrap_or(self.now);
+        self.push(deadline, Event::ClosePool(host.clone()));
+        let input = Input::Store { call, result: Err(StoreError::Unanswered) };
+        self.push(deadline, Event::Input(host, input));
+    }
+
     /// Breaks or restores the path between two parties, named as in `partitions`.
     pub fn set_partitioned(&mut self, left: &str, right: &str, partitioned: bool) {
         let pair = (left.to_owned(), right.to_owned());
@@ -491,9 +526,15 @@
                 let input = Input::Store { call, result: Err(StoreError::Unanswered) };
                 self.push(self.now + STORE_TIMEOUT, Event::Input(host, input));
             }
-            Event::Store { host, call, request: request @ StoreRequest::Feed { wait, .. } }
-                if self.feeds_wait =>
+            Event::ClosePool(host) => drop(self.silent_pools.remove(&host)),
+            Event::Store { host, call, connection: Connection::Pooled, .. }
+                if self.silent_pools.contains(&host) =>
             {
+                self.lose_store_call(host, call);
+            }
+            Event::Store {
+                host, call, request: request @ StoreRequest::Feed { wait, .. }, ..
+            } if self.feeds_wait => {
                 let until = self.now + wait;
                 self.push(self.now, Event::FeedWait { host, call, request, until });
             }
@@ -520,7 +561,8 @@
                 }
             }
             Event::HeldCall(held) => self.hold_call(held),
-            Event::Store { host, call, request } => {
+            Event::Store { host, call, request, .. } => {
+                self.silent_pools.remove(&host);
                 let result = match self.is_partitioned(&host, "store") {
                     true => Err(StoreError::NotExecuted),
                     false => self.store.call(&request),
@@ -678,9 +720,9 @@
                     self.push(later, Event::Input(to, Input::Peer { from: host, message }));
                 }
             }
-            Output::Store { call, request, timeout } => {
+            Output::Store { call, request, connection, timeout } => {
                 self.deadlines.insert((host.clone(), call), self.now + timeout);
-                self.push(later, Event::Store { host, call, request });
+                self.push(later, Event::Store { host, call, request, connection });
             }
             Output::Worker { call, worker, fence, request, timeout, .. } => {
                 self.deadlines.insert((host.clone(), call), self.now + timeout);
--- a/crates/shallotpost-fleet/tests/support/store.rs
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -30,6 +30,8 @@
     pub down: bool,
     /// Version before which feeds fail because the change history is lost.
     pub forgotten: RowVersion,
+    /// Whether reads and feeds are refused, as when the store's rate is used up.
+    pub reads_refused: bool,
     /// Number of the next reads of single tables to refuse.
     pub refused_reads: BTreeMap<Table, usize>,
     /// Number of reads to refuse among those of the pages of the workers' table after the first one.
@@ -79,6 +81,9 @@
         if self.down {
             return Err(StoreError::NotExecuted);
         }
+        if self.reads_refused && !matches!(request, StoreRequest::Transact { .. }) {
+            return Err(StoreError::NotExecuted);
+        }
         if let StoreRequest::Read { table, .. } = request
             && let Some(refused) = self.refused_reads.get_mut(table).filter(|left| **left > 0)
         {
