Decide no request by settings that are older than their bound

A host that reached neither the store nor a peer that knew better went on to reject confirmed keys and queues, and to accept jobs under removed ones, for as long as that lasted: after a cut, while the store refused reads, after a pause, and after a restart with the rows of a peer that was behind itself. It did not know how old its settings were.

Beyond the bound a request now waits for a call to the store. It is decided as soon as one is answered; refused with 503 and Retry-After at once if the store refuses calls, and otherwise at its deadline, as submissions were before.

--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -1,6 +1,7 @@
 //! Requests of callers: admission, cancellation and queries.
 
 use crate::host::Host;
+use crate::host::deferral::Deferred;
 use crate::host::store::{Path, Purpose};
 use crate::job::parse_job_id;
 use crate::message::{Message, Query, QueryAnswer, decode, encode};
@@ -66,6 +67,8 @@
 pub(super) struct Gateway {
     pending: BTreeMap<RequestId, PendingRequest>,
     queries: BTreeMap<CallId, (RequestId, Uptime, Subject)>,
+    /// Requests that wait until the operator's settings are known to be current, in the order of their arrival.
+    pub(super) deferred: Vec<Deferred>,
 }
 
 /// What a query to the owner is for.
@@ -77,27 +80,43 @@
 
 impl Host {
     pub(super) fn request(&mut self, request: RequestId, body: Request) {
-        if self.gateway.pending.len() >= OPEN_REQUESTS_MAX {
+        if self.gateway.pending.len() + self.gateway.deferred.len() >= OPEN_REQUESTS_MAX {
             return self.refuse(request, body.path, "too many open requests");
         }
-        let Some(configuration) = &self.operator.configuration else {
+        if self.operator.configuration.is_none() {
             return self.refuse(request, body.path, "no configuration yet");
-        };
-        let version = configuration.version;
-        let Some(queue) = configuration.route(&body.host, &body.path).cloned() else {
-            return self.reject(request, &body.path, version, Answer::NoQueue);
-        };
+        }
+        let deadline = self.now + body.timeout.mul_f64(CALLER_TIMEOUT_SHARE);
+        match self.has_current_settings() {
+            true => self.decide(request, body, deadline),
+            false => self.defer(request, body, deadline),
+        }
+    }
+
+    /// Returns the queue and the team of a request, or the answer that rejects it.
+    pub(super) fn authorize(&self, body: &Request) -> Result<(Queue, Option<String>), Answer> {
+        let configuration = self.operator.configuration.as_ref().ok_or(Answer::NoQueue)?;
+        let queue = configuration.route(&body.host, &body.path).ok_or(Answer::NoQueue)?;
         let team = body.key.as_deref().and_then(|key| configuration.team_of_key(key));
-        let team = team.map(|team| team.name.clone());
-        let rest = body.path.get(queue.prefix.len()..).unwrap_or_default().to_owned();
-        let reads_waiting_count = body.action == Action::Read && rest.is_empty();
+        let names_no_job = body.path.len() == queue.prefix.len();
+        let reads_waiting_count = body.action == Action::Read && names_no_job;
         // A key that is sent must be valid for every queue. Queues that allow anonymous requests need none, and neither
         // does reading the number of waiting jobs.
         let anonymous = body.key.is_none() && (queue.allow_anonymous || reads_waiting_count);
-        if team.is_none() && !anonymous {
-            return self.reject(request, &body.path, version, Answer::BadKey);
+        match team {
+            None if !anonymous => Err(Answer::BadKey),
+            team => Ok((queue.clone(), team.map(|team| team.name.clone()))),
         }
-        let deadline = self.now + body.timeout.mul_f64(CALLER_TIMEOUT_SHARE);
+    }
+
+    /// Handles a request as the known settings say.
+    pub(super) fn decide(&mut self, request: RequestId, body: Request, deadline: Uptime) {
+        let version = self.operator.configuration.as_ref().map_or(0, |current| current.version);
+        let (queue, team) = match self.authorize(&body) {
+            Ok(authorized) => authorized,
+            Err(answer) => return self.reject(request, &body.path, version, answer),
+        };
+        let rest = body.path.get(queue.prefix.len()..).unwrap_or_default().to_owned();
         match (body.action, parse_job_id(&rest)) {
             (Action::Read, _) if rest.is_empty() => {
                 self.read_waiting_count(request, &queue, deadline)
@@ -154,7 +173,7 @@
     }
 
     /// Refuses a request for a cause on the host's side. The request had no effect. `subject` is the job or the path.
-    fn refuse(&mut self, request: RequestId, subject: String, cause: &'static str) {
+    pub(super) fn refuse(&mut self, request: RequestId, subject: String, cause: &'static str) {
         self.outputs.push(Output::Count { counter: Counter::JobsRefused, amount: 1 });
         let fields = vec![
             ("request", request.to_string()),
--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -2,6 +2,7 @@
 //! fleet while it is the owner.
 
 mod agents;
+mod deferral;
 mod freshness;
 mod gateway;
 mod operator;
@@ -122,6 +123,7 @@
         self.expire_store_calls();
         self.probe_store();
         self.poll_operator_rows();
+        self.decide_deferred_requests();
         self.discover_hosts();
         self.send_heartbeats();
         self.retry_requests();
--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -67,6 +67,12 @@
         self.call_store_again(poll, purpose, request);
     }
 
+    /// Returns whether the operator's settings are recent enough to decide by them.
+    pub(super) fn has_current_settings(&self) -> bool {
+        let age_max = self.settings.freshness.settings_age_max();
+        self.operator.watch.is_current(self.now, age_max)
+    }
+
     pub(super) fn operator_read(&mut self, poll: Poll, result: Result<StoreAnswer, StoreError>) {
         match result {
             Ok(answer) => {
@@ -74,7 +80,7 @@
                     return;
                 }
                 self.replace_operator_rows("store", answer.version, answer.rows);
-                self.poll_operator_rows();
+                self.operator_polled();
             }
             Err(error) => self.operator_call_failed(poll, &error),
         }
@@ -94,7 +100,7 @@
                     self.apply_operator_settings();
                     self.next_heartbeat = self.now;
                 }
-                self.poll_operator_rows();
+                self.operator_polled();
             }
             Err(StoreError::HistoryLost) => {
                 self.operator.watch.history_lost(poll, self.now);
@@ -104,6 +110,11 @@
         }
     }
 
+    fn operator_polled(&mut self) {
+        self.poll_operator_rows();
+        self.decide_deferred_requests();
+    }
+
     fn operator_call_failed(&mut self, poll: Poll, error: &StoreError) {
         let refused = *error == StoreError::NotExecuted;
         if !self.operator.watch.failed(poll, self.now, refused) {
@@ -116,6 +127,7 @@
             ("settings_age_ms", self.operator.watch.age(self.now).as_millis().to_string()),
         ];
         self.log("operator_call_failed", fields);
+        self.decide_deferred_requests();
     }
 
     /// Applies a copy of the whole table as of `version`, from the store or from the peer that `source` names.
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -5,13 +5,20 @@
 
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use shallotpost_fleet::configuration::{Configuration, Queue, Team};
-use shallotpost_fleet::port::{Action, Answer, Content, RequestId, Table};
-use support::{Simulation, configuration, ms};
+use shallotpost_fleet::message::{Heartbeat, Message};
+use shallotpost_fleet::port::{Action, Answer, Content, RequestId, Row, Table};
+use support::{Simulation, configuration, job, ms, step};
 
 /// Time after its confirmation from which a configuration must be in force.
 const APPLY: Duration = Duration::from_secs(2);
 
+/// Time without any disturbance after which a host is in touch.
+const CONTACT: Duration = Duration::from_secs(3);
+
 const HOSTS: [&str; 3] = ["a", "b", "c"];
 const JOB: u64 = 0x44;
 
@@ -35,6 +42,11 @@
     sim.request(host, path, Some(key), Action::Read)
 }
 
+fn submit(sim: &mut Simulation, host: &str, id: u64, key: &str) -> RequestId {
+    let path = format!("/batch/{id:016x}");
+    sim.request(host, &path, Some(key), Action::Submit(Ok(Box::new(job(vec![step(1, 100)])))))
+}
+
 fn settled() -> Simulation {
     let mut sim = Simulation::settled(2);
     sim.feeds_wait = true;
@@ -121,6 +133,100 @@
     }
 }
 
+/// The store refused reads, as its rate was used up, and went on accepting changes. Hosts rejected the new key for as long, and
+/// accepted jobs with a key that had been removed.
+#[test]
+fn refused_reads() {
+    let mut sim = settled();
+    sim.store.reads_refused = true;
+    let rejections = late_rejections(&mut sim, 6, Duration::from_secs(6));
+    assert_eq!(rejections, Vec::<String>::new());
+    let mut without = version(7);
+    without.teams[0].keys.clear();
+    sim.configure(without);
+    sim.run(APPLY);
+    let removed = submit(&mut sim, "b", 0x99, "key-a");
+    sim.run(Duration::from_secs(3));
+    let refused = sim.answers.get(&removed);
+    assert!(matches!(refused, Some(Answer::NotAdmitted { .. })), "{refused:?}");
+    sim.store.reads_refused = false;
+    let rejections = late_rejections(&mut sim, 8, Duration::from_secs(4));
+    assert_eq!(rejections, Vec::<String>::new());
+}
+
+/// A host was cut off from the store and from its peers. It rejected a confirmed key for as long, in place of telling the caller
+/// to come back.
+#[test]
+fn cut_off() {
+    let mut sim = settled();
+    for party in ["store", "b", "c"] {
+        sim.set_partitioned("a", party, true);
+    }
+    let rejections = late_rejections(&mut sim, 6, Duration::from_secs(6));
+    assert_eq!(rejections, Vec::<String>::new());
+}
+
+/// A data centre that is cut off from the store goes on answering reads by the settings that it knows.
+#[test]
+fn reads_while_cut_off() {
+    let mut sim = settled();
+    let owner = sim.owner().expect("an owner");
+    sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], Duration::from_secs(60));
+    sim.run(Duration::from_secs(1));
+    for host in HOSTS {
+        sim.silent_stores.insert(host.to_owned());
+    }
+    sim.run(Duration::from_secs(5));
+    let host = HOSTS.into_iter().find(|host| *host != owner).expect("another host");
+    let request = read(&mut sim, host, &format!("/batch/{JOB:016x}"), "key-a");
+    sim.run(Duration::from_secs(1));
+    assert!(matches!(sim.answers.get(&request), Some(Answer::State(_))));
+}
+
+/// A host that has just started and cannot reach the store gets rows from a peer that has lost the store too. It rejected a
+/// key of a configuration that its former process had applied.
+#[test]
+fn old_rows_of_a_peer() {
+    let mut sim = Simulation::new(&["a"], 0);
+    sim.set_partitioned("a", "store", true);
+    let heartbeat = Heartbeat {
+        incarnation: 7,
+        address: "z:1".to_owned(),
+        operator_version: 5,
+        ..Heartbeat::default()
+    };
+    sim.send_message("a", "z", Message::Heartbeat(heartbeat));
+    sim.run(ms(10));
+    let content = Content::Configuration(Box::new(version(5)));
+    let row = Row { table: Table::Operator, key: "config".to_owned(), version: 5, content };
+    sim.send_message("a", "z", Message::OperatorRows { version: 5, rows: vec![row] });
+    sim.run(ms(500));
+    let request = read(&mut sim, "a", &format!("/batch/{JOB:016x}"), "key-6");
+    sim.run(Duration::from_secs(3));
+    let answer = sim.answers.get(&request);
+    assert!(matches!(answer, Some(Answer::NotAdmitted { .. })), "{answer:?}");
+}
+
+/// A paused process rejected what callers had sent meanwhile by the settings from before the pause.
+#[test]
+fn resumed_host() {
+    for tick_first in [false, true] {
+        let mut sim = settled();
+        sim.pause_host("a");
+        sim.configure(version(6));
+        sim.run(Duration::from_secs(5));
+        let request = read(&mut sim, "a", &format!("/batch/{JOB:016x}"), "key-6");
+        sim.run(ms(10));
+        sim.set_partitioned("a", "b", true);
+        sim.set_partitioned("a", "c", true);
+        sim.silence_connections("a");
+        sim.resume_host("a", tick_first, true);
+        sim.run(Duration::from_secs(3));
+        let answer = sim.answers.get(&request);
+        assert!(!matches!(answer, Some(Answer::BadKey)), "{answer:?}");
+    }
+}
+
 /// An operator's row that cannot be read took the place of the configuration.
 #[test]
 fn unreadable_configuration() {
@@ -136,3 +242,129 @@
         assert_eq!(sim.answers.get(&request), Some(&Answer::NoJob));
     }
 }
+
+/// Disturbances of the ways to the store in a seeded day.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    SilentConnections,
+    SilentStore,
+    Cut,
+    Refused,
+    Slow,
+    Down,
+    Compacted,
+    Paused,
+    Restarted,
+    PeersCut,
+}
+
+const TROUBLES: [Trouble; 10] = [
+    Trouble::SilentConnections,
+    Trouble::SilentStore,
+    Trouble::Cut,
+    Trouble::Refused,
+    Trouble::Slow,
+    Trouble::Down,
+    Trouble::Compacted,
+    Trouble::Paused,
+    Trouble::Restarted,
+    Trouble::PeersCut,
+];
+
+/// Plays series of disturbances of some or all hosts that overlap, and a change that is confirmed during or after each. Returns
+/// violations: rejections of a confirmed key or queue that were sent after the bound, whatever the hosts' condition; and requests of
+/// hosts in touch that were not answered as the new configuration says.
+fn play(seed: u64) -> Vec<String> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut sim = settled();
+    let mut findings = Vec::new();
+    for round in 0..6u64 {
+        let mut played = Vec::new();
+        for _ in 0..random.random_range(1..=3) {
+            let trouble = *TROUBLES.choose(&mut random).expect("troubles");
+            let count = random.random_range(1..=HOSTS.len());
+            let hosts: Vec<&str> = HOSTS.choose_multiple(&mut random, count).copied().collect();
+            disturb(&mut sim, trouble, &hosts);
+            played.push((trouble, hosts));
+            sim.run(ms(random.random_range(0..1500)));
+        }
+        let before = random.random_bool(0.5);
+        if before {
+            sim.run(ms(random.random_range(0..4000)));
+            calm(&mut sim);
+            sim.run(ms(random.random_range(0..1500)));
+        }
+        let newest = 10 + 2 * round;
+        let rejections = late_rejections(&mut sim, newest, Duration::from_secs(5));
+        let found = rejections.iter().map(|text| format!("round {round}, {played:?}: {text}"));
+        findings.extend(found);
+        calm(&mut sim);
+        sim.run(CONTACT);
+        for host in HOSTS {
+            let path = format!("/queue-{newest}/{JOB:016x}");
+            let request = read(&mut sim, host, &path, &format!("key-{newest}"));
+            sim.run(ms(1500));
+            if sim.answers.get(&request) != Some(&Answer::NoJob) {
+                let answer = sim.answers.get(&request);
+                findings.push(format!("round {round}, {played:?}: {host} in touch: {answer:?}"));
+            }
+        }
+    }
+    findings
+}
+
+fn disturb(sim: &mut Simulation, trouble: Trouble, hosts: &[&str]) {
+    match trouble {
+        Trouble::Slow => sim.store_delay = ms(400),
+        Trouble::Down => sim.store.down = true,
+        Trouble::Refused => sim.store.reads_refused = true,
+        Trouble::Compacted => sim.store.compact(),
+        _ => {}
+    }
+    for host in hosts {
+        match trouble {
+            Trouble::SilentConnections => sim.silence_connections(host),
+            Trouble::SilentStore => {
+                sim.silence_connections(host);
+                sim.silent_stores.insert((*host).to_owned());
+            }
+            Trouble::Cut => sim.set_partitioned(host, "store", true),
+            Trouble::Paused => sim.pause_host(host),
+            Trouble::Restarted => {
+                sim.kill_host(host);
+                sim.start_host(host);
+            }
+            Trouble::PeersCut => {
+                for peer in HOSTS.into_iter().filter(|peer| peer != host) {
+                    sim.set_partitioned(host, peer, true);
+                }
+            }
+            Trouble::Slow | Trouble::Down | Trouble::Refused | Trouble::Compacted => {}
+        }
+    }
+}
+
+fn calm(sim: &mut Simulation) {
+    sim.store_delay = Duration::ZERO;
+    sim.store.down = false;
+    sim.store.reads_refused = false;
+    sim.silent_stores.clear();
+    sim.partitions.clear();
+    for host in HOSTS {
+        sim.resume_host(host, true, true);
+    }
+}
+
+/// Seeded series of overlapping disturbances. More are played with `STALE_SETTINGS_FIRST` and `STALE_SETTINGS_SEEDS`.
+#[test]
+fn seeded_days() {
+    let number = |name: &str, default| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let first: u64 = number("STALE_SETTINGS_FIRST", 1);
+    let seeds: u64 = number("STALE_SETTINGS_SEEDS", 12);
+    let findings: Vec<String> = (first..first + seeds)
+        .flat_map(|seed| play(seed).into_iter().map(move |text| format!("seed {seed}, {text}")))
+        .collect();
+    assert_eq!(findings, Vec::<String>::new());
+}
