Watch the registry and the jobs like the settings

The owner's feeds of registrations and jobs had the same bound as that of the settings (wait, timeout, pause: 2.95 s and 3.1 s, longer with each further call that is lost), and no peer tells the owner of registrations. It started tasks on a worker up to 3 s after its drain had been accepted (bound: 2 s), and learned of a cancellation whose message was lost after more than 3 s.

Both feeds are watches now. Calls of a watch may overlap, so changes that are known already are left out: an older answer must not bring back a registration. While the registry or the jobs are read as a whole, answers to earlier feeds do not count.

--- a/crates/shallotpost-fleet/src/host/freshness.rs
+++ b/crates/shallotpost-fleet/src/host/freshness.rs
@@ -6,6 +6,10 @@
 /// Time by which the settings are known to be current before their bound is reached.
 const SETTINGS_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time by which changes are known to the owner before their bound is reached. Their age counts from the owner's last
+/// commit, which is up to 400 ms old.
+const OWNER_MARGIN: Duration = Duration::from_millis(500);
+
 /// Time for a call on another path, and for one more if it is lost too.
 const RECOVERY: Duration = Duration::from_millis(400);
 
@@ -38,6 +42,16 @@
     pub(super) fn settings_age_max(&self) -> Duration {
         self.settings.saturating_sub(SETTINGS_MARGIN)
     }
+
+    /// Returns the age of the registry, at the owner's last commit, beyond which no task starts.
+    pub(super) fn registry_age_max(&self) -> Duration {
+        self.drains.saturating_sub(OWNER_MARGIN)
+    }
+
+    /// Returns the age of the jobs, at the owner's last commit, beyond which no task starts.
+    pub(super) fn jobs_age_max(&self) -> Duration {
+        self.cancellations.saturating_sub(OWNER_MARGIN)
+    }
 }
 
 /// Returns the time for which a feed waits so that its content stays younger than `age_max` if one call is lost. `pause` is the time
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 
 use crate::host::Host;
+use crate::host::freshness::Freshness;
+use crate::host::owner_feeds::{jobs_watch, registry_watch};
 use crate::host::ownership::{KEY, OwnerRow, Predecessor, ROSTER_KEY};
 use crate::host::store::{Path, Purpose};
 use crate::message::{decode, encode};
@@ -12,6 +14,7 @@
 use crate::prelude::*;
 use crate::progress::Progress;
 use crate::scheduler::{Batch, Scheduler, UnreachableWorker, cancellation_key, job_key};
+use crate::watch::Watch;
 use crate::worker::Registration;
 
 /// Minimum time between two commits, so that runs that end at about the same time share a transaction.
@@ -75,21 +78,22 @@
     pub(super) pages_in_flight: u32,
     /// Failed page reads, with the time of the retry, the table and the least key.
     pub(super) page_retries: Vec<(Uptime, Table, String)>,
-    /// Whether the jobs are read again because the store no longer holds the changes since `jobs_cursor`.
+    /// Whether the jobs are read again because the store no longer holds the changes that the feed needs.
     pub(super) reloading_jobs: bool,
     next_job_deletion: Uptime,
-    /// Version after which the feed of jobs continues.
-    pub(super) jobs_cursor: RowVersion,
-    pub(super) jobs_feed_in_flight: bool,
-    pub(super) next_jobs_feed: Uptime,
-    /// Version after which the feed of registrations continues.
-    pub(super) registry_cursor: RowVersion,
+    /// Version up to which the jobs that were read contain every change, and the time at which the first read was sent.
+    pub(super) jobs_read: Option<(RowVersion, Uptime)>,
+    pub(super) jobs_watch: Watch,
+    pub(super) registry_watch: Watch,
+    /// When the read of the first page of the registry was sent, and the version that it returned.
+    pub(super) registry_read_sent: Uptime,
+    pub(super) registry_version: RowVersion,
     /// Key from which the next page of the registry is read; `None` if the whole registry has been read.
     pub(super) registry_page: Option<String>,
     /// Whether the registry must be read again because a new configuration may name the pools of unusable entries.
     pub(super) registry_stale: bool,
-    pub(super) registry_call_in_flight: bool,
-    pub(super) next_registry_call: Uptime,
+    pub(super) registry_page_in_flight: bool,
+    pub(super) next_registry_page: Uptime,
     /// Workers found so far by the current read of the whole registry.
     pub(super) registry_keys: BTreeSet<String>,
     /// Entries of the registry that name no worker to use; each was reported once.
@@ -117,7 +121,13 @@
 }
 
 impl Owner {
-    pub(super) fn new(scheduler: Scheduler, epoch: u64, version: RowVersion, now: Uptime) -> Owner {
+    pub(super) fn new(
+        scheduler: Scheduler,
+        epoch: u64,
+        version: RowVersion,
+        freshness: &Freshness,
+        now: Uptime,
+    ) -> Owner {
         Owner {
             phase: Phase::Loading(Loading::default()),
             scheduler,
@@ -129,14 +139,15 @@
             page_retries: Vec::new(),
             reloading_jobs: false,
             next_job_deletion: now + JOB_DELETION_INTERVAL,
-            jobs_cursor: 0,
-            jobs_feed_in_flight: false,
-            next_jobs_feed: now,
-            registry_cursor: 0,
+            jobs_read: None,
+            jobs_watch: jobs_watch(freshness),
+            registry_watch: registry_watch(freshness),
+            registry_read_sent: now,
+            registry_version: 0,
             registry_page: Some(String::new()),
             registry_stale: false,
-            registry_call_in_flight: false,
-            next_registry_call: now,
+            registry_page_in_flight: false,
+            next_registry_page: now,
             registry_keys: BTreeSet::new(),
             unusable_entries: BTreeSet::new(),
             previous_commit_observed: now,
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -1,18 +1,20 @@
 //! Reads of the owner: jobs, progress and roster after a takeover, then the feeds of jobs and registrations.
 
 use crate::host::Host;
+use crate::host::freshness::{Freshness, feed_wait};
 use crate::host::owner::{Loading, Owner, Phase};
 use crate::host::ownership::ROSTER_KEY;
 use crate::host::store::Purpose;
 use crate::job::parse_job_id;
 use crate::message::decode;
-use crate::port::{Content, Row, StoreAnswer, StoreError, StoreRequest, Table};
+use crate::port::{Content, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Table};
 use crate::prelude::*;
 use crate::progress::Progress;
 use crate::scheduler::job_parts;
+use crate::watch::{Poll, Watch};
 
-/// Time for which the store waits for a change of the jobs or the registry.
-const FEED_WAIT: Duration = Duration::from_millis(1500);
+/// Maximum time for which the store waits for a change of the jobs or the registry.
+const FEED_WAIT_MAX: Duration = Duration::from_millis(1500);
 
 /// Pause between two reads of the feed of jobs. Hosts notify the owner of jobs directly; the feed makes up for lost
 /// messages.
@@ -42,6 +44,18 @@
 /// Suffix of the keys of cancellation rows.
 const CANCELLATION_SUFFIX: &str = ".cancel";
 
+/// Returns the watch of a new owner for the jobs.
+pub(super) fn jobs_watch(freshness: &Freshness) -> Watch {
+    let wait = feed_wait(freshness.jobs_age_max(), JOBS_FEED_PAUSE, FEED_WAIT_MAX);
+    Watch::new(wait, JOBS_FEED_PAUSE)
+}
+
+/// Returns the watch of a new owner for the registry.
+pub(super) fn registry_watch(freshness: &Freshness) -> Watch {
+    let wait = feed_wait(freshness.registry_age_max(), REGISTRY_FEED_PAUSE, FEED_WAIT_MAX);
+    Watch::new(wait, REGISTRY_FEED_PAUSE)
+}
+
 impl Host {
     /// Starts to read the jobs, their progress and the roster, all partitions in parallel.
     pub(super) fn load_jobs(&mut self) {
@@ -67,6 +81,9 @@
     fn load_page(&mut self, table: Table, from: String) {
         if let Some(owner) = &mut self.owner {
             owner.pages_in_flight += 1;
+            if table == Table::Jobs {
+                owner.jobs_read.get_or_insert((RowVersion::MAX, self.now));
+            }
         }
         let request = StoreRequest::Read { table, from: from.clone(), limit: PAGE_SIZE };
         let purpose = match table {
@@ -100,8 +117,9 @@
         if owner.pages_in_flight > 0 || !owner.page_retries.is_empty() {
             return;
         }
-        owner.jobs_feed_in_flight &= !owner.reloading_jobs;
-        owner.reloading_jobs = false;
+        if std::mem::take(&mut owner.reloading_jobs) {
+            owner.resume_jobs_feed(now);
+        }
         self.finish_loading();
     }
 
@@ -110,10 +128,9 @@
         owner.pages_in_flight = owner.pages_in_flight.saturating_sub(1);
         let Ok(answer) = result else { return self.retry_page(Table::Jobs, from) };
         // The feed returns changes that are made while the following pages are read.
-        owner.jobs_cursor = match owner.jobs_cursor {
-            0 => answer.version,
-            after => after.min(answer.version),
-        };
+        if let Some((version, _)) = &mut owner.jobs_read {
+            *version = answer.version.min(*version);
+        }
         let next = next_page(&answer);
         for row in answer.rows {
             match self.owner.as_ref().is_some_and(Owner::is_loaded) {
@@ -194,8 +211,8 @@
             return;
         };
         let Loading { jobs, progress, cancelled, roster, unreachable_workers, .. } = loading;
-        owner.jobs_feed_in_flight = false;
-        owner.next_registry_call = self.now;
+        owner.resume_jobs_feed(self.now);
+        owner.next_registry_page = self.now;
         let since = owner.previous_commit_observed;
         let count = jobs.len();
         let now = self.now;
@@ -226,28 +243,33 @@
             self.advance_loading();
         }
         let Some(owner) = self.owner.as_mut().filter(|owner| owner.is_loaded()) else { return };
-        let jobs = !owner.jobs_feed_in_flight && owner.next_jobs_feed <= self.now;
-        let registry = !owner.registry_call_in_flight && owner.next_registry_call <= self.now;
-        owner.jobs_feed_in_flight |= jobs;
-        owner.registry_call_in_flight |= registry;
-        if registry && std::mem::take(&mut owner.registry_stale) {
-            owner.registry_page = Some(String::new());
+        let jobs_poll = match owner.reloading_jobs {
+            true => None,
+            false => owner.jobs_watch.poll(self.now),
+        };
+        if !owner.registry_page_in_flight && std::mem::take(&mut owner.registry_stale) {
+            owner.reread_registry();
         }
-        let (jobs_cursor, registry_cursor) = (owner.jobs_cursor, owner.registry_cursor);
-        let registry_page = owner.registry_page.clone();
-        if jobs {
-            let request =
-                StoreRequest::Feed { table: Table::Jobs, after: jobs_cursor, wait: FEED_WAIT };
-            self.call_store(Purpose::JobsFeed, request, FEED_WAIT);
+        let registry_poll = match owner.registry_page {
+            Some(_) => None,
+            None => owner.registry_watch.poll(self.now),
+        };
+        let page = owner
+            .registry_page
+            .clone()
+            .filter(|_| !owner.registry_page_in_flight && owner.next_registry_page <= self.now);
+        if let Some(poll) = jobs_poll {
+            let after = poll.after.unwrap_or_default();
+            let request = StoreRequest::Feed { table: Table::Jobs, after, wait: poll.wait };
+            self.call_store_again(poll, Purpose::JobsFeed(poll), request);
         }
-        match registry_page {
-            _ if !registry => {}
-            Some(from) => self.read_registry(from),
-            None => {
-                let after = registry_cursor;
-                let request = StoreRequest::Feed { table: Table::Workers, after, wait: FEED_WAIT };
-                self.call_store(Purpose::RegistryFeed, request, FEED_WAIT);
-            }
+        if let Some(poll) = registry_poll {
+            let after = poll.after.unwrap_or_default();
+            let request = StoreRequest::Feed { table: Table::Workers, after, wait: poll.wait };
+            self.call_store_again(poll, Purpose::RegistryFeed(poll), request);
+        }
+        if let Some(from) = page {
+            self.read_registry(from);
         }
         self.update_approvers();
         self.delete_expired_hosts();
@@ -255,28 +277,36 @@
     }
 
     fn read_registry(&mut self, from: String) {
+        if let Some(owner) = &mut self.owner {
+            owner.registry_page_in_flight = true;
+            if from.is_empty() {
+                owner.registry_read_sent = self.now;
+            }
+        }
         let request =
             StoreRequest::Read { table: Table::Workers, from: from.clone(), limit: PAGE_SIZE };
         self.call_store(Purpose::RegistryRead { from }, request, Duration::ZERO);
     }
 
-    pub(super) fn jobs_feed(&mut self, result: Result<StoreAnswer, StoreError>) {
+    pub(super) fn jobs_feed(&mut self, poll: Poll, result: Result<StoreAnswer, StoreError>) {
         let Some(owner) = &mut self.owner else { return };
-        owner.jobs_feed_in_flight = false;
-        owner.next_jobs_feed = self.now + JOBS_FEED_PAUSE;
+        let now = self.now;
         match result {
             Ok(answer) => {
-                owner.jobs_cursor = owner.jobs_cursor.max(answer.version);
-                for row in answer.rows {
+                let changed = !answer.rows.is_empty();
+                let known = owner.jobs_watch.answered(poll, now, answer.version, changed);
+                let Some(known) = known else { return };
+                for row in answer.rows.into_iter().filter(|row| row.version > known) {
                     self.apply_job_row(row);
                 }
             }
             Err(StoreError::HistoryLost) => {
-                owner.jobs_feed_in_flight = true;
+                if !owner.jobs_watch.history_lost(poll, now) {
+                    return;
+                }
                 owner.reloading_jobs = true;
-                owner.jobs_cursor = 0;
+                owner.jobs_read = None;
                 // One after the other, so that the owner goes on with its other work. Hosts notify it of new jobs.
-                let now = self.now;
                 let parts = job_parts().zip(0u32..);
                 owner
                     .page_retries
@@ -285,7 +315,9 @@
                     }));
                 self.log("jobs_read_again", Vec::new());
             }
-            Err(_) => {}
+            Err(error) => {
+                owner.jobs_watch.failed(poll, now, error == StoreError::NotExecuted);
+            }
         }
     }
 
@@ -311,14 +343,14 @@
     pub(super) fn registry_read(&mut self, from: String, result: Result<StoreAnswer, StoreError>) {
         let Some(owner) = &mut self.owner else { return };
         let Ok(answer) = result else {
-            owner.registry_call_in_flight = false;
-            owner.next_registry_call = self.now + RETRY_DELAY;
+            owner.registry_page_in_flight = false;
+            owner.next_registry_page = self.now + RETRY_DELAY;
             return;
         };
         if from.is_empty() {
             owner.registry_keys.clear();
             // The feed returns changes that are made while the following pages are read.
-            owner.registry_cursor = answer.version;
+            owner.registry_version = answer.version;
         }
         let next = next_page(&answer);
         owner.registry_page.clone_from(&next);
@@ -334,8 +366,8 @@
 
     fn registry_complete(&mut self) {
         let Some(owner) = &mut self.owner else { return };
-        owner.registry_call_in_flight = false;
-        owner.next_registry_call = self.now;
+        owner.registry_page_in_flight = false;
+        owner.registry_watch.resume(owner.registry_version, owner.registry_read_sent, self.now);
         let present = std::mem::take(&mut owner.registry_keys);
         owner.unusable_entries.retain(|key| present.contains(key));
         // Registrations of live workers may still be missing after an outage of the store.
@@ -349,22 +381,27 @@
         });
     }
 
-    pub(super) fn registry_feed(&mut self, result: Result<StoreAnswer, StoreError>) {
+    pub(super) fn registry_feed(&mut self, poll: Poll, result: Result<StoreAnswer, StoreError>) {
         let Some(owner) = &mut self.owner else { return };
-        owner.registry_call_in_flight = false;
-        owner.next_registry_call = self.now + REGISTRY_FEED_PAUSE;
+        let now = self.now;
         match result {
             Ok(answer) => {
-                owner.registry_cursor = owner.registry_cursor.max(answer.version);
-                for row in answer.rows {
+                let changed = !answer.rows.is_empty();
+                let known = owner.registry_watch.answered(poll, now, answer.version, changed);
+                let Some(known) = known else { return };
+                // Calls that overlap return the same changes, and an older one may be answered last.
+                for row in answer.rows.into_iter().filter(|row| row.version > known) {
                     self.apply_registration(row);
                 }
             }
             Err(StoreError::HistoryLost) => {
-                owner.registry_page = Some(String::new());
-                owner.next_registry_call = self.now;
+                if owner.registry_watch.history_lost(poll, now) {
+                    owner.reread_registry();
+                }
+            }
+            Err(error) => {
+                owner.registry_watch.failed(poll, now, error == StoreError::NotExecuted);
             }
-            Err(_) => {}
         }
     }
 
@@ -400,6 +437,22 @@
     }
 }
 
+impl Owner {
+    /// Begins a read of the whole registry.
+    fn reread_registry(&mut self) {
+        self.registry_watch.stop();
+        self.registry_page = Some(String::new());
+        self.next_registry_page = Uptime::ZERO;
+    }
+
+    /// Lets the feed of jobs continue after a read of all jobs.
+    fn resume_jobs_feed(&mut self, now: Uptime) {
+        if let Some((version, sent)) = self.jobs_read.take() {
+            self.jobs_watch.resume(version, sent, now);
+        }
+    }
+}
+
 /// Returns the key from which the next page is read; `None` after the last one. The last row of a page is read again: no
 /// text that is added to its key sorts before every longer key that begins with it.
 fn next_page(answer: &StoreAnswer) -> Option<String> {
--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -353,7 +353,9 @@
             self.settings.bounds,
             uncertain_until,
         );
-        let mut owner = Owner::new(scheduler, row.epoch, self.ownership.version, self.now);
+        let freshness = &self.settings.freshness;
+        let mut owner =
+            Owner::new(scheduler, row.epoch, self.ownership.version, freshness, self.now);
         // Other hosts may have seen the claim long before its answer arrived.
         owner.last_commit_sent = self.ownership.claim_sent;
         if let Some(loading) = owner.loading() {
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -43,9 +43,9 @@
     ProgressRead { from: String },
     RosterRead,
     JobsDeleted(Vec<JobId>),
-    JobsFeed,
+    JobsFeed(Poll),
     RegistryRead { from: String },
-    RegistryFeed,
+    RegistryFeed(Poll),
     Submit(RequestId),
     CancelRead(RequestId),
     CancelWrite(RequestId),
@@ -63,9 +63,9 @@
             | Purpose::ProgressRead { .. }
             | Purpose::RosterRead
             | Purpose::JobsDeleted(_)
-            | Purpose::JobsFeed
+            | Purpose::JobsFeed(_)
             | Purpose::RegistryRead { .. }
-            | Purpose::RegistryFeed => true,
+            | Purpose::RegistryFeed(_) => true,
             Purpose::Probe
             | Purpose::OperatorRead(_)
             | Purpose::OperatorFeed(_)
@@ -276,9 +276,9 @@
             Purpose::ProgressRead { from } => self.progress_read(from, result),
             Purpose::RosterRead => self.roster_read(result),
             Purpose::JobsDeleted(ids) => self.jobs_deleted(&ids, result.is_ok()),
-            Purpose::JobsFeed => self.jobs_feed(result),
+            Purpose::JobsFeed(poll) => self.jobs_feed(poll, result),
             Purpose::RegistryRead { from } => self.registry_read(from, result),
-            Purpose::RegistryFeed => self.registry_feed(result),
+            Purpose::RegistryFeed(poll) => self.registry_feed(poll, result),
             Purpose::Submit(request) => self.submit_result(request, result),
             Purpose::CancelRead(request) => self.cancel_read(request, result),
             Purpose::CancelWrite(request) => self.cancel_written(request, result),
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -1,5 +1,5 @@
 //! Confirmed changes while the paths from the store to the hosts fail in some way. Guards against a host that decides by
-//! settings that are older than their bound.
+//! settings that are older than their bound, and against an owner that starts tasks by old knowledge.
 
 mod support;
 
@@ -243,6 +243,55 @@
     }
 }
 
+/// The connections of the owner went silent, and it heard of an announced drain only after its feed had been given up: it
+/// started tasks on the worker for up to 3 s.
+#[test]
+fn silent_registry_feed() {
+    for offset in (0..1800).step_by(130) {
+        let mut sim = settled();
+        sim.run(ms(offset));
+        sim.add_worker("w9", 4000);
+        let owner = sim.owner().expect("an owner");
+        sim.run(ms(300 + offset));
+        sim.silence_connections(&owner);
+        sim.register("w0", true);
+        let announced = sim.now;
+        let starts = |sim: &Simulation| sim.workers["w0"].starts.len();
+        sim.run(Duration::from_secs(2));
+        let before = starts(&sim);
+        for number in 0..12 {
+            sim.submit(&owner, "batch", 0x100 + number, vec![step(2, 50)]);
+            sim.run(ms(150));
+        }
+        assert_eq!(starts(&sim), before, "silent {offset} ms after {announced:?}");
+    }
+}
+
+fn after_first(milliseconds: u64) -> shallotpost_fleet::job::Step {
+    shallotpost_fleet::job::Step { after: vec![0], ..step(1, milliseconds) }
+}
+
+/// A cancellation that the owner's peer could not pass on reached it only after its feed of jobs had been given up.
+#[test]
+fn silent_jobs_feed() {
+    for offset in (0..1900).step_by(130) {
+        let mut sim = settled();
+        sim.run(ms(offset));
+        let owner = sim.owner().expect("an owner");
+        let other = HOSTS.into_iter().find(|host| *host != owner).expect("another host");
+        let steps = vec![step(1, 100), after_first(100)];
+        sim.submit_lasting("batch", JOB, steps, ms(3300));
+        sim.run(ms(200));
+        sim.silence_connections(&owner);
+        sim.set_partitioned(other, &owner, true);
+        let path = format!("/batch/{JOB:016x}");
+        let cancel = sim.request(other, &path, Some("key-a"), Action::Cancel);
+        sim.run(Duration::from_secs(6));
+        assert_eq!(sim.answers.get(&cancel), Some(&Answer::Cancelled));
+        assert_eq!(sim.starts_of_job(JOB), 1, "started after the cancellation, offset {offset} ms");
+    }
+}
+
 /// Disturbances of the ways to the store in a seeded day.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
