Start no task by knowledge that has fallen behind the owner's commits

While the store refused reads and accepted writes, the owner kept the ownership and went on to start tasks in evacuated data centres, on draining workers, under former quotas and of cancelled jobs: the lease of the ownership bounds only the time since its last commit.

What the owner knows of the settings, the registry and the jobs must now keep up with its last commit, within the bounds for each. The line starts_held tells which table is behind.

Test on: stale_settings owner_without_reads fails (a task starts 5 s after the evacuation of its data centre).

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -153,7 +153,9 @@
             evacuated: &self.operator.evacuated,
             last_call: &mut self.last_call,
             outputs: &mut self.outputs,
-            may_start: self.now < deadline && owner.releasing_since.is_none(),
+            may_start: self.now < deadline
+                && owner.releasing_since.is_none()
+                && owner.outdated(&self.operator, &self.settings.freshness).is_none(),
             latest_lease_end,
         };
         run(&mut owner.scheduler, &mut context);
--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -4,6 +4,7 @@
 
 use crate::host::Host;
 use crate::host::freshness::Freshness;
+use crate::host::operator::Operator;
 use crate::host::owner_feeds::{jobs_watch, registry_watch};
 use crate::host::ownership::{KEY, OwnerRow, Predecessor, ROSTER_KEY};
 use crate::host::store::{Path, Purpose};
@@ -107,6 +108,8 @@
     next_host_deletion: Uptime,
     /// Time from which no task is started because the ownership is about to be released.
     pub(super) releasing_since: Option<Uptime>,
+    /// The outdated table that was logged last.
+    pub(super) outdated_logged: Option<Table>,
 }
 
 struct Commit {
@@ -156,6 +159,7 @@
             next_commit: now,
             next_host_deletion: now + HOST_DELETION_INTERVAL,
             releasing_since: None,
+            outdated_logged: None,
         }
     }
 
@@ -169,6 +173,21 @@
         self.commit.as_ref().is_some_and(|commit| commit.row.released)
     }
 
+    /// Returns the first table, if any, of which so old a state is known that no task may start. What is known of a table must
+    /// keep up with the owner's commits: if these are answered and the calls for the table are not, nothing else tells that
+    /// changes are missing.
+    pub(super) fn outdated(&self, operator: &Operator, freshness: &Freshness) -> Option<Table> {
+        let tables = [
+            (Table::Operator, &operator.watch, freshness.settings_age_max()),
+            (Table::Workers, &self.registry_watch, freshness.registry_age_max()),
+            (Table::Jobs, &self.jobs_watch, freshness.jobs_age_max()),
+        ];
+        let outdated = tables
+            .into_iter()
+            .find(|(_, watch, age_max)| !watch.is_current(self.last_commit_sent, *age_max));
+        outdated.map(|(table, ..)| table)
+    }
+
     /// Returns what has been read so far; `None` once the scheduler has it.
     pub(super) fn loading(&mut self) -> Option<&mut Loading> {
         match &mut self.phase {
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -271,11 +271,31 @@
         if let Some(from) = page {
             self.read_registry(from);
         }
+        self.log_outdated_table();
         self.update_approvers();
         self.delete_expired_hosts();
         self.delete_ended_jobs();
     }
 
+    /// Logs when starts cease because what is known of a table is too old, and when they resume.
+    fn log_outdated_table(&mut self) {
+        let Some(owner) = &mut self.owner else { return };
+        let outdated = owner.outdated(&self.operator, &self.settings.freshness);
+        if outdated == owner.outdated_logged {
+            return;
+        }
+        owner.outdated_logged = outdated;
+        let table = outdated.map_or_else(String::new, |table| format!("{table:?}").to_lowercase());
+        let age = |watch: &Watch| watch.age(self.now).as_millis().to_string();
+        let fields = vec![
+            ("table", table),
+            ("settings_age_ms", age(&self.operator.watch)),
+            ("registry_age_ms", age(&owner.registry_watch)),
+            ("jobs_age_ms", age(&owner.jobs_watch)),
+        ];
+        self.log("starts_held", fields);
+    }
+
     fn read_registry(&mut self, from: String) {
         if let Some(owner) = &mut self.owner {
             owner.registry_page_in_flight = true;
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -267,6 +267,27 @@
     }
 }
 
+/// The store refused reads while it accepted the owner's commits. The owner went on to start tasks in a data centre that had
+/// been evacuated, on workers that drained, and of jobs that had been cancelled.
+#[test]
+fn owner_without_reads() {
+    let mut sim = settled();
+    let owner = sim.owner().expect("an owner");
+    sim.store.reads_refused = true;
+    let evacuation = Content::Evacuation { data_centre: "kochi".to_owned() };
+    sim.store.put(Table::Operator, "evacuate/kochi", evacuation);
+    sim.submit_lasting("batch", JOB, vec![step(1, 500), after_first(500)], ms(5500));
+    sim.run(Duration::from_secs(5));
+    assert_eq!(sim.starts_of_job(JOB), 1, "the first step has started");
+    sim.run(Duration::from_secs(5));
+    assert!(sim.owns(&owner), "the owner commits");
+    assert_eq!(sim.starts_of_job(JOB), 1, "the second step starts by old knowledge");
+    sim.store.delete(Table::Operator, "evacuate/kochi");
+    sim.store.reads_refused = false;
+    sim.run(Duration::from_secs(2));
+    assert_eq!(sim.starts_of_job(JOB), 2);
+}
+
 fn after_first(milliseconds: u64) -> shallotpost_fleet::job::Step {
     shallotpost_fleet::job::Step { after: vec![0], ..step(1, milliseconds) }
 }
