Count the calls of a watch by those that were sent

A failed call counted twice while an earlier one was late, so the attempts after it were all odd: a host that was cut off from the store, and whose relaying peer fell silent, went on to try its own path alone, and refused requests though another peer could relay. It also counted as refused by the store while a call through a peer was in flight.

watch attempts and refusals and stale_settings silent_relay fail on the code before. Comments are wrapped, and a table's name in the log comes from its type.

--- a/crates/shallotpost-fleet/src/host/deferral.rs
+++ b/crates/shallotpost-fleet/src/host/deferral.rs
@@ -1,14 +1,15 @@
-//! Requests that arrive while the operator's settings may be out of date. They wait for a call to the store that shows what is in
-//! force, so that neither a new key or queue is rejected nor a removed one accepted.
+//! Requests that arrive while the operator's settings may be out of date. They wait for a call to the store that shows
+//! what is in force, so that neither a new key or queue is rejected nor a removed one accepted.
 
 use crate::host::Host;
 use crate::port::{Action, Request};
 use crate::prelude::*;
 
-/// Time after which a read that the known settings allow is answered, also if the store does not answer. A data centre that is
-/// cut off from the store goes on telling the state of its jobs.
+/// Time after which a read that the known settings allow is answered, also if the store does not answer. A data centre
+/// that is cut off from the store goes on telling the state of its jobs.
 const READ_WAIT: Duration = Duration::from_millis(300);
 
+/// A request that waits.
 pub(super) struct Deferred {
     request: RequestId,
     body: Request,
@@ -25,8 +26,8 @@
         self.decide_deferred_requests();
     }
 
-    /// Handles the requests that need not wait any longer: all, if the settings are current. Otherwise those whose deadline is
-    /// near and, if the store refuses calls, all are refused, except for reads that the known settings allow.
+    /// Handles the requests that need not wait any longer: all, if the settings are current. Otherwise those whose
+    /// deadline has come and, if the store refuses calls, all are refused, except for reads that the known settings allow.
     pub(super) fn decide_deferred_requests(&mut self) {
         if self.gateway.deferred.is_empty() {
             return;
--- a/crates/shallotpost-fleet/src/host/freshness.rs
+++ b/crates/shallotpost-fleet/src/host/freshness.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Returns the time for which a feed waits so that its content stays younger than `age_max` if one call is lost. `pause` is the time
-/// between an answer and the next call.
+/// Returns the time for which a feed waits so that its content stays younger than `age_max` if one call is lost. `pause`
+/// is the time between an answer and the next call.
 pub(super) fn feed_wait(age_max: Duration, pause: Duration, wait_max: Duration) -> Duration {
     let lost = pause + LATE_AFTER + RECOVERY;
     age_max.saturating_sub(lost).clamp(FEED_WAIT_MIN, wait_max)
--- a/crates/shallotpost-fleet/src/host/operator.rs
+++ b/crates/shallotpost-fleet/src/host/operator.rs
@@ -1,7 +1,7 @@
 //! The operator's settings: the configuration and the evacuated data centres.
 //!
-//! Hosts read them from the store, directly or through a peer, and know how old they may be. Rows that a peer passes on reach a host
-//! sooner than its own calls if these are lost.
+//! Hosts read them from the store, directly or through a peer, and know how old they may be. Rows that a peer passes on
+//! arrive sooner than a host's own calls if these are lost.
 
 use crate::host::Host;
 use crate::host::freshness::{Freshness, feed_wait};
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -285,7 +285,7 @@
             return;
         }
         owner.outdated_logged = outdated;
-        let table = outdated.map_or_else(String::new, |table| format!("{table:?}").to_lowercase());
+        let table = outdated.map_or_else(String::new, |table| table.to_string());
         let age = |watch: &Watch| watch.age(self.now).as_millis().to_string();
         let fields = vec![
             ("table", table),
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -226,7 +226,10 @@
     Unknown,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
 pub enum Table {
     /// Configuration and evacuations, written by the operator.
     Operator,
--- a/crates/shallotpost-fleet/src/watch.rs
+++ b/crates/shallotpost-fleet/src/watch.rs
@@ -1,8 +1,8 @@
 //! Watch of a table of the store: which call to send next, and how old the known content of the table may be.
 //!
-//! Usually one feed is in flight. If it is late, further calls ask for the same changes on other paths. The age of the content
-//! counts from a time at which the store certainly had no change that is not known here, so it also grows while every call is
-//! lost.
+//! Usually one feed is in flight. If it is late, further calls ask for the same changes on other paths. The age of the
+//! content counts from a time at which the store certainly had no change that is not known here, so it also grows while
+//! every call is lost.
 
 use crate::port::RowVersion;
 use crate::prelude::*;
@@ -41,6 +41,7 @@
     current_at: Option<Uptime>,
     /// Calls in flight whose answers are still of use, in the order in which they were sent.
     in_flight: Vec<Poll>,
+    /// Number of calls since the last answer.
     attempts: u32,
     refusals: u32,
     next_call: Uptime,
@@ -72,12 +73,12 @@
         if !due || now < self.next_call {
             return None;
         }
-        self.attempts += u32::from(!self.in_flight.is_empty());
         // What is already old is asked for at once.
         let waits = self.cursor.is_some() && self.attempts == 0 && self.is_current(now, self.wait);
         let wait = if waits { self.wait } else { Duration::ZERO };
         let poll = Poll { sent: now, after: self.cursor, wait, attempt: self.attempts };
         self.in_flight.push(poll);
+        self.attempts += 1;
         Some(poll)
     }
 
@@ -114,7 +115,6 @@
         let position = self.in_flight.iter().position(|other| *other == poll);
         let Some(position) = position else { return false };
         self.in_flight.remove(position);
-        self.attempts += 1;
         self.refusals = if refused { self.refusals + 1 } else { 0 };
         self.next_call = now + RETRY_DELAY;
         true
@@ -146,9 +146,9 @@
         self.next_call = now;
     }
 
-    /// Returns whether the store has refused the last calls, so that further ones are not likely to be answered soon.
+    /// Returns whether the store has refused the last calls and none is in flight, so that an answer is not likely soon.
     pub fn is_refused(&self) -> bool {
-        self.refusals >= REFUSALS_MAX
+        self.refusals >= REFUSALS_MAX && self.in_flight.is_empty()
     }
 
     /// Returns whether every change that the store had accepted `age_max` before `at` is known.
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -54,8 +54,8 @@
     sim
 }
 
-/// Asks every host for a while with the key and the queue of a version that is confirmed now. Returns the rejections of requests
-/// that were sent later than the bound.
+/// Asks every host for a while with the key and the queue of a version that is confirmed now. Returns the rejections of
+/// requests that were sent later than the bound.
 fn late_rejections(sim: &mut Simulation, newest: u64, time: Duration) -> Vec<String> {
     sim.configure(version(newest));
     let confirmed = sim.now;
@@ -113,8 +113,8 @@
     }
 }
 
-/// No host reached the store for 3 s, in silence, and the change came shortly after. Calls that had been sent during the silence
-/// were waited for.
+/// No host reached the store for 3 s, in silence, and the change came shortly after. Guards against waiting for calls that
+/// were sent during the silence.
 #[test]
 fn silent_store() {
     for offset in (0..2000).step_by(130) {
@@ -154,8 +154,8 @@
     assert_eq!(rejections, Vec::<String>::new());
 }
 
-/// A host was cut off from the store and from its peers. It rejected a confirmed key for as long, in place of telling the caller
-/// to come back.
+/// A host was cut off from the store and from its peers. It rejected a confirmed key for as long, in place of telling the
+/// caller to come back.
 #[test]
 fn cut_off() {
     let mut sim = settled();
@@ -313,6 +313,38 @@
     }
 }
 
+/// Asks the host `a` for 4 s with a key that never was valid, and checks that each request is rejected without much delay.
+fn assert_rejects_in_time(sim: &mut Simulation, mut at_each_request: impl FnMut(&mut Simulation)) {
+    let mut asked = Vec::new();
+    for _ in 0..200 {
+        at_each_request(sim);
+        asked.push((sim.now, read(sim, "a", &format!("/batch/{JOB:016x}"), "key-9")));
+        sim.run(ms(20));
+        let waiting = asked.iter().find(|(_, request)| !sim.answers.contains_key(request));
+        let since = waiting.map_or(sim.now, |(sent, _)| *sent);
+        assert!(sim.now - since <= ms(800), "a request waits since {since:?}");
+    }
+    sim.run(Duration::from_secs(3));
+    for (sent, request) in asked {
+        assert_eq!(sim.answers.get(&request), Some(&Answer::BadKey), "sent {sent:?}");
+    }
+}
+
+/// The peer that relays the calls of a host fell silent. The host tried only its own path to the store from then on, and refused
+/// requests.
+#[test]
+fn silent_relay() {
+    let mut sim = settled();
+    sim.set_partitioned("a", "store", true);
+    sim.run(Duration::from_secs(4));
+    for relay in ["b", "c"] {
+        sim.pause_host(relay);
+        assert_rejects_in_time(&mut sim, |_| {});
+        sim.resume_host(relay, true, true);
+        sim.run(Duration::from_secs(4));
+    }
+}
+
 /// Disturbances of the ways to the store in a seeded day.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -341,9 +373,9 @@
     Trouble::PeersCut,
 ];
 
-/// Plays series of disturbances of some or all hosts that overlap, and a change that is confirmed during or after each. Returns
-/// violations: rejections of a confirmed key or queue that were sent after the bound, whatever the hosts' condition; and requests of
-/// hosts in touch that were not answered as the new configuration says.
+/// Plays series of disturbances of some or all hosts that overlap, and a change that is confirmed during or after each.
+/// Returns violations: rejections of a confirmed key or queue that were sent after the bound, whatever the hosts' condition;
+/// and requests of hosts in touch that were not answered as the new configuration says.
 fn play(seed: u64) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut sim = settled();
--- a/crates/shallotpost-fleet/tests/watch.rs
+++ b/crates/shallotpost-fleet/tests/watch.rs
@@ -88,6 +88,20 @@
     assert!(!watch.is_refused());
 }
 
+/// Each call after the first one takes another path, also if a call fails while an earlier one is late.
+#[test]
+fn attempts() {
+    let mut watch = watch(ms(0));
+    let feed = watch.poll(ms(0)).expect("a feed");
+    let mut now = feed.wait + LATE_AFTER;
+    for attempt in 1..=4 {
+        let poll = watch.poll(now).expect("a call");
+        assert_eq!(poll.attempt, attempt);
+        watch.failed(poll, now, true);
+        now += RETRY_DELAY;
+    }
+}
+
 /// Refused calls are repeated after a delay, not at once, also while an earlier call is late.
 #[test]
 fn refusals() {
@@ -104,6 +118,15 @@
     }
     let most = (TICK * 50).as_millis() / RETRY_DELAY.as_millis() + 1;
     assert!(u128::from(count) <= most, "{count} calls");
+    // The feed may still be answered.
+    assert!(!watch.is_refused());
+    let now = late + TICK * 50;
+    watch.failed(feed, now, false);
+    for number in 1..=2u32 {
+        assert!(!watch.is_refused());
+        let poll = watch.poll(now + RETRY_DELAY * number).expect("a call");
+        watch.failed(poll, now + RETRY_DELAY * number, true);
+    }
     assert!(watch.is_refused());
 }
 
