Let the calls of a watch take the peers in turn

A host that was cut off from the store called through the peer that had reported the most recent answer, as long as its heartbeats counted, also if nothing came back. A peer that sends heartbeats and receives nothing was chosen for good: the settings of the host grew old though other peers could relay. What a peer reported ages now, and each further call goes through the next one.

stale_settings one_way_peer fails on the code before.

--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -1,6 +1,7 @@
 //! Calls to the store: directly, or relayed through a peer while the store cannot be reached directly.
 
 use crate::host::Host;
+use crate::host::peers::Peer;
 use crate::message::Message;
 use crate::port::{Connection, Counter, HostName, StoreAnswer, StoreError, StoreRequest, Table};
 use crate::prelude::*;
@@ -124,13 +125,16 @@
         self.call_store_on(path, purpose, request, wait);
     }
 
-    /// Sends a call of a watch. Each attempt takes another path than the one before, so that an attempt does not depend on
-    /// whatever keeps the earlier ones from being answered.
+    /// Sends a call of a watch. Each attempt takes another path than the one before, so that it does not depend on what keeps the
+    /// earlier ones from being answered: in turn a new connection, and the next peer that can relay calls.
     pub(super) fn call_store_again(&mut self, poll: Poll, purpose: Purpose, request: StoreRequest) {
-        let relay = match poll.attempt {
-            0 => return self.call_store(purpose, request, poll.wait),
-            attempt if attempt % 2 == 0 => self.relay_host(),
-            _ => None,
+        if poll.attempt == 0 {
+            return self.call_store(purpose, request, poll.wait);
+        }
+        let turn = poll.attempt as usize / 2;
+        let relay = match poll.attempt.is_multiple_of(2) {
+            true => self.relay_hosts().into_iter().cycle().nth(turn - 1),
+            false => None,
         };
         let path = relay.map_or(Path::Direct(Connection::New), Path::Relayed);
         self.call_store_on(path, purpose, request, poll.wait);
@@ -166,14 +170,27 @@
         }
     }
 
-    /// Returns the peer that relays calls: the one that the store answered last.
-    fn relay_host(&self) -> Option<HostName> {
-        self.peers
+    /// Returns the peers that can relay calls, those first that the store answered last.
+    fn relay_hosts(&self) -> Vec<HostName> {
+        // What a peer has reported ages, as the peer may have ended since.
+        let age = |peer: &Peer| {
+            let reported = peer.heartbeat_age(self.now).unwrap_or(Duration::MAX);
+            peer.heartbeat.store_age.saturating_add(reported)
+        };
+        let mut relays: Vec<(Duration, &HostName)> = self
+            .peers
             .iter()
             .filter(|(_, peer)| peer.is_alive(self.now) && !peer.heartbeat.stopping)
             .filter(|(_, peer)| peer.heartbeat.store_age < PEER_STORE_AGE_MAX)
-            .min_by_key(|(_, peer)| peer.heartbeat.store_age)
-            .map(|(name, _)| name.clone())
+            .map(|(name, peer)| (age(peer), name))
+            .collect();
+        relays.sort_unstable();
+        relays.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    /// Returns the peer that relays calls.
+    fn relay_host(&self) -> Option<HostName> {
+        self.relay_hosts().into_iter().next()
     }
 
     /// Returns whether the store has recently answered a call, direct or relayed.
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -345,6 +345,22 @@
     }
 }
 
+/// A peer sent heartbeats and received nothing. A host took it for the best relay, and never tried another one.
+#[test]
+fn one_way_peer() {
+    let mut sim = settled();
+    sim.set_partitioned("a", "store", true);
+    let heartbeat = Heartbeat {
+        incarnation: 7,
+        address: "z:1".to_owned(),
+        store_age: Duration::ZERO,
+        ..Heartbeat::default()
+    };
+    assert_rejects_in_time(&mut sim, |sim| {
+        sim.send_message("a", "z", Message::Heartbeat(heartbeat.clone()));
+    });
+}
+
 /// Disturbances of the ways to the store in a seeded day.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
