Ignore timeouts of calls that a later answer has overtaken

Calls on former connections end up to 1.2 s after a call on a new one has been answered. Two of them in a row counted as a loss of the store, so the host wrote store_lost and relayed its calls although its path worked.

stale_settings late_timeouts fails on the code before.

--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -94,6 +94,7 @@
 
 struct PendingCall {
     purpose: Purpose,
+    sent: Uptime,
     deadline: Uptime,
     relayed: bool,
 }
@@ -105,6 +106,8 @@
     direct_failures: u32,
     /// Time of the store's last direct answer to this host.
     pub(super) last_direct_answer: Option<Uptime>,
+    /// When the last direct call that was answered had been sent.
+    last_direct_call: Option<Uptime>,
     /// Time of the store's last answer, direct or relayed.
     last_answer: Option<Uptime>,
     /// Time of the last failure of a call, direct or relayed.
@@ -161,7 +164,8 @@
         let call = self.allocate_call();
         let relayed = matches!(path, Path::Relayed(_));
         let deadline = self.now + timeout + RELAY_SLACK;
-        self.store.calls.insert(call, PendingCall { purpose, deadline, relayed });
+        let sent = self.now;
+        self.store.calls.insert(call, PendingCall { purpose, sent, deadline, relayed });
         match path {
             Path::Relayed(host) => self.send(&host, Message::StoreCall { call, request, timeout }),
             Path::Direct(connection) => {
@@ -216,7 +220,7 @@
 
     pub(super) fn store_result(&mut self, call: CallId, result: Result<StoreAnswer, StoreError>) {
         let Some(pending) = self.store.calls.remove(&call) else { return };
-        self.record_result(pending.relayed, &result);
+        self.record_result(&pending, &result);
         self.dispatch(pending.purpose, result);
     }
 
@@ -226,8 +230,9 @@
         self.store.calls.retain(|_, pending| !pending.purpose.is_of_owner());
     }
 
-    /// Updates the health of the paths by the result of a call. Only direct calls tell about the direct path.
-    fn record_result(&mut self, relayed: bool, result: &Result<StoreAnswer, StoreError>) {
+    /// Updates the health of the paths by the result of a call. Only direct calls tell about the direct path, and only if no call
+    /// that was sent later has been answered.
+    fn record_result(&mut self, call: &PendingCall, result: &Result<StoreAnswer, StoreError>) {
         let failed = matches!(result, Err(StoreError::NotExecuted | StoreError::Unanswered));
         if failed {
             self.store.last_failure = Some(self.now);
@@ -235,8 +240,10 @@
         } else {
             self.store.last_answer = Some(self.now);
         }
-        match (relayed, failed) {
+        let outdated = self.store.last_direct_call.is_some_and(|sent| sent > call.sent);
+        match (call.relayed, failed) {
             (true, _) => {}
+            (false, true) if outdated => {}
             (false, true) => {
                 self.store.direct_failures += 1;
                 if self.store.direct_failures == FAILURES_MAX {
@@ -251,6 +258,7 @@
                 }
                 self.store.direct_failures = 0;
                 self.store.last_direct_answer = Some(self.now);
+                self.store.last_direct_call = self.store.last_direct_call.max(Some(call.sent));
             }
         }
     }
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -361,6 +361,23 @@
     });
 }
 
+/// Calls that were lost with the former connections ended after a later one had been answered, and the host took the store for
+/// lost.
+#[test]
+fn late_timeouts() {
+    let mut sim = settled();
+    let lost =
+        |sim: &Simulation| sim.logs.iter().any(|(_, _, text)| text.starts_with("store_lost"));
+    for offset in (0..1300).step_by(130) {
+        sim.run(ms(offset));
+        for host in HOSTS {
+            sim.silence_connections(host);
+        }
+        sim.run(Duration::from_secs(5));
+    }
+    assert!(!lost(&sim));
+}
+
 /// Disturbances of the ways to the store in a seeded day.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
