--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -173,9 +173,9 @@
         self.commit.as_ref().is_some_and(|commit| commit.row.released)
     }
 
-    /// Returns the first table, if any, of which so old a state is known that no task may start. What is known of a table must
-    /// keep up with the owner's commits: if these are answered and the calls for the table are not, nothing else tells that
-    /// changes are missing.
+    /// Returns the first table, if any, of which so old a state is known that no task may start. What is known of a table
+    /// must keep up with the owner's commits: if these are answered and the calls for the table are not, nothing else tells
+    /// that changes are missing.
     pub(super) fn outdated(&self, operator: &Operator, freshness: &Freshness) -> Option<Table> {
         let tables = [
             (Table::Operator, &operator.watch, freshness.settings_age_max()),
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -128,8 +128,8 @@
         self.call_store_on(path, purpose, request, wait);
     }
 
-    /// Sends a call of a watch. Each attempt takes another path than the one before, so that it does not depend on what keeps the
-    /// earlier ones from being answered: in turn a new connection, and the next peer that can relay calls.
+    /// Sends a call of a watch. Each attempt takes another path than the one before, so that it does not depend on what
+    /// keeps the earlier ones from being answered: in turn a new connection, and the next peer that can relay calls.
     pub(super) fn call_store_again(&mut self, poll: Poll, purpose: Purpose, request: StoreRequest) {
         if poll.attempt == 0 {
             return self.call_store(purpose, request, poll.wait);
@@ -230,8 +230,8 @@
         self.store.calls.retain(|_, pending| !pending.purpose.is_of_owner());
     }
 
-    /// Updates the health of the paths by the result of a call. Only direct calls tell about the direct path, and only if no call
-    /// that was sent later has been answered.
+    /// Updates the health of the paths by the result of a call. Only direct calls tell about the direct path, and failed ones
+    /// only if no call that was sent later has been answered.
     fn record_result(&mut self, call: &PendingCall, result: &Result<StoreAnswer, StoreError>) {
         let failed = matches!(result, Err(StoreError::NotExecuted | StoreError::Unanswered));
         if failed {
--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -133,8 +133,8 @@
     }
 }
 
-/// The store refused reads, as its rate was used up, and went on accepting changes. Hosts rejected the new key for as long, and
-/// accepted jobs with a key that had been removed.
+/// The store refused reads, as its rate was used up, and went on accepting changes. Hosts rejected the new key for as long,
+/// and accepted jobs with a key that had been removed.
 #[test]
 fn refused_reads() {
     let mut sim = settled();
@@ -330,8 +330,8 @@
     }
 }
 
-/// The peer that relays the calls of a host fell silent. The host tried only its own path to the store from then on, and refused
-/// requests.
+/// The peer that relays the calls of a host fell silent. The host tried only its own path to the store from then on, and
+/// refused requests.
 #[test]
 fn silent_relay() {
     let mut sim = settled();
@@ -361,8 +361,8 @@
     });
 }
 
-/// Calls that were lost with the former connections ended after a later one had been answered, and the host took the store for
-/// lost.
+/// Calls that were lost with the former connections ended after a later one had been answered, and the host took the store
+/// for lost.
 #[test]
 fn late_timeouts() {
     let mut sim = settled();
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -368,8 +368,8 @@
         }
     }
 
-    /// Makes the existing connections of a host to the store silent for good: calls in flight are lost, and so are those on the
-    /// idle connections until the host closes them.
+    /// Makes the existing connections of a host to the store silent for good: calls in flight are lost, and so are those on
+    /// the idle connections until the host closes them.
     pub fn silence_connections(&mut self, name: &str) {
         let of_host = |event: &Event| match event {
             Event::Store { host, call, .. } | Event::FeedWait { host, call, .. }
--- a/crates/shallotpost-fleet/tests/watch.rs
+++ b/crates/shallotpost-fleet/tests/watch.rs
@@ -1,5 +1,5 @@
-//! Calls of a watch and the age of what they returned. Guards against an age that is too low, and against calls that cease or
-//! pile up while the store is silent or refuses.
+//! Calls of a watch and the age of what they returned. Guards against an age that is too low, and against calls that cease
+//! or pile up while the store is silent or refuses.
 
 use std::time::Duration;
 
