--- a/crates/shallotpost-fleet/src/host/deferral.rs
+++ b/crates/shallotpost-fleet/src/host/deferral.rs
@@ -40,16 +40,12 @@
             let reads = entry.body.action == Action::Read
                 && (ends || self.now >= entry.received + READ_WAIT)
                 && self.authorize(&entry.body).is_ok();
-            let Deferred { request, body, deadline, .. } = entry;
             match () {
-                () if current || reads => self.decide(request, body, deadline),
+                () if current || reads => self.decide(entry.request, entry.body, entry.deadline),
                 () if ends => {
-                    self.refuse(request, body.path, "the settings may be out of date");
-                }
-                () => {
-                    let received = entry.received;
-                    self.gateway.deferred.push(Deferred { request, body, deadline, received });
+                    self.refuse(entry.request, entry.body.path, "the settings may be out of date");
                 }
+                () => self.gateway.deferred.push(entry),
             }
         }
     }
