--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -129,7 +129,9 @@
         session.contact = Contact::Live;
         session.next_renewal = now;
         if joined {
-            context.log("worker_contact", vec![("worker", worker.to_string())]);
+            let fields =
+                vec![("worker", worker.to_string()), ("clock_ms", report.clock_ms.to_string())];
+            context.log("worker_contact", fields);
             self.round_due = true;
         }
         if let Some(lists) = report.lists {
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -440,9 +440,7 @@
                 if session.registration.started_unix_ms != registration.started_unix_ms =>
             {
                 if registration.started_unix_ms > session.registration.started_unix_ms {
-                    let key = WorkerKey::from(worker);
-                    self.forget_runs(&key, Loss::Restarted, context);
-                    self.open_session(key, registration, context);
+                    self.replace_life(&WorkerKey::from(worker), registration, "registry", context);
                 }
             }
             Some(session) => {
@@ -579,13 +577,39 @@
         let mut registration = session.registration.clone();
         registration.started_unix_ms = started_unix_ms;
         let registered = session.registered;
-        self.forget_runs(worker, Loss::Restarted, context);
-        self.open_session(Rc::clone(worker), registration, context);
+        self.replace_life(worker, registration, "answer", context);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.registered = registered;
         }
     }
 
+    /// Replaces the session with a worker whose process has been replaced by another one under its identifier. `source`
+    /// tells how this became known.
+    fn replace_life(
+        &mut self,
+        worker: &WorkerKey,
+        registration: Registration,
+        source: &'static str,
+        context: &mut Context,
+    ) {
+        if let Some(former) = self.sessions.get(worker) {
+            let unlisted = former.placements.values().filter(|run| !run.listed).count();
+            let fields = vec![
+                ("worker", worker.to_string()),
+                ("source", source.to_owned()),
+                ("former_start_unix_ms", former.registration.started_unix_ms.to_string()),
+                ("start_unix_ms", registration.started_unix_ms.to_string()),
+                ("runs", former.placements.len().to_string()),
+                ("unlisted", unlisted.to_string()),
+                ("lease_until_ms", former.lease_until_ms.to_string()),
+                ("acknowledged", former.acknowledged.to_string()),
+            ];
+            context.log("worker_restarted", fields);
+        }
+        self.forget_runs(worker, Loss::Restarted, context);
+        self.open_session(Rc::clone(worker), registration, context);
+    }
+
     /// Performs periodic work. Called at a short interval.
     pub fn tick(&mut self, context: &mut Context) {
         self.settle_takeover(context);
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -78,6 +78,7 @@
             ("run", number.to_string()),
             ("worker", worker.to_string()),
             ("lease_ms", lease.as_millis().to_string()),
+            ("until_ms", until_ms.to_string()),
         ];
         context.log("run_started", fields);
         context.outputs.push(Output::Count { counter: Counter::Starts, amount: 1 });
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -56,7 +56,17 @@
                 }
             }
             session.unknown_since.remove(&end.sequence);
+            let expected = session.processed + 1;
+            let follows_known = session.processed > 0 || session.incarnation > 0;
             session.processed = end.sequence;
+            if follows_known && end.sequence > expected {
+                let fields = vec![
+                    ("worker", worker.to_string()),
+                    ("expected", expected.to_string()),
+                    ("listed", end.sequence.to_string()),
+                ];
+                context.log("ends_skipped", fields);
+            }
             self.process_end(worker, end, context);
         }
     }
@@ -342,6 +352,7 @@
             placement.phase = Phase::Running;
             placement.changed = now;
         }
+        placement.listed = true;
         let age = as_of.saturating_sub(placement.started);
         placement.progress_percent = run.percent;
         placement.gauge = run.gauge;
@@ -389,6 +400,7 @@
             gauge: run.gauge,
             phase: Phase::Running,
             adopted: true,
+            listed: true,
             ..new_placement(&step, run.number, team, priority, context.now)
         };
         self.record_adopted(placement.team.as_ref(), &placement.size);
@@ -451,6 +463,7 @@
         changed: now,
         stop_confirmed: false,
         adopted: false,
+        listed: false,
         on_trial: false,
         progress_percent: 0.0,
         checkpoints: step.checkpoints,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -52,6 +52,8 @@
     pub stop_confirmed: bool,
     /// Whether an earlier owner started the run, at an unknown time.
     pub adopted: bool,
+    /// Whether a list of this life of the worker has shown the run.
+    pub listed: bool,
     /// Whether the run was started in isolation.
     pub on_trial: bool,
     /// Last reported progress, in percent.
