--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod day;
 pub mod store;
+pub mod twice;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -70,7 +71,21 @@
         call: u64,
         worker: String,
         until: Duration,
+        /// Start of the process that has executed the call.
+        life: u64,
     },
+    /// A call that its worker executes without an answer, as it has been on its way for long.
+    LateCall {
+        worker: String,
+        fence: u64,
+        request: Call,
+    },
+    /// A worker that is cut off while it restarts is back.
+    NewLife {
+        worker: String,
+        clock_base_ms: u64,
+    },
+    Register(String),
     /// A call that has reached a worker which hangs, and whether its caller has given up.
     HeldCall(HeldCall),
     /// A feed that waits for a change.
@@ -84,6 +99,49 @@
     Restart(String),
 }
 
+/// Kind of a call to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    Start,
+    Stop,
+    Renewal,
+    Throttle,
+}
+
+impl CallKind {
+    fn of(request: &Call) -> CallKind {
+        match request {
+            Call::Start { .. } => CallKind::Start,
+            Call::Stop { .. } => CallKind::Stop,
+            Call::RenewLease { .. } => CallKind::Renewal,
+            Call::Throttle { .. } => CallKind::Throttle,
+        }
+    }
+}
+
+/// Calls that are not answered, and are executed late by the life of the worker that is there then.
+#[derive(Clone, Debug)]
+pub struct LateCalls {
+    pub worker: String,
+    pub kind: CallKind,
+    /// Number of calls that are still to be delayed.
+    pub count: usize,
+    /// Time from the call to its execution.
+    pub delay: Duration,
+}
+
+/// Restart of a worker under its identifier.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NewLife {
+    /// Time for which the worker is dark. Calls that arrive meanwhile are executed by the new life. If it is zero, the
+    /// process restarts at once and its connections are closed.
+    pub dark: Duration,
+    /// The clock of the new life at its start, in milliseconds.
+    pub clock_base_ms: u64,
+    /// Time from the start of the new life to its registration; `None` if it does not register.
+    pub registered_after: Option<Duration>,
+}
+
 struct HeldCall {
     host: String,
     call: u64,
@@ -135,6 +193,7 @@
     deadlines: BTreeMap<(String, u64), Duration>,
     /// Number of the next workers' answers to lose.
     pub lost_answers: usize,
+    pub late_calls: Vec<LateCalls>,
     /// Difference of the hosts' time of day from the true one, in milliseconds.
     pub clock_offsets: BTreeMap<String, i64>,
     /// Processor capacity of hosts that are started from now on, in thousandths of a core; 250 for hosts not listed.
@@ -195,6 +254,7 @@
             approval_percent: 100,
             deadlines: BTreeMap::new(),
             lost_answers: 0,
+            late_calls: Vec::new(),
             clock_offsets: BTreeMap::new(),
             processors: BTreeMap::new(),
             deadly_tasks: BTreeSet::new(),
@@ -589,7 +649,26 @@
                     self.register(&name, false);
                 }
             }
-            Event::WorkerWait { host, call, worker, until } => {
+            Event::LateCall { worker, fence, request } => {
+                if self.hanging_workers.contains(&worker) {
+                    let next = self.now + ms(5);
+                    return self.push(next, Event::LateCall { worker, fence, request });
+                }
+                if let Some(state) = self.workers.get_mut(&worker) {
+                    // Nobody waits for the answer.
+                    drop(state.call(self.now, fence, &request));
+                }
+            }
+            Event::NewLife { worker, clock_base_ms } => {
+                self.hanging_workers.remove(&worker);
+                if let Some(state) = self.workers.get_mut(&worker) {
+                    state.restart(self.now);
+                    state.clock_base_ms = clock_base_ms;
+                    state.keeps_connections = true;
+                }
+            }
+            Event::Register(worker) => self.register(&worker, false),
+            Event::WorkerWait { host, call, worker, until, life } => {
                 let Some(state) = self.workers.get(&worker) else {
                     let input = Input::Worker { call, result: Err(Error::Unreachable) };
                     return self.push(self.now + NETWORK_DELAY, Event::Input(host, input));
@@ -597,17 +676,19 @@
                 let answer_timeout = until + UNANSWERED_AFTER;
                 let stuck =
                     self.hanging_workers.contains(&worker) || self.dead_workers.contains(&worker);
-                if stuck && self.now < answer_timeout {
+                // The answer was to come from a process that has ended.
+                let ended = state.started_unix_ms != life;
+                if (stuck || (ended && state.keeps_connections)) && self.now < answer_timeout {
                     let next = self.now + ms(5);
-                    return self.push(next, Event::WorkerWait { host, call, worker, until });
+                    return self.push(next, Event::WorkerWait { host, call, worker, until, life });
                 }
-                if !state.crashed && !state.has_ended_runs() && self.now < until {
+                if !ended && !state.crashed && !state.has_ended_runs() && self.now < until {
                     let next = self.now + ms(5);
-                    return self.push(next, Event::WorkerWait { host, call, worker, until });
+                    return self.push(next, Event::WorkerWait { host, call, worker, until, life });
                 }
                 let lost = self.lost_answers > 0;
                 let hangs = self.hanging_workers.contains(&worker);
-                let silent = lost || state.crashed || hangs;
+                let silent = lost || state.crashed || hangs || ended;
                 let result = match self.is_partitioned(&host, &worker) || silent {
                     true => Err(Error::Unanswered),
                     false => Ok(state.report(self.now)),
@@ -631,6 +712,46 @@
         }
     }
 
+    /// Restarts a worker's process under its identifier.
+    pub fn restart_worker(&mut self, name: &str, life: NewLife) {
+        let clock_base_ms = life.clock_base_ms;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        match life.dark {
+            Duration::ZERO => {
+                worker.restart(self.now);
+                worker.clock_base_ms = clock_base_ms;
+            }
+            dark => {
+                worker.crash();
+                self.hanging_workers.insert(name.to_owned());
+                let worker = name.to_owned();
+                self.push(self.now + dark, Event::NewLife { worker, clock_base_ms });
+            }
+        }
+        if let Some(after) = life.registered_after {
+            self.push(self.now + life.dark + after, Event::Register(name.to_owned()));
+        }
+    }
+
+    /// Cuts a worker off from all hosts, or restores the paths.
+    pub fn set_cut(&mut self, worker: &str, cut: bool) {
+        let hosts: Vec<String> = ["a", "b", "c"].map(str::to_owned).into();
+        for host in hosts {
+            self.set_partitioned(&host, worker, cut);
+        }
+    }
+
+    /// Returns the delay of a call, if it is to be executed late.
+    fn take_delay(&mut self, worker: &str, request: &Call) -> Option<Duration> {
+        let kind = CallKind::of(request);
+        let late = self
+            .late_calls
+            .iter_mut()
+            .find(|late| late.worker == worker && late.kind == kind && late.count > 0)?;
+        late.count -= 1;
+        Some(late.delay)
+    }
+
     /// Keeps a call until its worker resumes. The caller gives up after a while, but the worker executes the call.
     fn hold_call(&mut self, mut held: HeldCall) {
         if !self.hanging_workers.contains(&held.worker) {
@@ -673,7 +794,8 @@
         }
         if let (Ok(_), Call::RenewLease { wait, .. }) = (&result, request) {
             let until = now + *wait;
-            return self.push(now, Event::WorkerWait { host, call, worker, until });
+            let life = self.workers.get(&worker).map_or(0, |state| state.started_unix_ms);
+            return self.push(now, Event::WorkerWait { host, call, worker, until, life });
         }
         let answered = match result {
             // An unanswered call takes as long as its timeout.
@@ -727,6 +849,12 @@
             Output::Worker { call, worker, fence, request, timeout, .. } => {
                 self.deadlines.insert((host.clone(), call), self.now + timeout);
                 *self.worker_calls.entry(host.clone()).or_default() += 1;
+                if let Some(delay) = self.take_delay(&worker, &request) {
+                    let input = Input::Worker { call, result: Err(Error::Unanswered) };
+                    self.push(self.now + timeout, Event::Input(host, input));
+                    let late = Event::LateCall { worker, fence, request };
+                    return self.push(later + delay, late);
+                }
                 self.push(later, Event::Worker { host, call, worker, fence, request });
             }
             Output::Approval { call, request, timeout } => {
@@ -800,6 +928,12 @@
         self.push(self.now, Event::Input(name.to_owned(), Input::Stop));
     }
 
+    /// Returns the violations of the rule TWICE so far.
+    pub fn twice(&self) -> Vec<String> {
+        let workers = self.workers.iter();
+        twice::violations(workers.map(|(name, worker)| (name.as_str(), worker.records.as_slice())))
+    }
+
     /// Asserts that no worker is overcommitted and no task runs on two workers.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/support/twice.rs
@@ -0,0 +1,61 @@
+//! Judge of the rule TWICE: no task has two runs at the same time on workers that are up, and none starts after one of
+//! its runs has ended done, if that end is acknowledged then or later. An end does not count if the worker's lease lapsed
+//! between the end and the acknowledgement.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use shallotpost_fleet::job::TaskId;
+use shallotpost_fleet::worker::EndReason;
+
+use super::worker::{Change, Record};
+
+/// Returns the violations in what workers did with their runs, in the order of time.
+pub fn violations<'a>(workers: impl Iterator<Item = (&'a str, &'a [Record])>) -> Vec<String> {
+    let mut records: Vec<(&str, &Record)> = Vec::new();
+    for (worker, of_worker) in workers {
+        records.extend(of_worker.iter().map(|record| (worker, record)));
+    }
+    // Ends come before starts of the same time, as calls take longer than that.
+    records.sort_by_key(|(_, record)| (record.at, record.change == Change::Started));
+    let acknowledged: BTreeSet<(&str, u64, u64)> = records
+        .iter()
+        .filter_map(|(worker, record)| match record.change {
+            Change::Acknowledged { sequence, lapsed: false } => {
+                Some((*worker, record.life, sequence))
+            }
+            _ => None,
+        })
+        .collect();
+    let mut running: BTreeMap<TaskId, Vec<(&str, &Record)>> = BTreeMap::new();
+    let mut done: BTreeMap<TaskId, (&str, &Record)> = BTreeMap::new();
+    let mut found = Vec::new();
+    for (worker, record) in records {
+        let task = record.task;
+        let runs = running.entry(task).or_default();
+        match record.change {
+            Change::Started => {
+                let start = format!("{:?}: {task} run {} on {worker}", record.at, record.number);
+                for (other, run) in runs.iter() {
+                    let (number, at) = (run.number, run.at);
+                    found.push(format!("{start} beside run {number} on {other} since {at:?}"));
+                }
+                if let Some((other, end)) = done.get(&task) {
+                    let (number, at) = (end.number, end.at);
+                    found.push(format!("{start} after run {number} done on {other} at {at:?}"));
+                }
+                runs.push((worker, record));
+            }
+            Change::Ended(reason, sequence) => {
+                runs.retain(|(of, run)| (*of, run.number) != (worker, record.number));
+                if reason == EndReason::Done
+                    && acknowledged.contains(&(worker, record.life, sequence))
+                {
+                    done.entry(task).or_insert((worker, record));
+                }
+            }
+            Change::Lost => runs.retain(|(of, run)| (*of, run.number) != (worker, record.number)),
+            Change::Acknowledged { .. } => {}
+        }
+    }
+    found
+}
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -9,6 +9,32 @@
 };
 use shallotpost_protocol::size::Size;
 
+/// Something that a worker did with a run, for [`super::twice`]. It is kept across lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    Started,
+    /// The run ended, under this number in the list of the worker's life.
+    Ended(EndReason, u64),
+    /// The process ended, and the run with it.
+    Lost,
+    /// The owner acknowledged the end with this number. `lapsed` tells whether the lease lapsed between the two.
+    Acknowledged {
+        sequence: u64,
+        lapsed: bool,
+    },
+}
+
+/// A change of a run, with its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Record {
+    pub at: Duration,
+    /// Start of the worker's process, in milliseconds since the Unix epoch.
+    pub life: u64,
+    pub task: TaskId,
+    pub number: u64,
+    pub change: Change,
+}
+
 struct ActiveRun {
     number: u64,
     ends_at: Duration,
@@ -46,6 +72,18 @@
     pub replaced: bool,
     /// Whether its process has crashed and has not been started again.
     pub crashed: bool,
+    /// Maximum time from the arrival of a lease to its end, on the worker's clock.
+    pub hold_max: Duration,
+    /// The worker's clock at the start of its process, in milliseconds.
+    pub clock_base_ms: u64,
+    /// Whether connections to the former life stay open and silent, as its machine was cut off when it ended.
+    pub keeps_connections: bool,
+    /// Arrival times of renewals, and the numbers that they acknowledge.
+    pub renewals: Vec<(Duration, u64)>,
+    /// What the worker did with its runs, in all its lives.
+    pub records: Vec<Record>,
+    /// When the lease last lapsed.
+    lapsed: Option<Duration>,
     start: Duration,
     now: Duration,
     fence: u64,
@@ -85,6 +123,12 @@
             guards_capacity: false,
             replaced: false,
             crashed: false,
+            hold_max: Duration::from_secs(10),
+            clock_base_ms: 0,
+            keeps_connections: false,
+            renewals: Vec::new(),
+            records: Vec::new(),
+            lapsed: None,
             start: now,
             now,
             fence: 0,
@@ -123,14 +167,19 @@
         self.last_sequence
     }
 
-    /// Restarts the process under the same identifier. All runs, the lease and the fencing token are lost.
+    /// Restarts the process under the same identifier. All runs, the lease, the fencing token and the numbers of ends are
+    /// lost, and the clock starts at zero.
     pub fn restart(&mut self, now: Duration) {
+        self.lose_runs();
         let (duration, end_reason) = (self.duration, self.end_reason);
         let starts = std::mem::take(&mut self.starts);
         let job_durations = std::mem::take(&mut self.job_durations);
         let (failing_jobs, failure_percent) =
             (std::mem::take(&mut self.failing_jobs), self.failure_percent);
+        let records = std::mem::take(&mut self.records);
         *self = Worker {
+            records,
+            hold_max: self.hold_max,
             failing_jobs,
             failure_percent,
             duration,
@@ -150,31 +199,45 @@
     /// Ends the process without a trace of its runs. [`Worker::restart`] starts it again.
     pub fn crash(&mut self) {
         self.crashed = true;
-        self.active.clear();
+        self.lose_runs();
         self.ended.clear();
     }
 
+    fn lose_runs(&mut self) {
+        for (task, run) in std::mem::take(&mut self.active) {
+            self.record(self.now, task, run.number, Change::Lost);
+        }
+    }
+
+    fn record(&mut self, at: Duration, task: TaskId, number: u64, change: Change) {
+        self.records.push(Record { at, life: self.started_unix_ms, task, number, change });
+    }
+
     pub fn advance(&mut self, now: Duration) {
         self.now = now;
-        let ended_now: Vec<(TaskId, EndReason)> = self
+        let ended_now: Vec<(TaskId, EndReason, Duration)> = self
             .active
             .iter()
             .filter_map(|(task, run)| match () {
                 () if run.ends_at <= now && run.ends_at <= self.lease_end => {
-                    Some((*task, run.end_reason))
+                    Some((*task, run.end_reason, run.ends_at))
+                }
+                () if self.lease_end < now => {
+                    Some((*task, EndReason::LeaseExpired, self.lease_end))
                 }
-                () if self.lease_end < now => Some((*task, EndReason::LeaseExpired)),
                 () => None,
             })
             .collect();
-        for (task, end_reason) in ended_now {
-            self.end(task, end_reason);
+        for (task, end_reason, at) in ended_now {
+            self.end(task, end_reason, at);
         }
     }
 
-    fn end(&mut self, task: TaskId, reason: EndReason) {
+    fn end(&mut self, task: TaskId, reason: EndReason, at: Duration) {
         if let Some(run) = self.active.remove(&task) {
             self.last_sequence += 1;
+            let change = Change::Ended(reason, self.last_sequence);
+            self.record(at, task, run.number, change);
             if reason == EndReason::Done {
                 self.done.push(task);
             }
@@ -202,7 +265,7 @@
     pub fn list_foreign_end(&mut self, task: TaskId) {
         self.active
             .insert(task, ActiveRun { number: 1, ends_at: self.now, end_reason: EndReason::Done });
-        self.end(task, EndReason::Done);
+        self.end(task, EndReason::Done, self.now);
     }
 
     pub fn has_ended_runs(&self) -> bool {
@@ -228,14 +291,48 @@
     }
 
     fn clock(&self, now: Duration) -> u64 {
-        u64::try_from((now - self.start).as_millis()).expect("time fits")
+        let uptime = u64::try_from((now - self.start).as_millis()).expect("time fits");
+        self.clock_base_ms + uptime
+    }
+
+    /// Returns when the worker's clock reaches a time; the start of the process for an earlier one.
+    fn time_of(&self, clock_ms: u64) -> Duration {
+        let uptime = Duration::from_millis(clock_ms.saturating_sub(self.clock_base_ms));
+        self.start.saturating_add(uptime)
     }
 
-    fn extend_lease(&mut self, until_ms: u64) {
-        let until = self.start.saturating_add(Duration::from_millis(until_ms));
+    /// Extends the lease, which ends at most `hold_max` after the arrival and is never shortened.
+    fn extend_lease(&mut self, now: Duration, until_ms: u64) {
+        self.note_lapse(now);
+        let until = self.time_of(until_ms).min(now + self.hold_max);
         self.lease_end = self.lease_end.max(until);
     }
 
+    fn note_lapse(&mut self, now: Duration) {
+        if self.lease_end < now {
+            self.lapsed = self.lapsed.max(Some(self.lease_end));
+        }
+    }
+
+    /// Forgets the ends up to a number and records them as acknowledged.
+    fn acknowledge(&mut self, now: Duration, sequence: u64) {
+        self.note_lapse(now);
+        self.acknowledged = self.acknowledged.max(sequence);
+        let (seen, kept): (Vec<EndedRun>, Vec<EndedRun>) =
+            std::mem::take(&mut self.ended).into_iter().partition(|end| end.sequence <= sequence);
+        self.ended = kept;
+        for end in seen {
+            let listed = Change::Ended(end.reason, end.sequence);
+            let life = self.started_unix_ms;
+            let ended = self.records.iter().rev().find(|record| {
+                (record.life, record.task, record.change) == (life, end.task, listed)
+            });
+            let lapsed = ended.is_some_and(|record| self.lapsed.is_some_and(|at| at >= record.at));
+            let change = Change::Acknowledged { sequence: end.sequence, lapsed };
+            self.record(now, end.task, end.number, change);
+        }
+    }
+
     pub fn call(&mut self, now: Duration, fence: u64, request: &Call) -> Result<Report, Error> {
         if self.replaced {
             return Err(Error::OtherWorker);
@@ -249,17 +346,20 @@
         self.fence = fence;
         let plain = Report {
             clock_ms: self.false_clock_ms.unwrap_or_else(|| self.clock(now)),
-            started_unix_ms: Some(self.started_unix_ms),
+            // Only lists name the life of a worker.
+            started_unix_ms: None,
             lists: None,
         };
         match request {
             Call::Start { .. } if self.loses_starts => return Err(Error::Unanswered),
             Call::Start { task, number, until_ms, ticket, .. } => {
-                let late = self.start.saturating_add(Duration::from_millis(*until_ms)) < now;
-                if late {
+                if *until_ms < self.clock(now) {
                     return Err(Error::Refused(Refusal::LeaseExpired));
                 }
-                self.extend_lease(*until_ms);
+                self.extend_lease(now, *until_ms);
+                if self.active.get(task).is_some_and(|run| run.number == *number) {
+                    return Ok(plain);
+                }
                 if self.closed_runs.get(task).is_some_and(|closed| closed >= number) {
                     return Err(Error::Refused(Refusal::StaleRun));
                 }
@@ -278,7 +378,11 @@
                         false => self.end_reason,
                     },
                 };
-                self.active.insert(*task, run);
+                let replaced = self.active.insert(*task, run);
+                self.record(now, *task, *number, Change::Started);
+                if let Some(replaced) = replaced {
+                    self.record(now, *task, replaced.number, Change::Lost);
+                }
                 self.starts.push((now, *task, *number));
                 self.tickets.push(ticket.clone());
             }
@@ -287,7 +391,7 @@
                     run.ends_at = run.ends_at.min(now + self.stop_time);
                     run.end_reason = EndReason::Stopped;
                 }
-                Some(run) if run.number == *number => self.end(*task, EndReason::Stopped),
+                Some(run) if run.number == *number => self.end(*task, EndReason::Stopped, now),
                 _ => {
                     let closed = self.closed_runs.entry(*task).or_default();
                     *closed = (*closed).max(*number);
@@ -295,11 +399,10 @@
             },
             Call::RenewLease { until_ms, acknowledged, .. } => {
                 if let Some(until_ms) = until_ms {
-                    self.extend_lease(*until_ms);
+                    self.extend_lease(now, *until_ms);
                 }
-                self.acknowledged = self.acknowledged.max(*acknowledged);
-                let acknowledged = self.acknowledged;
-                self.ended.retain(|end| end.sequence > acknowledged);
+                self.renewals.push((now, *acknowledged));
+                self.acknowledge(now, *acknowledged);
             }
             Call::Throttle { task, percent, .. } => self.throttles.push((*task, *percent)),
         }
