Judge the loss of a run that has just started, and let workers start by the time of day of the hosts

A run that was lost in the millisecond of its start counted as running for good, and the start of a simulated worker's process was no time since the Unix epoch, so that all workers looked old to the hosts.

--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -718,6 +718,7 @@
     pub fn restart_worker(&mut self, name: &str, life: NewLife) {
         let clock_base_ms = life.clock_base_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.advance(self.now);
         match life.dark {
             Duration::ZERO => {
                 worker.restart(self.now);
--- a/crates/shallotpost-fleet/tests/support/twice.rs
+++ b/crates/shallotpost-fleet/tests/support/twice.rs
@@ -3,6 +3,7 @@
 //! between the end and the acknowledgement.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use shallotpost_fleet::job::TaskId;
 use shallotpost_fleet::worker::EndReason;
@@ -15,8 +16,22 @@
     for (worker, of_worker) in workers {
         records.extend(of_worker.iter().map(|record| (worker, record)));
     }
-    // Ends come before starts of the same time, as calls take longer than that.
-    records.sort_by_key(|(_, record)| (record.at, record.change == Change::Started));
+    let starts: BTreeSet<(Duration, &str, TaskId, u64)> = records
+        .iter()
+        .filter(|(_, record)| record.change == Change::Started)
+        .map(|(worker, record)| (record.at, *worker, record.task, record.number))
+        .collect();
+    // Ends come before starts of the same time, as calls take longer than that, except the end of a run that has just
+    // started.
+    records.sort_by_key(|(worker, record)| {
+        let own_start = (record.at, *worker, record.task, record.number);
+        let rank = match record.change {
+            Change::Started => 1,
+            _ if starts.contains(&own_start) => 2,
+            _ => 0,
+        };
+        (record.at, rank)
+    });
     let acknowledged: BTreeMap<(&str, u64, u64), bool> = records
         .iter()
         .filter_map(|(worker, record)| match record.change {
--- a/crates/shallotpost-fleet/tests/support/worker.rs
+++ b/crates/shallotpost-fleet/tests/support/worker.rs
@@ -116,7 +116,9 @@
     pub fn new(now: Duration, processors_milli: u64) -> Worker {
         Worker {
             capacity: Size { processors_milli, memory_mib: 1 << 16, accelerators: 8, slots: 0 },
-            started_unix_ms: 1 + u64::try_from(now.as_millis()).expect("time fits"),
+            started_unix_ms: super::UNIX_MS
+                + 1
+                + u64::try_from(now.as_millis()).expect("time fits"),
             duration: Duration::from_millis(300),
             job_durations: BTreeMap::new(),
             end_reason: EndReason::Done,
