Read a worker's clock from its lists alone

An answer to a start or stop does not tell which life of the worker gave it. The clock of a new life replaced that of the former one in the owner's session, and the clock of each life begins anywhere: the leases of the session then seemed to lapse at once, or not for hours.

--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -143,12 +143,11 @@
         let current = session.placements.get_mut(&task).filter(|run| run.number == number);
         let Some(placement) = current else { return };
         let error = match result {
-            Ok(report) => {
+            Ok(_) => {
                 if placement.phase == Phase::Starting {
                     placement.phase = Phase::Running;
                     placement.changed = now;
                 }
-                session.clock = Some((report.clock_ms, now));
                 self.mark_started(task.stage.job, context);
                 return;
             }
@@ -230,8 +229,7 @@
     ) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
         match result {
-            Ok(report) => {
-                session.clock = Some((report.clock_ms, context.now));
+            Ok(_) => {
                 if let Some(placement) = session.placements.get_mut(&task)
                     && placement.number == number
                 {
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -123,7 +123,8 @@
     /// Whether the stored roster names the worker. Nothing is started on it before.
     pub in_roster: bool,
     pub contact: Contact,
-    /// The worker's clock in milliseconds, and when it was read; `None` until the worker has answered in this epoch.
+    /// The worker's clock in milliseconds, and when it was read; `None` until the worker has listed its runs in this epoch.
+    /// Only lists name the life of the worker whose clock they give.
     pub clock: Option<(u64, Uptime)>,
     /// Latest end of a lease that was sent, in milliseconds of the worker's clock.
     pub lease_until_ms: u64,
