Acknowledge ends only while no call to the worker has failed

Callers saw a task start after a run of it had ended done and was taken note of. A renewal that is repeated after a failure carried the number of the last end that was stored. The new life of the worker took the call and dropped ends of its own up to that number, which nobody had read; the task of such a run was then taken for lost and started again.

An answered call shows that its life is there; the next one follows at once on the same connection.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -86,6 +86,7 @@
             Contact::Live => POLL_WAIT,
             Contact::Joining | Contact::Silent => Duration::ZERO,
         };
+        let acknowledged = session.acknowledgement();
         let call = context.allocate_call();
         session.renewal = Some((call, now));
         context.outputs.push(Output::Worker {
@@ -93,7 +94,7 @@
             address: session.registration.address.clone(),
             worker: worker.to_string(),
             fence: session.fence,
-            request: Call::RenewLease { until_ms, acknowledged: session.acknowledged, wait },
+            request: Call::RenewLease { until_ms, acknowledged, wait },
             timeout: wait + ANSWER_TIMEOUT,
         });
         self.calls.insert(call, (Rc::clone(worker), session.incarnation, Purpose::RenewLease(now)));
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -275,6 +275,15 @@
         left.div_f64(CLOCK_RATE_MIN).saturating_sub(now.saturating_sub(read))
     }
 
+    /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
+    /// failed since the last answer. Another life of the worker may take such a call, and would drop ends of its own that
+    /// nobody has read.
+    pub fn acknowledgement(&self) -> u64 {
+        let certain =
+            self.contact == Contact::Live && self.unanswered == 0 && self.broken.is_none();
+        if certain { self.acknowledged } else { 0 }
+    }
+
     /// Returns whether the worker has told in this epoch how all its runs have ended.
     pub fn has_listed_all(&self) -> bool {
         self.clock.is_some() && !self.ends_missing
