Count the longest lease of the platform until a worker's new life has listed its runs

Callers saw two runs of one task at once after a worker that had restarted was cut off. A lease end is a time on the clock of the life that was meant. Another life of the worker reads it on a clock of its own and shortens it only to the platform's longest lease, from its arrival on. The owner counted what it had granted in the new session, 6 s, and placed the tasks of the cut worker again while they ran.

The first list of a session bounds this in one place: it shows that the worker has the session's fencing token and so refuses earlier calls; a lease of theirs ends hold_max after that answer at the latest. A successor that can't reach a worker counts the longest lease too, if the worker's process has started recently. The roster now tells when it started.

--- a/crates/shallotpost-daemon/src/fleet/settings.rs
+++ b/crates/shallotpost-daemon/src/fleet/settings.rs
@@ -90,6 +90,7 @@
     pub fn bounds(&self) -> Bounds {
         Bounds {
             lease_max: self.lease_max.min(LEASE_MAX),
+            hold_max: self.lease_max,
             stop_timeout: self.stop_timeout,
             retention: Duration::from_secs(self.retention_seconds),
         }
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -109,6 +109,7 @@
         context: &mut Context,
     ) {
         let now = context.now;
+        let hold_max = self.bounds.hold_max;
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.renewal = None;
         let report = match result {
@@ -125,7 +126,7 @@
             }
         };
         session.unanswered = 0;
-        session.clock = Some((report.clock_ms, now));
+        session.read_clock(report.clock_ms, now, hold_max);
         let joined = session.contact != Contact::Live;
         session.contact = Contact::Live;
         session.next_renewal = now;
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -49,6 +49,10 @@
 /// Maximum number of incarnations of one worker that the fencing token distinguishes within one epoch.
 const INCARNATIONS_MAX: u64 = 1 << 10;
 
+/// Time after the start of a worker's process within which it may take calls that were meant for a former life, with an
+/// allowance for the difference between the clocks of hosts and workers.
+const FORMER_CALLS_TIME: Duration = Duration::from_secs(15);
+
 /// Minimum time between two placement rounds, so that runs that end at about the same time share a round.
 const ROUND_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -58,8 +62,11 @@
 /// Time limits of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// Maximum length of a lease that a worker grants.
+    /// Maximum length of a lease that the owner asks for.
     pub lease_max: Duration,
+    /// Maximum length of a lease that a worker grants. A call that was meant for another life of the worker, and so names
+    /// a time on another clock, may get one of this length.
+    pub hold_max: Duration,
     /// Time after which a stopped run is certain to have ended.
     pub stop_timeout: Duration,
     /// Time for which the state of a finished job is kept.
@@ -471,7 +478,9 @@
         ];
         context.log("worker_joined", fields);
         let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
+        let age = context.unix_ms.saturating_sub(registration.started_unix_ms);
         let mut session = Session::new(registration, incarnation, fence, context.now);
+        session.started_recently = Duration::from_millis(age) < FORMER_CALLS_TIME;
         session.in_roster = self.takeover.roster_names(&worker)
             || self.sessions.get(&worker).is_some_and(|earlier| earlier.in_roster);
         self.sessions.insert(worker, session);
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -4,7 +4,7 @@
 use crate::port::{Counter, Timing};
 use crate::prelude::*;
 use crate::progress::{Cause, Failure, State};
-use crate::scheduler::session::{Phase, Placement, WorkerKey, milliseconds};
+use crate::scheduler::session::{Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Scheduler};
 use crate::worker::{EndReason, EndedRun, Run};
@@ -404,13 +404,6 @@
             ..new_placement(&step, run.number, team, priority, context.now)
         };
         self.record_adopted(placement.team.as_ref(), &placement.size);
-        let lease_max = milliseconds(self.bounds.lease_max);
-        if let Some(session) = self.sessions.get_mut(worker)
-            && let Some((clock, _)) = session.clock
-        {
-            // The earlier owner may have granted a lease until this worker first answered.
-            session.lease_until_ms = session.lease_until_ms.max(clock.saturating_add(lease_max));
-        }
         self.book(worker, run.task, placement);
         if !self.jobs.contains_key(&id.job) {
             // The run keeps its resources booked until its job is known. It is stopped if the job does not become
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -116,6 +116,9 @@
     pub registration: Registration,
     /// Whether the worker is still in the registry.
     pub registered: bool,
+    /// Whether the worker's process had started so recently when the session was opened that it may have taken calls that
+    /// were meant for a former life.
+    pub started_recently: bool,
     /// Incarnation of the worker, counted from zero within this epoch.
     pub incarnation: u64,
     /// Fencing token of this epoch and incarnation.
@@ -126,7 +129,7 @@
     /// The worker's clock in milliseconds, and when it was read; `None` until the worker has listed its runs in this epoch.
     /// Only lists name the life of the worker whose clock they give.
     pub clock: Option<(u64, Uptime)>,
-    /// Latest end of a lease that was sent, in milliseconds of the worker's clock.
+    /// Latest end of a lease that the worker may hold, in milliseconds of its clock.
     pub lease_until_ms: u64,
     /// Ended runs whose processing is deferred because the first of them belongs to a job that is not known yet.
     pub waiting_ends: Vec<EndedRun>,
@@ -177,6 +180,7 @@
         Session {
             registration,
             registered: true,
+            started_recently: false,
             incarnation,
             fence,
             in_roster: false,
@@ -261,6 +265,18 @@
         Some(clock.saturating_add(milliseconds(least)))
     }
 
+    /// Records the clock that the worker lists its runs with. `hold_max` is the longest lease that it grants.
+    ///
+    /// From the first list of a session on, the worker refuses the calls of earlier sessions and owners, as their fencing
+    /// tokens are lower. Until then, it may have granted the longest lease to any of them.
+    pub fn read_clock(&mut self, clock_ms: u64, now: Uptime, hold_max: Duration) {
+        if self.clock.is_none() {
+            let earlier = clock_ms.saturating_add(milliseconds(hold_max));
+            self.lease_until_ms = self.lease_until_ms.max(earlier);
+        }
+        self.clock = Some((clock_ms, now));
+    }
+
     /// Returns whether every lease that was sent has certainly expired, even if the worker's clock is slow.
     pub fn leases_expired(&self, now: Uptime) -> bool {
         self.least_clock_at(now).is_some_and(|clock| clock > self.lease_until_ms)
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -15,6 +15,9 @@
 use crate::scheduler::{Context, Scheduler};
 use crate::worker::Registration;
 
+/// Factor by which a lease may last longer than granted because the worker's clock is slow.
+const CLOCK_DRIFT_FACTOR: f64 = 1.03;
+
 /// Maximum number of awaited workers that a log line names.
 const NAMED_MAX: usize = 5;
 
@@ -39,7 +42,7 @@
 /// Tracks which tasks earlier owners may have left on workers, and the roster that a successor needs.
 #[derive(Debug)]
 pub(super) struct Takeover {
-    /// Time after which no lease of an earlier owner can be valid.
+    /// Time after which no lease of an earlier owner can be valid, except on workers that have started recently.
     uncertain_until: Uptime,
     /// Time from which the registry is known to hold all live workers; `None` until it has been read completely.
     registry_complete: Option<Uptime>,
@@ -52,10 +55,10 @@
     /// Workers that a stored or in-flight commit names as unreachable, and the time at which a successor takes their leases
     /// for expired. Nothing is started on them, and no lease ends later.
     recorded_unreachable: BTreeMap<WorkerKey, Uptime>,
-    /// Workers that the stored roster names.
-    roster: BTreeSet<WorkerKey>,
+    /// Workers that the stored roster names, with the start times of their processes.
+    roster: BTreeMap<WorkerKey, u64>,
     /// Workers of the roster that is being committed; `None` if none is.
-    roster_sent: Option<BTreeSet<WorkerKey>>,
+    roster_sent: Option<BTreeMap<WorkerKey, u64>>,
     settled: bool,
     /// Resources of the runs that earlier owners started and this one has found on workers, by team.
     adopted: BTreeMap<Rc<str>, Size>,
@@ -71,7 +74,7 @@
             possible_tasks: BTreeMap::new(),
             recorded_leases: BTreeMap::new(),
             recorded_unreachable: BTreeMap::new(),
-            roster: BTreeSet::new(),
+            roster: BTreeMap::new(),
             roster_sent: None,
             settled: false,
             adopted: BTreeMap::new(),
@@ -81,7 +84,8 @@
 
     /// Returns whether the roster names the worker, the stored one as well as one that is being committed.
     pub(super) fn roster_names(&self, key: &WorkerKey) -> bool {
-        self.roster.contains(key) && self.roster_sent.as_ref().is_none_or(|sent| sent.contains(key))
+        let in_flight = self.roster_sent.as_ref();
+        self.roster.contains_key(key) && in_flight.is_none_or(|sent| sent.contains_key(key))
     }
 
     pub(super) fn set_unstored_ends(&mut self, unstored_ends: bool) {
@@ -112,7 +116,9 @@
 
     /// Returns the roster for the next commit; `None` if it has not changed.
     pub fn changed_roster(&mut self) -> Option<Vec<(WorkerId, Registration)>> {
-        let present: BTreeSet<WorkerKey> = self.sessions.keys().cloned().collect();
+        let start = |session: &Session| session.registration.started_unix_ms;
+        let present: BTreeMap<WorkerKey, u64> =
+            self.sessions.iter().map(|(key, session)| (Rc::clone(key), start(session))).collect();
         if present == self.takeover.roster {
             return None;
         }
@@ -126,7 +132,7 @@
     /// Records that the commit with the changed roster has taken effect.
     pub fn roster_committed(&mut self) {
         self.takeover.roster = self.takeover.roster_sent.take().unwrap_or_default();
-        for key in &self.takeover.roster {
+        for key in self.takeover.roster.keys() {
             if let Some(session) = self.sessions.get_mut(key) {
                 session.in_roster = true;
             }
@@ -161,7 +167,7 @@
                         expires.saturating_sub(now).max(session.leases_expire_in(now))
                     }
                     None if session.clock.is_some() => session.leases_expire_in(now),
-                    None => self.earlier_leases_expire(key).saturating_sub(now),
+                    None => self.earlier_leases_expire(key, session).saturating_sub(now),
                 },
             })
             .collect()
@@ -181,11 +187,15 @@
     }
 
     /// Returns the time after which no lease of an earlier owner can be valid on a worker that has not answered yet.
-    fn earlier_leases_expire(&self, key: &WorkerKey) -> Uptime {
+    fn earlier_leases_expire(&self, key: &WorkerKey, session: &Session) -> Uptime {
+        // A call that was meant for its former life may have got it a longer lease than the earlier owner asked for.
+        let longer = match session.started_recently {
+            true => self.bounds.hold_max.saturating_sub(self.bounds.lease_max),
+            false => Duration::ZERO,
+        };
+        let unrecorded = self.takeover.uncertain_until + longer.mul_f64(CLOCK_DRIFT_FACTOR);
         let recorded = self.takeover.recorded_leases.get(key).copied();
-        recorded.map_or(self.takeover.uncertain_until, |expires| {
-            expires.min(self.takeover.uncertain_until)
-        })
+        recorded.map_or(unrecorded, |expires| expires.min(unrecorded))
     }
 
     /// Returns whether the worker may run any task of its pool, as it has not answered yet and no owner has recorded which
@@ -193,7 +203,7 @@
     fn may_run_any_task(&self, key: &WorkerKey, session: &Session, now: Uptime) -> bool {
         !session.has_listed_all()
             && !self.takeover.possible_tasks.contains_key(key)
-            && (session.is_listing() || now < self.earlier_leases_expire(key))
+            && (session.is_listing() || now < self.earlier_leases_expire(key, session))
     }
 
     /// Returns the tasks that an unreachable worker may run; `None` if they are not known.
@@ -415,7 +425,7 @@
         let awaited = match () {
             // Only the tasks of recorded workers were left uncertain.
             () if self.takeover.settled => BTreeSet::new(),
-            () if expired => pools_listing,
+            () if expired => pools_listing.union(&pools_not_contacted).copied().collect(),
             () => pools_not_contacted,
         };
         let mut pending = false;
--- a/crates/shallotpost-fleet/tests/claims.rs
+++ b/crates/shallotpost-fleet/tests/claims.rs
@@ -34,6 +34,7 @@
             incarnation: 1,
             bounds: Bounds {
                 lease_max: Duration::from_secs(6),
+                hold_max: Duration::from_secs(10),
                 stop_timeout: Duration::from_millis(200),
                 retention: Duration::from_secs(120),
             },
--- a/crates/shallotpost-fleet/tests/late_answers.rs
+++ b/crates/shallotpost-fleet/tests/late_answers.rs
@@ -57,6 +57,7 @@
             incarnation,
             bounds: Bounds {
                 lease_max: Duration::from_secs(6),
+                hold_max: Duration::from_secs(10),
                 stop_timeout: Duration::from_millis(200),
                 retention: Duration::from_secs(120),
             },
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -369,6 +369,7 @@
             incarnation: self.last_incarnation,
             bounds: Bounds {
                 lease_max: ms(6000),
+                hold_max: ms(10_000),
                 stop_timeout: ms(200),
                 retention: Duration::from_secs(120),
             },
