Let the first list of a worker's new life decide what it has taken of the former one

Callers saw two runs of one task at once, and a start after a run that had ended done and was taken note of. When a worker's process was replaced, the owner took all runs of the former life for ended. A start that was still on its way, or that the new life had answered, ran there while its task was queued again; the loss also counted as a crash of the worker.

Only a run that a list of the former life has shown ended with it. Every other one stays placed until the new life's first list, which is also the answer that bars all earlier calls: a run that it shows goes on, or is stopped if it is no longer wanted, and any other is placed again. On a worker that answers this takes one call that was made anyway. If the worker never answers, the tasks are placed again once no late start and no lease of the platform's longest length can be left.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -109,7 +109,6 @@
         context: &mut Context,
     ) {
         let now = context.now;
-        let hold_max = self.bounds.hold_max;
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.renewal = None;
         let report = match result {
@@ -126,7 +125,7 @@
             }
         };
         session.unanswered = 0;
-        session.read_clock(report.clock_ms, now, hold_max);
+        session.read_clock(report.clock_ms, now);
         let joined = session.contact != Contact::Live;
         session.contact = Contact::Live;
         session.next_renewal = now;
@@ -172,18 +171,22 @@
         }
     }
 
-    /// Requeues the runs of unreachable workers whose leases have certainly expired.
+    /// Requeues the runs of unreachable workers that have certainly ended.
     pub(super) fn check_leases(&mut self, context: &mut Context) {
-        let expired: Vec<WorkerKey> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| session.contact != Contact::Live)
-            .filter(|(_, session)| !session.placements.is_empty())
-            .filter(|(_, session)| session.leases_expired(context.now))
-            .map(|(key, _)| Rc::clone(key))
-            .collect();
-        for worker in expired {
-            self.forget_runs(&worker, Loss::LeaseExpired, context);
+        let mut expired: Vec<(WorkerKey, Vec<TaskId>)> = Vec::new();
+        for (key, session) in &self.sessions {
+            if session.contact == Contact::Live {
+                continue;
+            }
+            let runs = session.placements.iter();
+            let ended = runs.filter(|(_, run)| session.run_ends(run) < context.now);
+            let ended: Vec<TaskId> = ended.map(|(task, _)| *task).collect();
+            if !ended.is_empty() {
+                expired.push((Rc::clone(key), ended));
+            }
+        }
+        for (worker, tasks) in expired {
+            self.forget_runs(&worker, &tasks, Loss::LeaseExpired, context);
         }
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -39,7 +39,7 @@
 use approvers::Approvers;
 pub use commit::{Batch, cancellation_key, job_key, job_part, job_parts};
 use crashes::Loss;
-use session::{Contact, Session, WorkerKey};
+use session::{Contact, Phase, Placement, Session, WorkerKey};
 use stage::{Place, Stage};
 
 /// Bits of a run number below the epoch. Run numbers of a later epoch are higher, so no counter has to be stored before
@@ -479,7 +479,8 @@
         context.log("worker_joined", fields);
         let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
         let age = context.unix_ms.saturating_sub(registration.started_unix_ms);
-        let mut session = Session::new(registration, incarnation, fence, context.now);
+        let hold_max = self.bounds.hold_max;
+        let mut session = Session::new(registration, incarnation, fence, hold_max, context.now);
         session.started_recently = Duration::from_millis(age) < FORMER_CALLS_TIME;
         session.in_roster = self.takeover.roster_names(&worker)
             || self.sessions.get(&worker).is_some_and(|earlier| earlier.in_roster);
@@ -568,7 +569,8 @@
     /// more.
     fn worker_gone(&mut self, worker: &WorkerKey, context: &mut Context) {
         context.log("worker_gone", vec![("worker", worker.to_string())]);
-        self.forget_runs(worker, Loss::Replaced, context);
+        let tasks = self.tasks_on(worker);
+        self.forget_runs(worker, &tasks, Loss::Replaced, context);
         self.sessions.remove(worker);
         self.expire_possible_tasks(worker);
         self.round_due = true;
@@ -615,8 +617,49 @@
             ];
             context.log("worker_restarted", fields);
         }
-        self.forget_runs(worker, Loss::Restarted, context);
+        let undecided = self.take_undecided(worker, context);
+        let lost = self.release_lost(worker, &self.tasks_on(worker), Loss::Restarted, context);
+        // A run that the new life turns out to have is cleared of the loss then.
+        let possibly_lost: Vec<_> = lost.iter().chain(&undecided).cloned().collect();
+        self.record_losses(worker, Loss::Restarted, &possibly_lost, context);
+        self.requeue_lost(worker, lost, context);
         self.open_session(Rc::clone(worker), registration, context);
+        for (task, run) in undecided {
+            let answered = match run.phase {
+                Phase::Running => true,
+                Phase::Undecided { answered } => answered,
+                Phase::Starting | Phase::StartUnanswered | Phase::Stopping => false,
+            };
+            self.book(worker, task, Placement { phase: Phase::Undecided { answered }, ..run });
+        }
+    }
+
+    /// Takes the runs from a worker whose process has been replaced that no list has shown. The new life may have got their
+    /// starts, or may still get them before it knows the fencing token of its session.
+    fn take_undecided(
+        &mut self,
+        worker: &WorkerKey,
+        context: &mut Context,
+    ) -> Vec<(TaskId, Placement)> {
+        let Some(session) = self.sessions.get(worker) else { return Vec::new() };
+        let unlisted = session.placements.iter().filter(|(_, run)| !run.listed);
+        let tasks: Vec<TaskId> = unlisted.map(|(task, _)| *task).collect();
+        let taken = tasks.into_iter().filter_map(|task| Some((task, self.release(worker, &task)?)));
+        let taken: Vec<(TaskId, Placement)> = taken.collect();
+        for (task, run) in &taken {
+            let fields = vec![
+                ("task", task.to_string()),
+                ("run", run.number.to_string()),
+                ("worker", worker.to_string()),
+            ];
+            context.log("run_undecided", fields);
+        }
+        taken
+    }
+
+    fn tasks_on(&self, worker: &WorkerKey) -> Vec<TaskId> {
+        let session = self.sessions.get(worker);
+        session.map(|session| session.placements.keys().copied().collect()).unwrap_or_default()
     }
 
     /// Performs periodic work. Called at a short interval.
@@ -725,7 +768,7 @@
     }
 
     /// Removes a placement from its worker and from its team's usage.
-    fn release(&mut self, worker: &str, task: &TaskId) -> Option<session::Placement> {
+    fn release(&mut self, worker: &str, task: &TaskId) -> Option<Placement> {
         let placement = self.sessions.get_mut(worker)?.release(task)?;
         if let Some(workers) = self.workers_of_tasks.get_mut(task) {
             workers.retain(|key| **key != *worker);
@@ -743,7 +786,7 @@
     }
 
     /// Adds a placement to its worker and to its team's usage.
-    fn book(&mut self, worker: &WorkerKey, task: TaskId, placement: session::Placement) {
+    fn book(&mut self, worker: &WorkerKey, task: TaskId, placement: Placement) {
         if let Some(team) = &placement.team {
             let usage = self.usage.entry(Rc::clone(team)).or_insert(Size::ZERO);
             *usage = usage.plus(&placement.size);
@@ -761,7 +804,7 @@
     fn runs(
         &self,
         tasks: RangeInclusive<TaskId>,
-    ) -> impl Iterator<Item = (&WorkerKey, TaskId, &session::Placement)> {
+    ) -> impl Iterator<Item = (&WorkerKey, TaskId, &Placement)> {
         self.workers_of_tasks.range(tasks).flat_map(|(task, workers)| {
             workers.iter().filter_map(|worker| {
                 let run = self.sessions.get(worker)?.placements.get(task)?;
@@ -789,12 +832,29 @@
         self.round_due = true;
     }
 
-    /// Releases all placements of a worker's incarnation, none of whose runs can exist any more, and requeues their
-    /// tasks.
-    fn forget_runs(&mut self, worker: &WorkerKey, loss: Loss, context: &mut Context) {
+    /// Releases the placements of tasks on a worker whose runs there cannot exist any more, records the loss, and requeues
+    /// the tasks.
+    fn forget_runs(
+        &mut self,
+        worker: &WorkerKey,
+        tasks: &[TaskId],
+        loss: Loss,
+        context: &mut Context,
+    ) {
+        let lost = self.release_lost(worker, tasks, loss, context);
+        self.record_losses(worker, loss, &lost, context);
+        self.requeue_lost(worker, lost, context);
+    }
+
+    fn release_lost(
+        &mut self,
+        worker: &WorkerKey,
+        tasks: &[TaskId],
+        loss: Loss,
+        context: &mut Context,
+    ) -> Vec<(TaskId, Placement)> {
         let cause = <&str>::from(loss);
-        let Some(session) = self.sessions.get(worker) else { return };
-        let tasks: Vec<TaskId> = session.placements.keys().copied().collect();
+        let Some(session) = self.sessions.get(worker) else { return Vec::new() };
         if !tasks.is_empty() {
             let fields = vec![
                 ("worker", worker.to_string()),
@@ -805,7 +865,7 @@
         }
         let broken = session.broken.unwrap_or(context.now);
         let mut lost = Vec::with_capacity(tasks.len());
-        for task in tasks {
+        for task in tasks.iter().copied() {
             let Some(run) = self.release(worker, &task) else { continue };
             let failures = self.counted_failures(task);
             let fields = vec![
@@ -820,7 +880,15 @@
             context.outputs.push(Output::Count { counter: Counter::RunsLost, amount: 1 });
             lost.push((task, run));
         }
-        self.record_losses(worker, loss, &lost, context);
+        lost
+    }
+
+    fn requeue_lost(
+        &mut self,
+        worker: &WorkerKey,
+        lost: Vec<(TaskId, Placement)>,
+        context: &mut Context,
+    ) {
         for (task, _) in lost {
             self.requeue(task, worker);
             self.break_gang(task, context);
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -199,8 +199,13 @@
         if let Some(placement) = session.placements.get_mut(&task)
             && placement.number == number
         {
-            if placement.phase != Phase::StartUnanswered {
-                placement.phase = Phase::Stopping;
+            match placement.phase {
+                // The first list tells whether there is anything to stop.
+                Phase::Undecided { .. } => return,
+                Phase::StartUnanswered => {}
+                Phase::Starting | Phase::Running | Phase::Stopping => {
+                    placement.phase = Phase::Stopping;
+                }
             }
             placement.changed = context.now;
         }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -4,6 +4,7 @@
 use crate::port::{Counter, Timing};
 use crate::prelude::*;
 use crate::progress::{Cause, Failure, State};
+use crate::scheduler::crashes::Loss;
 use crate::scheduler::session::{Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Scheduler};
@@ -199,7 +200,7 @@
     fn stop_other_runs(&mut self, task: TaskId, context: &mut Context) {
         let others: Vec<(WorkerKey, u64)> = self
             .runs(task..=task)
-            .filter(|(_, _, run)| run.phase != Phase::Stopping)
+            .filter(|(_, _, run)| !matches!(run.phase, Phase::Stopping | Phase::Undecided { .. }))
             .map(|(key, _, run)| (Rc::clone(key), run.number))
             .collect();
         for (worker, number) in others {
@@ -299,6 +300,8 @@
         context: &mut Context,
     ) {
         let present: BTreeSet<TaskId> = running.iter().map(|run| run.task).collect();
+        let numbers: BTreeSet<(TaskId, u64)> =
+            running.iter().map(|run| (run.task, run.number)).collect();
         for run in running {
             self.process_run(worker, as_of, run, context);
         }
@@ -307,6 +310,14 @@
         else {
             return;
         };
+        let undecided = session
+            .placements
+            .iter()
+            .filter(|(_, run)| matches!(run.phase, Phase::Undecided { .. }));
+        let not_taken: Vec<TaskId> = undecided
+            .filter(|(task, run)| !numbers.contains(&(**task, run.number)))
+            .map(|(task, _)| *task)
+            .collect();
         let missing: Vec<TaskId> = session
             .placements
             .iter()
@@ -314,11 +325,13 @@
             .filter(|(_, run)| run.changed < as_of)
             .filter(|(_, run)| match run.phase {
                 Phase::Running => true,
-                Phase::Starting => false,
+                Phase::Starting | Phase::Undecided { .. } => false,
                 Phase::StartUnanswered | Phase::Stopping => run.stop_confirmed,
             })
             .map(|(task, _)| *task)
             .collect();
+        let not_taken = self.release_lost(worker, &not_taken, Loss::Restarted, context);
+        self.requeue_lost(worker, not_taken, context);
         for task in missing {
             self.release(worker, &task);
             self.requeue(task, worker);
@@ -348,10 +361,17 @@
             }
             return;
         }
-        if placement.phase == Phase::Starting {
+        if matches!(placement.phase, Phase::Starting | Phase::Undecided { .. }) {
+            let undecided = placement.phase != Phase::Starting;
             placement.phase = Phase::Running;
             placement.changed = now;
+            if undecided && !self.keeps_undecided(worker, run.task, context) {
+                self.send_stop(worker, run.task, run.number, context);
+                return;
+            }
         }
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let Some(placement) = session.placements.get_mut(&run.task) else { return };
         placement.listed = true;
         let age = as_of.saturating_sub(placement.started);
         placement.progress_percent = run.percent;
@@ -370,6 +390,23 @@
         }
     }
 
+    /// Returns whether a run that a new life of its worker has taken from a former one goes on. A gang has lost members with
+    /// the former life.
+    fn keeps_undecided(&self, worker: &WorkerKey, task: TaskId, context: &mut Context) -> bool {
+        let stage = self.stage(task.stage);
+        let state = stage.and_then(|stage| stage.tasks.get(task.index as usize));
+        let wanted = self.unfinished.contains(&task.stage.job)
+            && state.is_some_and(|state| state.place == Place::Placed(Rc::clone(worker)))
+            && !self.step(task.stage).is_some_and(|step| step.gang);
+        let fields = vec![
+            ("task", task.to_string()),
+            ("worker", worker.to_string()),
+            ("wanted", wanted.to_string()),
+        ];
+        context.log("run_taken", fields);
+        wanted
+    }
+
     /// Records that a task of the job has started.
     pub(super) fn mark_started(&mut self, id: JobId, context: &mut Context) {
         if let Some(entry) = self.jobs.get_mut(&id)
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -18,6 +18,13 @@
 /// Time for which a worker is avoided after consecutive failed runs.
 const AVOID_TIME_CONSECUTIVE: Duration = Duration::from_secs(4);
 
+/// Time from sending a start to its answer, at most.
+const START_TIME_MAX: Duration = Duration::from_millis(700);
+
+/// Time after which a start that was not answered is no longer carried out by a later life of the worker. A life that the
+/// start was meant for refuses it earlier, once the lease that it carries is over.
+const LATE_START_TIME_MAX: Duration = Duration::from_secs(12);
+
 /// Phase of a run on a worker, as far as the owner knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -29,6 +36,9 @@
     StartUnanswered,
     /// A stop call is in flight or confirmed, and the worker has not listed the end of the run yet.
     Stopping,
+    /// The start was meant for a former life of the worker. The first list of the present one tells whether it has taken
+    /// the start. A start that a life has answered is not carried out later.
+    Undecided { answered: bool },
 }
 
 /// A run that is placed on a worker, with the resources that it books there.
@@ -131,6 +141,8 @@
     pub clock: Option<(u64, Uptime)>,
     /// Latest end of a lease that the worker may hold, in milliseconds of its clock.
     pub lease_until_ms: u64,
+    /// Maximum length of a lease that the worker grants.
+    pub hold_max: Duration,
     /// Ended runs whose processing is deferred because the first of them belongs to a job that is not known yet.
     pub waiting_ends: Vec<EndedRun>,
     /// Whether the worker's last list left out ended runs, or some of them wait for their job. A run that is missing from
@@ -176,7 +188,13 @@
 
 impl Session {
     /// Creates a session with a worker that has not answered yet.
-    pub fn new(registration: Registration, incarnation: u64, fence: u64, now: Uptime) -> Session {
+    pub fn new(
+        registration: Registration,
+        incarnation: u64,
+        fence: u64,
+        hold_max: Duration,
+        now: Uptime,
+    ) -> Session {
         Session {
             registration,
             registered: true,
@@ -187,6 +205,7 @@
             contact: Contact::Joining,
             clock: None,
             lease_until_ms: 0,
+            hold_max,
             waiting_ends: Vec::new(),
             ends_missing: false,
             unknown_since: BTreeMap::new(),
@@ -265,30 +284,43 @@
         Some(clock.saturating_add(milliseconds(least)))
     }
 
-    /// Records the clock that the worker lists its runs with. `hold_max` is the longest lease that it grants.
+    /// Records the clock that the worker lists its runs with.
     ///
     /// From the first list of a session on, the worker refuses the calls of earlier sessions and owners, as their fencing
     /// tokens are lower. Until then, it may have granted the longest lease to any of them.
-    pub fn read_clock(&mut self, clock_ms: u64, now: Uptime, hold_max: Duration) {
+    pub fn read_clock(&mut self, clock_ms: u64, now: Uptime) {
         if self.clock.is_none() {
-            let earlier = clock_ms.saturating_add(milliseconds(hold_max));
+            let earlier = clock_ms.saturating_add(milliseconds(self.hold_max));
             self.lease_until_ms = self.lease_until_ms.max(earlier);
         }
         self.clock = Some((clock_ms, now));
     }
 
-    /// Returns whether every lease that was sent has certainly expired, even if the worker's clock is slow.
-    pub fn leases_expired(&self, now: Uptime) -> bool {
-        self.least_clock_at(now).is_some_and(|clock| clock > self.lease_until_ms)
+    /// Returns the time after which every lease that the worker's present life may hold has certainly expired, even if its
+    /// clock is slow; zero if it has not listed its runs yet.
+    fn leases_end(&self) -> Uptime {
+        let Some((clock, read)) = self.clock else { return Uptime::ZERO };
+        let left = self.lease_until_ms.saturating_sub(clock).saturating_add(1);
+        read.saturating_add(Duration::from_millis(left).div_f64(CLOCK_RATE_MIN))
     }
 
-    /// Returns the maximum time until every lease that was sent has certainly expired; zero if the worker has not
-    /// answered yet.
-    pub fn leases_expire_in(&self, now: Uptime) -> Duration {
-        let Some((clock, read)) = self.clock else { return Duration::ZERO };
-        let left = self.lease_until_ms.saturating_sub(clock).saturating_add(1);
-        let left = Duration::from_millis(left);
-        left.div_f64(CLOCK_RATE_MIN).saturating_sub(now.saturating_sub(read))
+    /// Returns the time after which a run has certainly ended if the worker does not answer. A start that another life of
+    /// the worker has taken may have got the longest lease.
+    pub fn run_ends(&self, run: &Placement) -> Uptime {
+        let longest_lease = self.hold_max.div_f64(CLOCK_RATE_MIN);
+        match run.phase {
+            Phase::Undecided { answered: false } => {
+                run.started + LATE_START_TIME_MAX + longest_lease
+            }
+            Phase::Undecided { answered: true } => run.started + START_TIME_MAX + longest_lease,
+            _ => self.leases_end(),
+        }
+    }
+
+    /// Returns the maximum time until all that the worker may run has certainly ended, if it does not answer.
+    pub fn runs_end_in(&self, now: Uptime) -> Duration {
+        let ends = self.placements.values().map(|run| self.run_ends(run));
+        ends.fold(self.leases_end(), Uptime::max).saturating_sub(now)
     }
 
     /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -163,11 +163,12 @@
                 tasks: self.possible_tasks_of(key, session),
                 lease_expires_in: match self.takeover.possible_tasks.get(key) {
                     // The worker may have answered this owner, and got leases from it, without having listed all.
-                    Some((_, expires)) => {
-                        expires.saturating_sub(now).max(session.leases_expire_in(now))
+                    Some((_, expires)) => expires.saturating_sub(now).max(session.runs_end_in(now)),
+                    None if session.clock.is_some() => session.runs_end_in(now),
+                    None => {
+                        let earlier = self.earlier_leases_expire(key, session).saturating_sub(now);
+                        earlier.max(session.runs_end_in(now))
                     }
-                    None if session.clock.is_some() => session.leases_expire_in(now),
-                    None => self.earlier_leases_expire(key, session).saturating_sub(now),
                 },
             })
             .collect()
