Wait for the longest lease of a start that another life of the worker has answered

Callers saw tasks run twice, or stand, after a worker had been cut off before the owner learned of its new life. The answer to a start carries the clock of the life that has taken it. A clock that can't be that of the listed life shows that another one runs the task, under a lease that the owner's count does not bound; the run is then taken for ended only after the platform's longest lease. Runs without such an answer are not held longer than before.

--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -143,11 +143,17 @@
         let current = session.placements.get_mut(&task).filter(|run| run.number == number);
         let Some(placement) = current else { return };
         let error = match result {
-            Ok(_) => {
+            Ok(report) => {
                 if placement.phase == Phase::Starting {
                     placement.phase = Phase::Running;
                     placement.changed = now;
                 }
+                let sent = placement.started;
+                if session.is_foreign_clock(report.clock_ms, sent, now)
+                    && let Some(placement) = session.placements.get_mut(&task)
+                {
+                    placement.foreign_clock = true;
+                }
                 self.mark_started(task.stage.job, context);
                 return;
             }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -494,6 +494,7 @@
         stop_confirmed: false,
         adopted: false,
         listed: false,
+        foreign_clock: false,
         on_trial: false,
         progress_percent: 0.0,
         checkpoints: step.checkpoints,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -18,6 +18,9 @@
 /// Time for which a worker is avoided after consecutive failed runs.
 const AVOID_TIME_CONSECUTIVE: Duration = Duration::from_secs(4);
 
+/// Difference between a worker's clock and what is expected that delays on the way explain, in milliseconds.
+const CLOCK_TOLERANCE_MS: u64 = 1_000;
+
 /// Time from sending a start to its answer, at most.
 const START_TIME_MAX: Duration = Duration::from_millis(700);
 
@@ -64,6 +67,8 @@
     pub adopted: bool,
     /// Whether a list of this life of the worker has shown the run.
     pub listed: bool,
+    /// Whether the start was answered with a clock that can't be that of this life of the worker.
+    pub foreign_clock: bool,
     /// Whether the run was started in isolation.
     pub on_trial: bool,
     /// Last reported progress, in percent.
@@ -304,6 +309,16 @@
         read.saturating_add(Duration::from_millis(left).div_f64(CLOCK_RATE_MIN))
     }
 
+    /// Returns whether a clock that the worker gave between `sent` and `now` can't be that of the life which it lists its
+    /// runs in.
+    pub fn is_foreign_clock(&self, clock_ms: u64, sent: Uptime, now: Uptime) -> bool {
+        let (Some(least), Some(most)) = (self.least_clock_at(sent), self.clock_now(now)) else {
+            return false;
+        };
+        clock_ms.saturating_add(CLOCK_TOLERANCE_MS) < least
+            || clock_ms > most.saturating_add(CLOCK_TOLERANCE_MS)
+    }
+
     /// Returns the time after which a run has certainly ended if the worker does not answer. A start that another life of
     /// the worker has taken may have got the longest lease.
     pub fn run_ends(&self, run: &Placement) -> Uptime {
@@ -313,6 +328,9 @@
                 run.started + LATE_START_TIME_MAX + longest_lease
             }
             Phase::Undecided { answered: true } => run.started + START_TIME_MAX + longest_lease,
+            _ if run.foreign_clock => {
+                self.leases_end().max(run.started + START_TIME_MAX + longest_lease)
+            }
             _ => self.leases_end(),
         }
     }
