Name the incarnations of a worker as the glossary does, and bound undecided runs by the first list

A run that is still undecided when the first list leaves out ends is bounded by that list, like all that the worker may run.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -49,8 +49,8 @@
 /// Maximum number of incarnations of one worker that the fencing token distinguishes within one epoch.
 const INCARNATIONS_MAX: u64 = 1 << 10;
 
-/// Time after the start of a worker's process within which it may take calls that were meant for a former life, with an
-/// allowance for the difference between the clocks of hosts and workers.
+/// Time after the start of a worker's process within which it may take calls that were meant for a former incarnation, with
+/// an allowance for the difference between the clocks of hosts and workers.
 const FORMER_CALLS_TIME: Duration = Duration::from_secs(15);
 
 /// Minimum time between two placement rounds, so that runs that end at about the same time share a round.
@@ -64,8 +64,8 @@
 pub struct Bounds {
     /// Maximum length of a lease that the owner asks for.
     pub lease_max: Duration,
-    /// Maximum length of a lease that a worker grants. A call that was meant for another life of the worker, and so names
-    /// a time on another clock, may get one of this length.
+    /// Maximum length of a lease that a worker grants. A call that was meant for another incarnation of the worker, and so
+    /// names a time on another clock, may get one of this length.
     pub hold_max: Duration,
     /// Time after which a stopped run is certain to have ended.
     pub stop_timeout: Duration,
@@ -447,7 +447,12 @@
                 if session.registration.started_unix_ms != registration.started_unix_ms =>
             {
                 if registration.started_unix_ms > session.registration.started_unix_ms {
-                    self.replace_life(&WorkerKey::from(worker), registration, "registry", context);
+                    self.replace_incarnation(
+                        &WorkerKey::from(worker),
+                        registration,
+                        "registry",
+                        context,
+                    );
                 }
             }
             Some(session) => {
@@ -588,7 +593,7 @@
         let mut registration = session.registration.clone();
         registration.started_unix_ms = started_unix_ms;
         let registered = session.registered;
-        self.replace_life(worker, registration, "answer", context);
+        self.replace_incarnation(worker, registration, "answer", context);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.registered = registered;
         }
@@ -596,7 +601,7 @@
 
     /// Replaces the session with a worker whose process has been replaced by another one under its identifier. `source`
     /// tells how this became known.
-    fn replace_life(
+    fn replace_incarnation(
         &mut self,
         worker: &WorkerKey,
         registration: Registration,
@@ -619,7 +624,7 @@
         }
         let undecided = self.take_undecided(worker, context);
         let lost = self.release_lost(worker, &self.tasks_on(worker), Loss::Restarted, context);
-        // A run that the new life turns out to have is cleared of the loss then.
+        // A run that the new incarnation turns out to have is cleared of the loss then.
         let possibly_lost: Vec<_> = lost.iter().chain(&undecided).cloned().collect();
         self.record_losses(worker, Loss::Restarted, &possibly_lost, context);
         self.requeue_lost(worker, lost, context);
@@ -634,8 +639,8 @@
         }
     }
 
-    /// Takes the runs from a worker whose process has been replaced that no list has shown. The new life may have got their
-    /// starts, or may still get them before it knows the fencing token of its session.
+    /// Takes the runs that no list has shown from a worker whose process has been replaced. The new incarnation may have got
+    /// their starts, or may still get them before it knows the fencing token of its session.
     fn take_undecided(
         &mut self,
         worker: &WorkerKey,
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -390,8 +390,8 @@
         }
     }
 
-    /// Returns whether a run that a new life of its worker has taken from a former one goes on. A gang has lost members with
-    /// the former life.
+    /// Returns whether a run goes on that a new incarnation of its worker has taken from a former one. A gang has lost
+    /// members with the former one.
     fn keeps_undecided(&self, worker: &WorkerKey, task: TaskId, context: &mut Context) -> bool {
         let stage = self.stage(task.stage);
         let state = stage.and_then(|stage| stage.tasks.get(task.index as usize));
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -24,8 +24,8 @@
 /// Time from sending a start to its answer, at most.
 const START_TIME_MAX: Duration = Duration::from_millis(700);
 
-/// Time after which a start that was not answered is no longer carried out by a later life of the worker. A life that the
-/// start was meant for refuses it earlier, once the lease that it carries is over.
+/// Time after which a start that was not answered is no longer carried out by a later incarnation of the worker. The
+/// incarnation that it was meant for refuses it earlier, once the lease that it carries is over.
 const LATE_START_TIME_MAX: Duration = Duration::from_secs(12);
 
 /// Phase of a run on a worker, as far as the owner knows.
@@ -39,8 +39,8 @@
     StartUnanswered,
     /// A stop call is in flight or confirmed, and the worker has not listed the end of the run yet.
     Stopping,
-    /// The start was meant for a former life of the worker. The first list of the present one tells whether it has taken
-    /// the start. A start that a life has answered is not carried out later.
+    /// The start was meant for a former incarnation of the worker. The first list of the present one tells whether it has
+    /// taken the start. A start that was answered is not carried out later.
     Undecided { answered: bool },
 }
 
@@ -65,9 +65,9 @@
     pub stop_confirmed: bool,
     /// Whether an earlier owner started the run, at an unknown time.
     pub adopted: bool,
-    /// Whether a list of this life of the worker has shown the run.
+    /// Whether a list of this incarnation of the worker has shown the run.
     pub listed: bool,
-    /// Whether the start was answered with a clock that can't be that of this life of the worker.
+    /// Whether the start was answered with a clock that can't be that of this incarnation of the worker.
     pub foreign_clock: bool,
     /// Whether the run was started in isolation.
     pub on_trial: bool,
@@ -132,7 +132,7 @@
     /// Whether the worker is still in the registry.
     pub registered: bool,
     /// Whether the worker's process had started so recently when the session was opened that it may have taken calls that
-    /// were meant for a former life.
+    /// were meant for a former incarnation.
     pub started_recently: bool,
     /// Incarnation of the worker, counted from zero within this epoch.
     pub incarnation: u64,
@@ -142,7 +142,7 @@
     pub in_roster: bool,
     pub contact: Contact,
     /// The worker's clock in milliseconds, and when it was read; `None` until the worker has listed its runs in this epoch.
-    /// Only lists name the life of the worker whose clock they give.
+    /// Only lists name the incarnation whose clock they give.
     pub clock: Option<(u64, Uptime)>,
     /// Latest end of a lease that the worker may hold, in milliseconds of its clock.
     pub lease_until_ms: u64,
@@ -301,16 +301,15 @@
         self.clock = Some((clock_ms, now));
     }
 
-    /// Returns the time after which every lease that the worker's present life may hold has certainly expired, even if its
-    /// clock is slow; zero if it has not listed its runs yet.
+    /// Returns the time after which every lease that this incarnation may hold has certainly expired, even if its clock is
+    /// slow; zero if it has not listed its runs yet.
     fn leases_end(&self) -> Uptime {
         let Some((clock, read)) = self.clock else { return Uptime::ZERO };
         let left = self.lease_until_ms.saturating_sub(clock).saturating_add(1);
         read.saturating_add(Duration::from_millis(left).div_f64(CLOCK_RATE_MIN))
     }
 
-    /// Returns whether a clock that the worker gave between `sent` and `now` can't be that of the life which it lists its
-    /// runs in.
+    /// Returns whether a clock that the worker gave between `sent` and `now` can't be that of this incarnation.
     pub fn is_foreign_clock(&self, clock_ms: u64, sent: Uptime, now: Uptime) -> bool {
         let (Some(least), Some(most)) = (self.least_clock_at(sent), self.clock_now(now)) else {
             return false;
@@ -319,20 +318,18 @@
             || clock_ms > most.saturating_add(CLOCK_TOLERANCE_MS)
     }
 
-    /// Returns the time after which a run has certainly ended if the worker does not answer. A start that another life of
-    /// the worker has taken may have got the longest lease.
+    /// Returns the time after which a run has certainly ended if the worker does not answer. A start that another
+    /// incarnation has taken may have got the longest lease.
     pub fn run_ends(&self, run: &Placement) -> Uptime {
-        let longest_lease = self.hold_max.div_f64(CLOCK_RATE_MIN);
-        match run.phase {
-            Phase::Undecided { answered: false } => {
-                run.started + LATE_START_TIME_MAX + longest_lease
-            }
-            Phase::Undecided { answered: true } => run.started + START_TIME_MAX + longest_lease,
-            _ if run.foreign_clock => {
-                self.leases_end().max(run.started + START_TIME_MAX + longest_lease)
-            }
-            _ => self.leases_end(),
-        }
+        let taken_until = match run.phase {
+            // The first list of this incarnation bounds all earlier leases.
+            Phase::Undecided { .. } if self.clock.is_some() => return self.leases_end(),
+            Phase::Undecided { answered: false } => run.started + LATE_START_TIME_MAX,
+            Phase::Undecided { answered: true } => run.started + START_TIME_MAX,
+            _ if run.foreign_clock => run.started + START_TIME_MAX,
+            _ => return self.leases_end(),
+        };
+        self.leases_end().max(taken_until + self.hold_max.div_f64(CLOCK_RATE_MIN))
     }
 
     /// Returns the maximum time until all that the worker may run has certainly ended, if it does not answer.
@@ -342,8 +339,8 @@
     }
 
     /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
-    /// failed since the last answer. Another life of the worker may take such a call, and would drop ends of its own that
-    /// nobody has read.
+    /// failed since the last answer. Another incarnation may take such a call, and would drop ends of its own that nobody
+    /// has read.
     pub fn acknowledgement(&self) -> u64 {
         let certain =
             self.contact == Contact::Live && self.unanswered == 0 && self.broken.is_none();
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -189,7 +189,7 @@
 
     /// Returns the time after which no lease of an earlier owner can be valid on a worker that has not answered yet.
     fn earlier_leases_expire(&self, key: &WorkerKey, session: &Session) -> Uptime {
-        // A call that was meant for its former life may have got it a longer lease than the earlier owner asked for.
+        // A call that was meant for a former incarnation may have got it a longer lease than the earlier owner asked for.
         let longer = match session.started_recently {
             true => self.bounds.hold_max.saturating_sub(self.bounds.lease_max),
             false => Duration::ZERO,
