Take no owner for ended by a heartbeat of its host's former process

A heartbeat with another incarnation than that of the ownership row was taken as proof that the owner's process had ended. Messages carry only the sender's name, and those of a former process can arrive after the first ones of the next: they travel on a connection of their own, and the kernel still delivers what was written before the process ended. The row was then claimed from a live owner at once, and the wait for leases that this owner may still grant was cut from 10.2 s to 6.2 s after its last commit, before the claim as well as after it.

The incarnation is random, so it does not tell which process is the later one; the epoch does. A former process had ended before the owner claimed its epoch, so it cannot know this epoch, and the next process knows it as soon as it has read the row. Only a heartbeat that knows the epoch now shows the end.

--- a/crates/shallotpost-fleet/src/host/ownership.rs
+++ b/crates/shallotpost-fleet/src/host/ownership.rs
@@ -104,6 +104,12 @@
     }
 }
 
+/// Returns whether a heartbeat from the owner's host shows that the process has ended which claimed the epoch. One of another
+/// process that does not know the epoch may have been sent by an earlier process and delayed on the way.
+fn shows_end(heartbeat: &Heartbeat, incarnation: u64, epoch: u64) -> bool {
+    heartbeat.incarnation != incarnation && heartbeat.epoch >= epoch
+}
+
 impl Host {
     /// Returns the owner if it has sent a recent heartbeat.
     pub(super) fn live_owner(&self) -> Option<HostName> {
@@ -160,6 +166,10 @@
 
     fn observe_row(&mut self, row: Option<Row>) {
         let version = row.as_ref().map_or(0, |row| row.version);
+        if self.ownership.observed_at.is_none() {
+            // It tells the others that an earlier process of this host has ended.
+            self.next_heartbeat = self.now;
+        }
         if self.ownership.observed_at.is_none() || version > self.ownership.version {
             self.ownership.observed_at = Some(self.now);
             self.ownership.version = version;
@@ -219,9 +229,9 @@
             // This process has lost or released the epoch of the row. It must claim a new one.
             return true;
         }
-        self.peers.get(&row.host).is_some_and(|peer| {
-            peer.last_heartbeat.is_some() && peer.heartbeat.incarnation != row.incarnation
-        })
+        self.peers
+            .get(&row.host)
+            .is_some_and(|peer| shows_end(&peer.heartbeat, row.incarnation, row.epoch))
     }
 
     /// Returns the number of live hosts that claim before this one. Hosts with more processor capacity come first,
@@ -398,7 +408,7 @@
         let lease_max = self.worker_lease_max();
         let Some(owner) = &mut self.owner else { return };
         let ended = |predecessor: &Predecessor| {
-            let is_new_process = heartbeat.incarnation != predecessor.incarnation;
+            let is_new_process = shows_end(heartbeat, predecessor.incarnation, predecessor.epoch);
             let has_lost = heartbeat.epoch >= predecessor.epoch && !heartbeat.owner;
             predecessor.host == *from && (is_new_process || has_lost)
         };
--- a/crates/shallotpost-fleet/tests/claims.rs
+++ b/crates/shallotpost-fleet/tests/claims.rs
@@ -1,9 +1,10 @@
-//! Ownership claims whose answers arrive in an unfavourable order; the test answers the calls to the store itself.
-//! Guards against an epoch that is started twice.
+//! Ownership claims whose answers, or the heartbeats of other hosts, arrive in an unfavourable order; the test answers the
+//! calls to the store itself. Guards against an epoch that is started twice, and against leases that are not waited for.
 
 use std::time::Duration;
 
 use shallotpost_fleet::host::{Freshness, Host, Settings};
+use shallotpost_fleet::message::{Heartbeat, Message};
 use shallotpost_fleet::port::{
     CallId, Content, Input, Output, Row, StoreAnswer, StoreError, StoreRequest, Table,
 };
@@ -11,6 +12,9 @@
 
 const TICK: Duration = Duration::from_millis(20);
 
+/// Incarnation of each host's process, and so of the owner `z`.
+const OWNER: u64 = 1;
+
 /// A host whose reads and transactions of the ownership table the test answers. Other calls, except feeds, are answered
 /// at once.
 struct TestHost {
@@ -22,6 +26,8 @@
     won: usize,
     /// Longest time for which leases of earlier owners may last, as logged with the last ownership that was won.
     uncertain: Duration,
+    /// Whether the host has taken the previous owner for ended since it won.
+    predecessor_ended: bool,
 }
 
 impl TestHost {
@@ -31,7 +37,7 @@
             data_centre: "kochi".to_owned(),
             address: format!("{name}:1"),
             processors_milli: 250,
-            incarnation: 1,
+            incarnation: OWNER,
             bounds: Bounds {
                 lease_max: Duration::from_secs(6),
                 hold_max: Duration::from_secs(10),
@@ -49,6 +55,7 @@
             claims: Vec::new(),
             won: 0,
             uncertain: Duration::ZERO,
+            predecessor_ended: false,
         }
     }
 
@@ -66,12 +73,29 @@
                     let milliseconds = field.and_then(|(_, value)| value.parse().ok());
                     self.uncertain = Duration::from_millis(milliseconds.expect("a number"));
                 }
+                Output::Log(log) if log.event == "predecessor_ended" => {
+                    self.predecessor_ended = true;
+                }
                 Output::Store { call, request, .. } => self.store(call, request),
                 _ => {}
             }
         }
     }
 
+    /// Delivers a heartbeat of a process of the host `z` that has seen this epoch.
+    fn hear(&mut self, incarnation: u64, epoch: u64) {
+        let heartbeat = Heartbeat {
+            incarnation,
+            address: "z:1".to_owned(),
+            epoch,
+            owner: incarnation == OWNER,
+            store_age: Duration::MAX,
+            ..Heartbeat::default()
+        };
+        let message = Message::Heartbeat(heartbeat);
+        self.deliver(Input::Peer { from: "z".to_owned(), message });
+    }
+
     fn store(&mut self, call: CallId, request: StoreRequest) {
         match request {
             StoreRequest::Read { table: Table::Ownership, .. } => self.reads.push(call),
@@ -234,3 +258,63 @@
     accept(&mut test_host, call);
     assert_waits_for_leases(&test_host, observed);
 }
+
+/// A heartbeat that a former process of the owner's host had sent arrived after those of the owner, which was taken for
+/// ended: it was replaced at once.
+#[test]
+fn late_heartbeat_of_former_process() {
+    let (mut test_host, _) = observer();
+    test_host.hear(OWNER, 1);
+    test_host.hear(7, 0);
+    for _ in 0..25 {
+        test_host.tick();
+        test_host.answer_reads();
+    }
+    assert!(test_host.claims.is_empty(), "it claims from a live owner");
+}
+
+/// Such a heartbeat before the claim shortened the wait for the leases of an owner that may still start tasks.
+#[test]
+fn former_process_before_the_claim() {
+    let (mut test_host, _) = observer();
+    // The owner has renewed the row for longer than a lease lasts.
+    for _ in 0..600 {
+        test_host.row.as_mut().expect("a row").version += 1;
+        test_host.tick();
+        test_host.answer_reads();
+    }
+    let observed = test_host.now;
+    test_host.hear(OWNER, 1);
+    test_host.hear(7, 0);
+    let (call, bytes) = next_claim(&mut test_host);
+    test_host.perform(&bytes);
+    accept(&mut test_host, call);
+    assert_waits_for_leases(&test_host, observed);
+}
+
+/// Such a heartbeat after the claim ended the wait for the leases of an owner that may still start tasks.
+#[test]
+fn former_process_after_the_claim() {
+    let (mut test_host, _) = observer();
+    let (call, bytes) = next_claim(&mut test_host);
+    test_host.perform(&bytes);
+    accept(&mut test_host, call);
+    test_host.hear(7, 0);
+    assert!(!test_host.predecessor_ended);
+    // The next process of the owner's host has read the row of the owner or a later one.
+    test_host.hear(8, 1);
+    assert!(test_host.predecessor_ended);
+}
+
+/// An owner whose next process has read its row has ended. Guards against a successor that waits for its lease.
+#[test]
+fn next_process_of_the_owner() {
+    let (mut test_host, _) = observer();
+    test_host.hear(OWNER, 1);
+    test_host.hear(8, 1);
+    for _ in 0..10 {
+        test_host.tick();
+        test_host.answer_reads();
+    }
+    assert_eq!(test_host.claims.len(), 1);
+}
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -8,7 +8,7 @@
 
 use shallotpost_fleet::job::{Job, Step};
 use shallotpost_fleet::message::Message;
-use shallotpost_fleet::port::Answer;
+use shallotpost_fleet::port::{Answer, Table};
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::worker::{Call, EndReason};
 use support::store::Fault;
@@ -589,3 +589,16 @@
     sim.run(ms(500));
     assert_eq!(sim.answers.get(&request), Some(&Answer::Accepted));
 }
+
+/// A former owner whose process is back tells its successor as soon as it has read the ownership row. Guards against a wait of
+/// another second for leases, after a first heartbeat that does not show this yet.
+#[test]
+fn restarted_owner_is_known() {
+    let (mut sim, owner) = settled(1);
+    replace(&mut sim, &owner);
+    sim.read_delays.insert(Table::Ownership, ms(200));
+    sim.start_host(&owner);
+    sim.run_until(ms(500), "the end of the former owner", |sim| {
+        sim.logs.iter().any(|(_, _, text)| text.starts_with("predecessor_ended"))
+    });
+}
