Keep a ticket when a late answer for a worker's former life arrives

Answers of the approval service are accepted seconds late, after the stage has asked again. Approvals are kept by worker, and an answer to a call for an earlier incarnation took the place of the ticket of the present one. Tickets name their incarnation, so the wrong one was not used, but the stage had to ask once more, and its tasks waited for another answer.

late_answer_for_former_life in approval_calls.rs: 3 calls until the start before, 2 now.

--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -225,6 +225,11 @@
         let expires = context.now.saturating_add(validity.saturating_sub(TICKET_MARGIN));
         let named = pending.workers.len();
         for (worker, incarnation) in pending.workers {
+            // The answer for a later incarnation may have arrived first.
+            let known = stage.approvals.get(&worker);
+            if known.is_some_and(|known| known.incarnation > incarnation) {
+                continue;
+            }
             let ticket = tickets.iter().find(|ticket| *ticket.worker == *worker);
             let ticket = ticket.map(|ticket| ticket.ticket.clone());
             stage.approvals.insert(worker, CachedApproval { ticket, expires, incarnation });
--- a/crates/shallotpost-fleet/tests/approval_calls.rs
+++ b/crates/shallotpost-fleet/tests/approval_calls.rs
@@ -156,3 +156,26 @@
     }
     assert_eq!(sim.starts_of_job(FIRST + 1), 3, "members started");
 }
+
+/// The answer to a call for a worker's former life arrived after that for the present one and took the place of its ticket,
+/// so that the stage had to ask again.
+#[test]
+fn late_answer_for_former_life() {
+    let mut sim = Simulation::settled(1);
+    sim.approval_time = Duration::from_secs(2);
+    sim.submit("a", "approved", FIRST, vec![step(1, 300)]);
+    sim.run(ms(200));
+    assert_eq!(sim.approvals.len(), 1, "calls for the former life");
+    let now = sim.now;
+    sim.workers.get_mut("w0").expect("a worker").restart(now);
+    sim.register("w0", false);
+    // The present life is full until the late answer has arrived.
+    sim.submit_lasting("urgent", FIRST + 1, vec![step(4, 1900)], ms(1900));
+    sim.approval_time = ms(20);
+    sim.run(ms(1100));
+    assert_eq!(sim.starts_of_job(FIRST + 1), 4, "the worker is full");
+    assert_eq!(sim.approvals.len(), 2, "the stage has asked for the present life");
+    sim.run_until(Duration::from_secs(3), "a start", |sim| sim.starts_of_job(FIRST) == 1);
+    assert!(sim.now > now + ms(1800), "the late answer has arrived");
+    assert_eq!(sim.approvals.len(), 2, "calls until the start");
+}
