Write the row of a host again that is missing or of another process

A host wrote its row in the table of hosts once. The write and the deletion of rows have no condition, and the store may carry out either of them seconds late: a deletion of the owner, which takes a host for gone after 60 s of silence, when the host is back and has written its row, or the write of the former process over that of the present one. A host that was cut off for longer than 60 s lost its row as well, and none of them wrote it again. Peers still hear its heartbeats; but by reading, one that never saw the row does not know the host's data centre, and makes it no agent there.

Each host reads the table every 5 s anyway. If its own row is missing there or names another incarnation, it writes it again.

--- a/crates/shallotpost-fleet/src/host/peers.rs
+++ b/crates/shallotpost-fleet/src/host/peers.rs
@@ -71,14 +71,15 @@
 /// State of the discovery of hosts.
 #[derive(Default)]
 pub(super) struct Discovery {
-    /// Whether the row of this host is written.
+    /// Whether the row of this host was written, and was there when the rows were last read.
     published: bool,
     call_in_flight: bool,
     next_call: Uptime,
 }
 
 impl Host {
-    /// Writes the row of this host, then reads the rows of the others periodically.
+    /// Writes the row of this host, then reads all rows periodically. Writes it again if it is missing or names another
+    /// process.
     pub(super) fn discover_hosts(&mut self) {
         if self.ownership.discovery.call_in_flight || self.ownership.discovery.next_call > self.now
         {
@@ -125,11 +126,15 @@
         self.ownership.discovery.next_call = self.now + interval;
         let Ok(answer) = result else { return };
         let mut present = BTreeSet::new();
+        // A host that was silent for long is deleted. The store may also carry out a deletion, or the write of an earlier
+        // process, after this process has written its row.
+        let mut published = answer.more;
         for row in answer.rows {
             let Content::Bytes(bytes) = &row.content else { continue };
-            if let Ok(host) = decode::<HostRow>(bytes)
-                && row.key != self.settings.host
-            {
+            let Ok(host) = decode::<HostRow>(bytes) else { continue };
+            if row.key == self.settings.host {
+                published = host.incarnation == self.settings.incarnation;
+            } else {
                 present.insert(row.key.clone());
                 self.upsert_peer(row.key.clone(), host.address, host.processors_milli);
                 if let Some(peer) = self.peers.get_mut(&row.key) {
@@ -137,6 +142,10 @@
                 }
             }
         }
+        if !published {
+            self.ownership.discovery.published = false;
+            self.ownership.discovery.next_call = self.now + STARTUP_DISCOVERY_INTERVAL;
+        }
         let now = self.now;
         self.peers.retain(|name, peer| present.contains(name) || peer.is_alive(now));
     }
--- a/crates/shallotpost-fleet/tests/support/store.rs
+++ b/crates/shallotpost-fleet/tests/support/store.rs
@@ -63,6 +63,11 @@
         self.rows.contains_key(&(table, key.to_owned()))
     }
 
+    /// Returns the content of a row.
+    pub fn content(&self, table: Table, key: &str) -> Option<Content> {
+        self.rows.get(&(table, key.to_owned())).map(|row| row.content.clone())
+    }
+
     /// Returns the stored progress of a job.
     pub fn progress(&self, id: JobId) -> Option<Progress> {
         match &self.rows.get(&(Table::Progress, job_key(id)))?.content {
