Number forwarded requests of each process of an entry host anew

The router numbered the requests that it forwards from the same value in every process. Answers go to a host by its name, and an owner answers a wait for the end of work after up to 5 s, so the answer to a request of the former process could match the request with the same number that the next process had forwarded to the same owner. Its client then got the answer to the request of another client, also of another team.

The numbers now begin with bits of the random incarnation, as those of the calls of the fleet's hosts do.

answers_to_the_former_process in request_routing.rs fails without the change: the client is answered with the former process's reply.

--- a/crates/shallotpost-control/src/router/mod.rs
+++ b/crates/shallotpost-control/src/router/mod.rs
@@ -52,6 +52,15 @@
 /// Requests of the router to its own scheduler have ids above this one, so that they do not collide with clients' ids.
 const INTERNAL_ID_BASE: RequestId = 1 << 63;
 
+/// Bits of such an id below those that come from the incarnation of the process.
+const INTERNAL_ID_BITS: u32 = 23;
+
+/// Returns the id before the first one of a process. Answers to the requests that an earlier process of the same host has
+/// forwarded may still arrive, and must not match a request of this one.
+fn id_before_first(incarnation: u64) -> RequestId {
+    INTERNAL_ID_BASE | (incarnation << (INTERNAL_ID_BITS + 1)) >> 1
+}
+
 /// Progress of a graceful shutdown.
 struct Shutdown {
     deadline: Instant,
@@ -92,7 +101,7 @@
             table_reachable: false,
             peer_list: Rc::default(),
             own_loads: Vec::new(),
-            last_id: INTERNAL_ID_BASE,
+            last_id: id_before_first(settings.incarnation),
             requests: BTreeMap::new(),
             listings: BTreeMap::new(),
             lookups: HashMap::new(),
--- a/crates/shallotpost-control/tests/request_routing.rs
+++ b/crates/shallotpost-control/tests/request_routing.rs
@@ -57,7 +57,11 @@
 
 /// Host `a` owns the shard of `east`, host `b` that of `west`.
 fn router() -> ServiceHarness {
-    let mut harness = ServiceHarness::new(ServiceName::Router, &Settings::new("a", "east"));
+    router_of(Settings::new("a", "east"))
+}
+
+fn router_of(settings: Settings) -> ServiceHarness {
+    let mut harness = ServiceHarness::new(ServiceName::Router, &settings);
     harness.handle(Message::Snapshot(snapshot()));
     harness.handle(Message::ConfigurationLease { until: harness.at(600_000) });
     harness.handle(Message::ShardLoads(vec![load("east", 1)]));
@@ -176,6 +180,26 @@
     }
 }
 
+/// Guards against an answer to a request that the former process of the host had forwarded, which reaches the client whose
+/// request has the same number in the present process.
+#[test]
+fn answers_to_the_former_process() {
+    let forward = |incarnation| {
+        let mut harness = router_of(Settings { incarnation, ..Settings::new("a", "east") });
+        let mut table = table("west", State::Admitted);
+        request(&mut harness, 1, wait(5000));
+        answer_reads(&mut harness, &mut table);
+        let [(id, attempt, _)] = take_forwards(&mut harness)[..] else { panic!("not forwarded") };
+        (harness, id, attempt)
+    };
+    let (_, former, attempt) = forward(1);
+    let (mut harness, present, _) = forward(2);
+    forwarded(&mut harness, "b", former, attempt, Reply::Cancelling);
+    assert_eq!(harness.take_answers(), [], "the answer is for the former process");
+    forwarded(&mut harness, "b", present, attempt, Reply::Outcome(outcome()));
+    assert_eq!(harness.take_answers(), [(1, Ok(Reply::Outcome(outcome())))]);
+}
+
 #[test]
 fn wait_for_end() {
     let mut harness = router();
