Delete progress that an earlier owner has left without its job

An owner deletes an ended job first and its progress with a later commit. If it ended in between, nobody deleted the progress: it stayed in the store, and every new owner read it. A job that was submitted again under the identifier took it for its own after the next change of owner, was shown as completed and ran no more.

A new owner now deletes the progress of jobs that have no row. Rows that it cannot decode count as jobs.

progress_without_a_job in reused_ids.rs fails without the change: the progress is still there. The leak needs no identifier that is used again.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -50,6 +50,8 @@
     /// Partitions of jobs that are still to be read.
     pub(super) parts_to_read: VecDeque<String>,
     pub(super) jobs: BTreeMap<JobId, Job>,
+    /// Jobs whose rows cannot be decoded.
+    pub(super) unreadable_jobs: BTreeSet<JobId>,
     pub(super) cancelled: BTreeSet<JobId>,
     pub(super) progress: BTreeMap<JobId, Progress>,
     pub(super) roster: Vec<(WorkerId, Registration)>,
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -152,6 +152,7 @@
         } else if let (Some(id), Ok(job)) = (parse_job_id(&row.key), decode::<Job>(bytes)) {
             loading.jobs.insert(id, job);
         } else {
+            loading.unreadable_jobs.extend(parse_job_id(&row.key));
             self.log("job_unreadable", vec![("key", row.key)]);
         }
     }
@@ -210,13 +211,22 @@
         let Phase::Loading(loading) = std::mem::replace(&mut owner.phase, Phase::Scheduling) else {
             return;
         };
-        let Loading { jobs, progress, cancelled, roster, unreachable_workers, .. } = loading;
+        let Loading {
+            jobs, unreadable_jobs, progress, cancelled, roster, unreachable_workers, ..
+        } = loading;
+        // An earlier owner has ended between the deletion of these jobs and that of their progress.
+        let deleted: Vec<JobId> = progress
+            .keys()
+            .filter(|id| !jobs.contains_key(id) && !unreadable_jobs.contains(id))
+            .copied()
+            .collect();
         owner.resume_jobs_feed(self.now);
         owner.next_registry_page = self.now;
         let since = owner.previous_commit_observed;
         let count = jobs.len();
         let now = self.now;
         self.with_scheduler(|scheduler, context| {
+            scheduler.forget_jobs(&deleted);
             for (id, job) in jobs {
                 scheduler.add_job(id, job, context);
             }
--- a/crates/shallotpost-fleet/tests/reused_ids.rs
+++ b/crates/shallotpost-fleet/tests/reused_ids.rs
@@ -15,6 +15,26 @@
 /// Time within which the rows of an ended job are deleted.
 const DELETED: Duration = Duration::from_secs(140);
 
+fn has_row(sim: &Simulation, table: Table) -> bool {
+    sim.store.has(table, &format!("{ID:016x}"))
+}
+
+/// Runs a job and lets time pass until its row is deleted.
+fn deleted() -> Simulation {
+    let mut sim = Simulation::settled(2);
+    sim.submit("a", "batch", ID, vec![step(2, 300)]);
+    sim.run(Duration::from_secs(2));
+    assert_eq!(sim.state("a", "batch", ID), Some(State::Completed));
+    sim.run_until(DELETED, "the deletion", |sim| !has_row(sim, Table::Jobs));
+    sim
+}
+
+/// Submits the job again and lets its two tasks start.
+fn submit_again(sim: &mut Simulation) {
+    sim.submit_lasting("batch", ID, vec![step(2, 20_000)], Duration::from_secs(20));
+    sim.wait_for_start(ID, 2);
+}
+
 /// Kills the owner, starts its process again once there is a new one, and returns the new owner.
 fn replace_owner(sim: &mut Simulation) -> String {
     let owner = sim.owner().expect("there is an owner");
@@ -25,6 +45,19 @@
     sim.owner().expect("there is an owner")
 }
 
+/// The owner ended between the deletion of a job and that of its progress, which stayed for good. After the next change of
+/// owner, the present job was shown as completed and ran no more.
+#[test]
+fn progress_without_a_job() {
+    let mut sim = deleted();
+    replace_owner(&mut sim);
+    sim.run(Duration::from_secs(2));
+    assert!(!has_row(&sim, Table::Progress), "the progress of a deleted job");
+    submit_again(&mut sim);
+    let host = replace_owner(&mut sim);
+    assert_eq!(sim.state(&host, "batch", ID), Some(State::Running));
+}
+
 /// The progress of many jobs waited for its deletion. When it was the turn of a job that had been submitted again, that of the
 /// present job was deleted, and the next owner started its tasks again.
 #[test]
