Delete the row of an ended job only while it is that job's row

The deletion had no condition, and the owner repeats one without an answer; the store may also carry it out seconds late. If the job had been submitted again under its identifier meanwhile, the accepted job's row was deleted. And as long as the owner had not heard of the deletion, it took the present job for the former one: shown as completed, not started.

A job's row is written once, so its version tells the jobs of one identifier apart. The owner keeps the versions that it reads, names them as conditions of the deletion, and forgets a job when its identifier has a row of a later version.

repeated_deletion in reused_ids.rs fails without the change: the present job has no row. It takes a requester that uses an identifier again after the retention.

--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -87,6 +87,8 @@
     /// Version up to which the jobs that were read contain every change, and the time at which the first read was sent.
     pub(super) jobs_read: Option<(RowVersion, Uptime)>,
     pub(super) jobs_watch: Watch,
+    /// Versions of the rows of the known jobs. A row is written once, so another version is that of another job.
+    pub(super) job_versions: BTreeMap<JobId, RowVersion>,
     pub(super) registry_watch: Watch,
     /// When the read of the first page of the registry was sent, and the version that it returned.
     pub(super) registry_read_sent: Uptime,
@@ -146,6 +148,7 @@
             next_job_deletion: now + JOB_DELETION_INTERVAL,
             jobs_read: None,
             jobs_watch: jobs_watch(freshness),
+            job_versions: BTreeMap::new(),
             registry_watch: registry_watch(freshness),
             registry_read_sent: now,
             registry_version: 0,
@@ -226,18 +229,52 @@
         };
         owner.next_job_deletion = now + JOB_DELETION_INTERVAL;
         for ids in owner.scheduler.expired_jobs(now) {
-            let rows =
-                |id: &JobId| [(Table::Jobs, job_key(*id)), (Table::Jobs, cancellation_key(*id))];
-            let deletes = ids.iter().flat_map(rows).collect();
-            let request =
-                StoreRequest::Transact { conditions: Vec::new(), writes: Vec::new(), deletes };
-            self.call_store(Purpose::JobsDeleted(ids), request, Duration::ZERO);
+            // The feed has not returned the rows of the others yet.
+            let versions = self.owner.as_ref().map(|owner| &owner.job_versions);
+            let row = |id: JobId| Some((id, *versions?.get(&id)?));
+            let jobs = ids.into_iter().filter_map(row).collect();
+            self.delete_jobs(jobs);
         }
     }
 
-    pub(super) fn jobs_deleted(&mut self, ids: &[JobId], deleted: bool) {
-        if let Some(owner) = self.owner.as_mut().filter(|_| deleted) {
-            owner.scheduler.forget_jobs(ids);
+    /// Deletes the rows of jobs of one partition that still have these versions: the store may carry out a deletion late, when
+    /// another job was submitted under the identifier.
+    fn delete_jobs(&mut self, jobs: Vec<(JobId, RowVersion)>) {
+        if jobs.is_empty() {
+            return;
+        }
+        let condition = |(id, version): &(JobId, RowVersion)| (Table::Jobs, job_key(*id), *version);
+        let rows = |(id, _): &(JobId, RowVersion)| {
+            [(Table::Jobs, job_key(*id)), (Table::Jobs, cancellation_key(*id))]
+        };
+        let request = StoreRequest::Transact {
+            conditions: jobs.iter().map(condition).collect(),
+            writes: Vec::new(),
+            deletes: jobs.iter().flat_map(rows).collect(),
+        };
+        self.call_store(Purpose::JobsDeleted(jobs), request, Duration::ZERO);
+    }
+
+    pub(super) fn jobs_deleted(
+        &mut self,
+        jobs: Vec<(JobId, RowVersion)>,
+        result: Result<StoreAnswer, StoreError>,
+    ) {
+        match result {
+            // An earlier attempt took effect for some of them although its answer was lost.
+            Err(StoreError::Conflict { .. }) if jobs.len() > 1 => {
+                jobs.into_iter().for_each(|job| self.delete_jobs(vec![job]));
+            }
+            Ok(_) | Err(StoreError::Conflict { .. }) => {
+                let Some(owner) = &mut self.owner else { return };
+                for (id, version) in jobs {
+                    if owner.job_versions.get(&id) == Some(&version) {
+                        owner.job_versions.remove(&id);
+                        owner.scheduler.forget_jobs(&[id]);
+                    }
+                }
+            }
+            Err(_) => {}
         }
     }
 
--- a/crates/shallotpost-fleet/src/host/owner_feeds.rs
+++ b/crates/shallotpost-fleet/src/host/owner_feeds.rs
@@ -145,6 +145,7 @@
     }
 
     fn load_job_row(&mut self, row: Row) {
+        self.record_job_version(&row);
         let loading = self.owner.as_mut().and_then(Owner::loading);
         let (Some(loading), Content::Bytes(bytes)) = (loading, &row.content) else { return };
         if let Some(id) = row.key.strip_suffix(CANCELLATION_SUFFIX).and_then(parse_job_id) {
@@ -157,6 +158,17 @@
         }
     }
 
+    /// Records the version of a job's row. Forgets a job of the same identifier whose row had an earlier version.
+    fn record_job_version(&mut self, row: &Row) {
+        let (Some(owner), Some(id)) = (&mut self.owner, parse_job_id(&row.key)) else { return };
+        match owner.job_versions.get(&id) {
+            Some(known) if *known >= row.version => return,
+            Some(_) => owner.scheduler.forget_jobs(&[id]),
+            None => {}
+        }
+        owner.job_versions.insert(id, row.version);
+    }
+
     pub(super) fn progress_read(&mut self, from: String, result: Result<StoreAnswer, StoreError>) {
         let Some(owner) = &mut self.owner else { return };
         owner.pages_in_flight = owner.pages_in_flight.saturating_sub(1);
@@ -357,6 +369,7 @@
             self.with_scheduler(|scheduler, context| scheduler.cancel(id, context));
             return;
         }
+        self.record_job_version(&row);
         // Most jobs are known from the host that accepted them.
         let unknown =
             |id: &JobId| self.owner.as_ref().is_some_and(|owner| !owner.scheduler.knows(*id));
--- a/crates/shallotpost-fleet/src/host/store.rs
+++ b/crates/shallotpost-fleet/src/host/store.rs
@@ -3,7 +3,9 @@
 use crate::host::Host;
 use crate::host::peers::Peer;
 use crate::message::Message;
-use crate::port::{Connection, Counter, HostName, StoreAnswer, StoreError, StoreRequest, Table};
+use crate::port::{
+    Connection, Counter, HostName, RowVersion, StoreAnswer, StoreError, StoreRequest, Table,
+};
 use crate::prelude::*;
 use crate::watch::Poll;
 
@@ -43,7 +45,7 @@
     JobsRead { from: String },
     ProgressRead { from: String },
     RosterRead,
-    JobsDeleted(Vec<JobId>),
+    JobsDeleted(Vec<(JobId, RowVersion)>),
     JobsFeed(Poll),
     RegistryRead { from: String },
     RegistryFeed(Poll),
@@ -300,7 +302,7 @@
             Purpose::JobsRead { from } => self.jobs_read(from, result),
             Purpose::ProgressRead { from } => self.progress_read(from, result),
             Purpose::RosterRead => self.roster_read(result),
-            Purpose::JobsDeleted(ids) => self.jobs_deleted(&ids, result.is_ok()),
+            Purpose::JobsDeleted(jobs) => self.jobs_deleted(jobs, result),
             Purpose::JobsFeed(poll) => self.jobs_feed(poll, result),
             Purpose::RegistryRead { from } => self.registry_read(from, result),
             Purpose::RegistryFeed(poll) => self.registry_feed(poll, result),
--- a/crates/shallotpost-fleet/tests/reused_ids.rs
+++ b/crates/shallotpost-fleet/tests/reused_ids.rs
@@ -8,6 +8,7 @@
 use shallotpost_fleet::job::JobId;
 use shallotpost_fleet::port::Table;
 use shallotpost_fleet::progress::State;
+use support::store::Fault;
 use support::{Simulation, ms, step};
 
 const ID: JobId = 0x1000;
@@ -45,6 +46,29 @@
     sim.owner().expect("there is an owner")
 }
 
+/// The answer to the deletion was lost. The owner took the present job for the former one, and deleted its row when it tried
+/// again.
+#[test]
+fn repeated_deletion() {
+    let mut sim = Simulation::settled(2);
+    sim.submit("a", "batch", ID, vec![step(2, 300)]);
+    sim.run(Duration::from_secs(120));
+    sim.store.fault = Fault::AnswerLost;
+    for _ in 0..1000 {
+        if has_row(&sim, Table::Jobs) {
+            sim.run(ms(10));
+        }
+    }
+    sim.run(ms(5));
+    sim.store.fault = Fault::None;
+    assert!(!has_row(&sim, Table::Jobs), "the row is deleted");
+    sim.submit_lasting("batch", ID, vec![step(2, 20_000)], Duration::from_secs(20));
+    sim.run(Duration::from_secs(12));
+    assert!(has_row(&sim, Table::Jobs), "the row of the present job");
+    assert_eq!(sim.starts_of_job(ID), 4, "starts of both jobs");
+    assert_eq!(sim.state("a", "batch", ID), Some(State::Running));
+}
+
 /// The owner ended between the deletion of a job and that of its progress, which stayed for good. After the next change of
 /// owner, the present job was shown as completed and ran no more.
 #[test]
