Store a cancellation only beside the job that it is for

The write of a cancellation had no condition. Carried out late by the store, after the job's row had been deleted, it left a row without a job that nobody deletes; a job that was submitted again under the identifier was cancelled by it. The version of the job's row, which the host has just read, is now the condition.

--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -347,9 +347,13 @@
             Ok(answer) if !contains_visible_job(&answer.rows, id, team.as_deref(), queue) => {
                 self.answer(request, Answer::NoJob);
             }
-            Ok(_) => {
+            Ok(answer) => {
+                // The store may carry out the write late, when another job was submitted under the identifier.
+                let key = job_key(id);
+                let row = answer.rows.into_iter().find(|row| row.key == key);
+                let version = row.map_or(0, |row| row.version);
                 let write = StoreRequest::Transact {
-                    conditions: Vec::new(),
+                    conditions: vec![(Table::Jobs, key, version)],
                     writes: vec![(Table::Jobs, cancellation_key(id), vec![1])],
                     deletes: Vec::new(),
                 };
