List a roster that names a worker's former life as known red

The roster is written again only when the set of workers changes. A worker that has restarted under its identifier keeps the pool, the address and the capacity of its former life in it, and the owner starts tasks on it all the same. A successor that cannot reach the worker then takes the tasks of its present pool for waiting and starts them again while they run.

roster_of_former_life in take_over.rs: a task runs in two places.

--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use shallotpost_fleet::configuration::Pool;
 use shallotpost_fleet::job::{Job, Step};
 use shallotpost_fleet::message::Message;
 use shallotpost_fleet::port::{Answer, Table};
@@ -602,3 +603,42 @@
         sim.logs.iter().any(|(_, _, text)| text.starts_with("predecessor_ended"))
     });
 }
+
+/// The stored roster kept the pool of a worker's former life. A successor that could not reach the worker took the tasks of its
+/// present pool for waiting, and started them again while they ran there.
+#[test]
+fn roster_of_former_life() {
+    let mut sim = Simulation::new(&["a", "b", "c"], 2);
+    let mut changed = support::configuration();
+    changed.version = 2;
+    let mut press = changed.queues[0].clone();
+    (press.name, press.prefix) = ("press".to_owned(), "/press/".to_owned());
+    press.policy.pool = "press".to_owned();
+    changed.queues.push(press);
+    changed.pools.push(Pool { name: "press".to_owned(), spare: false });
+    sim.configure(changed);
+    sim.sites.insert("w1".to_owned(), ("press".to_owned(), "kochi".to_owned()));
+    sim.register("w1", false);
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    sim.run(ms(1500));
+    // The other worker of the pool is full at first.
+    sim.submit_lasting("press", 0x41, vec![step(4, 2000)], ms(2000));
+    sim.wait_for_start(0x41, 4);
+    let now = sim.now;
+    sim.workers.get_mut("w0").expect("a worker").restart(now);
+    sim.sites.insert("w0".to_owned(), ("press".to_owned(), "kochi".to_owned()));
+    sim.register("w0", false);
+    sim.submit_lasting("press", 0x42, vec![step(4, 20_000)], Duration::from_secs(20));
+    sim.wait_for_start(0x42, 4);
+    assert_eq!(sim.workers_of(0x42).into_iter().collect::<Vec<_>>(), ["w0"]);
+    for host in ["a", "b", "c"] {
+        sim.set_partitioned(host, "w0", true);
+    }
+    sim.unregister("w0");
+    let owner = sim.owner().expect("there is an owner");
+    replace(&mut sim, &owner);
+    for _ in 0..400 {
+        sim.run(ms(10));
+        sim.check_invariants();
+    }
+}
