Tell a successor where a restarted worker is, and that it has restarted

Callers would see tasks run in two places after a takeover. The session also counted as named by the roster when its registration changed the pool later.

A successor waits for the longest lease only for such a worker; it took every worker that had started recently for one before. Nothing starts on a worker before the stored roster has its pool and address.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -441,6 +441,7 @@
             }
             return;
         };
+        let located = self.takeover.roster_names(&worker.into(), &registration);
         match self.sessions.get_mut(worker) {
             None => self.open_session(worker.into(), registration, context),
             Some(session)
@@ -460,6 +461,7 @@
                     context.log("worker_draining", vec![("worker", worker.to_owned())]);
                 }
                 session.registered = true;
+                session.in_roster = located || session.in_roster && session.is_at(&registration);
                 session.registration = registration;
             }
         }
@@ -484,11 +486,17 @@
         context.log("worker_joined", fields);
         let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
         let age = context.unix_ms.saturating_sub(registration.started_unix_ms);
+        let former = self.sessions.get(&worker).map(|former| former.registration.started_unix_ms);
+        let in_roster = self.takeover.roster_names(&worker, &registration)
+            || self
+                .sessions
+                .get(&worker)
+                .is_some_and(|earlier| earlier.in_roster && earlier.is_at(&registration));
         let hold_max = self.bounds.hold_max;
         let mut session = Session::new(registration, incarnation, fence, hold_max, context.now);
-        session.started_recently = Duration::from_millis(age) < FORMER_CALLS_TIME;
-        session.in_roster = self.takeover.roster_names(&worker)
-            || self.sessions.get(&worker).is_some_and(|earlier| earlier.in_roster);
+        session.former_started_unix_ms =
+            former.filter(|_| Duration::from_millis(age) < FORMER_CALLS_TIME);
+        session.in_roster = in_roster;
         self.sessions.insert(worker, session);
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -131,9 +131,9 @@
     pub registration: Registration,
     /// Whether the worker is still in the registry.
     pub registered: bool,
-    /// Whether the worker's process had started so recently when the session was opened that it may have taken calls that
-    /// were meant for a former incarnation.
-    pub started_recently: bool,
+    /// Start of the worker's former process, in milliseconds since the Unix epoch, if the present one had started so recently
+    /// when the session was opened that it may have taken calls that were meant for the former one.
+    pub former_started_unix_ms: Option<u64>,
     /// Incarnation of the worker, counted from zero within this epoch.
     pub incarnation: u64,
     /// Fencing token of this epoch and incarnation.
@@ -203,7 +203,7 @@
         Session {
             registration,
             registered: true,
-            started_recently: false,
+            former_started_unix_ms: None,
             incarnation,
             fence,
             in_roster: false,
@@ -236,6 +236,12 @@
         }
     }
 
+    /// Returns whether a registration has the pool and the address of this session.
+    pub fn is_at(&self, registration: &Registration) -> bool {
+        (&self.registration.pool, &self.registration.address)
+            == (&registration.pool, &registration.address)
+    }
+
     /// Returns the worker's rack, which is the second of its labels; empty if it has none.
     pub fn rack(&self) -> &str {
         self.registration.labels.get(1).map_or("", String::as_str)
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -39,6 +39,30 @@
     }
 }
 
+/// What the stored roster says of a worker.
+#[derive(Clone, Debug, PartialEq)]
+struct RosterEntry {
+    pool: String,
+    address: String,
+    /// Start of the worker's process, in milliseconds since the Unix epoch.
+    started_unix_ms: u64,
+}
+
+impl RosterEntry {
+    fn new(registration: &Registration) -> RosterEntry {
+        RosterEntry {
+            pool: registration.pool.clone(),
+            address: registration.address.clone(),
+            started_unix_ms: registration.started_unix_ms,
+        }
+    }
+
+    /// Returns whether a successor that reads the entry looks for the worker's runs where they are.
+    fn locates(&self, registration: &Registration) -> bool {
+        self.pool == registration.pool && self.address == registration.address
+    }
+}
+
 /// Tracks which tasks earlier owners may have left on workers, and the roster that a successor needs.
 #[derive(Debug)]
 pub(super) struct Takeover {
@@ -55,10 +79,10 @@
     /// Workers that a stored or in-flight commit names as unreachable, and the time at which a successor takes their leases
     /// for expired. Nothing is started on them, and no lease ends later.
     recorded_unreachable: BTreeMap<WorkerKey, Uptime>,
-    /// Workers that the stored roster names, with the start times of their processes.
-    roster: BTreeMap<WorkerKey, u64>,
+    /// Workers that the stored roster names.
+    roster: BTreeMap<WorkerKey, RosterEntry>,
     /// Workers of the roster that is being committed; `None` if none is.
-    roster_sent: Option<BTreeMap<WorkerKey, u64>>,
+    roster_sent: Option<BTreeMap<WorkerKey, RosterEntry>>,
     settled: bool,
     /// Resources of the runs that earlier owners started and this one has found on workers, by team.
     adopted: BTreeMap<Rc<str>, Size>,
@@ -82,10 +106,13 @@
         }
     }
 
-    /// Returns whether the roster names the worker, the stored one as well as one that is being committed.
-    pub(super) fn roster_names(&self, key: &WorkerKey) -> bool {
-        let in_flight = self.roster_sent.as_ref();
-        self.roster.contains_key(key) && in_flight.is_none_or(|sent| sent.contains_key(key))
+    /// Returns whether the roster names the worker where it is now, the stored one as well as one that is being committed. A
+    /// later incarnation may have another pool or address.
+    pub(super) fn roster_names(&self, key: &WorkerKey, registration: &Registration) -> bool {
+        let names = |roster: &BTreeMap<WorkerKey, RosterEntry>| {
+            roster.get(key).is_some_and(|entry| entry.locates(registration))
+        };
+        names(&self.roster) && self.roster_sent.as_ref().is_none_or(names)
     }
 
     pub(super) fn set_unstored_ends(&mut self, unstored_ends: bool) {
@@ -116,25 +143,33 @@
 
     /// Returns the roster for the next commit; `None` if it has not changed.
     pub fn changed_roster(&mut self) -> Option<Vec<(WorkerId, Registration)>> {
-        let start = |session: &Session| session.registration.started_unix_ms;
-        let present: BTreeMap<WorkerKey, u64> =
-            self.sessions.iter().map(|(key, session)| (Rc::clone(key), start(session))).collect();
+        let sessions = self.sessions.iter();
+        let present: BTreeMap<WorkerKey, RosterEntry> = sessions
+            .map(|(key, session)| (Rc::clone(key), RosterEntry::new(&session.registration)))
+            .collect();
         if present == self.takeover.roster {
             return None;
         }
         self.takeover.roster_sent = Some(present);
-        let entry = |(key, session): (&WorkerKey, &Session)| {
+        // A successor learns from the entry of the former process that the present one has replaced it.
+        let former = |(key, session): (&WorkerKey, &Session)| {
+            let started_unix_ms = session.former_started_unix_ms?;
+            let registration = Registration { started_unix_ms, ..session.registration.clone() };
+            Some((key.to_string(), registration))
+        };
+        let present = |(key, session): (&WorkerKey, &Session)| {
             (key.to_string(), session.registration.clone())
         };
-        Some(self.sessions.iter().map(entry).collect())
+        let formers = self.sessions.iter().filter_map(former);
+        Some(formers.chain(self.sessions.iter().map(present)).collect())
     }
 
     /// Records that the commit with the changed roster has taken effect.
     pub fn roster_committed(&mut self) {
         self.takeover.roster = self.takeover.roster_sent.take().unwrap_or_default();
-        for key in self.takeover.roster.keys() {
+        for (key, entry) in &self.takeover.roster {
             if let Some(session) = self.sessions.get_mut(key) {
-                session.in_roster = true;
+                session.in_roster |= entry.locates(&session.registration);
             }
         }
         self.round_due = true;
@@ -190,9 +225,9 @@
     /// Returns the time after which no lease of an earlier owner can be valid on a worker that has not answered yet.
     fn earlier_leases_expire(&self, key: &WorkerKey, session: &Session) -> Uptime {
         // A call that was meant for a former incarnation may have got it a longer lease than the earlier owner asked for.
-        let longer = match session.started_recently {
-            true => self.bounds.hold_max.saturating_sub(self.bounds.lease_max),
-            false => Duration::ZERO,
+        let longer = match session.former_started_unix_ms {
+            Some(_) => self.bounds.hold_max.saturating_sub(self.bounds.lease_max),
+            None => Duration::ZERO,
         };
         let unrecorded = self.takeover.uncertain_until + longer.mul_f64(CLOCK_DRIFT_FACTOR);
         let recorded = self.takeover.recorded_leases.get(key).copied();
--- a/crates/shallotpost-fleet/tests/late_cancellations.rs
+++ b/crates/shallotpost-fleet/tests/late_cancellations.rs
@@ -75,6 +75,7 @@
         incarnation: 1,
         bounds: Bounds {
             lease_max: ms(6000),
+            hold_max: ms(10_000),
             stop_timeout: ms(200),
             retention: Duration::from_secs(120),
         },
