Take an earlier start that a worker's new incarnation runs for the one that was awaited

Callers saw two runs of one task at once. A start got no answer and was stopped, and the task was started on the same worker again, also without an answer. The worker restarted, and its new process carried out the first of the two starts. The owner waited for the number of the second, did not find it in the first list, and placed the task elsewhere while it stopped the run.

The run in the first list is now taken for the awaited one.

--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -300,8 +300,7 @@
         context: &mut Context,
     ) {
         let present: BTreeSet<TaskId> = running.iter().map(|run| run.task).collect();
-        let numbers: BTreeSet<(TaskId, u64)> =
-            running.iter().map(|run| (run.task, run.number)).collect();
+        self.match_undecided(worker, &running);
         for run in running {
             self.process_run(worker, as_of, run, context);
         }
@@ -314,10 +313,8 @@
             .placements
             .iter()
             .filter(|(_, run)| matches!(run.phase, Phase::Undecided { .. }));
-        let not_taken: Vec<TaskId> = undecided
-            .filter(|(task, run)| !numbers.contains(&(**task, run.number)))
-            .map(|(task, _)| *task)
-            .collect();
+        let not_taken: Vec<TaskId> =
+            undecided.filter(|(task, _)| !present.contains(task)).map(|(task, _)| *task).collect();
         let missing: Vec<TaskId> = session
             .placements
             .iter()
@@ -339,6 +336,23 @@
         }
     }
 
+    /// Gives undecided runs the numbers under which a worker lists their tasks. Its present incarnation may have taken an
+    /// earlier start of the task than the last one.
+    fn match_undecided(&mut self, worker: &WorkerKey, running: &[Run]) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        for run in running {
+            let listed = |number| {
+                running.iter().any(|other| other.task == run.task && other.number == number)
+            };
+            if let Some(placement) = session.placements.get_mut(&run.task)
+                && matches!(placement.phase, Phase::Undecided { .. })
+                && !listed(placement.number)
+            {
+                placement.number = run.number;
+            }
+        }
+    }
+
     fn process_run(&mut self, worker: &WorkerKey, as_of: Uptime, run: Run, context: &mut Context) {
         let now = context.now;
         let known = self.jobs.contains_key(&run.task.stage.job);
--- a/crates/shallotpost-fleet/tests/former_lives.rs
+++ b/crates/shallotpost-fleet/tests/former_lives.rs
@@ -284,6 +284,27 @@
     assert!(completed(&sim, JOB));
 }
 
+/// Guards against two runs at once: the new life had executed an earlier start of the task than the one that the owner waited
+/// for, and was taken not to run it.
+#[test]
+fn earlier_start() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let time = Duration::from_secs(5);
+    wait_for_renewal(&mut sim, "w0");
+    late(&mut sim, CallKind::Start, 1, ms(2400));
+    late(&mut sim, CallKind::Start, 1, ms(60_000));
+    sim.submit_lasting("batch", JOB, vec![step(1, 5000)], time);
+    sim.run_until(ms(2100), "a second start", |sim| sim.late_calls[1].count == 0);
+    sim.restart_worker("w0", NewLife { dark: ms(1200), ..registered(200) });
+    add_worker(&mut sim, "w1", time);
+    sim.run(ms(1201));
+    sim.workers.get_mut("w0").expect("a worker").stop_time = ms(200);
+    sim.run(Duration::from_secs(15));
+    assert_eq!(sim.workers["w0"].starts_of(task(JOB, 0, 0)), 1);
+    assert_kept(&sim, "earlier start");
+    assert!(completed(&sim, JOB));
+}
+
 /// Guards against two runs of a gang's member: the start of one member went to the new life.
 #[test]
 fn gang_member() {
