Keep a task undecided while a later incarnation may carry out an unanswered start of it

A lost run that a list had shown was placed again at once, also if an earlier start of its task on the same worker had got no answer. The new process may carry that start out before its first list.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -636,27 +636,35 @@
         let possibly_lost: Vec<_> = lost.iter().chain(&undecided).cloned().collect();
         self.record_losses(worker, Loss::Restarted, &possibly_lost, context);
         self.requeue_lost(worker, lost, context);
+        let unanswered = self.sessions.get_mut(worker);
+        let unanswered = unanswered.map(|former| std::mem::take(&mut former.unanswered_starts));
         self.open_session(Rc::clone(worker), registration, context);
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.unanswered_starts = unanswered.unwrap_or_default();
+        }
         for (task, run) in undecided {
             let answered = match run.phase {
-                Phase::Running => true,
+                Phase::Running => !run.listed,
                 Phase::Undecided { answered } => answered,
                 Phase::Starting | Phase::StartUnanswered | Phase::Stopping => false,
             };
-            self.book(worker, task, Placement { phase: Phase::Undecided { answered }, ..run });
+            self.book(
+                worker,
+                task,
+                Placement { phase: Phase::Undecided { answered }, listed: false, ..run },
+            );
         }
     }
 
-    /// Takes the runs that no list has shown from a worker whose process has been replaced. The new incarnation may have got
-    /// their starts, or may still get them before it knows the fencing token of its session.
+    /// Takes the runs from a worker whose process has been replaced that the new incarnation may have got, or may still get
+    /// before it knows the fencing token of its session.
     fn take_undecided(
         &mut self,
         worker: &WorkerKey,
         context: &mut Context,
     ) -> Vec<(TaskId, Placement)> {
         let Some(session) = self.sessions.get(worker) else { return Vec::new() };
-        let unlisted = session.placements.iter().filter(|(_, run)| !run.listed);
-        let tasks: Vec<TaskId> = unlisted.map(|(task, _)| *task).collect();
+        let tasks = session.undecided_tasks(context.now);
         let taken = tasks.into_iter().filter_map(|task| Some((task, self.release(worker, &task)?)));
         let taken: Vec<(TaskId, Placement)> = taken.collect();
         for (task, run) in &taken {
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -170,6 +170,8 @@
             Error::Unanswered => {
                 if placement.phase == Phase::Starting {
                     placement.phase = Phase::StartUnanswered;
+                    let sent = placement.started;
+                    session.record_unanswered_start(task, sent, now);
                     self.send_stop(worker, task, number, context);
                 }
                 return;
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -178,6 +178,9 @@
     /// When the next lease renewal is due.
     pub next_renewal: Uptime,
     pub placements: BTreeMap<TaskId, Placement>,
+    /// Starts that were not answered, with the times at which they were sent. A later incarnation may still carry them out,
+    /// also if the present one has confirmed a stop.
+    pub unanswered_starts: Vec<(TaskId, Uptime)>,
     /// Number of placements with a latency target, and of best-effort ones.
     pub latency_targets: u32,
     pub best_effort: u32,
@@ -226,6 +229,7 @@
             renewal: None,
             next_renewal: now,
             placements: BTreeMap::new(),
+            unanswered_starts: Vec::new(),
             latency_targets: 0,
             best_effort: 0,
             used: Size::ZERO,
@@ -344,6 +348,27 @@
         ends.fold(self.leases_end(), Uptime::max).saturating_sub(now)
     }
 
+    /// Records that a start was not answered.
+    pub fn record_unanswered_start(&mut self, task: TaskId, sent: Uptime, now: Uptime) {
+        self.unanswered_starts.retain(|(_, sent)| *sent + LATE_START_TIME_MAX > now);
+        self.unanswered_starts.push((task, sent));
+    }
+
+    /// Returns whether a later incarnation of the worker may carry out an unanswered start of a task.
+    fn may_start_late(&self, task: TaskId, now: Uptime) -> bool {
+        let mut starts = self.unanswered_starts.iter();
+        starts.any(|(started, sent)| *started == task && *sent + LATE_START_TIME_MAX > now)
+    }
+
+    /// Returns the tasks that the next incarnation of the worker may run when the present one has ended.
+    pub fn undecided_tasks(&self, now: Uptime) -> Vec<TaskId> {
+        let undecided = self
+            .placements
+            .iter()
+            .filter(|(task, run)| !run.listed || self.may_start_late(**task, now));
+        undecided.map(|(task, _)| *task).collect()
+    }
+
     /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
     /// failed since the last answer. Another incarnation may take such a call, and would drop ends of its own that nobody
     /// has read.
