--- a/crates/shallotpost-fleet/src/host/owner.rs
+++ b/crates/shallotpost-fleet/src/host/owner.rs
@@ -352,7 +352,7 @@
         }
         let Ok(bytes) = encode(&row) else { return };
         let mut writes = batch.writes;
-        let roster = if owner.is_loaded() { owner.scheduler.changed_roster() } else { None };
+        let roster = if owner.is_loaded() { owner.scheduler.changed_roster(now) } else { None };
         let has_roster = roster.is_some();
         if let Some(Ok(bytes)) = roster.map(|roster| encode(&roster)) {
             writes.push((Table::Ownership, ROSTER_KEY.to_owned(), bytes));
--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -140,7 +140,9 @@
                 let crash = Crash { run: run.number, age, isolated, certain };
                 self.record_crash(*task, crash, context);
             }
-            if loss != Loss::Silent {
+            // The new incarnation of the worker may have taken a run that no list has shown, and its first list clears it.
+            let undecided = loss == Loss::Restarted && !run.listed;
+            if loss != Loss::Silent && !undecided {
                 self.give_up_if_deadly(*task, context);
             }
         }
@@ -185,7 +187,7 @@
     }
 
     /// Fails the job of a task that crashes its workers. Returns whether it does.
-    fn give_up_if_deadly(&mut self, task: TaskId, context: &mut Context) -> bool {
+    pub(super) fn give_up_if_deadly(&mut self, task: TaskId, context: &mut Context) -> bool {
         let stage = self.stage(task.stage);
         let state = stage.and_then(|stage| stage.tasks.get(task.index as usize));
         let Some(state) = state.filter(|state| state.crashes.verdict() == Verdict::Deadly) else {
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -73,6 +73,9 @@
                 None => until_ms,
             });
         session.lease_until_ms = session.lease_until_ms.max(until_ms.unwrap_or_default());
+        if until_ms.is_some() {
+            session.lease_sent = now;
+        }
         let latency_tracked = session.placements.values().any(|run| run.latency_target.is_some());
         let stopping = session.placements.values().any(|run| run.stop_confirmed);
         let wait = match session.contact {
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -39,7 +39,7 @@
 use approvers::Approvers;
 pub use commit::{Batch, cancellation_key, job_key, job_part, job_parts};
 use crashes::Loss;
-use session::{Contact, Phase, Placement, Session, WorkerKey};
+use session::{Contact, FULL_SPEED_PERCENT, Phase, Placement, Session, WorkerKey};
 use stage::{Place, Stage};
 
 /// Bits of a run number below the epoch. Run numbers of a later epoch are higher, so no counter has to be stored before
@@ -49,10 +49,6 @@
 /// Maximum number of incarnations of one worker that the fencing token distinguishes within one epoch.
 const INCARNATIONS_MAX: u64 = 1 << 10;
 
-/// Time after the start of a worker's process within which it may take calls that were meant for a former incarnation, with
-/// an allowance for the difference between the clocks of hosts and workers.
-const FORMER_CALLS_TIME: Duration = Duration::from_secs(15);
-
 /// Minimum time between two placement rounds, so that runs that end at about the same time share a round.
 const ROUND_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -468,7 +464,7 @@
     }
 
     /// Opens a session with a worker in place of an earlier one. Each session with the same worker has a higher
-    /// incarnation, and so a fencing token that is not lower.
+    /// incarnation, and so, up to [`INCARNATIONS_MAX`] in an epoch, a higher fencing token.
     fn open_session(
         &mut self,
         worker: WorkerKey,
@@ -485,7 +481,6 @@
         ];
         context.log("worker_joined", fields);
         let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
-        let age = context.unix_ms.saturating_sub(registration.started_unix_ms);
         let former = self.sessions.get(&worker).map(|former| former.registration.started_unix_ms);
         let in_roster = self.takeover.roster_names(&worker, &registration)
             || self
@@ -494,8 +489,7 @@
                 .is_some_and(|earlier| earlier.in_roster && earlier.is_at(&registration));
         let hold_max = self.bounds.hold_max;
         let mut session = Session::new(registration, incarnation, fence, hold_max, context.now);
-        session.former_started_unix_ms =
-            former.filter(|_| Duration::from_millis(age) < FORMER_CALLS_TIME);
+        session.former_started_unix_ms = former;
         session.in_roster = in_roster;
         self.sessions.insert(worker, session);
     }
@@ -636,23 +630,28 @@
         let possibly_lost: Vec<_> = lost.iter().chain(&undecided).cloned().collect();
         self.record_losses(worker, Loss::Restarted, &possibly_lost, context);
         self.requeue_lost(worker, lost, context);
-        let unanswered = self.sessions.get_mut(worker);
-        let unanswered = unanswered.map(|former| std::mem::take(&mut former.unanswered_starts));
+        let Some(former) = self.sessions.get_mut(worker) else { return };
+        let (lease_sent, unanswered_starts) =
+            (former.lease_sent, std::mem::take(&mut former.unanswered_starts));
         self.open_session(Rc::clone(worker), registration, context);
-        if let Some(session) = self.sessions.get_mut(worker) {
-            session.unanswered_starts = unanswered.unwrap_or_default();
-        }
         for (task, run) in undecided {
             let answered = match run.phase {
-                Phase::Running => !run.listed,
+                Phase::Running => unanswered_starts.iter().all(|(started, _)| *started != task),
                 Phase::Undecided { answered } => answered,
                 Phase::Starting | Phase::StartUnanswered | Phase::Stopping => false,
             };
-            self.book(
-                worker,
-                task,
-                Placement { phase: Phase::Undecided { answered }, listed: false, ..run },
-            );
+            let run = Placement {
+                phase: Phase::Undecided { answered },
+                stop_confirmed: false,
+                speed_percent: FULL_SPEED_PERCENT,
+                speed_changed: Uptime::ZERO,
+                ..run
+            };
+            self.book(worker, task, run);
+        }
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.lease_sent = lease_sent;
+            session.unanswered_starts = unanswered_starts;
         }
     }
 
@@ -665,7 +664,10 @@
     ) -> Vec<(TaskId, Placement)> {
         let Some(session) = self.sessions.get(worker) else { return Vec::new() };
         let tasks = session.undecided_tasks(context.now);
-        let taken = tasks.into_iter().filter_map(|task| Some((task, self.release(worker, &task)?)));
+        let taken = tasks.into_iter().filter_map(|task| {
+            let run = self.release(worker, &task)?;
+            Some((task, Placement { listed: false, ..run }))
+        });
         let taken: Vec<(TaskId, Placement)> = taken.collect();
         for (task, run) in &taken {
             let fields = vec![
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -11,7 +11,7 @@
 use crate::worker::{Call, Error, Refusal, Report};
 
 /// Timeout of an order. Answers take a few milliseconds.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time for which an unhealthy worker is avoided.
 const UNHEALTHY_PAUSE: Duration = Duration::from_secs(1);
@@ -65,6 +65,7 @@
         let clock = session.clock_now(now).unwrap_or_default();
         let until_ms = clock.saturating_add(milliseconds(lease));
         session.lease_until_ms = session.lease_until_ms.max(until_ms);
+        session.lease_sent = now;
         let request = Call::Start {
             task,
             number,
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::progress::{Cause, Failure, State};
 use crate::scheduler::crashes::Loss;
-use crate::scheduler::session::{Phase, Placement, WorkerKey};
+use crate::scheduler::session::{FULL_SPEED_PERCENT, Phase, Placement, WorkerKey};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Scheduler};
 use crate::worker::{EndReason, EndedRun, Run};
@@ -328,7 +328,11 @@
             .map(|(task, _)| *task)
             .collect();
         let not_taken = self.release_lost(worker, &not_taken, Loss::Restarted, context);
+        let not_taken_tasks: Vec<TaskId> = not_taken.iter().map(|(task, _)| *task).collect();
         self.requeue_lost(worker, not_taken, context);
+        for task in not_taken_tasks {
+            self.give_up_if_deadly(task, context);
+        }
         for task in missing {
             self.release(worker, &task);
             self.requeue(task, worker);
@@ -515,7 +519,7 @@
         preemptible: !step.gang && !step.long_running,
         latency_target: (step.latency_target > Duration::ZERO).then_some(step.latency_target),
         best_effort: step.best_effort,
-        speed_percent: 100,
+        speed_percent: FULL_SPEED_PERCENT,
         speed_changed: Uptime::ZERO,
         gauge: None,
     }
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -4,6 +4,7 @@
 
 use crate::job::StageId;
 use crate::prelude::*;
+use crate::scheduler::orders::ORDER_TIMEOUT;
 use crate::worker::{EndedRun, Registration};
 
 /// Reference-counted identifier of a worker.
@@ -18,11 +19,15 @@
 /// Time for which a worker is avoided after consecutive failed runs.
 const AVOID_TIME_CONSECUTIVE: Duration = Duration::from_secs(4);
 
-/// Difference between a worker's clock and what is expected that delays on the way explain, in milliseconds.
-const CLOCK_TOLERANCE_MS: u64 = 1_000;
+/// Speed of a run that is not limited, in percent.
+pub const FULL_SPEED_PERCENT: u32 = 100;
 
-/// Time from sending a start to its answer, at most.
-const START_TIME_MAX: Duration = Duration::from_millis(700);
+/// Time by which a worker's clock may be behind what is expected, in milliseconds.
+const CLOCK_BEHIND_MAX_MS: u64 = 50;
+
+/// Time by which a worker's clock may be ahead of what is expected, in milliseconds: answers wait while a host is busy, so the
+/// clocks that they carry are old.
+const CLOCK_AHEAD_MAX_MS: u64 = 1_000;
 
 /// Time after which a start that was not answered is no longer carried out by a later incarnation of the worker. The
 /// incarnation that it was meant for refuses it earlier, once the lease that it carries is over.
@@ -131,8 +136,7 @@
     pub registration: Registration,
     /// Whether the worker is still in the registry.
     pub registered: bool,
-    /// Start of the worker's former process, in milliseconds since the Unix epoch, if the present one had started so recently
-    /// when the session was opened that it may have taken calls that were meant for the former one.
+    /// Start of the worker's former process, in milliseconds since the Unix epoch; `None` if this epoch knows of none.
     pub former_started_unix_ms: Option<u64>,
     /// Incarnation of the worker, counted from zero within this epoch.
     pub incarnation: u64,
@@ -146,6 +150,8 @@
     pub clock: Option<(u64, Uptime)>,
     /// Latest end of a lease that the worker may hold, in milliseconds of its clock.
     pub lease_until_ms: u64,
+    /// When the last call was sent that may extend the worker's leases.
+    pub lease_sent: Uptime,
     /// Maximum length of a lease that the worker grants.
     pub hold_max: Duration,
     /// Ended runs whose processing is deferred because the first of them belongs to a job that is not known yet.
@@ -213,6 +219,7 @@
             contact: Contact::Joining,
             clock: None,
             lease_until_ms: 0,
+            lease_sent: Uptime::ZERO,
             hold_max,
             waiting_ends: Vec::new(),
             ends_missing: false,
@@ -324,22 +331,26 @@
         let (Some(least), Some(most)) = (self.least_clock_at(sent), self.clock_now(now)) else {
             return false;
         };
-        clock_ms.saturating_add(CLOCK_TOLERANCE_MS) < least
-            || clock_ms > most.saturating_add(CLOCK_TOLERANCE_MS)
+        clock_ms.saturating_add(CLOCK_BEHIND_MAX_MS) < least
+            || clock_ms > most.saturating_add(CLOCK_AHEAD_MAX_MS)
     }
 
     /// Returns the time after which a run has certainly ended if the worker does not answer. A start that another
     /// incarnation has taken may have got the longest lease.
     pub fn run_ends(&self, run: &Placement) -> Uptime {
-        let taken_until = match run.phase {
+        let taken_within = match run.phase {
             // The first list of this incarnation bounds all earlier leases.
             Phase::Undecided { .. } if self.clock.is_some() => return self.leases_end(),
-            Phase::Undecided { answered: false } => run.started + LATE_START_TIME_MAX,
-            Phase::Undecided { answered: true } => run.started + START_TIME_MAX,
-            _ if run.foreign_clock => run.started + START_TIME_MAX,
+            // Without an answer, the start may still be on its way.
+            Phase::Undecided { answered: false } => LATE_START_TIME_MAX,
+            Phase::Undecided { answered: true } => ORDER_TIMEOUT,
+            _ if run.foreign_clock => ORDER_TIMEOUT,
             _ => return self.leases_end(),
         };
-        self.leases_end().max(taken_until + self.hold_max.div_f64(CLOCK_RATE_MIN))
+        // A later call extends the leases of all runs on the worker.
+        let sent = run.started.max(self.lease_sent);
+        let longest_lease = self.hold_max.div_f64(CLOCK_RATE_MIN);
+        self.leases_end().max(sent + taken_within + longest_lease)
     }
 
     /// Returns the maximum time until all that the worker may run has certainly ended, if it does not answer.
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -18,6 +18,10 @@
 /// Factor by which a lease may last longer than granted because the worker's clock is slow.
 const CLOCK_DRIFT_FACTOR: f64 = 1.03;
 
+/// Time after a restart of a worker within which the roster tells of it: calls that were meant for the former process are
+/// carried out, and the leases that they got have expired.
+const FORMER_LISTED_TIME: Duration = Duration::from_secs(15);
+
 /// Maximum number of awaited workers that a log line names.
 const NAMED_MAX: usize = 5;
 
@@ -142,7 +146,7 @@
     }
 
     /// Returns the roster for the next commit; `None` if it has not changed.
-    pub fn changed_roster(&mut self) -> Option<Vec<(WorkerId, Registration)>> {
+    pub fn changed_roster(&mut self, now: Uptime) -> Option<Vec<(WorkerId, Registration)>> {
         let sessions = self.sessions.iter();
         let present: BTreeMap<WorkerKey, RosterEntry> = sessions
             .map(|(key, session)| (Rc::clone(key), RosterEntry::new(&session.registration)))
@@ -153,7 +157,8 @@
         self.takeover.roster_sent = Some(present);
         // A successor learns from the entry of the former process that the present one has replaced it.
         let former = |(key, session): (&WorkerKey, &Session)| {
-            let started_unix_ms = session.former_started_unix_ms?;
+            let recent = now.saturating_sub(session.opened) < FORMER_LISTED_TIME;
+            let started_unix_ms = session.former_started_unix_ms.filter(|_| recent)?;
             let registration = Registration { started_unix_ms, ..session.registration.clone() };
             Some((key.to_string(), registration))
         };
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/late_lives.rs
@@ -0,0 +1,349 @@
+//! Workers that restart under their identifier in a fleet that has run for a while, so that neither the sessions nor the
+//! workers are new. Guards against tasks that run twice, and against jobs that fail or stand, because a later life takes a call.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::job::{JobId, Step};
+use shallotpost_fleet::port::{Action, Answer};
+use support::{CallKind, LateCalls, NewLife, Simulation, ms, step, task};
+
+const HOSTS: [&str; 3] = ["a", "b", "c"];
+const JOB: JobId = 0x47;
+const SECOND: JobId = 0x48;
+const HIGH_CLOCK_MS: u64 = 1_000_000;
+const LONG: Duration = Duration::from_secs(60);
+const DARK: Duration = ms(600);
+
+fn fleet(processors_milli: &[u64], clock_base_ms: u64) -> Simulation {
+    let mut sim = Simulation::new(&HOSTS, 0);
+    for (number, processors) in processors_milli.iter().enumerate() {
+        let name = format!("w{number}");
+        sim.add_worker(&name, *processors);
+        sim.workers.get_mut(&name).expect("a worker").clock_base_ms = clock_base_ms;
+    }
+    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
+    // Neither the first list of the owner's sessions nor the start of the workers is recent.
+    sim.run(Duration::from_secs(20));
+    sim
+}
+
+/// Lets no further task fit on a worker.
+fn fill(sim: &mut Simulation, name: &str) {
+    sim.workers.get_mut(name).expect("a worker").capacity.processors_milli = 1;
+    sim.register(name, false);
+    sim.run(ms(20));
+}
+
+fn wait_for_renewal(sim: &mut Simulation, worker: &str) {
+    let before = sim.workers[worker].renewals.len();
+    sim.run_until(Duration::from_secs(3), "a renewal", |sim| {
+        sim.workers[worker].renewals.len() > before
+    });
+}
+
+fn start_in_the_dark(sim: &mut Simulation, life: NewLife, steps: Vec<Step>, time: Duration) {
+    wait_for_renewal(sim, "w0");
+    sim.restart_worker("w0", NewLife { dark: DARK, ..life });
+    sim.run(DARK - ms(100));
+    sim.submit_lasting("batch", JOB, steps, time);
+    sim.run(ms(106));
+    assert_eq!(sim.workers["w0"].starts_of(task(JOB, 0, 0)), 1);
+}
+
+fn add_worker(sim: &mut Simulation, name: &str) {
+    sim.add_worker(name, 4000);
+    let worker = sim.workers.get_mut(name).expect("a worker");
+    worker.job_durations.insert(JOB, LONG);
+    worker.job_durations.insert(SECOND, LONG);
+}
+
+fn late(sim: &mut Simulation, kind: CallKind, count: usize, delay: Duration) {
+    sim.late_calls.push(LateCalls { worker: "w0".to_owned(), kind, count, delay });
+}
+
+fn report(sim: &Simulation, what: &str) -> Vec<String> {
+    if std::env::var_os("LATE_LIVES_TRACE").is_some() {
+        for (at, host, text) in &sim.logs {
+            println!("{what} {at:?} {host} {text}");
+        }
+        for (name, worker) in &sim.workers {
+            for record in &worker.records {
+                println!("{what} {name} {record:?}");
+            }
+        }
+    }
+    sim.twice().into_iter().map(|text| format!("{what}: {text}")).collect()
+}
+
+/// Guards against a lease that a later start on the new life extends for the runs that were there before: their end was
+/// counted from their own start.
+#[test]
+fn extended_lease() {
+    let mut findings = Vec::new();
+    for known in [false, true] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let life = match known {
+            true => NewLife { registered_after: Some(ms(1900)), ..NewLife::default() },
+            false => NewLife::default(),
+        };
+        start_in_the_dark(&mut sim, life, vec![step(1, 60_000)], LONG);
+        sim.run(ms(1400));
+        sim.submit_lasting("batch", SECOND, vec![step(1, 60_000)], LONG);
+        sim.run_until(ms(500), "a second start", |sim| {
+            sim.workers["w0"].starts_of(task(SECOND, 0, 0)) == 1
+        });
+        if known {
+            sim.set_cut("w0", true);
+            sim.run(ms(1));
+        } else {
+            sim.run(ms(20));
+            sim.set_cut("w0", true);
+        }
+        add_worker(&mut sim, "w1");
+        sim.run(Duration::from_secs(24));
+        findings.extend(report(&sim, &format!("known {known}")));
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Guards against a successor that takes an unreachable new life for the old one of the roster: the life has not registered.
+#[test]
+fn unregistered_life() {
+    let mut findings = Vec::new();
+    for stopped in [true, false] {
+        for after in [0, 20, 100, 300] {
+            let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+            start_in_the_dark(&mut sim, NewLife::default(), vec![step(2, 60_000)], LONG);
+            sim.run(ms(after));
+            let owner = sim.owner().expect("an owner");
+            sim.set_cut("w0", true);
+            match stopped {
+                true => sim.stop_host(&owner),
+                false => sim.kill_host(&owner),
+            }
+            add_worker(&mut sim, "w1");
+            sim.run(Duration::from_secs(24));
+            findings.extend(report(&sim, &format!("stopped {stopped} after {after}")));
+        }
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Guards against a start that the new life executes without an answer, when the owner never learns of that life: the run was
+/// counted under the lease of the former session.
+#[test]
+fn unanswered_start() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    wait_for_renewal(&mut sim, "w0");
+    late(&mut sim, CallKind::Start, 1, ms(100));
+    sim.restart_worker("w0", NewLife { dark: DARK, ..NewLife::default() });
+    sim.run(DARK - ms(100));
+    sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+    sim.run(ms(106));
+    assert_eq!(sim.workers["w0"].starts_of(task(JOB, 0, 0)), 1);
+    sim.set_cut("w0", true);
+    add_worker(&mut sim, "w1");
+    sim.run(Duration::from_secs(26));
+    assert_eq!(report(&sim, "unanswered"), Vec::<String>::new());
+}
+
+/// Guards against a clock of the new life that is close to that of the former one, but behind.
+#[test]
+fn similar_clock() {
+    let mut findings = Vec::new();
+    for behind in [1800, 1500, 1300, 1000, 800, 600, 300] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        wait_for_renewal(&mut sim, "w0");
+        wait_for_renewal(&mut sim, "w0");
+        // The next renewal comes 1.404 s later, and the new life begins 0.6 s after that.
+        let begin = sim.now + ms(1404) + DARK;
+        let base = HIGH_CLOCK_MS + u64::try_from(begin.as_millis()).expect("fits");
+        let life = NewLife { clock_base_ms: base - behind, ..NewLife::default() };
+        start_in_the_dark(&mut sim, life, vec![step(1, 60_000)], LONG);
+        sim.run(ms(20));
+        sim.set_cut("w0", true);
+        add_worker(&mut sim, "w1");
+        sim.run(Duration::from_secs(16));
+        findings.extend(report(&sim, &format!("behind {behind}")));
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Guards against an acknowledgement that was sent in calm and is executed late by the new life, which drops an end that
+/// nobody has read.
+#[test]
+fn late_acknowledgement() {
+    let mut sim = fleet(&[4000], 0);
+    sim.submit_lasting("batch", 1, vec![step(4, 300)], ms(300));
+    sim.run(Duration::from_secs(3));
+    assert_eq!(sim.workers["w0"].acknowledged(), 4);
+    // The renewal that follows the next answer is executed 700 ms after it is sent.
+    late(&mut sim, CallKind::Renewal, 1, ms(700));
+    sim.run_until(Duration::from_secs(3), "a late renewal", |sim| sim.late_calls[0].count == 0);
+    let life = NewLife { dark: ms(100), registered_after: Some(ms(900)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+    sim.run(ms(110));
+    sim.submit_lasting("batch", JOB, vec![step(1, 100)], ms(100));
+    sim.run(Duration::from_secs(8));
+    assert_eq!(report(&sim, "late acknowledgement"), Vec::<String>::new());
+}
+
+/// Guards against a late start that a second new life executes, after the first one has shown that it had not taken it.
+#[test]
+fn second_restart() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    wait_for_renewal(&mut sim, "w0");
+    late(&mut sim, CallKind::Start, 1, ms(2500));
+    sim.submit_lasting("batch", JOB, vec![step(1, 5000)], Duration::from_secs(5));
+    sim.run(ms(50));
+    assert_eq!(sim.late_calls[0].count, 0);
+    let life = NewLife { dark: ms(100), registered_after: Some(ms(50)), ..NewLife::default() };
+    sim.workers.get_mut("w0").expect("w0").capacity.processors_milli = 1;
+    sim.restart_worker("w0", life);
+    add_worker(&mut sim, "w1");
+    sim.workers.get_mut("w1").expect("w1").job_durations.insert(JOB, Duration::from_secs(5));
+    sim.run(ms(600));
+    wait_for_renewal(&mut sim, "w0");
+    let life = NewLife { dark: ms(780), registered_after: Some(ms(400)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+    sim.run(Duration::from_secs(10));
+    assert_eq!(report(&sim, "second restart"), Vec::<String>::new());
+}
+
+/// Guards against the late start of a run that the former life has refused by a confirmed stop: the new life knows nothing
+/// of the stop.
+#[test]
+fn forgotten_stop() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    wait_for_renewal(&mut sim, "w0");
+    late(&mut sim, CallKind::Start, 1, ms(2600));
+    sim.submit_lasting("batch", JOB, vec![step(1, 5000)], Duration::from_secs(5));
+    add_worker(&mut sim, "w1");
+    sim.workers.get_mut("w1").expect("w1").job_durations.insert(JOB, Duration::from_secs(5));
+    sim.run(ms(50));
+    fill(&mut sim, "w0");
+    sim.run(ms(2130));
+    let life = NewLife { dark: ms(350), registered_after: Some(ms(200)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+    sim.run(Duration::from_secs(10));
+    assert_eq!(report(&sim, "forgotten stop"), Vec::<String>::new());
+}
+
+/// Guards against a stop that is not repeated, as the stop of the same run was confirmed by the former life.
+#[test]
+fn repeated_stop() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    wait_for_renewal(&mut sim, "w0");
+    // The start is executed 1.2 s late. Its stop is confirmed by the former life at 0.71 s.
+    late(&mut sim, CallKind::Start, 1, ms(1200));
+    sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+    sim.run(ms(40));
+    assert_eq!(sim.late_calls[0].count, 0);
+    sim.run_until(ms(900), "a confirmed stop", |sim| {
+        sim.workers["w0"]
+            .records
+            .iter()
+            .any(|record| record.change == support::worker::Change::Barred)
+    });
+    sim.run(ms(4));
+    let life = NewLife { dark: ms(300), registered_after: Some(ms(300)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+    sim.run_until(ms(2000), "a late start", |sim| sim.workers["w0"].starts_of(task(JOB, 0, 0)) > 0);
+    sim.run(ms(800));
+    let running = sim.workers["w0"].running().count();
+    // The next stop is lost.
+    late(&mut sim, CallKind::Stop, 1, Duration::from_secs(3600));
+    let path = format!("/batch/{JOB:016x}");
+    let request = sim.request("b", &path, Some("key-a"), Action::Cancel);
+    sim.run(Duration::from_secs(6));
+    report(&sim, "repeated stop");
+    assert_eq!(sim.answers.get(&request), Some(&Answer::Cancelled));
+    assert_eq!((running, sim.workers["w0"].running().count()), (1, 0));
+}
+
+/// Guards against a task that stands because its unanswered start may have reached a new life that is gone for good. The bound
+/// is that for a worker that is cut off.
+#[test]
+fn dead_life() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    wait_for_renewal(&mut sim, "w0");
+    late(&mut sim, CallKind::Start, 1, ms(100));
+    let life = NewLife { dark: DARK, registered_after: Some(ms(50)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+    sim.run(DARK - ms(100));
+    sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+    sim.run(ms(166));
+    sim.kill_worker("w0", true);
+    let from = sim.now;
+    add_worker(&mut sim, "w1");
+    sim.run_until(Duration::from_secs(40), "the task", |sim| {
+        sim.workers["w1"].running().any(|of| of == task(JOB, 0, 0))
+    });
+    report(&sim, "dead life");
+    assert!(sim.now - from < ms(14_000), "stood for {:?}", sim.now - from);
+}
+
+/// Guards against a successor whose time of day is ahead, and which takes a worker's process for older than it is.
+#[test]
+fn host_clock() {
+    let mut findings = Vec::new();
+    for offset in [0, 14_000, 60_000] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        sim.clock_offsets = ["b", "c"].map(|host| (host.to_owned(), offset)).into();
+        let life = NewLife { registered_after: Some(ms(50)), ..NewLife::default() };
+        start_in_the_dark(&mut sim, life, vec![step(2, 60_000)], LONG);
+        sim.run(ms(100));
+        let owner = sim.owner().expect("an owner");
+        sim.set_cut("w0", true);
+        sim.stop_host(&owner);
+        add_worker(&mut sim, "w1");
+        sim.run(Duration::from_secs(24));
+        findings.extend(report(&sim, &format!("offset {offset}")));
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Guards against a job that is given up for a run which the new life of its worker executes: the start was counted as a crash
+/// of the former life before the first list could clear it.
+#[test]
+fn given_up_early() {
+    let mut findings = Vec::new();
+    for delay in [0, 4, 8, 12, 20, 30, 40] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+        sim.wait_for_start(JOB, 1);
+        sim.run(ms(50));
+        let calm = NewLife { registered_after: Some(ms(0)), ..NewLife::default() };
+        sim.restart_worker("w0", calm);
+        sim.run_until(Duration::from_secs(5), "an isolated start", |sim| {
+            sim.starts(task(JOB, 0, 0)) == 2
+        });
+        sim.run(ms(250));
+        let contacts = |sim: &Simulation| {
+            sim.logs
+                .iter()
+                .filter(|(_, _, text)| text.starts_with("worker_contact worker=w0"))
+                .count()
+        };
+        let before = contacts(&sim);
+        sim.restart_worker("w0", calm);
+        sim.run_until(Duration::from_secs(2), "contact", |sim| contacts(sim) > before);
+        sim.run(ms(delay));
+        let life = NewLife { dark: ms(150), registered_after: Some(ms(100)), ..NewLife::default() };
+        if sim.starts(task(JOB, 0, 0)) == 2 {
+            sim.restart_worker("w0", life);
+        }
+        sim.run(Duration::from_secs(3));
+        report(&sim, &format!("delay {delay}"));
+        let given_up: Vec<String> = sim
+            .logs
+            .iter()
+            .filter(|(_, _, text)| text.starts_with("job_given_up"))
+            .map(|(at, _, text)| format!("delay {delay}: {at:?} {text}"))
+            .collect();
+        findings.extend(given_up);
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
