--- a/crates/shallotpost-fleet/tests/former_lives.rs
+++ b/crates/shallotpost-fleet/tests/former_lives.rs
@@ -15,75 +15,25 @@
 use shallotpost_fleet::port::{Action, Answer};
 use shallotpost_fleet::progress::State;
 use shallotpost_fleet::worker::EndReason;
+use support::restarts::{
+    HIGH_CLOCK_MS, JOB, add_worker, fleet, late, start_in_the_dark, wait_for_renewal,
+};
 use support::worker::{Change, Record};
 use support::{CallKind, LateCalls, NewLife, Simulation, job, ms, step, task, twice};
 
-const HOSTS: [&str; 3] = ["a", "b", "c"];
-const JOB: JobId = 0x47;
+/// Time for which the fleet has had an owner when a test begins.
+const AGE: Duration = ms(1500);
 
 /// Number of days that are played at the same time.
 const THREADS: usize = 3;
 
-/// A clock that is higher than any that a life beginning at zero reaches in a test.
-const HIGH_CLOCK_MS: u64 = 1_000_000;
-
 /// Lowest rate of a worker's clock.
 const CLOCK_RATE_MIN: f64 = 0.98;
 
-/// Time for which the worker is dark. Less than the timeout of a renewal, so that the owner learns of the new life from the
-/// registration.
-const DARK: Duration = ms(600);
-
 /// Time within which tasks run again after the worker on which they may run is cut off: the longest lease of the platform on
 /// a clock that is 2% slow, and the time of a takeover's or a renewal's timeouts.
 const PLACED_AGAIN: Duration = ms(14_000);
 
-/// Returns a fleet of workers whose clocks begin at a value, with this many processors each.
-fn fleet(processors_milli: &[u64], clock_base_ms: u64) -> Simulation {
-    let mut sim = Simulation::new(&HOSTS, 0);
-    for (number, processors) in processors_milli.iter().enumerate() {
-        let name = format!("w{number}");
-        sim.add_worker(&name, *processors);
-        sim.workers.get_mut(&name).expect("a worker").clock_base_ms = clock_base_ms;
-    }
-    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
-    sim.run(ms(1500));
-    sim
-}
-
-/// Lets time pass until a renewal has reached the worker, so that it is not due again for a while.
-fn wait_for_renewal(sim: &mut Simulation, worker: &str) {
-    let before = sim.workers[worker].renewals.len();
-    sim.run_until(Duration::from_secs(3), "a renewal", |sim| {
-        sim.workers[worker].renewals.len() > before
-    });
-}
-
-/// Restarts `w0` in the dark and submits a job of which starts reach its new life. Ends when they are executed.
-fn start_in_the_dark(sim: &mut Simulation, life: NewLife, steps: Vec<Step>, time: Duration) {
-    wait_for_renewal(sim, "w0");
-    sim.restart_worker("w0", NewLife { dark: DARK, ..life });
-    sim.run(DARK - ms(100));
-    sim.submit_lasting("batch", JOB, steps, time);
-    sim.run(ms(106));
-    assert!(
-        sim.workers["w0"]
-            .starts
-            .iter()
-            .any(|(at, of, _)| { of.stage.job == JOB && *at + ms(7) >= sim.now })
-    );
-}
-
-/// Adds a worker with 4 cores.
-fn add_worker(sim: &mut Simulation, name: &str, time: Duration) {
-    sim.add_worker(name, 4000);
-    sim.workers.get_mut(name).expect("a worker").job_durations.insert(JOB, time);
-}
-
-fn late(sim: &mut Simulation, kind: CallKind, count: usize, delay: Duration) {
-    sim.late_calls.push(LateCalls { worker: "w0".to_owned(), kind, count, delay });
-}
-
 fn assert_kept(sim: &Simulation, what: &str) {
     assert_eq!(sim.twice(), Vec::<String>::new(), "{what}");
 }
@@ -99,7 +49,7 @@
 /// Guards against two runs at once: a start that the new life has executed counted as lost with the former life.
 #[test]
 fn executed_start() {
-    let mut sim = fleet(&[4000], 0);
+    let mut sim = fleet(&[4000], 0, AGE);
     let time = Duration::from_secs(3);
     start_in_the_dark(&mut sim, registered(600), vec![step(1, 3000)], time);
     add_worker(&mut sim, "w1", time);
@@ -112,7 +62,7 @@
 /// Guards against a start after a noted end: the run had ended on the new life before the owner read its first list.
 #[test]
 fn unread_end() {
-    let mut sim = fleet(&[4000], 0);
+    let mut sim = fleet(&[4000], 0, AGE);
     let time = ms(100);
     start_in_the_dark(&mut sim, registered(600), vec![step(1, 100)], time);
     add_worker(&mut sim, "w1", time);
@@ -127,7 +77,7 @@
 #[test]
 fn former_clock() {
     for clock_rate in [1.0, CLOCK_RATE_MIN] {
-        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
         sim.workers.get_mut("w0").expect("a worker").clock_rate = clock_rate;
         let time = Duration::from_secs(60);
         start_in_the_dark(&mut sim, registered(50), vec![step(1, 60_000)], time);
@@ -145,7 +95,7 @@
 /// The same for a renewal that reaches the new life in calm, before the owner learns of it.
 #[test]
 fn former_renewal() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     let time = Duration::from_secs(60);
     sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], time);
     sim.wait_for_start(JOB, 1);
@@ -162,7 +112,7 @@
 
 /// Cuts `w0` off before the owner learns of its new life, with these clocks of the two lives.
 fn cut_before_known(former_ms: u64, new_ms: u64) -> Simulation {
-    let mut sim = fleet(&[4000], former_ms);
+    let mut sim = fleet(&[4000], former_ms, AGE);
     let time = Duration::from_secs(60);
     let life = NewLife { clock_base_ms: new_ms, ..NewLife::default() };
     start_in_the_dark(&mut sim, life, vec![step(2, 60_000)], time);
@@ -196,7 +146,7 @@
 /// numbers of the former life to the new one.
 #[test]
 fn repeated_renewal() {
-    let mut sim = fleet(&[4000], 0);
+    let mut sim = fleet(&[4000], 0, AGE);
     sim.submit_lasting("batch", 1, vec![step(4, 300)], ms(300));
     sim.run(Duration::from_secs(3));
     assert_eq!(sim.workers["w0"].acknowledged(), 4);
@@ -234,7 +184,7 @@
     let mut findings = Vec::new();
     for end in [OwnerEnd::Killed, OwnerEnd::Restarted, OwnerEnd::Stopped] {
         for after in [0, 100, 300, 700] {
-            let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+            let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
             sim.workers.get_mut("w0").expect("a worker").clock_rate = CLOCK_RATE_MIN;
             let time = Duration::from_secs(60);
             start_in_the_dark(&mut sim, registered(50), vec![step(2, 60_000)], time);
@@ -266,7 +216,7 @@
 /// again.
 #[test]
 fn late_start() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     let time = Duration::from_secs(5);
     wait_for_renewal(&mut sim, "w0");
     late(&mut sim, CallKind::Start, 1, ms(2500));
@@ -288,7 +238,7 @@
 /// for, and was taken not to run it.
 #[test]
 fn earlier_start() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     let time = Duration::from_secs(5);
     wait_for_renewal(&mut sim, "w0");
     late(&mut sim, CallKind::Start, 1, ms(2400));
@@ -308,7 +258,7 @@
 /// Guards against two runs of a gang's member: the start of one member went to the new life.
 #[test]
 fn gang_member() {
-    let mut sim = fleet(&[1000, 4000], 0);
+    let mut sim = fleet(&[1000, 4000], 0, AGE);
     let time = Duration::from_secs(3);
     let gang = Step { gang: true, ..step(5, 3000) };
     start_in_the_dark(&mut sim, registered(600), vec![gang], time);
@@ -322,7 +272,7 @@
 /// Guards against the run of a cancelled job that goes on because its start went to the new life.
 #[test]
 fn cancelled_job() {
-    let mut sim = fleet(&[4000], 0);
+    let mut sim = fleet(&[4000], 0, AGE);
     let time = Duration::from_secs(60);
     start_in_the_dark(&mut sim, registered(200), vec![step(2, 60_000)], time);
     late(&mut sim, CallKind::Renewal, 1, ms(300));
@@ -340,7 +290,7 @@
 fn unreachable_life() {
     let mut findings = Vec::new();
     for silent in [false, true] {
-        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
         sim.workers.get_mut("w0").expect("a worker").clock_rate = CLOCK_RATE_MIN;
         let time = Duration::from_secs(60);
         start_in_the_dark(&mut sim, registered(50), vec![step(2, 60_000)], time);
@@ -388,7 +338,7 @@
 #[test]
 fn calm_restart() {
     for after in [0, 100, 1000] {
-        let mut sim = fleet(&[4000], 0);
+        let mut sim = fleet(&[4000], 0, AGE);
         sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], Duration::from_secs(60));
         sim.wait_for_start(JOB, 1);
         sim.run(ms(3000));
@@ -402,7 +352,7 @@
 /// Guards against more calls to workers in calm, without restarts.
 #[test]
 fn calm_calls() {
-    let mut sim = fleet(&[4000, 4000, 4000], 0);
+    let mut sim = fleet(&[4000, 4000, 4000], 0, AGE);
     let before: usize = sim.worker_calls.values().sum();
     for id in 1..=40 {
         sim.submit_lasting("batch", id, vec![step(2, 300)], ms(300));
@@ -448,7 +398,7 @@
     fn play(seed: u64) -> Vec<String> {
         let mut random = StdRng::seed_from_u64(seed);
         let clock_base_ms = [0, HIGH_CLOCK_MS].choose(&mut random).copied().unwrap_or_default();
-        let mut sim = fleet(&[4000; 4], clock_base_ms);
+        let mut sim = fleet(&[4000; 4], clock_base_ms, AGE);
         for worker in sim.workers.values_mut() {
             worker.clock_rate = random.random_range(CLOCK_RATE_MIN..=1.0);
         }
--- a/crates/shallotpost-fleet/tests/late_lives.rs
+++ b/crates/shallotpost-fleet/tests/late_lives.rs
@@ -5,29 +5,18 @@
 
 use std::time::Duration;
 
-use shallotpost_fleet::job::{JobId, Step};
+use shallotpost_fleet::job::JobId;
 use shallotpost_fleet::port::{Action, Answer};
-use support::{CallKind, LateCalls, NewLife, Simulation, ms, step, task};
+use support::restarts::{
+    DARK, HIGH_CLOCK_MS, JOB, add_worker, fleet, late, start_in_the_dark, wait_for_renewal,
+};
+use support::{CallKind, NewLife, Simulation, ms, step, task};
 
-const HOSTS: [&str; 3] = ["a", "b", "c"];
-const JOB: JobId = 0x47;
 const SECOND: JobId = 0x48;
-const HIGH_CLOCK_MS: u64 = 1_000_000;
 const LONG: Duration = Duration::from_secs(60);
-const DARK: Duration = ms(600);
-
-fn fleet(processors_milli: &[u64], clock_base_ms: u64) -> Simulation {
-    let mut sim = Simulation::new(&HOSTS, 0);
-    for (number, processors) in processors_milli.iter().enumerate() {
-        let name = format!("w{number}");
-        sim.add_worker(&name, *processors);
-        sim.workers.get_mut(&name).expect("a worker").clock_base_ms = clock_base_ms;
-    }
-    sim.run_until(Duration::from_secs(3), "an owner", |sim| sim.owner().is_some());
-    // Neither the first list of the owner's sessions nor the start of the workers is recent.
-    sim.run(Duration::from_secs(20));
-    sim
-}
+/// Time for which the fleet has had an owner when a test begins: neither the first lists of the sessions nor the starts of the
+/// workers are recent then.
+const AGE: Duration = Duration::from_secs(20);
 
 /// Lets no further task fit on a worker.
 fn fill(sim: &mut Simulation, name: &str) {
@@ -36,33 +25,6 @@
     sim.run(ms(20));
 }
 
-fn wait_for_renewal(sim: &mut Simulation, worker: &str) {
-    let before = sim.workers[worker].renewals.len();
-    sim.run_until(Duration::from_secs(3), "a renewal", |sim| {
-        sim.workers[worker].renewals.len() > before
-    });
-}
-
-fn start_in_the_dark(sim: &mut Simulation, life: NewLife, steps: Vec<Step>, time: Duration) {
-    wait_for_renewal(sim, "w0");
-    sim.restart_worker("w0", NewLife { dark: DARK, ..life });
-    sim.run(DARK - ms(100));
-    sim.submit_lasting("batch", JOB, steps, time);
-    sim.run(ms(106));
-    assert_eq!(sim.workers["w0"].starts_of(task(JOB, 0, 0)), 1);
-}
-
-fn add_worker(sim: &mut Simulation, name: &str) {
-    sim.add_worker(name, 4000);
-    let worker = sim.workers.get_mut(name).expect("a worker");
-    worker.job_durations.insert(JOB, LONG);
-    worker.job_durations.insert(SECOND, LONG);
-}
-
-fn late(sim: &mut Simulation, kind: CallKind, count: usize, delay: Duration) {
-    sim.late_calls.push(LateCalls { worker: "w0".to_owned(), kind, count, delay });
-}
-
 fn report(sim: &Simulation, what: &str) -> Vec<String> {
     if std::env::var_os("LATE_LIVES_TRACE").is_some() {
         for (at, host, text) in &sim.logs {
@@ -83,7 +45,7 @@
 fn extended_lease() {
     let mut findings = Vec::new();
     for known in [false, true] {
-        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
         let life = match known {
             true => NewLife { registered_after: Some(ms(1900)), ..NewLife::default() },
             false => NewLife::default(),
@@ -101,7 +63,8 @@
             sim.run(ms(20));
             sim.set_cut("w0", true);
         }
-        add_worker(&mut sim, "w1");
+        add_worker(&mut sim, "w1", LONG);
+        sim.workers.get_mut("w1").expect("a worker").job_durations.insert(SECOND, LONG);
         sim.run(Duration::from_secs(24));
         findings.extend(report(&sim, &format!("known {known}")));
     }
@@ -114,7 +77,7 @@
     let mut findings = Vec::new();
     for stopped in [true, false] {
         for after in [0, 20, 100, 300] {
-            let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+            let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
             start_in_the_dark(&mut sim, NewLife::default(), vec![step(2, 60_000)], LONG);
             sim.run(ms(after));
             let owner = sim.owner().expect("an owner");
@@ -123,7 +86,7 @@
                 true => sim.stop_host(&owner),
                 false => sim.kill_host(&owner),
             }
-            add_worker(&mut sim, "w1");
+            add_worker(&mut sim, "w1", LONG);
             sim.run(Duration::from_secs(24));
             findings.extend(report(&sim, &format!("stopped {stopped} after {after}")));
         }
@@ -135,7 +98,7 @@
 /// counted under the lease of the former session.
 #[test]
 fn unanswered_start() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     wait_for_renewal(&mut sim, "w0");
     late(&mut sim, CallKind::Start, 1, ms(100));
     sim.restart_worker("w0", NewLife { dark: DARK, ..NewLife::default() });
@@ -144,7 +107,7 @@
     sim.run(ms(106));
     assert_eq!(sim.workers["w0"].starts_of(task(JOB, 0, 0)), 1);
     sim.set_cut("w0", true);
-    add_worker(&mut sim, "w1");
+    add_worker(&mut sim, "w1", LONG);
     sim.run(Duration::from_secs(26));
     assert_eq!(report(&sim, "unanswered"), Vec::<String>::new());
 }
@@ -154,7 +117,7 @@
 fn similar_clock() {
     let mut findings = Vec::new();
     for behind in [1800, 1500, 1300, 1000, 800, 600, 300] {
-        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
         wait_for_renewal(&mut sim, "w0");
         wait_for_renewal(&mut sim, "w0");
         // The next renewal comes 1.404 s later, and the new life begins 0.6 s after that.
@@ -164,7 +127,7 @@
         start_in_the_dark(&mut sim, life, vec![step(1, 60_000)], LONG);
         sim.run(ms(20));
         sim.set_cut("w0", true);
-        add_worker(&mut sim, "w1");
+        add_worker(&mut sim, "w1", LONG);
         sim.run(Duration::from_secs(16));
         findings.extend(report(&sim, &format!("behind {behind}")));
     }
@@ -175,7 +138,7 @@
 /// nobody has read.
 #[test]
 fn late_acknowledgement() {
-    let mut sim = fleet(&[4000], 0);
+    let mut sim = fleet(&[4000], 0, AGE);
     sim.submit_lasting("batch", 1, vec![step(4, 300)], ms(300));
     sim.run(Duration::from_secs(3));
     assert_eq!(sim.workers["w0"].acknowledged(), 4);
@@ -193,7 +156,7 @@
 /// Guards against a late start that a second new life executes, after the first one has shown that it had not taken it.
 #[test]
 fn second_restart() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     wait_for_renewal(&mut sim, "w0");
     late(&mut sim, CallKind::Start, 1, ms(2500));
     sim.submit_lasting("batch", JOB, vec![step(1, 5000)], Duration::from_secs(5));
@@ -202,7 +165,7 @@
     let life = NewLife { dark: ms(100), registered_after: Some(ms(50)), ..NewLife::default() };
     sim.workers.get_mut("w0").expect("w0").capacity.processors_milli = 1;
     sim.restart_worker("w0", life);
-    add_worker(&mut sim, "w1");
+    add_worker(&mut sim, "w1", LONG);
     sim.workers.get_mut("w1").expect("w1").job_durations.insert(JOB, Duration::from_secs(5));
     sim.run(ms(600));
     wait_for_renewal(&mut sim, "w0");
@@ -216,11 +179,11 @@
 /// of the stop.
 #[test]
 fn forgotten_stop() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     wait_for_renewal(&mut sim, "w0");
     late(&mut sim, CallKind::Start, 1, ms(2600));
     sim.submit_lasting("batch", JOB, vec![step(1, 5000)], Duration::from_secs(5));
-    add_worker(&mut sim, "w1");
+    add_worker(&mut sim, "w1", LONG);
     sim.workers.get_mut("w1").expect("w1").job_durations.insert(JOB, Duration::from_secs(5));
     sim.run(ms(50));
     fill(&mut sim, "w0");
@@ -234,7 +197,7 @@
 /// Guards against a stop that is not repeated, as the stop of the same run was confirmed by the former life.
 #[test]
 fn repeated_stop() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     wait_for_renewal(&mut sim, "w0");
     // The start is executed 1.2 s late. Its stop is confirmed by the former life at 0.71 s.
     late(&mut sim, CallKind::Start, 1, ms(1200));
@@ -267,7 +230,7 @@
 /// is that for a worker that is cut off.
 #[test]
 fn dead_life() {
-    let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
     wait_for_renewal(&mut sim, "w0");
     late(&mut sim, CallKind::Start, 1, ms(100));
     let life = NewLife { dark: DARK, registered_after: Some(ms(50)), ..NewLife::default() };
@@ -277,7 +240,7 @@
     sim.run(ms(166));
     sim.kill_worker("w0", true);
     let from = sim.now;
-    add_worker(&mut sim, "w1");
+    add_worker(&mut sim, "w1", LONG);
     sim.run_until(Duration::from_secs(40), "the task", |sim| {
         sim.workers["w1"].running().any(|of| of == task(JOB, 0, 0))
     });
@@ -290,7 +253,7 @@
 fn host_clock() {
     let mut findings = Vec::new();
     for offset in [0, 14_000, 60_000] {
-        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
         sim.clock_offsets = ["b", "c"].map(|host| (host.to_owned(), offset)).into();
         let life = NewLife { registered_after: Some(ms(50)), ..NewLife::default() };
         start_in_the_dark(&mut sim, life, vec![step(2, 60_000)], LONG);
@@ -298,7 +261,7 @@
         let owner = sim.owner().expect("an owner");
         sim.set_cut("w0", true);
         sim.stop_host(&owner);
-        add_worker(&mut sim, "w1");
+        add_worker(&mut sim, "w1", LONG);
         sim.run(Duration::from_secs(24));
         findings.extend(report(&sim, &format!("offset {offset}")));
     }
@@ -311,7 +274,7 @@
 fn given_up_early() {
     let mut findings = Vec::new();
     for delay in [0, 4, 8, 12, 20, 30, 40] {
-        let mut sim = fleet(&[4000], HIGH_CLOCK_MS);
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
         sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
         sim.wait_for_start(JOB, 1);
         sim.run(ms(50));
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod day;
+pub mod restarts;
 pub mod store;
 pub mod twice;
 pub mod worker;
