--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -481,15 +481,13 @@
         ];
         context.log("worker_joined", fields);
         let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
-        let former = self.sessions.get(&worker).map(|former| former.registration.started_unix_ms);
+        let former = self.sessions.get(&worker);
         let in_roster = self.takeover.roster_names(&worker, &registration)
-            || self
-                .sessions
-                .get(&worker)
-                .is_some_and(|earlier| earlier.in_roster && earlier.is_at(&registration));
+            || former.is_some_and(|former| former.in_roster && former.is_at(&registration));
+        let former_started_unix_ms = former.map(|former| former.registration.started_unix_ms);
         let hold_max = self.bounds.hold_max;
         let mut session = Session::new(registration, incarnation, fence, hold_max, context.now);
-        session.former_started_unix_ms = former;
+        session.former_started_unix_ms = former_started_unix_ms;
         session.in_roster = in_roster;
         self.sessions.insert(worker, session);
     }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -44,7 +44,7 @@
 }
 
 /// What the stored roster says of a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 struct RosterEntry {
     pool: String,
     address: String,
@@ -61,6 +61,10 @@
         }
     }
 
+    fn is_of(&self, registration: &Registration) -> bool {
+        self.locates(registration) && self.started_unix_ms == registration.started_unix_ms
+    }
+
     /// Returns whether a successor that reads the entry looks for the worker's runs where they are.
     fn locates(&self, registration: &Registration) -> bool {
         self.pool == registration.pool && self.address == registration.address
@@ -70,7 +74,7 @@
 /// Tracks which tasks earlier owners may have left on workers, and the roster that a successor needs.
 #[derive(Debug)]
 pub(super) struct Takeover {
-    /// Time after which no lease of an earlier owner can be valid, except on workers that have started recently.
+    /// Time after which no lease of an earlier owner can be valid, except on workers that have restarted.
     uncertain_until: Uptime,
     /// Time from which the registry is known to hold all live workers; `None` until it has been read completely.
     registry_complete: Option<Uptime>,
@@ -147,14 +151,17 @@
 
     /// Returns the roster for the next commit; `None` if it has not changed.
     pub fn changed_roster(&mut self, now: Uptime) -> Option<Vec<(WorkerId, Registration)>> {
-        let sessions = self.sessions.iter();
-        let present: BTreeMap<WorkerKey, RosterEntry> = sessions
-            .map(|(key, session)| (Rc::clone(key), RosterEntry::new(&session.registration)))
-            .collect();
-        if present == self.takeover.roster {
+        let roster = &self.takeover.roster;
+        let is_current = |(key, session): (&WorkerKey, &Session)| {
+            roster.get(key).is_some_and(|entry| entry.is_of(&session.registration))
+        };
+        if roster.len() == self.sessions.len() && self.sessions.iter().all(is_current) {
             return None;
         }
-        self.takeover.roster_sent = Some(present);
+        let entry = |(key, session): (&WorkerKey, &Session)| {
+            (Rc::clone(key), RosterEntry::new(&session.registration))
+        };
+        self.takeover.roster_sent = Some(self.sessions.iter().map(entry).collect());
         // A successor learns from the entry of the former process that the present one has replaced it.
         let former = |(key, session): (&WorkerKey, &Session)| {
             let recent = now.saturating_sub(session.opened) < FORMER_LISTED_TIME;
