Run a task with an unanswered start on the same process again, or wait

Callers saw a task run twice: a start that had no answer ran on a worker seconds after the task had been placed elsewhere, or had ended.

Cause: what ruled the start out held for one process of the worker only. A confirmed stop, or the first list of the next process, let the task start elsewhere; a later process, which knew of neither, carried the start out before the owner's first call raised its token.

Now the task is bound for 6 s from the start to the process that the start was meant for: it runs there again once the stop is confirmed, or nowhere, and a run that begins on a later process is found by its first list. Its end is not acknowledged meanwhile, for at most 3 s, so a process that restarts then has no noted end. Queues with approvals are exempt, as a ticket is valid for one process.

A longer wait is not possible: a job with nothing running may stand for 3 s in calm.

--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -505,7 +505,8 @@
     fn probe(&mut self, worker: &WorkerKey, context: &mut Context) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.next_probe = context.now + PROBE_PAUSE;
-        let (incarnation, acknowledged) = (session.incarnation, session.acknowledgement());
+        let (incarnation, acknowledged) =
+            (session.incarnation, session.acknowledgement(context.now));
         let call = context.allocate_call();
         context.outputs.push(Output::Worker {
             call,
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -30,8 +30,9 @@
 /// Pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause between renewals for a worker whose ended runs cannot be stored at present: it answers each renewal at once.
-const UNSTORED_ENDS_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between renewals for a worker that keeps ended runs, as they cannot be stored at present or are held: it answers
+/// each renewal at once.
+const KEPT_ENDS_PAUSE: Duration = Duration::from_millis(150);
 
 /// Minimum length of a lease; a shorter one is not sent.
 const LEASE_MIN: Duration = Duration::from_millis(300);
@@ -89,7 +90,7 @@
             Contact::Live => POLL_WAIT,
             Contact::Joining | Contact::Silent => Duration::ZERO,
         };
-        let acknowledged = session.acknowledgement();
+        let acknowledged = session.acknowledgement(now);
         let call = context.allocate_call();
         session.renewal = Some((call, now));
         context.outputs.push(Output::Worker {
@@ -148,10 +149,10 @@
             self.process_runs(worker, sent.saturating_sub(LIST_AGE_MAX), lists.running, context);
         }
         if let Some(session) = self.sessions.get_mut(worker)
-            && session.processed > session.acknowledged
+            && (session.processed > session.acknowledged || session.holds_ends(now))
         {
             // The commit that stores these ends makes the next renewal due earlier.
-            session.next_renewal = now + UNSTORED_ENDS_PAUSE;
+            session.next_renewal = now + KEPT_ENDS_PAUSE;
         }
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod commit;
 mod crashes;
 mod holds;
+mod late_starts;
 mod leases;
 mod orders;
 mod placement;
@@ -193,6 +194,8 @@
     incarnations: BTreeMap<WorkerKey, u64>,
     /// Workers on which each task is placed. More than one if an earlier run has not ended yet.
     workers_of_tasks: BTreeMap<TaskId, Vec<WorkerKey>>,
+    /// Tasks with an unanswered start that may still be carried out.
+    late_starts: BTreeSet<TaskId>,
     /// Calls in flight to workers: the worker, its incarnation and the purpose.
     calls: BTreeMap<CallId, (WorkerKey, u64, Purpose)>,
     /// When workers stopped answering, in the order of time.
@@ -249,6 +252,7 @@
             sessions: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             workers_of_tasks: BTreeMap::new(),
+            late_starts: BTreeSet::new(),
             calls: BTreeMap::new(),
             breaks: VecDeque::new(),
             recent_starts: VecDeque::new(),
@@ -622,6 +626,7 @@
             ];
             context.log("worker_restarted", fields);
         }
+        self.bind_starts_in_flight(worker, context);
         let undecided = self.take_undecided(worker, context);
         let lost = self.release_lost(worker, &self.tasks_on(worker), Loss::Restarted, context);
         // A run that the new incarnation turns out to have is cleared of the loss then.
@@ -687,6 +692,7 @@
     pub fn tick(&mut self, context: &mut Context) {
         self.settle_takeover(context);
         self.expire_pending_approvals(context);
+        self.release_bound_tasks(context);
         self.check_leases(context);
         self.check_isolations(context);
         self.send_renewals(context);
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -173,6 +173,7 @@
                     placement.phase = Phase::StartUnanswered;
                     let sent = placement.started;
                     session.record_unanswered_start(task, sent, now);
+                    self.bind_to_late_start(worker, task, sent, context);
                     self.send_stop(worker, task, number, context);
                 }
                 return;
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::run_lists::{first_task, last_task};
 use crate::scheduler::session::{Session, WorkerKey};
-use crate::scheduler::stage::{Place, Stage};
+use crate::scheduler::stage::{Place, Stage, Task};
 use crate::scheduler::{Context, JobEntry, Scheduler};
 
 /// Lead time, in addition to the call's duration, by which approval is requested before the preceding steps are
@@ -61,7 +61,7 @@
 
 /// A stage with waiting tasks. Stages are served in the order of these fields.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Candidate {
+pub(super) struct Candidate {
     urgency: Urgency,
     priority: u32,
     /// Jobs that can no longer meet their completion target come after those that can.
@@ -69,7 +69,7 @@
     due: Uptime,
     stage: StageId,
     /// Whether preceding steps are still running; only approvals are requested then.
-    early: bool,
+    pub(super) early: bool,
 }
 
 /// A stage to place, with the policy and the quota that apply to it.
@@ -107,6 +107,7 @@
             self.last_full_round = context.now;
         }
         let mut round = self.begin_round(context);
+        self.place_bound_tasks(&mut round, context);
         let mut tried = 0;
         // Only a full round knows all stages.
         let logs_holds = full && self.is_holds_log_due(context.now);
@@ -364,7 +365,7 @@
     }
 
     fn has_waiting(&self, id: StageId) -> bool {
-        let waits = |stage: &Stage| stage.tasks.iter().any(|task| task.place == Place::Waiting);
+        let waits = |stage: &Stage| stage.tasks.iter().any(Task::waits_for_any_worker);
         self.stage(id).is_some_and(waits)
     }
 
@@ -424,7 +425,7 @@
     }
 
     /// Returns the rank of a stage with waiting tasks; `None` if it is not its turn yet.
-    fn candidate(&self, stage: StageId, context: &Context) -> Option<Candidate> {
+    pub(super) fn candidate(&self, stage: StageId, context: &Context) -> Option<Candidate> {
         let entry = self.jobs.get(&stage.job)?;
         let policy = &entry.policy;
         let remaining = self.remaining(entry, stage.occurrence, stage.step, context.now)?;
@@ -484,7 +485,7 @@
         Some(remaining)
     }
 
-    fn demand(&self, candidate: &Candidate, context: &Context) -> Option<Demand> {
+    pub(super) fn demand(&self, candidate: &Candidate, context: &Context) -> Option<Demand> {
         let id = candidate.stage;
         let entry = self.jobs.get(&id.job)?;
         entry.job.steps.get(usize::from(id.step))?;
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -133,7 +133,10 @@
         self.begin_listed_occurrence(task.stage, context);
         self.acquit(task, end.number);
         match end.reason {
-            EndReason::Done if !long_running => self.complete(task, gang, context),
+            EndReason::Done if !long_running => {
+                self.hold_end(worker, end, context.now);
+                self.complete(task, gang, context);
+            }
             EndReason::Failed if !long_running => {
                 self.record_failure(worker, end, gang, context);
                 self.requeue_ended(worker, end, was_current, context);
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -165,6 +165,8 @@
     pub acknowledged: u64,
     /// Sequence number up to which ended runs are processed.
     pub processed: u64,
+    /// Ends that the worker is not told to drop before a time, by their sequence numbers.
+    pub held_ends: Vec<(u64, Uptime)>,
     /// Number of consecutive lease renewals without an answer.
     pub unanswered: u32,
     /// When the latest of the answered renewals and probes was sent: the worker's process was alive after that.
@@ -226,6 +228,7 @@
             unknown_since: BTreeMap::new(),
             acknowledged: 0,
             processed: 0,
+            held_ends: Vec::new(),
             unanswered: 0,
             answered: Uptime::ZERO,
             heard: Uptime::ZERO,
@@ -383,10 +386,17 @@
     /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
     /// failed since the last answer. Another incarnation may take such a call, and would drop ends of its own that nobody
     /// has read.
-    pub fn acknowledgement(&self) -> u64 {
+    pub fn acknowledgement(&self, now: Uptime) -> u64 {
         let certain =
             self.contact == Contact::Live && self.unanswered == 0 && self.broken.is_none();
-        if certain { self.acknowledged } else { 0 }
+        let held = self.held_ends.iter().filter(|(_, until)| *until > now);
+        let before_held = held.map(|(sequence, _)| sequence.saturating_sub(1)).min();
+        if certain { self.acknowledged.min(before_held.unwrap_or(u64::MAX)) } else { 0 }
+    }
+
+    /// Returns whether the worker keeps ends although they are stored.
+    pub fn holds_ends(&self, now: Uptime) -> bool {
+        self.held_ends.iter().any(|(_, until)| *until > now)
     }
 
     /// Returns whether the worker has told in this epoch how all its runs have ended.
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -6,6 +6,7 @@
 
 use crate::prelude::*;
 use crate::progress::{StageProgress, StoredCrash, TaskCrashes};
+use crate::scheduler::late_starts::LateStart;
 use crate::scheduler::round::PoolWorker;
 use crate::scheduler::session::WorkerKey;
 
@@ -32,6 +33,8 @@
     pub checkpoint: String,
     /// Worker on which the last failed run was; other workers are preferred.
     pub failed_on: Option<WorkerKey>,
+    /// Last start without an answer, while it may still be carried out.
+    pub late_start: Option<LateStart>,
 }
 
 impl Task {
@@ -42,8 +45,14 @@
             crashes: History::default(),
             checkpoint: String::new(),
             failed_on: None,
+            late_start: None,
         }
     }
+
+    /// Returns whether the task waits and is not bound to the worker of an unanswered start.
+    pub fn waits_for_any_worker(&self) -> bool {
+        self.place == Place::Waiting && self.late_start.is_none()
+    }
 }
 
 /// Decision of the approval service about a worker for a stage.
@@ -206,12 +215,20 @@
         }
     }
 
-    /// Returns the positions of the waiting tasks.
+    /// Returns the positions of the waiting tasks that may start on any worker.
     pub fn waiting(&self) -> Vec<u32> {
-        let waits = |(task, _): &(&Task, u32)| task.place == Place::Waiting;
+        let waits = |(task, _): &(&Task, u32)| task.waits_for_any_worker();
         self.tasks.iter().zip(0u32..).filter(waits).map(|(_, index)| index).collect()
     }
 
+    pub fn task(&self, index: u32) -> Option<&Task> {
+        self.tasks.get(index as usize)
+    }
+
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        self.tasks.get_mut(index as usize)
+    }
+
     /// Returns whether the approval service has refused the worker for the stage, which it does for good.
     pub(super) fn refuses(&self, worker: &PoolWorker) -> bool {
         self.approvals.get(&worker.key).is_some_and(|cached| {
--- /dev/null
+++ b/crates/shallotpost-fleet/tests/late_starts.rs
@@ -0,0 +1,101 @@
+//! Starts without an answer that a later process of their worker carries out. Guards against a task that runs twice, as a stop
+//! or a list that ruled the start out held for one process only, and against tasks that stand because of such a start.
+
+mod support;
+
+use std::time::Duration;
+
+use support::restarts::{HIGH_CLOCK_MS, JOB, add_worker, fleet, late, wait_for_renewal};
+use support::{CallKind, NewLife, Simulation, ms, step, task};
+
+/// Time for which the fleet has had an owner when a test begins.
+const AGE: Duration = Duration::from_secs(20);
+
+/// Returns a fleet of `w0` in which the start of a job's only task gets no answer, and is carried out after `delay`. Then `w1`
+/// joins. The task takes `time` everywhere.
+fn unanswered_start(delay: Duration, time: Duration) -> Simulation {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+    wait_for_renewal(&mut sim, "w0");
+    late(&mut sim, CallKind::Start, 1, delay);
+    let estimate = u64::try_from(time.as_millis()).expect("fits");
+    sim.submit_lasting("batch", JOB, vec![step(1, estimate)], time);
+    sim.run(ms(50));
+    assert_eq!(sim.late_calls[0].count, 0);
+    add_worker(&mut sim, "w1", time);
+    sim
+}
+
+fn restart(sim: &mut Simulation, dark: u64, registered_after: u64) {
+    let registered_after = Some(ms(registered_after));
+    sim.restart_worker("w0", NewLife { dark: ms(dark), registered_after, ..NewLife::default() });
+}
+
+fn findings(sim: &Simulation, what: &str) -> Vec<String> {
+    sim.twice().into_iter().map(|text| format!("{what}: {text}")).collect()
+}
+
+/// Guards against a start after a noted end: the list of the second process was taken for a bar to the start, the task ran
+/// elsewhere, and the third process carried the start out.
+#[test]
+fn second_restart_after_end() {
+    let mut found = Vec::new();
+    for delay in [2500, 3500, 5200, 5700] {
+        for gap in [200, 600] {
+            let mut sim = unanswered_start(ms(delay), ms(500));
+            restart(&mut sim, 300, 100);
+            sim.run(ms(delay - 750 - gap));
+            restart(&mut sim, 700, 500);
+            sim.run(Duration::from_secs(14));
+            found.extend(findings(&sim, &format!("delay {delay} gap {gap}")));
+            assert!(!sim.is_open(JOB), "delay {delay} gap {gap}");
+        }
+    }
+    assert_eq!(found, Vec::<String>::new());
+}
+
+/// Guards against a start after a noted end: the task ran again on the same process and ended, and the next process carried
+/// the first start out.
+#[test]
+fn restart_after_end() {
+    let mut found = Vec::new();
+    for delay in [2600, 3000, 3400] {
+        let mut sim = unanswered_start(ms(delay), ms(400));
+        sim.run(ms(delay - 450));
+        restart(&mut sim, 350, 300);
+        sim.run(Duration::from_secs(14));
+        found.extend(findings(&sim, &format!("delay {delay}")));
+        assert!(!sim.is_open(JOB), "delay {delay}");
+    }
+    assert_eq!(found, Vec::<String>::new());
+}
+
+/// Guards against a task that stands because its start had no answer from a worker that goes on: it runs there again once the
+/// worker has confirmed a stop.
+#[test]
+fn sound_worker() {
+    let mut sim = unanswered_start(ms(4000), Duration::from_secs(60));
+    sim.run_until(ms(1800), "a second start", |sim| sim.starts(task(JOB, 0, 0)) == 1);
+    sim.run(Duration::from_secs(6));
+    assert_eq!(sim.starts(task(JOB, 0, 0)), 1);
+    assert_eq!(findings(&sim, "sound worker"), Vec::<String>::new());
+}
+
+/// Guards against a task that stands because the worker of an unanswered start takes no more tasks.
+#[test]
+fn draining_worker() {
+    let mut sim = unanswered_start(ms(4000), Duration::from_secs(60));
+    sim.register("w0", true);
+    sim.run_until(ms(7000), "a start elsewhere", |sim| {
+        sim.workers["w1"].running().any(|of| of == task(JOB, 0, 0))
+    });
+    assert_eq!(findings(&sim, "draining worker"), Vec::<String>::new());
+}
+
+/// Guards against ends that are never acknowledged because an earlier start of their task had no answer.
+#[test]
+fn acknowledged_end() {
+    let mut sim = unanswered_start(ms(2000), ms(300));
+    sim.run_until(ms(2500), "the end", |sim| sim.workers["w0"].ended_count() > 0);
+    sim.run_until(ms(4000), "the acknowledgement", |sim| !sim.workers["w0"].has_ended_runs());
+    assert_eq!(findings(&sim, "acknowledged end"), Vec::<String>::new());
+}
