Drop restarts that are long over from the stored roster

Callers saw all tasks of a pool stand for 4 s more after a change of owner if one of its workers was silent and had restarted at any time before: the successor waited for the longest lease that a call to the former process could have got.

Cause: the roster tells of a restart for 15 s, but was only written again when a worker changed. Now it is written once more when the last restart that it tells of is over.

--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -91,6 +91,8 @@
     roster: BTreeMap<WorkerKey, RosterEntry>,
     /// Workers of the roster that is being committed; `None` if none is.
     roster_sent: Option<BTreeMap<WorkerKey, RosterEntry>>,
+    /// Whether the last roster that was sent tells of a restart.
+    roster_tells_restart: bool,
     settled: bool,
     /// Resources of the runs that earlier owners started and this one has found on workers, by team.
     adopted: BTreeMap<Rc<str>, Size>,
@@ -108,6 +110,7 @@
             recorded_unreachable: BTreeMap::new(),
             roster: BTreeMap::new(),
             roster_sent: None,
+            roster_tells_restart: false,
             settled: false,
             adopted: BTreeMap::new(),
             unstored_ends: false,
@@ -146,6 +149,7 @@
         self.set_registration(worker, None, context);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.in_roster = true;
+            self.takeover.roster_tells_restart |= session.former_started_unix_ms.is_some();
         }
     }
 
@@ -155,13 +159,6 @@
         let is_current = |(key, session): (&WorkerKey, &Session)| {
             roster.get(key).is_some_and(|entry| entry.is_of(&session.registration))
         };
-        if roster.len() == self.sessions.len() && self.sessions.iter().all(is_current) {
-            return None;
-        }
-        let entry = |(key, session): (&WorkerKey, &Session)| {
-            (Rc::clone(key), RosterEntry::new(&session.registration))
-        };
-        self.takeover.roster_sent = Some(self.sessions.iter().map(entry).collect());
         // A successor learns from the entry of the former process that the present one has replaced it.
         let former = |(key, session): (&WorkerKey, &Session)| {
             let recent = now.saturating_sub(session.opened) < FORMER_LISTED_TIME;
@@ -169,11 +166,22 @@
             let registration = Registration { started_unix_ms, ..session.registration.clone() };
             Some((key.to_string(), registration))
         };
+        let formers: Vec<_> = self.sessions.iter().filter_map(former).collect();
+        // Otherwise a successor would wait for calls to former processes that are long over.
+        let outdated = self.takeover.roster_tells_restart && formers.is_empty();
+        let complete = roster.len() == self.sessions.len();
+        if complete && !outdated && self.sessions.iter().all(is_current) {
+            return None;
+        }
+        let entry = |(key, session): (&WorkerKey, &Session)| {
+            (Rc::clone(key), RosterEntry::new(&session.registration))
+        };
+        self.takeover.roster_sent = Some(self.sessions.iter().map(entry).collect());
+        self.takeover.roster_tells_restart = !formers.is_empty();
         let present = |(key, session): (&WorkerKey, &Session)| {
             (key.to_string(), session.registration.clone())
         };
-        let formers = self.sessions.iter().filter_map(former);
-        Some(formers.chain(self.sessions.iter().map(present)).collect())
+        Some(formers.into_iter().chain(self.sessions.iter().map(present)).collect())
     }
 
     /// Records that the commit with the changed roster has taken effect.
--- a/crates/shallotpost-fleet/tests/take_over.rs
+++ b/crates/shallotpost-fleet/tests/take_over.rs
@@ -642,3 +642,30 @@
         sim.check_invariants();
     }
 }
+
+/// The stored roster went on to tell of a restart that was long over. A successor that could not reach the worker waited for
+/// the longest lease, 4 s more than without a restart, and all tasks of the pool stood meanwhile.
+#[test]
+fn roster_of_old_restart() {
+    let takes = |restarted: bool| {
+        let (mut sim, owner) = settled(2);
+        if restarted {
+            let now = sim.now;
+            sim.workers.get_mut("w0").expect("a worker").restart(now);
+            sim.register("w0", false);
+        }
+        for job in 1..=20 {
+            sim.submit_lasting("batch", job, vec![step(1, 100)], ms(100));
+            sim.run(ms(1000));
+        }
+        sim.kill_worker("w0", true);
+        sim.unregister("w0");
+        let killed = sim.now;
+        sim.kill_host(&owner);
+        sim.submit(other(&owner), "batch", 0x99, vec![step(1, 100)]);
+        sim.run_until(Duration::from_secs(20), "a start", |sim| sim.starts(task(0x99, 0, 0)) > 0);
+        sim.now - killed
+    };
+    let (calm, restarted) = (takes(false), takes(true));
+    assert!(restarted < calm + ms(500), "started after {restarted:?} instead of {calm:?}");
+}
