Test the calls of hosts at the end of a silent outage of the store

What a host sends in the last moments of a silent outage is accepted and never answered. The test varies the length of the outage, its phase against the feeds, and the moments of the calls and of the change: two seconds after the store answers again, and after the change, every host must answer as the new settings say. It passes on the unchanged code. It fails if the watch waits for a lost call (CALLS_MAX of 1 with a call timeout of 5 s), with refusals; and with 401 and 404 if hosts also decide by old settings. A CALLS_MAX of 1, a LATE_AFTER of 3 s, or decisions by old settings do not make it fail alone, as each is covered by the others.

The simulated store now lets a call during an outage end when its caller gives up.

--- a/crates/shallotpost-fleet/tests/stale_settings.rs
+++ b/crates/shallotpost-fleet/tests/stale_settings.rs
@@ -130,6 +130,81 @@
     });
 }
 
+/// Lengths of an outage, and the times from its start to a change, in milliseconds.
+const OUTAGES: [(u64, u64); 10] = [
+    (300, 0),
+    (300, 250),
+    (900, 910),
+    (1500, 800),
+    (1500, 1900),
+    (2100, 2120),
+    (3300, 3000),
+    (3300, 3350),
+    (3300, 4100),
+    (3300, 7000),
+];
+
+/// The store accepted what hosts sent in the last moments of an outage and never answered it. Guards against a host that
+/// waits for such calls, and so stays on old settings or refuses requests beyond the bound once the store answers again.
+#[test]
+fn last_calls_of_an_outage() {
+    let mut findings = Vec::new();
+    for (outage, change) in OUTAGES {
+        let calls = [5, 120, 290, 700].into_iter().cycle();
+        for (phase, call) in (0..1900).step_by(170).zip(calls) {
+            let case = format!("silent {phase} to {} ms, calls {call} ms before", phase + outage);
+            let found = play_outage(ms(phase), ms(outage), ms(change), ms(call));
+            findings.extend(found.into_iter().map(|text| format!("{case}, {text}")));
+        }
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Lets the store be silent for `outage`, with calls of all hosts shortly before the end and a change `change` after the
+/// start. Returns the requests that were sent after the bound and not answered as the changed settings say.
+fn play_outage(phase: Duration, outage: Duration, change: Duration, call: Duration) -> Vec<String> {
+    let mut sim = settled();
+    sim.configure(version(5));
+    sim.run(phase);
+    let begin = sim.now;
+    let (end, confirmed) = (begin + outage, begin + change);
+    let (calls, bound) = (end.saturating_sub(call).max(begin), end.max(confirmed) + APPLY);
+    sim.store_silent = true;
+    let mut moments = [calls, end, confirmed];
+    moments.sort_unstable();
+    for moment in moments {
+        sim.run(moment - sim.now);
+        if moment == calls {
+            for (host, id) in HOSTS.into_iter().zip(0x200..) {
+                submit(&mut sim, host, id, "key-a");
+                read(&mut sim, host, &format!("/batch/{JOB:016x}"), "key-a");
+            }
+        }
+        if moment == end {
+            sim.store_silent = false;
+        }
+        if moment == confirmed {
+            sim.configure(version(6));
+        }
+    }
+    let mut asked = Vec::new();
+    while sim.now < bound + ms(1500) {
+        sim.run(ms(50));
+        for host in HOSTS {
+            let with_key = read(&mut sim, host, &format!("/batch/{JOB:016x}"), "key-6");
+            let with_queue = read(&mut sim, host, &format!("/queue-6/{JOB:016x}"), "key-a");
+            asked.extend([(host, sim.now, with_key), (host, sim.now, with_queue)]);
+        }
+    }
+    sim.run(Duration::from_secs(3));
+    let late = asked.into_iter().filter(|(_, sent, _)| *sent > bound);
+    let wrong = late.filter(|(.., request)| sim.answers.get(request) != Some(&Answer::NoJob));
+    let text = |(host, sent, request): (&str, Duration, RequestId)| {
+        format!("{host} {:?} after the bound: {:?}", sent - bound, sim.answers.get(&request))
+    };
+    wrong.map(text).collect()
+}
+
 /// The store refused reads, as its rate was used up, and went on accepting changes. Hosts rejected the new key for as long,
 /// and accepted jobs with a key that had been removed.
 #[test]
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -36,9 +36,6 @@
 /// Interval of ticks.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Time after which a call to a store that does not answer times out.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
-
 /// Time after which a call to a worker that does not answer times out.
 const UNANSWERED_AFTER: Duration = Duration::from_millis(700);
 
@@ -585,8 +582,7 @@
             Event::Store { host, call, .. }
                 if self.store_silent || self.silent_stores.contains(&host) =>
             {
-                let input = Input::Store { call, result: Err(StoreError::Unanswered) };
-                self.push(self.now + STORE_TIMEOUT, Event::Input(host, input));
+                self.lose_store_call(host, call);
             }
             Event::ClosePool(host) => drop(self.silent_pools.remove(&host)),
             Event::Store { host, call, connection: Connection::Pooled, .. }
@@ -608,10 +604,7 @@
                 let unchanged = result.as_ref().is_ok_and(|answer| answer.rows.is_empty());
                 let silent = self.store_silent || self.silent_stores.contains(&host);
                 match () {
-                    () if silent => {
-                        let input = Input::Store { call, result: Err(StoreError::Unanswered) };
-                        self.push(until + STORE_TIMEOUT, Event::Input(host, input));
-                    }
+                    () if silent => self.lose_store_call(host, call),
                     () if unchanged && self.now < until => {
                         let next = self.now + ms(5);
                         self.push(next, Event::FeedWait { host, call, request, until });
