Send the speed of best-effort runs again

Callers would see best-effort tasks that stay slowed down, down to a stop, for as long as they run: after a change of the owner, after a throttle call that was lost or carried out late, and after the task in whose favour they were slowed down has left their worker.

The owner took the last speed that it had sent for the one in force. A successor took the runs that it found for runs at full speed, so there was nothing to speed up. The speed was not looked at on workers without a latency target.

The speed of a run that was limited is now sent every 5 s, so a late or lost call does not last. A successor sends the speed of an adopted run as soon as the latency asks for a change.

--- a/crates/shallotpost-fleet/src/scheduler/throttling.rs
+++ b/crates/shallotpost-fleet/src/scheduler/throttling.rs
@@ -1,7 +1,7 @@
 //! Throttling of best-effort tasks that slow down tasks with a latency target on the same worker.
 
 use crate::prelude::*;
-use crate::scheduler::session::{Phase, WorkerKey};
+use crate::scheduler::session::{FULL_SPEED_PERCENT, Phase, WorkerKey};
 use crate::scheduler::{Context, Scheduler};
 
 /// Minimum time between two changes of one run: the gauge covers half a second, and a change takes effect after a tenth
@@ -16,25 +16,42 @@
 
 const SPEED_UP_STEP_PERCENT: u32 = 10;
 
+/// Interval at which the speed of a run that was limited is sent again. A call may be lost, and a worker may carry out an
+/// earlier one up to 12 s late.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
+
 impl Scheduler {
-    /// Adjusts the speed of best-effort tasks on workers that also run tasks with a latency target.
+    /// Adjusts the speed of best-effort tasks on workers that also run tasks with a latency target, and speeds the others
+    /// up.
     pub(super) fn adjust_throttles(&mut self, context: &mut Context) {
         let mut orders: Vec<(WorkerKey, TaskId, u64, u32)> = Vec::new();
         for (worker, session) in &mut self.sessions {
-            let Some(ratio) = worst_latency_ratio(session.placements.values()) else { continue };
+            if session.best_effort == 0 {
+                continue;
+            }
+            let ratio = worst_latency_ratio(session.placements.values()).unwrap_or_default();
             for (task, run) in &mut session.placements {
-                let recent = context.now.saturating_sub(run.speed_changed) < THROTTLE_INTERVAL;
-                if !run.best_effort || run.phase != Phase::Running || recent {
+                let unchanged = context.now.saturating_sub(run.speed_changed);
+                if !run.best_effort || run.phase != Phase::Running || unchanged < THROTTLE_INTERVAL
+                {
                     continue;
                 }
                 let speed_percent = match ratio {
                     ratio if ratio > THROTTLE_ABOVE => run.speed_percent / 4,
                     ratio if ratio < SPEED_UP_BELOW => {
-                        (run.speed_percent + SPEED_UP_STEP_PERCENT).min(100)
+                        (run.speed_percent + SPEED_UP_STEP_PERCENT).min(FULL_SPEED_PERCENT)
                     }
                     _ => run.speed_percent,
                 };
-                if speed_percent != run.speed_percent {
+                let due = match run.speed_changed {
+                    // An earlier owner may have limited the run. It keeps that speed while the latency is between the bounds.
+                    Uptime::ZERO if run.adopted => {
+                        !(SPEED_UP_BELOW..=THROTTLE_ABOVE).contains(&ratio)
+                    }
+                    Uptime::ZERO => false,
+                    _ => unchanged >= REPEAT_INTERVAL,
+                };
+                if due || speed_percent != run.speed_percent {
                     run.speed_percent = speed_percent;
                     run.speed_changed = context.now;
                     orders.push((Rc::clone(worker), *task, run.number, speed_percent));
