Drop the relayed calls that an agent reads after a pause

Callers would see a task run twice in a fleet of more than 64 workers: the process of an agent is paused with starts that it has been passed, the owner gives them up and starts the tasks elsewhere, a worker restarts, and the agent resumes before the owner's first call to the new process, which then takes a start that is as old as the pause.

An agent made each call when it read it, with the full timeout. The bound on late starts (12 s) does not hold for a pause, and a fencing token bars a start only once the process has seen a higher one.

agents::paused_agent fails without the change, with a pause of 14 s. A host that has handled no input for a second now drops the relayed calls of the next half second, in which it reads what was sent meanwhile, and answers them as unanswered. The owner has given up a relayed start 850 ms after it was sent.

--- a/crates/shallotpost-fleet/src/host/agents.rs
+++ b/crates/shallotpost-fleet/src/host/agents.rs
@@ -28,6 +28,13 @@
 /// Time for which a host is not an agent after it has not returned a result.
 const FAILURE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time without any input after which a process counts as paused. Ticks come every few milliseconds, and an owner has given up
+/// a relayed start after 850 ms.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
+
+/// Time after a pause within which a process reads what was sent to it meanwhile.
+const RESUME_TIME: Duration = Duration::from_millis(500);
+
 /// Time for which the owner calls a worker itself after a relayed call to it has failed: the path between the agent and
 /// the worker may be broken.
 const BYPASS_TIME: Duration = Duration::from_secs(4);
@@ -58,9 +65,26 @@
     bypassed: BTreeMap<WorkerId, Uptime>,
     /// Calls that this host makes for others: the host that asked, and its number for the call.
     accepted: BTreeMap<CallId, (HostName, CallId)>,
+    /// When this process last handled an input.
+    active: Uptime,
+    /// When this process resumed after a pause; `None` if it was not paused.
+    resumed: Option<Uptime>,
 }
 
 impl Agents {
+    /// Records that the process handles an input.
+    pub(super) fn note_input(&mut self, now: Uptime) {
+        if now.saturating_sub(self.active) >= PAUSE_MIN {
+            self.resumed = Some(now);
+        }
+        self.active = now;
+    }
+
+    /// Returns whether messages that arrive now may have been sent during a pause of this process.
+    fn reads_backlog(&self, now: Uptime) -> bool {
+        self.resumed.is_some_and(|resumed| now.saturating_sub(resumed) < RESUME_TIME)
+    }
+
     /// Returns the agent for a worker: the one with the highest hash of both names, so that most workers keep their
     /// agents when the set of agents changes.
     fn agent(&self, data_centre: &str, worker: &str) -> Option<&HostName> {
@@ -155,8 +179,15 @@
         self.agents.agent(data_centre, worker).cloned()
     }
 
-    /// Makes the calls that another host has passed to this one.
+    /// Makes the calls that another host has passed to this one, unless they may have been sent while this process was paused.
+    /// That host has given them up then, and a later process of a worker would take a start that nobody expects any more.
     pub(super) fn accept_worker_calls(&mut self, from: &HostName, calls: Vec<WorkerCall>) {
+        if self.agents.reads_backlog(self.now) {
+            let fields = vec![("owner", from.clone()), ("calls", calls.len().to_string())];
+            self.log("relayed_calls_dropped", fields);
+            let results = calls.into_iter().map(|call| (call.call, Err(Error::Unanswered)));
+            return self.send(from, Message::WorkerResults(results.collect()));
+        }
         for WorkerCall { call, address, worker, fence, request, timeout } in calls {
             let own = self.allocate_call();
             self.agents.accepted.insert(own, (from.clone(), call));
--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -105,6 +105,7 @@
     pub fn handle(&mut self, now: Uptime, unix_ms: u64, input: Input) -> Vec<Output> {
         self.now = now;
         self.unix_ms = unix_ms;
+        self.agents.note_input(now);
         match input {
             Input::Tick => self.tick(),
             Input::Request { request, body } => self.request(request, body),
--- a/crates/shallotpost-fleet/tests/agents.rs
+++ b/crates/shallotpost-fleet/tests/agents.rs
@@ -4,7 +4,8 @@
 
 use shallotpost_fleet::job::Step;
 use shallotpost_fleet::progress::State;
-use support::{Simulation, ms, step};
+use support::worker::Change;
+use support::{NewLife, Simulation, ms, step};
 
 const JOB: u64 = 0x20_0000;
 
@@ -91,3 +92,43 @@
     assert!(starts.iter().any(|(_, task, _)| task.stage.job == JOB), "the worker got no task");
     sim.check_invariants();
 }
+
+/// An agent was paused with starts that it had not made yet, and made them when it resumed. Guards against a start that a later
+/// process of its worker carries out so long after it was given up that nobody rules it out any more.
+#[test]
+fn paused_agent() {
+    let mut sim = Simulation::new(&["a", "b", "c", "d"], 66);
+    sim.run(ms(3000));
+    let owner = sim.owner().expect("there is an owner");
+    let agents: Vec<String> =
+        sim.worker_calls.keys().filter(|name| **name != owner).cloned().collect();
+    for worker in sim.workers.values_mut() {
+        worker.duration = ms(60_000);
+    }
+    sim.submit(&owner, "batch", JOB, vec![step(100, 60_000)]);
+    let sent =
+        |sim: &Simulation| sim.logs.iter().any(|(_, _, text)| text.starts_with("run_started"));
+    while !sent(&sim) {
+        sim.run(ms(1));
+    }
+    // The starts are on the way to the agents.
+    sim.pause_host(&agents[0]);
+    sim.run(ms(14_000));
+    let started = |sim: &Simulation| {
+        let running = sim.workers.values().flat_map(|worker| worker.running());
+        running.filter(|task| task.stage.job == JOB).count()
+    };
+    assert_eq!(started(&sim), 100);
+    let barred = sim
+        .workers
+        .iter()
+        .filter(|(_, worker)| worker.records.iter().any(|record| record.change == Change::Barred));
+    let barred: Vec<String> = barred.map(|(name, _)| name.clone()).collect();
+    assert!(!barred.is_empty(), "no start was on its way to the paused agent");
+    for worker in &barred {
+        sim.restart_worker(worker, NewLife::default());
+    }
+    sim.resume_host(&agents[0], true, true);
+    sim.run(ms(3000));
+    assert_eq!(sim.twice(), Vec::<String>::new());
+}
