Test starts and ends that an owner or a session knows nothing of

- successor: a predecessor has ruled out a start by a confirmed stop and has started the task elsewhere; the worker restarts under the successor, and its new process carries the start out before the successor's first call.
- dropped_session: the same under one owner whose session with the worker was dropped, as the worker was silent and had left the registry.
- lone_member: a restarted worker carries out the start of one member of a gang that waits for room.
The owner adopts the run, and the gang waits until it ends by itself.
- end_of_unknown_job: the store is silent, or refuses reads, for more than 4 s, and the owner does not know a job that its predecessor has started.
The end of its task is acknowledged and dropped, and the task starts again when the job becomes known.

--- /dev/null
+++ b/crates/shallotpost-fleet/tests/inherited_starts.rs
@@ -0,0 +1,169 @@
+//! Starts and ends whose task this owner, or this session, knows nothing of: they come from an earlier owner or session. Guards
+//! against tasks that run twice or stand because what ruled them out held for one process only.
+
+mod support;
+
+use std::time::Duration;
+
+use shallotpost_fleet::job::{JobId, Step};
+use shallotpost_fleet::progress::State;
+use support::restarts::{HIGH_CLOCK_MS, JOB, add_worker, fleet, late, wait_for_renewal};
+use support::worker::Change;
+use support::{CallKind, NewLife, Simulation, ms, step, task};
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// Time for which the fleet has had an owner when a test begins.
+const AGE: Duration = Duration::from_secs(5);
+
+/// Time for which a restarting worker is dark.
+const DARK: Duration = ms(350);
+
+/// Lets no further task fit on a worker.
+fn fill(sim: &mut Simulation, name: &str) {
+    sim.workers.get_mut(name).expect("a worker").capacity.processors_milli = 1;
+    sim.register(name, false);
+}
+
+/// Submits a job whose first start to `w0` is carried out `delay` later. Returns the time of that.
+fn submit_late(sim: &mut Simulation, steps: Vec<Step>, delay: Duration) -> Duration {
+    wait_for_renewal(sim, "w0");
+    late(sim, CallKind::Start, 1, delay);
+    sim.submit_lasting("batch", JOB, steps, LONG);
+    while sim.late_calls[0].count > 0 {
+        sim.run(ms(1));
+    }
+    sim.now + delay
+}
+
+/// Submits a job whose start on `w0` is late and ruled out by a confirmed stop, and lets it start on `w1`. Returns when the late
+/// start is carried out.
+fn start_late(sim: &mut Simulation, delay: Duration) -> Duration {
+    let due = submit_late(sim, vec![step(1, 60_000)], delay);
+    fill(sim, "w0");
+    add_worker(sim, "w1", LONG);
+    // An owner may also wait until the late start is over.
+    while sim.now + DARK + ms(100) < due && sim.workers["w1"].starts_of(task(JOB, 0, 0)) == 0 {
+        sim.run(ms(10));
+    }
+    due
+}
+
+/// Restarts `w0` so that its new process carries out the late start before any call of the owner.
+fn restart_before(sim: &mut Simulation, due: Duration) {
+    sim.run(due.saturating_sub(sim.now + DARK + ms(50)));
+    let life = NewLife { dark: DARK, registered_after: Some(ms(200)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+}
+
+/// Guards against a successor that knows nothing of a start which its predecessor has ruled out by a confirmed stop.
+#[test]
+fn successor() {
+    let mut findings = Vec::new();
+    for planned in [true, false] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+        let due = start_late(&mut sim, ms(9000));
+        let owner = sim.owner().expect("an owner");
+        match planned {
+            true => sim.stop_host(&owner),
+            false => sim.kill_host(&owner),
+        }
+        restart_before(&mut sim, due);
+        sim.run(Duration::from_secs(4));
+        findings.extend(sim.twice().into_iter().map(|text| format!("planned {planned}: {text}")));
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// The session with a silent worker that has left the registry was dropped, and with it what the owner knew of its calls.
+/// Guards against a start that the next process of this worker carries out.
+#[test]
+fn dropped_session() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+    let due = start_late(&mut sim, ms(9000));
+    sim.set_cut("w0", true);
+    sim.unregister("w0");
+    sim.run(ms(4000));
+    sim.set_cut("w0", false);
+    restart_before(&mut sim, due);
+    sim.run(Duration::from_secs(4));
+    assert_eq!(sim.twice(), Vec::<String>::new());
+}
+
+/// A restarted worker carried out the start of one member of a gang whose other members had been stopped. Guards against an
+/// owner that lets this member run on alone, while the gang waits for it to end.
+#[test]
+fn lone_member() {
+    let mut sim = fleet(&[1000, 1000], HIGH_CLOCK_MS, AGE);
+    let gang = Step { gang: true, ..step(2, 60_000) };
+    let due = submit_late(&mut sim, vec![gang], ms(6000));
+    // The gang waits for room until the late start has been carried out.
+    fill(&mut sim, "w1");
+    sim.run_until(Duration::from_secs(4), "the end of the other member", |sim| {
+        sim.workers_of(JOB).is_empty()
+    });
+    restart_before(&mut sim, due);
+    let started = |sim: &Simulation| {
+        let mut starts = sim.workers["w0"].records.iter();
+        starts.any(|record| record.change == Change::Started && record.late)
+    };
+    sim.run_until(Duration::from_secs(2), "the late start", started);
+    sim.run(Duration::from_secs(3));
+    assert_eq!(sim.workers_of(JOB).len(), 0, "a member of the gang runs alone");
+}
+
+/// What keeps an owner from reading the jobs, for a while.
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    /// The store refuses reads and executes commits.
+    RefusedReads,
+    /// The connections go silent, and the store falls silent this many milliseconds later.
+    Silence(u64),
+}
+
+/// A predecessor had started the task of a job that the owner did not know, as its reads of the jobs failed for longer than an
+/// end of an unknown job waits. Guards against an end that is acknowledged and dropped before its job is known.
+#[test]
+fn end_of_unknown_job() {
+    let outages = (0..1500).step_by(60).map(Outage::Silence).chain([Outage::RefusedReads]);
+    let mut findings = Vec::new();
+    for outage in outages {
+        for time in [2000, 5000, 9000] {
+            let (starts, state) = play_unknown_job(outage, ms(time));
+            if starts > 0 || state != Some(State::Completed) {
+                findings.push(format!("{outage:?} for {time} ms: {starts} starts, {state:?}"));
+            }
+        }
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Lets a worker list the end of a task whose job the owner reads only after an outage. Returns how often the owner has started
+/// the task, and the job's state.
+fn play_unknown_job(outage: Outage, time: Duration) -> (usize, Option<State>) {
+    const UNKNOWN: JobId = 0x51;
+    let mut sim = Simulation::settled(1);
+    sim.feeds_wait = true;
+    sim.run(ms(2000));
+    let owner = sim.owner().expect("an owner");
+    let other = ["a", "b", "c"].into_iter().find(|host| *host != owner).expect("a host");
+    // The host has told the predecessor of the job, and not the owner.
+    sim.set_partitioned(other, &owner, true);
+    match outage {
+        Outage::RefusedReads => sim.store.reads_refused = true,
+        Outage::Silence(_) => sim.silence_connections(&owner),
+    }
+    sim.submit(other, "batch", UNKNOWN, vec![step(1, 300)]);
+    sim.run(ms(10));
+    sim.workers.get_mut("w0").expect("w0").list_foreign_end(task(UNKNOWN, 0, 0));
+    if let Outage::Silence(after) = outage {
+        sim.run(ms(after));
+        sim.store_silent = true;
+    }
+    sim.run(time);
+    (sim.store.reads_refused, sim.store_silent) = (false, false);
+    sim.run(Duration::from_secs(9));
+    sim.partitions.clear();
+    sim.run(Duration::from_secs(1));
+    (sim.starts_of_job(UNKNOWN), sim.state(other, "batch", UNKNOWN))
+}
