Test occurrences that become due while a takeover is not settled

Both tests of inherited_starts fail, and no logic has changed. A successor starts the tasks of an occurrence that becomes due before it has reached all workers, although its predecessor may run them on one of these: the predecessor's time of day was ahead (early_occurrence), or it was cut off together with the worker and went on under its lease (occurrence_during_takeover, four of five moments).

--- a/crates/shallotpost-fleet/tests/inherited_starts.rs
+++ b/crates/shallotpost-fleet/tests/inherited_starts.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
-use shallotpost_fleet::job::{JobId, Step};
+use shallotpost_fleet::job::{JobId, Schedule, Step};
+use shallotpost_fleet::port::Action;
 use shallotpost_fleet::progress::State;
 use support::restarts::{HIGH_CLOCK_MS, JOB, add_worker, fleet, late, wait_for_renewal};
 use support::worker::Change;
-use support::{CallKind, NewLife, Simulation, ms, step, task};
+use support::{CallKind, NewLife, Simulation, UNIX_MS, job, ms, step, task};
 
 const LONG: Duration = Duration::from_secs(60);
 
@@ -167,3 +168,55 @@
     sim.run(Duration::from_secs(1));
     (sim.starts_of_job(UNKNOWN), sim.state(other, "batch", UNKNOWN))
 }
+
+/// Submits a job that is due once, this much later.
+fn submit_due(sim: &mut Simulation, after: Duration) {
+    let due = u64::try_from((sim.now + after).as_millis()).expect("time fits");
+    let schedule = Schedule { occurrences: 1, first_unix_ms: UNIX_MS + due, interval: LONG };
+    let job =
+        shallotpost_fleet::job::Job { schedule: Some(schedule), ..job(vec![step(1, 60_000)]) };
+    let path = format!("/batch/{JOB:016x}");
+    sim.request("a", &path, Some("key-a"), Action::Submit(Ok(Box::new(job))));
+    sim.workers.values_mut().for_each(|worker| {
+        worker.job_durations.insert(JOB, LONG);
+    });
+    sim.run(ms(100));
+}
+
+/// A predecessor whose time of day was ahead had started an occurrence on a worker that its successor did not reach. Guards
+/// against a successor that starts the tasks of each occurrence that becomes due while the takeover is not settled.
+#[test]
+fn early_occurrence() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+    let owner = sim.owner().expect("an owner");
+    sim.clock_offsets.insert(owner.clone(), 5000);
+    submit_due(&mut sim, ms(4000));
+    sim.wait_for_start(JOB, 1);
+    sim.set_cut("w0", true);
+    sim.kill_host(&owner);
+    add_worker(&mut sim, "w1", LONG);
+    sim.run(Duration::from_secs(14));
+    assert_eq!(sim.twice(), Vec::<String>::new());
+    assert_eq!(sim.workers["w1"].starts_of(task(JOB, 0, 0)), 1, "the task starts in the end");
+}
+
+/// An owner that was cut off together with a worker went on under its lease when an occurrence became due. Guards against a
+/// successor that starts its tasks before it has reached this worker.
+#[test]
+fn occurrence_during_takeover() {
+    let mut findings = Vec::new();
+    for due in [2000, 2500, 3000, 3500, 4000] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+        let owner = sim.owner().expect("an owner");
+        submit_due(&mut sim, ms(due));
+        for party in ["a", "b", "c", "store"].into_iter().filter(|party| *party != owner) {
+            sim.set_partitioned(&owner, party, true);
+            sim.set_partitioned(party, "w0", true);
+        }
+        add_worker(&mut sim, "w1", LONG);
+        sim.set_partitioned(&owner, "w1", true);
+        sim.run(Duration::from_secs(14));
+        findings.extend(sim.twice().into_iter().map(|text| format!("due {due}: {text}")));
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
