Keep ends of an unknown job while the jobs can't be read

Callers would see a task run twice: a store that is silent, or that refuses reads, for more than 4 s after a change of owner. The successor does not know a job that its predecessor has started, acknowledges the end of its task after 4 s, and starts the task again when the job becomes known.

Cause: the wait for an unknown job had a time of its own and did not ask how old the known jobs were. The end is now kept until all jobs are known that were stored when it was listed, and for 4 s at least. A run of an unknown job is not stopped before that either.

Evidence: inherited_starts::end_of_unknown_job failed before.

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -157,6 +157,7 @@
             may_start: self.now < deadline
                 && owner.releasing_since.is_none()
                 && owner.outdated(&self.operator, &self.settings.freshness).is_none(),
+            jobs_known_until: self.now.saturating_sub(owner.jobs_watch.age(self.now)),
             latest_lease_end,
         };
         run(&mut owner.scheduler, &mut context);
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -83,6 +83,8 @@
     pub outputs: &'a mut Vec<Output>,
     /// Whether the ownership was renewed recently enough to start tasks.
     pub may_start: bool,
+    /// Time up to which all stored jobs are known.
+    pub jobs_known_until: Uptime,
     /// Latest time at which a lease may end; a successor relies on it.
     pub latest_lease_end: Uptime,
 }
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -51,7 +51,9 @@
                 // acknowledged before the job is known.
                 let since =
                     session.unknown_since.get(&end.sequence).copied().unwrap_or(context.now);
-                if context.now.saturating_sub(since) < UNKNOWN_JOB_TIMEOUT {
+                // While reads of the jobs fail, the job may have been stored long before.
+                let may_be_stored = context.jobs_known_until < since;
+                if may_be_stored || context.now.saturating_sub(since) < UNKNOWN_JOB_TIMEOUT {
                     session.waiting_ends = ended[position..].to_vec();
                     return;
                 }
@@ -371,6 +373,7 @@
         if !known
             && placement.phase == Phase::Running
             && now.saturating_sub(placement.started) > UNKNOWN_JOB_TIMEOUT
+            && context.jobs_known_until >= placement.started
         {
             self.send_stop(worker, run.task, run.number, context);
             return;
