Stop a gang member that a worker carries out late by itself

A restarted worker carried out the start of one member of a gang whose other members waited for room. The owner took the run over, so the gang could not start until that member gave up. A gang whose members wait has been stopped as a whole, so such a run is now stopped.

--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -451,7 +451,12 @@
             && self
                 .stage(id)
                 .and_then(|stage| stage.tasks.get(run.task.index as usize))
-                .is_some_and(|task| matches!(task.place, Place::Waiting | Place::Uncertain))
+                .is_some_and(|task| match task.place {
+                    // The other members have been stopped, or were never started under this number.
+                    Place::Waiting => !self.step(id).is_some_and(|step| step.gang),
+                    Place::Uncertain => true,
+                    Place::Placed(_) | Place::Done => false,
+                })
             && self.matches_gang(run.task, run.number);
         let entry = self.jobs.get(&id.job);
         let team = entry.and_then(|entry| entry.team.clone());
