Take inherited occurrences for uncertain until all workers have answered

Callers would see a task of a scheduled job run twice after a change of owner: a successor started the tasks of an occurrence that became due before it had reached all workers, although its predecessor ran them on one of these: its time of day was ahead, or it was cut off together with that worker and went on under its lease.

Cause: only occurrences that were due when the job was loaded counted as uncertain. Now those that become due later do too, while any worker may have runs of an earlier owner.

Evidence: inherited_starts::early_occurrence and occurrence_during_takeover failed before.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -724,20 +724,31 @@
     }
 
     /// Creates the stages of scheduled occurrences that are due.
-    fn begin_due_occurrences(&mut self, context: &Context) {
+    fn begin_due_occurrences(&mut self, context: &mut Context) {
         let scheduled: Vec<JobId> = self
             .unfinished
             .iter()
             .filter(|id| self.jobs.get(id).is_some_and(|entry| entry.job.schedule.is_some()))
             .copied()
             .collect();
+        let mut uncertain = false;
         for id in scheduled {
-            self.begin_occurrences(id, &Place::Waiting, context.unix_ms);
+            // An earlier owner may have begun the occurrence: by its time of day, or while it was cut off.
+            let epoch = self.jobs.get(&id).map_or(self.epoch, |entry| entry.job.epoch);
+            let inherited = epoch < self.epoch && self.may_have_earlier_runs();
+            let place = if inherited { Place::Uncertain } else { Place::Waiting };
+            uncertain |= self.begin_occurrences(id, &place, context.unix_ms) && inherited;
+        }
+        // Before the takeover is settled, the tasks are released with all others.
+        if uncertain && !self.is_unsettled() {
+            self.release_uncertain(context);
         }
     }
 
-    fn begin_occurrences(&mut self, id: JobId, place: &Place, unix_ms: u64) {
-        let Some(entry) = self.jobs.get_mut(&id) else { return };
+    /// Creates the stages of all occurrences that are due. Returns whether there were any.
+    fn begin_occurrences(&mut self, id: JobId, place: &Place, unix_ms: u64) -> bool {
+        let Some(entry) = self.jobs.get_mut(&id) else { return false };
+        let begun = entry.occurrences_begun;
         let job = Rc::clone(&entry.job);
         while entry.occurrences_begun < job.occurrences()
             && job.schedule.is_none_or(|due| due.due_unix_ms(entry.occurrences_begun) <= unix_ms)
@@ -753,6 +764,7 @@
             }
             self.round_due = true;
         }
+        entry.occurrences_begun > begun
     }
 
     /// Creates the stages of an occurrence of which a worker lists a run or an end. It may not be due by the time of day
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -310,6 +310,11 @@
         !self.takeover.settled
     }
 
+    /// Returns whether any worker may run tasks of an earlier owner that this one does not know of.
+    pub(super) fn may_have_earlier_runs(&self) -> bool {
+        !self.takeover.settled || !self.takeover.possible_tasks.is_empty()
+    }
+
     /// Returns whether the worker may run tasks of an earlier owner, provided that it has not answered yet.
     pub(super) fn may_run_earlier_tasks(&self, key: &WorkerKey) -> bool {
         !self.takeover.settled || self.takeover.possible_tasks.contains_key(key)
@@ -379,7 +384,7 @@
 
     /// Returns the stages with tasks that an earlier owner may have left on workers that have not answered.
     pub(super) fn uncertain_stages(&self) -> Vec<StageId> {
-        if self.takeover.settled && self.takeover.possible_tasks.is_empty() {
+        if !self.may_have_earlier_runs() {
             return Vec::new();
         }
         let entries = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
