Call a restarted worker first on a new connection

Callers saw nothing of this by itself: a new process of a worker took late calls of former sessions for 0.7 s after its restart was known, and was used only then. The first call to it went out on an idle connection to the former process, which was silent, and timed out.

The first renewal of a session with a restarted worker is now sent on a new connection, and by the owner itself.

--- a/crates/shallotpost-daemon/src/fleet/mod.rs
+++ b/crates/shallotpost-daemon/src/fleet/mod.rs
@@ -218,13 +218,15 @@
                     let _ = inputs.send(Input::Store { call, result });
                 });
             }
-            Output::Worker { call, address, worker, fence, request, timeout } => {
+            Output::Worker { call, address, worker, fence, request, connection, timeout } => {
                 let (client, inputs) = (Rc::clone(&self.client), self.inputs.clone());
                 let metrics = Rc::clone(&self.metrics);
                 spawn_local(async move {
                     let sent = Instant::now();
-                    let result =
-                        worker::call(&client, &address, &worker, fence, &request, timeout).await;
+                    let result = worker::call(
+                        &client, &address, &worker, fence, &request, connection, timeout,
+                    )
+                    .await;
                     if matches!(request, Call::Start { .. } | Call::Stop { .. }) {
                         metrics.record(Timing::WorkerOrder, sent.elapsed());
                     }
--- a/crates/shallotpost-fleet/src/host/agents.rs
+++ b/crates/shallotpost-fleet/src/host/agents.rs
@@ -9,7 +9,7 @@
 
 use crate::host::Host;
 use crate::message::{Message, WorkerCall};
-use crate::port::HostName;
+use crate::port::{Connection, HostName};
 use crate::prelude::*;
 use crate::worker::{Error, Report};
 
@@ -146,7 +146,7 @@
             match (self.agent_for(&output), output) {
                 (
                     Some(agent),
-                    Output::Worker { call, address, worker, fence, request, timeout },
+                    Output::Worker { call, address, worker, fence, request, timeout, .. },
                 ) => {
                     let incarnation =
                         self.peers.get(&agent).map_or(0, |peer| peer.heartbeat.incarnation);
@@ -171,7 +171,9 @@
 
     /// Returns the agent that carries out an output; `None` if this host does.
     fn agent_for(&self, output: &Output) -> Option<HostName> {
-        let Output::Worker { call, worker, .. } = output else { return None };
+        let Output::Worker { call, worker, connection: Connection::Pooled, .. } = output else {
+            return None;
+        };
         if self.agents.accepted.contains_key(call) || self.agents.bypassed.contains_key(worker) {
             return None;
         }
@@ -197,6 +199,7 @@
                 worker,
                 fence,
                 request,
+                connection: Connection::Pooled,
                 timeout,
             });
         }
--- a/crates/shallotpost-fleet/src/port.rs
+++ b/crates/shallotpost-fleet/src/port.rs
@@ -73,6 +73,7 @@
         /// Fencing token.
         fence: u64,
         request: worker::Call,
+        connection: Connection,
         /// Time after which the call ends as unanswered.
         timeout: Duration,
     },
--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::job::StageId;
-use crate::port::Counter;
+use crate::port::{Connection, Counter};
 use crate::prelude::*;
 use crate::progress::{Cause, Failure};
 use crate::scheduler::placement::Demand;
@@ -514,6 +514,7 @@
             worker: worker.to_string(),
             fence: session.fence,
             request: Call::RenewLease { until_ms: None, acknowledged, wait: Duration::ZERO },
+            connection: Connection::Pooled,
             timeout: PROBE_TIMEOUT,
         });
         let purpose = Purpose::Probe(context.now);
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -1,5 +1,6 @@
 //! Leases of workers and the long-poll calls that renew them.
 
+use crate::port::Connection;
 use crate::prelude::*;
 use crate::scheduler::crashes::Loss;
 use crate::scheduler::session::{Contact, Phase, WorkerKey, milliseconds};
@@ -91,6 +92,9 @@
             Contact::Joining | Contact::Silent => Duration::ZERO,
         };
         let acknowledged = session.acknowledgement(now);
+        // Connections to the former process may be silent, and calls on them are lost without an answer.
+        let restarted = session.former_started_unix_ms.is_some() && session.clock.is_none();
+        let connection = if restarted { Connection::New } else { Connection::Pooled };
         let call = context.allocate_call();
         session.renewal = Some((call, now));
         context.outputs.push(Output::Worker {
@@ -99,6 +103,7 @@
             worker: worker.to_string(),
             fence: session.fence,
             request: Call::RenewLease { until_ms, acknowledged, wait },
+            connection,
             timeout: wait + ANSWER_TIMEOUT,
         });
         self.calls.insert(call, (Rc::clone(worker), session.incarnation, Purpose::RenewLease(now)));
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -2,7 +2,7 @@
 
 use std::ops::RangeInclusive;
 
-use crate::port::Counter;
+use crate::port::{Connection, Counter};
 use crate::prelude::*;
 use crate::scheduler::run_lists::{first_task, last_task, new_placement};
 use crate::scheduler::session::{Phase, WorkerKey, milliseconds};
@@ -101,6 +101,7 @@
             worker: worker.to_string(),
             fence: session.fence,
             request,
+            connection: Connection::Pooled,
             timeout: ORDER_TIMEOUT,
         });
         self.calls.insert(call, (Rc::clone(worker), session.incarnation, purpose));
--- a/crates/shallotpost-fleet/tests/late_lives.rs
+++ b/crates/shallotpost-fleet/tests/late_lives.rs
@@ -310,3 +310,20 @@
     }
     assert_eq!(findings, Vec::<String>::new());
 }
+
+/// Guards against a worker that is not called for 0.7 s after its restart is known, as the first call was sent on a connection to
+/// the former process. A new process takes late calls of former sessions until then.
+#[test]
+fn silent_connection() {
+    let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+    wait_for_renewal(&mut sim, "w0");
+    let life = NewLife { dark: ms(100), registered_after: Some(ms(50)), ..NewLife::default() };
+    sim.restart_worker("w0", life);
+    sim.silent_workers.insert("w0".to_owned());
+    let since = sim.now;
+    let logged = |sim: &Simulation, event: &str| {
+        sim.logs.iter().any(|(at, _, text)| *at > since && text.starts_with(event))
+    };
+    sim.run_until(ms(1000), "a known restart", |sim| logged(sim, "worker_restarted"));
+    sim.run_until(ms(100), "contact", |sim| logged(sim, "worker_contact"));
+}
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -192,6 +192,8 @@
     /// Number of the next workers' answers to lose.
     pub lost_answers: usize,
     pub late_calls: Vec<LateCalls>,
+    /// Workers to which existing connections are silent, until a call on a new one is made.
+    pub silent_workers: BTreeSet<String>,
     /// Difference of the hosts' time of day from the true one, in milliseconds.
     pub clock_offsets: BTreeMap<String, i64>,
     /// Processor capacity of hosts that are started from now on, in thousandths of a core; 250 for hosts not listed.
@@ -253,6 +255,7 @@
             deadlines: BTreeMap::new(),
             lost_answers: 0,
             late_calls: Vec::new(),
+            silent_workers: BTreeSet::new(),
             clock_offsets: BTreeMap::new(),
             processors: BTreeMap::new(),
             deadly_tasks: BTreeSet::new(),
@@ -844,8 +847,16 @@
                 self.deadlines.insert((host.clone(), call), self.now + timeout);
                 self.push(later, Event::Store { host, call, request, connection });
             }
-            Output::Worker { call, worker, fence, request, timeout, .. } => {
+            Output::Worker { call, worker, fence, request, connection, timeout, .. } => {
                 self.deadlines.insert((host.clone(), call), self.now + timeout);
+                match connection {
+                    Connection::Pooled if self.silent_workers.contains(&worker) => {
+                        let input = Input::Worker { call, result: Err(Error::Unanswered) };
+                        return self.push(self.now + timeout, Event::Input(host, input));
+                    }
+                    Connection::Pooled => {}
+                    Connection::New => drop(self.silent_workers.remove(&worker)),
+                }
                 *self.worker_calls.entry(host.clone()).or_default() += 1;
                 if let Some(delay) = self.take_delay(&worker, &request) {
                     let input = Input::Worker { call, result: Err(Error::Unanswered) };
