Ask a worker at once whether a start was answered by another incarnation

Callers saw two runs of one task at once, and a start after a run that had ended done and was taken note of, on workers that restart under their identifier and are cut off soon after.

The answer to a start does not name the process that gave it, but its clock can show that it is not the one of the session. Such an answer only marked its run. The owner learned of the new process from the registration or at the end of the long poll, up to 2.1 s later. Until then the new process took calls that were sent to the former one, and a successor that could not reach the worker read a roster that did not name the new process.

The owner now sends a call without wait, lease or acknowledgement in place of the long poll, under a higher fencing token, so that the process that answers refuses all calls that were sent before. The start time in its lists decides; nothing is given up for the clock alone, as it also differs when this host was late with the last list (mistaken_question). The result of the call that was replaced is ignored. The token is raised for at most 512 of the 1,024 numbers of an epoch, so that restarts keep the others.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use crate::scheduler::crashes::Loss;
-use crate::scheduler::session::{Contact, Phase, WorkerKey, milliseconds};
+use crate::scheduler::session::{Contact, Phase, Renewal, WorkerKey, milliseconds};
 use crate::scheduler::{Context, Purpose, Scheduler};
 use crate::worker::{Call, ENDED_RUNS_MAX, Error, Refusal, Report};
 
@@ -89,18 +89,50 @@
             Contact::Live => POLL_WAIT,
             Contact::Joining | Contact::Silent => Duration::ZERO,
         };
+        let (call, fence) = (context.allocate_call(), session.fence);
         let acknowledged = session.acknowledgement();
-        let call = context.allocate_call();
-        session.renewal = Some((call, now));
+        let renewal = Renewal { call, fence, acknowledged, is_question: false };
+        self.send_list_call(worker, renewal, until_ms, wait, context);
+    }
+
+    /// Asks at once which incarnation of a worker answers, in place of the renewal in flight.
+    ///
+    /// The incarnation that answers refuses all earlier calls, as this one has a higher fencing token. The call carries
+    /// nothing that another incarnation than the one of the session must not take.
+    pub(super) fn ask_incarnation(&mut self, worker: &WorkerKey, context: &mut Context) {
+        let renewal = self.sessions.get(worker).and_then(|session| session.renewal);
+        if renewal.is_some_and(|renewal| renewal.is_question) {
+            return;
+        }
+        self.raise_fence(worker);
+        let Some(session) = self.sessions.get(worker) else { return };
+        let (call, fence) = (context.allocate_call(), session.fence);
+        let renewal = Renewal { call, fence, acknowledged: 0, is_question: true };
+        self.send_list_call(worker, renewal, None, Duration::ZERO, context);
+    }
+
+    /// Sends a call that returns the lists of a worker.
+    fn send_list_call(
+        &mut self,
+        worker: &WorkerKey,
+        renewal: Renewal,
+        until_ms: Option<u64>,
+        wait: Duration,
+        context: &mut Context,
+    ) {
+        let Some(session) = self.sessions.get_mut(worker) else { return };
+        let Renewal { call, fence, acknowledged, .. } = renewal;
+        session.renewal = Some(renewal);
         context.outputs.push(Output::Worker {
             call,
             address: session.registration.address.clone(),
             worker: worker.to_string(),
-            fence: session.fence,
+            fence,
             request: Call::RenewLease { until_ms, acknowledged, wait },
             timeout: wait + ANSWER_TIMEOUT,
         });
-        self.calls.insert(call, (Rc::clone(worker), session.incarnation, Purpose::RenewLease(now)));
+        let purpose = Purpose::RenewLease(context.now);
+        self.calls.insert(call, (Rc::clone(worker), session.incarnation, purpose));
     }
 
     /// Handles the result of a lease renewal.
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -49,6 +49,9 @@
 /// Maximum number of incarnations of one worker that the fencing token distinguishes within one epoch.
 const INCARNATIONS_MAX: u64 = 1 << 10;
 
+/// Number of them up to which the token is raised within a session. The others are left to restarts.
+const RAISED_FENCE_MAX: u64 = INCARNATIONS_MAX / 2;
+
 /// Minimum time between two placement rounds, so that runs that end at about the same time share a round.
 const ROUND_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -188,8 +191,9 @@
     /// The stages that the last full round ranked first, if there are too many to rank in every round.
     ranked: Vec<StageId>,
     sessions: BTreeMap<WorkerKey, Session>,
-    /// Incarnation of the last session with each worker in this epoch. It outlives the session, as the worker keeps the
-    /// fencing token, and calls and commits in flight name the incarnation.
+    /// Last number that the fencing token of each worker contains in this epoch: that of the last session's incarnation, or
+    /// a higher one. It outlives the session, as the worker keeps the fencing token, and calls and commits in flight name
+    /// the incarnation.
     incarnations: BTreeMap<WorkerKey, u64>,
     /// Workers on which each task is placed. More than one if an earlier run has not ended yet.
     workers_of_tasks: BTreeMap<TaskId, Vec<WorkerKey>>,
@@ -480,7 +484,7 @@
             ("life", incarnation.to_string()),
         ];
         context.log("worker_joined", fields);
-        let fence = self.epoch * INCARNATIONS_MAX + incarnation.min(INCARNATIONS_MAX - 1);
+        let fence = fence(self.epoch, incarnation);
         let former = self.sessions.get(&worker);
         let in_roster = self.takeover.roster_names(&worker, &registration)
             || former.is_some_and(|former| former.in_roster && former.is_at(&registration));
@@ -492,6 +496,18 @@
         self.sessions.insert(worker, session);
     }
 
+    /// Raises the fencing token of a session, so that an incarnation that takes the next call refuses those that were sent
+    /// before.
+    fn raise_fence(&mut self, worker: &WorkerKey) {
+        let Some(last) = self.incarnations.get_mut(worker) else { return };
+        if let Some(session) = self.sessions.get_mut(worker)
+            && session.can_raise_fence()
+        {
+            *last += 1;
+            session.fence = fence(self.epoch, *last);
+        }
+    }
+
     /// Marks workers as unregistered that are missing from a complete read of the registry.
     pub fn retain_registered(&mut self, present: &BTreeSet<String>, context: &mut Context) {
         let missing: Vec<WorkerKey> = self
@@ -535,6 +551,12 @@
         if result.is_ok() {
             session.heard = context.now;
         }
+        // A later call has taken the place of this one.
+        if matches!(purpose, Purpose::RenewLease(_))
+            && session.renewal.is_none_or(|renewal| renewal.call != call)
+        {
+            return;
+        }
         match (&result, purpose) {
             (Ok(_), Purpose::RenewLease(sent) | Purpose::Probe(sent)) => {
                 session.answered = session.answered.max(sent);
@@ -938,6 +960,11 @@
     }
 }
 
+/// Returns the fencing token with a number within an epoch.
+fn fence(epoch: u64, number: u64) -> u64 {
+    epoch * INCARNATIONS_MAX + number.min(INCARNATIONS_MAX - 1)
+}
+
 fn effective_policy(job: &Job, configuration: &Configuration) -> Rc<QueuePolicy> {
     let queue = configuration.queue(&job.queue);
     Rc::new(queue.map_or(&job.policy, |queue| &queue.policy).clone())
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -150,12 +150,15 @@
                     placement.changed = now;
                 }
                 let sent = placement.started;
-                if session.is_foreign_clock(report.clock_ms, sent, now)
-                    && let Some(placement) = session.placements.get_mut(&task)
-                {
-                    placement.foreign_clock = true;
+                let foreign = session.is_foreign_clock(report.clock_ms, sent, now);
+                if let Some(placement) = session.placements.get_mut(&task) {
+                    placement.foreign_clock |= foreign;
                 }
                 self.mark_started(task.stage.job, context);
+                // The clock may differ because this host was late with the last list, so the worker is only asked.
+                if foreign {
+                    self.ask_incarnation(worker, context);
+                }
                 return;
             }
             Err(error) => error,
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -5,6 +5,7 @@
 use crate::job::StageId;
 use crate::prelude::*;
 use crate::scheduler::orders::ORDER_TIMEOUT;
+use crate::scheduler::{INCARNATIONS_MAX, RAISED_FENCE_MAX};
 use crate::worker::{EndedRun, Registration};
 
 /// Reference-counted identifier of a worker.
@@ -104,6 +105,18 @@
     Silent,
 }
 
+/// A lease renewal in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct Renewal {
+    pub call: CallId,
+    /// Fencing token that it was sent under.
+    pub fence: u64,
+    /// Sequence number that it acknowledges; zero for none.
+    pub acknowledged: u64,
+    /// Whether it was sent in place of another one, to learn at once which incarnation answers.
+    pub is_question: bool,
+}
+
 /// Capacity of a worker that is reserved for a stage in whose favour runs were preempted.
 #[derive(Clone, Debug)]
 pub struct Reservation {
@@ -179,8 +192,8 @@
     pub next_probe: Uptime,
     /// When the first of the calls failed that the worker has not answered since its last answer.
     pub broken: Option<Uptime>,
-    /// The lease renewal in flight, and when it was sent.
-    pub renewal: Option<(CallId, Uptime)>,
+    /// The lease renewal in flight.
+    pub renewal: Option<Renewal>,
     /// When the next lease renewal is due.
     pub next_renewal: Uptime,
     pub placements: BTreeMap<TaskId, Placement>,
@@ -389,6 +402,11 @@
         if certain { self.acknowledged } else { 0 }
     }
 
+    /// Returns whether the fencing token can be raised within this session.
+    pub fn can_raise_fence(&self) -> bool {
+        self.fence % INCARNATIONS_MAX < RAISED_FENCE_MAX
+    }
+
     /// Returns whether the worker has told in this epoch how all its runs have ended.
     pub fn has_listed_all(&self) -> bool {
         self.clock.is_some() && !self.ends_missing
--- a/crates/shallotpost-fleet/tests/late_lives.rs
+++ b/crates/shallotpost-fleet/tests/late_lives.rs
@@ -153,6 +153,41 @@
     assert_eq!(report(&sim, "late acknowledgement"), Vec::<String>::new());
 }
 
+/// Guards against a question that harms a worker whose clock only seems to be another one, as its last list was read late:
+/// against runs that are given up, and a second chain of renewals after the one that was in flight.
+#[test]
+fn mistaken_question() {
+    let mut sim = fleet(&[4000], 0, AGE);
+    sim.submit_lasting("batch", 1, vec![step(1, 60_000)], LONG);
+    sim.wait_for_start(1, 1);
+    wait_for_renewal(&mut sim, "w0");
+    // The next list has waited for 1.2 s when the owner reads its clock.
+    sim.run(ms(1300));
+    let answered = sim.now + ms(100);
+    let clock_ms = u64::try_from((answered - ms(1200)).as_millis()).expect("fits");
+    sim.workers.get_mut("w0").expect("w0").false_clock_ms = Some(clock_ms);
+    wait_for_renewal(&mut sim, "w0");
+    sim.workers.get_mut("w0").expect("w0").false_clock_ms = None;
+    sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+    let renewals = sim.workers["w0"].renewals.len();
+    sim.run_until(ms(1000), "a start", |sim| sim.starts(task(JOB, 0, 0)) == 1);
+    sim.run(ms(10));
+    assert!(sim.workers["w0"].renewals.len() > renewals, "no question");
+    let renewals = sim.workers["w0"].renewals.len();
+    sim.run(Duration::from_secs(6));
+    let calls = sim.workers["w0"].renewals.len() - renewals;
+    assert!(calls <= 6, "{calls} renewals in 6 s");
+    let harm = ["worker_silent", "worker_restarted", "runs_lost", "fenced", "ownership_lost"];
+    let found: Vec<_> = sim
+        .logs
+        .iter()
+        .filter(|(_, _, text)| harm.iter().any(|event| text.starts_with(event)))
+        .collect();
+    assert!(found.is_empty(), "{found:?}");
+    assert_eq!(sim.workers["w0"].running().count(), 2);
+    assert_eq!(sim.starts(task(JOB, 0, 0)), 1);
+}
+
 /// Guards against a late start that a second new life executes, after the first one has shown that it had not taken it.
 #[test]
 fn second_restart() {
