Send an acknowledgement of ends only while no start can overtake it

Callers saw a start after a run that had ended done and was taken note of: a renewal that acknowledged ends of a worker's former process was carried out late by the new one, which dropped the end of a run that it had taken meanwhile. The owner had not read that end and started the task again.

Each renewal repeated the number up to which ends are stored, and starts were sent under the fencing token of the long poll that carried it. So the new process took both, in any order.

- The number is sent until a call with it is answered, and not repeated.
- It is not sent while a start is in flight, so a start that is sent before it has been answered.
- A start that is sent while it is in flight has a higher fencing token.
A process that has taken the start refuses the acknowledgement; one that takes the acknowledgement first has no end to drop yet.
- A renewal that is refused because a call with a higher token has overtaken it is repeated and does not count as a failure.

Open: a start that the new process answers with a clock within 50 ms behind and 1 s ahead of the former one, before the number is sent.

--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -505,14 +505,14 @@
     fn probe(&mut self, worker: &WorkerKey, context: &mut Context) {
         let Some(session) = self.sessions.get_mut(worker) else { return };
         session.next_probe = context.now + PROBE_PAUSE;
-        let (incarnation, acknowledged) = (session.incarnation, session.acknowledgement());
+        let incarnation = session.incarnation;
         let call = context.allocate_call();
         context.outputs.push(Output::Worker {
             call,
             address: session.registration.address.clone(),
             worker: worker.to_string(),
             fence: session.fence,
-            request: Call::RenewLease { until_ms: None, acknowledged, wait: Duration::ZERO },
+            request: Call::RenewLease { until_ms: None, acknowledged: 0, wait: Duration::ZERO },
             timeout: PROBE_TIMEOUT,
         });
         let purpose = Purpose::Probe(context.now);
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -30,7 +30,8 @@
 /// Pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause between renewals for a worker whose ended runs cannot be stored at present: it answers each renewal at once.
+/// Pause between renewals for a worker whose ended runs cannot be stored or acknowledged at present: it answers each renewal
+/// at once.
 const UNSTORED_ENDS_PAUSE: Duration = Duration::from_millis(150);
 
 /// Minimum length of a lease; a shorter one is not sent.
@@ -78,7 +79,10 @@
         }
         let latency_tracked = session.placements.values().any(|run| run.latency_target.is_some());
         let stopping = session.placements.values().any(|run| run.stop_confirmed);
+        let acknowledged = session.acknowledgement();
         let wait = match session.contact {
+            // Starts wait for the answer, as they can't get a higher fencing token.
+            _ if acknowledged > 0 && !session.can_raise_fence() => Duration::ZERO,
             Contact::Live if recorded.is_some() && !session.placements.is_empty() => {
                 POLL_WAIT_LIMITED
             }
@@ -90,7 +94,6 @@
             Contact::Joining | Contact::Silent => Duration::ZERO,
         };
         let (call, fence) = (context.allocate_call(), session.fence);
-        let acknowledged = session.acknowledgement();
         let renewal = Renewal { call, fence, acknowledged, is_question: false };
         self.send_list_call(worker, renewal, until_ms, wait, context);
     }
@@ -145,9 +148,20 @@
     ) {
         let now = context.now;
         let Some(session) = self.sessions.get_mut(worker) else { return };
-        session.renewal = None;
+        let renewal = session.renewal.take();
+        let acknowledged = renewal.map_or(0, |renewal| renewal.acknowledged);
+        let overtaken = renewal.is_some_and(|renewal| renewal.fence < session.fence);
+        if result.is_err() && acknowledged > 0 {
+            self.raise_fence(worker);
+        }
+        let Some(session) = self.sessions.get_mut(worker) else { return };
         let report = match result {
             Ok(report) => report,
+            // Another call of this session arrived first.
+            Err(Error::Refused(Refusal::Fence)) if overtaken => {
+                session.next_renewal = now;
+                return;
+            }
             Err(Error::Unanswered) if session.unanswered + 1 < UNANSWERED_MAX => {
                 session.unanswered += 1;
                 session.next_renewal = now;
@@ -160,6 +174,7 @@
             }
         };
         session.unanswered = 0;
+        session.acknowledgement_answered = session.acknowledgement_answered.max(acknowledged);
         session.read_clock(report.clock_ms, now);
         let joined = session.contact != Contact::Live;
         session.contact = Contact::Live;
@@ -179,11 +194,12 @@
             }
             self.process_runs(worker, sent.saturating_sub(LIST_AGE_MAX), lists.running, context);
         }
-        if let Some(session) = self.sessions.get_mut(worker)
-            && session.processed > session.acknowledged
-        {
-            // The commit that stores these ends makes the next renewal due earlier.
-            session.next_renewal = now + UNSTORED_ENDS_PAUSE;
+        if let Some(session) = self.sessions.get_mut(worker) {
+            let withheld = session.is_acknowledgement_due() && session.acknowledgement() == 0;
+            if withheld || session.processed > session.acknowledged {
+                // The commit that stores these ends makes the next renewal due earlier.
+                session.next_renewal = now + UNSTORED_ENDS_PAUSE;
+            }
         }
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use crate::port::Counter;
 use crate::prelude::*;
 use crate::scheduler::run_lists::{first_task, last_task, new_placement};
-use crate::scheduler::session::{Phase, WorkerKey, milliseconds};
+use crate::scheduler::session::{Phase, Session, WorkerKey, milliseconds};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Purpose, Scheduler};
 use crate::worker::{Call, Error, Refusal, Report};
@@ -45,6 +45,10 @@
         context: &mut Context,
     ) {
         let now = context.now;
+        // A new incarnation that takes the start must not take the acknowledgement later.
+        if self.sessions.get(worker).is_some_and(Session::is_acknowledging) {
+            self.raise_fence(worker);
+        }
         let (Some(step), Some(entry)) =
             (self.step(task.stage).cloned(), self.jobs.get(&task.stage.job))
         else {
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -176,6 +176,8 @@
     pub unknown_since: BTreeMap<u64, Uptime>,
     /// Sequence number up to which ended runs are stored. It is sent to the worker, which may then drop them.
     pub acknowledged: u64,
+    /// The last acknowledgement that the worker has answered.
+    pub acknowledgement_answered: u64,
     /// Sequence number up to which ended runs are processed.
     pub processed: u64,
     /// Number of consecutive lease renewals without an answer.
@@ -238,6 +240,7 @@
             ends_missing: false,
             unknown_since: BTreeMap::new(),
             acknowledged: 0,
+            acknowledgement_answered: 0,
             processed: 0,
             unanswered: 0,
             answered: Uptime::ZERO,
@@ -393,13 +396,30 @@
         undecided.map(|(task, _)| *task).collect()
     }
 
-    /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
-    /// failed since the last answer. Another incarnation may take such a call, and would drop ends of its own that nobody
-    /// has read.
+    /// Returns whether ends are stored of which no answered call has told the worker.
+    pub fn is_acknowledgement_due(&self) -> bool {
+        self.acknowledged > self.acknowledgement_answered
+    }
+
+    /// Returns the sequence number up to which a call is to tell the worker that its ends are stored; zero for none.
+    ///
+    /// Another incarnation may take the call, and would drop ends of its own that nobody has read. So it is sent once, and
+    /// neither while a call has failed since the last answer nor while a start is in flight. Starts that are sent
+    /// before it is answered have a higher fencing token.
     pub fn acknowledgement(&self) -> u64 {
         let certain =
             self.contact == Contact::Live && self.unanswered == 0 && self.broken.is_none();
-        if certain { self.acknowledged } else { 0 }
+        let starting = self.placements.values().any(|run| run.phase == Phase::Starting);
+        match self.is_acknowledgement_due() && certain && !starting {
+            true => self.acknowledged,
+            false => 0,
+        }
+    }
+
+    /// Returns whether a call with an acknowledgement is in flight under the fencing token of further calls.
+    pub fn is_acknowledging(&self) -> bool {
+        let renewal = self.renewal.filter(|renewal| renewal.acknowledged > 0);
+        renewal.is_some_and(|renewal| renewal.fence == self.fence)
     }
 
     /// Returns whether the fencing token can be raised within this session.
@@ -421,6 +441,7 @@
     pub fn accepts_tasks(&self) -> bool {
         self.contact == Contact::Live
             && self.broken.is_none()
+            && (self.can_raise_fence() || !self.is_acknowledging())
             && self.in_roster
             && self.registered
             && !self.registration.draining
--- a/crates/shallotpost-fleet/tests/late_lives.rs
+++ b/crates/shallotpost-fleet/tests/late_lives.rs
@@ -134,23 +134,126 @@
     assert_eq!(findings, Vec::<String>::new());
 }
 
+/// Moment at which the task is submitted whose start the new life executes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Submission {
+    /// Before the ends, so that its start is in flight when they are stored.
+    Before,
+    /// While the first call that acknowledges them is in flight.
+    First,
+    /// While a later renewal is in flight.
+    Later,
+}
+
+/// A renewal that is executed late by the new life, which has executed a start and ended it before.
+#[derive(Clone, Copy, Debug)]
+struct LateAcknowledgement {
+    submission: Submission,
+    /// Time by which the clock of the new life is ahead of the former one; `None` if it is far from it.
+    ahead: Option<Duration>,
+    delay: Duration,
+    /// Whether the new life's answer to the start is lost.
+    unanswered: bool,
+    /// Number of jobs that have run in the epoch before.
+    jobs_before: u64,
+}
+
+impl LateAcknowledgement {
+    fn play(self) -> Vec<String> {
+        let mut sim = fleet(&[4000], 0, AGE);
+        for id in 0..self.jobs_before {
+            sim.submit_lasting("batch", 1000 + id, vec![step(2, 300)], ms(300));
+            sim.run(ms(500));
+        }
+        let before = sim.workers["w0"].ended_count();
+        sim.submit_lasting("batch", 1, vec![step(4, 300)], ms(300));
+        sim.wait_for_start(1, 4);
+        if self.submission == Submission::Before {
+            sim.submit_lasting("batch", JOB, vec![step(1, 100)], ms(100));
+            sim.run(ms(50));
+            // The commit takes longer than the start.
+            sim.transaction_delay = ms(60);
+        }
+        while sim.workers["w0"].ended_count() < before + 4 {
+            sim.run(ms(1));
+        }
+        let is_processed = |sim: &Simulation| {
+            let ends = sim.logs.iter().filter(|(_, _, text)| text.starts_with("run_ended"));
+            ends.count() == usize::try_from(before + 4).expect("fits")
+        };
+        match self.submission {
+            Submission::Before => {
+                while !is_processed(&sim) {
+                    sim.run(ms(1));
+                }
+            }
+            Submission::First => {}
+            Submission::Later => {
+                sim.run(Duration::from_secs(3));
+                assert_eq!(sim.workers["w0"].acknowledged(), before + 4);
+            }
+        }
+        late(&mut sim, CallKind::Renewal, 1, self.delay);
+        while self.submission != Submission::Before && sim.late_calls[0].count > 0 {
+            sim.run(ms(1));
+        }
+        let dark = ms(100);
+        let begin = u64::try_from((sim.now + dark).as_millis()).expect("fits");
+        let ahead = self.ahead.map(|ahead| u64::try_from(ahead.as_millis()).expect("fits"));
+        let clock_base_ms = ahead.map_or(0, |ahead| begin + ahead);
+        let registered_after = Some(self.delay + ms(200));
+        sim.restart_worker("w0", NewLife { dark, registered_after, clock_base_ms });
+        if self.unanswered {
+            late(&mut sim, CallKind::Start, 1, ms(120));
+        }
+        if self.submission != Submission::Before {
+            sim.run(ms(110));
+            sim.submit_lasting("batch", JOB, vec![step(1, 100)], ms(100));
+        }
+        sim.run(Duration::from_secs(8));
+        report(&sim, &format!("{self:?}"))
+    }
+}
+
 /// Guards against an acknowledgement that was sent in calm and is executed late by the new life, which drops an end that
 /// nobody has read.
 #[test]
 fn late_acknowledgement() {
+    let mut findings = Vec::new();
+    for submission in [Submission::Before, Submission::First, Submission::Later] {
+        for ahead in [None, Some(ms(0)), Some(ms(500))] {
+            for delay in [400, 700, 1300].map(ms) {
+                for unanswered in [false, true] {
+                    let jobs_before = 0;
+                    let late =
+                        LateAcknowledgement { submission, ahead, delay, unanswered, jobs_before };
+                    findings.extend(late.play());
+                }
+            }
+        }
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Guards against the same in an epoch in which the fencing token has been raised so often that it is raised no more, and
+/// against starts that wait for a renewal then.
+#[test]
+fn late_acknowledgement_in_a_long_epoch() {
+    let late = LateAcknowledgement {
+        submission: Submission::First,
+        ahead: Some(ms(0)),
+        delay: ms(700),
+        unanswered: false,
+        jobs_before: 600,
+    };
+    assert_eq!(late.play(), Vec::<String>::new());
     let mut sim = fleet(&[4000], 0, AGE);
-    sim.submit_lasting("batch", 1, vec![step(4, 300)], ms(300));
-    sim.run(Duration::from_secs(3));
-    assert_eq!(sim.workers["w0"].acknowledged(), 4);
-    // The renewal that follows the next answer is executed 700 ms after it is sent.
-    late(&mut sim, CallKind::Renewal, 1, ms(700));
-    sim.run_until(Duration::from_secs(3), "a late renewal", |sim| sim.late_calls[0].count == 0);
-    let life = NewLife { dark: ms(100), registered_after: Some(ms(900)), ..NewLife::default() };
-    sim.restart_worker("w0", life);
-    sim.run(ms(110));
-    sim.submit_lasting("batch", JOB, vec![step(1, 100)], ms(100));
-    sim.run(Duration::from_secs(8));
-    assert_eq!(report(&sim, "late acknowledgement"), Vec::<String>::new());
+    for id in 0..late.jobs_before {
+        sim.submit_lasting("batch", id, vec![step(2, 300)], ms(300));
+        sim.run(ms(50));
+        assert_eq!(sim.starts_of_job(id), 2, "job {id} after 50 ms");
+        sim.run(ms(450));
+    }
 }
 
 /// Guards against a question that harms a worker whose clock only seems to be another one, as its last list was read late:
