--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -31,7 +31,7 @@
 /// Pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause between renewals for a worker that keeps ended runs, as they cannot be stored at present or are held: it answers
+/// Pause between renewals for a worker that keeps ended runs, as they cannot be stored or acknowledged at present: it answers
 /// each renewal at once.
 const KEPT_ENDS_PAUSE: Duration = Duration::from_millis(150);
 
@@ -80,7 +80,10 @@
         }
         let latency_tracked = session.placements.values().any(|run| run.latency_target.is_some());
         let stopping = session.placements.values().any(|run| run.stop_confirmed);
+        let acknowledged = session.acknowledgement(now);
         let wait = match session.contact {
+            // Starts wait for the answer, as they can't get a higher fencing token.
+            _ if acknowledged > 0 && !session.can_raise_fence() => Duration::ZERO,
             Contact::Live if recorded.is_some() && !session.placements.is_empty() => {
                 POLL_WAIT_LIMITED
             }
@@ -92,7 +95,6 @@
             Contact::Joining | Contact::Silent => Duration::ZERO,
         };
         let (call, fence) = (context.allocate_call(), session.fence);
-        let acknowledged = session.acknowledgement(now);
         let renewal = Renewal { call, fence, acknowledged, is_question: false };
         self.send_list_call(worker, renewal, until_ms, wait, context);
     }
@@ -154,9 +156,20 @@
     ) {
         let now = context.now;
         let Some(session) = self.sessions.get_mut(worker) else { return };
-        session.renewal = None;
+        let renewal = session.renewal.take();
+        let acknowledged = renewal.map_or(0, |renewal| renewal.acknowledged);
+        let overtaken = renewal.is_some_and(|renewal| renewal.fence < session.fence);
+        if result.is_err() && acknowledged > 0 {
+            self.raise_fence(worker);
+        }
+        let Some(session) = self.sessions.get_mut(worker) else { return };
         let report = match result {
             Ok(report) => report,
+            // Another call of this session arrived first.
+            Err(Error::Refused(Refusal::Fence)) if overtaken => {
+                session.next_renewal = now;
+                return;
+            }
             Err(Error::Unanswered) if session.unanswered + 1 < UNANSWERED_MAX => {
                 session.unanswered += 1;
                 session.next_renewal = now;
@@ -169,6 +182,7 @@
             }
         };
         session.unanswered = 0;
+        session.acknowledgement_answered = session.acknowledgement_answered.max(acknowledged);
         session.read_clock(report.clock_ms, now);
         let joined = session.contact != Contact::Live;
         session.contact = Contact::Live;
@@ -189,7 +203,7 @@
             self.process_runs(worker, sent.saturating_sub(LIST_AGE_MAX), lists.running, context);
         }
         if let Some(session) = self.sessions.get_mut(worker)
-            && (session.processed > session.acknowledged || session.holds_ends(now))
+            && (session.processed > session.acknowledged || session.withholds_acknowledgement(now))
         {
             // The commit that stores these ends makes the next renewal due earlier.
             session.next_renewal = now + KEPT_ENDS_PAUSE;
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -176,6 +176,8 @@
     pub unknown_since: BTreeMap<u64, Uptime>,
     /// Sequence number up to which ended runs are stored. It is sent to the worker, which may then drop them.
     pub acknowledged: u64,
+    /// The last acknowledgement that the worker has answered.
+    pub acknowledgement_answered: u64,
     /// Sequence number up to which ended runs are processed.
     pub processed: u64,
     /// Ends that the worker is not told to drop before a time, by their sequence numbers.
@@ -240,6 +242,7 @@
             ends_missing: false,
             unknown_since: BTreeMap::new(),
             acknowledged: 0,
+            acknowledgement_answered: 0,
             processed: 0,
             held_ends: Vec::new(),
             unanswered: 0,
@@ -396,20 +399,37 @@
         undecided.map(|(task, _)| *task).collect()
     }
 
-    /// Returns the sequence number up to which a call may tell the worker that its ends are stored; zero while a call has
-    /// failed since the last answer. Another incarnation may take such a call, and would drop ends of its own that nobody
-    /// has read.
+    /// Returns the sequence number up to which ends are stored and need not be kept by the worker.
+    fn releasable_ends(&self, now: Uptime) -> u64 {
+        let held = self.held_ends.iter().filter(|(_, until)| *until > now);
+        let before_held = held.map(|(sequence, _)| sequence.saturating_sub(1)).min();
+        self.acknowledged.min(before_held.unwrap_or(u64::MAX))
+    }
+
+    /// Returns the sequence number up to which a call is to tell the worker that its ends are stored; zero for none.
+    ///
+    /// Another incarnation may take the call, and would drop ends of its own that nobody has read. So it is sent once, and
+    /// neither while a call has failed since the last answer nor while a start is in flight. Starts that are sent
+    /// before it is answered have a higher fencing token.
     pub fn acknowledgement(&self, now: Uptime) -> u64 {
         let certain =
             self.contact == Contact::Live && self.unanswered == 0 && self.broken.is_none();
-        let held = self.held_ends.iter().filter(|(_, until)| *until > now);
-        let before_held = held.map(|(sequence, _)| sequence.saturating_sub(1)).min();
-        if certain { self.acknowledged.min(before_held.unwrap_or(u64::MAX)) } else { 0 }
+        let starting = self.placements.values().any(|run| run.phase == Phase::Starting);
+        match self.releasable_ends(now) {
+            due if due > self.acknowledgement_answered && certain && !starting => due,
+            _ => 0,
+        }
+    }
+
+    /// Returns whether the worker keeps stored ends of which it can't be told at present.
+    pub fn withholds_acknowledgement(&self, now: Uptime) -> bool {
+        self.acknowledged > self.acknowledgement_answered && self.acknowledgement(now) == 0
     }
 
-    /// Returns whether the worker keeps ends although they are stored.
-    pub fn holds_ends(&self, now: Uptime) -> bool {
-        self.held_ends.iter().any(|(_, until)| *until > now)
+    /// Returns whether a call with an acknowledgement is in flight under the fencing token of further calls.
+    pub fn is_acknowledging(&self) -> bool {
+        let renewal = self.renewal.filter(|renewal| renewal.acknowledged > 0);
+        renewal.is_some_and(|renewal| renewal.fence == self.fence)
     }
 
     /// Returns whether the fencing token can be raised within this session.
@@ -431,6 +451,7 @@
     pub fn accepts_tasks(&self) -> bool {
         self.contact == Contact::Live
             && self.broken.is_none()
+            && (self.can_raise_fence() || !self.is_acknowledging())
             && self.in_roster
             && self.registered
             && !self.registration.draining
