Let a task be uncertain that the owner before may start again too

If both owners saw a run end, both started its task again while one worker was reached by the former owner only.

A task whose run has ended is now uncertain, like all others of earlier owners, while the former owner may still start tasks and the takeover is not settled.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -883,14 +883,21 @@
         self.round_due = true;
     }
 
-    /// Sets a task that is no longer on the worker back to waiting.
+    /// Sets a task that is no longer on the worker back to waiting. While the owner before this one may start it again too, the
+    /// task is uncertain.
     fn requeue(&mut self, task: TaskId, worker: &WorkerKey) {
+        let uncertain = self.may_be_started_by_predecessor(task.stage.job);
         if let Some(stage) = self.stage_mut(task.stage)
             && let Some(state) = stage.tasks.get_mut(task.index as usize)
             && state.place == Place::Placed(Rc::clone(worker))
         {
-            state.place = Place::Waiting;
-            self.set_waiting(task.stage);
+            match uncertain {
+                true => state.place = Place::Uncertain,
+                false => {
+                    state.place = Place::Waiting;
+                    self.set_waiting(task.stage);
+                }
+            }
         }
         self.round_due = true;
     }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -94,6 +94,8 @@
     /// Whether the last roster that was sent tells of a restart.
     roster_tells_restart: bool,
     settled: bool,
+    /// Whether the owner before this one may still start tasks, as its last commit is recent.
+    predecessor_starts: bool,
     /// Resources of the runs that earlier owners started and this one has found on workers, by team.
     adopted: BTreeMap<Rc<str>, Size>,
     /// Whether ended runs were processed whose progress is not in the commit being built.
@@ -112,6 +114,7 @@
             roster_sent: None,
             roster_tells_restart: false,
             settled: false,
+            predecessor_starts: true,
             adopted: BTreeMap::new(),
             unstored_ends: false,
         }
@@ -310,6 +313,14 @@
         !self.takeover.settled
     }
 
+    /// Returns whether the owner before this one may start the tasks of a job again on a worker that has not answered yet.
+    pub(super) fn may_be_started_by_predecessor(&self, job: JobId) -> bool {
+        let entry = self.jobs.get(&job);
+        self.is_unsettled()
+            && self.takeover.predecessor_starts
+            && entry.is_some_and(|entry| entry.job.epoch < self.epoch)
+    }
+
     /// Returns whether any worker may run tasks of an earlier owner that this one does not know of.
     pub(super) fn may_have_earlier_runs(&self) -> bool {
         !self.takeover.settled || !self.takeover.possible_tasks.is_empty()
@@ -442,6 +453,9 @@
     /// Releases uncertain tasks once all workers that may run them have answered, or once no lease of an earlier owner
     /// can be valid.
     pub(super) fn settle_takeover(&mut self, context: &mut Context) {
+        // The uncertainty ends with the leases that the predecessor can have granted last.
+        let lease = self.bounds.lease_max.mul_f64(CLOCK_DRIFT_FACTOR);
+        self.takeover.predecessor_starts = context.now + lease < self.takeover.uncertain_until;
         let count_before = self.takeover.possible_tasks.len();
         let sessions = &self.sessions;
         self.takeover.possible_tasks.retain(|key, (_, expires)| {
--- a/crates/shallotpost-fleet/tests/inherited_starts.rs
+++ b/crates/shallotpost-fleet/tests/inherited_starts.rs
@@ -139,16 +139,44 @@
     assert_eq!(findings, Vec::<String>::new());
 }
 
+/// A job that a predecessor has started, and that the owner does not know.
+const UNKNOWN: JobId = 0x51;
+
 /// Lets a worker list the end of a task whose job the owner reads only after an outage. Returns how often the owner has started
 /// the task, and the job's state.
 fn play_unknown_job(outage: Outage, time: Duration) -> (usize, Option<State>) {
-    const UNKNOWN: JobId = 0x51;
+    let (mut sim, other) = with_unknown_job(outage);
+    sim.workers.get_mut("w0").expect("w0").list_foreign_end(task(UNKNOWN, 0, 0));
+    pass_outage(&mut sim, outage, time);
+    (sim.starts_of_job(UNKNOWN), sim.state(&other, "batch", UNKNOWN))
+}
+
+/// The same for a run. Guards against a stop of a run that was wanted, after which the task has to run again.
+#[test]
+fn run_of_unknown_job() {
+    let mut findings = Vec::new();
+    for outage in [Outage::RefusedReads, Outage::Silence(0), Outage::Silence(900)] {
+        // In a longer silence, the leases of all runs expire.
+        for time in [2000, 5000] {
+            let (mut sim, _) = with_unknown_job(outage);
+            sim.workers.get_mut("w0").expect("w0").run_foreign(task(UNKNOWN, 0, 0), LONG);
+            pass_outage(&mut sim, outage, ms(time));
+            let running = sim.workers["w0"].running().any(|run| run == task(UNKNOWN, 0, 0));
+            if sim.starts_of_job(UNKNOWN) > 0 || !running {
+                findings.push(format!("{outage:?} for {time} ms: running {running}"));
+            }
+        }
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Submits a job through a host that the owner does not hear, while the owner cannot read the jobs. Returns the host too.
+fn with_unknown_job(outage: Outage) -> (Simulation, String) {
     let mut sim = Simulation::settled(1);
     sim.feeds_wait = true;
     sim.run(ms(2000));
     let owner = sim.owner().expect("an owner");
     let other = ["a", "b", "c"].into_iter().find(|host| *host != owner).expect("a host");
-    // The host has told the predecessor of the job, and not the owner.
     sim.set_partitioned(other, &owner, true);
     match outage {
         Outage::RefusedReads => sim.store.reads_refused = true,
@@ -156,7 +184,11 @@
     }
     sim.submit(other, "batch", UNKNOWN, vec![step(1, 300)]);
     sim.run(ms(10));
-    sim.workers.get_mut("w0").expect("w0").list_foreign_end(task(UNKNOWN, 0, 0));
+    (sim, other.to_owned())
+}
+
+/// Lets the outage last for a time, and the owner read the jobs after it.
+fn pass_outage(sim: &mut Simulation, outage: Outage, time: Duration) {
     if let Outage::Silence(after) = outage {
         sim.run(ms(after));
         sim.store_silent = true;
@@ -166,7 +198,6 @@
     sim.run(Duration::from_secs(9));
     sim.partitions.clear();
     sim.run(Duration::from_secs(1));
-    (sim.starts_of_job(UNKNOWN), sim.state(other, "batch", UNKNOWN))
 }
 
 /// Submits a job that is due once, this much later.
@@ -220,3 +251,69 @@
     }
     assert_eq!(findings, Vec::<String>::new());
 }
+
+/// An owner that was cut off from the store and the other hosts went on under its lease on a worker that had restarted, as the new
+/// process did not know the fencing token of the successor. Guards against starts on a process that an owner has first reached
+/// when it may have been replaced.
+#[test]
+fn replaced_owner() {
+    const WAITING: JobId = 0x52;
+    let mut findings = Vec::new();
+    for after in (0..1600).step_by(100) {
+        let mut sim = fleet(&[1000], HIGH_CLOCK_MS, AGE);
+        sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+        sim.wait_for_start(JOB, 1);
+        sim.submit_lasting("batch", WAITING, vec![step(1, 60_000)], LONG);
+        sim.run(Duration::from_secs(1));
+        let owner = sim.owner().expect("an owner");
+        for party in ["a", "b", "c", "store"].into_iter().filter(|party| *party != owner) {
+            sim.set_partitioned(&owner, party, true);
+        }
+        add_worker(&mut sim, "w1", LONG);
+        sim.workers.get_mut("w1").expect("w1").job_durations.insert(WAITING, LONG);
+        sim.set_partitioned(&owner, "w1", true);
+        sim.run_until(Duration::from_secs(4), "a start by the successor", |sim| {
+            sim.workers["w1"].starts_of(task(WAITING, 0, 0)) == 1
+        });
+        sim.run(ms(after));
+        let life =
+            NewLife { dark: ms(100), registered_after: Some(ms(1500)), ..NewLife::default() };
+        sim.restart_worker("w0", life);
+        sim.run(Duration::from_secs(4));
+        findings.extend(sim.twice().into_iter().map(|text| format!("after {after}: {text}")));
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// A worker that an owner and its successor reached restarted, and the owner, which was cut off from the store and the other
+/// hosts, started the lost task on a worker that its successor did not reach. Guards against a successor that starts such a task
+/// while the owner before it may still do so.
+#[test]
+fn lost_by_both() {
+    let mut findings = Vec::new();
+    for after in (0..2000).step_by(200) {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+        sim.submit_lasting("batch", JOB, vec![step(1, 60_000)], LONG);
+        sim.wait_for_start(JOB, 1);
+        add_worker(&mut sim, "w1", LONG);
+        sim.run(Duration::from_secs(2));
+        let owner = sim.owner().expect("an owner");
+        for party in ["a", "b", "c", "store"].into_iter().filter(|party| *party != owner) {
+            sim.set_partitioned(&owner, party, true);
+            sim.set_partitioned(party, "w1", true);
+        }
+        add_worker(&mut sim, "w2", LONG);
+        sim.set_partitioned(&owner, "w2", true);
+        sim.run_until(Duration::from_secs(4), "a successor", |sim| {
+            ["a", "b", "c"].into_iter().any(|host| host != owner && sim.owns(host))
+        });
+        sim.run(ms(after));
+        let life = NewLife { registered_after: Some(ms(50)), ..NewLife::default() };
+        sim.restart_worker("w0", life);
+        fill(&mut sim, "w0");
+        sim.run(Duration::from_secs(12));
+        findings.extend(sim.twice().into_iter().map(|text| format!("after {after}: {text}")));
+        assert!(sim.starts(task(JOB, 0, 0)) > 1, "after {after}: not started again");
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
