Start nothing on a restarted worker before a commit names it

Callers would see a task run twice after a takeover. A successor bars its predecessor on each worker by the first call, but a worker that then restarts does not know the fencing token any more. The predecessor, if it is cut off from the store and the other hosts, could start tasks there for up to 4 s after its last commit, until the successor's first call to the new process.

A restarted worker counted as named by the stored roster if its former process was. A new process now waits for the commit that names it, like a new worker: an owner whose commits succeed had not been replaced when it reached this process.

Evidence: inherited_starts::replaced_owner failed before.

--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -491,9 +491,9 @@
         ];
         context.log("worker_joined", fields);
         let fence = fence(self.epoch, incarnation);
+        // A process that no commit has named does not know the fencing token of a successor, which may have replaced this owner.
+        let in_roster = self.takeover.roster_names(&worker, &registration);
         let former = self.sessions.get(&worker);
-        let in_roster = self.takeover.roster_names(&worker, &registration)
-            || former.is_some_and(|former| former.in_roster && former.is_at(&registration));
         let former_started_unix_ms = former.map(|former| former.registration.started_unix_ms);
         let hold_max = self.bounds.hold_max;
         let mut session = Session::new(registration, incarnation, fence, hold_max, context.now);
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -61,13 +61,10 @@
         }
     }
 
+    /// Returns whether the entry is of this process, and a successor that reads it looks for the worker's runs where they are.
     fn is_of(&self, registration: &Registration) -> bool {
-        self.locates(registration) && self.started_unix_ms == registration.started_unix_ms
-    }
-
-    /// Returns whether a successor that reads the entry looks for the worker's runs where they are.
-    fn locates(&self, registration: &Registration) -> bool {
-        self.pool == registration.pool && self.address == registration.address
+        (&self.pool, &self.address, self.started_unix_ms)
+            == (&registration.pool, &registration.address, registration.started_unix_ms)
     }
 }
 
@@ -120,11 +117,11 @@
         }
     }
 
-    /// Returns whether the roster names the worker where it is now, the stored one as well as one that is being committed. A
-    /// later incarnation may have another pool or address.
+    /// Returns whether the roster names this process of the worker where it is now, the stored one as well as one that is being
+    /// committed.
     pub(super) fn roster_names(&self, key: &WorkerKey, registration: &Registration) -> bool {
         let names = |roster: &BTreeMap<WorkerKey, RosterEntry>| {
-            roster.get(key).is_some_and(|entry| entry.locates(registration))
+            roster.get(key).is_some_and(|entry| entry.is_of(registration))
         };
         names(&self.roster) && self.roster_sent.as_ref().is_none_or(names)
     }
@@ -192,7 +189,7 @@
         self.takeover.roster = self.takeover.roster_sent.take().unwrap_or_default();
         for (key, entry) in &self.takeover.roster {
             if let Some(session) = self.sessions.get_mut(key) {
-                session.in_roster |= entry.locates(&session.registration);
+                session.in_roster |= entry.is_of(&session.registration);
             }
         }
         self.round_due = true;
