--- a/crates/shallotpost-fleet/tests/agents.rs
+++ b/crates/shallotpost-fleet/tests/agents.rs
@@ -132,3 +132,20 @@
     sim.run(ms(3000));
     assert_eq!(sim.twice(), Vec::<String>::new());
 }
+
+/// Guards against a restarted worker that stays out of use, as the owner has no path to it and does not call it through its agent
+/// any more.
+#[test]
+fn restarted_worker_without_path_to_owner() {
+    let mut sim = large_fleet();
+    let owner = sim.owner().expect("there is an owner");
+    sim.set_partitioned(&owner, "w7", true);
+    sim.run(ms(6000));
+    sim.restart_worker("w7", NewLife { registered_after: Some(ms(100)), ..NewLife::default() });
+    sim.run(ms(6000));
+    sim.submit("b", "batch", JOB, vec![step(400, 300)]);
+    sim.run(ms(250));
+    let starts = &sim.workers["w7"].starts;
+    assert!(starts.iter().any(|(_, task, _)| task.stage.job == JOB), "the worker got no task");
+    sim.check_invariants();
+}
