Bind a task whose run is stopped while its start is in flight

The start of a gang member can get no answer after another member was refused. Its run was then no longer in the phase of a start, so the gang was placed elsewhere at once, and a later process of the worker carried the start out beside it. An answer releases the task again.

--- a/crates/shallotpost-fleet/src/scheduler/late_starts.rs
+++ b/crates/shallotpost-fleet/src/scheduler/late_starts.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug)]
 pub struct LateStart {
     pub worker: WorkerKey,
+    /// Number of the run.
+    pub number: u64,
     /// Incarnation of the worker that the start was meant for.
     pub incarnation: u64,
     /// Time until which the task runs on this incarnation or nowhere.
@@ -36,6 +38,7 @@
         &mut self,
         worker: &WorkerKey,
         task: TaskId,
+        number: u64,
         sent: Uptime,
         context: &mut Context,
     ) {
@@ -52,7 +55,8 @@
         };
         let Some(stage) = self.stage_mut(task.stage) else { return };
         let Some(state) = stage.task_mut(task.index) else { return };
-        state.late_start = Some(LateStart { worker: Rc::clone(worker), incarnation, until });
+        state.late_start =
+            Some(LateStart { worker: Rc::clone(worker), number, incarnation, until });
         self.late_starts.insert(task);
         let fields = vec![
             ("task", task.to_string()),
@@ -67,12 +71,27 @@
     pub(super) fn bind_starts_in_flight(&mut self, worker: &WorkerKey, context: &mut Context) {
         let Some(session) = self.sessions.get(worker) else { return };
         let placements = session.placements.iter();
-        let in_flight: Vec<(TaskId, Uptime)> = placements
+        let in_flight: Vec<(TaskId, u64, Uptime)> = placements
             .filter(|(_, run)| run.phase == Phase::Starting)
-            .map(|(task, run)| (*task, run.started))
+            .map(|(task, run)| (*task, run.number, run.started))
             .collect();
-        for (task, sent) in in_flight {
-            self.bind_to_late_start(worker, task, sent, context);
+        for (task, number, sent) in in_flight {
+            self.bind_to_late_start(worker, task, number, sent, context);
+        }
+    }
+
+    /// Releases a task whose start has had an answer or was not sent, so that it is not carried out later.
+    pub(super) fn release_answered_start(&mut self, worker: &WorkerKey, task: TaskId, number: u64) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.unanswered_starts.retain(|start| (start.task, start.number) != (task, number));
+        }
+        let Some(stage) = self.stage_mut(task.stage) else { return };
+        if let Some(state) = stage.task_mut(task.index)
+            && state.late_start.as_ref().is_some_and(|late| late.number == number)
+        {
+            state.late_start = None;
+            self.late_starts.remove(&task);
+            self.set_waiting(task.stage);
         }
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -590,6 +590,7 @@
 
     /// Requeues a task whose start reached no worker that could run it.
     fn drop_start(&mut self, worker: &WorkerKey, task: TaskId, number: u64, context: &mut Context) {
+        self.release_answered_start(worker, task, number);
         let Some(session) = self.sessions.get(worker) else { return };
         if session.placements.get(&task).is_some_and(|run| run.number == number) {
             self.release(worker, &task);
@@ -663,7 +664,7 @@
         self.open_session(Rc::clone(worker), registration, context);
         for (task, run) in undecided {
             let answered = match run.phase {
-                Phase::Running => unanswered_starts.iter().all(|(started, _)| *started != task),
+                Phase::Running => unanswered_starts.iter().all(|start| start.task != task),
                 Phase::Undecided { answered } => answered,
                 Phase::Starting | Phase::StartUnanswered | Phase::Stopping => false,
             };
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -5,7 +5,7 @@
 use crate::port::{Connection, Counter};
 use crate::prelude::*;
 use crate::scheduler::run_lists::{first_task, last_task, new_placement};
-use crate::scheduler::session::{Phase, WorkerKey, milliseconds};
+use crate::scheduler::session::{Phase, UnansweredStart, WorkerKey, milliseconds};
 use crate::scheduler::stage::Place;
 use crate::scheduler::{Context, Purpose, Scheduler};
 use crate::worker::{Call, Error, Refusal, Report};
@@ -141,6 +141,9 @@
         context: &mut Context,
     ) {
         let now = context.now;
+        if !matches!(result, Err(Error::Unanswered)) {
+            self.release_answered_start(worker, task, number);
+        }
         let Some(session) = self.sessions.get_mut(worker) else { return };
         let current = session.placements.get_mut(&task).filter(|run| run.number == number);
         let Some(placement) = current else { return };
@@ -176,8 +179,8 @@
                 if placement.phase == Phase::Starting {
                     placement.phase = Phase::StartUnanswered;
                     let sent = placement.started;
-                    session.record_unanswered_start(task, sent, now);
-                    self.bind_to_late_start(worker, task, sent, context);
+                    session.record_unanswered_start(UnansweredStart { task, number, sent }, now);
+                    self.bind_to_late_start(worker, task, number, sent, context);
                     self.send_stop(worker, task, number, context);
                 }
                 return;
@@ -213,7 +216,8 @@
         if let Some(placement) = session.placements.get_mut(&task)
             && placement.number == number
         {
-            match placement.phase {
+            let (phase, sent) = (placement.phase, placement.started);
+            match phase {
                 // The first list tells whether there is anything to stop.
                 Phase::Undecided { .. } => return,
                 Phase::StartUnanswered => {}
@@ -222,6 +226,12 @@
                 }
             }
             placement.changed = context.now;
+            // The start may get no answer, and the run be gone before that is known.
+            if phase == Phase::Starting {
+                let start = UnansweredStart { task, number, sent };
+                session.record_unanswered_start(start, context.now);
+                self.bind_to_late_start(worker, task, number, sent, context);
+            }
         }
         self.order(worker, Purpose::Stop(task, number), Call::Stop { task, number }, context);
     }
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -117,6 +117,16 @@
     pub is_question: bool,
 }
 
+/// A start without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct UnansweredStart {
+    pub task: TaskId,
+    /// Number of the run.
+    pub number: u64,
+    /// When it was sent.
+    pub sent: Uptime,
+}
+
 /// Capacity of a worker that is reserved for a stage in whose favour runs were preempted.
 #[derive(Clone, Debug)]
 pub struct Reservation {
@@ -199,9 +209,9 @@
     /// When the next lease renewal is due.
     pub next_renewal: Uptime,
     pub placements: BTreeMap<TaskId, Placement>,
-    /// Starts that were not answered, with the times at which they were sent. A later incarnation may still carry them out,
-    /// also if the present one has confirmed a stop.
-    pub unanswered_starts: Vec<(TaskId, Uptime)>,
+    /// Starts that were not answered. A later incarnation may still carry them out, also if the present one has confirmed a
+    /// stop.
+    pub unanswered_starts: Vec<UnansweredStart>,
     /// Number of placements with a latency target, and of best-effort ones.
     pub latency_targets: u32,
     pub best_effort: u32,
@@ -376,15 +386,15 @@
     }
 
     /// Records that a start was not answered.
-    pub fn record_unanswered_start(&mut self, task: TaskId, sent: Uptime, now: Uptime) {
-        self.unanswered_starts.retain(|(_, sent)| *sent + LATE_START_TIME_MAX > now);
-        self.unanswered_starts.push((task, sent));
+    pub fn record_unanswered_start(&mut self, start: UnansweredStart, now: Uptime) {
+        self.unanswered_starts.retain(|start| start.sent + LATE_START_TIME_MAX > now);
+        self.unanswered_starts.push(start);
     }
 
     /// Returns whether a later incarnation of the worker may carry out an unanswered start of a task.
     fn may_start_late(&self, task: TaskId, now: Uptime) -> bool {
         let mut starts = self.unanswered_starts.iter();
-        starts.any(|(started, sent)| *started == task && *sent + LATE_START_TIME_MAX > now)
+        starts.any(|start| start.task == task && start.sent + LATE_START_TIME_MAX > now)
     }
 
     /// Returns the tasks that the next incarnation of the worker may run when the present one has ended.
