--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -141,6 +141,10 @@
             }
             EndReason::Failed if !long_running => {
                 self.record_failure(worker, end, gang, context);
+                // The last attempt: a later start would be one too many.
+                if !self.unfinished.contains(&task.stage.job) {
+                    self.hold_end(worker, end, context.now);
+                }
                 self.requeue_ended(worker, end, was_current, context);
             }
             _ => self.requeue_ended(worker, end, was_current, context),
