--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -125,8 +125,11 @@
         let Some(session) = self.sessions.get_mut(worker) else { return };
         let Renewal { call, fence, acknowledged, is_question } = renewal;
         session.renewal = Some(renewal);
-        // Connections to the former process may be silent, and calls on them are lost without an answer.
-        let restarted = session.former_started_unix_ms.is_some() && session.clock.is_none();
+        // Connections to the former process may be silent, and calls on them are lost without an answer. Calls on a new one are
+        // not relayed, and the agent may reach a worker that this host does not reach.
+        let restarted = session.former_started_unix_ms.is_some()
+            && session.clock.is_none()
+            && session.broken.is_none();
         let connection = match restarted || is_question {
             true => Connection::New,
             false => Connection::Pooled,
