Let a gang claim no room while one of its members is bound

It stopped runs of other jobs every 0.3 s for as long as it could not start. The test's other job writes checkpoints, so the gang may preempt it once it can start.

--- a/crates/shallotpost-fleet/src/scheduler/late_starts.rs
+++ b/crates/shallotpost-fleet/src/scheduler/late_starts.rs
@@ -121,8 +121,10 @@
                 Some(late) => {
                     let worker = late.worker.to_string();
                     state.late_start = None;
-                    if state.place == Place::Waiting {
-                        self.set_waiting(task.stage);
+                    let waits = state.place == Place::Waiting;
+                    // Other members of a gang may wait although this one does not.
+                    self.set_waiting(task.stage);
+                    if waits {
                         let fields = vec![("task", task.to_string()), ("worker", worker)];
                         context.log("task_unbound", fields);
                     }
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -365,7 +365,12 @@
     }
 
     fn has_waiting(&self, id: StageId) -> bool {
-        let waits = |stage: &Stage| stage.tasks.iter().any(Task::waits_for_any_worker);
+        let gang = self.step(id).is_some_and(|step| step.gang);
+        let waits = |stage: &Stage| {
+            // A gang starts only with all members, so it needs no room while one of them is bound.
+            let held_up = gang && stage.tasks.iter().any(|task| task.late_start.is_some());
+            !held_up && stage.tasks.iter().any(Task::waits_for_any_worker)
+        };
         self.stage(id).is_some_and(waits)
     }
 
