Release a task whose unanswered start a list shows

A start is carried out once, so the list of its run or its end tells that no later process takes it. The task waited up to 6 s for its worker, and its end was held, although only the answer was lost.

--- a/crates/shallotpost-fleet/src/scheduler/late_starts.rs
+++ b/crates/shallotpost-fleet/src/scheduler/late_starts.rs
@@ -80,8 +80,8 @@
         }
     }
 
-    /// Releases a task whose start has had an answer or was not sent, so that it is not carried out later.
-    pub(super) fn release_answered_start(&mut self, worker: &WorkerKey, task: TaskId, number: u64) {
+    /// Releases a task whose start is not carried out later: it had an answer, was not sent, or a list shows its run or its end.
+    pub(super) fn release_decided_start(&mut self, worker: &WorkerKey, task: TaskId, number: u64) {
         if let Some(session) = self.sessions.get_mut(worker) {
             session.unanswered_starts.retain(|start| (start.task, start.number) != (task, number));
         }
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -590,7 +590,7 @@
 
     /// Requeues a task whose start reached no worker that could run it.
     fn drop_start(&mut self, worker: &WorkerKey, task: TaskId, number: u64, context: &mut Context) {
-        self.release_answered_start(worker, task, number);
+        self.release_decided_start(worker, task, number);
         let Some(session) = self.sessions.get(worker) else { return };
         if session.placements.get(&task).is_some_and(|run| run.number == number) {
             self.release(worker, &task);
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -142,7 +142,7 @@
     ) {
         let now = context.now;
         if !matches!(result, Err(Error::Unanswered)) {
-            self.release_answered_start(worker, task, number);
+            self.release_decided_start(worker, task, number);
         }
         let Some(session) = self.sessions.get_mut(worker) else { return };
         let current = session.placements.get_mut(&task).filter(|run| run.number == number);
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -104,6 +104,7 @@
     fn process_end(&mut self, worker: &WorkerKey, end: &EndedRun, context: &mut Context) {
         context.outputs.push(Output::Count { counter: Counter::Ends, amount: 1 });
         let task = end.task;
+        self.release_decided_start(worker, task, end.number);
         let current = self.sessions.get(worker).and_then(|session| session.placements.get(&task));
         let was_current = current.is_some_and(|run| run.number == end.number);
         let stop_requested = current.is_some_and(|run| run.phase == Phase::Stopping);
@@ -368,6 +369,9 @@
 
     fn process_run(&mut self, worker: &WorkerKey, as_of: Uptime, run: Run, context: &mut Context) {
         let now = context.now;
+        if self.late_starts.contains(&run.task) {
+            self.release_decided_start(worker, run.task, run.number);
+        }
         let known = self.jobs.contains_key(&run.task.stage.job);
         let Some(session) = self.sessions.get_mut(worker) else { return };
         let Some(placement) = session.placements.get_mut(&run.task) else {
