Test tasks on draining workers that leave, and owners that read lists late

leaving_workers: a run ends 2 ms before its worker leaves, and the answer that lists the end is lost with the connection.

late_lists: an owner whose inputs wait for seconds starts no task again.

--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -52,6 +52,8 @@
 enum Event {
     Tick(String),
     Input(String, Input),
+    /// An input that has waited in the queue of its host.
+    LaggedInput(String, Input),
     Store {
         host: String,
         call: u64,
@@ -174,6 +176,8 @@
     pub store_silent: bool,
     /// Additional time after which these hosts handle the store's answers, direct or relayed.
     pub store_lags: BTreeMap<String, Duration>,
+    /// Time for which the inputs of these hosts wait, except those of their timers: the hosts are short of processor time.
+    pub input_lags: BTreeMap<String, Duration>,
     /// Hosts whose calls to the store get no answer.
     pub silent_stores: BTreeSet<String>,
     /// Hosts whose idle connections to the store are silent for good, until they are closed.
@@ -188,6 +192,8 @@
     pub dead_workers: BTreeSet<String>,
     /// Pools and data centres of workers, if they are not `intake` and `kochi`.
     pub sites: BTreeMap<String, (String, String)>,
+    /// Minimum time until draining workers leave, as their registrations tell.
+    pub drain_remaining: BTreeMap<String, Duration>,
     /// Number in 100 of the pairs of a stage and a worker that are approved.
     pub approval_percent: u64,
     /// Times at which calls of hosts end as unanswered.
@@ -245,6 +251,7 @@
             read_delays: BTreeMap::new(),
             store_silent: false,
             store_lags: BTreeMap::new(),
+            input_lags: BTreeMap::new(),
             silent_stores: BTreeSet::new(),
             silent_pools: BTreeSet::new(),
             feeds_wait: false,
@@ -252,6 +259,7 @@
             hanging_workers: BTreeSet::new(),
             dead_workers: BTreeSet::new(),
             sites: BTreeMap::new(),
+            drain_remaining: BTreeMap::new(),
             approval_percent: 100,
             deadlines: BTreeMap::new(),
             lost_answers: 0,
@@ -349,7 +357,7 @@
             capacity: worker.capacity,
             labels: vec!["a".to_owned(), "r1".to_owned()],
             started_unix_ms: worker.started_unix_ms,
-            drain_remaining: None,
+            drain_remaining: self.drain_remaining.get(name).copied().filter(|_| draining),
         };
         self.store.put(Table::Workers, name, Content::Worker(Box::new(registration)));
     }
@@ -581,7 +589,11 @@
                     self.deliver(&host, Input::Tick);
                 }
             }
-            Event::Input(host, input) => self.deliver(&host, input),
+            Event::Input(host, input) => match self.input_lags.get(&host).copied() {
+                Some(lag) => self.push(self.now + lag, Event::LaggedInput(host, input)),
+                None => self.deliver(&host, input),
+            },
+            Event::LaggedInput(host, input) => self.deliver(&host, input),
             Event::Store { host, call, .. }
                 if self.store_silent || self.silent_stores.contains(&host) =>
             {
