Stop the runs on a draining worker before it may leave

A worker that leaves closes its connections. If a run ends about 2 ms before, the answer that lists the end is lost: the task waits for the worker's lease and starts again although it was done. Runs that are still at work are lost with the worker, and their tasks wait for the lease too.

The owner now stops the runs on a draining worker 0.4 s before the earliest departure that its registration tells, so that the tasks go on elsewhere with their checkpoints. Workers that do not tell when they leave are left alone.

--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -36,6 +36,10 @@
 /// Minimum length of a lease; a shorter one is not sent.
 const LEASE_MIN: Duration = Duration::from_millis(300);
 
+/// Time before the earliest departure of a draining worker at which its runs are stopped: the stop, and the list that shows
+/// the end, must arrive before it.
+const LEAVING_MARGIN: Duration = Duration::from_millis(400);
+
 /// Maximum age of a list relative to the time at which its call was sent. A confirmed run that is missing from a newer
 /// list was lost by the worker.
 const LIST_AGE_MAX: Duration = Duration::from_millis(50);
@@ -193,6 +197,24 @@
         }
     }
 
+    /// Stops the runs on workers that may leave at any moment. If a run ends while its worker leaves, the answer that lists
+    /// the end may be lost with the connection, and the task would start again although it was done. Runs that are lost with
+    /// the worker would wait for its lease.
+    pub(super) fn stop_on_leaving_workers(&mut self, context: &mut Context) {
+        let mut due = Vec::new();
+        for (worker, session) in &self.sessions {
+            let leaving = |leaves| context.now + LEAVING_MARGIN >= leaves;
+            if session.contact == Contact::Live && session.leaves.is_some_and(leaving) {
+                let runs = session.placements.iter();
+                let running = runs.filter(|(_, run)| run.phase == Phase::Running);
+                due.extend(running.map(|(task, run)| (Rc::clone(worker), *task, run.number)));
+            }
+        }
+        for (worker, task, number) in due {
+            self.send_stop(&worker, task, number, context);
+        }
+    }
+
     /// Repeats stops that were not confirmed in time.
     pub(super) fn repeat_stops(&mut self, context: &mut Context) {
         let repeat_after = self.bounds.stop_timeout + ANSWER_TIMEOUT;
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -456,6 +456,10 @@
                 if registration.draining && !session.registration.draining {
                     context.log("worker_draining", vec![("worker", worker.to_owned())]);
                 }
+                session.leaves = registration.leaves(context.now).map(|leaves| {
+                    // The time that is left is old when the entry is read, by a time that differs.
+                    session.leaves.map_or(leaves, |known| known.min(leaves))
+                });
                 session.registered = true;
                 session.in_roster = located || session.in_roster && session.is_at(&registration);
                 session.registration = registration;
@@ -691,6 +695,7 @@
         self.check_isolations(context);
         self.send_renewals(context);
         self.repeat_stops(context);
+        self.stop_on_leaving_workers(context);
         self.begin_due_occurrences(context);
         self.adjust_throttles(context);
         self.prune_sessions();
--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -142,6 +142,8 @@
     pub incarnation: u64,
     /// Fencing token of this epoch and incarnation.
     pub fence: u64,
+    /// Earliest time at which the worker leaves; `None` if it is not draining or does not tell.
+    pub leaves: Option<Uptime>,
     /// Whether the stored roster names the worker. Nothing is started on it before.
     pub in_roster: bool,
     pub contact: Contact,
@@ -210,6 +212,7 @@
         now: Uptime,
     ) -> Session {
         Session {
+            leaves: registration.leaves(now),
             registration,
             registered: true,
             former_started_unix_ms: None,
--- a/crates/shallotpost-fleet/src/worker.rs
+++ b/crates/shallotpost-fleet/src/worker.rs
@@ -28,6 +28,15 @@
     pub drain_remaining: Option<Duration>,
 }
 
+impl Registration {
+    /// Returns the earliest time at which a draining worker leaves, if the entry was written at `now`; `None` if the worker
+    /// is not draining or does not tell.
+    pub fn leaves(&self, now: Uptime) -> Option<Uptime> {
+        let left = self.drain_remaining.filter(|_| self.draining)?;
+        Some(now.saturating_add(left))
+    }
+}
+
 /// A run that a worker lists as present.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Run {
