Wait 3.5 s, not 12 s, for an unanswered start to reach a worker out of reach

Callers saw tasks that stood for 22 s: a start got no answer, the worker restarted, and the new process was gone for good before it answered. The owner waited 12 s for a late start to be carried out, and 10 s for the lease that it would get.

A start that reaches the new process before it is cut off does so within a few seconds. The wait is now 3.5 s and the longest lease, counted from the last call that may have extended one. Once the new process has listed its runs, the list bounds the leases as before, and in contact nothing changes: an unanswered start is remembered for 12 s.

What it gives up: a start that is carried out more than 3.5 s late, under the longest lease, on a worker of which only the restart is known and that does not answer until the end of that lease, may run beside the next one.

late_lives: dead_life failed with 22.09 s and passes (bound 14 s).

--- a/crates/shallotpost-fleet/src/scheduler/session.rs
+++ b/crates/shallotpost-fleet/src/scheduler/session.rs
@@ -34,6 +34,11 @@
 /// incarnation that it was meant for refuses it earlier, once the lease that it carries is over.
 const LATE_START_TIME_MAX: Duration = Duration::from_secs(12);
 
+/// Time within which a start that was not answered reaches a worker that is out of reach afterwards. A start that is carried
+/// out later than that, under the longest lease and without any contact, is not waited for: its task would stand for 22 s
+/// on each worker that is gone.
+const REACH_TIME_MAX: Duration = Duration::from_millis(3_500);
+
 /// Phase of a run on a worker, as far as the owner knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -358,7 +363,7 @@
             // The first list of this incarnation bounds all earlier leases.
             Phase::Undecided { .. } if self.clock.is_some() => return self.leases_end(),
             // Without an answer, the start may still be on its way.
-            Phase::Undecided { answered: false } => LATE_START_TIME_MAX,
+            Phase::Undecided { answered: false } => REACH_TIME_MAX,
             Phase::Undecided { answered: true } => ORDER_TIMEOUT,
             _ if run.foreign_clock => ORDER_TIMEOUT,
             _ => return self.leases_end(),
