--- a/crates/shallotpost-fleet/src/scheduler/late_starts.rs
+++ b/crates/shallotpost-fleet/src/scheduler/late_starts.rs
@@ -13,8 +13,8 @@
 use crate::scheduler::{Context, Scheduler};
 use crate::worker::EndedRun;
 
-/// Time from an unanswered start until its task may run anywhere. A job with nothing running may stand for at most 3 s
-/// once the fleet has been calm for 4 s, so the wait can't be longer.
+/// Time from an unanswered start until its task may run anywhere. A start can be later than that, but a job with nothing
+/// running may stand for at most 3 s once the fleet has been calm for 4 s.
 const LATE_START_WAIT: Duration = Duration::from_secs(6);
 
 /// Maximum time for which the end of a bound task is not acknowledged. Workers' ends must be acknowledged within 4 s.
--- a/crates/shallotpost-fleet/src/scheduler/leases.rs
+++ b/crates/shallotpost-fleet/src/scheduler/leases.rs
@@ -105,8 +105,8 @@
 
     /// Asks at once which incarnation of a worker answers, in place of the renewal in flight.
     ///
-    /// The incarnation that answers refuses all earlier calls, as this one has a higher fencing token. The call carries
-    /// nothing that another incarnation than the one of the session must not take.
+    /// The incarnation that answers refuses all earlier calls, as this one has a higher fencing token, unless the token can't
+    /// be raised any more. The call carries nothing that another incarnation than the one of the session must not take.
     pub(super) fn ask_incarnation(&mut self, worker: &WorkerKey, context: &mut Context) {
         let renewal = self.sessions.get(worker).and_then(|session| session.renewal);
         if renewal.is_some_and(|renewal| renewal.is_question) {
--- a/crates/shallotpost-fleet/tests/late_starts.rs
+++ b/crates/shallotpost-fleet/tests/late_starts.rs
@@ -228,3 +228,22 @@
     });
     assert_eq!(findings(&sim, "lost answer"), Vec::<String>::new());
 }
+
+/// Guards against a wait that protects nothing: a ticket is valid for one process of the worker, so no other one accepts the
+/// start.
+#[test]
+fn approved_queue() {
+    for queue in ["approved", "batch"] {
+        let mut sim = fleet(&[4000], HIGH_CLOCK_MS, AGE);
+        wait_for_renewal(&mut sim, "w0");
+        late(&mut sim, CallKind::Start, 1, ms(9000));
+        sim.submit_lasting(queue, JOB, vec![step(1, 60_000)], Duration::from_secs(60));
+        sim.run(ms(100));
+        assert_eq!(sim.late_calls[0].count, 0);
+        add_worker(&mut sim, "w1", Duration::from_secs(60));
+        restart(&mut sim, 300, 100);
+        sim.run(ms(2500));
+        let started = sim.starts(task(JOB, 0, 0)) == 1;
+        assert_eq!(started, queue == "approved", "{queue}");
+    }
+}
