--- a/review/standin-2/gang_checkpoints.rs
+++ b/review/standin-2/gang_checkpoints.rs
@@ -59,7 +59,7 @@
                 crashed = Some((Instant::now(), down));
             }
             Some((at, down)) if !back && at.elapsed() >= DOWN => {
-                down.iter().for_each(|at| site.workers[*at].restart_as(None));
+                down.iter().for_each(|at| site.workers[*at].restart());
                 back = true;
             }
             _ => {}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -146,9 +146,11 @@
                 false => self.record.line(&line),
             }
         }
-        let count = accepted.count();
-        self.record
-            .say(&format!("{count} small jobs accepted, {unfinished} of them not completed"));
+        let line = format!(
+            "{} small jobs accepted, {asked} of them asked for, {unfinished} of these not completed",
+            accepted.count()
+        );
+        self.record.say(&line);
         unfinished
     }
 
