--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -1,5 +1,6 @@
 //! Minimal HTTP/1.1 server and client on loopback for the stand-ins of this review.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -60,7 +61,9 @@
 struct State {
     lives: u64,
     up: bool,
-    streams: Vec<TcpStream>,
+    /// Open connections, by their numbers.
+    streams: BTreeMap<u64, TcpStream>,
+    accepted: u64,
 }
 
 impl Server {
@@ -82,7 +85,7 @@
         let mut state = self.lock();
         state.up = false;
         state.lives += 1;
-        for stream in state.streams.drain(..) {
+        for stream in std::mem::take(&mut state.streams).values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -120,12 +123,16 @@
                 match accepted {
                     Ok((stream, _)) => {
                         let Ok(copy) = stream.try_clone() else { continue };
-                        state.streams.push(copy);
+                        state.accepted += 1;
+                        let number = state.accepted;
+                        state.streams.insert(number, copy);
                         drop(state);
-                        let handler = Arc::clone(&server.handler);
-                        let serve = move || drop(serve_connection(stream, &handler));
-                        let thread = thread::Builder::new().stack_size(256 << 10).spawn(serve);
-                        drop(thread);
+                        let server = server.clone();
+                        let serve = move || {
+                            let _ = serve_connection(stream, &server.handler);
+                            server.lock().streams.remove(&number);
+                        };
+                        drop(thread::Builder::new().stack_size(256 << 10).spawn(serve));
                     }
                     Err(_) => {
                         drop(state);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! The program takes the name of a case and the path of its record, and exits with 1 if the rule was broken, 0 if it held,
 //! and 2 if the case could not run. With `TROUBLE=0` in the environment it leaves the disruption out.
 
+mod cancelled_job;
 mod deadly_gang;
 mod fleet;
 mod gang_checkpoints;
@@ -14,7 +15,6 @@
 mod record;
 mod site;
 mod store;
-mod wide_gang;
 mod worker;
 
 use std::path::{Path, PathBuf};
@@ -43,7 +43,7 @@
         "overdue-job" => overdue_job::run(&record(""), &folder, trouble),
         "deadly-gang" => deadly_gang::run(&record(""), &folder, trouble),
         "gang-checkpoints" => gang_checkpoints::run(&record(""), &folder, trouble),
-        "wide-gang" => wide_gang::run(&record(wide_gang::JOB), &folder, trouble),
+        "cancelled-job" => cancelled_job::run(&record(cancelled_job::JOB), &folder, trouble),
         _ => Outcome::CouldNotRun,
     };
     let _ = std::fs::remove_dir_all(&folder);
