--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,13 +4,13 @@
 //! The program takes the name of a case and the path of its record, and exits with 1 if the rule was broken, 0 if it held,
 //! and 2 if the case could not run. With `TROUBLE=0` in the environment it leaves the disruption out.
 
-mod cancelled_job;
 mod deadly_gang;
 mod fleet;
 mod gang_checkpoints;
 mod http;
 mod json;
 mod large_job;
+mod late_start;
 mod overdue_job;
 mod record;
 mod site;
@@ -39,11 +39,11 @@
     }
     let record = |quiet_tasks| Record::create(Path::new(record), quiet_tasks);
     let outcome = match case.as_str() {
+        "late-start" => late_start::run(&record("2"), &folder, trouble),
         "large-job" => large_job::run(&record(large_job::JOB), &folder, trouble),
         "overdue-job" => overdue_job::run(&record(""), &folder, trouble),
         "deadly-gang" => deadly_gang::run(&record(""), &folder, trouble),
         "gang-checkpoints" => gang_checkpoints::run(&record(""), &folder, trouble),
-        "cancelled-job" => cancelled_job::run(&record(cancelled_job::JOB), &folder, trouble),
         _ => Outcome::CouldNotRun,
     };
     let _ = std::fs::remove_dir_all(&folder);
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -8,7 +8,7 @@
 use crate::json::{Json, number, object, text};
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::{Gangs, Place, Worker};
+use crate::worker::{Gangs, LateOrder, Place, Worker};
 
 /// Names of the zones.
 const ZONES: [&str; 4] = ["utara", "tengah", "selatan", "timur"];
@@ -35,6 +35,7 @@
     pub hosts: Vec<EntryHost>,
     pub requester: Requester,
     pub small_jobs: Vec<SmallJob>,
+    pub late_order: LateOrder,
     record: Record,
 }
 
@@ -68,7 +69,7 @@
     pub fn start(record: &Record, folder: &Path, workers: usize, cpu: u64) -> Option<Site> {
         let (store, address) = Store::start();
         store.put("op", "config", Some(&config(4)));
-        let gangs = Gangs::default();
+        let (gangs, late_order) = (Gangs::default(), LateOrder::default());
         let workers: Vec<Worker> = (0..workers)
             .map(|index| {
                 let place = Place {
@@ -80,7 +81,7 @@
                     cpu,
                     memory_mb: 262_144,
                 };
-                Worker::start(place, &store, record, &gangs)
+                Worker::start(place, &store, record, &gangs, &late_order)
             })
             .collect();
         let hosts: Vec<EntryHost> = ZONES
@@ -99,7 +100,7 @@
         };
         record.line("the site is ready");
         let (small_jobs, record) = (Vec::new(), record.clone());
-        Some(Site { store, workers, hosts, requester, small_jobs, record })
+        Some(Site { store, workers, hosts, requester, small_jobs, record, late_order })
     }
 
     /// Submits a job of a few short tasks, at each host in turn.
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -118,9 +118,10 @@
     up: bool,
 }
 
-/// When an end was first listed, and when it was taken note of.
-#[derive(Clone, Copy)]
+/// When the end of a run was first listed, and when it was taken note of.
+#[derive(Clone)]
 pub struct ListedEnd {
+    pub task: String,
     pub listed: Instant,
     pub noted: Option<Instant>,
 }
@@ -135,6 +136,53 @@
     store: Store,
     record: Record,
     gangs: Gangs,
+    late_order: LateOrder,
+}
+
+/// Order of the tasks whose names begin with `task` that a worker leaves unanswered and carries out late.
+#[derive(Clone, Default)]
+pub struct LateOrder {
+    state: Arc<Mutex<Option<LateState>>>,
+}
+
+struct LateState {
+    task: String,
+    taken: Option<(String, Json, Instant)>,
+}
+
+impl LateOrder {
+    /// Lets the worker that gets the first start of such a task leave it unanswered.
+    pub fn expect(&self, task: &str) {
+        let state = LateState { task: task.to_owned(), taken: None };
+        *self.state.lock().expect("no panic while locked") = Some(state);
+    }
+
+    /// Returns the worker that keeps the order, and when it arrived.
+    pub fn taken(&self) -> Option<(String, Instant)> {
+        let state = self.state.lock().expect("no panic while locked");
+        state.as_ref()?.taken.as_ref().map(|(worker, _, at)| (worker.clone(), *at))
+    }
+
+    fn take(&self, worker: &str, call: &Json) -> bool {
+        let mut state = self.state.lock().expect("no panic while locked");
+        let Some(state) = state.as_mut() else { return false };
+        let keeps = state.taken.is_none() && call.get("task").text().starts_with(&state.task);
+        if keeps {
+            state.taken = Some((worker.to_owned(), call.clone(), Instant::now()));
+        }
+        keeps
+    }
+
+    /// Returns the order that a worker keeps, once.
+    fn release(&self, worker: &str) -> Option<Json> {
+        let mut state = self.state.lock().expect("no panic while locked");
+        let kept = state.as_ref()?.taken.as_ref()?.0 == worker;
+        let call = state.as_ref()?.taken.as_ref()?.1.clone();
+        if kept {
+            *state = None;
+        }
+        kept.then_some(call)
+    }
 }
 
 fn unix_ms() -> u64 {
@@ -143,7 +191,13 @@
 
 impl Worker {
     /// Starts a worker and registers it in the store.
-    pub fn start(place: Place, store: &Store, record: &Record, gangs: &Gangs) -> Worker {
+    pub fn start(
+        place: Place,
+        store: &Store,
+        record: &Record,
+        gangs: &Gangs,
+        late_order: &LateOrder,
+    ) -> Worker {
         let worker = Worker {
             place,
             state: Arc::default(),
@@ -153,6 +207,7 @@
             store: store.clone(),
             record: record.clone(),
             gangs: gangs.clone(),
+            late_order: late_order.clone(),
         };
         {
             let mut state = worker.lock();
@@ -250,6 +305,10 @@
         drop(state);
         self.register();
         self.lock().up = true;
+        if let Some(call) = self.late_order.release(&self.place.id) {
+            let answer = self.start_run(&call);
+            self.record.line(&format!("{} carries out the late start: {answer:?}", self.place.id));
+        }
         if let Some(server) = &*self.server.lock().expect("no panic while locked") {
             server.restart();
         }
@@ -270,8 +329,8 @@
     pub fn listed_ends(&self) -> Vec<ListedEnd> {
         let state = self.lock();
         let mut ends = self.noted.lock().expect("no panic while locked").clone();
-        let open = state.ends.iter().filter_map(|end| end.listed);
-        ends.extend(open.map(|listed| ListedEnd { listed, noted: None }));
+        let open = state.ends.iter().filter_map(|end| Some((end.task.clone(), end.listed?)));
+        ends.extend(open.map(|(task, listed)| ListedEnd { task, listed, noted: None }));
         ends
     }
 
@@ -325,6 +384,13 @@
             return Some((421, object(vec![("clock_ms", number(self.clock_ms()))]).to_string()));
         }
         match request.path.as_str() {
+            "/v1/run-start" if self.late_order.take(&self.place.id, &call) => {
+                let task = call.get("task").text();
+                self.record
+                    .line(&format!("{} leaves the start of {task} unanswered", self.place.id));
+                thread::sleep(Duration::from_secs(3));
+                None
+            }
             "/v1/run-start" => self.start_run(&call),
             "/v1/run-stop" => self.stop_run(&call),
             "/v1/hold" => self.hold(&call),
@@ -475,7 +541,8 @@
         let mut noted = self.noted.lock().expect("no panic while locked");
         for end in ends {
             let Some(listed) = end.listed else { continue };
-            noted.push(ListedEnd { listed, noted: Some(Instant::now()) });
+            let task = end.task.clone();
+            noted.push(ListedEnd { task, listed, noted: Some(Instant::now()) });
         }
     }
 }
