fleet: begin occurrences as earlier ones start and end

Cause: the owner created the stages of all due occurrences, and a state for each of their tasks, when it added the job, on each tick and in each successor. A stored row or a worker's list that named an occurrence began all those before it as well.

Change: a job holds a window of open occurrences. Another one begins while few of them have nothing on a worker; their stages and their tasks with a state are bounded, and one is open in any case, so every job goes on. Occurrences that a row or a list names are created alone. A task has a state of its own once it is started. Ended jobs drop their stages. The quota of a successor counts due occurrences that it has not begun. A long-running job whose occurrences have more than 10,000 tasks is refused: they would all run at the same time. The line `held` shows what is held.

--- a/crates/shallotpost-fleet/src/host/mod.rs
+++ b/crates/shallotpost-fleet/src/host/mod.rs
@@ -15,7 +15,7 @@
 use crate::message::Message;
 use crate::port::{HostName, Input, Log};
 use crate::prelude::*;
-use crate::scheduler::{self, Bounds, Scheduler};
+use crate::scheduler::{self, Bounds, Load, Scheduler};
 
 use agents::Agents;
 pub use freshness::Freshness;
@@ -210,4 +210,9 @@
     pub fn is_owner(&self) -> bool {
         self.owner.is_some()
     }
+
+    /// Returns how much scheduling state this host holds; `None` if it is not the owner.
+    pub fn load(&self) -> Option<Load> {
+        self.owner.as_ref().map(|owner| owner.scheduler.load())
+    }
 }
--- a/crates/shallotpost-fleet/src/job.rs
+++ b/crates/shallotpost-fleet/src/job.rs
@@ -48,6 +48,21 @@
 }
 
 impl Schedule {
+    /// Returns the number of occurrences that are due.
+    pub fn count_due(&self, unix_ms: u64) -> u32 {
+        let interval = u64::try_from(self.interval.as_millis()).unwrap_or(u64::MAX);
+        match unix_ms.checked_sub(self.first_unix_ms) {
+            None => 0,
+            Some(elapsed) => match elapsed.checked_div(interval) {
+                None => self.occurrences,
+                Some(before) => u32::try_from(before)
+                    .unwrap_or(u32::MAX)
+                    .saturating_add(1)
+                    .min(self.occurrences),
+            },
+        }
+    }
+
     /// Returns the due time of an occurrence, counted from zero, in milliseconds since the Unix epoch.
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
         let interval = u64::try_from(self.interval.as_millis()).unwrap_or(u64::MAX);
@@ -119,6 +134,12 @@
         if self.steps.iter().enumerate().any(forward) {
             return Some("a step depends on itself or on a later step; name earlier steps only");
         }
+        // Occurrences that last until the job is cancelled all run at the same time.
+        if self.long_running() && self.tasks() > TASKS_MAX.into() {
+            return Some(
+                "the occurrences of a long-running job have more than 10000 tasks in all; ask for fewer occurrences",
+            );
+        }
         None
     }
 
@@ -127,6 +148,12 @@
         self.schedule.map_or(1, |schedule| schedule.occurrences)
     }
 
+    /// Returns the number of tasks of all steps and occurrences.
+    fn tasks(&self) -> u64 {
+        let tasks = self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>();
+        tasks.saturating_mul(self.occurrences().into())
+    }
+
     /// Returns the length of the critical path through the steps, by their estimates.
     pub fn critical_path(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -59,7 +59,7 @@
         let now = context.now;
         let Some(approval) = demand.policy.approval else { return };
         let Some(stage) = self.stage(demand.id) else { return };
-        let waiting = stage.waiting().len() as u64;
+        let waiting = u64::from(stage.count_waiting());
         if waiting == 0
             || stage.approval_pending
             || stage.next_approval_call > now
--- a/crates/shallotpost-fleet/src/scheduler/crashes.rs
+++ b/crates/shallotpost-fleet/src/scheduler/crashes.rs
@@ -151,7 +151,7 @@
     /// Drops the loss of a run through which its worker did not crash.
     pub(super) fn acquit(&mut self, task: TaskId, run: u64) {
         if let Some(stage) = self.stage_mut(task.stage)
-            && let Some(state) = stage.tasks.get_mut(task.index as usize)
+            && let Some(state) = stage.touched_mut(task.index)
             && state.crashes.acquit(run)
         {
             self.dirty.insert(task.stage.job);
@@ -159,7 +159,7 @@
     }
 
     fn has_lost_at(&self, task: TaskId, run: u64, age: Duration) -> bool {
-        let state = self.stage(task.stage).and_then(|stage| stage.tasks.get(task.index as usize));
+        let state = self.stage(task.stage).and_then(|stage| stage.task(task.index));
         state.is_some_and(|state| state.crashes.has_lost_at(run, age))
     }
 
@@ -168,7 +168,7 @@
             return;
         }
         let Some(stage) = self.stage_mut(task.stage) else { return };
-        let state = stage.tasks.get_mut(task.index as usize);
+        let state = stage.task_mut(task.index);
         let Some(state) = state.filter(|state| state.place != Place::Done) else { return };
         state.crashes.record(crash);
         let (verdict, crashes) = (state.crashes.verdict(), state.crashes.crashes().len());
@@ -189,7 +189,7 @@
     /// Fails the job of a task that crashes its workers. Returns whether it does.
     pub(super) fn give_up_if_deadly(&mut self, task: TaskId, context: &mut Context) -> bool {
         let stage = self.stage(task.stage);
-        let state = stage.and_then(|stage| stage.tasks.get(task.index as usize));
+        let state = stage.and_then(|stage| stage.task(task.index));
         let Some(state) = state.filter(|state| state.crashes.verdict() == Verdict::Deadly) else {
             return false;
         };
@@ -209,7 +209,7 @@
     /// Records that a run was alive at an age.
     pub(super) fn record_survival(&mut self, task: TaskId, age: Duration) {
         let Some(stage) = self.stage_mut(task.stage) else { return };
-        if let Some(state) = stage.tasks.get_mut(task.index as usize)
+        if let Some(state) = stage.touched_mut(task.index)
             && !state.crashes.is_empty()
             && state.crashes.survive(age)
         {
@@ -300,8 +300,7 @@
         context: &mut Context,
     ) -> bool {
         let Some(stage) = self.stage(demand.id) else { return true };
-        let members = 0..u32::try_from(stage.tasks.len()).unwrap_or(u32::MAX);
-        let suspects: Vec<u32> = members.filter(|index| stage.is_suspect(*index)).collect();
+        let suspects = stage.waiting_suspects();
         if suspects.is_empty() {
             return true;
         }
@@ -432,8 +431,7 @@
     }
 
     fn has_waiting_suspect(&self, id: StageId) -> bool {
-        self.stage(id)
-            .is_some_and(|stage| stage.waiting().into_iter().any(|index| stage.is_suspect(index)))
+        self.stage(id).is_some_and(|stage| !stage.waiting_suspects().is_empty())
     }
 
     /// Opens a worker to other tasks when the suspects there have survived their start, and clears them when they have
@@ -445,7 +443,7 @@
             session.placements.range(stage.tasks()).filter(|(_, other)| other.number == run);
         let tried: Vec<(TaskId, Uptime)> = tried.map(|(task, run)| (*task, run.started)).collect();
         let times = tried.iter().filter_map(|(task, _)| {
-            let state = self.stage(stage)?.tasks.get(task.index as usize)?;
+            let state = self.stage(stage)?.task(task.index)?;
             Some(state.crashes.isolation_time())
         });
         let Some((time, started)) = times.max().zip(tried.iter().map(|(_, at)| *at).max()) else {
@@ -478,8 +476,9 @@
     }
 
     fn record_survival_of_gang(&mut self, stage: StageId, age: Duration) {
-        let members = self.stage(stage).map_or(0, |stage| stage.tasks.len());
-        for index in 0..u32::try_from(members).unwrap_or(u32::MAX) {
+        let members = self.stage(stage).map(|stage| stage.touched().map(|(index, _)| index));
+        let members: Vec<u32> = members.into_iter().flatten().collect();
+        for index in members {
             self.record_survival(stage.task(index), age);
         }
     }
--- a/crates/shallotpost-fleet/src/scheduler/holds.rs
+++ b/crates/shallotpost-fleet/src/scheduler/holds.rs
@@ -84,6 +84,10 @@
             self.log_awaited_workers(context);
             let mut fields = vec![("stages", self.waiting.len().to_string())];
             fields.extend(holds.fields());
+            let load = self.load();
+            fields.push(("open_stages", load.stages.to_string()));
+            fields.push(("open_tasks", load.tasks.to_string()));
+            fields.push(("overdue_jobs", self.count_overdue(context.unix_ms).to_string()));
             fields.push(("approval_calls", self.pending_approvals.len().to_string()));
             fields.push(("approval_pace", format!("{:.1}", self.approvers.slowest_pace())));
             context.log("held", fields);
--- a/crates/shallotpost-fleet/src/scheduler/late_starts.rs
+++ b/crates/shallotpost-fleet/src/scheduler/late_starts.rs
@@ -86,7 +86,7 @@
             session.unanswered_starts.retain(|start| (start.task, start.number) != (task, number));
         }
         let Some(stage) = self.stage_mut(task.stage) else { return };
-        if let Some(state) = stage.task_mut(task.index)
+        if let Some(state) = stage.touched_mut(task.index)
             && state.late_start.as_ref().is_some_and(|late| late.number == number)
         {
             state.late_start = None;
@@ -114,7 +114,7 @@
         let now = context.now;
         let bound = std::mem::take(&mut self.late_starts);
         for task in bound {
-            let state = self.stage_mut(task.stage).and_then(|stage| stage.task_mut(task.index));
+            let state = self.stage_mut(task.stage).and_then(|stage| stage.touched_mut(task.index));
             let Some(state) = state else { continue };
             match &state.late_start {
                 Some(late) if late.until > now => drop(self.late_starts.insert(task)),
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -11,6 +11,8 @@
 mod holds;
 mod late_starts;
 mod leases;
+mod load;
+mod occurrences;
 mod orders;
 mod placement;
 mod preemption;
@@ -22,6 +24,7 @@
 mod takeover;
 mod throttling;
 
+pub use load::Load;
 pub use takeover::UnreachableWorker;
 
 use std::collections::VecDeque;
@@ -126,6 +129,7 @@
     occurrences_done: u32,
     /// Number of leading occurrences whose stages have been created.
     occurrences_begun: u32,
+    /// Stages of the begun occurrences, except the leading ones that are complete, by occurrence and step.
     stages: BTreeMap<(u32, u16), Stage>,
     /// When the job reached a final state; `None` before.
     finished: Option<Uptime>,
@@ -140,29 +144,6 @@
         let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
         stretched.saturating_add(self.policy.target)
     }
-
-    /// Creates the stages of the next occurrence.
-    fn begin_occurrence(&mut self, place: &Place) {
-        let occurrence = self.occurrences_begun;
-        for (step, position) in self.job.steps.iter().zip(0u16..) {
-            self.stages
-                .entry((occurrence, position))
-                .or_insert_with(|| Stage::new(step.tasks, place.clone()));
-        }
-        self.occurrences_begun += 1;
-    }
-
-    /// Creates the missing stages of all occurrences up to one that an earlier owner has begun. Their tasks are uncertain.
-    /// Returns whether any were missing.
-    fn begin_through(&mut self, occurrence: u32) -> bool {
-        let begun = self.occurrences_begun;
-        while self.occurrences_begun <= occurrence
-            && self.occurrences_begun < self.job.occurrences()
-        {
-            self.begin_occurrence(&Place::Uncertain);
-        }
-        self.occurrences_begun > begun
-    }
 }
 
 /// Purpose of a call to a worker. Starts and stops name the task and the number of the run, and a renewal the time at
@@ -344,7 +325,7 @@
         self.jobs.insert(id, entry);
         self.unfinished.insert(id);
         let place = if inherited { Place::Uncertain } else { Place::Waiting };
-        self.begin_occurrences(id, &place, context.unix_ms);
+        self.begin_occurrences(id, &place, context);
         self.apply_early_reports(id, context);
         self.round_due = true;
     }
@@ -352,31 +333,8 @@
     /// Applies the stored progress of a job that was added before.
     pub fn restore(&mut self, id: JobId, progress: &Progress, now: Uptime) {
         let Some(entry) = self.jobs.get_mut(&id) else { return };
-        entry.state = progress.state;
-        entry.stored_state = progress.state;
-        entry.occurrences_done = progress.occurrences_done;
-        let done = progress.occurrences_done;
-        entry.occurrences_begun = entry.occurrences_begun.max(done);
-        entry.stages.retain(|(occurrence, _), _| *occurrence >= done);
-        // The owner that stored the progress may have begun occurrences that are not due by the time of day of this host.
-        let stages = progress.stages.iter().map(|stage| stage.occurrence);
-        let crashes = progress.crashes.iter().map(|crashes| crashes.occurrence);
-        if let Some(latest) = stages.chain(crashes).max() {
-            entry.begin_through(latest);
-        }
-        for stage in &progress.stages {
-            if let Some(state) = entry.stages.get_mut(&(stage.occurrence, stage.step)) {
-                state.restore(stage);
-            }
-        }
-        for crashes in &progress.crashes {
-            if let Some(state) = entry.stages.get_mut(&(crashes.occurrence, crashes.step)) {
-                state.restore_crashes(crashes);
-            }
-        }
+        entry.restore(progress, now);
         if progress.state.is_final() {
-            entry.failure.clone_from(&progress.failure);
-            entry.finished = Some(now);
             self.unfinished.remove(&id);
         }
     }
@@ -390,6 +348,7 @@
         entry.cancelled = true;
         entry.state = State::Cancelled;
         entry.finished = Some(context.now);
+        entry.drop_stages();
         self.unfinished.remove(&id);
         self.dirty.insert(id);
         context.log("job_cancelled", vec![("job", format!("{id:016x}"))]);
@@ -421,6 +380,7 @@
             entry.state = State::Failed;
             entry.finished = Some(now);
             entry.failure = Some(failure);
+            entry.drop_stages();
             self.unfinished.remove(&id);
             self.dirty.insert(id);
         }
@@ -751,61 +711,6 @@
         !self.calls.values().any(|(_, _, purpose)| order(purpose))
     }
 
-    /// Creates the stages of scheduled occurrences that are due.
-    fn begin_due_occurrences(&mut self, context: &mut Context) {
-        let scheduled: Vec<JobId> = self
-            .unfinished
-            .iter()
-            .filter(|id| self.jobs.get(id).is_some_and(|entry| entry.job.schedule.is_some()))
-            .copied()
-            .collect();
-        let mut uncertain = false;
-        for id in scheduled {
-            // An earlier owner may have begun the occurrence: by its time of day, or while it was cut off.
-            let epoch = self.jobs.get(&id).map_or(self.epoch, |entry| entry.job.epoch);
-            let inherited = epoch < self.epoch && self.may_have_earlier_runs();
-            let place = if inherited { Place::Uncertain } else { Place::Waiting };
-            uncertain |= self.begin_occurrences(id, &place, context.unix_ms) && inherited;
-        }
-        // Before the takeover is settled, the tasks are released with all others.
-        if uncertain && !self.is_unsettled() {
-            self.release_uncertain(context);
-        }
-    }
-
-    /// Creates the stages of all occurrences that are due. Returns whether there were any.
-    fn begin_occurrences(&mut self, id: JobId, place: &Place, unix_ms: u64) -> bool {
-        let Some(entry) = self.jobs.get_mut(&id) else { return false };
-        let begun = entry.occurrences_begun;
-        let job = Rc::clone(&entry.job);
-        while entry.occurrences_begun < job.occurrences()
-            && job.schedule.is_none_or(|due| due.due_unix_ms(entry.occurrences_begun) <= unix_ms)
-        {
-            let occurrence = entry.occurrences_begun;
-            entry.begin_occurrence(place);
-            if *place == Place::Waiting {
-                for (_, step) in job.steps.iter().zip(0u16..) {
-                    let stage = StageId { job: id, occurrence, step };
-                    self.waiting.insert(stage);
-                    self.fresh.insert(stage);
-                }
-            }
-            self.round_due = true;
-        }
-        entry.occurrences_begun > begun
-    }
-
-    /// Creates the stages of an occurrence of which a worker lists a run or an end. It may not be due by the time of day
-    /// of this host.
-    fn begin_listed_occurrence(&mut self, stage: StageId, context: &mut Context) {
-        let unfinished = self.unfinished.contains(&stage.job);
-        let Some(entry) = self.jobs.get_mut(&stage.job).filter(|_| unfinished) else { return };
-        // Before the takeover is settled, the tasks are released with all others.
-        if entry.begin_through(stage.occurrence) && !self.is_unsettled() {
-            self.release_uncertain(context);
-        }
-    }
-
     /// Returns the current policy of the job's queue, or the policy at admission if the queue was removed.
     fn policy(&self, id: JobId) -> Option<Rc<QueuePolicy>> {
         Some(Rc::clone(&self.jobs.get(&id)?.policy))
@@ -894,7 +799,7 @@
     fn requeue(&mut self, task: TaskId, worker: &WorkerKey) {
         let uncertain = self.may_be_started_by_predecessor(task.stage.job);
         if let Some(stage) = self.stage_mut(task.stage)
-            && let Some(state) = stage.tasks.get_mut(task.index as usize)
+            && let Some(state) = stage.touched_mut(task.index)
             && state.place == Place::Placed(Rc::clone(worker))
         {
             match uncertain {
@@ -974,8 +879,8 @@
     /// Returns the number of failed runs that count against the task, or against the gang to which it belongs.
     fn counted_failures(&self, task: TaskId) -> usize {
         let gang = self.step(task.stage).is_some_and(|step| step.gang);
-        let index = if gang { 0 } else { task.index as usize };
-        let counted = self.stage(task.stage).and_then(|stage| stage.tasks.get(index));
+        let index = if gang { 0 } else { task.index };
+        let counted = self.stage(task.stage).and_then(|stage| stage.task(index));
         counted.map_or(0, |task| task.failed_runs.len())
     }
 
--- a/crates/shallotpost-fleet/src/scheduler/orders.rs
+++ b/crates/shallotpost-fleet/src/scheduler/orders.rs
@@ -23,7 +23,7 @@
 /// Maximum number of starts in flight. Answers take a few milliseconds, so only a host that is short of processor time
 /// reaches this limit. Without the limit, its calls delay each other until they time out, and the retries add to the
 /// load.
-const STARTS_IN_FLIGHT_MAX: usize = 100;
+pub(super) const STARTS_IN_FLIGHT_MAX: usize = 100;
 
 /// Time after which an unanswered start no longer counts as in flight: its worker is unreachable.
 const START_IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -59,7 +59,7 @@
         self.book(worker, task, placement);
         let Some(stage) = self.stage_mut(task.stage) else { return };
         let ticket = stage.approvals.get(worker).and_then(|cached| cached.ticket.clone());
-        let Some(state) = stage.tasks.get_mut(task.index as usize) else { return };
+        let Some(state) = stage.task_mut(task.index) else { return };
         state.place = Place::Placed(Rc::clone(worker));
         let checkpoint = state.checkpoint.clone();
         let lease_max = self.bounds.lease_max;
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -4,10 +4,11 @@
 use crate::job::StageId;
 use crate::prelude::*;
 use crate::scheduler::holds::{Hold, Holds};
+use crate::scheduler::orders::STARTS_IN_FLIGHT_MAX;
 use crate::scheduler::round::{PoolWorker, Round};
 use crate::scheduler::run_lists::{first_task, last_task};
 use crate::scheduler::session::{Session, WorkerKey};
-use crate::scheduler::stage::{Place, Stage, Task};
+use crate::scheduler::stage::{Place, Stage};
 use crate::scheduler::{Context, JobEntry, Scheduler};
 
 /// Lead time, in addition to the call's duration, by which approval is requested before the preceding steps are
@@ -222,7 +223,7 @@
     }
 
     fn begin_round(&self, context: &Context) -> Round {
-        let mut round = Round::new(self.uncertain_usage(context.configuration, context.now));
+        let mut round = Round::new(self.uncertain_usage(context));
         for (key, session) in &self.sessions {
             let usable = session.accepts_tasks()
                 && !self.is_recorded_unreachable(key)
@@ -288,7 +289,7 @@
             return true;
         };
         let step = demand.step();
-        let waiting = self.stage(demand.id).map_or(0, |stage| stage.waiting().len()) as u64;
+        let waiting = u64::from(self.stage(demand.id).map_or(0, Stage::count_waiting));
         let least = if step.gang { step.size.times(waiting) } else { step.size };
         let taken = self.usage.get(team).copied().unwrap_or(Size::ZERO);
         let uncertain = round.uncertain.get(team).copied().unwrap_or(Size::ZERO);
@@ -314,7 +315,7 @@
     fn can_ever_fit(&self, demand: &Demand, pool_workers: &[PoolWorker]) -> bool {
         let Some(stage) = self.stage(demand.id) else { return false };
         let step = demand.step();
-        let needed = if step.gang { stage.tasks.len() as u64 } else { 1 };
+        let needed = if step.gang { u64::from(stage.count()) } else { 1 };
         let open = self.suitable(demand, pool_workers).filter(|(worker, _)| !stage.refuses(worker));
         let places =
             open.map(|(worker, _)| match (fits(&step.booking(), &worker.capacity), step) {
@@ -350,7 +351,7 @@
             return false;
         }
         stage.yielding_since.get_or_insert(now);
-        let needed = if demand.step().gang { stage.tasks.len() as u64 } else { 1 };
+        let needed = if demand.step().gang { u64::from(stage.count()) } else { 1 };
         may_starve
             && self.within_cap(demand, &demand.step().size.times(needed), round)
             && self.count_open_places(demand, round.workers(pool), now) >= 2 * needed
@@ -368,15 +369,14 @@
         let gang = self.step(id).is_some_and(|step| step.gang);
         let waits = |stage: &Stage| {
             // A gang starts only with all members, so it needs no room while one of them is bound.
-            let held_up = gang && stage.tasks.iter().any(|task| task.late_start.is_some());
-            !held_up && stage.tasks.iter().any(Task::waits_for_any_worker)
+            let held_up = gang && stage.has_bound();
+            !held_up && stage.has_waiting()
         };
         self.stage(id).is_some_and(waits)
     }
 
     pub(super) fn only_suspects_wait(&self, id: StageId) -> bool {
-        self.stage(id)
-            .is_some_and(|stage| stage.waiting().into_iter().all(|index| stage.is_suspect(index)))
+        self.stage(id).is_some_and(|stage| stage.waiting_sound(1).is_empty())
     }
 
     /// Returns whether a worker suits a stage, regardless of approval and free capacity.
@@ -475,12 +475,11 @@
                 continue;
             }
             let estimate = entry.job.steps.get(usize::from(*before))?.estimate;
-            for (task, index) in stage.tasks.iter().zip(0u32..) {
-                let worker = match &task.place {
-                    Place::Done => continue,
-                    Place::Placed(worker) => worker,
-                    Place::Waiting | Place::Uncertain => return None,
-                };
+            if stage.has_unplaced() {
+                return None;
+            }
+            for (index, task) in stage.touched() {
+                let Place::Placed(worker) = &task.place else { continue };
                 let id = StageId { job: entry.id, occurrence, step: *before }.task(index);
                 let run = self.sessions.get(worker)?.placements.get(&id)?;
                 let left = estimate.saturating_sub(now.saturating_sub(run.started));
@@ -585,9 +584,9 @@
     ) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
-        let waiting = stage.waiting().into_iter();
-        let (suspects, others): (Vec<u32>, Vec<u32>) =
-            waiting.partition(|index| stage.is_suspect(*index));
+        // No more than these can start before answers arrive.
+        let others = stage.waiting_sound(tasks_max.min(STARTS_IN_FLIGHT_MAX));
+        let suspects = stage.waiting_suspects();
         // Workers with their costs. Only the cost of the chosen worker changes.
         let mut eligible: Vec<_> = pool_workers
             .iter()
@@ -598,11 +597,11 @@
             .filter(|(_, worker)| self.suits(demand, worker))
             .map(|(position, worker)| (position, self.cost(demand, worker, now)))
             .collect();
-        for index in others.into_iter().take(tasks_max) {
+        for index in others {
             if eligible.is_empty() || !self.within_cap(demand, &demand.step().size, round) {
                 break;
             }
-            let task = self.stage(demand.id).and_then(|stage| stage.tasks.get(index as usize));
+            let task = self.stage(demand.id).and_then(|stage| stage.task(index));
             let failed_on = task.and_then(|task| task.failed_on.clone());
             let best = (0..eligible.len()).min_by_key(|at| {
                 let (position, cost) = eligible[*at];
@@ -633,17 +632,17 @@
     ) {
         let now = context.now;
         let Some(stage) = self.stage(demand.id) else { return };
-        let waiting = stage.waiting();
+        let members = stage.count();
         let remains = self.workers_of_tasks.range(demand.id.tasks()).next().is_some();
         // All members of the previous run must have ended first.
-        if remains || waiting.len() != stage.tasks.len() {
+        if remains || stage.count_waiting() != members {
             return;
         }
-        let all = demand.step().size.times(waiting.len() as u64);
+        let all = demand.step().size.times(members.into());
         if !self.within_cap(demand, &all, round) {
             return;
         }
-        let suspect = waiting.iter().any(|index| stage.is_suspect(*index));
+        let suspect = !stage.waiting_suspects().is_empty();
         let mut eligible: Vec<(usize, &Session, u32)> = Vec::new();
         for (position, worker) in pool_workers.iter().enumerate() {
             let tasks_max = self.count_fitting_on_worker(demand, worker, now);
@@ -663,7 +662,7 @@
         let fits_all = |eligible: &[(usize, &Session, u32)]| {
             let tasks_max: u64 =
                 eligible.iter().map(|(_, _, tasks_max)| u64::from(*tasks_max)).sum();
-            tasks_max >= waiting.len() as u64
+            tasks_max >= u64::from(members)
         };
         if demand.step().one_rack {
             let racks: BTreeSet<&str> =
@@ -686,7 +685,7 @@
         let places = eligible.into_iter().flat_map(|(position, _, tasks_max)| {
             std::iter::repeat_n(position, usize::try_from(tasks_max).unwrap_or(usize::MAX))
         });
-        let starts: Vec<(u32, usize)> = waiting.into_iter().zip(places).collect();
+        let starts: Vec<(u32, usize)> = (0..members).zip(places).collect();
         let positions = starts.iter().map(|(_, position)| *position).collect();
         let number = self.allocate_run_number();
         if !self.prepare_gang(demand, number, &positions, pool_workers, context) {
--- a/crates/shallotpost-fleet/src/scheduler/preemption.rs
+++ b/crates/shallotpost-fleet/src/scheduler/preemption.rs
@@ -38,7 +38,7 @@
     ) {
         let now = context.now;
         let Some(stage) = self.stage_mut(demand.id) else { return };
-        let waiting = stage.waiting().len();
+        let waiting = stage.count_waiting() as usize;
         if waiting == 0 || stage.approvals.is_empty() && demand.policy.approval.is_some() {
             stage.blocked_since = None;
             return;
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -91,8 +91,9 @@
             let ends = std::mem::take(&mut session.waiting_ends);
             for task in runs {
                 self.mark_started(id, context);
+                self.begin_listed_occurrence(task.stage, context);
                 if let Some(stage) = self.stage_mut(task.stage)
-                    && let Some(state) = stage.tasks.get_mut(task.index as usize)
+                    && let Some(state) = stage.task_mut(task.index)
                 {
                     state.place = Place::Placed(Rc::clone(&worker));
                 }
@@ -165,7 +166,7 @@
         let Some(step) = entry.job.steps.get(usize::from(task.stage.step)) else { return };
         let resumed = self
             .stage(task.stage)
-            .and_then(|stage| stage.tasks.get(task.index as usize))
+            .and_then(|stage| stage.task(task.index))
             .is_none_or(|state| !state.checkpoint.is_empty());
         if step.gang || step.long_running || resumed {
             return;
@@ -180,12 +181,9 @@
     /// Completes a task. One ended run completes all members of a gang.
     fn complete(&mut self, task: TaskId, gang: bool, context: &mut Context) {
         let Some(stage) = self.stage_mut(task.stage) else { return };
-        let members: Vec<u32> = match gang {
-            true => (0..u32::try_from(stage.tasks.len()).unwrap_or(u32::MAX)).collect(),
-            false => vec![task.index],
-        };
-        for index in members {
-            stage.complete(index);
+        match gang {
+            true => stage.complete_all(),
+            false => _ = stage.complete(task.index),
         }
         if stage.unfinished == 0 {
             self.mark_successors(task.stage);
@@ -194,7 +192,7 @@
             self.stop_other_runs(task, context);
         }
         self.round_due = true;
-        self.check_completion(task.stage, context);
+        self.check_completion(task.stage.job, context.now);
     }
 
     /// Records that the stages which wait for a completed one may be placeable.
@@ -218,28 +216,6 @@
         }
     }
 
-    fn check_completion(&mut self, stage: StageId, context: &mut Context) {
-        let Some(entry) = self.jobs.get_mut(&stage.job) else { return };
-        if entry.state.is_final() {
-            return;
-        }
-        while entry.occurrences_done < entry.occurrences_begun {
-            let occurrence = entry.occurrences_done;
-            let range = (occurrence, 0)..=(occurrence, u16::MAX);
-            if entry.stages.range(range.clone()).any(|(_, stage)| stage.unfinished > 0) {
-                break;
-            }
-            let keys: Vec<(u32, u16)> = entry.stages.range(range).map(|(key, _)| *key).collect();
-            keys.iter().for_each(|key| drop(entry.stages.remove(key)));
-            entry.occurrences_done += 1;
-        }
-        if entry.occurrences_done >= entry.job.occurrences() {
-            entry.state = State::Completed;
-            entry.finished = Some(context.now);
-            self.unfinished.remove(&stage.job);
-        }
-    }
-
     /// Counts a failed run against the maximum number of attempts of its task or gang. Each run counts once.
     fn record_failure(
         &mut self,
@@ -251,8 +227,8 @@
         let id = end.task.stage;
         let attempts_max = self.policy(id.job).map(|policy| policy.attempts_max);
         let Some(stage) = self.stage_mut(id) else { return };
-        let index = if gang { 0 } else { end.task.index as usize };
-        let Some(task) = stage.tasks.get_mut(index) else { return };
+        let index = if gang { 0 } else { end.task.index };
+        let Some(task) = stage.task_mut(index) else { return };
         if task.place == Place::Done || task.failed_runs.contains(&end.number) {
             return;
         }
@@ -286,13 +262,14 @@
         {
             // A checkpoint of any member is valid for the whole gang, and all members must start from the same one.
             let members = match gang {
-                true => &mut stage.tasks[..],
-                false => stage
-                    .tasks
-                    .get_mut(end.task.index as usize..=end.task.index as usize)
-                    .unwrap_or_default(),
+                true => 0..stage.count(),
+                false => end.task.index..end.task.index.saturating_add(1),
             };
-            members.iter_mut().for_each(|task| task.checkpoint.clone_from(&end.checkpoint));
+            for index in members {
+                if let Some(task) = stage.task_mut(index) {
+                    task.checkpoint.clone_from(&end.checkpoint);
+                }
+            }
         }
         if was_current {
             self.requeue(end.task, worker);
@@ -415,7 +392,7 @@
         }
         self.mark_started(run.task.stage.job, context);
         if let Some(stage) = self.stage_mut(run.task.stage)
-            && let Some(task) = stage.tasks.get_mut(run.task.index as usize)
+            && let Some(task) = stage.task_mut(run.task.index)
             && !run.checkpoint.is_empty()
         {
             task.checkpoint = run.checkpoint;
@@ -426,7 +403,7 @@
     /// members with the former one.
     fn keeps_undecided(&self, worker: &WorkerKey, task: TaskId, context: &mut Context) -> bool {
         let stage = self.stage(task.stage);
-        let state = stage.and_then(|stage| stage.tasks.get(task.index as usize));
+        let state = stage.and_then(|stage| stage.task(task.index));
         let wanted = self.unfinished.contains(&task.stage.job)
             && state.is_some_and(|state| state.place == Place::Placed(Rc::clone(worker)))
             && !self.step(task.stage).is_some_and(|step| step.gang);
@@ -456,15 +433,14 @@
         self.begin_listed_occurrence(id, context);
         let priority = self.policy(id.job).map_or(0, |policy| policy.priority);
         let wanted = self.unfinished.contains(&id.job)
-            && self
-                .stage(id)
-                .and_then(|stage| stage.tasks.get(run.task.index as usize))
-                .is_some_and(|task| match task.place {
+            && self.stage(id).and_then(|stage| stage.task(run.task.index)).is_some_and(|task| {
+                match task.place {
                     // The other members have been stopped, or were never started under this number.
                     Place::Waiting => !self.step(id).is_some_and(|step| step.gang),
                     Place::Uncertain => true,
                     Place::Placed(_) | Place::Done => false,
-                })
+                }
+            })
             && self.matches_gang(run.task, run.number);
         let entry = self.jobs.get(&id.job);
         let team = entry.and_then(|entry| entry.team.clone());
@@ -493,7 +469,7 @@
         context.log("run_adopted", fields);
         self.mark_started(id.job, context);
         if let Some(stage) = self.stage_mut(id)
-            && let Some(task) = stage.tasks.get_mut(run.task.index as usize)
+            && let Some(task) = stage.task_mut(run.task.index)
         {
             task.place = Place::Placed(Rc::clone(worker));
             if !run.checkpoint.is_empty() {
--- a/crates/shallotpost-fleet/src/scheduler/stage.rs
+++ b/crates/shallotpost-fleet/src/scheduler/stage.rs
@@ -1,6 +1,7 @@
 //! Stages: the tasks of one step of one occurrence, and the approvals of workers for them.
 
 use std::collections::HashMap;
+use std::ops::Range;
 
 use shallotpost_policy::crash::{Crash, History, Verdict};
 
@@ -49,6 +50,17 @@
         }
     }
 
+    /// Returns whether the task may start in isolation only.
+    fn is_suspect(&self) -> bool {
+        self.crashes.verdict() != Verdict::Sound
+    }
+
+    fn complete(&mut self) {
+        self.place = Place::Done;
+        self.checkpoint.clear();
+        self.crashes = History::default();
+    }
+
     /// Returns whether the task waits and is not bound to the worker of an unanswered start.
     pub fn waits_for_any_worker(&self) -> bool {
         self.place == Place::Waiting && self.late_start.is_none()
@@ -68,8 +80,12 @@
 
 #[derive(Clone, Debug)]
 pub struct Stage {
-    /// Tasks, by position.
-    pub tasks: Vec<Task>,
+    /// Number of tasks.
+    count: u32,
+    /// The leading tasks, by position, up to the last one with a state of its own.
+    touched: Vec<Task>,
+    /// State of each of the other tasks. What a job asks for takes no memory until it is started.
+    untouched: Task,
     /// Number of tasks that are not done.
     pub unfinished: u32,
     /// Approvals by worker.
@@ -90,10 +106,12 @@
 
 impl Stage {
     /// Creates a stage with all tasks in the given place.
-    pub fn new(tasks: u32, place: Place) -> Stage {
+    pub fn new(count: u32, place: Place) -> Stage {
         Stage {
-            tasks: (0..tasks).map(|_| Task::new(place.clone())).collect(),
-            unfinished: tasks,
+            count,
+            touched: Vec::new(),
+            untouched: Task::new(place),
+            unfinished: count,
             approvals: HashMap::new(),
             refusals: Vec::new(),
             approval_pending: false,
@@ -104,27 +122,96 @@
         }
     }
 
+    /// Returns the number of tasks.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Returns the tasks that may have a state of their own, with their positions.
+    pub fn touched(&self) -> impl Iterator<Item = (u32, &Task)> {
+        (0u32..).zip(&self.touched)
+    }
+
+    /// Returns the positions of the other tasks, which share the state of [`Stage::untouched`].
+    fn untouched_range(&self) -> Range<u32> {
+        u32::try_from(self.touched.len()).unwrap_or(u32::MAX)..self.count
+    }
+
+    /// Returns a task; `None` if there is no such task.
+    pub fn task(&self, index: u32) -> Option<&Task> {
+        match self.touched.get(index as usize) {
+            None if index < self.count => Some(&self.untouched),
+            task => task,
+        }
+    }
+
+    /// Returns a task, which has a state of its own from now on; `None` if there is no such task.
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        let position = index as usize;
+        if index < self.count && position >= self.touched.len() {
+            self.touched.resize(position + 1, self.untouched.clone());
+        }
+        self.touched.get_mut(position)
+    }
+
+    /// Returns a task if it has a state of its own.
+    pub fn touched_mut(&mut self, index: u32) -> Option<&mut Task> {
+        self.touched.get_mut(index as usize)
+    }
+
+    /// Returns the number of tasks in a place other than [`Place::Placed`].
+    pub fn count_in(&self, place: &Place) -> u32 {
+        let touched = self.touched.iter().filter(|task| task.place == *place).count();
+        let untouched = match self.untouched.place == *place {
+            true => self.untouched_range().len(),
+            false => 0,
+        };
+        u32::try_from(touched + untouched).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether any task is neither done nor on a worker.
+    pub fn has_unplaced(&self) -> bool {
+        let is_unplaced = |task: &Task| matches!(task.place, Place::Waiting | Place::Uncertain);
+        is_unplaced(&self.untouched) && !self.untouched_range().is_empty()
+            || self.touched.iter().any(is_unplaced)
+    }
+
+    /// Returns whether any task is on a worker.
+    pub fn has_placed(&self) -> bool {
+        self.touched.iter().any(|task| matches!(task.place, Place::Placed(_)))
+    }
+
+    /// Returns whether any task is bound to the worker of an unanswered start.
+    pub fn has_bound(&self) -> bool {
+        self.touched.iter().any(|task| task.late_start.is_some())
+    }
+
+    /// Returns whether losses of runs with their worker count against any task.
+    pub fn has_crashes(&self) -> bool {
+        self.touched.iter().any(|task| !task.crashes.is_empty())
+    }
+
     /// Applies stored progress.
     pub fn restore(&mut self, progress: &StageProgress) {
         if progress.complete {
-            self.tasks.iter_mut().for_each(|task| task.place = Place::Done);
+            self.complete_all();
         }
         for index in &progress.done {
-            if let Some(task) = self.tasks.get_mut(*index as usize) {
+            if let Some(task) = self.task_mut(*index) {
                 task.place = Place::Done;
             }
         }
         for (index, runs) in &progress.failures {
-            if let Some(task) = self.tasks.get_mut(*index as usize) {
+            if let Some(task) = self.task_mut(*index) {
                 task.failed_runs.clone_from(runs);
             }
         }
         for (index, checkpoint) in &progress.checkpoints {
-            if let Some(task) = self.tasks.get_mut(*index as usize) {
+            if let Some(task) = self.task_mut(*index) {
                 task.checkpoint.clone_from(checkpoint);
             }
         }
-        self.unfinished = self.count_unfinished();
+        self.unfinished = self.count - self.count_in(&Place::Done);
     }
 
     /// Applies stored losses of runs.
@@ -135,7 +222,7 @@
             isolated: crash.isolated,
             certain: crash.certain,
         };
-        if let Some(task) = self.tasks.get_mut(stored.index as usize) {
+        if let Some(task) = self.task_mut(stored.index) {
             task.crashes = History::new(stored.crashes.iter().map(crash).collect());
         }
     }
@@ -148,8 +235,8 @@
             isolated: crash.isolated,
             certain: crash.certain,
         };
-        let suspects = self.tasks.iter().zip(0u32..).filter(|(task, _)| !task.crashes.is_empty());
-        suspects.map(move |(task, index)| TaskCrashes {
+        let suspects = self.touched().filter(|(_, task)| !task.crashes.is_empty());
+        suspects.map(move |(index, task)| TaskCrashes {
             occurrence,
             step,
             index,
@@ -159,17 +246,13 @@
 
     /// Returns whether a task may start in isolation only.
     pub fn is_suspect(&self, index: u32) -> bool {
-        let task = self.tasks.get(index as usize);
-        task.is_some_and(|task| task.crashes.verdict() != Verdict::Sound)
+        self.task(index).is_some_and(Task::is_suspect)
     }
 
     /// Returns the progress to store; `None` if there is nothing to store.
     pub fn progress(&self, occurrence: u32, step: u16) -> Option<StageProgress> {
         let complete = self.unfinished == 0;
-        let list = |test: fn(&Task) -> bool| {
-            let tasks = self.tasks.iter().zip(0u32..);
-            tasks.filter(move |(task, _)| test(task)).map(|(task, index)| (index, task))
-        };
+        let list = |test: fn(&Task) -> bool| self.touched().filter(move |(_, task)| test(task));
         let unfinished = |task: &Task| task.place != Place::Done;
         let progress = StageProgress {
             occurrence,
@@ -203,30 +286,81 @@
 
     /// Marks a task as done. Returns `false` if it already was, or if there is no such task.
     pub fn complete(&mut self, index: u32) -> bool {
-        match self.tasks.get_mut(index as usize) {
+        match self.task_mut(index) {
             Some(task) if task.place != Place::Done => {
-                task.place = Place::Done;
-                task.checkpoint.clear();
-                task.crashes = History::default();
+                task.complete();
                 self.unfinished = self.unfinished.saturating_sub(1);
+                if self.unfinished == 0 {
+                    self.complete_all();
+                }
                 true
             }
             _ => false,
         }
     }
 
-    /// Returns the positions of the waiting tasks that may start on any worker.
-    pub fn waiting(&self) -> Vec<u32> {
-        let waits = |(task, _): &(&Task, u32)| task.waits_for_any_worker();
-        self.tasks.iter().zip(0u32..).filter(waits).map(|(_, index)| index).collect()
+    /// Marks all tasks as done.
+    pub fn complete_all(&mut self) {
+        self.unfinished = 0;
+        self.untouched.complete();
+        match self.has_bound() {
+            true => self.touched.iter_mut().for_each(Task::complete),
+            false => self.touched = Vec::new(),
+        }
     }
 
-    pub fn task(&self, index: u32) -> Option<&Task> {
-        self.tasks.get(index as usize)
+    /// Returns the positions of up to `max` waiting tasks that are no suspects and may start on any worker.
+    pub fn waiting_sound(&self, max: usize) -> Vec<u32> {
+        let touched = self.touched().filter(|(_, task)| task.waits_for_any_worker());
+        let touched = touched.filter(|(_, task)| !task.is_suspect()).map(|(index, _)| index);
+        let untouched = match self.untouched.waits_for_any_worker() {
+            true => self.untouched_range(),
+            false => 0..0,
+        };
+        touched.chain(untouched).take(max).collect()
     }
 
-    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
-        self.tasks.get_mut(index as usize)
+    /// Returns the positions of the waiting suspects that may start on any worker.
+    pub fn waiting_suspects(&self) -> Vec<u32> {
+        let waiting = self.touched().filter(|(_, task)| task.waits_for_any_worker());
+        waiting.filter(|(_, task)| task.is_suspect()).map(|(index, _)| index).collect()
+    }
+
+    /// Returns the number of waiting tasks that may start on any worker.
+    pub fn count_waiting(&self) -> u32 {
+        let touched = self.touched.iter().filter(|task| task.waits_for_any_worker()).count();
+        let untouched = match self.untouched.waits_for_any_worker() {
+            true => self.untouched_range().len(),
+            false => 0,
+        };
+        u32::try_from(touched + untouched).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether any task waits that may start on any worker.
+    pub fn has_waiting(&self) -> bool {
+        self.untouched.waits_for_any_worker() && !self.untouched_range().is_empty()
+            || self.touched.iter().any(Task::waits_for_any_worker)
+    }
+
+    /// Sets the uncertain tasks to waiting, except those at the given positions. Returns whether there were any.
+    pub fn release_uncertain(&mut self, kept: &BTreeSet<u32>) -> bool {
+        if self.untouched.place == Place::Uncertain
+            && let Some(last) = kept.range(..self.count).next_back()
+        {
+            self.task_mut(*last);
+        }
+        let mut released = false;
+        for (index, task) in (0u32..).zip(&mut self.touched) {
+            if task.place == Place::Uncertain && !kept.contains(&index) {
+                task.place = Place::Waiting;
+                released = true;
+            }
+        }
+        if self.untouched.place == Place::Uncertain {
+            self.untouched.place = Place::Waiting;
+            released |= !self.untouched_range().is_empty();
+        }
+        released
     }
 
     /// Returns whether the approval service has refused the worker for the stage, which it does for good.
@@ -237,11 +371,7 @@
     }
 
     pub fn is_uncertain(&self) -> bool {
-        self.tasks.iter().any(|task| task.place == Place::Uncertain)
-    }
-
-    fn count_unfinished(&self) -> u32 {
-        let unfinished = self.tasks.iter().filter(|task| task.place != Place::Done).count();
-        u32::try_from(unfinished).unwrap_or(u32::MAX)
+        self.untouched.place == Place::Uncertain && !self.untouched_range().is_empty()
+            || self.touched.iter().any(|task| task.place == Place::Uncertain)
     }
 }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -330,11 +330,8 @@
 
     /// Returns the resources that each team may use on workers that have not answered, in addition to placements. They
     /// count against the team's quota until the workers have answered or their leases have expired.
-    pub(super) fn uncertain_usage(
-        &self,
-        configuration: &Configuration,
-        now: Uptime,
-    ) -> BTreeMap<Rc<str>, Size> {
+    pub(super) fn uncertain_usage(&self, context: &Context) -> BTreeMap<Rc<str>, Size> {
+        let now = context.now;
         let mut usage = BTreeMap::new();
         if self.takeover.settled && self.takeover.possible_tasks.is_empty() {
             return usage;
@@ -349,21 +346,41 @@
             .values()
             .flat_map(|(tasks, _)| tasks.iter().copied())
             .collect();
-        let mut exact_usage: BTreeMap<Rc<str>, Size> = BTreeMap::new();
+        let mut exact_usage = BTreeMap::new();
         for id in &self.unfinished {
             let Some(entry) = self.jobs.get(id) else { continue };
             let Some(team) = &entry.team else { continue };
+            let add = |sums: &mut BTreeMap<Rc<str>, Size>, size: &Size, tasks: u64| {
+                if tasks > 0 {
+                    let sum = sums.entry(Rc::clone(team)).or_insert(Size::ZERO);
+                    *sum = sum.plus(&size.times(tasks));
+                }
+            };
             for ((occurrence, position), stage) in &entry.stages {
                 let Some(step) = entry.job.steps.get(usize::from(*position)) else { continue };
                 let stage_id = StageId { job: *id, occurrence: *occurrence, step: *position };
-                for (task, index) in stage.tasks.iter().zip(0u32..) {
-                    if task.place != Place::Uncertain {
-                        continue;
-                    }
-                    let exact = possible_tasks.contains(&stage_id.task(index));
-                    let sums = if exact { &mut exact_usage } else { &mut usage };
-                    let sum = sums.entry(Rc::clone(team)).or_insert(Size::ZERO);
-                    *sum = sum.plus(&step.size);
+                let uncertain = u64::from(stage.count_in(&Place::Uncertain));
+                if uncertain == 0 {
+                    continue;
+                }
+                let is_uncertain = |task: &&TaskId| {
+                    stage.task(task.index).is_some_and(|task| task.place == Place::Uncertain)
+                };
+                let exact = possible_tasks.range(stage_id.tasks()).filter(is_uncertain).count();
+                add(&mut exact_usage, &step.size, exact as u64);
+                add(&mut usage, &step.size, uncertain - exact as u64);
+            }
+            // An earlier owner may also have begun occurrences that this one has not.
+            for task in possible_tasks.range(entry.unbegun_tasks()) {
+                let step = entry.job.steps.get(usize::from(task.stage.step));
+                if let Some(step) = step.filter(|_| !entry.has_stage(task.stage)) {
+                    add(&mut exact_usage, &step.size, 1);
+                }
+            }
+            if !self.takeover.settled && entry.job.epoch < self.epoch {
+                let unbegun = u64::from(entry.count_due_unbegun(context.unix_ms));
+                for step in &entry.job.steps {
+                    add(&mut usage, &step.size, unbegun.saturating_mul(step.tasks.into()));
                 }
             }
         }
@@ -376,7 +393,7 @@
         // The earlier owner kept each team within its cap, with the runs that were found since. What ended meanwhile was
         // booked too, until that owner could start nothing any more.
         for (team, sum) in &mut usage {
-            let cap = configuration.team(team).map_or(Size::ZERO, |team| team.cap);
+            let cap = context.configuration.team(team).map_or(Size::ZERO, |team| team.cap);
             let adopted = self.takeover.adopted.get(team).copied().unwrap_or(Size::ZERO);
             let limits = cap.parts().into_iter().zip(adopted.parts());
             let limits = limits.map(|(cap, adopted)| match cap {
@@ -536,14 +553,8 @@
         for ((occurrence, step), stage) in &mut entry.stages {
             let gang = entry.job.steps.get(usize::from(*step)).is_some_and(|step| step.gang);
             let stage_id = StageId { job: id, occurrence: *occurrence, step: *step };
-            let mut changed = false;
-            for (task, index) in stage.tasks.iter_mut().zip(0u32..) {
-                if task.place == Place::Uncertain && !possible_tasks.contains(&stage_id.task(index))
-                {
-                    task.place = Place::Waiting;
-                    changed = true;
-                }
-            }
+            let possible = possible_tasks.range(stage_id.tasks()).map(|task| task.index);
+            let changed = stage.release_uncertain(&possible.collect());
             if changed {
                 released.push(stage_id);
             }
