review: a late start runs behind a cut beside its successor

The start of a task gets no answer, its worker is cut off for 5.5 s and starts again behind the cut, and the new process carries the start out. The owner counts the lease of the former process from its last answer and starts the task elsewhere before the cut ends: two runs at once.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,12 +1,13 @@
 //! Plays a case of the review: `standin-3 CASE TROUBLE FOLDER RECORD`, in the root of the repository. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod deadly_task;
 mod http;
 mod json;
+mod reborn_behind_cut;
 mod renamed_route;
 mod site;
 mod store;
-mod wide_job;
 mod worker;
 
 use std::path::Path;
@@ -24,8 +25,9 @@
     let record = Arc::new(Record::create(Path::new(record)));
     let (trouble, folder) = (trouble != "0", Path::new(folder));
     let held = match case.as_str() {
+        "deadly-task" => deadly_task::run(trouble, folder, &record),
+        "reborn-behind-cut" => reborn_behind_cut::run(trouble, folder, &record),
         "renamed-route" => renamed_route::run(trouble, folder, &record),
-        "wide-job" => wide_job::run(trouble, folder, &record),
         _ => None,
     };
     let (result, code) = match held {
--- a/review/standin-3/renamed_route.rs
+++ b/review/standin-3/renamed_route.rs
@@ -57,8 +57,8 @@
         }
     }
     let started = |id: &str| {
-        let starts = site.workers.iter().flat_map(|worker| worker.starts());
-        starts.filter(|(task, ..)| task.starts_with(id)).count()
+        let begun = site.workers.iter().flat_map(|worker| worker.history());
+        begun.filter(|begun| begun.task.starts_with(id)).count()
     };
     for position in 0..JOBS {
         let path = path(position);
