--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -9,6 +9,7 @@
 mod site;
 mod store;
 mod worker;
+mod zones_in_turn;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -28,6 +29,7 @@
         "deadly-task" => deadly_task::run(trouble, folder, &record),
         "reborn-behind-cut" => reborn_behind_cut::run(trouble, folder, &record),
         "renamed-route" => renamed_route::run(trouble, folder, &record),
+        "zones-in-turn" => zones_in_turn::run(trouble, folder, &record),
         _ => None,
     };
     let (result, code) = match held {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -24,12 +24,13 @@
 pub const CONTACT: Duration = Duration::from_secs(3);
 pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
 pub const CANCEL: Duration = Duration::from_secs(3);
+pub const FINISH: Duration = Duration::from_secs(14);
 pub const STOP: Duration = Duration::from_millis(200);
 
 /// Time for which a requester waits for an answer.
 pub const DEADLINE: Duration = Duration::from_secs(3);
 
-const ZONES: [&str; 4] = ["utara", "tengah", "selatan", "timur"];
+pub const ZONES: [&str; 4] = ["utara", "tengah", "selatan", "timur"];
 
 /// Entry hosts of each zone.
 const HOSTS: [usize; 4] = [2, 2, 2, 1];
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -120,7 +120,7 @@
     pub id: String,
     pub cpu: u64,
     service: &'static str,
-    zone: &'static str,
+    pub zone: &'static str,
     kind: &'static str,
     rack: String,
     state: Mutex<State>,
