fleet: find jobs by their address and key, not by the names of their queue and team

Cause: a job was tied to its queue by the queue's name. Each host compared the name in the stored job with that of the queue that the path selects now, for GET, DELETE and the number of waiting jobs, and the owner looked up the policy under that name. A trace in virtual time shows it: the answer to GET is the job's state until the new configuration is applied, and 410 from then on, at every host at once. The same holds for the team: its name was compared, and its quota and use were booked under the name at the submission, so a renamed team had no quota. Exchanged names sent later steps to the other queue's pool.

A job now keeps the address of its queue and a digest of the key that submitted it. It belongs to the queue at that address, or else to the one with its queue's name, and to the team that holds the key, or else to the one with its team's name. A queue that agrees in one of the two alone counts only if it uses the job's pool. Rows of earlier versions lack both; their jobs are found at each queue of their pool. The new field ends the row and the messages, so earlier versions read them.

Golden files: the job's row that a host writes has a new sample, as it now ends with the origin. The former sample is checked as its beginning, and all rows of the earlier samples are still decoded.

--- a/crates/shallotpost-fleet/src/configuration.rs
+++ b/crates/shallotpost-fleet/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::origin::{Address, takes_host};
 use crate::prelude::*;
 
 /// A complete configuration; each new one replaces the previous one as a whole.
@@ -28,6 +29,12 @@
     pub policy: QueuePolicy,
 }
 
+impl Queue {
+    pub fn address(&self) -> Address {
+        Address { host: self.host.clone(), prefix: self.prefix.clone() }
+    }
+}
+
 /// Placement, priority, retries and deadlines of the jobs of a queue.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct QueuePolicy {
@@ -111,11 +118,8 @@
     /// Returns the queue of a request: the one with the longest matching path prefix among the queues of its host name.
     /// A port in `host` is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
-        let host = host.split(':').next().unwrap_or_default();
-        let fits = |queue: &&Queue| {
-            (queue.host.is_empty() || queue.host.eq_ignore_ascii_case(host))
-                && path.starts_with(&queue.prefix)
-        };
+        let fits =
+            |queue: &&Queue| takes_host(&queue.host, host) && path.starts_with(&queue.prefix);
         self.queues.iter().filter(fits).max_by_key(|queue| queue.prefix.len())
     }
 
--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -3,8 +3,8 @@
 use crate::host::Host;
 use crate::host::deferral::Deferred;
 use crate::host::store::{Path, Purpose};
-use crate::job::parse_job_id;
 use crate::message::{Message, Query, QueryAnswer, decode, encode};
+use crate::origin::{Caller, Origin, digest, split_path};
 use crate::port::{
     Action, Answer, Content, Counter, Request, Row, StoreAnswer, StoreError, StoreRequest, Table,
 };
@@ -51,15 +51,16 @@
         hedged: bool,
     },
     Cancel {
-        team: Option<String>,
-        queue: String,
+        caller: Caller,
     },
-    /// `cancelled` tells whether a cancellation is stored; `None` until the store was read.
     State {
-        team: Option<String>,
-        queue: String,
+        caller: Caller,
+        /// State that the owner told, if only the job's row can tell whether the caller may see it.
+        told: Option<State>,
+        /// Whether a cancellation is stored; `None` until the store was read.
         cancelled: Option<bool>,
     },
+    WaitingCount,
 }
 
 /// Open requests, and queries to the owner with their deadlines.
@@ -74,7 +75,7 @@
 /// What a query to the owner is for.
 #[derive(Clone, Debug)]
 enum Subject {
-    State { id: JobId, team: Option<String>, queue: String },
+    State { id: JobId, caller: Caller, queue: String },
     Waiting,
 }
 
@@ -116,24 +117,34 @@
             Ok(authorized) => authorized,
             Err(answer) => return self.reject(request, &body.path, version, answer),
         };
-        let rest = body.path.get(queue.prefix.len()..).unwrap_or_default().to_owned();
-        match (body.action, parse_job_id(&rest)) {
+        let rest = body.path.get(queue.prefix.len()..).unwrap_or_default();
+        let job = split_path(&body.path).map(|(prefix, id)| {
+            (id, Caller { host: body.host.clone(), prefix: prefix.to_owned(), team: team.clone() })
+        });
+        match (body.action, job) {
             (Action::Read, _) if rest.is_empty() => {
                 self.read_waiting_count(request, &queue, deadline)
             }
-            (Action::Submit(Ok(job)), Some(id)) => {
-                self.submit(request, id, *job, &queue, team, deadline);
+            (Action::Submit(Ok(mut job)), Some((id, caller))) if caller.prefix == queue.prefix => {
+                job.queue.clone_from(&queue.name);
+                job.team = team;
+                job.policy = queue.policy.clone();
+                let key = body.key.as_deref().map(digest);
+                job.origin = Some(Origin { address: queue.address(), key });
+                self.submit(request, id, *job, deadline);
             }
             (Action::Submit(Err(reason)), _) => {
                 self.reject(request, &body.path, version, Answer::Malformed(reason));
             }
-            (Action::Submit(_), None) => {
+            (Action::Submit(_), _) => {
                 let reason = "name the job with 16 lower-case hexadecimal digits".to_owned();
                 self.reject(request, &body.path, version, Answer::Malformed(reason));
             }
-            (Action::Read, Some(id)) => self.read_state(request, id, team, queue.name, deadline),
-            (Action::Cancel, Some(id)) => {
-                let kind = Kind::Cancel { team, queue: queue.name };
+            (Action::Read, Some((id, caller))) => {
+                self.read_state(request, id, caller, queue.name, deadline);
+            }
+            (Action::Cancel, Some((id, caller))) => {
+                let kind = Kind::Cancel { caller };
                 self.gateway
                     .pending
                     .insert(request, PendingRequest { deadline, id, kind, retry_at: None });
@@ -185,21 +196,10 @@
         self.answer(request, Answer::NotAdmitted { retry_after: RETRY_AFTER });
     }
 
-    fn submit(
-        &mut self,
-        request: RequestId,
-        id: JobId,
-        mut job: Job,
-        queue: &Queue,
-        team: Option<String>,
-        deadline: Uptime,
-    ) {
+    fn submit(&mut self, request: RequestId, id: JobId, mut job: Job, deadline: Uptime) {
         if let Some(reason) = job.validation_error() {
             return self.answer(request, Answer::Malformed(reason.to_owned()));
         }
-        job.queue.clone_from(&queue.name);
-        job.team = team;
-        job.policy = queue.policy.clone();
         job.epoch = self.highest_epoch();
         let bytes = match encode(&job) {
             Ok(bytes) if bytes.len() <= ROW_MAX => bytes,
@@ -341,10 +341,10 @@
         result: Result<StoreAnswer, StoreError>,
     ) {
         let Some(pending) = self.gateway.pending.get(&request) else { return };
-        let Kind::Cancel { team, queue } = &pending.kind else { return };
+        let Kind::Cancel { caller } = &pending.kind else { return };
         let id = pending.id;
         match result {
-            Ok(answer) if !contains_visible_job(&answer.rows, id, team.as_deref(), queue) => {
+            Ok(answer) if !self.contains_visible_job(&answer.rows, id, caller) => {
                 self.answer(request, Answer::NoJob);
             }
             Ok(answer) => {
@@ -409,6 +409,7 @@
                 Kind::Submit { .. } => self.attempt_submit(request),
                 Kind::Cancel { .. } => self.attempt_cancel(request, id),
                 Kind::State { .. } => self.attempt_state(request, id),
+                Kind::WaitingCount => {}
             }
         }
         let expired: Vec<CallId> = self
@@ -427,21 +428,21 @@
         &mut self,
         request: RequestId,
         id: JobId,
-        team: Option<String>,
+        caller: Caller,
         queue: String,
         deadline: Uptime,
     ) {
-        let kind = Kind::State { team: team.clone(), queue: queue.clone(), cancelled: None };
+        let kind = Kind::State { caller: caller.clone(), told: None, cancelled: None };
         self.gateway.pending.insert(request, PendingRequest { deadline, id, kind, retry_at: None });
-        self.query(request, Query::State { id }, Subject::State { id, team, queue });
+        self.query(request, Query::State { id }, Subject::State { id, caller, queue });
     }
 
     fn read_waiting_count(&mut self, request: RequestId, queue: &Queue, deadline: Uptime) {
-        let kind = Kind::State { team: None, queue: queue.name.clone(), cancelled: None };
+        let kind = Kind::WaitingCount;
         self.gateway
             .pending
             .insert(request, PendingRequest { deadline, id: 0, kind, retry_at: None });
-        let query = Query::Waiting { queue: queue.name.clone() };
+        let query = Query::Waiting { queue: queue.name.clone(), address: Some(queue.address()) };
         self.query(request, query, Subject::Waiting);
     }
 
@@ -475,14 +476,17 @@
         let Some(owner) = &self.owner else { return QueryAnswer::NotOwner };
         match query {
             Query::State { id } => match owner.scheduler.state(*id) {
-                Some((state, team, queue)) => QueryAnswer::State {
+                Some((state, job)) => QueryAnswer::State {
                     state,
-                    team: team.map(str::to_owned),
-                    queue: queue.to_owned(),
+                    team: job.team.clone(),
+                    queue: job.queue.clone(),
+                    origin: job.origin.clone(),
                 },
                 None => QueryAnswer::Unknown,
             },
-            Query::Waiting { queue } => QueryAnswer::Waiting(owner.scheduler.waiting(queue)),
+            Query::Waiting { queue, address } => {
+                QueryAnswer::Waiting(owner.scheduler.waiting(queue, address.as_ref()))
+            }
         }
     }
 
@@ -496,12 +500,25 @@
                 self.refuse(request, "queue".to_owned(), "the owner is not known");
             }
             (
-                Subject::State { team, queue, .. },
-                QueryAnswer::State { state, team: job_team, queue: job_queue },
-            ) => {
-                let visible = job_queue == queue && (job_team.is_none() || job_team == team);
-                let answer = if visible { Answer::State(state) } else { Answer::NoJob };
-                self.answer(request, answer);
+                Subject::State { caller, queue, .. },
+                QueryAnswer::State { state, team, queue: job_queue, origin },
+            ) if self.operator.configuration.as_ref().is_some_and(|configuration| {
+                let found = match &origin {
+                    Some(origin) => origin.address.takes(&caller.host, &caller.prefix),
+                    None => job_queue == queue,
+                };
+                found && configuration.shows_team(team.as_deref(), origin.as_ref(), &caller)
+            }) =>
+            {
+                self.answer(request, Answer::State(state));
+            }
+            (Subject::State { id, .. }, QueryAnswer::State { state, .. }) => {
+                if let Some(PendingRequest { kind: Kind::State { told, .. }, .. }) =
+                    self.gateway.pending.get_mut(&request)
+                {
+                    *told = Some(state);
+                }
+                self.attempt_state(request, id);
             }
             // The owner may not know the job yet, or there may be no owner at present.
             (Subject::State { id, .. }, _) => self.attempt_state(request, id),
@@ -518,21 +535,27 @@
         request: RequestId,
         result: Result<StoreAnswer, StoreError>,
     ) {
-        let Some(pending) = self.gateway.pending.get_mut(&request) else { return };
+        let Some(pending) = self.gateway.pending.get(&request) else { return };
         let id = pending.id;
-        let Kind::State { team, queue, cancelled } = &mut pending.kind else { return };
-        match result {
-            Ok(answer) if !contains_visible_job(&answer.rows, id, team.as_deref(), queue) => {
+        let Kind::State { caller, told, .. } = &pending.kind else { return };
+        match (result, *told) {
+            (Ok(answer), _) if !self.contains_visible_job(&answer.rows, id, caller) => {
                 self.answer(request, Answer::NoJob);
             }
-            Ok(answer) => {
+            (Ok(_), Some(state)) => self.answer(request, Answer::State(state)),
+            (Ok(answer), None) => {
                 let cancellation = cancellation_key(id);
-                *cancelled = Some(answer.rows.iter().any(|row| row.key == cancellation));
+                let stored = answer.rows.iter().any(|row| row.key == cancellation);
+                if let Some(PendingRequest { kind: Kind::State { cancelled, .. }, .. }) =
+                    self.gateway.pending.get_mut(&request)
+                {
+                    *cancelled = Some(stored);
+                }
                 let read =
                     StoreRequest::Read { table: Table::Progress, from: job_key(id), limit: 1 };
                 self.call_store(Purpose::JobProgressRead(request), read, Duration::ZERO);
             }
-            Err(_) => self.retry_later(request),
+            (Err(_), _) => self.retry_later(request),
         }
     }
 
@@ -567,6 +590,19 @@
 }
 
 impl Host {
+    /// Returns whether the rows contain the job and the caller may see it.
+    fn contains_visible_job(&self, rows: &[Row], id: JobId, caller: &Caller) -> bool {
+        let Some(configuration) = &self.operator.configuration else { return false };
+        let key = job_key(id);
+        let row = rows.iter().find(|row| row.key == key);
+        row.is_some_and(|row| match &row.content {
+            Content::Bytes(bytes) => {
+                decode::<Job>(bytes).is_ok_and(|job| configuration.shows(&job, caller))
+            }
+            _ => false,
+        })
+    }
+
     /// Logs why a job is shown as failed. The lines of the failure itself may be long gone by then.
     fn log_failure(&mut self, id: JobId, failure: Option<&Failure>, source: &'static str) {
         let mut fields = vec![("job", job_key(id)), ("source", source.to_owned())];
@@ -590,15 +626,3 @@
         deletes: Vec::new(),
     }
 }
-
-/// Returns whether the rows contain the job and it belongs to the queue and is visible to the caller's team.
-fn contains_visible_job(rows: &[Row], id: JobId, team: Option<&str>, queue: &str) -> bool {
-    let key = job_key(id);
-    let row = rows.iter().find(|row| row.key == key);
-    row.is_some_and(|row| match &row.content {
-        Content::Bytes(bytes) => decode::<Job>(bytes).is_ok_and(|job| {
-            job.queue == queue && (job.team.is_none() || job.team.as_deref() == team)
-        }),
-        _ => false,
-    })
-}
--- a/crates/shallotpost-fleet/src/job.rs
+++ b/crates/shallotpost-fleet/src/job.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::QueuePolicy;
+use crate::origin::{Address, Origin, trailing};
 use crate::prelude::*;
 
 /// Identifier of a job, chosen by its submitter and written as 16 hexadecimal digits.
@@ -21,8 +22,9 @@
 /// A job as submitted, with the policy that its queue had at that time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
+    /// Name of the queue at the submission. [`Configuration::queue_of`] tells the present one.
     pub queue: String,
-    /// Team that submitted the job; `None` if it was submitted without a key.
+    /// Name at the submission of the team that submitted the job; `None` if it was submitted without a key.
     pub team: Option<String>,
     /// Opaque text that is passed to the workers.
     pub specification: String,
@@ -30,11 +32,14 @@
     pub steps: Vec<Step>,
     /// Due times of a recurring job; `None` for a job that runs once, at once.
     pub schedule: Option<Schedule>,
-    /// Policy of the queue when the job was admitted. It applies once the queue is removed from the configuration.
+    /// Policy of the queue when the job was admitted. It applies while the configuration has no queue for the job.
     pub policy: QueuePolicy,
     /// Highest epoch of ownership that the accepting host knew. An owner of a lower epoch does not start the job, so the
     /// owner of this epoch knows that no earlier owner has started it.
     pub epoch: u64,
+    /// What the job was submitted with; `None` in rows and messages of earlier versions, which end before it.
+    #[serde(default, skip_serializing_if = "Option::is_none", deserialize_with = "trailing")]
+    pub origin: Option<Origin>,
 }
 
 /// Recurrence of a job. Each occurrence runs all of its steps.
@@ -143,6 +148,14 @@
         None
     }
 
+    /// Returns the key of what is learned about the jobs of the queue. It stays when the queue is renamed.
+    pub fn profile(&self) -> Address {
+        match &self.origin {
+            Some(origin) => origin.address.clone(),
+            None => Address { host: String::new(), prefix: self.queue.clone() },
+        }
+    }
+
     /// Returns the number of occurrences, which is one without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/crates/shallotpost-fleet/src/lib.rs
+++ b/crates/shallotpost-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod job;
 pub mod kernel;
 pub mod message;
+pub mod origin;
 pub mod port;
 pub mod prelude;
 pub mod progress;
--- a/crates/shallotpost-fleet/src/message.rs
+++ b/crates/shallotpost-fleet/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::origin::{Address, Origin, trailing};
 use crate::port::{
     ApprovalError, ApprovalRequest, Row, RowVersion, StoreAnswer, StoreError, StoreRequest, Ticket,
 };
@@ -100,7 +101,13 @@
     /// State of a job.
     State { id: JobId },
     /// Number of jobs of a queue of which no task has started.
-    Waiting { queue: String },
+    Waiting {
+        /// Name of the queue, as the sender's configuration has it.
+        queue: String,
+        /// Address of the queue; `None` in messages of earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none", deserialize_with = "trailing")]
+        address: Option<Address>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,6 +118,9 @@
         /// Team that submitted the job; `None` if it was submitted without a key.
         team: Option<String>,
         queue: String,
+        /// What the job was submitted with; `None` if it was submitted through an earlier version, or the owner is one.
+        #[serde(default, skip_serializing_if = "Option::is_none", deserialize_with = "trailing")]
+        origin: Option<Origin>,
     },
     /// Number of jobs of which no task has started.
     Waiting(usize),
--- a/crates/shallotpost-fleet/src/scheduler/approvals.rs
+++ b/crates/shallotpost-fleet/src/scheduler/approvals.rs
@@ -93,7 +93,7 @@
         nominees.sort_by_key(|nominee| (nominee.room, nominee.unknown, nominee.order));
         let mut named = BTreeSet::new();
         nominees.retain(|nominee| named.insert(Rc::clone(&nominee.key)));
-        let rate = self.approval_rates.get(demand.queue()).copied().unwrap_or_default();
+        let rate = self.approval_rates.get(&demand.job.profile()).copied().unwrap_or_default();
         let cost = Cost { per_call: approval.per_call, per_worker: approval.per_worker };
         let candidates = nominees
             .iter()
@@ -210,7 +210,7 @@
         let Some(pending) = self.pending_approvals.remove(&call) else { return };
         let Some(entry) = self.jobs.get(&pending.stage.job) else { return };
         let validity = entry.policy.approval.map_or(Duration::ZERO, |approval| approval.validity);
-        let queue = entry.job.queue.clone();
+        let profile = entry.job.profile();
         self.round_due = true;
         if self.stage(pending.stage).is_some() {
             self.fresh.insert(pending.stage);
@@ -234,7 +234,7 @@
             let ticket = ticket.map(|ticket| ticket.ticket.clone());
             stage.approvals.insert(worker, CachedApproval { ticket, expires, incarnation });
         }
-        self.approval_rates.entry(queue).or_default().record(named, tickets.len());
+        self.approval_rates.entry(profile).or_default().record(named, tickets.len());
     }
 
     /// Lets stages ask again whose approval calls take longer than expected, and ends calls that can no longer be
--- a/crates/shallotpost-fleet/src/scheduler/mod.rs
+++ b/crates/shallotpost-fleet/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! before the worker may drop it from its list, so a successor finds everything that happened in the store and in the
 //! workers' lists.
 
+mod affiliation;
 mod approvals;
 mod approvers;
 mod commit;
@@ -35,6 +36,7 @@
 
 use crate::configuration::QueuePolicy;
 use crate::job::StageId;
+use crate::origin::Address;
 use crate::port::{Counter, HostName};
 use crate::prelude::*;
 use crate::progress::{Failure, Progress, State};
@@ -111,13 +113,16 @@
 struct JobEntry {
     id: JobId,
     job: Rc<Job>,
-    /// Current policy of its queue, or the policy at admission if the queue was removed.
+    /// Name of its queue; `None` if the configuration has none for the job.
+    queue: Option<Rc<str>>,
+    /// Current policy of its queue, or the policy at admission if it has none.
     policy: Rc<QueuePolicy>,
     critical_path: Duration,
     /// Longest path from the start of each step to the end of the job.
     remaining_paths: Vec<Duration>,
     /// Whether its team had exceeded its share when it submitted the job.
     beyond_share: bool,
+    /// Team whose quota its tasks use; `None` if it was submitted without a key.
     team: Option<Rc<str>>,
     /// When this owner learned of the job.
     admitted: Uptime,
@@ -191,12 +196,12 @@
     recent_starts: VecDeque<(Uptime, CallId)>,
     pending_approvals: BTreeMap<CallId, PendingApproval>,
     approvers: Approvers,
-    /// Estimated share of workers that the approval service approves, by queue.
-    approval_rates: BTreeMap<String, Rate>,
+    /// Estimated share of workers that the approval service approves, by [`Job::profile`].
+    approval_rates: BTreeMap<Address, Rate>,
     /// Resources of the placements that count against the quota of each team.
     usage: BTreeMap<Rc<str>, Size>,
-    /// Ratios of durations to estimates, by queue.
-    queue_speeds: BTreeMap<String, QueueSpeed>,
+    /// Ratios of durations to estimates, by [`Job::profile`].
+    queue_speeds: BTreeMap<Address, QueueSpeed>,
     shares: shares::Shares,
     takeover: takeover::Takeover,
     commit: commit::InFlightCommit,
@@ -206,8 +211,8 @@
     last_holds_log: Uptime,
     /// Time that is added to the interval before the next round, in proportion to the stages that the last round tried.
     round_pause: Duration,
-    /// Version of the configuration from which the policies of the jobs were taken.
-    policies_version: u64,
+    /// Version of the configuration from which the queues, policies and teams of the jobs were taken.
+    affiliations_version: u64,
 }
 
 /// A call to the approval service that has not been answered yet.
@@ -256,7 +261,7 @@
             last_full_round: Uptime::ZERO,
             last_holds_log: Uptime::ZERO,
             round_pause: Duration::ZERO,
-            policies_version: 0,
+            affiliations_version: 0,
         }
     }
 
@@ -297,7 +302,8 @@
             return;
         }
         let inherited = self.is_unsettled() && job.epoch < self.epoch;
-        let team: Option<Rc<str>> = job.team.as_deref().map(Rc::from);
+        let configuration = context.configuration;
+        let team = affiliation::team_name(&job, configuration);
         let weight = |team: &Rc<str>| context.configuration.team(team).map(|team| team.weight);
         // Jobs submitted to an earlier owner do not count, because their submission times are not known.
         let beyond_share = !inherited
@@ -308,7 +314,8 @@
             id,
             critical_path: job.critical_path(),
             remaining_paths: job.remaining_paths(),
-            policy: effective_policy(&job, context.configuration),
+            queue: affiliation::queue_name(&job, configuration),
+            policy: affiliation::effective_policy(&job, configuration),
             beyond_share,
             job: Rc::new(job),
             team,
@@ -355,9 +362,9 @@
         self.stop_job(id, context);
     }
 
-    /// Returns the state of a job as callers may see it, with its team and queue; `None` if the job is not known. A job
-    /// whose final state is not stored yet is shown as running.
-    pub fn state(&self, id: JobId) -> Option<(State, Option<&str>, &str)> {
+    /// Returns a job with its state as callers may see it; `None` if the job is not known. A job whose final state is not
+    /// stored yet is shown as running.
+    pub fn state(&self, id: JobId) -> Option<(State, &Job)> {
         let entry = self.jobs.get(&id)?;
         let state = match entry.state {
             // The cancellation was stored before `cancel` was called.
@@ -365,7 +372,7 @@
             state if state.is_final() && entry.stored_state != state => State::Running,
             state => state,
         };
-        Some((state, entry.team.as_deref(), &entry.job.queue))
+        Some((state, &entry.job))
     }
 
     /// Returns why a job failed; `None` if it did not, or if that is not known.
@@ -386,12 +393,6 @@
         }
     }
 
-    /// Returns the number of jobs of a queue of which no task has started.
-    pub fn waiting(&self, queue: &str) -> usize {
-        let entries = self.unfinished.iter().filter_map(|id| self.jobs.get(id));
-        entries.filter(|entry| entry.state == State::Queued && entry.job.queue == queue).count()
-    }
-
     /// Applies a change of a worker's registration; `None` if it was removed or names no worker to use.
     pub fn set_registration(
         &mut self,
@@ -711,24 +712,11 @@
         !self.calls.values().any(|(_, _, purpose)| order(purpose))
     }
 
-    /// Returns the current policy of the job's queue, or the policy at admission if the queue was removed.
+    /// Returns the current policy of the job's queue, or the policy at admission if it has none.
     fn policy(&self, id: JobId) -> Option<Rc<QueuePolicy>> {
         Some(Rc::clone(&self.jobs.get(&id)?.policy))
     }
 
-    /// Applies the policies of a new configuration to the unfinished jobs.
-    fn refresh_policies(&mut self, configuration: &Configuration) {
-        if self.policies_version == configuration.version {
-            return;
-        }
-        self.policies_version = configuration.version;
-        for id in &self.unfinished {
-            if let Some(entry) = self.jobs.get_mut(id) {
-                entry.policy = effective_policy(&entry.job, configuration);
-            }
-        }
-    }
-
     fn stage(&self, id: StageId) -> Option<&Stage> {
         self.jobs.get(&id.job)?.stages.get(&(id.occurrence, id.step))
     }
@@ -902,8 +890,3 @@
 fn fence(epoch: u64, number: u64) -> u64 {
     epoch * INCARNATIONS_MAX + number.min(INCARNATIONS_MAX - 1)
 }
-
-fn effective_policy(job: &Job, configuration: &Configuration) -> Rc<QueuePolicy> {
-    let queue = configuration.queue(&job.queue);
-    Rc::new(queue.map_or(&job.policy, |queue| &queue.policy).clone())
-}
--- a/crates/shallotpost-fleet/src/scheduler/placement.rs
+++ b/crates/shallotpost-fleet/src/scheduler/placement.rs
@@ -76,7 +76,7 @@
 /// A stage to place, with the policy and the quota that apply to it.
 pub(super) struct Demand {
     pub(super) id: StageId,
-    job: Rc<Job>,
+    pub(super) job: Rc<Job>,
     pub(super) policy: Rc<QueuePolicy>,
     pub(super) team: Option<Rc<str>>,
     pub(super) cap: Size,
@@ -87,10 +87,6 @@
 }
 
 impl Demand {
-    pub(super) fn queue(&self) -> &str {
-        &self.job.queue
-    }
-
     pub(super) fn step(&self) -> &Step {
         &self.job.steps[usize::from(self.id.step)]
     }
@@ -102,7 +98,7 @@
         if !context.may_start {
             return;
         }
-        self.refresh_policies(context.configuration);
+        self.refresh_affiliations(context.configuration);
         let full = context.now.saturating_sub(self.last_full_round) >= FULL_ROUND_INTERVAL;
         if full {
             self.last_full_round = context.now;
--- a/crates/shallotpost-fleet/src/scheduler/run_lists.rs
+++ b/crates/shallotpost-fleet/src/scheduler/run_lists.rs
@@ -171,8 +171,8 @@
         if step.gang || step.long_running || resumed {
             return;
         }
-        let (estimate, queue) = (step.estimate, entry.job.queue.clone());
-        let difference = self.queue_speeds.entry(queue).or_default().observe(estimate, duration);
+        let (estimate, profile) = (step.estimate, entry.job.profile());
+        let difference = self.queue_speeds.entry(profile).or_default().observe(estimate, duration);
         if let Some(session) = self.sessions.get_mut(worker) {
             session.slowness.record(difference, now);
         }
--- a/crates/shallotpost-fleet/src/scheduler/takeover.rs
+++ b/crates/shallotpost-fleet/src/scheduler/takeover.rs
@@ -94,7 +94,7 @@
     /// Whether the owner before this one may still start tasks, as its last commit is recent.
     predecessor_starts: bool,
     /// Resources of the runs that earlier owners started and this one has found on workers, by team.
-    adopted: BTreeMap<Rc<str>, Size>,
+    pub(super) adopted: BTreeMap<Rc<str>, Size>,
     /// Whether ended runs were processed whose progress is not in the commit being built.
     unstored_ends: bool,
 }
@@ -524,7 +524,7 @@
             if !entry.stages.values().any(super::Stage::is_uncertain) {
                 continue;
             }
-            let current = context.configuration.queue(&entry.job.queue);
+            let current = context.configuration.queue_of(&entry.job);
             let pool = current.map_or(&entry.job.policy.pool, |queue| &queue.policy.pool);
             let pools = [pool, &entry.job.policy.pool];
             if pools.iter().any(|pool| awaited.contains(pool.as_str())) {
--- a/crates/shallotpost-fleet/tests/golden_files.rs
+++ b/crates/shallotpost-fleet/tests/golden_files.rs
@@ -20,6 +20,7 @@
 use shallotpost_fleet::message::{
     Heartbeat, Message, Query, QueryAnswer, WorkerCall, decode, encode,
 };
+use shallotpost_fleet::origin::{Address, Origin, digest};
 use shallotpost_fleet::port::{
     Action, Answer, ApprovalError, ApprovalRequest, Content, Input, Output, Request, Row,
     StoreAnswer, StoreError, StoreRequest, Table, Ticket,
@@ -156,9 +157,18 @@
         }),
         policy: policy(Some(approval())),
         epoch: 7,
+        origin: None,
     }
 }
 
+fn address() -> Address {
+    Address { host: text("fleet.example"), prefix: text("/batch/") }
+}
+
+fn origin() -> Origin {
+    Origin { address: address(), key: Some(digest("key-1")) }
+}
+
 fn job_without_options() -> Job {
     Job { team: None, steps: vec![step(0)], schedule: None, policy: policy(None), ..job() }
 }
@@ -284,6 +294,21 @@
     check(golden!("job.hex"), &[job(), job_without_options()]);
 }
 
+/// The origin of a job ends its row, so earlier versions skip it.
+#[test]
+fn jobs_with_origin() {
+    let anonymous = Origin { key: None, ..origin() };
+    let samples = [
+        Job { origin: Some(origin()), ..job() },
+        Job { origin: Some(anonymous), ..job_without_options() },
+    ];
+    check(golden!("job_with_origin.hex"), &samples);
+    let rows = values(golden!("job_with_origin.hex")).into_iter();
+    for (row, earlier) in rows.zip(values(golden!("job.hex"))) {
+        assert!(row.starts_with(&earlier));
+    }
+}
+
 #[test]
 fn progress_rows() {
     check(golden!("progress.hex"), &STATES.map(progress));
@@ -384,10 +409,11 @@
 fn questions_and_answers() {
     let ask = |query| Message::Query { call: 31, query };
     let tell = |answer| Message::QueryAnswer { call: 32, answer };
-    let known = |state, team| QueryAnswer::State { state, team, queue: text("batch") };
+    let known =
+        |state, team| QueryAnswer::State { state, team, queue: text("batch"), origin: None };
     let mut messages = vec![
         ask(Query::State { id: JOB }),
-        ask(Query::Waiting { queue: text("batch") }),
+        ask(Query::Waiting { queue: text("batch"), address: None }),
         tell(known(State::Queued, Some(text("team-a")))),
         tell(QueryAnswer::Waiting(12)),
         tell(QueryAnswer::Unknown),
@@ -397,6 +423,27 @@
     check(golden!("message_questions.hex"), &messages);
 }
 
+/// The origin of a job and the address of a queue end the messages, so earlier versions skip them.
+#[test]
+fn origins_in_messages() {
+    let samples = |origin: Option<Origin>, address| {
+        let (state, team, queue) = (State::Running, Some(text("team-a")), text("batch"));
+        let job = Box::new(Job { origin: origin.clone(), ..job() });
+        [
+            Message::Submitted { id: JOB, job },
+            Message::Query { call: 31, query: Query::Waiting { queue: queue.clone(), address } },
+            Message::QueryAnswer {
+                call: 32,
+                answer: QueryAnswer::State { state, team, queue, origin },
+            },
+        ]
+    };
+    check(golden!("message_origins.hex"), &samples(Some(origin()), Some(address())));
+    for (earlier, bytes) in samples(None, None).iter().zip(values(golden!("message_origins.hex"))) {
+        assert!(bytes.starts_with(&encode(earlier).expect("it can be encoded")));
+    }
+}
+
 #[test]
 fn relayed_store_calls() {
     let call = |request| Message::StoreCall { call: 33, request, timeout: ms(1200) };
@@ -711,9 +758,13 @@
     let key = format!("{JOB:016x}");
     let mut jobs = scene.written(Table::Jobs, &key);
     jobs.extend(scene.written(Table::Jobs, &format!("{key}.cancel")));
-    check_bytes(golden!("job_rows_written.hex"), &jobs);
+    check_bytes(golden!("job_rows_with_origin.hex"), &jobs);
+    // Rows of earlier versions end before the origin.
+    let earlier = values(golden!("job_rows_written.hex"));
+    assert!(jobs[0].starts_with(&earlier[0]));
+    assert_eq!(jobs[1..], earlier[1..]);
     let stored: Job = decode(&jobs[0]).expect("a job");
-    assert_eq!(stored, Job { epoch: 1, ..job() });
+    assert_eq!(stored, Job { epoch: 1, origin: Some(origin()), ..job() });
     let progress = scene.written(Table::Progress, &key);
     check_bytes(golden!("progress_rows_written.hex"), &progress);
     let last: Progress = decode(progress.last().expect("a row")).expect("a row of progress");
--- a/crates/shallotpost-fleet/tests/support/mod.rs
+++ b/crates/shallotpost-fleet/tests/support/mod.rs
@@ -1025,6 +1025,7 @@
         schedule: None,
         policy: QueuePolicy::default(),
         epoch: 0,
+        origin: None,
     }
 }
 
