fleet: an owner's answer without an origin does not show a job by itself

Read as a newcomer: the name of the queue in the owner's answer still decided for jobs without an origin, at any path whose end is an identifier. The job's row decides for them now, as it does for all others that are not found at their origin.

--- a/crates/shallotpost-fleet/src/host/gateway.rs
+++ b/crates/shallotpost-fleet/src/host/gateway.rs
@@ -75,7 +75,7 @@
 /// What a query to the owner is for.
 #[derive(Clone, Debug)]
 enum Subject {
-    State { id: JobId, caller: Caller, queue: String },
+    State { id: JobId, caller: Caller },
     Waiting,
 }
 
@@ -141,7 +141,7 @@
                 self.reject(request, &body.path, version, Answer::Malformed(reason));
             }
             (Action::Read, Some((id, caller))) => {
-                self.read_state(request, id, caller, queue.name, deadline);
+                self.read_state(request, id, caller, deadline);
             }
             (Action::Cancel, Some((id, caller))) => {
                 let kind = Kind::Cancel { caller };
@@ -424,17 +424,10 @@
         }
     }
 
-    fn read_state(
-        &mut self,
-        request: RequestId,
-        id: JobId,
-        caller: Caller,
-        queue: String,
-        deadline: Uptime,
-    ) {
+    fn read_state(&mut self, request: RequestId, id: JobId, caller: Caller, deadline: Uptime) {
         let kind = Kind::State { caller: caller.clone(), told: None, cancelled: None };
         self.gateway.pending.insert(request, PendingRequest { deadline, id, kind, retry_at: None });
-        self.query(request, Query::State { id }, Subject::State { id, caller, queue });
+        self.query(request, Query::State { id }, Subject::State { id, caller });
     }
 
     fn read_waiting_count(&mut self, request: RequestId, queue: &Queue, deadline: Uptime) {
@@ -500,14 +493,10 @@
                 self.refuse(request, "queue".to_owned(), "the owner is not known");
             }
             (
-                Subject::State { caller, queue, .. },
-                QueryAnswer::State { state, team, queue: job_queue, origin },
+                Subject::State { caller, .. },
+                QueryAnswer::State { state, team, origin: Some(origin), .. },
             ) if self.operator.configuration.as_ref().is_some_and(|configuration| {
-                let found = match &origin {
-                    Some(origin) => origin.address.takes(&caller.host, &caller.prefix),
-                    None => job_queue == queue,
-                };
-                found && configuration.shows_team(team.as_deref(), origin.as_ref(), &caller)
+                configuration.shows_at_origin(team.as_deref(), &origin, &caller)
             }) =>
             {
                 self.answer(request, Answer::State(state));
--- a/crates/shallotpost-fleet/src/origin.rs
+++ b/crates/shallotpost-fleet/src/origin.rs
@@ -102,9 +102,15 @@
         holder.map_or(submitter, |team| &team.name)
     }
 
+    /// Returns whether a caller finds a job where it was submitted, and may see it.
+    pub fn shows_at_origin(&self, team: Option<&str>, origin: &Origin, caller: &Caller) -> bool {
+        origin.address.takes(&caller.host, &caller.prefix)
+            && self.shows_team(team, Some(origin), caller)
+    }
+
     /// Returns whether a caller may see a job of a team. A caller without a key may if the queue at the path accepts requests
     /// without one.
-    pub fn shows_team(
+    fn shows_team(
         &self,
         submitter: Option<&str>,
         origin: Option<&Origin>,
--- a/crates/shallotpost-fleet/src/scheduler/late_starts.rs
+++ b/crates/shallotpost-fleet/src/scheduler/late_starts.rs
@@ -21,15 +21,15 @@
 use crate::scheduler::{Context, Purpose, Scheduler};
 use crate::worker::EndedRun;
 
-/// Time from an unanswered start until its task may run anywhere while the worker is in contact. A start can be later than that, but a job with nothing
-/// running may stand for at most 3 s once the fleet has been calm for 4 s.
+/// Time from an unanswered start until its task may run anywhere while the worker is in contact. A start can be later than that,
+/// but a job with nothing running may stand for at most 3 s once the fleet has been calm for 4 s.
 const LATE_START_WAIT: Duration = Duration::from_secs(6);
 
 /// Time after which a start that is not answered makes the owner ask whether its worker is alive. Answers take a few
 /// milliseconds, and the worker may be cut off before the start counts as unanswered.
 const QUESTION_AFTER: Duration = Duration::from_millis(100);
 
-/// Time before the end of that wait from which on an answer of the worker shows that its process has not been replaced meanwhile.
+/// Time before the end of that wait from which on an answer of the worker shows that its process has not been replaced.
 const FRESH_ANSWER_TIME: Duration = Duration::from_millis(300);
 
 /// Time for which the task waits for such an answer beyond the end.
--- a/crates/shallotpost-fleet/tests/cut_workers.rs
+++ b/crates/shallotpost-fleet/tests/cut_workers.rs
@@ -1,5 +1,5 @@
-//! Workers that leave a start without an answer and are cut off afterwards. Guards against a task that runs twice, as the worker
-//! starts again behind the cut and its new process carries the start out under the longest lease.
+//! Workers that leave a start without an answer and are cut off afterwards. Guards against a task that runs twice, as the
+//! worker starts again behind the cut and its new process carries the start out under the longest lease.
 
 mod support;
 
@@ -109,8 +109,8 @@
     }
 }
 
-/// The worker is cut off at some time after it has answered other calls than the start, also before the owner takes the start for
-/// unanswered.
+/// The worker is cut off at some time after it has answered other calls than the start, also before the owner takes the start
+/// for unanswered.
 #[test]
 fn restart_behind_cut() {
     let mut findings = Vec::new();
